Lay the ground: package, lints, identifiers, ledger fold and configuration documents

The whole path needs a vocabulary that its parts share, so that they can be built side by side: identifiers, token amounts, labels, the ledger's records and fold, and the documents of a configuration. Nothing runs yet.

--- /dev/null
+++ b/src/bin/jasmineridged.rs
@@ -0,0 +1,2 @@
+//! To come.
+fn main() {}
--- /dev/null
+++ b/src/tokens.rs
@@ -0,0 +1,96 @@
+//! Amounts of tokens.
+
+use std::fmt;
+use std::iter::Sum;
+use std::num::ParseIntError;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::ops::Sub;
+use std::ops::SubAssign;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An amount of tokens: what budgets, reservations and bills are counted in.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// No tokens.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the difference, or nothing where `other` is larger.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// Returns the sum, or the largest amount where it does not fit.
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+
+    /// Adds two amounts.
+    ///
+    /// # Panics
+    ///
+    /// When the sum does not fit: a ledger that wrapped round would give away a budget.
+    fn add(self, other: Self) -> Self {
+        Self(self.0.checked_add(other.0).expect("a sum of tokens fits"))
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Self;
+
+    /// Takes one amount from another.
+    ///
+    /// # Panics
+    ///
+    /// When `other` is larger: a ledger that wrapped round would give away a budget.
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.checked_sub(other.0).expect("an amount is covered"))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl SubAssign for Tokens {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I>(amounts: I) -> Self
+    where
+        I: Iterator<Item = Self>,
+    {
+        amounts.fold(Self::ZERO, Add::add)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
