Decide under load: limit, queue, choice, health, retries, holding, advice, in simple form

The router needs whom to serve, who waits and where work goes as values that it can call, before each of them is measured: it is built on these interfaces.

What was ruled out: a generator passed into `push` (the queue keeps its own, seeded, so that a refusal needs no further argument); fairness by one tag for a team and an account together, fixed when a request is pushed (a hot account would push back a modest one of its own team); a queue over teams alone (an account that names ten teams would have ten shares).

Change: `src/decide/` with one module a decision, the prefix index in a simple form because the choice reads it, and `tests/decisions` with one short test a rule.

--- /dev/null
+++ b/src/decide/choose.rs
@@ -0,0 +1,320 @@
+//! Which endpoint a request goes to.
+//!
+//! Answers many routers that choose among the same endpoints by load reports that lag: the least loaded endpoint of the
+//! last report gets everybody's requests until the next one, and is then the most loaded. Without care the fleet swings.
+//! A router corrects each report by what it sent itself since, draws two endpoints at random and takes the better of
+//! these and of those that have the prompt's prefix cached. It knows a stable subset of a large fleet, picked by
+//! rendezvous hash over its own name, so that prefixes and reports stay few and useful.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::decide::health::Ejector;
+use crate::decide::health::Health;
+use crate::decide::prefix::BlockHash;
+use crate::decide::prefix::PrefixIndex;
+use crate::ids::DomainId;
+use crate::ids::ModelId;
+use crate::ids::VmId;
+
+/// How many endpoints of one model a router chooses among. All of them at today's 12 and 18; at 35 models, 1,120 load
+/// reports of 30 bytes every 5 seconds are just within the 7 KB/s that a node may spend for control.
+const SUBSET: usize = 32;
+
+/// How many random endpoints are compared: with two the longest queue grows as the logarithm of a logarithm.
+const DRAWN: usize = 2;
+
+/// How many blocks to compute count as much as a full endpoint. At 16 tokens a block and a prefill of 10,000 tokens a
+/// second these take 0.4 s, about what a full batch adds to the time to the first token.
+const FULL_BLOCKS: f64 = 256.0;
+
+/// What another failure domain counts, of a full endpoint: a millisecond or two on each token's way.
+const REMOTE: f64 = 0.05;
+
+/// How long ago a load report may have been measured for the correction by own requests to be exact.
+const HISTORY: Duration = Duration::from_secs(5);
+
+/// How many changes of the own count are remembered for each endpoint.
+const CHANGES: usize = 64;
+
+/// What an endpoint says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in its batch.
+    pub running: u32,
+    /// Requests in its queue.
+    pub waiting: u32,
+    /// When it counted.
+    pub measured: Instant,
+}
+
+/// What is to be run.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The model that must be loaded, if one must.
+    pub model: Option<&'a ModelId>,
+    /// The prompt's blocks, from the first.
+    pub prefix: &'a [BlockHash],
+    /// Where it is asked.
+    pub domain: &'a DomainId,
+    /// Endpoints that it must not go to, having failed it before.
+    pub excluded: &'a [VmId],
+}
+
+/// The endpoint chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: VmId,
+    /// How many leading blocks of the prompt it is thought to have cached.
+    pub cached: usize,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    domain: DomainId,
+    models: Vec<ModelId>,
+    limit: u32,
+    leaving: bool,
+    own: u32,
+    others: u32,
+    changes: VecDeque<(Instant, u32)>,
+}
+
+/// Chooses among the endpoints of one pool.
+#[derive(Debug)]
+pub struct Chooser {
+    seed: u64,
+    endpoints: IndexMap<VmId, Endpoint>,
+    /// The endpoints of each model, and all of them under none, in the order in which this router prefers them.
+    ranked: IndexMap<Option<ModelId>, BTreeSet<(u64, VmId)>>,
+}
+
+impl Chooser {
+    /// Makes one that knows no endpoint, for the router on this VM.
+    pub fn new(router: &VmId) -> Self {
+        Self {
+            seed: xxh3_64_with_seed(router.as_str().as_bytes(), 0),
+            endpoints: IndexMap::new(),
+            ranked: IndexMap::new(),
+        }
+    }
+
+    /// Adds an endpoint, or changes its models and limit.
+    pub fn put(&mut self, vm: &VmId, domain: &DomainId, models: &[ModelId], limit: u32) {
+        let rank = self.rank(vm);
+        self.unrank(vm);
+        let keys = models.iter().cloned().map(Some).chain([None]);
+        for key in keys {
+            self.ranked
+                .entry(key)
+                .or_default()
+                .insert((rank, vm.clone()));
+        }
+        let endpoint = self
+            .endpoints
+            .entry(vm.clone())
+            .or_insert_with(|| Endpoint {
+                domain: domain.clone(),
+                models: Vec::new(),
+                limit,
+                leaving: false,
+                own: 0,
+                others: 0,
+                changes: VecDeque::new(),
+            });
+        endpoint.domain = domain.clone();
+        endpoint.models = models.to_vec();
+        endpoint.limit = limit;
+    }
+
+    /// Removes an endpoint.
+    pub fn remove(&mut self, vm: &VmId) {
+        self.unrank(vm);
+        self.endpoints.swap_remove(vm);
+    }
+
+    /// Marks an endpoint as leaving: from now on it gets nothing new.
+    pub fn leave(&mut self, vm: &VmId, leaving: bool) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.leaving = leaving;
+        }
+    }
+
+    /// Sets how many requests an endpoint may have in progress, of all routers.
+    pub fn limit(&mut self, vm: &VmId, limit: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.limit = limit;
+        }
+    }
+
+    /// Takes in an endpoint's load report, which counted this router's own requests of that time too.
+    pub fn report(&mut self, vm: &VmId, load: Load) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            let own = endpoint.own_at(load.measured);
+            endpoint.others = (load.running + load.waiting).saturating_sub(own);
+        }
+    }
+
+    /// Counts a request that was sent to an endpoint.
+    pub fn start(&mut self, now: Instant, vm: &VmId) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.count(now, endpoint.own + 1);
+        }
+    }
+
+    /// Counts a request that ended at an endpoint.
+    pub fn end(&mut self, now: Instant, vm: &VmId) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.count(now, endpoint.own.saturating_sub(1));
+        }
+    }
+
+    /// Returns the estimated number of requests at an endpoint.
+    pub fn load(&self, vm: &VmId) -> Option<u32> {
+        self.endpoints.get(vm).map(Endpoint::load)
+    }
+
+    /// Chooses an endpoint, or none where all that could are full, leaving, ejected or excluded.
+    pub fn choose<R>(
+        &self,
+        now: Instant,
+        wish: &Wish<'_>,
+        index: &PrefixIndex,
+        health: &Ejector,
+        rng: &mut R,
+    ) -> Option<Choice>
+    where
+        R: Rng,
+    {
+        let usable = self.usable(now, wish, health);
+        let cached = index.matches(wish.prefix);
+        let blocks = |vm: &VmId| {
+            let found = cached.iter().find(|(holder, _)| holder == vm);
+            found.map_or(0, |(_, blocks)| *blocks)
+        };
+        let drawn = draw(usable.len(), rng);
+        usable
+            .iter()
+            .enumerate()
+            .map(|(at, (vm, endpoint))| (at, *vm, *endpoint, blocks(vm)))
+            .filter(|(at, _, _, blocks)| drawn.contains(at) || *blocks > 0)
+            .map(|(_, vm, endpoint, blocks)| (endpoint.score(wish, blocks), vm, blocks))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, vm, cached)| Choice {
+                endpoint: vm.clone(),
+                cached,
+            })
+    }
+
+    fn usable<'a>(
+        &'a self,
+        now: Instant,
+        wish: &Wish<'_>,
+        health: &Ejector,
+    ) -> Vec<(&'a VmId, &'a Endpoint)> {
+        let Some(ranked) = self.ranked.get(&wish.model.cloned()) else {
+            return Vec::new();
+        };
+        ranked
+            .iter()
+            .filter_map(|(_, vm)| Some((vm, self.endpoints.get(vm)?)))
+            .filter(|(_, endpoint)| !endpoint.leaving)
+            .take(SUBSET)
+            .filter(|(vm, endpoint)| endpoint.admits(health.health(now, vm)))
+            .filter(|(vm, _)| !wish.excluded.contains(vm))
+            .collect()
+    }
+
+    fn rank(&self, vm: &VmId) -> u64 {
+        xxh3_64_with_seed(vm.as_str().as_bytes(), self.seed)
+    }
+
+    fn unrank(&mut self, vm: &VmId) {
+        let rank = self.rank(vm);
+        let Some(endpoint) = self.endpoints.get(vm) else {
+            return;
+        };
+        let keys = endpoint.models.iter().cloned().map(Some).chain([None]);
+        for key in keys {
+            if let Some(ranked) = self.ranked.get_mut(&key) {
+                ranked.remove(&(rank, vm.clone()));
+            }
+        }
+    }
+}
+
+impl Endpoint {
+    fn load(&self) -> u32 {
+        self.others + self.own
+    }
+
+    /// Returns whether it takes one more; on trial, one at a time from this router.
+    fn admits(&self, health: Health) -> bool {
+        match health {
+            Health::Out => false,
+            Health::Trial => self.own == 0,
+            Health::In => self.load() < self.limit,
+        }
+    }
+
+    /// Returns how bad a choice it is, 1 being a full endpoint.
+    fn score(&self, wish: &Wish<'_>, cached: usize) -> f64 {
+        let load = f64::from(self.load() + 1) / f64::from(self.limit.max(1));
+        let missing = (wish.prefix.len() - cached) as f64 / FULL_BLOCKS;
+        let remote = if self.domain == *wish.domain {
+            0.0
+        } else {
+            REMOTE
+        };
+        load + missing + remote
+    }
+
+    fn count(&mut self, now: Instant, own: u32) {
+        self.own = own;
+        self.changes.push_back((now, own));
+        let old = now.checked_sub(HISTORY);
+        while self.changes.len() > CHANGES
+            || self
+                .changes
+                .front()
+                .is_some_and(|(at, _)| old.is_some_and(|old| *at < old))
+        {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns how many of this router's requests it had then.
+    fn own_at(&self, then: Instant) -> u32 {
+        self.changes
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= then)
+            .map_or_else(|| self.own_before(), |(_, own)| *own)
+    }
+
+    /// Returns the own count before the remembered changes, as far as it can be told.
+    fn own_before(&self) -> u32 {
+        self.changes.front().map_or(self.own, |(_, own)| *own)
+    }
+}
+
+/// Draws different places below `len`, as many as are compared.
+fn draw<R>(len: usize, rng: &mut R) -> [usize; DRAWN]
+where
+    R: Rng,
+{
+    if len < DRAWN {
+        return [0; DRAWN];
+    }
+    let first = rng.random_range(0..len);
+    let second = rng.random_range(0..len - 1);
+    [first, if second < first { second } else { second + 1 }]
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,38 @@
+//! Decisions under load: whom to serve, who waits, who is refused, and where work goes.
+//!
+//! Nothing here has input or output. Each module is told the time and given a seeded generator where it needs chance, so
+//! that a scenario can be replayed. Each opens with the load pattern that it answers, what happens without it, and the
+//! grounds for its figures; `docs/design/decisions.md` has what was measured.
+
+mod advice;
+mod choose;
+mod health;
+mod holding;
+mod limit;
+mod prefix;
+mod queue;
+mod retry;
+
+pub use advice::Advice;
+pub use advice::Peer;
+pub use advice::advise;
+pub use choose::Choice;
+pub use choose::Chooser;
+pub use choose::Load;
+pub use choose::Wish;
+pub use health::Ejector;
+pub use health::Evidence;
+pub use health::Health;
+pub use holding::Action;
+pub use holding::HoldingPolicy;
+pub use holding::Lean;
+pub use holding::Share;
+pub use limit::AccountLimit;
+pub use limit::Refusal;
+pub use prefix::BlockHash;
+pub use prefix::PrefixIndex;
+pub use queue::FairQueue;
+pub use queue::Full;
+pub use queue::Place;
+pub use queue::Ticket;
+pub use retry::RetryBudget;
--- /dev/null
+++ b/src/decide/queue.rs
@@ -0,0 +1,445 @@
+//! The queue of requests that wait for an endpoint.
+//!
+//! Answers more work than the endpoints take: a burst, a hot client account or key, an overload that lasts. In a plain
+//! first-in-first-out queue the account that sends most gets most, a modest account waits behind all of it, and under a
+//! lasting overload every request waits until its deadline and is then run for nobody. Here teams share by virtual time
+//! (the cost of what was served, over the weight), accounts share within and across teams likewise, an account may fill
+//! only a part of the queue, and whoever would wait past the deadline is refused at once.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use thiserror::Error;
+
+use crate::ids::AccountId;
+use crate::ids::TeamId;
+use crate::tokens::Tokens;
+
+/// How many priorities there are, 0 (first) to 9 (last).
+const PRIORITIES: usize = 10;
+
+/// One account may have one in this many places. A quarter leaves room for the others however many requests one sends,
+/// and lets an account that is alone on a router still queue for a burst.
+const ACCOUNT_SHARE: usize = 4;
+
+/// The time over which the drain rate is averaged: several answers, so that one long one does not swing it.
+const DRAIN_WINDOW: f64 = 5.0;
+
+/// The time that must have been measured before the rate is believed.
+const MIN_MEASURE: f64 = 0.25;
+
+/// The shortest wait that a refusal asks for.
+const MIN_RETRY: f64 = 1.0;
+
+/// The longest wait that a refusal asks for.
+const MAX_RETRY: f64 = 30.0;
+
+/// The wait that is asked for before any drain was measured.
+const UNKNOWN_RETRY: f64 = 2.0;
+
+/// What is waiting and for how long it may.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Who pays.
+    pub team: TeamId,
+    /// Who calls.
+    pub account: AccountId,
+    /// 0 (first) to 9 (last), among the requests of the same team.
+    pub priority: u8,
+    /// The account's weight against other accounts'.
+    pub weight: u32,
+    /// What it may cost.
+    pub cost: Tokens,
+    /// When waiting stops being of use.
+    pub deadline: Instant,
+}
+
+/// Tells why a request may not wait.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Full {
+    /// The queue has no place for it.
+    #[error("the queue is full")]
+    Length {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Its client account has filled its part of the queue.
+    #[error("the client account has too many requests waiting")]
+    Account {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It would wait past its deadline.
+    #[error("the wait would outlast the deadline")]
+    Deadline {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+impl Full {
+    /// Returns when to come back.
+    pub fn retry_after(&self) -> Duration {
+        match self {
+            Self::Length { retry_after }
+            | Self::Account { retry_after }
+            | Self::Deadline { retry_after } => *retry_after,
+        }
+    }
+}
+
+/// Names one waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place(u64);
+
+#[derive(Debug)]
+struct Waiting<T> {
+    item: T,
+    ticket: Ticket,
+}
+
+/// A team's or an account's part: its virtual time, and what it has waiting.
+#[derive(Clone, Debug, Default)]
+struct Part {
+    pass: f64,
+    count: usize,
+    cost: u64,
+}
+
+#[derive(Debug, Default)]
+struct Team {
+    part: Part,
+    lines: [IndexMap<AccountId, VecDeque<Place>>; PRIORITIES],
+}
+
+/// A bounded queue, fair over teams and accounts.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    length: usize,
+    waiting: IndexMap<Place, Waiting<T>>,
+    deadlines: BTreeSet<(Instant, Place)>,
+    teams: IndexMap<TeamId, Team>,
+    accounts: IndexMap<AccountId, Part>,
+    /// Given up on to make room.
+    displaced: Vec<T>,
+    /// The virtual time: that of the last one served.
+    pass: f64,
+    drain: Drain,
+    next: u64,
+    rng: ChaCha8Rng,
+}
+
+impl<T> FairQueue<T> {
+    /// Makes an empty queue of at most `length` requests.
+    pub fn new(length: usize, rng: ChaCha8Rng) -> Self {
+        Self {
+            length,
+            waiting: IndexMap::new(),
+            deadlines: BTreeSet::new(),
+            teams: IndexMap::new(),
+            accounts: IndexMap::new(),
+            displaced: Vec::new(),
+            pass: 0.0,
+            drain: Drain::default(),
+            next: 0,
+            rng,
+        }
+    }
+
+    /// Returns how many wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Lets a request wait.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not, when the queue is full, its account has filled its part, or the wait would outlast its deadline.
+    pub fn push(&mut self, now: Instant, item: T, ticket: Ticket) -> Result<Place, Full> {
+        let wait = self.wait(now, &ticket);
+        let retry_after = self.retry_after(wait);
+        if wait.is_some_and(|wait| now + wait >= ticket.deadline) {
+            return Err(Full::Deadline { retry_after });
+        }
+        let mine = self.accounts.get(&ticket.account).map_or(0, |a| a.count);
+        if mine >= (self.length / ACCOUNT_SHARE).max(1) {
+            return Err(Full::Account { retry_after });
+        }
+        if self.waiting.len() >= self.length && !self.make_room(mine) {
+            return Err(Full::Length { retry_after });
+        }
+        if self.is_empty() {
+            self.drain.start(now);
+        }
+        Ok(self.insert(item, ticket))
+    }
+
+    /// Takes out the one to serve next.
+    pub fn pop(&mut self, now: Instant) -> Option<T> {
+        let (team, priority, account) = self.next_line()?;
+        let place = self.front(&team, priority, &account)?;
+        let waiting = self.take(place)?;
+        self.charge(&waiting.ticket);
+        self.drain
+            .served(now, waiting.ticket.cost, self.waiting.is_empty());
+        Some(waiting.item)
+    }
+
+    /// Takes out those that are given up on: past their deadlines, or displaced by an account that has less waiting.
+    pub fn expired(&mut self, now: Instant) -> Vec<T> {
+        let mut given_up = std::mem::take(&mut self.displaced);
+        while let Some((deadline, place)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            given_up.extend(self.take(place).map(|w| w.item));
+        }
+        if self.is_empty() {
+            self.drain.stop(now);
+        }
+        given_up
+    }
+
+    /// Takes out one whose caller no longer waits.
+    pub fn cancel(&mut self, now: Instant, place: Place) -> Option<T> {
+        let item = self.take(place)?.item;
+        if self.is_empty() {
+            self.drain.stop(now);
+        }
+        Some(item)
+    }
+
+    /// Returns when the next one is past its deadline.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Estimates how long a request would wait, once a drain was measured.
+    ///
+    /// Ahead of it are the whole queue or, where that is less, what its own team has waiting, with as much of each other
+    /// team served beside it.
+    pub fn wait(&self, now: Instant, ticket: &Ticket) -> Option<Duration> {
+        let rate = self.drain.rate(now)?;
+        let total: u64 = self.teams.values().map(|t| t.part.cost).sum();
+        let own = self.teams.get(&ticket.team).map_or(0, |t| t.part.cost) + ticket.cost.0;
+        let beside: u64 = self
+            .teams
+            .iter()
+            .filter(|(id, _)| **id != ticket.team)
+            .map(|(_, t)| t.part.cost.min(own))
+            .sum();
+        let ahead = total.min(own - ticket.cost.0 + beside);
+        Some(Duration::from_secs_f64(
+            (ahead as f64 / rate).min(MAX_RETRY * 100.0),
+        ))
+    }
+
+    /// Spreads callers over as much time again as the queue needs to drain: those refused together come back apart.
+    fn retry_after(&mut self, wait: Option<Duration>) -> Duration {
+        let wait = wait.map_or(UNKNOWN_RETRY, |w| w.as_secs_f64());
+        let wait = wait.clamp(MIN_RETRY, MAX_RETRY / 2.0);
+        Duration::from_secs_f64(wait * self.rng.random_range(1.0..2.0))
+    }
+
+    /// Gives up the newest request of the account with most waiting, for the sake of an account with less.
+    fn make_room(&mut self, mine: usize) -> bool {
+        let Some((most, _)) = self
+            .accounts
+            .iter()
+            .filter(|(_, part)| part.count > mine + 1)
+            .max_by_key(|(_, part)| part.count)
+        else {
+            return false;
+        };
+        let newest = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| w.ticket.account == *most)
+            .map(|(place, _)| *place)
+            .max();
+        let Some(waiting) = newest.and_then(|place| self.take(place)) else {
+            return false;
+        };
+        self.displaced.push(waiting.item);
+        true
+    }
+
+    fn insert(&mut self, item: T, ticket: Ticket) -> Place {
+        let place = Place(self.next);
+        self.next += 1;
+        self.deadlines.insert((ticket.deadline, place));
+        // Whoever had nothing waiting starts at the present: idle time earns no right to all of the endpoints later.
+        let account = self.accounts.entry(ticket.account.clone()).or_default();
+        account.join(self.pass, &ticket);
+        let team = self.teams.entry(ticket.team.clone()).or_default();
+        team.part.join(self.pass, &ticket);
+        team.lines[line(ticket.priority)]
+            .entry(ticket.account.clone())
+            .or_default()
+            .push_back(place);
+        self.waiting.insert(place, Waiting { item, ticket });
+        place
+    }
+
+    fn take(&mut self, place: Place) -> Option<Waiting<T>> {
+        let waiting = self.waiting.swap_remove(&place)?;
+        let ticket = &waiting.ticket;
+        self.deadlines.remove(&(ticket.deadline, place));
+        if let Some(account) = self.accounts.get_mut(&ticket.account) {
+            account.part(ticket);
+        }
+        if let Some(team) = self.teams.get_mut(&ticket.team) {
+            team.part.part(ticket);
+            team.forget(ticket, place);
+        }
+        self.tidy(ticket);
+        Some(waiting)
+    }
+
+    /// Forgets a team or an account that has nothing waiting and is not ahead of the virtual time.
+    fn tidy(&mut self, ticket: &Ticket) {
+        let pass = self.pass;
+        let done = |part: &Part| part.count == 0 && part.pass <= pass;
+        if self.teams.get(&ticket.team).is_some_and(|t| done(&t.part)) {
+            self.teams.swap_remove(&ticket.team);
+        }
+        if self.accounts.get(&ticket.account).is_some_and(done) {
+            self.accounts.swap_remove(&ticket.account);
+        }
+    }
+
+    /// Finds the line to serve: of the team furthest behind, its best priority, the account furthest behind in it.
+    fn next_line(&self) -> Option<(TeamId, usize, AccountId)> {
+        self.teams
+            .iter()
+            .filter_map(|(id, team)| {
+                let (priority, account, pass) = team.next(&self.accounts)?;
+                Some((pass.max(team.part.pass), id, priority, account))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id, priority, account)| (id.clone(), priority, account.clone()))
+    }
+
+    fn front(&self, team: &TeamId, priority: usize, account: &AccountId) -> Option<Place> {
+        let line = self.teams.get(team)?.lines[priority].get(account)?;
+        line.front().copied()
+    }
+
+    /// Moves the virtual times on by what is served.
+    fn charge(&mut self, ticket: &Ticket) {
+        let cost = ticket.cost.0.max(1) as f64;
+        let account = self.accounts.entry(ticket.account.clone()).or_default();
+        let team = self.teams.entry(ticket.team.clone()).or_default();
+        self.pass = self
+            .pass
+            .max(account.pass.max(team.part.pass).min(self.pass + cost));
+        account.pass = account.pass.max(self.pass) + cost / f64::from(ticket.weight.max(1));
+        team.part.pass = team.part.pass.max(self.pass) + cost;
+    }
+}
+
+impl Team {
+    fn next<'a>(
+        &'a self,
+        accounts: &IndexMap<AccountId, Part>,
+    ) -> Option<(usize, &'a AccountId, f64)> {
+        let (priority, line) = self.lines.iter().enumerate().find(|(_, l)| !l.is_empty())?;
+        line.keys()
+            .map(|account| {
+                (
+                    priority,
+                    account,
+                    accounts.get(account).map_or(0.0, |a| a.pass),
+                )
+            })
+            .min_by(|a, b| a.2.total_cmp(&b.2))
+    }
+
+    fn forget(&mut self, ticket: &Ticket, place: Place) {
+        let lines = &mut self.lines[line(ticket.priority)];
+        let Some(line) = lines.get_mut(&ticket.account) else {
+            return;
+        };
+        match line.front() {
+            Some(front) if *front == place => drop(line.pop_front()),
+            _ => line.retain(|p| *p != place),
+        }
+        if line.is_empty() {
+            lines.swap_remove(&ticket.account);
+        }
+    }
+}
+
+impl Part {
+    fn join(&mut self, pass: f64, ticket: &Ticket) {
+        if self.count == 0 {
+            self.pass = self.pass.max(pass);
+        }
+        self.count += 1;
+        self.cost += ticket.cost.0;
+    }
+
+    fn part(&mut self, ticket: &Ticket) {
+        self.count -= 1;
+        self.cost -= ticket.cost.0;
+    }
+}
+
+fn line(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITIES - 1)
+}
+
+/// Measures how fast the queue drains while something waits in it.
+#[derive(Debug, Default)]
+struct Drain {
+    cost: f64,
+    time: f64,
+    since: Option<Instant>,
+}
+
+impl Drain {
+    fn start(&mut self, now: Instant) {
+        self.since = Some(now);
+    }
+
+    fn stop(&mut self, now: Instant) {
+        self.pass(now);
+        self.since = None;
+    }
+
+    fn served(&mut self, now: Instant, cost: Tokens, empty: bool) {
+        self.pass(now);
+        self.cost += cost.0.max(1) as f64;
+        if empty {
+            self.since = None;
+        }
+    }
+
+    fn pass(&mut self, now: Instant) {
+        let Some(since) = self.since else { return };
+        let passed = now.saturating_duration_since(since).as_secs_f64();
+        let kept = (-passed / DRAIN_WINDOW).exp();
+        self.cost *= kept;
+        self.time = self.time * kept + passed;
+        self.since = Some(now);
+    }
+
+    /// Returns the cost served a second. The time since the last one counts, so that a stall shows.
+    fn rate(&self, now: Instant) -> Option<f64> {
+        let idle = self
+            .since
+            .map_or(0.0, |s| now.saturating_duration_since(s).as_secs_f64());
+        let time = self.time + idle;
+        (self.cost > 0.0 && time > MIN_MEASURE).then(|| self.cost / time)
+    }
+}
--- /dev/null
+++ b/tests/decisions/each.rs
@@ -0,0 +1,356 @@
+//! Each decision by itself.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jasmineridge::AccountLimit;
+use jasmineridge::Action;
+use jasmineridge::BlockHash;
+use jasmineridge::Chooser;
+use jasmineridge::DomainId;
+use jasmineridge::Ejector;
+use jasmineridge::Evidence;
+use jasmineridge::FairQueue;
+use jasmineridge::Full;
+use jasmineridge::Health;
+use jasmineridge::HoldingPolicy;
+use jasmineridge::Lean;
+use jasmineridge::Limits;
+use jasmineridge::Load;
+use jasmineridge::Peer;
+use jasmineridge::PrefixIndex;
+use jasmineridge::RetryBudget;
+use jasmineridge::Share;
+use jasmineridge::Ticket;
+use jasmineridge::Tokens;
+use jasmineridge::VmId;
+use jasmineridge::Wish;
+use jasmineridge::advise;
+
+use crate::ms;
+use crate::name;
+use crate::rng;
+use crate::start;
+
+fn ticket(team: &str, account: &str, deadline: Instant) -> Ticket {
+    Ticket {
+        team: name(team),
+        account: name(account),
+        priority: 5,
+        weight: 1,
+        cost: Tokens(100),
+        deadline,
+    }
+}
+
+/// A client loops without a pause. Its callers are told later and later places, and none before the rate allows it.
+#[test]
+fn account_limit_spaces_refusals() {
+    let now = start();
+    let limits = Limits {
+        rate: 10,
+        burst: 2,
+        concurrency: 3,
+        weight: 1,
+    };
+    let mut limit = AccountLimit::new(now, &limits);
+    assert_eq!(limit.try_enter(now), Ok(()));
+    assert_eq!(limit.try_enter(now), Ok(()));
+    let waits: Vec<_> = (0..3)
+        .map(|_| limit.try_enter(now).unwrap_err().retry_after())
+        .collect();
+    assert_eq!(waits, [ms(100), ms(200), ms(300)]);
+    assert_eq!(limit.try_enter(now + ms(100)), Ok(()));
+    assert!(limit.try_enter(now + ms(1000)).is_err(), "three are in");
+    limit.leave();
+    assert_eq!(limit.try_enter(now + ms(1000)), Ok(()));
+}
+
+/// One account sends a hundred requests, then another sends two. The second waits for two turns, not for a hundred.
+#[test]
+fn queue_serves_a_modest_account_beside_a_hot_one() {
+    let now = start();
+    let late = now + Duration::from_secs(60);
+    for (hot, modest) in [
+        (("a", "x"), ("b", "y")),
+        (("a", "x"), ("a", "y")),
+        (("a", "x"), ("b", "x")),
+    ] {
+        let mut queue = FairQueue::new(1000, rng());
+        for _ in 0..100 {
+            queue.push(now, "hot", ticket(hot.0, hot.1, late)).unwrap();
+        }
+        for _ in 0..2 {
+            queue
+                .push(now, "modest", ticket(modest.0, modest.1, late))
+                .unwrap();
+        }
+        let first: Vec<_> = (0..5).filter_map(|_| queue.pop(now)).collect();
+        let served = first.iter().filter(|w| **w == "modest").count();
+        // One account gets no more by naming two teams than by naming one.
+        let due = if hot.1 == modest.1 { 0..=2 } else { 2..=2 };
+        assert!(due.contains(&served), "{hot:?} {modest:?}: {first:?}");
+    }
+}
+
+/// Requests wait past their deadlines, or fill the queue. Each gets its final answer, and none is served after it.
+#[test]
+fn queue_gives_up_in_time() {
+    let now = start();
+    let mut queue = FairQueue::new(8, rng());
+    queue.push(now, 0, ticket("a", "x", now + ms(10))).unwrap();
+    queue.push(now, 1, ticket("a", "x", now + ms(500))).unwrap();
+    assert_eq!(
+        queue
+            .push(now, 2, ticket("a", "x", now + ms(500)))
+            .map_err(|f| matches!(f, Full::Account { .. })),
+        Err(true)
+    );
+    assert_eq!(queue.next_deadline(), Some(now + ms(10)));
+    assert_eq!(queue.expired(now + ms(10)), [0]);
+    assert_eq!(queue.pop(now + ms(20)), Some(1));
+    assert_eq!(queue.pop(now + ms(20)), None);
+}
+
+/// Four accounts fill the queue and a fifth comes. The newest request of a larger one makes room for it.
+#[test]
+fn queue_displaces_the_largest() {
+    let now = start();
+    let late = now + Duration::from_secs(60);
+    let mut queue = FairQueue::new(8, rng());
+    for n in 0..8 {
+        let account = format!("x{}", n % 4);
+        queue.push(now, n, ticket("a", &account, late)).unwrap();
+    }
+    queue.push(now, 8, ticket("a", "y", late)).unwrap();
+    assert_eq!(queue.expired(now).len(), 1);
+    assert_eq!(queue.len(), 8);
+}
+
+/// The queue drains slowly. Whoever would wait past the deadline is told so at once, with a time that the drain grounds.
+#[test]
+fn queue_refuses_early() {
+    let now = start();
+    let late = now + Duration::from_secs(600);
+    let mut queue = FairQueue::new(100, rng());
+    for n in 0..20 {
+        queue.push(now, n, ticket("a", "x", late)).unwrap();
+    }
+    for n in 1..=10 {
+        queue.pop(now + ms(n * 1000)).unwrap();
+    }
+    let now = now + ms(10_000);
+    let refused = queue.push(now, 99, ticket("a", "x", now + ms(5000)));
+    let Err(Full::Deadline { retry_after }) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(
+        (ms(10_000)..ms(20_000)).contains(&retry_after),
+        "{retry_after:?}"
+    );
+    queue
+        .push(now, 99, ticket("b", "y", now + ms(5000)))
+        .unwrap();
+}
+
+fn pool(count: usize) -> (Chooser, Ejector, Vec<VmId>, DomainId) {
+    let domain: DomainId = name("d0");
+    let mut chooser = Chooser::new(&name("router"));
+    let mut ejector = Ejector::new();
+    let vms: Vec<VmId> = (0..count).map(|n| name(&format!("e{n}"))).collect();
+    for vm in &vms {
+        chooser.put(vm, &domain, &[name("m")], 4);
+        ejector.put(start(), vm, &domain);
+    }
+    (chooser, ejector, vms, domain)
+}
+
+/// A load report counts what this router sent before it. What was sent since then comes on top, and is not counted twice.
+#[test]
+fn chooser_corrects_lagged_reports() {
+    let now = start();
+    let (mut chooser, _, vms, _) = pool(1);
+    chooser.start(now, &vms[0]);
+    chooser.start(now + ms(500), &vms[0]);
+    let load = Load {
+        running: 3,
+        waiting: 0,
+        measured: now + ms(100),
+    };
+    chooser.report(&vms[0], load);
+    assert_eq!(
+        chooser.load(&vms[0]),
+        Some(4),
+        "two of others, two of its own"
+    );
+}
+
+/// Endpoints leave, fail the request or fill up. Nothing new goes there, and where all do, nothing is chosen.
+#[test]
+fn chooser_avoids_what_cannot_serve() {
+    let now = start();
+    let (mut chooser, ejector, vms, domain) = pool(3);
+    let index = PrefixIndex::new();
+    let model = name("m");
+    let excluded = [vms[0].clone()];
+    let wish = Wish {
+        model: Some(&model),
+        prefix: &[],
+        domain: &domain,
+        excluded: &excluded,
+    };
+    chooser.leave(&vms[1], true);
+    for _ in 0..4 {
+        let choice = chooser
+            .choose(now, &wish, &index, &ejector, &mut rng())
+            .unwrap();
+        assert_eq!(choice.endpoint, vms[2]);
+        chooser.start(now, &vms[2]);
+    }
+    assert_eq!(
+        chooser.choose(now, &wish, &index, &ejector, &mut rng()),
+        None
+    );
+}
+
+/// A conversation goes on. Its next turn goes where its prefix is cached, until that endpoint says otherwise.
+#[test]
+fn chooser_follows_the_prefix() {
+    let now = start();
+    let (chooser, ejector, vms, domain) = pool(12);
+    let mut index = PrefixIndex::new();
+    let prompt: Vec<_> = (0..300).map(BlockHash).collect();
+    index.learn(&vms[7], &prompt[..200]);
+    let wish = Wish {
+        model: None,
+        prefix: &prompt,
+        domain: &domain,
+        excluded: &[],
+    };
+    let choice = chooser
+        .choose(now, &wish, &index, &ejector, &mut rng())
+        .unwrap();
+    assert_eq!((choice.endpoint, choice.cached), (vms[7].clone(), 200));
+    index.forget(&vms[7], &prompt);
+    assert!(index.matches(&prompt).is_empty());
+}
+
+/// One endpoint fails all that it gets. It goes out, is tried again at growing intervals, and comes back when it is well.
+#[test]
+fn ejector_tries_again_at_growing_intervals() {
+    let mut now = start();
+    let mut rng = rng();
+    let (_, mut ejector, vms, _) = pool(12);
+    let mut trials = Vec::new();
+    let begin = now;
+    while now < begin + Duration::from_secs(60) {
+        if ejector.health(now, &vms[0]) != Health::Out {
+            trials.push(now);
+            ejector.record(now, &vms[0], Evidence::Failed, &mut rng);
+        }
+        now += ms(100);
+    }
+    let gaps: Vec<_> = trials[5..].windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(
+        gaps.len() >= 2 && gaps.windows(2).all(|w| w[1] > w[0]),
+        "{gaps:?}"
+    );
+    while ejector.health(now, &vms[0]) != Health::In {
+        now += ms(1000);
+        ejector.record(now, &vms[0], Evidence::Answered(ms(100)), &mut rng);
+        assert!(now < begin + Duration::from_secs(400));
+    }
+}
+
+/// Checks of all endpoints fail at once, though they answer. A fifth of the pool may go out, and no more.
+#[test]
+fn ejector_keeps_most_of_the_pool() {
+    let now = start();
+    let mut rng = rng();
+    let (_, mut ejector, vms, _) = pool(15);
+    for n in 0..4000 {
+        let now = now + ms(n);
+        for vm in &vms {
+            ejector.record(now, vm, Evidence::Checked(false), &mut rng);
+        }
+        assert!(ejector.ejected() <= 3);
+    }
+    assert!(ejector.ejected() > 0);
+}
+
+/// All endpoints fail for a while. Retries add a tenth to the load, plus one a second.
+#[test]
+fn retries_are_a_share_of_requests() {
+    let mut now = start();
+    let mut budget = RetryBudget::new(now);
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        now += ms(10);
+        budget.request(now);
+        while budget.try_retry(now) {
+            retries += 1;
+        }
+    }
+    assert!((1000..=1120).contains(&retries), "{retries}");
+    let mut rng = rng();
+    assert!((0..100).all(|_| budget.backoff(3, &mut rng) < ms(100)));
+}
+
+/// A budget drains. A router draws while there is plenty, and gives back what would strand when little is left.
+#[test]
+fn holdings_follow_the_budget() {
+    let share = Share {
+        free: Tokens(0),
+        claimed: Tokens(0),
+        undrawn: Tokens(7_000_000),
+        routers: 7,
+        demand: 100.0,
+        wanted: Tokens(500),
+        reachable: true,
+    };
+    let strict = HoldingPolicy::new(Lean::Strict);
+    let available = HoldingPolicy::new(Lean::Available);
+    assert_eq!(strict.decide(&share), Action::Draw(Tokens(90_500)));
+    assert_eq!(available.decide(&share), Action::Draw(Tokens(450_500)));
+    let low = Share {
+        free: Tokens(90_000),
+        undrawn: Tokens(7000),
+        ..share
+    };
+    assert_eq!(strict.decide(&low), Action::Return(Tokens(89_000)));
+    let parted = Share {
+        reachable: false,
+        ..share
+    };
+    assert_eq!(strict.decide(&parted), Action::None);
+}
+
+/// A router leaves and another is full. Callers are sent to the rest, and not all at the same moment.
+#[test]
+fn advice_spreads_callers() {
+    let mut rng = rng();
+    let peers: Vec<_> = (0..4)
+        .map(|n| Peer {
+            vm: name(&format!("r{n}")),
+            domain: name("d0"),
+            address: format!("10.0.0.{n}:80"),
+            load: if n == 1 { 1.0 } else { 0.5 },
+            leaving: n == 0,
+        })
+        .collect();
+    let advice: Vec<_> = (0..1000)
+        .filter_map(|_| advise(&peers, None, &mut rng))
+        .collect();
+    let to = |n: usize| {
+        advice
+            .iter()
+            .filter(|a| a.address == peers[n].address)
+            .count()
+    };
+    assert_eq!((advice.len(), to(0)), (1000, 0));
+    assert!(to(1) < 60 && to(2) > 400 && to(3) > 400);
+    assert!(advice.iter().all(|a| a.alternates.len() == 2));
+    let early = advice.iter().filter(|a| a.keep < ms(30_000)).count();
+    assert!((400..600).contains(&early), "{early}");
+    assert_eq!(advise(&peers[..1], None, &mut rng), None);
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,33 @@
+//! Decisions under load, judged one by one and then by what callers receive.
+
+mod each;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// The seed of all scenarios.
+const SEED: u64 = 0x6a61_736d;
+
+#[expect(clippy::disallowed_methods, reason = "any instant serves as a start")]
+fn start() -> Instant {
+    Instant::now()
+}
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(SEED)
+}
+
+fn name<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
