Fold the configuration's stream, and add a client for short HTTP calls

Cause: the router needs to know who may call, who pays and where work goes, and two operators who change the same document must not undo each other unawares.

Change: `Config::apply` folds one record of the stream. A record is accepted whole or not at all: each change names the version that it is based on, each document must be sound by itself, and references, keys and service names must fit together. Versions are offsets, so that none falls. A record of another format is counted and skipped.

Weighed: checking the whole configuration at each record is simpler, but grows with the number of teams; here a record costs what it changes, and only a refused one rebuilds the lookup tables. Rules that name accounts are kept by account, so that a request does not try those of others. A message about a wrong key does not repeat it.

`HttpClient` tells a request that was never sent from one whose answer was lost.

The cost of a fold and of a lookup at 430,000 teams is not yet measured.

--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,150 @@
+//! Whether a document is sound by itself.
+
+use crate::config::document::AccountSpec;
+use crate::config::document::Body;
+use crate::config::document::Limits;
+use crate::config::document::PoolKind;
+use crate::config::document::PoolSpec;
+use crate::config::document::RuleSpec;
+use crate::config::index;
+use crate::config::rejected::Rejected;
+use crate::labels::Selector;
+use crate::tokens::Tokens;
+
+/// The last of the priorities.
+const MAX_PRIORITY: u8 = 9;
+
+/// The most keys of one account: the old one, the new one, and room for a change that overlaps another.
+const MAX_KEYS: usize = 8;
+
+/// The largest share of one account. Shares only tell against each other, so that more adds nothing.
+const MAX_WEIGHT: u32 = 1000;
+
+/// Checks a document; `path` is where it stands.
+///
+/// # Errors
+///
+/// With the first field that is wrong.
+pub(crate) fn check(path: &str, body: &Body) -> Result<(), Rejected> {
+    match body {
+        Body::Account(account) => check_account(path, account),
+        Body::Team(_) => Ok(()),
+        Body::Pool(pool) => check_pool(path, pool),
+        Body::Rule(rule) => check_rule(path, rule),
+    }
+}
+
+fn check_account(path: &str, account: &AccountSpec) -> Result<(), Rejected> {
+    let count = account.keys.len();
+    if count > MAX_KEYS {
+        let allowed = format!("at most {MAX_KEYS}");
+        return Err(Rejected::invalid(
+            format!("{path}.keys"),
+            format!("{count} keys"),
+            allowed,
+        ));
+    }
+    for (at, key) in account.keys.iter().enumerate() {
+        check_hash(&format!("{path}.keys[{at}]"), key)?;
+    }
+    check_limits(&format!("{path}.limits"), &account.limits)
+}
+
+/// An operator may have written the key itself where its hash belongs; so the message does not repeat it.
+fn check_hash(path: &str, key: &str) -> Result<(), Rejected> {
+    match index::parse_hash(key) {
+        Some(_) => Ok(()),
+        None => Err(Rejected::invalid(
+            path,
+            format!("a text of {} bytes", key.len()),
+            "the key's SHA-256, 64 hex digits",
+        )),
+    }
+}
+
+fn check_limits(path: &str, limits: &Limits) -> Result<(), Rejected> {
+    check_range(&format!("{path}.rate"), limits.rate, u32::MAX)?;
+    check_range(&format!("{path}.burst"), limits.burst, u32::MAX)?;
+    check_range(&format!("{path}.concurrency"), limits.concurrency, u32::MAX)?;
+    check_range(&format!("{path}.weight"), limits.weight, MAX_WEIGHT)
+}
+
+fn check_range(path: &str, value: u32, max: u32) -> Result<(), Rejected> {
+    if (1..=max).contains(&value) {
+        return Ok(());
+    }
+    let allowed = format!("1 to {max}");
+    Err(Rejected::invalid(path, value.to_string(), allowed))
+}
+
+fn check_pool(path: &str, pool: &PoolSpec) -> Result<(), Rejected> {
+    check_selector(&format!("{path}.select"), &pool.select)?;
+    check_range(&format!("{path}.concurrency"), pool.concurrency, u32::MAX)?;
+    match &pool.kind {
+        PoolKind::Engine { models, max_tokens } => {
+            let path = format!("{path}.kind.engine");
+            if models.is_empty() {
+                let path = format!("{path}.models");
+                return Err(Rejected::invalid(path, "no model", "at least one"));
+            }
+            check_amount(&format!("{path}.max_tokens"), *max_tokens)
+        }
+        PoolKind::Service {
+            name, repeatable, ..
+        } => {
+            let path = format!("{path}.kind.service");
+            check_segment(&format!("{path}.name"), name)?;
+            repeatable
+                .keys()
+                .try_for_each(|method| check_method(&format!("{path}.repeatable"), method))
+        }
+    }
+}
+
+fn check_amount(path: &str, amount: Tokens) -> Result<(), Rejected> {
+    match amount {
+        Tokens::ZERO => Err(Rejected::invalid(path, "0", "1 or more")),
+        _ => Ok(()),
+    }
+}
+
+fn check_segment(path: &str, name: &str) -> Result<(), Rejected> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_' || b == b'.';
+    if (1..=64).contains(&name.len()) && name.bytes().all(plain) {
+        return Ok(());
+    }
+    let allowed = "1 to 64 letters, digits, `-`, `_` and `.`";
+    Err(Rejected::invalid(path, format!("{name:?}"), allowed))
+}
+
+fn check_method(path: &str, method: &str) -> Result<(), Rejected> {
+    if !method.is_empty() && method.bytes().all(|b| b.is_ascii_uppercase()) {
+        return Ok(());
+    }
+    let allowed = "an HTTP method in capital letters";
+    Err(Rejected::invalid(path, format!("{method:?}"), allowed))
+}
+
+fn check_rule(path: &str, rule: &RuleSpec) -> Result<(), Rejected> {
+    check_selector(&format!("{path}.when"), &rule.when)?;
+    if rule.priority <= MAX_PRIORITY {
+        return Ok(());
+    }
+    Err(Rejected::invalid(
+        format!("{path}.priority"),
+        rule.priority.to_string(),
+        format!("0 to {MAX_PRIORITY}"),
+    ))
+}
+
+/// A label without allowed values would match nothing, which nobody means.
+fn check_selector(path: &str, selector: &Selector) -> Result<(), Rejected> {
+    match selector.0.iter().find(|(_, values)| values.is_empty()) {
+        None => Ok(()),
+        Some((label, _)) => Err(Rejected::invalid(
+            format!("{path}.{label}"),
+            "no value",
+            "at least one",
+        )),
+    }
+}
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -53,6 +53,18 @@
     Rule(RuleSpec),
 }
 
+impl Body {
+    /// Returns the kind of document that it is the content of.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Account(_) => Kind::Account,
+            Self::Team(_) => Kind::Team,
+            Self::Pool(_) => Kind::Pool,
+            Self::Rule(_) => Kind::Rule,
+        }
+    }
+}
+
 /// A client account: who may call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,6 +1,17 @@
 //! The configuration that operators publish: labelled documents on a stream of the log service.
+//!
+//! As with the ledger, the stream's order is the agreement, and the pure [`Config`] is what it means.
 
+mod check;
 mod document;
+mod index;
+mod put;
+mod rejected;
+mod route;
+mod snapshot;
+mod state;
+#[cfg(test)]
+mod tests;
 
 pub use document::AccountSpec;
 pub use document::Body;
@@ -10,3 +21,10 @@
 pub use document::PoolSpec;
 pub use document::RuleSpec;
 pub use document::TeamSpec;
+pub use put::Change;
+pub use put::Put;
+pub use rejected::Rejected;
+pub use route::Route;
+pub use snapshot::Document;
+pub use snapshot::Snapshot;
+pub use state::Config;
--- /dev/null
+++ b/src/config/put.rs
@@ -0,0 +1,68 @@
+//! What operators publish.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::document::Body;
+use crate::config::document::Kind;
+use crate::config::rejected::Rejected;
+use crate::field;
+use crate::ids::DocName;
+use crate::ids::Version;
+
+/// The format that this version reads and writes.
+pub(crate) const FORMAT: u32 = 1;
+
+/// One record of the configuration's stream, written as JSON: changes that are accepted together or not at all.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Put {
+    /// The format, 1.
+    pub format: u32,
+    /// Who publishes it, for people.
+    pub by: String,
+    /// A random mark by which a publisher finds its own record when the answer to its append was lost.
+    #[serde(default)]
+    pub id: String,
+    /// The changes; each document at most once.
+    pub changes: Vec<Change>,
+}
+
+/// A change of one document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// The document's kind.
+    pub kind: Kind,
+    /// The document's name.
+    pub name: DocName,
+    /// The version that the change is based on: 0 where there is no such document yet.
+    pub base: Version,
+    /// The new content; `null` deletes the document.
+    pub body: Option<Body>,
+}
+
+/// What all formats have in common.
+#[derive(Deserialize)]
+struct Envelope {
+    format: u32,
+}
+
+impl Put {
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// [`Rejected::Unreadable`] when the bytes are no put of this format.
+    pub fn parse(bytes: &[u8]) -> Result<Self, Rejected> {
+        let envelope: Envelope = field::read_json(bytes).map_err(Rejected::Unreadable)?;
+        if envelope.format != FORMAT {
+            return Err(Rejected::Unreadable(field::FieldError::new(
+                "format",
+                envelope.format.to_string(),
+                FORMAT.to_string(),
+            )));
+        }
+        field::read_json(bytes).map_err(Rejected::Unreadable)
+    }
+}
--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,387 @@
+use std::collections::BTreeSet;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Config;
+use super::Kind;
+use super::Rejected;
+use super::index;
+use crate::ids::Offset;
+use crate::ids::Version;
+use crate::labels::Labels;
+
+fn put(changes: Value) -> Vec<u8> {
+    let put = json!({"format": 1, "by": "test", "changes": changes});
+    put.to_string().into_bytes()
+}
+
+fn team(name: &str, base: u64) -> Value {
+    json!({"kind": "team", "name": name, "base": base, "body": {"team": {}}})
+}
+
+fn hex(bearer: &str) -> String {
+    let hash = index::hash_key(bearer);
+    hash.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn account(name: &str, base: u64, bearer: &str) -> Value {
+    json!({"kind": "account", "name": name, "base": base, "body": {"account": {"keys": [hex(bearer)]}}})
+}
+
+fn service(name: &str, base: u64, service: &str) -> Value {
+    let kind = json!({"service": {"name": service, "price": 3}});
+    json!({"kind": "pool", "name": name, "base": base, "body": {"pool": {"kind": kind, "select": {}}}})
+}
+
+fn rule(name: &str, order: u32, when: Value, team: &str) -> Value {
+    let rule = json!({"order": order, "when": when, "team": team, "pool": "loans"});
+    json!({"kind": "rule", "name": name, "base": 0, "body": {"rule": rule}})
+}
+
+fn deletion(kind: &str, name: &str, base: u64) -> Value {
+    json!({"kind": kind, "name": name, "base": base, "body": null})
+}
+
+/// A configuration with two accounts, two teams, a pool and three rules, made by one record.
+fn example() -> Config {
+    let mut config = Config::default();
+    let record = put(json!([
+        account("desk", 0, "secret-1"),
+        account("yard", 0, "secret-2"),
+        team("lending", 0),
+        team("audit", 0),
+        service("loans", 0, "records"),
+        rule("z-all", 5, json!({}), "lending"),
+        rule("a-late", 5, json!({"purpose": ["audit"]}), "audit"),
+        rule("yard-only", 1, json!({"account": ["yard"]}), "audit"),
+    ]));
+    config.apply(Offset(0), &record).expect("it is sound");
+    config
+}
+
+fn labels(pairs: &[(&str, &str)]) -> Labels {
+    let mut labels = Labels::default();
+    for (name, value) in pairs {
+        labels.set(name, value);
+    }
+    labels
+}
+
+/// Applies a record that must be refused, and returns why. The configuration must stay as it was.
+fn refused(config: &mut Config, record: &[u8]) -> Rejected {
+    let before = config.clone();
+    let why = config
+        .apply(config.next(), record)
+        .expect_err("it is refused");
+    assert_eq!(config.snapshot().documents, before.snapshot().documents);
+    assert_eq!(config.index, before.index);
+    assert_eq!(config.version(), before.version());
+    why
+}
+
+fn path_of(rejected: Rejected) -> String {
+    match rejected {
+        Rejected::Invalid(field) | Rejected::Unreadable(field) => field.path,
+        other => panic!("{other}"),
+    }
+}
+
+#[test]
+fn finds_accounts_by_bearer_key_alone() {
+    let config = example();
+    let (name, _) = config.account_by_key("secret-2").expect("it is known");
+    assert_eq!(name.as_str(), "yard");
+    assert!(config.account_by_key("secret-3").is_none());
+    // Whoever reads the published hash has not thereby got the key.
+    assert!(config.account_by_key(&hex("secret-2")).is_none());
+}
+
+#[test]
+fn routes_by_order_then_by_name() {
+    let config = example();
+    let name = |pairs| config.route(&labels(pairs)).map(|r| r.rule.to_string());
+    assert_eq!(name(&[("account", "desk")]).as_deref(), Some("z-all"));
+    assert_eq!(name(&[("purpose", "audit")]).as_deref(), Some("a-late"));
+    let both = [("account", "yard"), ("purpose", "audit")];
+    assert_eq!(name(&both).as_deref(), Some("yard-only"));
+}
+
+#[test]
+fn forgets_rules_and_keys_that_went() {
+    let mut config = example();
+    let change = put(json!([
+        deletion("rule", "yard-only", 1),
+        account("yard", 1, "secret-9")
+    ]));
+    config.apply(Offset(1), &change).expect("it is sound");
+    let route = config.route(&labels(&[("account", "yard")]));
+    assert_eq!(route.expect("one matches").rule.as_str(), "z-all");
+    assert!(config.account_by_key("secret-2").is_none());
+    assert!(config.account_by_key("secret-9").is_some());
+}
+
+/// An operator publishes a configuration with a mistake. Nothing of it comes into force, not even the parts that are
+/// right, and the operator is told the field.
+#[test]
+fn refuses_an_unsound_configuration_whole() {
+    let mut bad_limits = account("x", 0, "k");
+    bad_limits["body"]["account"]["limits"] = json!({"rate": 0});
+    let mut bad_key = account("x", 0, "k");
+    bad_key["body"]["account"]["keys"] = json!(["the-raw-key"]);
+    let mut unknown = team("x", 0);
+    unknown["body"]["team"]["colour"] = json!("red");
+    let mut bad_priority = rule("x", 1, json!({}), "lending");
+    bad_priority["body"]["rule"]["priority"] = json!(10);
+    let mut other_kind = team("x", 0);
+    other_kind["kind"] = json!("pool");
+    let mistakes = [
+        (bad_limits, "account/x.limits.rate"),
+        (bad_key, "account/x.keys[0]"),
+        (unknown, "changes[1].body.team.colour"),
+        (bad_priority, "rule/x.priority"),
+        (other_kind, "pool/x"),
+        (rule("x", 1, json!({"a": []}), "lending"), "rule/x.when.a"),
+        (rule("x", 1, json!({}), "nobody"), "rule/x.team"),
+        (account("x", 0, "secret-1"), "account/x.keys[0]"),
+        (service("x", 0, "records"), "pool/x.kind.service.name"),
+        (service("x", 0, "a/b"), "pool/x.kind.service.name"),
+        (deletion("team", "lending", 1), "team/lending"),
+        (deletion("pool", "loans", 1), "pool/loans"),
+        (deletion("rule", "nothing", 0), "rule/nothing"),
+        (team("good", 0), "team/good"),
+        (
+            json!({"kind": "team", "name": "a b", "base": 0}),
+            "changes[1].name",
+        ),
+        (
+            json!({"kind": "team", "name": 7, "base": 0}),
+            "changes[1].name",
+        ),
+    ];
+    let mut config = example();
+    for (mistake, path) in mistakes {
+        let record = put(json!([team("good", 0), mistake]));
+        assert_eq!(path_of(refused(&mut config, &record)), path);
+    }
+    assert_eq!(path_of(refused(&mut config, &put(json!([])))), "changes");
+    assert_eq!((config.skipped(), config.rejected()), (3, 14));
+}
+
+#[test]
+fn keeps_a_wrong_key_out_of_the_message() {
+    let mut change = account("x", 0, "k");
+    change["body"]["account"]["keys"] = json!(["the-raw-key"]);
+    let why = refused(&mut example(), &put(json!([change])));
+    assert!(!why.to_string().contains("the-raw-key"), "{why}");
+}
+
+/// A later version of the program publishes a format that this one does not know. This one counts the record and goes
+/// on with the configuration that it has.
+#[test]
+fn skips_a_later_format() {
+    let mut config = example();
+    let record = json!({"format": 2, "by": "test", "novelty": [], "changes": {}});
+    let why = refused(&mut config, record.to_string().as_bytes());
+    assert_eq!(path_of(why), "format");
+    assert_eq!((config.skipped(), config.next()), (1, Offset(2)));
+}
+
+/// A router was cut off while the log let records go. What comes next is built on changes that it has not seen, so that
+/// it waits for a snapshot in place of guessing.
+#[test]
+fn waits_for_a_snapshot_after_a_gap() {
+    let mut ahead = example();
+    let record = put(json!([team("x", 0)]));
+    ahead.apply(Offset(1), &record).expect("it is sound");
+    let mut behind = Config::default();
+    let gap = Rejected::Gap {
+        next: Offset(0),
+        found: Offset(1),
+    };
+    assert_eq!(behind.apply(Offset(1), &record), Err(gap));
+    assert_eq!(behind.adopt(ahead.snapshot()), Ok(true));
+    assert_eq!(behind.snapshot(), ahead.snapshot());
+    assert_eq!(behind.index, ahead.index);
+}
+
+/// A peer sends a snapshot that this version cannot hold with, such as a rule without its team. The configuration in
+/// force stays.
+#[test]
+fn refuses_an_unsound_snapshot() {
+    let mut config = example();
+    let mut snapshot = config.snapshot();
+    snapshot.next = Offset(9);
+    snapshot.documents.retain(|d| d.kind != Kind::Team);
+    assert!(config.adopt(snapshot).is_err());
+    assert_eq!(config, example());
+}
+
+#[test]
+fn carries_a_snapshot_through_the_codec_of_peers() {
+    let snapshot = example().snapshot();
+    let bytes = postcard::to_stdvec(&snapshot).expect("it can be encoded");
+    assert_eq!(postcard::from_bytes(&bytes), Ok(snapshot.clone()));
+    let text = serde_json::to_string(&snapshot).expect("it can be encoded");
+    assert_eq!(
+        serde_json::from_str::<super::Snapshot>(&text).ok(),
+        Some(snapshot)
+    );
+}
+
+/// What some operator publishes: a change of one of three teams, based on what it saw, or noise.
+#[derive(Clone, Debug)]
+enum Publication {
+    Team { name: u8, stale: bool, gone: bool },
+    Noise(Vec<u8>),
+}
+
+impl Arbitrary for Publication {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 5 {
+            0 => Self::Noise(Arbitrary::arbitrary(g)),
+            _ => Self::Team {
+                name: u8::arbitrary(g) % 3,
+                stale: u8::arbitrary(g) % 4 == 0,
+                gone: u8::arbitrary(g) % 4 == 0,
+            },
+        }
+    }
+}
+
+/// Publishes all in turn and returns the records with each state, beginning with the empty one.
+fn history(publications: &[Publication]) -> (Vec<Vec<u8>>, Vec<Config>) {
+    let mut config = Config::default();
+    let mut records = Vec::new();
+    let mut states = vec![config.clone()];
+    for publication in publications {
+        let record = match publication {
+            Publication::Noise(bytes) => bytes.clone(),
+            Publication::Team { name, stale, gone } => {
+                let name = format!("team-{name}");
+                let current = config.version_of(Kind::Team, &name.parse().expect("it is a name"));
+                let base = current.0 + u64::from(*stale);
+                match gone {
+                    true => put(json!([deletion("team", &name, base)])),
+                    false => put(json!([team(&name, base)])),
+                }
+            }
+        };
+        let _ = config.apply(config.next(), &record);
+        records.push(record);
+        states.push(config.clone());
+    }
+    (records, states)
+}
+
+/// Where the properties' generator starts.
+const SEED: u64 = 20_261_202;
+
+/// The largest size of a generated value.
+const SIZE: usize = 60;
+
+fn check<T>(property: T)
+where
+    T: Testable,
+{
+    println!("seed={SEED} size={SIZE}");
+    let generator = Gen::from_size_and_seed(SIZE, SEED);
+    QuickCheck::new()
+        .rng(generator)
+        .tests(200)
+        .quickcheck(property);
+}
+
+/// Two operators read the same version and change the same document. Whichever record lies first in the log, that
+/// one wins and the other operator is told of the conflict.
+#[test]
+fn lets_one_of_two_racers_win() {
+    check(lets_one_of_two_racers_win_holds as fn(Vec<Publication>, bool) -> bool);
+}
+
+fn lets_one_of_two_racers_win_holds(before: Vec<Publication>, second_first: bool) -> bool {
+    let (_, states) = history(&before);
+    let start = states.last().expect("there is one");
+    let base = start.version_of(Kind::Team, &"team-0".parse().expect("it is a name"));
+    let mut records = [
+        put(json!([team("team-0", base.0), team("mine", 0)])),
+        put(json!([team("team-0", base.0)])),
+    ];
+    if second_first {
+        records.reverse();
+    }
+    let mut config = start.clone();
+    let outcomes = records.map(|record| config.apply(config.next(), &record));
+    let lost = matches!(outcomes[1], Err(Rejected::Conflict { .. }));
+    let won = config.version() == Version(start.next().0 + 1);
+    outcomes[0].is_ok() && lost && won
+}
+
+/// Relays bring records and snapshots again, late and in any order. A router's version never falls, and at each
+/// moment its configuration is one that the log made.
+#[test]
+fn never_reverts() {
+    check(never_reverts_holds as fn(Vec<Publication>, Vec<(usize, bool)>) -> bool);
+}
+
+fn never_reverts_holds(publications: Vec<Publication>, relays: Vec<(usize, bool)>) -> bool {
+    let (records, states) = history(&publications);
+    let mut config = Config::default();
+    relays.into_iter().all(|(at, whole)| {
+        let before = (config.next(), config.version());
+        if whole {
+            let _ = config.adopt(states[at % states.len()].snapshot());
+        } else if !records.is_empty() {
+            let at = at % records.len();
+            let _ = config.apply(Offset(at as u64), &records[at]);
+        }
+        let same = states.iter().any(|s| s.snapshot() == config.snapshot());
+        same && (config.next(), config.version()) >= before && config.version() >= before.1
+    })
+}
+
+/// Two routers that had the same history by different ways send the same bytes.
+#[test]
+fn gives_the_same_bytes() {
+    check(gives_the_same_bytes_holds as fn(Vec<Publication>, usize) -> bool);
+}
+
+fn gives_the_same_bytes_holds(publications: Vec<Publication>, joined: usize) -> bool {
+    let (records, states) = history(&publications);
+    let mut late = Config::default();
+    let _ = late.adopt(states[joined % states.len()].snapshot());
+    for (at, record) in records.iter().enumerate() {
+        let _ = late.apply(Offset(at as u64), record);
+    }
+    let bytes = |config: &Config| serde_json::to_vec(&config.snapshot()).ok();
+    states
+        .last()
+        .is_some_and(|first| bytes(first) == bytes(&late))
+}
+
+/// A document's version is always that of a record that was accepted.
+#[test]
+fn versions_come_from_accepted_records() {
+    check(versions_come_from_accepted_records_holds as fn(Vec<Publication>) -> bool);
+}
+
+fn versions_come_from_accepted_records_holds(publications: Vec<Publication>) -> bool {
+    let (_, states) = history(&publications);
+    let accepted: BTreeSet<_> = states.iter().map(Config::version).collect();
+    let mut documents = states.iter().flat_map(Config::documents);
+    documents.all(|document| accepted.contains(&document.version))
+}
+
+#[test]
+fn survives_random_bytes() {
+    check(survives_random_bytes_holds as fn(Vec<u8>) -> bool);
+}
+
+fn survives_random_bytes_holds(bytes: Vec<u8>) -> bool {
+    let mut config = example();
+    config.apply(Offset(1), &bytes).is_err() && config.version() == Version(1)
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,155 @@
+//! A client for short HTTP calls with a time limit.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use thiserror::Error;
+
+/// The longest answer that is read, in bytes; one batch of a stream's records is well below it.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// Why there is no answer.
+#[derive(Debug, Error)]
+pub enum HttpError {
+    /// The URL or a header cannot be written in a request.
+    #[error("no valid request: {0}")]
+    Request(#[from] hyper::http::Error),
+    /// No connection could be had, so that nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(String),
+    /// The request may have taken effect, but its answer was lost.
+    #[error("the answer was lost: {0}")]
+    Lost(String),
+    /// As [`HttpError::Lost`]: no answer came in time.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+}
+
+impl HttpError {
+    /// Returns whether the request may have taken effect.
+    pub fn is_unknown(&self) -> bool {
+        matches!(self, Self::Lost(_) | Self::Timeout(_))
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A client that keeps connections open for the next call.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    bearer: Option<String>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new(None)
+    }
+}
+
+impl HttpClient {
+    /// Makes a client that sends a bearer key, if one is given, with each call.
+    pub fn new(bearer: Option<String>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            bearer,
+        }
+    }
+
+    /// Gets a resource.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer came within the limit.
+    pub async fn get(&self, url: &str, limit: Duration) -> Result<Answer, HttpError> {
+        let request = self.request("GET", url).body(Full::default())?;
+        self.whole(request, limit).await
+    }
+
+    /// Posts a body.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer came within the limit.
+    pub async fn post(&self, url: &str, body: Bytes, limit: Duration) -> Result<Answer, HttpError> {
+        let request = self
+            .request("POST", url)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))?;
+        self.whole(request, limit).await
+    }
+
+    /// Begins a request.
+    pub fn request(&self, method: &str, url: &str) -> hyper::http::request::Builder {
+        let request = Request::builder().method(method).uri(url);
+        match &self.bearer {
+            Some(key) => request.header(AUTHORIZATION, format!("Bearer {key}")),
+            None => request,
+        }
+    }
+
+    /// Sends a request and returns its answer when the head is there; the body is still to be read.
+    ///
+    /// # Errors
+    ///
+    /// When no head came within the limit.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, HttpError> {
+        match tokio::time::timeout(limit, self.client.request(request)).await {
+            Err(_) => Err(HttpError::Timeout(limit)),
+            Ok(Err(e)) if e.is_connect() => Err(HttpError::Connect(cause(&e))),
+            Ok(Err(e)) => Err(HttpError::Lost(cause(&e))),
+            Ok(Ok(answer)) => Ok(answer),
+        }
+    }
+
+    async fn whole(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Answer, HttpError> {
+        let read = async {
+            let answer = self.send(request, limit).await?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+            let body = body.map_err(|e| HttpError::Lost(e.to_string()))?.to_bytes();
+            Ok(Answer { status, body })
+        };
+        tokio::time::timeout(limit, read)
+            .await
+            .unwrap_or(Err(HttpError::Timeout(limit)))
+    }
+}
+
+/// Returns the innermost cause, which alone tells what happened.
+fn cause(error: &dyn std::error::Error) -> String {
+    let mut inner = error;
+    while let Some(source) = inner.source() {
+        inner = source;
+    }
+    inner.to_string()
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -107,6 +107,10 @@
     /// Names a pool: the endpoints that one selector picks.
     PoolId
 );
+name!(
+    /// Names a configuration document among those of its kind.
+    DocName
+);
 name!(
     /// Names a top-up; a second one of the same name adds nothing.
     TopUpId
