Read and check the daemon's settings

Cause: a router must not start with a setting that nobody meant, and an operator must see at once which one it is.

Change: `Settings::parse` reads one JSON file. Each mistake names the field's path, what stands there and what is allowed; unknown fields, host names, and addresses that nobody can connect to are refused. Bounds between fields are checked too: a router is held silent only after three missed heartbeats, an outage begins only after an append had its time. `docs/SETTINGS.md` has each field with its default and the kind of grounds, and a test holds the page against the code. `KeyHash` now stands for a bearer key in configuration and settings alike, and no message repeats a key.

Most defaults are derived from the users' figures or assumed; the page says which, and none is measured yet.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -6,8 +6,8 @@
 use crate::config::document::PoolKind;
 use crate::config::document::PoolSpec;
 use crate::config::document::RuleSpec;
-use crate::config::index;
 use crate::config::rejected::Rejected;
+use crate::key_hash::KeyHash;
 use crate::labels::Selector;
 use crate::tokens::Tokens;
 
@@ -45,23 +45,11 @@
         ));
     }
     for (at, key) in account.keys.iter().enumerate() {
-        check_hash(&format!("{path}.keys[{at}]"), key)?;
+        KeyHash::check(&format!("{path}.keys[{at}]"), key).map_err(Rejected::Invalid)?;
     }
     check_limits(&format!("{path}.limits"), &account.limits)
 }
 
-/// An operator may have written the key itself where its hash belongs; so the message does not repeat it.
-fn check_hash(path: &str, key: &str) -> Result<(), Rejected> {
-    match index::parse_hash(key) {
-        Some(_) => Ok(()),
-        None => Err(Rejected::invalid(
-            path,
-            format!("a text of {} bytes", key.len()),
-            "the key's SHA-256, 64 hex digits",
-        )),
-    }
-}
-
 fn check_limits(path: &str, limits: &Limits) -> Result<(), Rejected> {
     check_range(&format!("{path}.rate"), limits.rate, u32::MAX)?;
     check_range(&format!("{path}.burst"), limits.burst, u32::MAX)?;
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -4,8 +4,6 @@
 use std::hash::Hash;
 
 use indexmap::IndexMap;
-use sha2::Digest;
-use sha2::Sha256;
 
 use crate::config::document::Body;
 use crate::config::document::Kind;
@@ -15,11 +13,9 @@
 use crate::ids::DocName;
 use crate::ids::PoolId;
 use crate::ids::TeamId;
+use crate::key_hash::KeyHash;
 use crate::labels::Labels;
 
-/// A SHA-256.
-pub(crate) type KeyHash = [u8; 32];
-
 /// The label that tells whose request it is; each request has it.
 const ACCOUNT: &str = "account";
 
@@ -97,7 +93,7 @@
     pub(crate) fn remove(&mut self, name: &DocName, body: &Body) {
         match body {
             Body::Account(account) => {
-                for hash in account.keys.iter().filter_map(|key| parse_hash(key)) {
+                for hash in account.keys.iter().filter_map(|key| KeyHash::parse(key)) {
                     self.keys.swap_remove(&hash);
                 }
             }
@@ -144,7 +140,7 @@
     }
 
     fn add_key(&mut self, name: &DocName, at: usize, key: &str) -> Result<(), Rejected> {
-        let hash = parse_hash(key).unwrap_or_default();
+        let hash = KeyHash::parse(key).unwrap_or_default();
         match self.keys.insert(hash, name.clone()) {
             None => Ok(()),
             Some(other) => Err(Rejected::invalid(
@@ -185,20 +181,3 @@
         counts.swap_remove(key);
     }
 }
-
-/// Returns the hash by which a bearer key is known.
-pub(crate) fn hash_key(bearer: &str) -> KeyHash {
-    Sha256::digest(bearer.as_bytes()).into()
-}
-
-/// Reads 64 hex digits.
-pub(crate) fn parse_hash(text: &str) -> Option<KeyHash> {
-    if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return None;
-    }
-    let mut hash = KeyHash::default();
-    for (at, byte) in hash.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * at..2 * at + 2], 16).ok()?;
-    }
-    Some(hash)
-}
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -10,7 +10,6 @@
 use crate::config::document::PoolSpec;
 use crate::config::document::RuleSpec;
 use crate::config::document::TeamSpec;
-use crate::config::index;
 use crate::config::index::Index;
 use crate::config::put::Change;
 use crate::config::put::Put;
@@ -24,9 +23,10 @@
 use crate::ids::PoolId;
 use crate::ids::TeamId;
 use crate::ids::Version;
+use crate::key_hash::KeyHash;
 use crate::labels::Labels;
 
-/// The most changes of one record; ten times what a day of 4,800 changes needs if it is published hourly. It bounds how
+/// The most changes of one record: ten times the hourly share of 4,800 changes a day. It bounds how
 /// long one record can hold up the loop.
 const MAX_CHANGES: usize = 2000;
 
@@ -143,7 +143,7 @@
 
     /// Returns the account that a bearer key is good for.
     pub fn account_by_key(&self, bearer: &str) -> Option<(AccountId, &AccountSpec)> {
-        let name = self.index.account(&index::hash_key(bearer))?;
+        let name = self.index.account(&KeyHash::of(bearer))?;
         match self.body(Kind::Account, name)? {
             Body::Account(account) => Some((name.as_str().parse().ok()?, account)),
             _ => None,
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -10,9 +10,9 @@
 use super::Config;
 use super::Kind;
 use super::Rejected;
-use super::index;
 use crate::ids::Offset;
 use crate::ids::Version;
+use crate::key_hash::KeyHash;
 use crate::labels::Labels;
 
 fn put(changes: Value) -> Vec<u8> {
@@ -25,8 +25,7 @@
 }
 
 fn hex(bearer: &str) -> String {
-    let hash = index::hash_key(bearer);
-    hash.iter().map(|b| format!("{b:02x}")).collect()
+    KeyHash::of(bearer).to_string()
 }
 
 fn account(name: &str, base: u64, bearer: &str) -> Value {
--- a/src/field.rs
+++ b/src/field.rs
@@ -7,6 +7,9 @@
 /// What stands before the allowed values in a message of `serde`; messages of this package follow it.
 const EXPECTED: &str = ", expected ";
 
+/// Stands for what is allowed where the reader of the value did not say it.
+const LISTED: &str = "a value as the documentation lists it";
+
 /// Tells which field is wrong, what stands there and what is allowed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{path}: found {found}; allowed: {allowed}")]
@@ -56,8 +59,43 @@
         return FieldError::new(path, message, "JSON");
     }
     let (message, _place) = message.rsplit_once(" at line ").unwrap_or((&message, ""));
-    match message.split_once(EXPECTED) {
-        Some((found, allowed)) => FieldError::new(path, found, allowed),
-        None => FieldError::new(path, message, "what docs/SETTINGS.md lists for this field"),
+    if let Some(name) = message.strip_prefix("missing field ") {
+        return missing(&path, name.trim_matches('`'));
+    }
+    let split = message
+        .split_once(EXPECTED)
+        .or_else(|| message.split_once(", and "));
+    let (found, allowed) = split.unwrap_or((message, LISTED));
+    FieldError::new(path.clone(), shown(&path, found), plain(allowed))
+}
+
+fn missing(path: &str, name: &str) -> FieldError {
+    let path = match path {
+        "." => name.to_owned(),
+        _ => format!("{path}.{name}"),
+    };
+    FieldError::new(path, "nothing", LISTED)
+}
+
+/// A key may stand where something else belongs, and messages end up in logs; so what stands in a key's field is not
+/// repeated.
+fn shown(path: &str, found: &str) -> String {
+    if path.contains("key") && found.starts_with("invalid") {
+        return "a value that is not shown".to_owned();
     }
+    let found = found.strip_prefix("invalid type: ").unwrap_or(found);
+    let found = found.strip_prefix("invalid value: ").unwrap_or(found);
+    found.to_owned()
+}
+
+/// Says for people what `serde` says in the language's types.
+fn plain(allowed: &str) -> String {
+    let max = match allowed {
+        "u8" => u64::from(u8::MAX),
+        "u16" => u64::from(u16::MAX),
+        "u32" => u64::from(u32::MAX),
+        "u64" | "usize" => u64::MAX,
+        _ => return allowed.to_owned(),
+    };
+    format!("a whole number from 0 to {max}")
 }
--- /dev/null
+++ b/src/settings/ledger.rs
@@ -0,0 +1,83 @@
+//! How a router keeps the ledger.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::settings::error::SettingsError;
+use crate::settings::millis::Millis;
+use crate::settings::modes::EndMarker;
+use crate::settings::range::check_time;
+use crate::settings::range::wrong;
+
+/// How many heartbeats must at least be missed before a router is held to be silent: one is lost with any packet, and
+/// closing a router that lives costs the work that it has in progress.
+const MIN_MISSED: u64 = 3;
+
+/// How a router keeps the ledger. The grounds of each default stand in `docs/SETTINGS.md`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LedgerSettings {
+    /// How long records are gathered before they are appended together.
+    pub commit_ms: Millis,
+    /// How long an append may take before its outcome is held to be unknown and it is repeated.
+    pub append_ms: Millis,
+    /// How often routers tell each other that they live.
+    pub heartbeat_ms: Millis,
+    /// How long a router that left the VM list must be silent before it is closed.
+    pub silence_ms: Millis,
+    /// How long no append may succeed before the log is held to be out.
+    pub outage_ms: Millis,
+    /// What happens to the end marker of a whole answer in an outage of the log.
+    pub end_marker: EndMarker,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self {
+            commit_ms: Millis(25),
+            append_ms: Millis(2_000),
+            heartbeat_ms: Millis(1_000),
+            silence_ms: Millis(10_000),
+            outage_ms: Millis(5_000),
+            end_marker: EndMarker::Hold,
+        }
+    }
+}
+
+impl LedgerSettings {
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
+        check_time("ledger.commit_ms", self.commit_ms, Millis(1))?;
+        check_time("ledger.append_ms", self.append_ms, Millis(10))?;
+        check_time("ledger.heartbeat_ms", self.heartbeat_ms, Millis(10))?;
+        check_time("ledger.silence_ms", self.silence_ms, Millis(10))?;
+        check_time("ledger.outage_ms", self.outage_ms, Millis(10))?;
+        self.check_silence()?;
+        self.check_outage()
+    }
+
+    fn check_silence(&self) -> Result<(), SettingsError> {
+        let min = Millis(MIN_MISSED * self.heartbeat_ms.0);
+        if self.silence_ms >= min {
+            return Ok(());
+        }
+        let allowed = format!("at least {MIN_MISSED} times heartbeat_ms, {min}");
+        Err(wrong(
+            "ledger.silence_ms",
+            self.silence_ms.to_string(),
+            allowed,
+        ))
+    }
+
+    /// An outage that begins while one append is still in time would begin with each slow append.
+    fn check_outage(&self) -> Result<(), SettingsError> {
+        if self.outage_ms >= self.append_ms {
+            return Ok(());
+        }
+        let allowed = format!("at least append_ms, {}", self.append_ms);
+        Err(wrong(
+            "ledger.outage_ms",
+            self.outage_ms.to_string(),
+            allowed,
+        ))
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,23 @@
+//! The daemon's settings: one JSON file, checked before anything starts.
+
+mod base_url;
+mod daemon;
+mod error;
+mod ledger;
+mod limits;
+mod millis;
+mod modes;
+mod range;
+#[cfg(test)]
+mod tests;
+
+pub use base_url::BaseUrl;
+pub use base_url::BaseUrlError;
+pub use daemon::Settings;
+pub use error::SettingsError;
+pub use ledger::LedgerSettings;
+pub use limits::RequestLimits;
+pub use millis::Millis;
+pub use modes::EndMarker;
+pub use modes::Lean;
+pub use modes::LogLevel;
