--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -7,6 +7,9 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::tokens::Tokens;
 
 /// How much demand a holding covers when refusals of teams with budget left weigh more: a partition of an hour, and a
@@ -33,12 +36,13 @@
 /// Which fault weighs more: one setting for a deployment.
 ///
 /// Overspend is nought for both; what differs is how much of a budget lies at routers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Lean {
     /// Little lies at routers, so that an operator sees what is left; long partitions refuse sooner.
+    #[default]
     Strict,
     /// Much lies at routers, for an hour's partition.
-    #[default]
     Available,
 }
 
--- /dev/null
+++ b/src/edge/desk.rs
@@ -0,0 +1,185 @@
+//! Where the tasks of callers and the core meet: events go in, and commands come back by request.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use indexmap::IndexMap;
+use serde_json::Value;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::edge::engine;
+use crate::http_client::HttpClient;
+use crate::ids::RequestId;
+use crate::key_hash::KeyHash;
+use crate::router::AdminId;
+use crate::router::AdminRequest;
+use crate::router::Event;
+use crate::router::Heartbeat;
+use crate::router::Problem;
+use crate::router::Replay;
+use crate::router::Run;
+use crate::router::RunEnd;
+use crate::settings::RequestLimits;
+
+/// What the core tells the task that serves a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    /// To refuse it.
+    Refuse(Box<Problem>),
+    /// To answer with what its first run brought.
+    Replay(Replay),
+    /// To send it to an endpoint.
+    Run(Box<Run>),
+    /// To let the end of the answer go out.
+    Release,
+    /// To break the answer off, or to refuse the request if nothing went out yet.
+    Cut(Box<Problem>),
+}
+
+/// Shared by the tasks of one process.
+pub(crate) struct Desk {
+    pub(crate) limits: RequestLimits,
+    pub(crate) admin_key: Option<KeyHash>,
+    /// Tells this process's requests from all others' at endpoints.
+    pub(crate) origin: String,
+    pub(crate) http: HttpClient,
+    events: mpsc::UnboundedSender<Event>,
+    commands: Mutex<IndexMap<RequestId, mpsc::UnboundedSender<Command>>>,
+    questions: Mutex<IndexMap<AdminId, oneshot::Sender<(u16, Value)>>>,
+    next: AtomicU64,
+    beat: Mutex<Option<Heartbeat>>,
+    snapshots: Mutex<Vec<oneshot::Sender<Vec<u8>>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Desk {
+    pub(crate) fn new(
+        limits: RequestLimits,
+        admin_key: Option<KeyHash>,
+        origin: String,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        Self {
+            limits,
+            admin_key,
+            origin,
+            http: HttpClient::new(None),
+            events,
+            commands: Mutex::default(),
+            questions: Mutex::default(),
+            next: AtomicU64::new(1),
+            beat: Mutex::default(),
+            snapshots: Mutex::default(),
+        }
+    }
+
+    /// Tells the core that something happened. Once the loop is over there is nobody to tell.
+    pub(crate) fn tell(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+
+    /// Opens a request's line to the core.
+    pub(crate) fn open(self: &Arc<Self>) -> Line {
+        let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
+        let (sender, commands) = mpsc::unbounded_channel();
+        lock(&self.commands).insert(id, sender);
+        Line {
+            id,
+            desk: self.clone(),
+            over: false,
+            run: None,
+            commands,
+        }
+    }
+
+    /// Passes the core's command on to a request's task. One whose caller is gone has none.
+    pub(crate) fn command(&self, id: RequestId, command: Command) {
+        if let Some(sender) = lock(&self.commands).get(&id) {
+            let _ = sender.send(command);
+        }
+    }
+
+    /// Asks the core something and waits for its answer.
+    pub(crate) async fn ask(&self, request: AdminRequest) -> Option<(u16, Value)> {
+        let id = AdminId(self.next.fetch_add(1, Ordering::Relaxed));
+        let (sender, answer) = oneshot::channel();
+        lock(&self.questions).insert(id, sender);
+        self.tell(Event::Admin(id, request));
+        answer.await.ok()
+    }
+
+    /// Passes the core's answer on.
+    pub(crate) fn answer(&self, id: AdminId, status: u16, body: Value) {
+        if let Some(sender) = lock(&self.questions).swap_remove(&id) {
+            let _ = sender.send((status, body));
+        }
+    }
+
+    /// Returns what this router last said of itself.
+    pub(crate) fn beat(&self) -> Option<Heartbeat> {
+        lock(&self.beat).clone()
+    }
+
+    pub(crate) fn set_beat(&self, beat: Heartbeat) {
+        *lock(&self.beat) = Some(beat);
+    }
+
+    /// Asks the loop for the ledger's state, for a peer that cannot read the log.
+    pub(crate) async fn snapshot(&self) -> Option<Vec<u8>> {
+        let (sender, answer) = oneshot::channel();
+        lock(&self.snapshots).push(sender);
+        self.tell(Event::Tick);
+        answer.await.ok()
+    }
+
+    /// Returns who waits for the ledger's state.
+    pub(crate) fn take_snapshots(&self) -> Vec<oneshot::Sender<Vec<u8>>> {
+        std::mem::take(&mut lock(&self.snapshots))
+    }
+}
+
+/// One request's line to the core. Dropped before the request is over, it tells the core that the caller is gone.
+pub(crate) struct Line {
+    pub(crate) id: RequestId,
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) over: bool,
+    /// The run that is to be cancelled should the caller go away.
+    pub(crate) run: Option<Run>,
+    commands: mpsc::UnboundedReceiver<Command>,
+}
+
+impl Line {
+    /// Waits for the core's next command; none comes once the loop is over.
+    pub(crate) async fn next(&mut self) -> Option<Command> {
+        self.commands.recv().await
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        lock(&self.desk.commands).swap_remove(&self.id);
+        if self.over {
+            return;
+        }
+        match (self.run.take(), Handle::try_current()) {
+            (Some(run), Ok(handle)) => {
+                let desk = self.desk.clone();
+                let id = self.id;
+                handle.spawn(async move {
+                    let usage = engine::cancel(&desk, id, &run).await;
+                    desk.tell(Event::Ended(id, RunEnd::CallerGone { usage }));
+                });
+            }
+            _ => self.desk.tell(Event::HungUp(self.id)),
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/driver.rs
@@ -0,0 +1,267 @@
+//! The loop: one thread takes the events in turn, and the core's effects become tasks.
+
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tracing::info;
+use tracing::warn;
+
+use crate::clock::Clock;
+use crate::edge::clock::SystemClock;
+use crate::edge::desk::Command;
+use crate::edge::desk::Desk;
+use crate::edge::http;
+use crate::edge::log::CONFIG;
+use crate::edge::log::LEDGER;
+use crate::edge::log::Log;
+use crate::edge::peers;
+use crate::edge::peers::Caller;
+use crate::edge::probe::Prober;
+use crate::edge::vms;
+use crate::router::Core;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Pace;
+use crate::router::Tuning;
+use crate::settings::Settings;
+
+/// How often the core is told that time has passed. Deadlines and heartbeats are seconds; 20 ms is soon enough for
+/// them, and costs a router that idles a thousandth of a core.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A gap between two turns of the loop that tells that the process was stopped, not just busy.
+const PAUSE: Duration = Duration::from_millis(1500);
+
+/// How the loop came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// All requests were over and all that was held was given back.
+    Drained,
+    /// It was told to stop a second time, with requests in progress.
+    Forced,
+}
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn serve(settings: Settings) -> io::Result<Stopped> {
+    let callers = bind(settings.listen).await?;
+    let routers = bind(settings.peer_listen).await?;
+    let mut settings = settings;
+    // A port of 0 is the system's choice; callers must be told the one that it chose.
+    settings.listen = callers.local_addr()?;
+    settings.peer_listen = routers.local_addr()?;
+    info!(
+        event = "listening", vm = %settings.vm, callers = %settings.listen, routers = %settings.peer_listen,
+    );
+    let (sender, events) = mpsc::unbounded_channel();
+    let mut seeds = rand::rng();
+    let origin = format!("{}-{:08x}", settings.vm, seeds.next_u32());
+    let key = settings.admin_key();
+    let desk = Arc::new(Desk::new(settings.limits.clone(), key, origin, sender));
+    tokio::spawn(http::serve(callers, desk.clone()));
+    tokio::spawn(peers::serve(routers, desk.clone()));
+    tokio::spawn(vms::follow(settings.vms, desk.clone()));
+    let log = Log {
+        url: settings.log,
+        desk: desk.clone(),
+    };
+    follow_log(&log);
+    let clock = SystemClock;
+    let core = Core::new(clock.now(), tuning(&settings), seeds.next_u64());
+    let driver = Driver {
+        clock,
+        core,
+        log,
+        append: settings.ledger.append_ms.duration(),
+        peers: Caller::new(desk.clone()),
+        prober: Prober::new(desk.clone()),
+        desk,
+    };
+    driver.run(events).await
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+}
+
+fn tuning(settings: &Settings) -> Tuning {
+    let ledger = &settings.ledger;
+    Tuning {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: settings.advertised().to_string(),
+        lean: settings.lean,
+        pace: Pace {
+            interval: ledger.commit_ms.duration(),
+            timeout: ledger.append_ms.duration(),
+        },
+        outage: ledger.outage_ms.duration(),
+        marker: ledger.end_marker,
+        heartbeat: ledger.heartbeat_ms.duration(),
+        silence: ledger.silence_ms.duration(),
+        patience: settings.limits.deadline_ms.duration(),
+        queue: settings.limits.queue,
+        drain: settings.limits.drain_ms.duration(),
+    }
+}
+
+/// Follows both streams, and tells the core when it knows all that was there at the start.
+fn follow_log(log: &Log) {
+    let (ledger_ready, ledger) = oneshot::channel();
+    let (config_ready, config) = oneshot::channel();
+    tokio::spawn(
+        log.clone()
+            .follow(LEDGER, Event::LedgerEntries, ledger_ready),
+    );
+    tokio::spawn(
+        log.clone()
+            .follow(CONFIG, Event::ConfigEntries, config_ready),
+    );
+    let desk = log.desk.clone();
+    tokio::spawn(async move {
+        let _ = ledger.await;
+        let _ = config.await;
+        desk.tell(Event::CaughtUp);
+    });
+}
+
+struct Driver {
+    clock: SystemClock,
+    core: Core,
+    log: Log,
+    append: Duration,
+    peers: Caller,
+    prober: Prober,
+    desk: Arc<Desk>,
+}
+
+impl Driver {
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) -> io::Result<Stopped> {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        let mut told = false;
+        let mut last = self.clock.now();
+        loop {
+            let event = tokio::select! {
+                Some(event) = events.recv() => event,
+                () = until(self.next_turn(last)) => Event::Tick,
+                () = stop(&mut term, &mut int) => {
+                    if told {
+                        warn!(event = "stopped", forced = true);
+                        return Ok(Stopped::Forced);
+                    }
+                    told = true;
+                    Event::Drain
+                }
+            };
+            let now = self.clock.now();
+            last = self.note_pause(now, last);
+            let mut effects = self.core.handle(now, event);
+            if now >= last + TICK {
+                last = now;
+                effects.extend(self.core.handle(now, Event::Tick));
+            }
+            self.show_ledger();
+            for effect in effects {
+                if let Effect::Exit = effect {
+                    info!(event = "stopped", forced = false);
+                    return Ok(Stopped::Drained);
+                }
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    /// Returns when the core must be called though nothing happens.
+    fn next_turn(&self, last: Instant) -> Instant {
+        let tick = last + TICK;
+        self.core.wake().map_or(tick, |wake| wake.min(tick))
+    }
+
+    /// Tells the core of a pause of the whole process.
+    ///
+    /// What lay in the sockets meanwhile may be requests whose callers gave up, asked elsewhere and were told that they
+    /// were not run.
+    fn note_pause(&mut self, now: Instant, last: Instant) -> Instant {
+        if now >= last + PAUSE {
+            warn!(event = "paused", for_ms = (now - last).as_millis());
+            self.core.handle(now, Event::Paused);
+        }
+        last
+    }
+
+    fn show_ledger(&self) {
+        for sender in self.desk.take_snapshots() {
+            let _ = sender.send(self.core.ledger_bytes());
+        }
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Refuse(id, problem) => self.desk.command(id, Command::Refuse(problem)),
+            Effect::Replay(id, replay) => self.desk.command(id, Command::Replay(replay)),
+            Effect::Run(id, run) => self.desk.command(id, Command::Run(run)),
+            Effect::Release(id) => self.desk.command(id, Command::Release),
+            Effect::Cut(id, problem) => self.desk.command(id, Command::Cut(problem)),
+            Effect::Append {
+                router,
+                sequence,
+                bytes,
+            } => {
+                let log = self.log.clone();
+                tokio::spawn(log.append(router, sequence, bytes, self.append));
+            }
+            Effect::AppendKept(bytes) => {
+                let log = self.log.clone();
+                let limit = self.append;
+                tokio::spawn(async move { log.append_raw(bytes, limit).await });
+            }
+            Effect::Beat(beat, peers) => {
+                self.desk.set_beat(beat.clone());
+                for peer in peers {
+                    tokio::spawn(self.peers.clone().beat(beat.clone(), peer));
+                }
+            }
+            Effect::Keep(batches, peers) => {
+                for peer in peers {
+                    tokio::spawn(self.peers.clone().keep(batches.clone(), peer));
+                }
+            }
+            Effect::Relay(snapshot, peer) => {
+                tokio::spawn(self.peers.clone().relay(snapshot, peer));
+            }
+            Effect::Probe(vm, address) => {
+                tokio::spawn(self.prober.clone().probe(vm, address));
+            }
+            Effect::Answer(id, status, body) => self.desk.answer(id, status, body),
+            Effect::Exit => {}
+        }
+    }
+}
+
+async fn until(when: Instant) {
+    tokio::time::sleep_until(when.into()).await;
+}
+
+async fn stop(term: &mut Signal, int: &mut Signal) {
+    tokio::select! {
+        Some(()) = term.recv() => {}
+        Some(()) = int.recv() => {}
+        else => pending().await,
+    }
+}
--- /dev/null
+++ b/src/edge/peers.rs
@@ -0,0 +1,230 @@
+//! What routers say to each other, by tarpc.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::StreamExt;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+use tarpc::context;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+
+use crate::config::Snapshot;
+use crate::edge::codec::Postcard;
+use crate::edge::desk::Desk;
+use crate::router::Event;
+use crate::router::Heartbeat;
+use crate::router::KeptBatches;
+use crate::router::Peer;
+
+/// The version of these messages, told in each call. Another one is refused, not guessed at.
+const VERSION: u32 = 1;
+
+/// How long a peer may take to answer a heartbeat.
+const CALL: Duration = Duration::from_millis(1000);
+
+/// How long it may take to give its ledger's state, 40 MB at the size designed for.
+const SNAPSHOT: Duration = Duration::from_secs(10);
+
+/// The largest message: a ledger's state.
+const MAX_FRAME: usize = 256 << 20;
+
+/// Why a peer did not do what it was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Refused {
+    /// It speaks another version.
+    Version(u32),
+    /// It has nothing to give yet.
+    NotReady,
+}
+
+/// What a router does for its peers.
+#[tarpc::service]
+pub(crate) trait Peering {
+    /// Takes a router's word and returns its own.
+    async fn beat(version: u32, beat: Heartbeat) -> Result<Heartbeat, Refused>;
+
+    /// Keeps what a router cannot append.
+    async fn keep(version: u32, batches: KeptBatches) -> Result<(), Refused>;
+
+    /// Takes a configuration, as JSON.
+    async fn relay(version: u32, config: String) -> Result<(), Refused>;
+
+    /// Returns the ledger's state.
+    async fn ledger(version: u32) -> Result<Vec<u8>, Refused>;
+}
+
+/// Serves one peer's calls.
+#[derive(Clone)]
+struct Server(Arc<Desk>);
+
+fn check(version: u32) -> Result<(), Refused> {
+    match version == VERSION {
+        true => Ok(()),
+        false => Err(Refused::Version(VERSION)),
+    }
+}
+
+impl Peering for Server {
+    async fn beat(
+        self,
+        _: Context,
+        version: u32,
+        beat: Heartbeat,
+    ) -> Result<Heartbeat, Refused> {
+        check(version)?;
+        self.0.tell(Event::Heard(beat));
+        self.0.beat().ok_or(Refused::NotReady)
+    }
+
+    async fn keep(self, _: Context, version: u32, batches: KeptBatches) -> Result<(), Refused> {
+        check(version)?;
+        self.0.tell(Event::Keep(batches));
+        Ok(())
+    }
+
+    async fn relay(self, _: Context, version: u32, config: String) -> Result<(), Refused> {
+        check(version)?;
+        let snapshot = serde_json::from_str(&config).map_err(|_| Refused::NotReady)?;
+        self.0.tell(Event::ConfigSnapshot(Box::new(snapshot)));
+        Ok(())
+    }
+
+    async fn ledger(self, _: Context, version: u32) -> Result<Vec<u8>, Refused> {
+        check(version)?;
+        self.0.snapshot().await.ok_or(Refused::NotReady)
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec()
+}
+
+/// Serves peers for ever.
+pub(crate) async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(CALL).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let framed = codec_framed(stream);
+        let transport = serde_transport::new(framed, Postcard::default());
+        let calls = BaseChannel::with_defaults(transport).execute(Server(desk.clone()).serve());
+        tokio::spawn(calls.for_each(|call| async {
+            tokio::spawn(call);
+        }));
+    }
+}
+
+fn codec_framed(
+    stream: TcpStream,
+) -> tarpc::tokio_util::codec::Framed<TcpStream, LengthDelimitedCodec> {
+    tarpc::tokio_util::codec::Framed::new(stream, codec())
+}
+
+/// Calls peers, over one connection each.
+#[derive(Clone)]
+pub(crate) struct Caller {
+    desk: Arc<Desk>,
+    clients: Arc<Mutex<IndexMap<String, PeeringClient>>>,
+}
+
+impl Caller {
+    pub(crate) fn new(desk: Arc<Desk>) -> Self {
+        Self {
+            desk,
+            clients: Arc::default(),
+        }
+    }
+
+    /// Tells a peer that this router lives, and the core what the peer says.
+    pub(crate) async fn beat(self, beat: Heartbeat, peer: Peer) {
+        let call = |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
+        match self.call(&peer.address, CALL, call).await {
+            Some(Ok(word)) => self.desk.tell(Event::Heard(word)),
+            _ => self.desk.tell(Event::Unheard(peer.vm)),
+        }
+    }
+
+    /// Leaves batches with a peer, and tells the core once the peer has them.
+    pub(crate) async fn keep(self, batches: KeptBatches, peer: Peer) {
+        let (router, last, records) = (batches.router, batches.last, batches.records);
+        let call = |client: PeeringClient| async move { client.keep(deadline(CALL), VERSION, batches).await };
+        if let Some(Ok(())) = self.call(&peer.address, CALL, call).await {
+            self.desk.tell(Event::Kept {
+                peer: peer.vm,
+                router,
+                last,
+                records,
+            });
+        }
+    }
+
+    /// Sends a peer the configuration.
+    pub(crate) async fn relay(self, snapshot: Box<Snapshot>, peer: Peer) {
+        let Ok(config) = serde_json::to_string(&snapshot) else {
+            return;
+        };
+        let call = |client: PeeringClient| async move { client.relay(deadline(CALL), VERSION, config).await };
+        let _ = self.call(&peer.address, CALL, call).await;
+    }
+
+    /// Asks a peer for its ledger's state.
+    pub(crate) async fn ledger(&self, peer: &Peer) -> Option<Vec<u8>> {
+        let call = |client: PeeringClient| async move { client.ledger(deadline(SNAPSHOT), VERSION).await };
+        self.call(&peer.address, SNAPSHOT, call).await?.ok()
+    }
+
+    /// Makes one call; nothing means that the peer could not be reached in time.
+    async fn call<F, A, T>(&self, address: &str, limit: Duration, call: F) -> Option<T>
+    where
+        F: FnOnce(PeeringClient) -> A,
+        A: Future<Output = Result<T, tarpc::client::RpcError>>,
+    {
+        let client = self.client(address).await?;
+        match timeout(limit, call(client)).await {
+            Ok(Ok(answer)) => Some(answer),
+            _ => {
+                // A connection over which nothing comes is half open, or worse: the next call makes a new one.
+                self.clients.lock().await.swap_remove(address);
+                None
+            }
+        }
+    }
+
+    async fn client(&self, address: &str) -> Option<PeeringClient> {
+        if let Some(client) = self.clients.lock().await.get(address) {
+            return Some(client.clone());
+        }
+        let stream = timeout(CALL, TcpStream::connect(address)).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        let transport = serde_transport::new(codec_framed(stream), Postcard::default());
+        let client = PeeringClient::new(tarpc::client::Config::default(), transport).spawn();
+        self.clients
+            .lock()
+            .await
+            .insert(address.to_owned(), client.clone());
+        Some(client)
+    }
+}
+
+fn deadline(limit: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
--- /dev/null
+++ b/src/edge/probe.rs
@@ -0,0 +1,120 @@
+//! What endpoints say of themselves.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+
+use crate::clock::Clock;
+use crate::edge::clock::SystemClock;
+use crate::edge::desk::Desk;
+use crate::ids::ModelId;
+use crate::ids::VmId;
+use crate::prompt::BlockHash;
+use crate::router::CacheEvent;
+use crate::router::EndpointLoad;
+use crate::router::Event;
+
+/// How long an endpoint may take to answer: as long as until the next probe.
+const PROBE: Duration = Duration::from_millis(1000);
+
+#[derive(Deserialize)]
+struct Load {
+    as_of: u64,
+    running: u32,
+    waiting: u32,
+    kv_used: f64,
+    models: Vec<ModelId>,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    next: u64,
+    events: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+struct Row {
+    seq: u64,
+    kind: String,
+    block: BlockHash,
+}
+
+/// Asks endpoints how they are, and remembers up to which event each was read.
+#[derive(Clone)]
+pub(crate) struct Prober {
+    desk: Arc<Desk>,
+    next: Arc<Mutex<IndexMap<VmId, u64>>>,
+}
+
+impl Prober {
+    pub(crate) fn new(desk: Arc<Desk>) -> Self {
+        Self {
+            desk,
+            next: Arc::default(),
+        }
+    }
+
+    /// Asks one endpoint for its load and its cache's events.
+    pub(crate) async fn probe(self, vm: VmId, address: String) {
+        let load = self.get(&format!("http://{address}/v1/load")).await;
+        self.desk.tell(Event::Checked(vm.clone(), load.is_some()));
+        let Some(load) = load.and_then(|body| serde_json::from_slice(&body).ok()) else {
+            return;
+        };
+        self.desk.tell(Event::Load(vm.clone(), measured(load)));
+        self.read_events(vm, &address).await;
+    }
+
+    async fn read_events(&self, vm: VmId, address: &str) {
+        let from = self.next().get(&vm).copied().unwrap_or(0);
+        let url = format!("http://{address}/v1/cache/events?from={from}");
+        let body = self.get(&url).await;
+        let Some(page) = body.and_then(|body| serde_json::from_slice::<Page>(&body).ok()) else {
+            return;
+        };
+        self.next().insert(vm.clone(), page.next);
+        if !page.events.is_empty() {
+            let events = page.events.into_iter().map(read_row).collect();
+            self.desk.tell(Event::Cache(vm, events));
+        }
+    }
+
+    fn next(&self) -> std::sync::MutexGuard<'_, IndexMap<VmId, u64>> {
+        self.next.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn get(&self, url: &str) -> Option<bytes::Bytes> {
+        let answer = self.desk.http.get(url, PROBE).await.ok()?;
+        answer.status.is_success().then_some(answer.body)
+    }
+}
+
+fn measured(load: Load) -> EndpointLoad {
+    let then = UNIX_EPOCH + Duration::from_millis(load.as_of);
+    EndpointLoad {
+        age: age(SystemClock.wall(), then),
+        running: load.running,
+        waiting: load.waiting,
+        kv_used: load.kv_used,
+        models: load.models,
+    }
+}
+
+/// Returns how long ago something was; clocks of two VMs may differ, and nothing was in the future.
+fn age(now: SystemTime, then: SystemTime) -> Duration {
+    now.duration_since(then).unwrap_or_default()
+}
+
+fn read_row(row: Row) -> CacheEvent {
+    CacheEvent {
+        seq: row.seq,
+        block: row.block.0,
+        stored: row.kind == "stored",
+    }
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 pub use codec::decode;
 pub use codec::encode;
 pub use fold::Ledger;
+pub(crate) use fold::MAX_RERUNS;
 pub use key::BillState;
 pub use key::ClaimState;
 pub use key::KeyState;
--- /dev/null
+++ b/src/router/admin.rs
@@ -0,0 +1,206 @@
+//! What operators ask of a router, and its planned stop.
+
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tracing::info;
+use tracing::warn;
+
+use crate::ids::TeamId;
+use crate::ids::TopUpId;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::router::core::Core;
+use crate::router::core::Phase;
+use crate::router::core::Ticket;
+use crate::router::effect::Effect;
+use crate::router::event::AdminId;
+use crate::router::event::AdminRequest;
+use crate::tokens::Tokens;
+
+/// The version of the dump that `status` gives.
+const DUMP_VERSION: u32 = 1;
+
+impl Core {
+    /// Answers an operator.
+    pub(crate) fn admin(&mut self, now: Instant, id: AdminId, request: AdminRequest) {
+        match request {
+            AdminRequest::Address => self.answer_address(now, id),
+            AdminRequest::Status => self.answer(id, 200, self.status(now)),
+            AdminRequest::Teams => self.answer(id, 200, self.teams()),
+            AdminRequest::Config => {
+                let body = serde_json::to_value(self.config.snapshot());
+                self.answer(id, 200, body.unwrap_or(Value::Null));
+            }
+            AdminRequest::TopUp {
+                id: name,
+                team,
+                amount,
+            } => self.top_up(id, name, team, amount),
+            AdminRequest::Drain => {
+                self.drain(now);
+                self.answer(id, 202, json!({"draining": true}));
+            }
+        }
+    }
+
+    fn answer(&mut self, id: AdminId, status: u16, body: Value) {
+        self.effects.push(Effect::Answer(id, status, body));
+    }
+
+    fn answer_address(&mut self, now: Instant, id: AdminId) {
+        match self.advice(now) {
+            Some(advice) => {
+                let keep = u64::try_from(advice.keep.as_millis()).unwrap_or(u64::MAX);
+                let body = json!({
+                    "address": advice.address,
+                    "alternates": advice.alternates,
+                    "keep_ms": keep,
+                    "attempts": "count your tries of one request from 1 in the header Jasmineridge-Attempt",
+                });
+                self.answer(id, 200, body);
+            }
+            None => self.answer(id, 503, json!({"detail": "no router takes requests"})),
+        }
+    }
+
+    fn top_up(&mut self, id: AdminId, name: TopUpId, team: TeamId, amount: Tokens) {
+        if self.config.team(&team).is_none() {
+            let body = json!({"detail": format!("the configuration has no team {team}")});
+            self.answer(id, 404, body);
+            return;
+        }
+        let record = Record::TopUp {
+            id: name,
+            team,
+            amount,
+        };
+        self.appender
+            .push(record.clone(), Ticket::TopUp(id, record));
+    }
+
+    pub(crate) fn top_up_verdict(&mut self, id: AdminId, verdict: &Verdict) {
+        let applied = *verdict == Verdict::Accepted;
+        self.answer(id, 200, json!({"applied": applied}));
+    }
+
+    fn teams(&self) -> Value {
+        let teams: Vec<_> = self
+            .ledger
+            .teams()
+            .map(|(team, state)| {
+                json!({
+                    "team": team,
+                    "prepaid": state.prepaid,
+                    "spent": state.spent,
+                    "lost": state.lost,
+                    "held": state.held(),
+                    "undrawn": state.undrawn(),
+                })
+            })
+            .collect();
+        json!({"teams": teams})
+    }
+
+    fn status(&self, now: Instant) -> Value {
+        let routers: Vec<_> = self
+            .ledger
+            .routers()
+            .filter(|(_, state)| !state.closed)
+            .map(|(id, state)| json!({"vm": state.vm, "incarnation": id, "address": state.address}))
+            .collect();
+        let pools: Vec<_> = self
+            .pools
+            .iter()
+            .map(|(name, pool)| {
+                let endpoints: Vec<_> = pool
+                    .addresses
+                    .iter()
+                    .map(|(vm, address)| {
+                        json!({
+                            "vm": vm,
+                            "address": address,
+                            "load": pool.chooser.load(vm),
+                            "health": format!("{:?}", pool.health.health(now, vm)).to_lowercase(),
+                        })
+                    })
+                    .collect();
+                json!({"pool": name, "waiting": pool.queue.len() + pool.stuck.len(), "endpoints": endpoints})
+            })
+            .collect();
+        let holdings: Vec<_> = self
+            .ledger
+            .teams()
+            .map(|(team, _)| {
+                let holding = self.ledger.holding(self.me, team);
+                json!({"team": team, "free": holding.free, "claimed": holding.claimed})
+            })
+            .collect();
+        json!({
+            "version": DUMP_VERSION,
+            "process": "jasmineridged",
+            "vm": self.tuning.vm,
+            "domain": self.tuning.domain,
+            "address": self.tuning.address,
+            "incarnation": self.me,
+            "phase": format!("{:?}", self.phase),
+            "log_outage": self.in_outage(now),
+            "ledger": {
+                "next": self.ledger.next(),
+                "waiting_records": self.appender.waiting(),
+                "kept_for_peers": self.members.kept(),
+            },
+            "config": {
+                "version": self.config.version(),
+                "rejected": self.config.rejected(),
+                "skipped": self.config.skipped(),
+            },
+            "requests": self.requests.len(),
+            "routers": routers,
+            "pools": pools,
+            "holdings": holdings,
+            "teams": self.teams()["teams"],
+        })
+    }
+
+    /// Begins a planned stop: no new requests, and those in progress go on.
+    pub(crate) fn drain(&mut self, now: Instant) {
+        if matches!(self.phase, Phase::Draining { .. }) {
+            return;
+        }
+        info!(event = "draining", requests = self.requests.len());
+        self.phase = Phase::Draining {
+            since: now,
+            closing: false,
+        };
+        let peers = self.members.peers(&self.tuning.vm);
+        self.effects.push(Effect::Beat(self.heartbeat(), peers));
+    }
+
+    /// Ends a planned stop when the last request is over, giving back all that is held.
+    pub(crate) fn go_on_draining(&mut self, now: Instant) {
+        let Phase::Draining { since, closing } = self.phase else {
+            return;
+        };
+        let late = now >= since + self.tuning.drain;
+        if late {
+            for (id, request) in &self.requests {
+                warn!(event = "drain-cut", request = %id, key = %request.key);
+            }
+            let unfolded = self.appender.waiting();
+            if unfolded > 0 {
+                warn!(event = "drain-unfolded", records = unfolded);
+            }
+            self.effects.push(Effect::Exit);
+        }
+        if self.requests.is_empty() && !closing {
+            self.phase = Phase::Draining {
+                since,
+                closing: true,
+            };
+            let record = Record::Close { router: self.me };
+            self.appender.push(record, Ticket::CloseSelf);
+        }
+    }
+}
--- /dev/null
+++ b/src/router/appender.rs
@@ -0,0 +1,231 @@
+//! Group commit: gathers a router's records into batches and has each appended once.
+//!
+//! The log service takes a few hundred appends a second for the whole fleet, and a router has thousands of records.
+//! Without batches the first busy minute would fill the service's queue. One batch is on its way at a time: were there
+//! two, the later could land first, and the fold would drop the earlier for good.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::Incarnation;
+use crate::ids::Sequence;
+use crate::ledger::Batch;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::ledger::encode;
+
+/// The most records in a batch: at about 100 bytes each, a batch stays under 100 KB, which a log service takes.
+pub(crate) const MAX_RECORDS: usize = 1000;
+
+/// Settings of the appender.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// The least time between two batches. Seven routers at 25 ms make 280 appends a second.
+    pub(crate) interval: Duration,
+    /// How long to wait for an answer before the batch is sent again.
+    pub(crate) timeout: Duration,
+}
+
+/// Gathers records of one incarnation for one stream.
+///
+/// `T` is what the caller wants back with a record's verdict.
+#[derive(Debug)]
+pub(crate) struct Appender<T> {
+    router: Incarnation,
+    pace: Pace,
+    pending: Vec<(Record, T)>,
+    sealed: VecDeque<Sealed<T>>,
+    last: Sequence,
+    sent: Option<Instant>,
+    failed: Option<Instant>,
+}
+
+/// A batch whose number and content are fixed.
+#[derive(Debug)]
+struct Sealed<T> {
+    batch: Batch,
+    tickets: Vec<T>,
+    state: Flight,
+    first_sent: Option<Instant>,
+}
+
+/// Where a batch is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Flight {
+    /// Not sent yet, or failed and due again.
+    Due,
+    /// Sent at this time, and not answered.
+    Sent(Instant),
+    /// The log has it; its verdict comes when it is folded.
+    Landed,
+}
+
+/// What is to be appended now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Append {
+    /// The batch's number.
+    pub(crate) sequence: Sequence,
+    /// The batch.
+    pub(crate) bytes: Vec<u8>,
+}
+
+impl<T> Appender<T> {
+    /// Makes the appender of a new incarnation.
+    pub(crate) fn new(router: Incarnation, pace: Pace) -> Self {
+        Self {
+            router,
+            pace,
+            pending: Vec::new(),
+            sealed: VecDeque::new(),
+            last: Sequence(0),
+            sent: None,
+            failed: None,
+        }
+    }
+
+    /// Adds a record to the next batch.
+    pub(crate) fn push(&mut self, record: Record, ticket: T) {
+        self.pending.push((record, ticket));
+    }
+
+    /// Returns how many records wait for their verdict.
+    pub(crate) fn waiting(&self) -> usize {
+        let sealed: usize = self.sealed.iter().map(|s| s.tickets.len()).sum();
+        self.pending.len() + sealed
+    }
+
+    /// Returns since when the oldest batch that was sent has no verdict.
+    ///
+    /// This is how an outage of the log service is noticed: a batch that stays without one.
+    pub(crate) fn stalled_since(&self) -> Option<Instant> {
+        self.sealed.front().and_then(|s| s.first_sent)
+    }
+
+    /// Returns the batch that is to be appended now, if one is.
+    pub(crate) fn poll(&mut self, now: Instant) -> Option<Append> {
+        if self.sealed.is_empty() {
+            self.seal();
+        }
+        let interval = self.pace.interval;
+        let timeout = self.pace.timeout;
+        let paced = self.sent.is_none_or(|at| now >= at + interval);
+        let rested = self.failed.is_none_or(|at| now >= at + interval * 4);
+        let front = self.sealed.front_mut()?;
+        let due = match front.state {
+            Flight::Due => true,
+            Flight::Sent(at) => now >= at + timeout,
+            Flight::Landed => false,
+        };
+        if !(due && paced && rested) {
+            return None;
+        }
+        front.state = Flight::Sent(now);
+        front.first_sent.get_or_insert(now);
+        self.sent = Some(now);
+        Some(Append {
+            sequence: front.batch.sequence,
+            bytes: encode(&front.batch),
+        })
+    }
+
+    /// Gives the pending records their batch and number.
+    ///
+    /// In a log outage this is done before they can be sent, so that other routers may keep the batches and append
+    /// them verbatim should this router die. A batch that was never sent to the log still takes records: one batch for
+    /// each moment of an hour's outage would take longer to append than the outage lasted.
+    pub(crate) fn seal(&mut self) {
+        while !self.pending.is_empty() {
+            let room = match self.sealed.back() {
+                Some(last) if last.first_sent.is_none() => MAX_RECORDS - last.tickets.len(),
+                _ => 0,
+            };
+            if room == 0 {
+                self.begin_batch();
+                continue;
+            }
+            let count = self.pending.len().min(room);
+            let (records, tickets): (Vec<_>, Vec<_>) = self.pending.drain(..count).unzip();
+            let last = self.sealed.back_mut().expect("it has room");
+            last.batch.records.extend(records);
+            last.tickets.extend(tickets);
+        }
+    }
+
+    fn begin_batch(&mut self) {
+        self.last = Sequence(self.last.0 + 1);
+        self.sealed.push_back(Sealed {
+            batch: Batch {
+                router: self.router,
+                sequence: self.last,
+                records: Vec::new(),
+            },
+            tickets: Vec::new(),
+            state: Flight::Due,
+            first_sent: None,
+        });
+    }
+
+    /// Sends a batch of no records if nothing else is on its way: a sign of life in the log.
+    pub(crate) fn keep_alive(&mut self) {
+        if self.sealed.is_empty() && self.pending.is_empty() {
+            self.begin_batch();
+        }
+    }
+
+    /// Returns the batches without a verdict, oldest first.
+    pub(crate) fn unfolded(&self) -> impl Iterator<Item = &Batch> {
+        self.sealed.iter().map(|s| &s.batch)
+    }
+
+    /// Returns what waits for the verdicts of the batches up to this one.
+    pub(crate) fn tickets(&self, upto: Sequence) -> impl Iterator<Item = &T> {
+        self.sealed
+            .iter()
+            .filter(move |s| s.batch.sequence <= upto)
+            .flat_map(|s| &s.tickets)
+    }
+
+    /// Takes the log service's answer to an append.
+    ///
+    /// An append that failed may have taken effect all the same, so the same bytes are sent again under the same
+    /// number, and the fold counts one of them.
+    pub(crate) fn answered(&mut self, now: Instant, sequence: Sequence, landed: bool) {
+        self.failed = if landed { None } else { Some(now) };
+        let Some(front) = self.sealed.front_mut() else {
+            return;
+        };
+        if front.batch.sequence == sequence {
+            front.state = if landed { Flight::Landed } else { Flight::Due };
+        }
+    }
+
+    /// Takes the fold's verdicts of one of this incarnation's batches, and returns them with their tickets.
+    pub(crate) fn folded(&mut self, sequence: Sequence, verdicts: Vec<Verdict>) -> Vec<(T, Verdict)> {
+        let ours = self.sealed.front().is_some_and(|s| s.batch.sequence == sequence);
+        if !ours {
+            return Vec::new();
+        }
+        let front = self.sealed.pop_front().expect("it was looked at");
+        front.tickets.into_iter().zip(verdicts).collect()
+    }
+
+    /// Returns when [`Self::poll`] is worth calling again.
+    pub(crate) fn wake(&self) -> Option<Instant> {
+        let sent = self.sent?;
+        let front = self.sealed.front();
+        match front.map(|s| s.state) {
+            None if self.pending.is_empty() => None,
+            None | Some(Flight::Due) => Some(sent + self.pace.interval),
+            Some(Flight::Sent(at)) => Some(at + self.pace.timeout),
+            Some(Flight::Landed) => None,
+        }
+    }
+
+    /// Gives up all that has no verdict, for an incarnation that is over, and returns its tickets.
+    pub(crate) fn abandon(self) -> Vec<T> {
+        let sealed = self.sealed.into_iter().flat_map(|s| s.tickets);
+        let pending = self.pending.into_iter().map(|(_, ticket)| ticket);
+        sealed.chain(pending).collect()
+    }
+}
--- /dev/null
+++ b/src/router/arrive.rs
@@ -0,0 +1,351 @@
+//! A request's way in: who asks, who pays, where it goes, and whether the ledger knows it already.
+
+use std::time::Instant;
+
+use indexmap::map::Entry;
+use tracing::info;
+
+use crate::config::PoolKind;
+use crate::config::Route;
+use crate::decide::AccountLimit;
+use crate::decide::Refusal;
+use crate::ids::AccountId;
+use crate::ids::RequestId;
+use crate::ids::RequestKey;
+use crate::labels::Labels;
+use crate::ledger::Bearer;
+use crate::ledger::KeyState;
+use crate::ledger::MAX_RERUNS;
+use crate::ledger::Outcome;
+use crate::router::core::Core;
+use crate::router::effect::Effect;
+use crate::router::effect::Replay;
+use crate::router::event::Arrival;
+use crate::router::event::Work;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::Request;
+use crate::router::request::Stake;
+use crate::router::request::State;
+use crate::tokens::Tokens;
+
+/// What the ledger and this router's own desk say of a request that arrived.
+pub(crate) enum Look {
+    /// Nothing stands against it.
+    Run,
+    /// Another attempt is in progress.
+    Wait,
+    /// It ran, and its answer is kept.
+    Replay(Replay),
+    /// It can't run.
+    Refuse(ProblemKind, Ran, &'static str),
+}
+
+impl Core {
+    /// Takes a caller's request.
+    pub(crate) fn arrive(&mut self, now: Instant, arrival: Arrival) {
+        self.retries.request(now);
+        let id = arrival.id;
+        match self.admit(now, &arrival) {
+            Ok(request) => {
+                info!(
+                    event = "request", request = %id, key = %request.key, attempt = %request.attempt,
+                    team = %request.team, pool = %request.pool, reserve = %request.reserve,
+                );
+                self.requests.insert(id, request);
+                self.enter(now, id);
+            }
+            Err(problem) => self.refuse_arrival(&arrival, *problem),
+        }
+    }
+
+    /// Decides on a request by what its caller says and the configuration.
+    fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<Request, Box<Problem>> {
+        let stale = self.stale_until.is_some_and(|until| now < until);
+        if !self.serving() || stale {
+            return Err(self.not_serving());
+        }
+        let Some((account, spec)) = self.config.account_by_key(&arrival.bearer.0) else {
+            let detail = "the bearer key is none that is in force";
+            return Err(unproved(ProblemKind::Unauthorized, detail));
+        };
+        let labels = labels(&account, &spec.labels, arrival);
+        let Some(route) = self.config.route(&labels) else {
+            let detail = format!("no rule matches the labels {labels}");
+            return Err(unproved(ProblemKind::NoRoute, &detail));
+        };
+        self.request(now, account, route, arrival)
+    }
+
+    /// Holds an admitted request against quarantine and its account's limit.
+    fn enter(&mut self, now: Instant, id: RequestId) {
+        let request = &self.requests[&id];
+        if self.ledger.quarantined(request.fingerprint) {
+            let detail = "endpoints failed over this request again and again";
+            self.refuse(now, id, ProblemKind::Quarantined, detail);
+            return;
+        }
+        match self.enter_account(now, &request.account().clone()) {
+            Ok(()) => {
+                self.requests[&id].entered = true;
+                self.go_in(now, id);
+            }
+            Err(refusal) => {
+                let detail = refusal.to_string();
+                let problem = Problem::new(ProblemKind::RateLimited, Ran::Unknown, &detail);
+                self.refuse_with(now, id, problem.retry_in(refusal.retry_after()));
+            }
+        }
+    }
+
+    fn enter_account(&mut self, now: Instant, account: &AccountId) -> Result<(), Refusal> {
+        let limits = self.config.account(account).map(|spec| spec.limits.clone());
+        self.accounts
+            .entry(account.clone())
+            .or_insert_with(|| AccountLimit::new(now, &limits.unwrap_or_default()))
+            .try_enter(now)
+    }
+
+    /// Returns who holds a claim that a request waits for, if it is another router.
+    pub(crate) fn claimant(&self, id: RequestId) -> Option<&str> {
+        let key = self.ledger.key(&self.requests.get(&id)?.key)?;
+        let router = key.claim.as_ref()?.router;
+        self.ledger.router(router).map(|r| r.address.as_str())
+    }
+
+    fn request(
+        &self,
+        now: Instant,
+        account: AccountId,
+        route: Route,
+        arrival: &Arrival,
+    ) -> Result<Request, Box<Problem>> {
+        let Some(pool) = self.config.pool(&route.pool) else {
+            return Err(unproved(ProblemKind::NoRoute, "the rule's pool is gone"));
+        };
+        let (reserve, limit, idempotent) = match (&arrival.work, &pool.kind) {
+            (
+                Work::Completion {
+                    model,
+                    prompt,
+                    limit,
+                    ..
+                },
+                PoolKind::Engine { models, max_tokens },
+            ) => {
+                if !models.contains(model) {
+                    let detail = format!("the pool {} does not serve the model {model}", route.pool);
+                    return Err(unproved(ProblemKind::NoRoute, &detail));
+                }
+                let limit = limit.unwrap_or(*max_tokens).min(*max_tokens);
+                (limit.saturating_add(Tokens(*prompt)), limit, true)
+            }
+            (
+                Work::Call { service, method },
+                PoolKind::Service {
+                    name,
+                    price,
+                    repeatable,
+                },
+            ) => {
+                if service != name {
+                    let detail = format!("the pool {} does not serve {service}", route.pool);
+                    return Err(unproved(ProblemKind::NoRoute, &detail));
+                }
+                let by_method = matches!(method.as_str(), "GET" | "HEAD" | "PUT" | "DELETE");
+                let repeat = repeatable.get(method).copied().unwrap_or(by_method);
+                (*price, Tokens::ZERO, repeat)
+            }
+            _ => {
+                let detail = format!("the pool {} serves another kind of request", route.pool);
+                return Err(unproved(ProblemKind::NoRoute, &detail));
+            }
+        };
+        let bearer = self
+            .config
+            .team(&route.team)
+            .map_or(Bearer::Team, |team| team.bearer);
+        let priority = arrival.priority.unwrap_or(0).max(route.priority).min(9);
+        let patience = arrival
+            .patience
+            .unwrap_or(self.tuning.patience)
+            .min(self.tuning.patience);
+        Ok(Request {
+            key: RequestKey {
+                account,
+                key: arrival.key.clone(),
+            },
+            attempt: arrival.attempt,
+            fingerprint: arrival.request,
+            seen: self.seen(),
+            team: route.team,
+            pool: route.pool,
+            bearer,
+            idempotent,
+            reserve,
+            limit,
+            priority,
+            work: arrival.work.clone(),
+            arrived: now,
+            deadline: now + patience,
+            state: State::Contended,
+            tried: Vec::new(),
+            wasted: Tokens::ZERO,
+            dispatched: false,
+            stake: Stake::None,
+            entered: false,
+        })
+    }
+
+    /// Sends an admitted request on its way, by what is known of its key.
+    pub(crate) fn go_in(&mut self, now: Instant, id: RequestId) {
+        match self.look(id) {
+            Look::Run => {
+                if !self.requests[&id].idempotent && self.in_outage(now) {
+                    // Without the log nobody can tell whether another router runs it as well.
+                    let detail = "the log service does not answer, and without it a call that may not be repeated \
+                                  cannot be claimed";
+                    self.refuse(now, id, ProblemKind::LogOutage, detail);
+                    return;
+                }
+                let key = self.requests[&id].key.clone();
+                self.active.insert(key, id);
+                self.fund(now, id);
+            }
+            Look::Wait => {
+                self.requests[&id].state = State::Contended;
+                self.contended.push(id);
+            }
+            Look::Replay(replay) => {
+                self.effects.push(Effect::Replay(id, replay));
+                self.finish(now, id);
+            }
+            Look::Refuse(kind, ran, detail) => self.send_refusal(now, id, Problem::new(kind, ran, detail)),
+        }
+    }
+
+    /// Looks up what is known of a request's key.
+    ///
+    /// What it finds may be old; the claim's verdict decides. Looking first spares the log a claim that is sure to be
+    /// void, and lets a retry wait for the attempt before it.
+    pub(crate) fn look(&self, id: RequestId) -> Look {
+        let request = &self.requests[&id];
+        if let Some(other) = self.active.get(&request.key)
+            && *other != id
+        {
+            return match self.requests[other].fingerprint == request.fingerprint {
+                true => Look::Wait,
+                false => OTHER_REQUEST,
+            };
+        }
+        match self.ledger.key(&request.key) {
+            None => Look::Run,
+            Some(key) => self.look_at(request, key),
+        }
+    }
+
+    fn look_at(&self, request: &Request, key: &KeyState) -> Look {
+        if key.request.is_some_and(|other| other != request.fingerprint) {
+            return OTHER_REQUEST;
+        }
+        if let Some(claim) = &key.claim {
+            return match self.ledger.is_open(claim.router) {
+                true if claim.router == self.me => Look::Run,
+                true => Look::Wait,
+                false => OUTCOME_UNKNOWN,
+            };
+        }
+        match &key.bill {
+            Some(bill) if !request.idempotent => match &bill.outcome {
+                Outcome::Answered {
+                    status,
+                    body: Some(body),
+                } => Look::Replay(Replay {
+                    status: *status,
+                    body: body.clone(),
+                }),
+                Outcome::Unknown => OUTCOME_UNKNOWN,
+                _ => FINISHED,
+            },
+            Some(_) if key.reruns >= MAX_RERUNS => FINISHED,
+            _ => Look::Run,
+        }
+    }
+
+    /// Looks again at the requests that wait for another attempt's end.
+    pub(crate) fn recheck_contended(&mut self, now: Instant) {
+        for id in std::mem::take(&mut self.contended) {
+            let waits = self
+                .requests
+                .get(&id)
+                .is_some_and(|request| matches!(request.state, State::Contended));
+            if waits {
+                self.go_in(now, id);
+            }
+        }
+    }
+
+    /// Returns the last offset folded.
+    fn seen(&self) -> crate::ids::Offset {
+        crate::ids::Offset(self.ledger.next().0.saturating_sub(1))
+    }
+
+    fn not_serving(&mut self) -> Box<Problem> {
+        let instead = self.other_address();
+        let problem = unproved(ProblemKind::NotServing, "this router is leaving or has just begun");
+        Box::new(problem.go_to(instead).retry_in(NOT_SERVING_RETRY))
+    }
+
+    /// Makes sure that an account's entry is given back.
+    pub(crate) fn leave_account(&mut self, account: &AccountId) {
+        if let Entry::Occupied(mut limit) = self.accounts.entry(account.clone()) {
+            limit.get_mut().leave();
+        }
+    }
+}
+
+/// How soon a caller of a router that does not serve may try another: at once, but for a spread.
+const NOT_SERVING_RETRY: std::time::Duration = std::time::Duration::from_millis(100);
+
+const OTHER_REQUEST: Look = Look::Refuse(
+    ProblemKind::OtherRequest,
+    Ran::Unknown,
+    "the Idempotency-Key was used with another body or path",
+);
+
+const OUTCOME_UNKNOWN: Look = Look::Refuse(
+    ProblemKind::OutcomeUnknown,
+    Ran::Unknown,
+    "it was sent to the service, and no answer came back; ask the service whether it took effect",
+);
+
+const FINISHED: Look = Look::Refuse(
+    ProblemKind::Finished,
+    Ran::Yes,
+    "it ran and was billed before; ask with a new key to have it run again",
+);
+
+/// Gathers the labels that rules select by. What the account attaches goes before what the caller says.
+fn labels(account: &AccountId, attached: &Labels, arrival: &Arrival) -> Labels {
+    let mut labels = arrival.labels.clone();
+    for (name, value) in &attached.0 {
+        labels.set(name, value);
+    }
+    labels.set("account", account.as_str());
+    match &arrival.work {
+        Work::Completion { model, .. } => {
+            labels.0.shift_remove("service");
+            labels.set("model", model.as_str());
+        }
+        Work::Call { service, .. } => {
+            labels.0.shift_remove("model");
+            labels.set("service", service);
+        }
+    }
+    labels
+}
+
+fn unproved(kind: ProblemKind, detail: &str) -> Box<Problem> {
+    Box::new(Problem::new(kind, Ran::Unknown, detail))
+}
--- /dev/null
+++ b/src/router/claim.rs
@@ -0,0 +1,140 @@
+//! Claims: taking a request for this router before anything is sent to an endpoint.
+
+use std::time::Instant;
+
+use tracing::info;
+use tracing::warn;
+
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::ledger::Claim;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::ledger::Void;
+use crate::router::core::Core;
+use crate::router::core::Ticket;
+use crate::router::problem::ProblemKind;
+use crate::router::request::Stake;
+use crate::router::request::State;
+
+impl Core {
+    /// Claims a request that has its budget and its endpoint.
+    pub(crate) fn claim(&mut self, now: Instant, id: RequestId, endpoint: VmId) {
+        let outage = self.in_outage(now);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let record = Record::Claim(Claim {
+            key: request.key.clone(),
+            team: request.team.clone(),
+            reserved: request.reserve,
+            request: request.fingerprint,
+            seen: request.seen,
+            attempt: request.attempt,
+            idempotent: request.idempotent,
+            bearer: request.bearer,
+        });
+        request.stake = Stake::Pushed;
+        request.state = State::Claiming { endpoint };
+        self.appender.push(record, Ticket::Claim(id));
+        if outage {
+            self.run_unclaimed(now, id);
+        }
+    }
+
+    /// Runs a request whose claim the log does not take.
+    ///
+    /// In a log outage a router serves from its holdings. The request may be run by another router as well, should its
+    /// caller go there, and is then billed by one of them alone; for a request that may be repeated that is harm
+    /// enough to bear, for another it is not.
+    pub(crate) fn run_unclaimed(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let State::Claiming { endpoint } = &request.state
+            && request.idempotent
+        {
+            let endpoint = endpoint.clone();
+            self.dispatch(now, id, endpoint);
+        }
+    }
+
+    /// Takes the fold's word on a claim.
+    pub(crate) fn claim_verdict(&mut self, now: Instant, id: RequestId, verdict: Verdict) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if let Some(purse) = self.purses.get_mut(&request.team) {
+            purse.settle(request.reserve);
+        }
+        match verdict {
+            Verdict::Accepted => {
+                request.stake = Stake::Held;
+                self.claimed(now, id);
+            }
+            Verdict::Granted(_) => {}
+            Verdict::Void(void) => {
+                request.stake = Stake::None;
+                self.claim_void(now, id, void);
+            }
+        }
+    }
+
+    fn claimed(&mut self, now: Instant, id: RequestId) {
+        let request = &self.requests[&id];
+        match &request.state {
+            State::Claiming { endpoint } => {
+                let endpoint = endpoint.clone();
+                self.dispatch(now, id, endpoint);
+            }
+            State::Abandoned => self.release_claim(id),
+            // It runs already, or its bill follows: the claim came late, after a log outage.
+            _ => {}
+        }
+    }
+
+    /// Gives up a claim whose request was never dispatched.
+    pub(crate) fn release_claim(&mut self, id: RequestId) {
+        let key = self.requests[&id].key.clone();
+        let record = Record::Release { key };
+        self.appender.push(record, Ticket::Release(id));
+    }
+
+    fn claim_void(&mut self, now: Instant, id: RequestId, void: Void) {
+        info!(event = "claim-void", request = %id, cause = ?void);
+        let request = &self.requests[&id];
+        match &request.state {
+            State::Claiming { .. } => self.claim_lost(now, id, void),
+            State::Running { .. } => {
+                // Run beside its claim in a log outage, and another router had it first: this run can't be billed.
+                warn!(event = "run-unbillable", request = %id);
+                self.lose(now, id);
+            }
+            State::Abandoned => self.finish(now, id),
+            _ => {}
+        }
+    }
+
+    fn claim_lost(&mut self, now: Instant, id: RequestId, void: Void) {
+        self.free_endpoint(now, id);
+        match void {
+            Void::Holding => self.fund(now, id),
+            Void::Refused => {
+                let detail = "an earlier refusal of this request reached the ledger first";
+                self.refuse(now, id, ProblemKind::Overloaded, detail);
+            }
+            Void::Closed | Void::Sequence => {
+                let detail = "this router was taken for dead by the others";
+                self.refuse(now, id, ProblemKind::NotServing, detail);
+            }
+            _ => {
+                // The ledger knows the key now: it waits for the other attempt, or is told what became of it.
+                let key = self.requests[&id].key.clone();
+                if self.active.get(&key) == Some(&id) {
+                    self.active.shift_remove(&key);
+                }
+                self.go_in(now, id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/router/core.rs
@@ -0,0 +1,291 @@
+//! The core of a router: its state, and the way from an event to what answers it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::config::Config;
+use crate::decide::AccountLimit;
+use crate::decide::HoldingPolicy;
+use crate::decide::Lean;
+use crate::decide::RetryBudget;
+use crate::ids::AccountId;
+use crate::ids::DomainId;
+use crate::ids::Incarnation;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::ids::RequestKey;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::ledger::Ledger;
+use crate::ledger::Record;
+use crate::router::appender::Appender;
+use crate::router::appender::Pace;
+use crate::router::effect::Effect;
+use crate::router::event::AdminId;
+use crate::router::event::Event;
+use crate::router::members::Members;
+use crate::router::outage::Outage;
+use crate::router::pool::Pool;
+use crate::router::purse::Purse;
+use crate::router::request::Request;
+use crate::settings::EndMarker;
+use crate::tokens::Tokens;
+
+/// What a router is told at its start.
+#[derive(Clone, Debug)]
+pub(crate) struct Tuning {
+    /// Its VM.
+    pub(crate) vm: VmId,
+    /// Its failure domain.
+    pub(crate) domain: DomainId,
+    /// Where callers reach it, `ip:port`.
+    pub(crate) address: String,
+    /// Which user's measure its policies lean to.
+    pub(crate) lean: Lean,
+    /// How records are gathered into appends.
+    pub(crate) pace: Pace,
+    /// How long a batch may go without its verdict before the log counts as down.
+    pub(crate) outage: Duration,
+    /// When the end of an answer goes out while the log is down.
+    pub(crate) marker: EndMarker,
+    /// How often peers hear from it.
+    pub(crate) heartbeat: Duration,
+    /// How long a router that the VM list no longer shows may be silent before it is closed.
+    pub(crate) silence: Duration,
+    /// How long a caller waits where it does not say.
+    pub(crate) patience: Duration,
+    /// How many requests may wait for each pool's endpoints.
+    pub(crate) queue: usize,
+    /// How long a planned stop waits for the requests in progress.
+    pub(crate) drain: Duration,
+}
+
+/// What a router does with new requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It has not read the log yet.
+    CatchingUp,
+    /// Its opening record is on its way.
+    Opening,
+    /// It takes requests.
+    Serving,
+    /// It takes none and ends when those in progress are over.
+    Draining {
+        /// Since when.
+        since: Instant,
+        /// Whether its closing record is on its way.
+        closing: bool,
+    },
+}
+
+/// What comes back with a record's verdict.
+#[derive(Clone, Debug)]
+pub(crate) enum Ticket {
+    Open,
+    Claim(RequestId),
+    Release(RequestId),
+    Refuse(RequestId),
+    Bill {
+        request: RequestId,
+        team: TeamId,
+        credit: Tokens,
+    },
+    Draw(TeamId),
+    Return(TeamId, Tokens),
+    TopUp(AdminId, Record),
+    CloseSelf,
+    Other,
+}
+
+/// A router's core.
+pub(crate) struct Core {
+    pub(crate) tuning: Tuning,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) phase: Phase,
+    pub(crate) me: Incarnation,
+    pub(crate) ledger: Ledger,
+    pub(crate) config: Config,
+    pub(crate) appender: Appender<Ticket>,
+    pub(crate) requests: IndexMap<RequestId, Request>,
+    /// The request that has each key here.
+    pub(crate) active: IndexMap<RequestKey, RequestId>,
+    /// Requests that wait for another attempt's end.
+    pub(crate) contended: Vec<RequestId>,
+    pub(crate) purses: IndexMap<TeamId, Purse>,
+    pub(crate) policy: HoldingPolicy,
+    pub(crate) demand: IndexMap<TeamId, Demand>,
+    pub(crate) accounts: IndexMap<AccountId, AccountLimit>,
+    pub(crate) pools: IndexMap<PoolId, Pool>,
+    pub(crate) retries: RetryBudget,
+    pub(crate) members: Members,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) outage: Outage,
+    pub(crate) proofs: ProofBudget,
+    /// Until when requests may be ones that lay in a socket while the process was stopped.
+    pub(crate) stale_until: Option<Instant>,
+}
+
+/// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop.
+const STALE: Duration = Duration::from_millis(250);
+
+/// How fast a team spends here, as an average that forgets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Demand {
+    pub(crate) rate: f64,
+    pub(crate) at: Instant,
+}
+
+/// Bounds the refuse records of a router, so that under overload the proofs cost less than serving would.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProofBudget {
+    left: f64,
+    at: Option<Instant>,
+}
+
+/// Refuse records a second at one router: at 60 bytes each, a tenth of what a batch may carry.
+const PROOF_RATE: f64 = 200.0;
+
+impl ProofBudget {
+    /// Takes one proof, if one is left.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        let since = self.at.map_or(Duration::from_secs(1), |at| now - at);
+        self.left = (self.left + since.as_secs_f64() * PROOF_RATE).min(PROOF_RATE);
+        self.at = Some(now);
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+impl Core {
+    /// Makes the core of a router that starts now; `seed` makes its random choices.
+    pub(crate) fn new(now: Instant, tuning: Tuning, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let me = Incarnation(rng.next_u64());
+        Self {
+            appender: Appender::new(me, tuning.pace),
+            policy: HoldingPolicy::new(tuning.lean),
+            phase: Phase::CatchingUp,
+            me,
+            ledger: Ledger::default(),
+            config: Config::default(),
+            requests: IndexMap::new(),
+            active: IndexMap::new(),
+            contended: Vec::new(),
+            purses: IndexMap::new(),
+            demand: IndexMap::new(),
+            accounts: IndexMap::new(),
+            pools: IndexMap::new(),
+            retries: RetryBudget::new(now),
+            members: Members::new(now),
+            effects: Vec::new(),
+            outage: Outage::default(),
+            proofs: ProofBudget {
+                left: 0.0,
+                at: None,
+            },
+            stale_until: None,
+            tuning,
+            rng,
+        }
+    }
+
+    /// Takes one event and returns what is to be done about it.
+    pub(crate) fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Arrived(arrival) => self.arrive(now, *arrival),
+            Event::HungUp(id) => self.hung_up(now, id),
+            Event::Started(id) => self.started(now, id),
+            Event::Ended(id, end) => self.ended(now, id, end),
+            Event::Appended {
+                router,
+                sequence,
+                landed,
+            } => self.appended(now, router, sequence, landed),
+            Event::LedgerEntries(entries) => self.fold_ledger(now, entries),
+            Event::ConfigEntries(entries) => self.fold_config(now, entries),
+            Event::CaughtUp => self.caught_up(now),
+            Event::LedgerSnapshot(ledger) => self.adopt_ledger(now, *ledger),
+            Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
+            Event::VmList(list) => self.vm_list(now, list),
+            Event::Heard(beat) => self.heard(now, beat),
+            Event::Unheard(vm) => self.members.unheard(now, vm),
+            Event::Keep(batches) => self.members.keep(batches),
+            Event::Kept {
+                peer,
+                router,
+                last,
+                records,
+            } => self.kept(&peer, router, last, records),
+            Event::Checked(vm, passed) => self.endpoint_checked(now, &vm, passed),
+            Event::Load(vm, load) => self.endpoint_load(now, &vm, &load),
+            Event::Cache(vm, events) => self.endpoint_cache(&vm, &events),
+            Event::Admin(id, request) => self.admin(now, id, request),
+            Event::Drain => self.drain(now),
+            Event::Paused => self.paused(now),
+            Event::Tick => self.tick(now),
+        }
+        self.flush(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns whether the log leaves this router's records without a verdict.
+    pub(crate) fn in_outage(&self, now: Instant) -> bool {
+        self.appender
+            .stalled_since()
+            .is_some_and(|since| now >= since + self.tuning.outage)
+    }
+
+    /// Returns whether new requests are taken.
+    pub(crate) fn serving(&self) -> bool {
+        self.phase == Phase::Serving
+    }
+
+    /// Returns when it must be called though nothing happens.
+    pub(crate) fn wake(&self) -> Option<Instant> {
+        self.appender.wake()
+    }
+
+    /// Returns the ledger's state, for a peer.
+    pub(crate) fn ledger_bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.ledger).expect("a ledger can be encoded")
+    }
+
+    /// Begins to refuse what lay in the sockets while the process was stopped.
+    fn paused(&mut self, now: Instant) {
+        self.stale_until = Some(now + STALE);
+        self.members.forgive(now);
+    }
+
+    /// Sends off what has gathered.
+    fn flush(&mut self, now: Instant) {
+        if self.phase == Phase::CatchingUp {
+            return;
+        }
+        if let Some(append) = self.appender.poll(now) {
+            self.effects.push(Effect::Append {
+                router: self.me,
+                sequence: append.sequence,
+                bytes: append.bytes,
+            });
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.expire_requests(now);
+        self.recheck_contended(now);
+        self.keep_house(now);
+        self.beat(now);
+        self.close_dead(now);
+        self.replicate(now);
+        self.tick_pools(now);
+        self.go_on_draining(now);
+    }
+}
--- /dev/null
+++ b/src/router/effect.rs
@@ -0,0 +1,90 @@
+//! What a router does.
+
+use serde_json::Value;
+
+use crate::config::Snapshot;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::ids::RequestKey;
+use crate::ids::Sequence;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::router::event::AdminId;
+use crate::router::event::Heartbeat;
+use crate::router::event::KeptBatches;
+use crate::router::problem::Problem;
+
+/// What the core wants the edge to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    /// Refuses a request.
+    Refuse(RequestId, Box<Problem>),
+    /// Answers a request with what its first run brought.
+    Replay(RequestId, Replay),
+    /// Sends a request to an endpoint and relays the answer, all but its end.
+    Run(RequestId, Box<Run>),
+    /// Lets the end of an answer go out.
+    Release(RequestId),
+    /// Ends an answer so that the caller knows that it is not whole; one that has not begun ends as this refusal.
+    Cut(RequestId, Box<Problem>),
+    /// Appends a batch to the ledger.
+    Append {
+        /// Whose batch it is.
+        router: Incarnation,
+        /// Its number.
+        sequence: Sequence,
+        /// Its content.
+        bytes: Vec<u8>,
+    },
+    /// Sends a heartbeat to peers.
+    Beat(Heartbeat, Vec<Peer>),
+    /// Appends a batch that a dead router left with this one.
+    AppendKept(Vec<u8>),
+    /// Asks peers to keep batches.
+    Keep(KeptBatches, Vec<Peer>),
+    /// Sends the configuration to a peer that is behind.
+    Relay(Box<Snapshot>, Peer),
+    /// Asks an endpoint for its load and its cache events.
+    Probe(VmId, String),
+    /// Answers an operator.
+    Answer(AdminId, u16, Value),
+    /// Ends the process, in order.
+    Exit,
+}
+
+/// Another router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Peer {
+    /// Its VM.
+    pub(crate) vm: VmId,
+    /// Where it listens for routers, `ip:port`.
+    pub(crate) address: String,
+}
+
+/// A request's way to its endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Run {
+    /// The endpoint.
+    pub(crate) endpoint: VmId,
+    /// Where it listens, `ip:port`.
+    pub(crate) address: String,
+    /// The request's key, which endpoints see for their own records.
+    pub(crate) key: RequestKey,
+    /// Who pays.
+    pub(crate) team: TeamId,
+    /// The longest answer that was reserved, for a completion.
+    pub(crate) limit: u64,
+    /// 0 (first) to 9 (last).
+    pub(crate) priority: u8,
+    /// Whether a run whose answer breaks off may be begun again.
+    pub(crate) idempotent: bool,
+}
+
+/// An answer that the ledger keeps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Replay {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// The body.
+    pub(crate) body: Vec<u8>,
+}
--- /dev/null
+++ b/src/router/event.rs
@@ -0,0 +1,285 @@
+//! What happens to a router.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::config::Snapshot;
+use crate::ids::Attempt;
+use crate::ids::Fingerprint;
+use crate::ids::IdempotencyKey;
+use crate::ids::Incarnation;
+use crate::ids::ModelId;
+use crate::ids::Offset;
+use crate::ids::RequestId;
+use crate::ids::Sequence;
+use crate::ids::TeamId;
+use crate::ids::TopUpId;
+use crate::ids::VmId;
+use crate::labels::Labels;
+use crate::ledger::Ledger;
+use crate::tokens::Tokens;
+use crate::vms::VmList;
+
+/// What the edge tells the core.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// A caller's request was read whole.
+    Arrived(Box<Arrival>),
+    /// The caller is gone before its answer began.
+    HungUp(RequestId),
+    /// The endpoint's first token, or the head of its answer, came.
+    Started(RequestId),
+    /// A run is over; all of the answer but its end marker went to the caller.
+    Ended(RequestId, RunEnd),
+    /// The log service answered an append to the ledger, or did not.
+    Appended {
+        /// The incarnation whose batch it was.
+        router: Incarnation,
+        /// The batch's number.
+        sequence: Sequence,
+        /// Whether it is known to have landed.
+        landed: bool,
+    },
+    /// Records of the ledger's stream.
+    LedgerEntries(Vec<Entry>),
+    /// Records of the configuration's stream.
+    ConfigEntries(Vec<Entry>),
+    /// All that the log held when the router started has been read.
+    CaughtUp,
+    /// A state to start from, from a checkpoint or a peer.
+    LedgerSnapshot(Box<Ledger>),
+    /// A configuration, from a peer.
+    ConfigSnapshot(Box<Snapshot>),
+    /// The VM list, as the platform shows it.
+    VmList(VmList),
+    /// A peer was heard, either way.
+    Heard(Heartbeat),
+    /// A peer did not answer a heartbeat.
+    Unheard(VmId),
+    /// A peer asks this router to keep the batches that it cannot append.
+    Keep(KeptBatches),
+    /// A peer keeps this router's batches up to this number.
+    Kept {
+        /// Who keeps it.
+        peer: VmId,
+        /// The incarnation whose batches they are.
+        router: Incarnation,
+        /// The number of the last of them.
+        last: Sequence,
+        /// How many records they have.
+        records: usize,
+    },
+    /// An endpoint was asked how it is, and answered or did not.
+    Checked(VmId, bool),
+    /// What an endpoint says of its load.
+    Load(VmId, EndpointLoad),
+    /// What an endpoint says of its cache.
+    Cache(VmId, Vec<CacheEvent>),
+    /// An operator asks for something.
+    Admin(AdminId, AdminRequest),
+    /// A planned stop begins.
+    Drain,
+    /// The process was stopped for a while, and goes on.
+    Paused,
+    /// Time has passed.
+    Tick,
+}
+
+/// Names an operator's question, so that its answer finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct AdminId(pub u64);
+
+/// What an operator or a caller asks of the router itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AdminRequest {
+    /// Which router to use.
+    Address,
+    /// All that the router knows.
+    Status,
+    /// The teams' budgets.
+    Teams,
+    /// The configuration in force.
+    Config,
+    /// To add to a budget.
+    TopUp {
+        /// The top-up's name.
+        id: TopUpId,
+        /// Whose budget.
+        team: TeamId,
+        /// By how much.
+        amount: Tokens,
+    },
+    /// To stop in order.
+    Drain,
+}
+
+/// A caller's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Arrival {
+    /// Its name in this router.
+    pub(crate) id: RequestId,
+    /// The bearer key that came with it.
+    pub(crate) bearer: Secret,
+    /// The caller's key for it.
+    pub(crate) key: IdempotencyKey,
+    /// The caller's count of its tries.
+    pub(crate) attempt: Attempt,
+    /// The labels that the caller attached.
+    pub(crate) labels: Labels,
+    /// What is asked.
+    pub(crate) work: Work,
+    /// A fingerprint of it.
+    pub(crate) request: Fingerprint,
+    /// How long the caller waits.
+    pub(crate) patience: Option<Duration>,
+    /// The caller's wish, 0 (first) to 9 (last); it can only fall behind the rule's.
+    pub(crate) priority: Option<u8>,
+}
+
+/// A bearer key, which no log line may show.
+#[derive(Clone, PartialEq, Eq)]
+pub(crate) struct Secret(pub String);
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("***")
+    }
+}
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Work {
+    /// A completion.
+    Completion {
+        /// By which model.
+        model: ModelId,
+        /// The prompt's length, which bounds its tokens: none is shorter than a byte.
+        prompt: u64,
+        /// The longest answer that is wanted.
+        limit: Option<Tokens>,
+        /// The prompt's prefix, as block hashes.
+        blocks: Vec<u64>,
+    },
+    /// A plain service's call.
+    Call {
+        /// Which service.
+        service: String,
+        /// The HTTP method.
+        method: String,
+    },
+}
+
+/// What a run used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Usage {
+    /// Tokens of the prompt.
+    pub(crate) prompt: Tokens,
+    /// Tokens of the answer.
+    pub(crate) answer: Tokens,
+}
+
+impl Usage {
+    /// Returns all that was used.
+    pub(crate) fn total(self) -> Tokens {
+        self.prompt.saturating_add(self.answer)
+    }
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RunEnd {
+    /// The endpoint gave the whole answer of a completion.
+    Whole {
+        /// What it says that it used.
+        usage: Usage,
+    },
+    /// The endpoint answered a call.
+    Answered {
+        /// The HTTP status.
+        status: u16,
+        /// The body, where it is short.
+        body: Option<Vec<u8>>,
+    },
+    /// The endpoint refused the request or could not be reached; it did not run.
+    NotRun {
+        /// How long the endpoint asks to be left alone, if it does.
+        retry: Option<Duration>,
+    },
+    /// The endpoint failed after it had the request.
+    Broken {
+        /// What is known to have been used; nothing where nobody knows.
+        usage: Option<Usage>,
+        /// Whether the caller has a part of the answer already, so that it cannot begin again.
+        begun: bool,
+    },
+    /// The caller went away.
+    CallerGone {
+        /// What is known to have been used; nothing where nobody knows.
+        usage: Option<Usage>,
+    },
+}
+
+/// A record of the log service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Entry {
+    /// Its place in its stream.
+    pub(crate) offset: Offset,
+    /// When it was appended, milliseconds of the log service's clock.
+    pub(crate) at: u64,
+    /// Its content.
+    pub(crate) data: Vec<u8>,
+}
+
+/// What routers tell each other all the time.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct Heartbeat {
+    /// The VM of the router that says so.
+    pub(crate) vm: VmId,
+    /// Its incarnation.
+    pub(crate) router: Incarnation,
+    /// Whether it takes new requests.
+    pub(crate) serving: bool,
+    /// Requests in progress, in thousandths of what it can take.
+    pub(crate) load: u32,
+    /// The offset that follows its configuration, so that one that is behind asks for it.
+    pub(crate) config: Offset,
+}
+
+/// Batches that a router could not append itself.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct KeptBatches {
+    /// The incarnation that wrote them.
+    pub(crate) router: Incarnation,
+    /// The number of the last of them.
+    pub(crate) last: Sequence,
+    /// How many records they have in all.
+    pub(crate) records: usize,
+    /// Each as it is to be appended, in order.
+    pub(crate) batches: Vec<Vec<u8>>,
+}
+
+/// What an endpoint says of its load, some time ago.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct EndpointLoad {
+    /// How long ago it was measured.
+    pub(crate) age: Duration,
+    /// Requests that run.
+    pub(crate) running: u32,
+    /// Requests that wait.
+    pub(crate) waiting: u32,
+    /// How much of its KV cache is in use, 0 to 1.
+    pub(crate) kv_used: f64,
+    /// Models that it has loaded.
+    pub(crate) models: Vec<ModelId>,
+}
+
+/// What an endpoint says of a block of its prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CacheEvent {
+    /// Its number; a gap means that events were lost.
+    pub(crate) seq: u64,
+    /// The block's hash.
+    pub(crate) block: u64,
+    /// Whether it was stored, or else removed.
+    pub(crate) stored: bool,
+}
--- /dev/null
+++ b/src/router/members.rs
@@ -0,0 +1,361 @@
+//! The other routers: who is there, who is silent, and closing those that are dead.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use tracing::info;
+use tracing::warn;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::decide;
+use crate::ids::Incarnation;
+use crate::ids::Sequence;
+use crate::ids::VmId;
+use crate::ledger::Record;
+use crate::router::core::Core;
+use crate::router::core::Ticket;
+use crate::router::effect::Effect;
+use crate::router::effect::Peer;
+use crate::router::event::Heartbeat;
+use crate::router::event::KeptBatches;
+use crate::vms::VmEntry;
+use crate::vms::VmList;
+use crate::vms::VmState;
+
+/// The label that tells routers in the VM list.
+const ROLE: &str = "role";
+
+/// The label that tells where a router listens for routers.
+const PEER: &str = "peer";
+
+/// How much longer a silent router is waited for while the VM list still shows its VM as live.
+const LISTED_FACTOR: u32 = 3;
+
+/// How far apart routers close the same dead one, by rank: one append's time, so that mostly one does it.
+const RANK_DELAY: Duration = Duration::from_millis(300);
+
+/// How long to wait for a dead router's batches to be folded before it is closed all the same.
+const KEPT_WAIT: Duration = Duration::from_secs(3);
+
+/// How old word from the log or from a peer may be to count as fresh.
+const FRESH: Duration = Duration::from_secs(3);
+
+/// How often a router that some peer cannot hear shows itself in the log.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+
+/// What a router knows of the others.
+#[derive(Debug)]
+pub(crate) struct Members {
+    pub(crate) vms: VmList,
+    heard: IndexMap<VmId, (Instant, Heartbeat)>,
+    unheard: IndexMap<VmId, Instant>,
+    /// When each incarnation last gave a sign of life.
+    signs: IndexMap<Incarnation, Instant>,
+    kept: IndexMap<Incarnation, KeptBatches>,
+    closing: IndexMap<Incarnation, Instant>,
+    relayed: IndexMap<VmId, Instant>,
+    log_heard: Instant,
+    beaten: Option<Instant>,
+    shown: Instant,
+}
+
+impl Members {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            vms: VmList::default(),
+            heard: IndexMap::new(),
+            unheard: IndexMap::new(),
+            signs: IndexMap::new(),
+            kept: IndexMap::new(),
+            closing: IndexMap::new(),
+            relayed: IndexMap::new(),
+            log_heard: now,
+            beaten: None,
+            shown: now,
+        }
+    }
+
+    /// Counts all silence from now on.
+    ///
+    /// While this router could not read the log, others may have shown themselves there; closing them for a silence
+    /// that was its own would take down the living.
+    pub(crate) fn forgive(&mut self, now: Instant) {
+        self.signs.values_mut().for_each(|at| *at = now);
+    }
+
+    /// Notes that the log answered.
+    pub(crate) fn log_answered(&mut self, now: Instant) {
+        if now >= self.log_heard + FRESH {
+            self.forgive(now);
+        }
+        self.log_heard = now;
+    }
+
+    /// Notes a batch of a router in the log.
+    pub(crate) fn appended(&mut self, now: Instant, router: Incarnation) {
+        self.signs.insert(router, now);
+    }
+
+    /// Notes that a peer did not answer.
+    pub(crate) fn unheard(&mut self, now: Instant, vm: VmId) {
+        self.unheard.insert(vm, now);
+    }
+
+    /// Keeps a peer's batches, in place of those that it left here before.
+    pub(crate) fn keep(&mut self, batches: KeptBatches) {
+        let older = self
+            .kept
+            .get(&batches.router)
+            .is_some_and(|kept| kept.last > batches.last);
+        if !older {
+            self.kept.insert(batches.router, batches);
+        }
+    }
+
+    /// Returns how many routers' batches are kept here.
+    pub(crate) fn kept(&self) -> usize {
+        self.kept.len()
+    }
+
+    fn entry(&self, vm: &VmId) -> Option<&VmEntry> {
+        self.vms.vms.iter().find(|entry| entry.vm == *vm)
+    }
+
+    /// Returns whether the VM list shows a VM as live.
+    fn listed(&self, vm: &VmId) -> bool {
+        self.entry(vm).is_some_and(|e| e.state == VmState::Live)
+    }
+
+    /// Returns how to reach all other routers of the list.
+    pub(crate) fn peers(&self, me: &VmId) -> Vec<Peer> {
+        self.vms
+            .vms
+            .iter()
+            .filter(|entry| entry.vm != *me && entry.labels.get(ROLE) == Some("router"))
+            .filter_map(|entry| {
+                Some(Peer {
+                    vm: entry.vm.clone(),
+                    address: entry.labels.get(PEER)?.to_owned(),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the routers heard of lately that take requests and stay.
+    fn advisable(&self, now: Instant) -> Vec<decide::Peer> {
+        self.heard
+            .values()
+            .filter(|(at, beat)| now < *at + FRESH && beat.serving)
+            .filter_map(|(_, beat)| {
+                let entry = self.entry(&beat.vm)?;
+                Some(decide::Peer {
+                    vm: beat.vm.clone(),
+                    domain: entry.domain.clone(),
+                    address: entry.address.to_string(),
+                    load: f64::from(beat.load) / 1000.0,
+                    leaving: entry.state == VmState::Leaving,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns whether some peer of the list did not answer of late.
+    fn any_unheard(&self, now: Instant) -> bool {
+        self.unheard
+            .iter()
+            .any(|(vm, at)| now < *at + FRESH && self.entry(vm).is_some())
+    }
+}
+
+impl Core {
+    /// Takes in the VM list.
+    pub(crate) fn vm_list(&mut self, now: Instant, list: VmList) {
+        if list.as_of < self.members.vms.as_of {
+            return;
+        }
+        self.members.vms = list;
+        self.rebuild_pools(now);
+    }
+
+    /// Takes in a peer's word.
+    pub(crate) fn heard(&mut self, now: Instant, beat: Heartbeat) {
+        self.members.signs.insert(beat.router, now);
+        self.members.unheard.swap_remove(&beat.vm);
+        self.relay_config(now, &beat);
+        self.members.heard.insert(beat.vm.clone(), (now, beat));
+    }
+
+    /// Sends the configuration to a peer that is behind, as one that cannot read the log is.
+    fn relay_config(&mut self, now: Instant, beat: &Heartbeat) {
+        let recent = self
+            .members
+            .relayed
+            .get(&beat.vm)
+            .is_some_and(|at| now < *at + Duration::from_secs(1));
+        if beat.config >= self.config.next() || recent {
+            return;
+        }
+        let peers = self.members.peers(&self.tuning.vm);
+        let Some(peer) = peers.into_iter().find(|peer| peer.vm == beat.vm) else {
+            return;
+        };
+        self.members.relayed.insert(beat.vm.clone(), now);
+        let snapshot = Box::new(self.config.snapshot());
+        self.effects.push(Effect::Relay(snapshot, peer));
+    }
+
+    /// Returns this router's own word.
+    pub(crate) fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            vm: self.tuning.vm.clone(),
+            router: self.me,
+            serving: self.serving(),
+            load: self.load(),
+            config: self.config.next(),
+        }
+    }
+
+    /// Returns how full this router is, in thousandths: what runs and waits against what may.
+    fn load(&self) -> u32 {
+        let most = self.tuning.queue.max(1);
+        let part = self.requests.len() * 1000 / most;
+        u32::try_from(part.min(1000)).unwrap_or(1000)
+    }
+
+    /// Tells peers that this router lives, and shows itself in the log where one of them can't hear it.
+    pub(crate) fn beat(&mut self, now: Instant) {
+        let due = self
+            .members
+            .beaten
+            .is_none_or(|at| now >= at + self.tuning.heartbeat);
+        if !due {
+            return;
+        }
+        self.members.beaten = Some(now);
+        let peers = self.members.peers(&self.tuning.vm);
+        self.effects.push(Effect::Beat(self.heartbeat(), peers));
+        // A router parted from its peers, but not from the log, would be closed for its silence.
+        let quiet = now >= self.members.shown + KEEP_ALIVE;
+        if self.serving() && quiet && self.members.any_unheard(now) {
+            self.members.shown = now;
+            self.appender.keep_alive();
+        }
+    }
+
+    /// Returns where a caller may go instead of here.
+    pub(crate) fn other_address(&mut self) -> Option<String> {
+        let now = self.members.log_heard.max(self.members.beaten?);
+        let peers = self.members.advisable(now);
+        decide::advise(&peers, None, &mut self.rng).map(|advice| advice.address)
+    }
+
+    /// Advises a caller which router to use.
+    pub(crate) fn advice(&mut self, now: Instant) -> Option<decide::Advice> {
+        let mut peers = self.members.advisable(now);
+        let leaving = self
+            .members
+            .entry(&self.tuning.vm)
+            .is_some_and(|entry| entry.state == VmState::Leaving);
+        if self.serving() && !leaving {
+            peers.push(decide::Peer {
+                vm: self.tuning.vm.clone(),
+                domain: self.tuning.domain.clone(),
+                address: self.tuning.address.clone(),
+                load: f64::from(self.load()) / 1000.0,
+                leaving: false,
+            });
+        }
+        decide::advise(&peers, None, &mut self.rng)
+    }
+
+    /// Closes incarnations that are silent.
+    pub(crate) fn close_dead(&mut self, now: Instant) {
+        let log_fresh = now < self.members.log_heard + FRESH;
+        if !self.serving() || self.in_outage(now) || !log_fresh {
+            return;
+        }
+        let open: Vec<_> = self
+            .ledger
+            .routers()
+            .filter(|(id, state)| *id != self.me && !state.closed)
+            .map(|(id, state)| (id, state.vm.clone(), state.sequence))
+            .collect();
+        for (router, vm, sequence) in open {
+            if self.is_silent(now, router, &vm) {
+                self.close_one(now, router, sequence);
+            }
+        }
+        self.forget_closed();
+    }
+
+    /// Returns whether an incarnation has given no sign of life for long enough.
+    fn is_silent(&mut self, now: Instant, router: Incarnation, vm: &VmId) -> bool {
+        let rank = self.rank(router);
+        let last = *self.members.signs.entry(router).or_insert(now);
+        let base = match self.members.listed(vm) {
+            true => self.tuning.silence * LISTED_FACTOR,
+            false => self.tuning.silence,
+        };
+        now >= last + base + RANK_DELAY * rank
+    }
+
+    /// Returns this router's place among those that may close a dead one.
+    fn rank(&self, dead: Incarnation) -> u32 {
+        let score = |router: Incarnation| xxh3_64(&(router.0 ^ dead.0).to_le_bytes());
+        let mine = score(self.me);
+        let before = self
+            .ledger
+            .routers()
+            .filter(|(id, state)| !state.closed && *id != dead && score(*id) < mine)
+            .count();
+        u32::try_from(before).unwrap_or(u32::MAX).min(10)
+    }
+
+    /// Closes a dead incarnation, after the batches that it left here.
+    ///
+    /// Its last bills may be known to its peers alone. Were it closed first, they would be void, and answers that
+    /// callers have whole would stay unbilled.
+    fn close_one(&mut self, now: Instant, router: Incarnation, sequence: Sequence) {
+        let begun = self.members.closing.get(&router).copied();
+        let kept = self.members.kept.get(&router);
+        let missing = kept.is_some_and(|kept| kept.last > sequence);
+        match begun {
+            None => {
+                warn!(event = "closing", %router, left_here = missing);
+                self.members.closing.insert(router, now);
+                let batches = kept.map(|kept| kept.batches.clone()).unwrap_or_default();
+                let appends = batches.into_iter().map(Effect::AppendKept);
+                self.effects.extend(appends);
+                if !missing {
+                    self.push_close(router);
+                }
+            }
+            Some(at) if missing && now < at + KEPT_WAIT => {}
+            Some(at) if now < at + KEPT_WAIT * 2 && !missing => {}
+            Some(_) => {
+                self.members.closing.insert(router, now);
+                self.push_close(router);
+            }
+        }
+    }
+
+    fn push_close(&mut self, router: Incarnation) {
+        info!(event = "close", %router);
+        self.appender.push(Record::Close { router }, Ticket::Other);
+    }
+
+    /// Forgets what concerns incarnations that are over.
+    fn forget_closed(&mut self) {
+        let ledger = &self.ledger;
+        let members = &mut self.members;
+        members.closing.retain(|id, _| ledger.is_open(*id));
+        members
+            .signs
+            .retain(|id, _| ledger.router(*id).is_none_or(|state| !state.closed));
+        members.kept.retain(|id, kept| {
+            let state = ledger.router(*id);
+            state.is_none_or(|s| !s.closed && s.sequence < kept.last)
+        });
+    }
+}
--- /dev/null
+++ b/src/router/pool.rs
@@ -0,0 +1,256 @@
+//! A pool's endpoints, and the requests that are on their way to them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tracing::info;
+
+use crate::config::PoolKind;
+use crate::config::PoolSpec;
+use crate::decide::BlockHash;
+use crate::decide::Chooser;
+use crate::decide::Ejector;
+use crate::decide::Evidence;
+use crate::decide::FairQueue;
+use crate::decide::Load;
+use crate::decide::Place;
+use crate::decide::PrefixIndex;
+use crate::decide::Wish;
+use crate::ids::ModelId;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::router::core::Core;
+use crate::router::effect::Effect;
+use crate::router::event::CacheEvent;
+use crate::router::event::EndpointLoad;
+use crate::router::event::RunEnd;
+use crate::router::event::Work;
+use crate::router::request::Request;
+use crate::router::request::State;
+use crate::vms::VmEntry;
+use crate::vms::VmState;
+
+/// How often an endpoint is asked for its load and its cache's events.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// A pool's endpoints and its queue.
+pub(crate) struct Pool {
+    pub(crate) chooser: Chooser,
+    pub(crate) index: PrefixIndex,
+    pub(crate) health: Ejector,
+    pub(crate) queue: FairQueue<RequestId>,
+    pub(crate) places: IndexMap<RequestId, Place>,
+    /// Taken from the queue, but no endpoint with their model has room.
+    pub(crate) stuck: Vec<RequestId>,
+    pub(crate) addresses: IndexMap<VmId, SocketAddr>,
+    engines: bool,
+    probed: Option<Instant>,
+}
+
+impl Pool {
+    pub(crate) fn new(router: &VmId, length: usize, rng: ChaCha8Rng) -> Self {
+        Self {
+            chooser: Chooser::new(router),
+            index: PrefixIndex::new(),
+            health: Ejector::new(),
+            queue: FairQueue::new(length, rng),
+            places: IndexMap::new(),
+            stuck: Vec::new(),
+            addresses: IndexMap::new(),
+            engines: false,
+            probed: None,
+        }
+    }
+
+    /// Brings the endpoints in line with the configuration and the VM list.
+    fn refresh(&mut self, now: Instant, spec: &PoolSpec, vms: &[VmEntry]) {
+        let models: &[ModelId] = match &spec.kind {
+            PoolKind::Engine { models, .. } => models,
+            PoolKind::Service { .. } => &[],
+        };
+        self.engines = matches!(spec.kind, PoolKind::Engine { .. });
+        let listed: Vec<_> = vms
+            .iter()
+            .filter(|entry| spec.select.matches(&entry.labels))
+            .collect();
+        let gone: Vec<_> = self
+            .addresses
+            .keys()
+            .filter(|vm| !listed.iter().any(|entry| entry.vm == **vm))
+            .cloned()
+            .collect();
+        for vm in gone {
+            self.addresses.shift_remove(&vm);
+            self.chooser.remove(&vm);
+            self.health.remove(&vm);
+        }
+        for entry in listed {
+            let vm = &entry.vm;
+            self.chooser.put(vm, &entry.domain, models, spec.concurrency);
+            self.chooser.leave(vm, entry.state == VmState::Leaving);
+            self.health.put(now, vm, &entry.domain);
+            self.addresses.insert(vm.clone(), entry.address);
+        }
+    }
+}
+
+impl Core {
+    /// Brings all pools in line with the configuration and the VM list.
+    pub(crate) fn rebuild_pools(&mut self, now: Instant) {
+        let specs: Vec<_> = self
+            .config
+            .pools()
+            .map(|(id, spec)| (id, spec.clone()))
+            .collect();
+        self.pools
+            .retain(|id, _| specs.iter().any(|(kept, _)| kept == id));
+        for (id, spec) in specs {
+            let seed = self.rng.next_u64();
+            let tuning = &self.tuning;
+            let pool = self.pools.entry(id).or_insert_with(|| {
+                Pool::new(&tuning.vm, tuning.queue, ChaCha8Rng::seed_from_u64(seed))
+            });
+            pool.refresh(now, &spec, &self.members.vms.vms);
+        }
+        self.pump_all(now);
+    }
+
+    /// Returns where an endpoint listens.
+    pub(crate) fn endpoint_address(&self, pool: &PoolId, endpoint: &VmId) -> Option<String> {
+        let address = self.pools.get(pool)?.addresses.get(endpoint)?;
+        Some(address.to_string())
+    }
+
+    /// Picks an endpoint for a request and counts the request there.
+    pub(crate) fn pick_endpoint(&mut self, now: Instant, id: RequestId) -> Option<VmId> {
+        let request = self.requests.get(&id)?;
+        let pool = self.pools.get_mut(&request.pool)?;
+        let (model, blocks) = wish_of(request);
+        let wish = Wish {
+            model,
+            prefix: &blocks,
+            domain: &self.tuning.domain,
+            excluded: &request.tried,
+        };
+        let choice = pool
+            .chooser
+            .choose(now, &wish, &pool.index, &pool.health, &mut self.rng)?;
+        pool.chooser.start(now, &choice.endpoint);
+        pool.index.learn(&choice.endpoint, &blocks);
+        Some(choice.endpoint)
+    }
+
+    /// Takes a request off its endpoint, whose run ended.
+    pub(crate) fn leave_endpoint(&mut self, now: Instant, id: RequestId, end: &RunEnd) {
+        let request = &mut self.requests[&id];
+        let State::Running {
+            endpoint,
+            since,
+            first,
+        } = &request.state
+        else {
+            return;
+        };
+        let endpoint = endpoint.clone();
+        let waited = first.map(|at| at - *since);
+        let evidence = match end {
+            RunEnd::Whole { .. } | RunEnd::Answered { .. } => {
+                Some(Evidence::Answered(waited.unwrap_or(now - *since)))
+            }
+            RunEnd::NotRun { .. } | RunEnd::Broken { .. } => {
+                request.tried.push(endpoint.clone());
+                Some(Evidence::Failed)
+            }
+            RunEnd::CallerGone { .. } => None,
+        };
+        if let Some(pool) = self.pools.get_mut(&request.pool) {
+            pool.chooser.end(now, &endpoint);
+            if let Some(evidence) = evidence {
+                pool.health.record(now, &endpoint, evidence, &mut self.rng);
+            }
+        }
+        let pool = request.pool.clone();
+        self.pump(now, &pool);
+    }
+
+    /// Takes a request off its endpoint, which it never reached or whose run is of no more use.
+    pub(crate) fn free_endpoint(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let State::Claiming { endpoint } | State::Running { endpoint, .. } = &request.state
+            && let Some(pool) = self.pools.get_mut(&request.pool)
+        {
+            pool.chooser.end(now, endpoint);
+        }
+    }
+
+    /// Takes in an endpoint's report of its load.
+    pub(crate) fn endpoint_load(&mut self, now: Instant, vm: &VmId, load: &EndpointLoad) {
+        for pool in self.pools.values_mut() {
+            let report = Load {
+                running: load.running,
+                waiting: load.waiting,
+                measured: now.checked_sub(load.age).unwrap_or(now),
+            };
+            pool.chooser.report(vm, report);
+        }
+        self.pump_all(now);
+    }
+
+    /// Takes in an endpoint's news of its prefix cache.
+    pub(crate) fn endpoint_cache(&mut self, vm: &VmId, events: &[CacheEvent]) {
+        for pool in self.pools.values_mut() {
+            for event in events {
+                let block = [BlockHash(event.block)];
+                match event.stored {
+                    true => pool.index.learn(vm, &block),
+                    false => pool.index.forget(vm, &block),
+                }
+            }
+        }
+    }
+
+    /// Refuses what waited too long, fills what has room, and asks endpoints how they are.
+    pub(crate) fn tick_pools(&mut self, now: Instant) {
+        self.expire_queues(now);
+        self.pump_all(now);
+        let mut probes = Vec::new();
+        for pool in self.pools.values_mut().filter(|pool| pool.engines) {
+            if pool.probed.is_none_or(|at| now >= at + PROBE) {
+                pool.probed = Some(now);
+                probes.extend(pool.addresses.clone());
+            }
+        }
+        for (vm, address) in probes {
+            self.effects.push(Effect::Probe(vm, address.to_string()));
+        }
+    }
+
+    /// Takes note of a check of an endpoint.
+    pub(crate) fn endpoint_checked(&mut self, now: Instant, vm: &VmId, passed: bool) {
+        if !passed {
+            info!(event = "endpoint-check-failed", endpoint = %vm);
+        }
+        for pool in self.pools.values_mut() {
+            pool.health
+                .record(now, vm, Evidence::Checked(passed), &mut self.rng);
+        }
+    }
+}
+
+/// Returns the model that a request needs and the blocks of its prompt.
+fn wish_of(request: &Request) -> (Option<&ModelId>, Vec<BlockHash>) {
+    match &request.work {
+        Work::Completion { model, blocks, .. } => {
+            (Some(model), blocks.iter().map(|b| BlockHash(*b)).collect())
+        }
+        Work::Call { .. } => (None, Vec::new()),
+    }
+}
--- /dev/null
+++ b/src/router/problem.rs
@@ -0,0 +1,190 @@
+//! Refusals, as RFC 9457 problems.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+/// What a refusal says of the request under its key, not of the attempt alone.
+///
+/// A router that said "no" of the retry of a request that another router ran would have the caller send it once more
+/// under a new key, and so have it run twice. "No" is therefore said only where it is proved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ran {
+    /// It was not run, and no attempt from before this answer will run it.
+    No,
+    /// Nobody can tell yet; the same key, sent again, finds out.
+    Unknown,
+    /// It was run, and its answer is not kept.
+    Yes,
+}
+
+impl fmt::Display for Ran {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::No => "no",
+            Self::Unknown => "unknown",
+            Self::Yes => "yes",
+        })
+    }
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ProblemKind {
+    /// The request cannot be read.
+    Malformed,
+    /// The body, or a header, is larger than the settings allow.
+    TooLarge,
+    /// No client account has this bearer key.
+    Unauthorized,
+    /// There is no such path, model or service, or no rule says who pays.
+    NoRoute,
+    /// The key stands for another request.
+    OtherRequest,
+    /// The client account asks more often than it may.
+    RateLimited,
+    /// The queue is full, or the wait would outlast the deadline.
+    Overloaded,
+    /// The team's budget does not cover the request.
+    BudgetSpent,
+    /// No endpoint could take the request.
+    NoEndpoint,
+    /// Endpoints keep dying of this request.
+    Quarantined,
+    /// This router is leaving, or has not joined yet.
+    NotServing,
+    /// The log service does not answer, and this request needs it.
+    LogOutage,
+    /// Another attempt of the request is in progress.
+    InProgress,
+    /// The request may not run twice, and nobody knows whether it ran.
+    OutcomeUnknown,
+    /// The request ran before, and its answer is not kept.
+    Finished,
+    /// The endpoint failed while it ran the request.
+    EndpointFailed,
+    /// The request took longer than its deadline.
+    Deadline,
+}
+
+impl ProblemKind {
+    /// Returns the HTTP status, the name in the problem's `type`, and the title.
+    fn row(self) -> (u16, &'static str, &'static str) {
+        match self {
+            Self::Malformed => (400, "malformed", "The request cannot be read"),
+            Self::TooLarge => (413, "too-large", "The request is too large"),
+            Self::Unauthorized => (401, "unauthorized", "No client account has this key"),
+            Self::NoRoute => (404, "no-route", "Nothing serves this request"),
+            Self::OtherRequest => (422, "other-request", "The key stands for another request"),
+            Self::RateLimited => (429, "rate-limited", "The client account asks too often"),
+            Self::Overloaded => (503, "overloaded", "All endpoints are busy"),
+            Self::BudgetSpent => (402, "budget-spent", "The team's budget is spent"),
+            Self::NoEndpoint => (503, "no-endpoint", "No endpoint can take the request"),
+            Self::Quarantined => (422, "quarantined", "Endpoints fail over this request"),
+            Self::NotServing => (503, "not-serving", "This router takes no new requests"),
+            Self::LogOutage => (503, "log-outage", "The log service does not answer"),
+            Self::InProgress => (409, "in-progress", "The request is in progress"),
+            Self::OutcomeUnknown => (409, "outcome-unknown", "Nobody knows whether it ran"),
+            Self::Finished => (409, "finished", "The request ran before"),
+            Self::EndpointFailed => (502, "endpoint-failed", "The endpoint failed"),
+            Self::Deadline => (504, "deadline", "The request took too long"),
+        }
+    }
+
+    /// Returns the HTTP status.
+    pub fn status(self) -> u16 {
+        self.row().0
+    }
+
+    /// Returns the name in the problem's `type`.
+    pub fn name(self) -> &'static str {
+        self.row().1
+    }
+}
+
+impl fmt::Display for ProblemKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// A refusal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Why.
+    pub kind: ProblemKind,
+    /// The particulars, for people.
+    pub detail: String,
+    /// Whether the request was run.
+    pub ran: Ran,
+    /// When to come back.
+    pub retry: Option<Duration>,
+    /// Which router to go to instead, `ip:port`.
+    pub instead: Option<String>,
+}
+
+impl Problem {
+    /// Makes a refusal.
+    pub fn new(kind: ProblemKind, ran: Ran, detail: &str) -> Self {
+        Self {
+            kind,
+            detail: detail.to_owned(),
+            ran,
+            retry: None,
+            instead: None,
+        }
+    }
+
+    /// Adds when to come back.
+    pub fn retry_in(self, after: Duration) -> Self {
+        Self {
+            retry: Some(after),
+            ..self
+        }
+    }
+
+    /// Adds where to go instead.
+    pub fn go_to(self, address: Option<String>) -> Self {
+        Self {
+            instead: address,
+            ..self
+        }
+    }
+
+    /// Returns the `Retry-After` header's value, whole seconds rounded up.
+    pub fn retry_after(&self) -> Option<u64> {
+        let retry = self.retry?;
+        let up = u64::from(retry.subsec_nanos() > 0);
+        Some(retry.as_secs() + up)
+    }
+
+    /// Returns the body, `application/problem+json`.
+    pub fn to_json(&self) -> Value {
+        let (status, name, title) = self.kind.row();
+        let mut body = json!({
+            "type": format!("urn:jasmineridge:problem:{name}"),
+            "title": title,
+            "status": status,
+            "detail": self.detail,
+            "ran": self.ran,
+        });
+        if let Some(retry) = self.retry {
+            let millis = u64::try_from(retry.as_millis()).unwrap_or(u64::MAX);
+            body["retry_after_ms"] = millis.into();
+        }
+        if let Some(instead) = &self.instead {
+            body["instead"] = instead.as_str().into();
+        }
+        if self.ran == Ran::Unknown {
+            body["find_out"] =
+                "send the same request again with the same Idempotency-Key and a higher Jasmineridge-Attempt".into();
+        }
+        body
+    }
+}
--- /dev/null
+++ b/src/router/queue.rs
@@ -0,0 +1,126 @@
+//! The wait for an endpoint.
+
+use std::time::Instant;
+
+use crate::decide::Ticket;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::router::core::Core;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::State;
+
+impl Core {
+    /// Has a funded request wait for an endpoint.
+    pub(crate) fn enqueue(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.state = State::Queued;
+        let account = request.key.account.clone();
+        let weight = self.config.account(&account).map_or(1, |a| a.limits.weight);
+        let ticket = Ticket {
+            team: request.team.clone(),
+            account,
+            priority: request.priority,
+            weight,
+            cost: request.reserve,
+            deadline: request.deadline,
+        };
+        let name = request.pool.clone();
+        let Some(pool) = self.pools.get_mut(&name) else {
+            self.refuse(now, id, ProblemKind::NoRoute, "the rule's pool is gone");
+            return;
+        };
+        match pool.queue.push(now, id, ticket) {
+            Ok(place) => {
+                pool.places.insert(id, place);
+                self.pump(now, &name);
+            }
+            Err(full) => {
+                let detail = full.to_string();
+                let problem = Problem::new(ProblemKind::Overloaded, Ran::Unknown, &detail);
+                self.refuse_with(now, id, problem.retry_in(full.retry_after()));
+            }
+        }
+    }
+
+    /// Takes a request out of the queue.
+    pub(crate) fn unqueue(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&request.pool) else {
+            return;
+        };
+        pool.stuck.retain(|stuck| *stuck != id);
+        if let Some(place) = pool.places.swap_remove(&id) {
+            pool.queue.cancel(now, place);
+        }
+    }
+
+    /// Sends waiting requests on while endpoints have room.
+    pub(crate) fn pump(&mut self, now: Instant, name: &PoolId) {
+        let Some(pool) = self.pools.get_mut(name) else {
+            return;
+        };
+        for id in std::mem::take(&mut pool.stuck) {
+            self.pump_one(now, name, id);
+        }
+        while let Some(id) = self.next_queued(now, name) {
+            self.pump_one(now, name, id);
+        }
+    }
+
+    /// Takes the next request from a queue, unless one that was taken before still waits.
+    fn next_queued(&mut self, now: Instant, name: &PoolId) -> Option<RequestId> {
+        let pool = self.pools.get_mut(name)?;
+        if !pool.stuck.is_empty() {
+            return None;
+        }
+        let id = pool.queue.pop(now)?;
+        pool.places.swap_remove(&id);
+        Some(id)
+    }
+
+    fn pump_one(&mut self, now: Instant, name: &PoolId, id: RequestId) {
+        let waits = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| matches!(request.state, State::Queued));
+        if !waits {
+            return;
+        }
+        match self.pick_endpoint(now, id) {
+            Some(endpoint) => self.claim(now, id, endpoint),
+            None => {
+                if let Some(pool) = self.pools.get_mut(name) {
+                    pool.stuck.push(id);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn pump_all(&mut self, now: Instant) {
+        let names: Vec<_> = self.pools.keys().cloned().collect();
+        for name in names {
+            self.pump(now, &name);
+        }
+    }
+
+    /// Refuses what the queues gave up on.
+    pub(crate) fn expire_queues(&mut self, now: Instant) {
+        let mut expired = Vec::new();
+        for pool in self.pools.values_mut() {
+            for id in pool.queue.expired(now) {
+                pool.places.swap_remove(&id);
+                expired.push(id);
+            }
+        }
+        for id in expired {
+            let detail = "the wait for an endpoint outlasted the deadline";
+            self.refuse(now, id, ProblemKind::Overloaded, detail);
+        }
+    }
+}
--- /dev/null
+++ b/src/router/refuse.rs
@@ -0,0 +1,145 @@
+//! Refusals, and the proof that a refused request was not run.
+
+use std::time::Instant;
+
+use tracing::info;
+
+use crate::ids::Attempt;
+use crate::ids::RequestId;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::router::core::Core;
+use crate::router::core::Ticket;
+use crate::router::effect::Effect;
+use crate::router::event::Arrival;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::Stake;
+use crate::router::request::State;
+
+/// How it can be known that a request was not run.
+enum Proof {
+    /// It is known.
+    Known,
+    /// The ledger can settle it.
+    Record,
+    /// It can't be.
+    None,
+}
+
+impl Core {
+    /// Refuses a request that was not admitted.
+    ///
+    /// Without an account there is no key to look up; only the caller's own word that it never tried before proves that
+    /// it was not run.
+    pub(crate) fn refuse_arrival(&mut self, arrival: &Arrival, problem: Problem) {
+        let ran = match arrival.attempt {
+            Attempt(1) => Ran::No,
+            _ => Ran::Unknown,
+        };
+        let problem = Problem { ran, ..problem };
+        info!(event = "refused", request = %arrival.id, kind = %problem.kind, ran = %problem.ran);
+        self.effects
+            .push(Effect::Refuse(arrival.id, Box::new(problem)));
+    }
+
+    /// Refuses a request that was never sent to an endpoint.
+    pub(crate) fn refuse(&mut self, now: Instant, id: RequestId, kind: ProblemKind, detail: &str) {
+        self.refuse_with(now, id, Problem::new(kind, Ran::Unknown, detail));
+    }
+
+    /// Refuses a request, saying that it was not run if that can be proved.
+    pub(crate) fn refuse_with(&mut self, now: Instant, id: RequestId, problem: Problem) {
+        self.withdraw(now, id);
+        match self.proof(now, id) {
+            Proof::Known => self.send_refusal(
+                now,
+                id,
+                Problem {
+                    ran: Ran::No,
+                    ..problem
+                },
+            ),
+            Proof::None => self.send_refusal(now, id, problem),
+            Proof::Record => {
+                let request = &mut self.requests[&id];
+                let record = match request.stake {
+                    Stake::Held => Record::Release {
+                        key: request.key.clone(),
+                    },
+                    _ => Record::Refuse {
+                        key: request.key.clone(),
+                        attempt: request.attempt,
+                    },
+                };
+                request.state = State::Proving {
+                    problem: Box::new(problem),
+                };
+                self.appender.push(record, Ticket::Refuse(id));
+            }
+        }
+    }
+
+    fn proof(&mut self, now: Instant, id: RequestId) -> Proof {
+        let Some(request) = self.requests.get(&id) else {
+            return Proof::None;
+        };
+        let elsewhere = self.active.get(&request.key).is_some_and(|other| *other != id);
+        if request.dispatched || elsewhere || request.stake == Stake::Pushed {
+            return Proof::None;
+        }
+        if request.stake == Stake::Held {
+            return match self.in_outage(now) {
+                true => Proof::None,
+                false => Proof::Record,
+            };
+        }
+        let known = self.ledger.key(&request.key);
+        if known.is_some_and(|key| key.claim.is_some() || key.bill.is_some()) {
+            return Proof::None;
+        }
+        if request.attempt == Attempt(1) {
+            return Proof::Known;
+        }
+        match !self.in_outage(now) && self.serving() && self.proofs.take(now) {
+            true => Proof::Record,
+            false => Proof::None,
+        }
+    }
+
+    /// Takes the verdict of the record that was to prove a refusal.
+    pub(crate) fn proof_verdict(&mut self, now: Instant, id: RequestId, verdict: &Verdict) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stake = Stake::None;
+        let State::Proving { problem } = &mut request.state else {
+            self.finish(now, id);
+            return;
+        };
+        let mut problem = problem.as_ref().clone();
+        problem.ran = match verdict {
+            Verdict::Accepted => Ran::No,
+            _ => Ran::Unknown,
+        };
+        self.send_refusal(now, id, problem);
+    }
+
+    /// Sends a refusal whose proof will not come.
+    pub(crate) fn give_up_proof(&mut self, now: Instant, id: RequestId) {
+        if let Some(request) = self.requests.get(&id)
+            && let State::Proving { problem } = &request.state
+        {
+            let problem = problem.as_ref().clone();
+            self.send_refusal(now, id, problem);
+        }
+    }
+
+    /// Sends a refusal as it stands; what the ledger still has of the request is brought to its end behind it.
+    pub(crate) fn send_refusal(&mut self, now: Instant, id: RequestId, problem: Problem) {
+        info!(event = "refused", request = %id, kind = %problem.kind, ran = %problem.ran);
+        self.effects.push(Effect::Refuse(id, Box::new(problem)));
+        self.abandon(now, id);
+    }
+}
--- /dev/null
+++ b/src/router/request.rs
@@ -0,0 +1,119 @@
+//! A request in progress at this router.
+
+use std::time::Instant;
+
+use crate::ids::AccountId;
+use crate::ids::Attempt;
+use crate::ids::Fingerprint;
+use crate::ids::Offset;
+use crate::ids::PoolId;
+use crate::ids::RequestKey;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::ledger::Bearer;
+use crate::router::event::Work;
+use crate::router::problem::Problem;
+use crate::tokens::Tokens;
+
+/// A request in progress at this router.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) key: RequestKey,
+    pub(crate) attempt: Attempt,
+    pub(crate) fingerprint: Fingerprint,
+    /// The last offset folded when the attempt arrived.
+    pub(crate) seen: Offset,
+    pub(crate) team: TeamId,
+    pub(crate) pool: PoolId,
+    pub(crate) bearer: Bearer,
+    pub(crate) idempotent: bool,
+    /// The most that it can cost.
+    pub(crate) reserve: Tokens,
+    /// The longest answer that the reservation covers.
+    pub(crate) limit: Tokens,
+    pub(crate) priority: u8,
+    pub(crate) work: Work,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) state: State,
+    /// Endpoints that failed over it.
+    pub(crate) tried: Vec<VmId>,
+    /// What runs that broke off used.
+    pub(crate) wasted: Tokens,
+    /// Whether it was sent to an endpoint at all.
+    pub(crate) dispatched: bool,
+    /// What the ledger and the purse have of it.
+    pub(crate) stake: Stake,
+    /// Whether it counts against its account's limit.
+    pub(crate) entered: bool,
+}
+
+impl Request {
+    pub(crate) fn account(&self) -> &AccountId {
+        &self.key.account
+    }
+}
+
+/// How far a request's reservation has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stake {
+    /// Nothing is reserved.
+    None,
+    /// It is promised in the purse.
+    Funded,
+    /// Its claim is on its way; the promise stays until the verdict.
+    Pushed,
+    /// Its claim stands in the ledger.
+    Held,
+}
+
+/// Where a request is.
+#[derive(Debug)]
+pub(crate) enum State {
+    /// Another attempt of it is in progress, here or elsewhere.
+    Contended,
+    /// It waits for budget.
+    Funding {
+        /// Since when nothing is left to draw.
+        short: Option<Instant>,
+    },
+    /// It waits for an endpoint.
+    Queued,
+    /// Its claim is on its way to the log.
+    Claiming {
+        /// Where it will run.
+        endpoint: VmId,
+    },
+    /// It runs.
+    Running {
+        /// Where.
+        endpoint: VmId,
+        /// Since when.
+        since: Instant,
+        /// When its first token came.
+        first: Option<Instant>,
+    },
+    /// Its bill is on its way to the log.
+    Billing {
+        /// What the caller gets then.
+        then: Then,
+    },
+    /// The proof that it was not run is on its way to the log.
+    Proving {
+        /// What the caller gets then.
+        problem: Box<Problem>,
+    },
+    /// The caller has its answer or is gone; only the ledger's affairs are left.
+    Abandoned,
+}
+
+/// What a caller gets once its request is billed.
+#[derive(Debug)]
+pub(crate) enum Then {
+    /// The end of its answer.
+    Release,
+    /// The end of its answer went out before, on other routers' word that they keep the bill.
+    Released,
+    /// Nothing more: it has its answer's cut or its refusal already.
+    Nothing,
+}
--- /dev/null
+++ b/src/router/run.rs
@@ -0,0 +1,380 @@
+//! Runs: sending a claimed request to its endpoint, and billing what it used.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tracing::info;
+use tracing::warn;
+
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::ledger::Bearer;
+use crate::ledger::Outcome;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::router::core::Core;
+use crate::router::core::Ticket;
+use crate::router::effect::Effect;
+use crate::router::effect::Run;
+use crate::router::event::RunEnd;
+use crate::router::event::Usage;
+use crate::router::event::Work;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::Stake;
+use crate::router::request::State;
+use crate::router::request::Then;
+use crate::tokens::Tokens;
+
+/// When a caller whose endpoint failed may come back: the time that a failing endpoint takes to be ejected.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// How many endpoints one request may be sent to: were it poison, it would take that many down.
+const MAX_RUNS: usize = 3;
+
+impl Core {
+    /// Sends a request to its endpoint.
+    pub(crate) fn dispatch(&mut self, now: Instant, id: RequestId, endpoint: VmId) {
+        let Some(address) = self.endpoint_address(&self.requests[&id].pool, &endpoint) else {
+            self.not_run(now, id, None);
+            return;
+        };
+        let request = &mut self.requests[&id];
+        request.dispatched = true;
+        request.state = State::Running {
+            endpoint: endpoint.clone(),
+            since: now,
+            first: None,
+        };
+        let run = Run {
+            endpoint: endpoint.clone(),
+            address,
+            key: request.key.clone(),
+            team: request.team.clone(),
+            limit: request.limit.0,
+            priority: request.priority,
+            idempotent: request.idempotent,
+        };
+        info!(event = "dispatch", request = %id, %endpoint);
+        self.effects.push(Effect::Run(id, Box::new(run)));
+    }
+
+    /// Takes note of the first token.
+    pub(crate) fn started(&mut self, now: Instant, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && let State::Running { first, .. } = &mut request.state
+        {
+            first.get_or_insert(now);
+        }
+    }
+
+    /// Takes the end of a run.
+    pub(crate) fn ended(&mut self, now: Instant, id: RequestId, end: RunEnd) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if !matches!(request.state, State::Running { .. }) {
+            return;
+        }
+        let price = request.reserve;
+        info!(event = "run-ended", request = %id, end = end_name(&end));
+        self.leave_endpoint(now, id, &end);
+        match end {
+            RunEnd::Whole { usage } => {
+                self.bill(id, usage.total(), Outcome::Whole, Then::Release);
+            }
+            RunEnd::Answered { status, body } => {
+                let outcome = Outcome::Answered { status, body };
+                self.bill(id, price, outcome, Then::Release);
+            }
+            RunEnd::NotRun { retry } => self.not_run(now, id, retry),
+            RunEnd::Broken { usage, begun } => self.broken(now, id, usage, begun),
+            RunEnd::CallerGone { usage } => self.caller_gone(id, usage),
+        }
+    }
+
+    /// Bills a request; the caller gets what is left for it when the bill is durable.
+    fn bill(&mut self, id: RequestId, used: Tokens, outcome: Outcome, then: Then) {
+        let request = &mut self.requests[&id];
+        // What broken runs used is the team's or the house's, as the deployment says; a bill never passes what was
+        // reserved, so the house bears the rest.
+        let wasted = match request.bearer {
+            Bearer::Team => request.wasted,
+            Bearer::House => Tokens::ZERO,
+        };
+        let amount = used.saturating_add(wasted).min(request.reserve);
+        let credit = request.reserve - amount;
+        request.state = State::Billing { then };
+        let team = request.team.clone();
+        let record = Record::Bill {
+            key: request.key.clone(),
+            amount,
+            outcome,
+        };
+        self.purses.entry(team.clone()).or_default().credit(credit);
+        let ticket = Ticket::Bill {
+            request: id,
+            team,
+            credit,
+        };
+        self.appender.push(record, ticket);
+    }
+
+    /// Takes the fold's word on a bill.
+    pub(crate) fn bill_verdict(&mut self, now: Instant, id: RequestId, verdict: &Verdict) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stake = Stake::None;
+        let State::Billing { then } = &request.state else {
+            self.finish(now, id);
+            return;
+        };
+        match (verdict, then) {
+            (Verdict::Accepted, Then::Release) => {
+                info!(event = "billed", request = %id);
+                self.effects.push(Effect::Release(id));
+            }
+            (Verdict::Accepted, Then::Released | Then::Nothing) => {}
+            (_, Then::Release) => {
+                warn!(event = "bill-void", request = %id, ?verdict);
+                let detail = "the bill did not take effect; send it again to have it whole";
+                self.cut(id, detail);
+            }
+            (_, Then::Released | Then::Nothing) => {
+                warn!(event = "bill-void", request = %id, ?verdict);
+            }
+        }
+        self.finish(now, id);
+    }
+
+    /// Tries another endpoint for a request that its endpoint did not run, or refuses it.
+    fn not_run(&mut self, now: Instant, id: RequestId, retry: Option<Duration>) {
+        let request = &mut self.requests[&id];
+        request.dispatched = request.wasted > Tokens::ZERO;
+        if self.try_elsewhere(now, id) {
+            return;
+        }
+        if self.requests[&id].wasted > Tokens::ZERO {
+            self.fail(id, Tokens::ZERO);
+            return;
+        }
+        let detail = "no endpoint took the request";
+        let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+        let problem = problem.retry_in(retry.unwrap_or(FAILED_RETRY));
+        self.refuse_with(now, id, problem);
+    }
+
+    /// Sends a request to another endpoint, if there is one and the retry budget allows it.
+    ///
+    /// When many endpoints fail, each retry adds load where there is least room for it; without the budget, retries
+    /// keep the rest down.
+    fn try_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
+        let request = &self.requests[&id];
+        if request.tried.len() >= MAX_RUNS || !self.retries.try_retry(now) {
+            return false;
+        }
+        let Some(endpoint) = self.pick_endpoint(now, id) else {
+            return false;
+        };
+        info!(event = "retry", request = %id, %endpoint);
+        self.dispatch(now, id, endpoint);
+        true
+    }
+
+    /// Takes a run whose endpoint failed after it had the request.
+    fn broken(&mut self, now: Instant, id: RequestId, usage: Option<Usage>, begun: bool) {
+        let request = &mut self.requests[&id];
+        let used = usage.map_or(request.reserve, Usage::total);
+        if !request.idempotent {
+            let charged = match request.bearer {
+                Bearer::Team => request.reserve,
+                Bearer::House => Tokens::ZERO,
+            };
+            let detail = "the service had the call when its connection broke; ask the service whether it took effect";
+            self.refuse_running(id, ProblemKind::OutcomeUnknown, detail);
+            self.bill(id, charged, Outcome::Unknown, Then::Nothing);
+            return;
+        }
+        if !begun {
+            request.wasted = request.wasted.saturating_add(used).min(request.reserve);
+            if self.try_elsewhere(now, id) {
+                return;
+            }
+            self.fail(id, Tokens::ZERO);
+            return;
+        }
+        self.fail(id, used);
+    }
+
+    /// Ends a request whose run failed and is not tried again; what it used is billed.
+    fn fail(&mut self, id: RequestId, used: Tokens) {
+        self.cut(id, "the endpoint failed before the answer was whole");
+        self.bill(id, used, Outcome::Cut, Then::Nothing);
+    }
+
+    fn cut(&mut self, id: RequestId, detail: &str) {
+        let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, detail);
+        let problem = problem.retry_in(FAILED_RETRY);
+        self.effects.push(Effect::Cut(id, Box::new(problem)));
+    }
+
+    fn refuse_running(&mut self, id: RequestId, kind: ProblemKind, detail: &str) {
+        let problem = Problem::new(kind, Ran::Unknown, detail);
+        self.effects.push(Effect::Cut(id, Box::new(problem)));
+    }
+
+    /// Bills what a caller that went away had of its answer.
+    fn caller_gone(&mut self, id: RequestId, usage: Option<Usage>) {
+        let request = &self.requests[&id];
+        let (used, outcome) = match (&request.work, request.idempotent) {
+            (Work::Completion { .. }, _) => {
+                let used = usage.map_or(request.reserve, Usage::total);
+                (used, Outcome::Cut)
+            }
+            // The call goes on at the service; its price is its price.
+            (Work::Call { .. }, true) => (request.reserve, Outcome::Cut),
+            (Work::Call { .. }, false) => (request.reserve, Outcome::Unknown),
+        };
+        self.bill(id, used, outcome, Then::Nothing);
+    }
+
+    /// Gives up a request that can't be billed any more.
+    pub(crate) fn lose(&mut self, now: Instant, id: RequestId) {
+        let released = matches!(
+            self.requests[&id].state,
+            State::Billing {
+                then: Then::Released | Then::Nothing
+            }
+        );
+        if !released {
+            let detail = "this router was taken for dead by the others, so the answer could not be billed";
+            self.cut(id, detail);
+        }
+        self.free_endpoint(now, id);
+        self.finish(now, id);
+    }
+
+    /// Takes a caller's going away before its answer began.
+    pub(crate) fn hung_up(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match &request.state {
+            State::Running { .. } => {
+                self.ended(now, id, RunEnd::CallerGone { usage: None });
+            }
+            State::Billing { .. } => {
+                self.requests[&id].state = State::Billing {
+                    then: Then::Nothing,
+                };
+            }
+            _ => {
+                info!(event = "hung-up", request = %id);
+                self.withdraw(now, id);
+                self.abandon(now, id);
+            }
+        }
+    }
+
+    /// Takes a request out of whatever it waits in.
+    pub(crate) fn withdraw(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match request.state {
+            State::Queued => self.unqueue(now, id),
+            State::Claiming { .. } => self.free_endpoint(now, id),
+            _ => {}
+        }
+    }
+
+    /// Lets a request go whose caller has its answer, once the ledger is done with it.
+    pub(crate) fn abandon(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.state = State::Abandoned;
+        match request.stake {
+            Stake::None | Stake::Funded => self.finish(now, id),
+            Stake::Pushed => {}
+            Stake::Held => self.release_claim(id),
+        }
+    }
+
+    /// Forgets a request.
+    pub(crate) fn finish(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.swap_remove(&id) else {
+            return;
+        };
+        if request.stake == Stake::Funded
+            && let Some(purse) = self.purses.get_mut(&request.team)
+        {
+            purse.settle(request.reserve);
+        }
+        if self.active.get(&request.key) == Some(&id) {
+            self.active.swap_remove(&request.key);
+        }
+        if request.entered {
+            self.leave_account(&request.key.account);
+        }
+        self.recheck_contended(now);
+    }
+
+    /// Ends requests that waited past their deadline, and runs those whose claims a log outage holds up.
+    pub(crate) fn expire_requests(&mut self, now: Instant) {
+        let outage = self.in_outage(now);
+        let late: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, r)| now >= r.deadline || (outage && matches!(r.state, State::Claiming { .. } | State::Proving { .. })))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.expire_request(now, id);
+        }
+    }
+
+    fn expire_request(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let past = now >= request.deadline;
+        match &request.state {
+            State::Contended if past => self.refuse_contended(now, id),
+            State::Funding { .. } if past => {
+                let detail = "the wait for the team's budget outlasted the deadline";
+                self.refuse(now, id, ProblemKind::BudgetSpent, detail);
+            }
+            State::Queued if past => {
+                let detail = "the wait for an endpoint outlasted the deadline";
+                self.refuse(now, id, ProblemKind::Overloaded, detail);
+            }
+            State::Claiming { .. } if past || !request.idempotent => {
+                let detail = "the log service did not take the claim in time";
+                self.refuse(now, id, ProblemKind::LogOutage, detail);
+            }
+            State::Claiming { .. } => self.run_unclaimed(now, id),
+            State::Proving { .. } => self.give_up_proof(now, id),
+            _ => {}
+        }
+    }
+
+    fn refuse_contended(&mut self, now: Instant, id: RequestId) {
+        let at = self.claimant(id).map(str::to_owned);
+        let detail = "another attempt of the request is in progress";
+        let problem = Problem::new(ProblemKind::InProgress, Ran::Unknown, detail);
+        self.send_refusal(now, id, problem.retry_in(FAILED_RETRY).go_to(at));
+    }
+}
+
+fn end_name(end: &RunEnd) -> &'static str {
+    match end {
+        RunEnd::Whole { .. } => "whole",
+        RunEnd::Answered { .. } => "answered",
+        RunEnd::NotRun { .. } => "not-run",
+        RunEnd::Broken { .. } => "broken",
+        RunEnd::CallerGone { .. } => "caller-gone",
+    }
+}
--- /dev/null
+++ b/src/router/stream.rs
@@ -0,0 +1,245 @@
+//! Folding the log's streams, and what the verdicts bring about.
+
+use std::time::Instant;
+
+use rand::Rng;
+use tracing::info;
+use tracing::warn;
+
+use crate::config::Snapshot;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::ids::Sequence;
+use crate::ledger::Batch;
+use crate::ledger::Ledger;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::ledger::Void;
+use crate::ledger::decode;
+use crate::router::appender::Appender;
+use crate::router::core::Core;
+use crate::router::core::Phase;
+use crate::router::core::Ticket;
+use crate::router::effect::Effect;
+use crate::router::event::Entry;
+use crate::router::request::Stake;
+use crate::router::request::State;
+
+impl Core {
+    /// Folds records of the ledger.
+    pub(crate) fn fold_ledger(&mut self, now: Instant, entries: Vec<Entry>) {
+        self.members.log_answered(now);
+        for entry in entries {
+            if entry.offset < self.ledger.next() {
+                continue;
+            }
+            match decode(&entry.data) {
+                Ok(batch) => self.fold_batch(now, &entry, &batch),
+                Err(error) => {
+                    // A newer program's record must not stop this router; it stands in `status`.
+                    warn!(event = "record-unreadable", offset = %entry.offset, %error);
+                    self.ledger.skip(entry.offset);
+                }
+            }
+        }
+        self.recheck_contended(now);
+        self.fund_all(now);
+    }
+
+    fn fold_batch(&mut self, now: Instant, entry: &Entry, batch: &Batch) {
+        let verdicts = self.ledger.apply(entry.offset, entry.at, batch);
+        self.members.appended(now, batch.router);
+        self.answer_shortage(now, batch, &verdicts);
+        if self.phase == Phase::CatchingUp {
+            return;
+        }
+        if batch.router == self.me && !repeated(&verdicts) {
+            let back = self.appender.folded(batch.sequence, verdicts);
+            for (ticket, verdict) in back {
+                self.verdict(now, ticket, verdict);
+            }
+        }
+        let closed = self.ledger.router(self.me).is_some_and(|r| r.closed);
+        if closed {
+            self.reincarnate(now);
+        }
+    }
+
+    fn verdict(&mut self, now: Instant, ticket: Ticket, verdict: Verdict) {
+        match ticket {
+            Ticket::Open => self.opened(now),
+            Ticket::Claim(id) => self.claim_verdict(now, id, verdict),
+            Ticket::Release(id) | Ticket::Refuse(id) => self.proof_verdict(now, id, &verdict),
+            Ticket::Bill {
+                request,
+                team,
+                credit,
+            } => {
+                if let Some(purse) = self.purses.get_mut(&team) {
+                    purse.uncredit(credit);
+                }
+                self.bill_verdict(now, request, &verdict);
+            }
+            Ticket::Draw(team) => self.draw_verdict(now, &team, &verdict),
+            Ticket::Return(team, amount) => {
+                if let Some(purse) = self.purses.get_mut(&team) {
+                    purse.settle(amount);
+                }
+            }
+            Ticket::TopUp(id, _) => self.top_up_verdict(id, &verdict),
+            Ticket::CloseSelf => self.effects.push(Effect::Exit),
+            Ticket::Other => {}
+        }
+    }
+
+    /// Takes the log service's answer to an append.
+    pub(crate) fn appended(
+        &mut self,
+        now: Instant,
+        router: Incarnation,
+        sequence: Sequence,
+        landed: bool,
+    ) {
+        if router == self.me {
+            self.appender.answered(now, sequence, landed);
+        }
+    }
+
+    /// Begins to take part, once all that the log held at the start is folded.
+    pub(crate) fn caught_up(&mut self, now: Instant) {
+        if self.phase != Phase::CatchingUp {
+            return;
+        }
+        self.members.forgive(now);
+        self.open();
+    }
+
+    fn open(&mut self) {
+        self.phase = Phase::Opening;
+        let record = Record::Open {
+            vm: self.tuning.vm.clone(),
+            domain: self.tuning.domain.clone(),
+            address: self.tuning.address.clone(),
+        };
+        self.appender.push(record, Ticket::Open);
+    }
+
+    fn opened(&mut self, now: Instant) {
+        if self.phase == Phase::Opening {
+            self.phase = Phase::Serving;
+            info!(event = "serving", vm = %self.tuning.vm, incarnation = %self.me);
+        }
+        self.fund_all(now);
+    }
+
+    /// Begins a new life: this router's incarnation is closed, by another that took it for dead.
+    ///
+    /// What it held went back to the teams, and what it appends from now on is void. Streams in progress can't be
+    /// billed any more, so they are cut; a caller that saw a whole answer would have had it for nothing. Requests that
+    /// were not dispatched go on under the new incarnation.
+    pub(crate) fn reincarnate(&mut self, now: Instant) {
+        let old = self.me;
+        self.me = Incarnation(self.rng.next_u64());
+        warn!(event = "closed", %old, new = %self.me);
+        let fresh = Appender::new(self.me, self.tuning.pace);
+        let abandoned = std::mem::replace(&mut self.appender, fresh);
+        self.purses.clear();
+        let draining = matches!(self.phase, Phase::Draining { .. });
+        if draining {
+            self.effects.push(Effect::Exit);
+        } else {
+            self.open();
+        }
+        for ticket in abandoned.abandon() {
+            if let Ticket::TopUp(id, record) = ticket {
+                // It counts once by its name, so it may be sent again.
+                self.appender
+                    .push(record.clone(), Ticket::TopUp(id, record));
+            }
+        }
+        let ids: Vec<_> = self.requests.keys().copied().collect();
+        for id in ids {
+            self.start_over(now, id);
+        }
+    }
+
+    /// Takes over a state that a checkpoint or a peer holds, if it is ahead.
+    pub(crate) fn adopt_ledger(&mut self, now: Instant, ledger: Ledger) {
+        if ledger.next() <= self.ledger.next() {
+            return;
+        }
+        info!(event = "ledger-adopted", next = %ledger.next());
+        self.ledger = ledger;
+        self.members.forgive(now);
+        if self.phase != Phase::CatchingUp {
+            // The verdicts of what was folded in between are not to be had: whatever waits for one can't be told
+            // what became of it. A new incarnation makes all of that void or settled.
+            self.reincarnate(now);
+        }
+    }
+
+    /// Folds records of the configuration.
+    pub(crate) fn fold_config(&mut self, now: Instant, entries: Vec<Entry>) {
+        for entry in entries {
+            if entry.offset < self.config.next() {
+                continue;
+            }
+            match self.config.apply(entry.offset, &entry.data) {
+                Ok(()) => info!(event = "config-in-force", version = %self.config.version()),
+                Err(error) => warn!(event = "config-rejected", offset = %entry.offset, %error),
+            }
+        }
+        self.config_changed(now);
+    }
+
+    /// Takes over a configuration that a peer sent, if it is ahead.
+    pub(crate) fn adopt_config(&mut self, now: Instant, snapshot: Snapshot) {
+        match self.config.adopt(snapshot) {
+            Ok(true) => {
+                info!(event = "config-relayed", version = %self.config.version());
+                self.config_changed(now);
+            }
+            Ok(false) => {}
+            Err(error) => warn!(event = "config-relay-rejected", %error),
+        }
+    }
+
+    fn config_changed(&mut self, now: Instant) {
+        for (account, limit) in &mut self.accounts {
+            if let Some(spec) = self.config.account(account) {
+                limit.change(now, &spec.limits);
+            }
+        }
+        self.rebuild_pools(now);
+    }
+
+    /// Brings a request through the end of the incarnation that claimed it.
+    fn start_over(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stake = Stake::None;
+        match request.state {
+            State::Contended => {}
+            State::Funding { .. } => self.fund(now, id),
+            State::Queued => {
+                self.unqueue(now, id);
+                self.fund(now, id);
+            }
+            State::Claiming { .. } if !request.dispatched => {
+                self.free_endpoint(now, id);
+                self.fund(now, id);
+            }
+            State::Claiming { .. } | State::Running { .. } | State::Billing { .. } => {
+                self.lose(now, id);
+            }
+            State::Proving { .. } => self.give_up_proof(now, id),
+            State::Abandoned => self.finish(now, id),
+        }
+    }
+}
+
+/// Tells whether a batch was a copy of one that was folded before.
+fn repeated(verdicts: &[Verdict]) -> bool {
+    verdicts.first() == Some(&Verdict::Void(Void::Sequence))
+}
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde::de::Error;
 
+use crate::decide::Lean;
 use crate::field;
 use crate::ids::DomainId;
 use crate::ids::VmId;
@@ -15,7 +16,6 @@
 use crate::settings::error::SettingsError;
 use crate::settings::ledger::LedgerSettings;
 use crate::settings::limits::RequestLimits;
-use crate::settings::modes::Lean;
 use crate::settings::modes::LogLevel;
 use crate::settings::range::wrong;
 
--- a/src/settings/ledger.rs
+++ b/src/settings/ledger.rs
@@ -35,11 +35,11 @@
     fn default() -> Self {
         Self {
             commit_ms: Millis(25),
-            append_ms: Millis(2_000),
-            heartbeat_ms: Millis(1_000),
-            silence_ms: Millis(10_000),
-            outage_ms: Millis(5_000),
-            end_marker: EndMarker::Hold,
+            append_ms: Millis(1_000),
+            heartbeat_ms: Millis(500),
+            silence_ms: Millis(4_000),
+            outage_ms: Millis(1_000),
+            end_marker: EndMarker::Peers,
         }
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -19,5 +19,4 @@
 pub use limits::RequestLimits;
 pub use millis::Millis;
 pub use modes::EndMarker;
-pub use modes::Lean;
 pub use modes::LogLevel;
--- a/src/settings/modes.rs
+++ b/src/settings/modes.rs
@@ -4,26 +4,14 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-
-/// Which of its two users' measures a deployment weighs more where both cannot be had.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Lean {
-    /// Rather a request refused while budget remains than a token used that nobody prepaid.
-    #[default]
-    Strict,
-    /// Rather a request served while budget remains.
-    Available,
-}
-
 /// What happens to the end marker of a whole answer while its bill cannot reach the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EndMarker {
     /// It waits until the bill is in the log.
-    #[default]
     Hold,
     /// It goes out once routers in other failure domains keep the bill too.
+    #[default]
     Peers,
 }
 
