Stand in for the log, the VM list, model engines and plain services

The path from caller to engine needs something at its ends before any of it can run, and the users' machines have disks and services that ours have not. Each stand-in is an HTTP server on the caller's own loop, so that a test or the demo runs several in one process, and the program runs each by itself.

--- a/src/bin/jasmineridge_standin.rs
+++ b/src/bin/jasmineridge_standin.rs
@@ -1,2 +1,128 @@
-//! To come.
-fn main() {}
+//! Small stand-ins for what the platform gives, each an HTTP server with faults to switch on.
+
+use std::io;
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use anyhow::Result;
+use clap::Args;
+use clap::Parser;
+use clap::Subcommand;
+use jasmineridge::Engine;
+use jasmineridge::EngineOptions;
+use jasmineridge::Log;
+use jasmineridge::LogOptions;
+use jasmineridge::Service;
+use jasmineridge::Vms;
+use jasmineridge::VmsOptions;
+use jasmineridge::listen;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Small stand-ins for what the platform gives.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs the log service.
+    Log {
+        #[command(flatten)]
+        bind: Bind,
+        #[command(flatten)]
+        options: LogOptions,
+    },
+    /// Runs the VM list.
+    Vms {
+        #[command(flatten)]
+        bind: Bind,
+        #[command(flatten)]
+        options: VmsOptions,
+    },
+    /// Runs a model engine.
+    Engine {
+        #[command(flatten)]
+        bind: Bind,
+        #[command(flatten)]
+        options: EngineOptions,
+    },
+    /// Runs a plain service.
+    Service {
+        #[command(flatten)]
+        bind: Bind,
+    },
+}
+
+#[derive(Debug, Args)]
+struct Bind {
+    /// Where to listen; port 0 takes any that is free.
+    #[arg(long, value_name = "IP:PORT")]
+    listen: SocketAddr,
+}
+
+impl Bind {
+    /// Listens, and says where.
+    fn open(&self) -> Result<TcpListener> {
+        let listener = listen(self.listen).with_context(|| format!("listen on {}", self.listen))?;
+        println!("listening address={}", listener.local_addr()?);
+        Ok(listener)
+    }
+}
+
+fn main() -> Result<()> {
+    let cli = Cli::parse();
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run(cli.command))
+}
+
+async fn run(command: Command) -> Result<()> {
+    // Set up before the address is printed: whoever reads it may send a signal at once.
+    let mut signals = Signals::new()?;
+    tokio::select! {
+        result = serve(command) => result,
+        () = signals.stop() => Ok(()),
+    }
+}
+
+async fn serve(command: Command) -> Result<()> {
+    match command {
+        Command::Log { bind, options } => Log::new(options).serve(bind.open()?).await,
+        Command::Vms { bind, options } => {
+            let vms = Vms::from_options(&options).context("read the first list")?;
+            vms.serve(bind.open()?).await;
+        }
+        Command::Engine { bind, options } => Engine::new(options).serve(bind.open()?).await,
+        Command::Service { bind } => Service::new().serve(bind.open()?).await,
+    }
+    Ok(())
+}
+
+/// The signals that end the program.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the first of them.
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
