Put a fault-injecting proxy between processes

Partitions, slow links and answers that break off in the middle have to be had at will between any two processes. The proxy is a set of TCP links in one process, each with faults set over HTTP: cut, delay, half-open, one direction held back, reset after so many bytes.

A direction that is blackholed is held back and not thrown away: it goes on once mended, as TCP would send it again. Throwing bytes away and going on later would leave a hole in a connection that lives, which no network does; throwing them away for good would never show a request that arrives late. Ends and resets queue behind the bytes, so a partition hides those as well.

--- a/src/bin/jasmineridge_standin.rs
+++ b/src/bin/jasmineridge_standin.rs
@@ -12,6 +12,7 @@
 use jasmineridge::EngineOptions;
 use jasmineridge::Log;
 use jasmineridge::LogOptions;
+use jasmineridge::Proxy;
 use jasmineridge::Service;
 use jasmineridge::Vms;
 use jasmineridge::VmsOptions;
@@ -58,6 +59,17 @@
         #[command(flatten)]
         bind: Bind,
     },
+    /// Runs a fault-injecting TCP proxy; more links can be added over its control interface.
+    Proxy {
+        #[command(flatten)]
+        bind: Bind,
+        /// Where the connections go on to.
+        #[arg(long, value_name = "IP:PORT")]
+        to: SocketAddr,
+        /// Where the control interface listens; port 0 takes any that is free.
+        #[arg(long, value_name = "IP:PORT")]
+        control: SocketAddr,
+    },
 }
 
 #[derive(Debug, Args)]
@@ -100,6 +112,14 @@
         }
         Command::Engine { bind, options } => Engine::new(options).serve(bind.open()?).await,
         Command::Service { bind } => Service::new().serve(bind.open()?).await,
+        Command::Proxy { bind, to, control } => {
+            let proxy = Proxy::new();
+            let address = proxy.link_default(bind.listen, to)?;
+            let listener = listen(control).with_context(|| format!("listen on {control}"))?;
+            let control = listener.local_addr()?;
+            println!("listening address={address} control={control}");
+            proxy.serve(listener).await;
+        }
     }
     Ok(())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,8 @@
 pub use standin::log::Log;
 pub use standin::log::LogOptions;
 pub use standin::log::start_log;
+pub use standin::proxy::Proxy;
+pub use standin::proxy::start_proxy;
 pub use standin::service::Service;
 pub use standin::service::start_service;
 pub use standin::vms::Vms;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -18,6 +18,7 @@
 
 pub(crate) mod engine;
 pub(crate) mod log;
+pub(crate) mod proxy;
 pub(crate) mod service;
 pub(crate) mod vms;
 
--- a/tests/standins/main.rs
+++ b/tests/standins/main.rs
@@ -10,6 +10,7 @@
 mod engine_faults;
 mod log;
 mod program;
+mod proxy;
 mod service;
 mod vms;
 
--- a/tests/standins/program.rs
+++ b/tests/standins/program.rs
@@ -29,8 +29,12 @@
         let mut line = String::new();
         let out = child.stdout.take().context("its output")?;
         BufReader::new(out).read_line(&mut line)?;
-        let address = line.trim().strip_prefix("listening address=");
-        let client = Client::new(address.context("its address")?.parse()?);
+        let mut words = line.split_whitespace();
+        assert_eq!(words.next(), Some("listening"));
+        // A proxy is asked by its control interface, which it names last.
+        let last = words.last().and_then(|word| word.split_once('='));
+        let (_, address) = last.context("its address")?;
+        let client = Client::new(address.parse()?);
         Ok(Self { child, client })
     }
 }
@@ -45,13 +49,16 @@
 
 #[tokio::test]
 async fn each_stand_in_starts_and_ends_by_a_signal() -> Result<()> {
+    let proxy = "proxy --to 127.0.0.1:9 --control 127.0.0.1:0";
     for (name, path) in [
         ("log", "/v1/stats"),
         ("vms", "/v1/vms"),
         ("engine", "/v1/load"),
         ("service", "/_calls"),
+        (proxy, "/v1/links"),
     ] {
-        let mut program = Program::start(&[name])?;
+        let args: Vec<&str> = name.split(' ').collect();
+        let mut program = Program::start(&args)?;
         assert_eq!(program.client.get(path).await?.status, 200, "{name}");
         let id = program.child.id().to_string();
         Command::new("kill").args(["-TERM", &id]).status()?;
