Add the limit of an endpoint, the quarantine, and a prefix index that doubts

The choice could send an endpoint as much as the setting says, nothing told a request that crashes endpoints from those beside it, and the prefix index believed all that it ever heard.

What was ruled out: recording only crashes with a lone suspect (a caller that sends to another router each time, beside other requests, is then never recorded); recording all that ran beside a known suspect (an innocent request would be refused after two such neighbours).

Change: `EndpointLimit` inside `Chooser` (so `start`, `end` and `report` feed it; `report` now takes the time, `end` the sample), `Quarantine`, gaps and contradictions in `PrefixIndex`, and `FairQueue::pop_where`, so that one full model does not hold up the others. Two or more deaths beside with no request in common count as a rack's, which no request is blamed for.

Not measured yet under load.

--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -16,9 +16,12 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::decide::concurrency::EndpointLimit;
+use crate::decide::concurrency::Sample;
 use crate::decide::health::Ejector;
 use crate::decide::health::Health;
 use crate::decide::prefix::BlockHash;
+use crate::decide::prefix::Match;
 use crate::decide::prefix::PrefixIndex;
 use crate::ids::DomainId;
 use crate::ids::ModelId;
@@ -83,7 +86,7 @@
     models: Vec<ModelId>,
     limit: u32,
     leaving: bool,
-    own: u32,
+    own: EndpointLimit,
     others: u32,
     changes: VecDeque<(Instant, u32)>,
 }
@@ -126,13 +129,14 @@
                 models: Vec::new(),
                 limit,
                 leaving: false,
-                own: 0,
+                own: EndpointLimit::new(limit),
                 others: 0,
                 changes: VecDeque::new(),
             });
         endpoint.domain = domain.clone();
         endpoint.models = models.to_vec();
         endpoint.limit = limit;
+        endpoint.own.change(limit);
     }
 
     /// Removes an endpoint.
@@ -148,32 +152,29 @@
         }
     }
 
-    /// Sets how many requests an endpoint may have in progress, of all routers.
-    pub fn limit(&mut self, vm: &VmId, limit: u32) {
-        if let Some(endpoint) = self.endpoints.get_mut(vm) {
-            endpoint.limit = limit;
-        }
-    }
-
     /// Takes in an endpoint's load report, which counted this router's own requests of that time too.
-    pub fn report(&mut self, vm: &VmId, load: Load) {
+    pub fn report(&mut self, now: Instant, vm: &VmId, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(vm) {
             let own = endpoint.own_at(load.measured);
             endpoint.others = (load.running + load.waiting).saturating_sub(own);
+            endpoint.own.report(now, load);
         }
     }
 
-    /// Counts a request that was sent to an endpoint.
-    pub fn start(&mut self, now: Instant, vm: &VmId) {
-        if let Some(endpoint) = self.endpoints.get_mut(vm) {
-            endpoint.count(now, endpoint.own + 1);
-        }
+    /// Counts a request that is sent to an endpoint, and tells whether its limit allows it.
+    pub fn start(&mut self, now: Instant, vm: &VmId) -> bool {
+        self.endpoints.get_mut(vm).is_some_and(|endpoint| {
+            let started = endpoint.own.try_acquire();
+            endpoint.note(now);
+            started
+        })
     }
 
-    /// Counts a request that ended at an endpoint.
-    pub fn end(&mut self, now: Instant, vm: &VmId) {
+    /// Counts a request that ended at an endpoint, and learns from how it went.
+    pub fn end(&mut self, now: Instant, vm: &VmId, sample: Sample) {
         if let Some(endpoint) = self.endpoints.get_mut(vm) {
-            endpoint.count(now, endpoint.own.saturating_sub(1));
+            endpoint.own.release(now, sample);
+            endpoint.note(now);
         }
     }
 
@@ -196,21 +197,18 @@
     {
         let usable = self.usable(now, wish, health);
         let cached = index.matches(wish.prefix);
-        let blocks = |vm: &VmId| {
-            let found = cached.iter().find(|(holder, _)| holder == vm);
-            found.map_or(0, |(_, blocks)| *blocks)
-        };
+        let found = |vm: &VmId| cached.iter().find(|m| m.endpoint == *vm);
         let drawn = draw(usable.len(), rng);
         usable
             .iter()
             .enumerate()
-            .map(|(at, (vm, endpoint))| (at, *vm, *endpoint, blocks(vm)))
-            .filter(|(at, _, _, blocks)| drawn.contains(at) || *blocks > 0)
-            .map(|(_, vm, endpoint, blocks)| (endpoint.score(wish, blocks), vm, blocks))
+            .map(|(at, (vm, endpoint))| (at, *vm, *endpoint, found(vm)))
+            .filter(|(at, _, _, found)| drawn.contains(at) || found.is_some())
+            .map(|(_, vm, endpoint, found)| (endpoint.score(wish, found), vm, found))
             .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, vm, cached)| Choice {
+            .map(|(_, vm, found)| Choice {
                 endpoint: vm.clone(),
-                cached,
+                cached: found.map_or(0, |m| m.blocks),
             })
     }
 
@@ -253,22 +251,23 @@
 
 impl Endpoint {
     fn load(&self) -> u32 {
-        self.others + self.own
+        self.others + self.own.active()
     }
 
     /// Returns whether it takes one more; on trial, one at a time from this router.
     fn admits(&self, health: Health) -> bool {
         match health {
             Health::Out => false,
-            Health::Trial => self.own == 0,
-            Health::In => self.load() < self.limit,
+            Health::Trial => self.own.active() == 0,
+            Health::In => self.load() < self.limit && self.own.has_room(),
         }
     }
 
     /// Returns how bad a choice it is, 1 being a full endpoint.
-    fn score(&self, wish: &Wish<'_>, cached: usize) -> f64 {
+    fn score(&self, wish: &Wish<'_>, found: Option<&Match>) -> f64 {
         let load = f64::from(self.load() + 1) / f64::from(self.limit.max(1));
-        let missing = (wish.prefix.len() - cached) as f64 / FULL_BLOCKS;
+        let cached = found.map_or(0.0, |m| m.blocks as f64 * m.trust);
+        let missing = (wish.prefix.len() as f64 - cached) / FULL_BLOCKS;
         let remote = if self.domain == *wish.domain {
             0.0
         } else {
@@ -277,9 +276,8 @@
         load + missing + remote
     }
 
-    fn count(&mut self, now: Instant, own: u32) {
-        self.own = own;
-        self.changes.push_back((now, own));
+    fn note(&mut self, now: Instant) {
+        self.changes.push_back((now, self.own.active()));
         let old = now.checked_sub(HISTORY);
         while self.changes.len() > CHANGES
             || self
@@ -302,7 +300,9 @@
 
     /// Returns the own count before the remembered changes, as far as it can be told.
     fn own_before(&self) -> u32 {
-        self.changes.front().map_or(self.own, |(_, own)| *own)
+        self.changes
+            .front()
+            .map_or(self.own.active(), |(_, own)| *own)
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,10 +6,12 @@
 
 mod advice;
 mod choose;
+mod concurrency;
 mod health;
 mod holding;
 mod limit;
 mod prefix;
+mod quarantine;
 mod queue;
 mod retry;
 
@@ -20,6 +22,8 @@
 pub use choose::Chooser;
 pub use choose::Load;
 pub use choose::Wish;
+pub use concurrency::EndpointLimit;
+pub use concurrency::Sample;
 pub use health::Ejector;
 pub use health::Evidence;
 pub use health::Health;
@@ -30,7 +34,11 @@
 pub use limit::AccountLimit;
 pub use limit::Refusal;
 pub use prefix::BlockHash;
+pub use prefix::CacheEvent;
+pub use prefix::Match;
 pub use prefix::PrefixIndex;
+pub use quarantine::Isolation;
+pub use quarantine::Quarantine;
 pub use queue::FairQueue;
 pub use queue::Full;
 pub use queue::Place;
--- /dev/null
+++ b/src/decide/quarantine.rs
@@ -0,0 +1,197 @@
+//! Which requests are kept from endpoints because they crash them.
+//!
+//! Answers a single request that crashes each endpoint that runs it, and whose caller, or whose router, sends it again.
+//! Without it one such request takes the pool down endpoint by endpoint, with all that runs beside it. An endpoint also
+//! dies of itself, and what ran there then must run again and be refused nothing. When an endpoint dies, all that ran on
+//! it are suspects, unless some were suspects before: then these explain it and the others are innocent. A suspect runs
+//! apart from other suspects, and is cleared when it completes. Suspects are recorded in the ledger, so that all routers
+//! know of them: [`Ledger::quarantined`](crate::Ledger::quarantined) refuses one after its second endpoint.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::ids::Fingerprint;
+use crate::ids::VmId;
+
+/// How many endpoints must have died of a request for it to be refused. The first may have died of itself; that the same
+/// request ran on two by chance is as rare as an endpoint's death in the seconds of one rerun.
+const CRASHES: usize = 2;
+
+/// How long a suspect is remembered: longer than a caller goes on sending.
+const MEMORY: Duration = Duration::from_secs(3600);
+
+/// How many suspects are remembered: a hundred endpoints' deaths with a full batch each.
+const SUSPECTS: usize = 4096;
+
+/// So many other endpoints that died within [`TOGETHER`] and ran no request in common tell of a rack or a switch.
+const OTHERS: usize = 2;
+
+/// See [`OTHERS`]. A request that is sent again needs longer to crash three endpoints: a death is noticed, and the request
+/// dispatched and read anew, each time.
+const TOGETHER: Duration = Duration::from_secs(2);
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Isolation {
+    /// Anywhere.
+    None,
+    /// Where nothing else runs, or at least no other suspect: see [`Quarantine::avoid`].
+    Apart,
+    /// Not at all.
+    Refused,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    endpoints: Vec<VmId>,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct Death {
+    at: Instant,
+    requests: Vec<Fingerprint>,
+}
+
+/// Tells requests that crash endpoints from those that merely ran there.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    running: IndexMap<VmId, IndexMap<Fingerprint, u32>>,
+    suspects: IndexMap<Fingerprint, Suspect>,
+    deaths: VecDeque<Death>,
+}
+
+impl Quarantine {
+    /// Makes one that suspects nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Tells how a request may run, by what this router knows; the ledger knows what others refuse.
+    pub fn isolation(&self, request: Fingerprint) -> Isolation {
+        match self.suspects.get(&request).map(|s| s.endpoints.len()) {
+            None => Isolation::None,
+            Some(count) if count >= CRASHES => Isolation::Refused,
+            Some(_) => Isolation::Apart,
+        }
+    }
+
+    /// Returns the endpoints that a request should not go to if others are left: for a suspect those where anything
+    /// runs, for all others those where a suspect runs.
+    pub fn avoid(&self, request: Fingerprint) -> Vec<VmId> {
+        let suspect = self.suspects.contains_key(&request);
+        self.running
+            .iter()
+            .filter(|(_, requests)| suspect || self.has_suspect(requests))
+            .map(|(vm, _)| vm.clone())
+            .collect()
+    }
+
+    /// Returns the endpoints that a suspect must not go to even if no others are left: those where another one runs.
+    /// Two suspects side by side could not be told apart, and an innocent one would be refused.
+    pub fn forbid(&self, request: Fingerprint) -> Vec<VmId> {
+        if !self.suspects.contains_key(&request) {
+            return Vec::new();
+        }
+        self.running
+            .iter()
+            .filter(|(_, requests)| self.has_suspect(requests))
+            .map(|(vm, _)| vm.clone())
+            .collect()
+    }
+
+    /// Notes that a request was sent to an endpoint.
+    pub fn start(&mut self, request: Fingerprint, endpoint: &VmId) {
+        let requests = self.running.entry(endpoint.clone()).or_default();
+        *requests.entry(request).or_default() += 1;
+    }
+
+    /// Notes that a request ended at an endpoint in a way that proves nothing: it was cancelled, or failed by itself.
+    pub fn end(&mut self, request: Fingerprint, endpoint: &VmId) {
+        let Some(requests) = self.running.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(count) = requests.get_mut(&request) {
+            *count -= 1;
+            if *count == 0 {
+                requests.swap_remove(&request);
+            }
+        }
+        if requests.is_empty() {
+            self.running.swap_remove(endpoint);
+        }
+    }
+
+    /// Notes that a request was answered whole, which clears it.
+    pub fn complete(&mut self, request: Fingerprint, endpoint: &VmId) {
+        self.end(request, endpoint);
+        self.suspects.swap_remove(&request);
+    }
+
+    /// Notes that an endpoint died, and returns the requests whose crash is to be recorded in the ledger.
+    pub fn crash(&mut self, now: Instant, endpoint: &VmId) -> Vec<Fingerprint> {
+        let requests: Vec<_> = self
+            .running
+            .swap_remove(endpoint)
+            .map(|requests| requests.into_keys().collect())
+            .unwrap_or_default();
+        let accident = self.is_accident(now, &requests);
+        self.deaths.push_back(Death {
+            at: now,
+            requests: requests.clone(),
+        });
+        if accident {
+            return Vec::new();
+        }
+        let blamed = self.blame(requests);
+        for request in &blamed {
+            self.learn(now, *request, endpoint);
+        }
+        blamed
+    }
+
+    /// Takes in a crash, of this router or from the ledger.
+    pub fn learn(&mut self, now: Instant, request: Fingerprint, endpoint: &VmId) {
+        self.expire(now);
+        let suspect = self.suspects.entry(request).or_insert(Suspect {
+            endpoints: Vec::new(),
+            at: now,
+        });
+        suspect.at = now;
+        if !suspect.endpoints.contains(endpoint) {
+            suspect.endpoints.push(endpoint.clone());
+        }
+    }
+
+    /// Picks those that explain a death: the ones that were suspects before, or else all.
+    fn blame(&self, requests: Vec<Fingerprint>) -> Vec<Fingerprint> {
+        let (known, fresh): (Vec<_>, Vec<_>) = requests
+            .into_iter()
+            .partition(|request| self.suspects.contains_key(request));
+        if known.is_empty() { fresh } else { known }
+    }
+
+    /// Tells whether a death is one of several that no request explains.
+    ///
+    /// When a rack goes, what ran on one of its endpoints is sent to the next one, which dies too, and would be refused
+    /// ever after though nothing is wrong with it.
+    fn is_accident(&mut self, now: Instant, requests: &[Fingerprint]) -> bool {
+        self.deaths.retain(|d| now < d.at + TOGETHER);
+        let apart = |d: &&Death| !d.requests.iter().any(|r| requests.contains(r));
+        self.deaths.iter().filter(apart).count() >= OTHERS
+    }
+
+    fn has_suspect(&self, requests: &IndexMap<Fingerprint, u32>) -> bool {
+        requests.keys().any(|r| self.suspects.contains_key(r))
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.suspects.retain(|_, s| now < s.at + MEMORY);
+        while self.suspects.len() >= SUSPECTS {
+            self.suspects.shift_remove_index(0);
+        }
+    }
+}
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -187,8 +187,20 @@
 
     /// Takes out the one to serve next.
     pub fn pop(&mut self, now: Instant) -> Option<T> {
-        let (team, priority, account) = self.next_line()?;
-        let place = self.front(&team, priority, &account)?;
+        self.pop_where(now, |_| true)
+    }
+
+    /// Takes out the one to serve next of those for which there is a place.
+    ///
+    /// Without a choice, one request whose model's endpoints are full would keep all others waiting.
+    pub fn pop_where<F>(&mut self, now: Instant, mut fits: F) -> Option<T>
+    where
+        F: FnMut(&T) -> bool,
+    {
+        let place = self
+            .fronts()
+            .into_iter()
+            .find(|place| self.waiting.get(place).is_some_and(|w| fits(&w.item)))?;
         let waiting = self.take(place)?;
         self.charge(&waiting.ticket);
         self.drain
@@ -318,21 +330,18 @@
         }
     }
 
-    /// Finds the line to serve: of the team furthest behind, its best priority, the account furthest behind in it.
-    fn next_line(&self) -> Option<(TeamId, usize, AccountId)> {
-        self.teams
-            .iter()
-            .filter_map(|(id, team)| {
-                let (priority, account, pass) = team.next(&self.accounts)?;
-                Some((pass.max(team.part.pass), id, priority, account))
+    /// Returns the first of each team, the team furthest behind first.
+    fn fronts(&self) -> Vec<Place> {
+        let mut fronts: Vec<_> = self
+            .teams
+            .values()
+            .filter_map(|team| {
+                let (place, pass) = team.front(&self.accounts)?;
+                Some((pass.max(team.part.pass), place))
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, id, priority, account)| (id.clone(), priority, account.clone()))
-    }
-
-    fn front(&self, team: &TeamId, priority: usize, account: &AccountId) -> Option<Place> {
-        let line = self.teams.get(team)?.lines[priority].get(account)?;
-        line.front().copied()
+            .collect();
+        fronts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        fronts.into_iter().map(|(_, place)| place).collect()
     }
 
     /// Moves the virtual times on by what is served.
@@ -349,20 +358,12 @@
 }
 
 impl Team {
-    fn next<'a>(
-        &'a self,
-        accounts: &IndexMap<AccountId, Part>,
-    ) -> Option<(usize, &'a AccountId, f64)> {
-        let (priority, line) = self.lines.iter().enumerate().find(|(_, l)| !l.is_empty())?;
-        line.keys()
-            .map(|account| {
-                (
-                    priority,
-                    account,
-                    accounts.get(account).map_or(0.0, |a| a.pass),
-                )
-            })
-            .min_by(|a, b| a.2.total_cmp(&b.2))
+    /// Returns the one to serve next: of the best priority, the account furthest behind.
+    fn front(&self, accounts: &IndexMap<AccountId, Part>) -> Option<(Place, f64)> {
+        let line = self.lines.iter().find(|line| !line.is_empty())?;
+        line.iter()
+            .filter_map(|(id, places)| Some((*places.front()?, accounts.get(id)?.pass)))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
     fn forget(&mut self, ticket: &Ticket, place: Place) {
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -6,20 +6,26 @@
 use jasmineridge::AccountLimit;
 use jasmineridge::Action;
 use jasmineridge::BlockHash;
+use jasmineridge::CacheEvent;
 use jasmineridge::Chooser;
 use jasmineridge::DomainId;
 use jasmineridge::Ejector;
+use jasmineridge::EndpointLimit;
 use jasmineridge::Evidence;
 use jasmineridge::FairQueue;
+use jasmineridge::Fingerprint;
 use jasmineridge::Full;
 use jasmineridge::Health;
 use jasmineridge::HoldingPolicy;
+use jasmineridge::Isolation;
 use jasmineridge::Lean;
 use jasmineridge::Limits;
 use jasmineridge::Load;
 use jasmineridge::Peer;
 use jasmineridge::PrefixIndex;
+use jasmineridge::Quarantine;
 use jasmineridge::RetryBudget;
+use jasmineridge::Sample;
 use jasmineridge::Share;
 use jasmineridge::Ticket;
 use jasmineridge::Tokens;
@@ -177,7 +183,7 @@
         waiting: 0,
         measured: now + ms(100),
     };
-    chooser.report(&vms[0], load);
+    chooser.report(now + ms(600), &vms[0], load);
     assert_eq!(
         chooser.load(&vms[0]),
         Some(4),
@@ -354,3 +360,93 @@
     assert!((400..600).contains(&early), "{early}");
     assert_eq!(advise(&peers[..1], None, &mut rng), None);
 }
+
+/// An endpoint's events get lost, or it evicts unseen. What was known of it counts less, and goes when an answer says so.
+#[test]
+fn prefixes_are_doubted_after_gaps() {
+    let (vm, prompt) = (name("e0"), [1, 2, 3, 4].map(BlockHash));
+    let mut index = PrefixIndex::new();
+    let event = |sequence, stored: &[BlockHash], removed: &[BlockHash]| CacheEvent {
+        sequence,
+        stored: stored.to_vec(),
+        removed: removed.to_vec(),
+    };
+    let found = |index: &PrefixIndex| {
+        let found = index.matches(&prompt);
+        found.first().map_or((0, 0.0), |m| (m.blocks, m.trust))
+    };
+    index.event(&vm, &event(1, &prompt, &[]));
+    assert_eq!(found(&index), (4, 1.0));
+    index.event(&vm, &event(2, &[], &prompt[3..]));
+    assert_eq!(found(&index), (3, 1.0));
+    index.event(&vm, &event(5, &[], &[]));
+    assert_eq!(found(&index), (3, 0.5));
+    index.event(&vm, &event(3, &prompt, &prompt[2..]));
+    assert_eq!(found(&index), (2, 0.5), "a late event only takes away");
+    index.event(&vm, &event(1, &prompt[..1], &[]));
+    assert_eq!(found(&index), (1, 1.0), "a restart begins anew");
+}
+
+/// An endpoint does less than its setting says, and says that requests wait there. Less is sent to it, and more again later.
+#[test]
+fn endpoint_limit_follows_the_endpoint() {
+    let mut now = start();
+    let mut limit = EndpointLimit::new(32);
+    let full = Load {
+        running: 8,
+        waiting: 8,
+        measured: now,
+    };
+    for _ in 0..20 {
+        now += ms(1000);
+        limit.report(now, full);
+    }
+    let low = limit.limit();
+    assert!(low <= 8, "{low}");
+    for _ in 0..200 {
+        while limit.try_acquire() {}
+        now += ms(100);
+        limit.release(now, Sample::Answered(ms(100)));
+    }
+    assert!(limit.limit() > low + 4 && limit.limit() <= 32);
+}
+
+/// One request crashes whatever runs it, beside others that do nothing wrong. It is refused after two endpoints, and the
+/// others, which run again apart from each other, complete and are cleared.
+#[test]
+fn quarantine_tells_the_poison_from_the_innocent() {
+    let now = start();
+    let [e0, e1, e2]: [VmId; 3] = ["e0", "e1", "e2"].map(name);
+    let [poison, innocent, later] = [1, 2, 3].map(Fingerprint);
+    let mut quarantine = Quarantine::new();
+    quarantine.start(poison, &e0);
+    quarantine.start(innocent, &e0);
+    assert_eq!(quarantine.crash(now, &e0).len(), 2);
+    assert_eq!(quarantine.isolation(innocent), Isolation::Apart);
+    quarantine.start(poison, &e1);
+    assert_eq!(quarantine.forbid(innocent), [e1.clone()]);
+    assert_eq!(quarantine.avoid(later), [e1.clone()]);
+    quarantine.start(later, &e1);
+    quarantine.start(innocent, &e2);
+    quarantine.complete(innocent, &e2);
+    assert_eq!(quarantine.isolation(innocent), Isolation::None);
+    assert_eq!(quarantine.crash(now + ms(5000), &e1), [poison]);
+    assert_eq!(quarantine.isolation(poison), Isolation::Refused);
+    assert_eq!(quarantine.isolation(later), Isolation::None);
+}
+
+/// A rack dies, and requests sent from its first endpoint to its second die twice. They are not refused for that.
+#[test]
+fn quarantine_sees_a_rack_die() {
+    let now = start();
+    let mut quarantine = Quarantine::new();
+    for n in 0..4 {
+        quarantine.start(Fingerprint(n), &name(&format!("e{n}")));
+    }
+    for n in 0..4 {
+        quarantine.crash(now + ms(n * 100), &name(&format!("e{n}")));
+    }
+    quarantine.start(Fingerprint(0), &name("e5"));
+    quarantine.crash(now + ms(900), &name("e5"));
+    assert_eq!(quarantine.isolation(Fingerprint(0)), Isolation::Apart);
+}
