--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -20,12 +20,12 @@
 use crate::decide::concurrency::Sample;
 use crate::decide::health::Ejector;
 use crate::decide::health::Health;
-use crate::decide::prefix::BlockHash;
 use crate::decide::prefix::Match;
 use crate::decide::prefix::PrefixIndex;
 use crate::ids::DomainId;
 use crate::ids::ModelId;
 use crate::ids::VmId;
+use crate::prompt::BlockHash;
 
 /// How many endpoints of one model a router chooses among. All of them at today's 12 and 18; at 35 models, 1,120 load
 /// reports of 30 bytes every 5 seconds are just within the 7 KB/s that a node may spend for control.
--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -114,7 +114,10 @@
             Lean::Available => (AVAILABLE_COVER, AVAILABLE_HELD),
         };
         let needed = share.demand * cover.as_secs_f64();
-        let fair = share.undrawn.0 as f64 * held / share.routers.max(1) as f64;
+        // Counted on what it holds as well: from what is undrawn alone, each draw would lower the aim that it served,
+        // and be returned.
+        let reach = (share.undrawn.0 + share.free.0) as f64;
+        let fair = reach * held / (1.0 + held) / share.routers.max(1) as f64;
         Tokens(needed.min(fair) as u64)
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -33,7 +33,6 @@
 pub use holding::Share;
 pub use limit::AccountLimit;
 pub use limit::Refusal;
-pub use prefix::BlockHash;
 pub use prefix::CacheEvent;
 pub use prefix::Match;
 pub use prefix::PrefixIndex;
--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::ids::VmId;
+use crate::prompt::BlockHash;
 
 /// How many blocks are remembered. At about 120 bytes each they take 48 MB of a router's 256, and hold the hottest ten
 /// thousand tokens or so of each of 640 conversations' worth of blocks.
@@ -26,10 +27,6 @@
 /// After so many gaps an entry is worth next to nothing.
 const GAPS: u32 = 4;
 
-/// The hash of a block of a prompt and of all blocks before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct BlockHash(pub u64);
-
 /// What an endpoint says that changed in its cache.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CacheEvent {
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -15,6 +15,7 @@
 
 use crate::edge::engine;
 use crate::http_client::HttpClient;
+use crate::ids::Offset;
 use crate::ids::RequestId;
 use crate::key_hash::KeyHash;
 use crate::router::AdminId;
@@ -53,6 +54,7 @@
     commands: Mutex<IndexMap<RequestId, mpsc::UnboundedSender<Command>>>,
     questions: Mutex<IndexMap<AdminId, oneshot::Sender<(u16, Value)>>>,
     next: AtomicU64,
+    ledger_next: AtomicU64,
     beat: Mutex<Option<Heartbeat>>,
     snapshots: Mutex<Vec<oneshot::Sender<Vec<u8>>>>,
 }
@@ -77,6 +79,7 @@
             commands: Mutex::default(),
             questions: Mutex::default(),
             next: AtomicU64::new(1),
+            ledger_next: AtomicU64::new(0),
             beat: Mutex::default(),
             snapshots: Mutex::default(),
         }
@@ -133,6 +136,15 @@
         *lock(&self.beat) = Some(beat);
     }
 
+    /// Returns the offset that follows the last record folded.
+    pub(crate) fn ledger_next(&self) -> Offset {
+        Offset(self.ledger_next.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_ledger_next(&self, next: Offset) {
+        self.ledger_next.store(next.0, Ordering::Relaxed);
+    }
+
     /// Asks the loop for the ledger's state, for a peer that cannot read the log.
     pub(crate) async fn snapshot(&self) -> Option<Vec<u8>> {
         let (sender, answer) = oneshot::channel();
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -21,6 +21,7 @@
 use crate::edge::clock::SystemClock;
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
+use crate::edge::fetch;
 use crate::edge::http;
 use crate::edge::log::CONFIG;
 use crate::edge::log::LEDGER;
@@ -48,8 +49,8 @@
 pub enum Stopped {
     /// All requests were over and all that was held was given back.
     Drained,
-    /// It was told to stop a second time, with requests in progress.
-    Forced,
+    /// Requests in progress were cut off, by a second signal or the drain limit.
+    Cut,
 }
 
 /// Runs a router until it is told to stop.
@@ -162,8 +163,9 @@
                 () = until(self.next_turn(last)) => Event::Tick,
                 () = stop(&mut term, &mut int) => {
                     if told {
-                        warn!(event = "stopped", forced = true);
-                        return Ok(Stopped::Forced);
+                        self.core.log_cut();
+                        warn!(event = "stopped", cut = true);
+                        return Ok(Stopped::Cut);
                     }
                     told = true;
                     Event::Drain
@@ -178,9 +180,9 @@
             }
             self.show_ledger();
             for effect in effects {
-                if let Effect::Exit = effect {
-                    info!(event = "stopped", forced = false);
-                    return Ok(Stopped::Drained);
+                if let Effect::Exit { cut } = effect {
+                    info!(event = "stopped", cut);
+                    return Ok(if cut { Stopped::Cut } else { Stopped::Drained });
                 }
                 self.carry_out(effect);
             }
@@ -206,6 +208,7 @@
     }
 
     fn show_ledger(&self) {
+        self.desk.set_ledger_next(self.core.ledger_next());
         for sender in self.desk.take_snapshots() {
             let _ = sender.send(self.core.ledger_bytes());
         }
@@ -245,11 +248,14 @@
             Effect::Relay(snapshot, peer) => {
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
+            Effect::Fetch(peers) => {
+                tokio::spawn(fetch::fetch(self.desk.clone(), self.peers.clone(), peers));
+            }
             Effect::Probe(vm, address) => {
                 tokio::spawn(self.prober.clone().probe(vm, address));
             }
             Effect::Answer(id, status, body) => self.desk.answer(id, status, body),
-            Effect::Exit => {}
+            Effect::Exit { .. } => {}
         }
     }
 }
--- a/src/edge/log.rs
+++ b/src/edge/log.rs
@@ -103,7 +103,13 @@
         let mut from = Offset(0);
         let mut ready = Some(ready);
         loop {
-            match self.read(stream, from).await {
+            // The first reads only gather what is there; held open, they would delay the start.
+            let wait = if ready.is_some() {
+                Duration::ZERO
+            } else {
+                POLL
+            };
+            match self.read(stream, from, wait).await {
                 Read::Page { entries, next } => {
                     let last = entries.last().map(|entry| Offset(entry.offset.0 + 1));
                     from = last.unwrap_or(from).max(from);
@@ -116,16 +122,18 @@
                 }
                 Read::Gone => {
                     warn!(event = "log-let-go", stream, from = %from);
+                    self.desk.tell(Event::LedgerGone);
                     sleep(REST).await;
+                    from = from.max(self.desk.ledger_next());
                 }
                 Read::Failed => sleep(REST).await,
             }
         }
     }
 
-    async fn read(&self, stream: &str, from: Offset) -> Read {
+    async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Read {
         let base = self.records(stream);
-        let wait = POLL.as_millis();
+        let wait = wait.as_millis();
         let url = format!("{base}?from={from}&max={MAX_READ}&wait_ms={wait}");
         let Ok(answer) = self.desk.http.get(&url, READ).await else {
             return Read::Failed;
@@ -140,7 +148,11 @@
 
 fn read_page(body: &[u8]) -> Option<Read> {
     let page: Page = serde_json::from_slice(body).ok()?;
-    let entries = page.records.into_iter().map(read_row).collect::<Option<_>>();
+    let entries = page
+        .records
+        .into_iter()
+        .map(read_row)
+        .collect::<Option<_>>();
     Some(Read::Page {
         entries: entries?,
         next: page.next,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -14,6 +14,7 @@
 mod desk;
 mod driver;
 mod engine;
+mod fetch;
 mod http;
 mod log;
 mod peers;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -20,7 +20,6 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-
 use crate::config::Snapshot;
 use crate::edge::codec::Postcard;
 use crate::edge::desk::Desk;
@@ -78,12 +77,7 @@
 }
 
 impl Peering for Server {
-    async fn beat(
-        self,
-        _: Context,
-        version: u32,
-        beat: Heartbeat,
-    ) -> Result<Heartbeat, Refused> {
+    async fn beat(self, _: Context, version: u32, beat: Heartbeat) -> Result<Heartbeat, Refused> {
         check(version)?;
         self.0.tell(Event::Heard(beat));
         self.0.beat().ok_or(Refused::NotReady)
@@ -154,7 +148,8 @@
 
     /// Tells a peer that this router lives, and the core what the peer says.
     pub(crate) async fn beat(self, beat: Heartbeat, peer: Peer) {
-        let call = |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
+        let call =
+            |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
         match self.call(&peer.address, CALL, call).await {
             Some(Ok(word)) => self.desk.tell(Event::Heard(word)),
             _ => self.desk.tell(Event::Unheard(peer.vm)),
@@ -164,7 +159,9 @@
     /// Leaves batches with a peer, and tells the core once the peer has them.
     pub(crate) async fn keep(self, batches: KeptBatches, peer: Peer) {
         let (router, last, records) = (batches.router, batches.last, batches.records);
-        let call = |client: PeeringClient| async move { client.keep(deadline(CALL), VERSION, batches).await };
+        let call = |client: PeeringClient| async move {
+            client.keep(deadline(CALL), VERSION, batches).await
+        };
         if let Some(Ok(())) = self.call(&peer.address, CALL, call).await {
             self.desk.tell(Event::Kept {
                 peer: peer.vm,
@@ -180,13 +177,16 @@
         let Ok(config) = serde_json::to_string(&snapshot) else {
             return;
         };
-        let call = |client: PeeringClient| async move { client.relay(deadline(CALL), VERSION, config).await };
+        let call = |client: PeeringClient| async move {
+            client.relay(deadline(CALL), VERSION, config).await
+        };
         let _ = self.call(&peer.address, CALL, call).await;
     }
 
     /// Asks a peer for its ledger's state.
     pub(crate) async fn ledger(&self, peer: &Peer) -> Option<Vec<u8>> {
-        let call = |client: PeeringClient| async move { client.ledger(deadline(SNAPSHOT), VERSION).await };
+        let call =
+            |client: PeeringClient| async move { client.ledger(deadline(SNAPSHOT), VERSION).await };
         self.call(&peer.address, SNAPSHOT, call).await?.ok()
     }
 
@@ -211,7 +211,10 @@
         if let Some(client) = self.clients.lock().await.get(address) {
             return Some(client.clone());
         }
-        let stream = timeout(CALL, TcpStream::connect(address)).await.ok()?.ok()?;
+        let stream = timeout(CALL, TcpStream::connect(address))
+            .await
+            .ok()?
+            .ok()?;
         let _ = stream.set_nodelay(true);
         let transport = serde_transport::new(codec_framed(stream), Postcard::default());
         let client = PeeringClient::new(tarpc::client::Config::default(), transport).spawn();
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -66,6 +66,10 @@
     }
 
     fn top_up(&mut self, id: AdminId, name: TopUpId, team: TeamId, amount: Tokens) {
+        if !self.serving() {
+            self.answer(id, 503, json!({"detail": "this router does not serve"}));
+            return;
+        }
         if self.config.team(&team).is_none() {
             let body = json!({"detail": format!("the configuration has no team {team}")});
             self.answer(id, 404, body);
@@ -178,6 +182,17 @@
         self.effects.push(Effect::Beat(self.heartbeat(), peers));
     }
 
+    /// Says what an early end cuts off.
+    pub(crate) fn log_cut(&self) {
+        for (id, request) in &self.requests {
+            warn!(event = "drain-cut", request = %id, key = %request.key);
+        }
+        let unfolded = self.appender.waiting();
+        if unfolded > 0 {
+            warn!(event = "drain-unfolded", records = unfolded);
+        }
+    }
+
     /// Ends a planned stop when the last request is over, giving back all that is held.
     pub(crate) fn go_on_draining(&mut self, now: Instant) {
         let Phase::Draining { since, closing } = self.phase else {
@@ -185,14 +200,8 @@
         };
         let late = now >= since + self.tuning.drain;
         if late {
-            for (id, request) in &self.requests {
-                warn!(event = "drain-cut", request = %id, key = %request.key);
-            }
-            let unfolded = self.appender.waiting();
-            if unfolded > 0 {
-                warn!(event = "drain-unfolded", records = unfolded);
-            }
-            self.effects.push(Effect::Exit);
+            self.log_cut();
+            self.effects.push(Effect::Exit { cut: true });
         }
         if self.requests.is_empty() && !closing {
             self.phase = Phase::Draining {
--- a/src/router/appender.rs
+++ b/src/router/appender.rs
@@ -201,8 +201,15 @@
     }
 
     /// Takes the fold's verdicts of one of this incarnation's batches, and returns them with their tickets.
-    pub(crate) fn folded(&mut self, sequence: Sequence, verdicts: Vec<Verdict>) -> Vec<(T, Verdict)> {
-        let ours = self.sealed.front().is_some_and(|s| s.batch.sequence == sequence);
+    pub(crate) fn folded(
+        &mut self,
+        sequence: Sequence,
+        verdicts: Vec<Verdict>,
+    ) -> Vec<(T, Verdict)> {
+        let ours = self
+            .sealed
+            .front()
+            .is_some_and(|s| s.batch.sequence == sequence);
         if !ours {
             return Vec::new();
         }
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -135,7 +135,8 @@
                 PoolKind::Engine { models, max_tokens },
             ) => {
                 if !models.contains(model) {
-                    let detail = format!("the pool {} does not serve the model {model}", route.pool);
+                    let detail =
+                        format!("the pool {} does not serve the model {model}", route.pool);
                     return Err(unproved(ProblemKind::NoRoute, &detail));
                 }
                 let limit = limit.unwrap_or(*max_tokens).min(*max_tokens);
@@ -221,7 +222,9 @@
                 self.effects.push(Effect::Replay(id, replay));
                 self.finish(now, id);
             }
-            Look::Refuse(kind, ran, detail) => self.send_refusal(now, id, Problem::new(kind, ran, detail)),
+            Look::Refuse(kind, ran, detail) => {
+                self.send_refusal(now, id, Problem::new(kind, ran, detail))
+            }
         }
     }
 
@@ -246,7 +249,10 @@
     }
 
     fn look_at(&self, request: &Request, key: &KeyState) -> Look {
-        if key.request.is_some_and(|other| other != request.fingerprint) {
+        if key
+            .request
+            .is_some_and(|other| other != request.fingerprint)
+        {
             return OTHER_REQUEST;
         }
         if let Some(claim) = &key.claim {
@@ -293,7 +299,10 @@
 
     fn not_serving(&mut self) -> Box<Problem> {
         let instead = self.other_address();
-        let problem = unproved(ProblemKind::NotServing, "this router is leaving or has just begun");
+        let problem = unproved(
+            ProblemKind::NotServing,
+            "this router is leaving or has just begun",
+        );
         Box::new(problem.go_to(instead).retry_in(NOT_SERVING_RETRY))
     }
 
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -16,6 +16,7 @@
 use crate::ids::AccountId;
 use crate::ids::DomainId;
 use crate::ids::Incarnation;
+use crate::ids::Offset;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::RequestKey;
@@ -128,6 +129,8 @@
     pub(crate) proofs: ProofBudget,
     /// Until when requests may be ones that lay in a socket while the process was stopped.
     pub(crate) stale_until: Option<Instant>,
+    /// When a state of the ledger was last asked for, or the router started.
+    pub(crate) fetched: Instant,
 }
 
 /// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop.
@@ -192,6 +195,7 @@
                 at: None,
             },
             stale_until: None,
+            fetched: now,
             tuning,
             rng,
         }
@@ -211,6 +215,7 @@
             } => self.appended(now, router, sequence, landed),
             Event::LedgerEntries(entries) => self.fold_ledger(now, entries),
             Event::ConfigEntries(entries) => self.fold_config(now, entries),
+            Event::LedgerGone => self.fetch_ledger(now),
             Event::CaughtUp => self.caught_up(now),
             Event::LedgerSnapshot(ledger) => self.adopt_ledger(now, *ledger),
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
@@ -253,6 +258,11 @@
         self.appender.wake()
     }
 
+    /// Returns the offset that follows the last record folded.
+    pub(crate) fn ledger_next(&self) -> Offset {
+        self.ledger.next()
+    }
+
     /// Returns the ledger's state, for a peer.
     pub(crate) fn ledger_bytes(&self) -> Vec<u8> {
         postcard::to_stdvec(&self.ledger).expect("a ledger can be encoded")
@@ -279,6 +289,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        self.catch_up(now);
         self.expire_requests(now);
         self.recheck_contended(now);
         self.keep_house(now);
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -44,12 +44,17 @@
     Keep(KeptBatches, Vec<Peer>),
     /// Sends the configuration to a peer that is behind.
     Relay(Box<Snapshot>, Peer),
+    /// Gets a state of the ledger to start from.
+    Fetch(Vec<Peer>),
     /// Asks an endpoint for its load and its cache events.
     Probe(VmId, String),
     /// Answers an operator.
     Answer(AdminId, u16, Value),
-    /// Ends the process, in order.
-    Exit,
+    /// Ends the process.
+    Exit {
+        /// Whether requests in progress, or records that no one has, are cut off by it.
+        cut: bool,
+    },
 }
 
 /// Another router.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -44,6 +44,8 @@
     LedgerEntries(Vec<Entry>),
     /// Records of the configuration's stream.
     ConfigEntries(Vec<Entry>),
+    /// The log has let go records of the ledger that this router did not read.
+    LedgerGone,
     /// All that the log held when the router started has been read.
     CaughtUp,
     /// A state to start from, from a checkpoint or a peer.
--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -119,10 +119,7 @@
         let Some(purse) = self.purses.get(team) else {
             return;
         };
-        let unspent = self
-            .ledger
-            .team(team)
-            .map_or(Tokens::ZERO, |t| t.unspent());
+        let unspent = self.ledger.team(team).map_or(Tokens::ZERO, |t| t.unspent());
         for id in purse.waiting.clone() {
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
@@ -267,8 +264,7 @@
         }
         let me = self.me;
         let ledger = &self.ledger;
-        self.purses.retain(|team, purse| {
-            !purse.idle() || ledger.holding(me, team).free > Tokens::ZERO
-        });
+        self.purses
+            .retain(|team, purse| !purse.idle() || ledger.holding(me, team).free > Tokens::ZERO);
     }
 }
--- a/src/router/outage.rs
+++ b/src/router/outage.rs
@@ -46,10 +46,7 @@
         let due = self.outage.sent.is_none_or(|at| now >= at + REPLICATE);
         self.appender.seal();
         let waiting = self.appender.waiting();
-        let again = self
-            .outage
-            .sent
-            .is_none_or(|at| now >= at + REPLICATE * 20);
+        let again = self.outage.sent.is_none_or(|at| now >= at + REPLICATE * 20);
         if !due || (waiting == self.outage.waiting && !again) {
             return;
         }
@@ -90,7 +87,12 @@
             .collect();
         for id in billed {
             if let Some(request) = self.requests.get_mut(&id)
-                && matches!(request.state, State::Billing { then: Then::Release })
+                && matches!(
+                    request.state,
+                    State::Billing {
+                        then: Then::Release
+                    }
+                )
             {
                 request.state = State::Billing {
                     then: Then::Released,
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -12,7 +12,6 @@
 
 use crate::config::PoolKind;
 use crate::config::PoolSpec;
-use crate::decide::BlockHash;
 use crate::decide::Chooser;
 use crate::decide::Ejector;
 use crate::decide::Evidence;
@@ -20,11 +19,13 @@
 use crate::decide::Load;
 use crate::decide::Place;
 use crate::decide::PrefixIndex;
+use crate::decide::Sample;
 use crate::decide::Wish;
 use crate::ids::ModelId;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
+use crate::prompt::BlockHash;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
 use crate::router::event::CacheEvent;
@@ -92,7 +93,8 @@
         }
         for entry in listed {
             let vm = &entry.vm;
-            self.chooser.put(vm, &entry.domain, models, spec.concurrency);
+            self.chooser
+                .put(vm, &entry.domain, models, spec.concurrency);
             self.chooser.leave(vm, entry.state == VmState::Leaving);
             self.health.put(now, vm, &entry.domain);
             self.addresses.insert(vm.clone(), entry.address);
@@ -159,18 +161,22 @@
         };
         let endpoint = endpoint.clone();
         let waited = first.map(|at| at - *since);
-        let evidence = match end {
+        let time = waited.unwrap_or(now - *since);
+        let (sample, evidence) = match end {
             RunEnd::Whole { .. } | RunEnd::Answered { .. } => {
-                Some(Evidence::Answered(waited.unwrap_or(now - *since)))
+                (Sample::Answered(time), Some(Evidence::Answered(time)))
             }
+            RunEnd::NotRun { retry: Some(_) } => (Sample::Refused, None),
             RunEnd::NotRun { .. } | RunEnd::Broken { .. } => {
-                request.tried.push(endpoint.clone());
-                Some(Evidence::Failed)
+                (Sample::Other, Some(Evidence::Failed))
             }
-            RunEnd::CallerGone { .. } => None,
+            RunEnd::CallerGone { .. } => (Sample::Other, None),
         };
+        if matches!(end, RunEnd::NotRun { .. } | RunEnd::Broken { .. }) {
+            request.tried.push(endpoint.clone());
+        }
         if let Some(pool) = self.pools.get_mut(&request.pool) {
-            pool.chooser.end(now, &endpoint);
+            pool.chooser.end(now, &endpoint, sample);
             if let Some(evidence) = evidence {
                 pool.health.record(now, &endpoint, evidence, &mut self.rng);
             }
@@ -187,7 +193,7 @@
         if let State::Claiming { endpoint } | State::Running { endpoint, .. } = &request.state
             && let Some(pool) = self.pools.get_mut(&request.pool)
         {
-            pool.chooser.end(now, endpoint);
+            pool.chooser.end(now, endpoint, Sample::Other);
         }
     }
 
@@ -199,7 +205,7 @@
                 waiting: load.waiting,
                 measured: now.checked_sub(load.age).unwrap_or(now),
             };
-            pool.chooser.report(vm, report);
+            pool.chooser.report(now, vm, report);
         }
         self.pump_all(now);
     }
--- a/src/router/refuse.rs
+++ b/src/router/refuse.rs
@@ -85,7 +85,10 @@
         let Some(request) = self.requests.get(&id) else {
             return Proof::None;
         };
-        let elsewhere = self.active.get(&request.key).is_some_and(|other| *other != id);
+        let elsewhere = self
+            .active
+            .get(&request.key)
+            .is_some_and(|other| *other != id);
         if request.dispatched || elsewhere || request.stake == Stake::Pushed {
             return Proof::None;
         }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -249,7 +249,8 @@
             }
         );
         if !released {
-            let detail = "this router was taken for dead by the others, so the answer could not be billed";
+            let detail =
+                "this router was taken for dead by the others, so the answer could not be billed";
             self.cut(id, detail);
         }
         self.free_endpoint(now, id);
@@ -308,6 +309,8 @@
         let Some(request) = self.requests.swap_remove(&id) else {
             return;
         };
+        let took = now.saturating_duration_since(request.arrived);
+        info!(event = "finished", request = %id, took_ms = took.as_millis());
         if request.stake == Stake::Funded
             && let Some(purse) = self.purses.get_mut(&request.team)
         {
@@ -328,7 +331,10 @@
         let late: Vec<_> = self
             .requests
             .iter()
-            .filter(|(_, r)| now >= r.deadline || (outage && matches!(r.state, State::Claiming { .. } | State::Proving { .. })))
+            .filter(|(_, r)| {
+                now >= r.deadline
+                    || (outage && matches!(r.state, State::Claiming { .. } | State::Proving { .. }))
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in late {
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -1,5 +1,6 @@
 //! Folding the log's streams, and what the verdicts bring about.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use rand::Rng;
@@ -25,6 +26,9 @@
 use crate::router::request::Stake;
 use crate::router::request::State;
 
+/// How often the ledger is asked for where the log does not give it: a log that only stutters answers sooner.
+const FETCH: Duration = Duration::from_secs(2);
+
 impl Core {
     /// Folds records of the ledger.
     pub(crate) fn fold_ledger(&mut self, now: Instant, entries: Vec<Entry>) {
@@ -67,7 +71,7 @@
 
     fn verdict(&mut self, now: Instant, ticket: Ticket, verdict: Verdict) {
         match ticket {
-            Ticket::Open => self.opened(now),
+            Ticket::Open => self.opened(now, &verdict),
             Ticket::Claim(id) => self.claim_verdict(now, id, verdict),
             Ticket::Release(id) | Ticket::Refuse(id) => self.proof_verdict(now, id, &verdict),
             Ticket::Bill {
@@ -87,7 +91,7 @@
                 }
             }
             Ticket::TopUp(id, _) => self.top_up_verdict(id, &verdict),
-            Ticket::CloseSelf => self.effects.push(Effect::Exit),
+            Ticket::CloseSelf => self.effects.push(Effect::Exit { cut: false }),
             Ticket::Other => {}
         }
     }
@@ -105,6 +109,23 @@
         }
     }
 
+    /// Asks peers for the ledger when the log gives none, as in an outage.
+    pub(crate) fn catch_up(&mut self, now: Instant) {
+        if self.phase == Phase::CatchingUp {
+            self.fetch_ledger(now);
+        }
+    }
+
+    /// Asks peers for the ledger, now and then.
+    pub(crate) fn fetch_ledger(&mut self, now: Instant) {
+        if now < self.fetched + FETCH {
+            return;
+        }
+        self.fetched = now;
+        let peers = self.members.peers(&self.tuning.vm);
+        self.effects.push(Effect::Fetch(peers));
+    }
+
     /// Begins to take part, once all that the log held at the start is folded.
     pub(crate) fn caught_up(&mut self, now: Instant) {
         if self.phase != Phase::CatchingUp {
@@ -124,8 +145,10 @@
         self.appender.push(record, Ticket::Open);
     }
 
-    fn opened(&mut self, now: Instant) {
-        if self.phase == Phase::Opening {
+    fn opened(&mut self, now: Instant, verdict: &Verdict) {
+        if *verdict != Verdict::Accepted {
+            self.reincarnate(now);
+        } else if self.phase == Phase::Opening {
             self.phase = Phase::Serving;
             info!(event = "serving", vm = %self.tuning.vm, incarnation = %self.me);
         }
@@ -146,7 +169,8 @@
         self.purses.clear();
         let draining = matches!(self.phase, Phase::Draining { .. });
         if draining {
-            self.effects.push(Effect::Exit);
+            let cut = !self.requests.is_empty();
+            self.effects.push(Effect::Exit { cut });
         } else {
             self.open();
         }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -2,11 +2,11 @@
 use serde_json::json;
 
 use super::EndMarker;
-use super::Lean;
 use super::LedgerSettings;
 use super::RequestLimits;
 use super::Settings;
 use super::SettingsError;
+use crate::decide::Lean;
 
 fn example() -> Value {
     json!({
@@ -98,8 +98,8 @@
         ("limits.deadline_ms", json!(1.5), "1.5", "whole number"),
         ("limits.colour", json!("red"), "`colour`", "`queue`"),
         ("ledger.commit_ms", json!(0), "0", "1 to"),
-        ("ledger.silence_ms", json!(2_999), "2999 ms", "heartbeat_ms"),
-        ("ledger.outage_ms", json!(1_999), "1999 ms", "append_ms"),
+        ("ledger.silence_ms", json!(1_499), "1499 ms", "heartbeat_ms"),
+        ("ledger.outage_ms", json!(999), "999 ms", "append_ms"),
         ("ledger.end_marker", json!("drop"), "`drop`", "`peers`"),
         ("colour", json!("red"), "`colour`", "`peer_listen`"),
     ];
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -424,8 +424,8 @@
     assert_eq!(quarantine.crash(now, &e0).len(), 2);
     assert_eq!(quarantine.isolation(innocent), Isolation::Apart);
     quarantine.start(poison, &e1);
-    assert_eq!(quarantine.forbid(innocent), [e1.clone()]);
-    assert_eq!(quarantine.avoid(later), [e1.clone()]);
+    assert_eq!(quarantine.forbid(innocent), std::slice::from_ref(&e1));
+    assert_eq!(quarantine.avoid(later), std::slice::from_ref(&e1));
     quarantine.start(later, &e1);
     quarantine.start(innocent, &e2);
     quarantine.complete(innocent, &e2);
