--- a/src/standin/engine/chat.rs
+++ b/src/standin/engine/chat.rs
@@ -86,8 +86,9 @@
         let message = format!("model {} is not loaded", request.model);
         return Err(Reply::error(StatusCode::NOT_FOUND, &message));
     }
-    let run = Arc::new(Run::new(spec(&engine, &call, &request)));
-    engine.start(&run);
+    let prompt = request.prompt();
+    let run = Arc::new(Run::new(spec(&engine, &call, &request, &prompt)));
+    engine.start(&run, prompt_blocks(&prompt));
     let reader = Reader::new(engine, run, call.conn.clone());
     if request.stream {
         return Ok(Reply::Events(sse::events(reader, call.conn, 0)));
@@ -95,8 +96,7 @@
     Ok(whole(reader).await)
 }
 
-fn spec(engine: &Engine, call: &Call, request: &ChatRequest) -> RunSpec {
-    let prompt = request.prompt();
+fn spec(engine: &Engine, call: &Call, request: &ChatRequest, prompt: &str) -> RunSpec {
     let number = engine.runs.count() + 1;
     let priority = call.header("x-priority");
     RunSpec {
@@ -109,10 +109,9 @@
         priority: priority
             .and_then(|text| text.parse().ok())
             .unwrap_or(DEFAULT_PRIORITY),
-        prompt: prompt_tokens(&prompt),
-        blocks: prompt_blocks(&prompt),
-        answer: Answer::new(&prompt, request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
-        crashes: engine.switch.faults().crashes(&prompt),
+        prompt: prompt_tokens(prompt),
+        answer: Answer::new(prompt, request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
+        crashes: engine.switch.faults().crashes(prompt),
         started: wall_ms(),
     }
 }
--- a/src/standin/engine/drive.rs
+++ b/src/standin/engine/drive.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep_until;
 
 use crate::prompt::BLOCK_TOKENS;
+use crate::prompt::BlockHash;
 use crate::standin::engine::batch::Turn;
 use crate::standin::engine::run::Run;
 use crate::standin::engine::run::RunState;
@@ -21,11 +22,14 @@
 
 impl Engine {
     /// Starts a run in a task of its own.
-    pub(crate) fn start(self: &Arc<Self>, run: &Arc<Run>) {
+    ///
+    /// The prompt's blocks go to the task, not to the run: runs are kept for those who verify, and the blocks of long
+    /// prompts would fill the memory.
+    pub(crate) fn start(self: &Arc<Self>, run: &Arc<Run>, blocks: Vec<BlockHash>) {
         self.runs.add(run);
         let turn = self.batch.enter(run.spec.priority);
         self.note_load();
-        tokio::spawn(drive(self.clone(), run.clone(), turn));
+        tokio::spawn(drive(self.clone(), run.clone(), turn, blocks));
     }
 
     /// Stops a run that its last reader left, at once or after a while in which it may be resumed.
@@ -49,17 +53,17 @@
     }
 }
 
-async fn drive(engine: Arc<Engine>, run: Arc<Run>, turn: Turn) {
+async fn drive(engine: Arc<Engine>, run: Arc<Run>, turn: Turn, blocks: Vec<BlockHash>) {
     let mut progress = run.watch();
     tokio::select! {
         biased;
         _ = progress.wait_for(|progress| progress.state != RunState::Running) => {}
-        () = work(&engine, &run, turn) => {}
+        () = work(&engine, &run, turn, &blocks) => {}
     }
     engine.note_load();
 }
 
-async fn work(engine: &Engine, run: &Run, turn: Turn) {
+async fn work(engine: &Engine, run: &Run, turn: Turn, blocks: &[BlockHash]) {
     let Some(_slot) = turn.wait().await else {
         return;
     };
@@ -68,19 +72,19 @@
         engine.crash();
         return;
     }
-    prefill(engine, run).await;
+    prefill(engine, run, blocks).await;
     generate(engine, run).await;
     run.end(RunState::Done);
 }
 
-async fn prefill(engine: &Engine, run: &Run) {
-    let cached = lock(&engine.cache).cached(&run.spec.blocks) * BLOCK_TOKENS;
+async fn prefill(engine: &Engine, run: &Run, blocks: &[BlockHash]) {
+    let cached = lock(&engine.cache).cached(blocks) * BLOCK_TOKENS;
     let uncached = run.spec.prompt.0.saturating_sub(cached as u64);
     let time = Duration::from_micros(engine.options.prefill_us.saturating_mul(uncached));
     if !time.is_zero() {
         sleep(time).await;
     }
-    lock(&engine.cache).store(std::time::Instant::now(), &run.spec.blocks);
+    lock(&engine.cache).store(std::time::Instant::now(), blocks);
 }
 
 async fn generate(engine: &Engine, run: &Run) {
--- a/src/standin/engine/run.rs
+++ b/src/standin/engine/run.rs
@@ -11,7 +11,6 @@
 use tokio::sync::watch;
 
 use crate::ids::ModelId;
-use crate::prompt::BlockHash;
 use crate::standin::engine::answer::Answer;
 use crate::tokens::Tokens;
 
@@ -53,8 +52,6 @@
     pub(crate) priority: u8,
     /// The tokens of its prompt.
     pub(crate) prompt: Tokens,
-    /// The prompt's whole blocks.
-    pub(crate) blocks: Vec<BlockHash>,
     /// Its answer.
     pub(crate) answer: Answer,
     /// Whether it crashes the engine.
--- a/src/standin/engine/sse.rs
+++ b/src/standin/engine/sse.rs
@@ -17,6 +17,7 @@
 use crate::standin::engine::run::Progress;
 use crate::standin::engine::run::Run;
 use crate::standin::engine::run::RunState;
+use crate::standin::switch::FaultSet;
 
 /// Tokens that are sent at once where so many are ready.
 const MAX_TOKENS: u64 = 32;
@@ -25,7 +26,7 @@
 struct Cursor {
     reader: Reader,
     conn: ConnCtrl,
-    faults: watch::Receiver<Faults>,
+    faults: watch::Receiver<FaultSet<Faults>>,
     progress: watch::Receiver<Progress>,
     head: String,
     start: u64,
@@ -90,12 +91,15 @@
             |progress: &Progress| progress.generated > at || progress.state != RunState::Running;
         // Both senders live as long as the engine that the reader holds, so neither wait can fail.
         let _ = self.progress.wait_for(news).await;
-        let _ = self.faults.wait_for(|faults| !faults.freeze_streams).await;
+        let _ = self
+            .faults
+            .wait_for(|faults| !faults.own.freeze_streams)
+            .await;
     }
 
     /// Returns the token before which the connection is cut.
     fn limit(&self) -> u64 {
-        let reset = self.faults.borrow().reset_after_tokens;
+        let reset = self.faults.borrow().own.reset_after_tokens;
         reset.map_or(u64::MAX, |tokens| self.start + tokens)
     }
 
--- a/src/standin/log/http.rs
+++ b/src/standin/log/http.rs
@@ -25,6 +25,7 @@
 use crate::standin::server::Call;
 use crate::standin::server::Reply;
 use crate::standin::server::Started;
+use crate::standin::switch::FaultSet;
 use crate::standin::time::pause_ms;
 
 /// How many records a read returns where it does not say.
@@ -116,16 +117,16 @@
     json!({"offset": offset, "at": kept.at, "data": STANDARD.encode(&kept.data)})
 }
 
-async fn show_faults(log: Arc<Log>, _call: Call) -> Result<Reply, Reply> {
-    Ok(Reply::ok(&log.switch.faults()))
+async fn show_faults(log: Arc<Log>, call: Call) -> Result<Reply, Reply> {
+    log.switch.clone().show(call).await
 }
 
 async fn set_faults(log: Arc<Log>, call: Call) -> Result<Reply, Reply> {
-    let mut faults: Faults = call.json()?;
-    if let Some(gone) = faults.let_go_before.take() {
+    let mut set = FaultSet::<Faults>::read(&call)?;
+    if let Some(gone) = set.own.let_go_before.take() {
         log.let_go(&gone);
     }
-    log.switch.set(faults);
+    log.switch.set(set);
     show_faults(log, call).await
 }
 
--- a/src/standin/outage.rs
+++ b/src/standin/outage.rs
@@ -5,7 +5,7 @@
 
 use crate::standin::server::Reply;
 
-/// How a stand-in is out of order.
+/// How a stand-in is out of order as a whole.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Outage {
@@ -13,9 +13,15 @@
     pub(crate) down: bool,
     /// Never answers.
     pub(crate) hang: bool,
+    /// Starts chance afresh from this seed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) seed: Option<u64>,
 }
 
 impl Outage {
+    /// The names of its fields.
+    pub(crate) const FIELDS: [&str; 3] = ["down", "hang", "seed"];
+
     /// Returns the reply that it forces, if any.
     pub(crate) fn reply(self) -> Option<Reply> {
         if self.hang {
--- a/tests/standins/engine.rs
+++ b/tests/standins/engine.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::any_port;
 use crate::client::Client;
@@ -168,7 +169,12 @@
     let engine = start(slow())?;
     let response = open(&engine, "gone", 5, &[]).await?;
     drop(response);
-    runs_when(&engine, |runs| runs[0]["state"] == "cancelled").await?;
+    let whole = request("gone too", 5, false);
+    let whole = engine.post(CHAT, &whole);
+    assert!(timeout(Duration::from_millis(200), whole).await.is_err());
+    let stopped =
+        |runs: &[Value]| runs.len() == 2 && runs.iter().all(|run| run["state"] == "cancelled");
+    runs_when(&engine, stopped).await?;
     Ok(())
 }
 
--- a/tests/standins/proxy.rs
+++ b/tests/standins/proxy.rs
@@ -204,7 +204,7 @@
     Ok(())
 }
 
-/// A caller sends a request into a network that holds it back, and gives up. The bytes are on their way all the same, and
+/// A caller sends a request into a network that holds it back, and gives up. The bytes are on their way all the same:
 /// the server gets them, and the end after them, when the network is mended.
 #[tokio::test]
 async fn what_a_caller_sent_before_it_left_still_arrives() -> Result<()> {
