--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -64,7 +64,8 @@
             }
         }
         let closed = self.ledger.router(self.me).is_some_and(|r| r.closed);
-        if closed {
+        let leaving = matches!(self.phase, Phase::Draining { closing: true, .. });
+        if closed && !leaving {
             self.reincarnate(now);
         }
     }
