Add the operators' command line, and a client of the log service

Cause: operators publish configuration, top up budgets and verify the ledger, and must be told the truth about each order whose answer was lost.

Change: `jasmineridge` has `check`, `config get|put|diff`, `team top-up|show`, `status`, `address`, `drain`, `ask`, `ledger verify` and `completions`. Exit codes tell done, failed, usage, conflict, refused and outcome unknown apart. `config put` bears a random mark: where the append's answer is lost it finds its own record in the stream, and says unknown only when it does not. A top-up whose answer was lost is sent again under its name, which counts once. `ask` takes an answer for whole only at its end marker. `ledger verify` counts top-ups, bills and claims that may not run twice a second time, and compares that with the fold's sums and with what engines say they used. Keys come from the environment: options can be read by all who list processes.

`Put::check` now serves the command line too, so it moved beside the checks of documents. A change's `base` may be left out for a new document.

Not sure yet: the header by which a caller attaches labels (`Jasmineridge-Labels: a=b,c=d`) is this command's choice until the router has one. A 4xx or a 503 of the log service counts as "not appended".

--- a/src/bin/jasmineridge.rs
+++ b/src/bin/jasmineridge.rs
@@ -1,2 +1,7 @@
-//! To come.
-fn main() {}
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jasmineridge::run_cli(std::env::args_os())
+}
--- /dev/null
+++ b/src/cli/file.rs
@@ -0,0 +1,32 @@
+//! The files that commands read.
+
+#![expect(
+    clippy::disallowed_methods,
+    reason = "an edge: it reads the files that a command names"
+)]
+
+use std::path::Path;
+
+use anyhow::Context;
+
+use crate::cli::failure::Failure;
+use crate::config::Put;
+
+/// Reads a file as text.
+///
+/// # Errors
+///
+/// When it cannot be read.
+pub(crate) fn read(path: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(path).with_context(|| path.display().to_string())
+}
+
+/// Reads a file of changes to the configuration.
+///
+/// # Errors
+///
+/// When it cannot be read, or holds something else.
+pub(crate) fn read_put(path: &Path) -> Result<Put, Failure> {
+    let text = read(path)?;
+    Put::parse(text.as_bytes()).map_err(|e| Failure::Refused(format!("{}: {e}", path.display())))
+}
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,16 +1,26 @@
-//! Whether a document is sound by itself.
+//! Whether a change is sound by itself.
+
+use indexmap::IndexSet;
 
 use crate::config::document::AccountSpec;
 use crate::config::document::Body;
+use crate::config::document::Kind;
 use crate::config::document::Limits;
 use crate::config::document::PoolKind;
 use crate::config::document::PoolSpec;
 use crate::config::document::RuleSpec;
+use crate::config::put::Change;
 use crate::config::rejected::Rejected;
+use crate::ids::DocName;
+use crate::ids::Version;
 use crate::key_hash::KeyHash;
 use crate::labels::Selector;
 use crate::tokens::Tokens;
 
+/// The most changes of one record: ten times the hourly share of 4,800 changes a day. It bounds how
+/// long one record can hold up the loop.
+const MAX_CHANGES: usize = 2000;
+
 /// The last of the priorities.
 const MAX_PRIORITY: u8 = 9;
 
@@ -20,12 +30,46 @@
 /// The largest share of one account. Shares only tell against each other, so that more adds nothing.
 const MAX_WEIGHT: u32 = 1000;
 
-/// Checks a document; `path` is where it stands.
-///
-/// # Errors
-///
-/// With the first field that is wrong.
-pub(crate) fn check(path: &str, body: &Body) -> Result<(), Rejected> {
+pub(crate) fn check_count(changes: &[Change]) -> Result<(), Rejected> {
+    let count = changes.len();
+    if !(1..=MAX_CHANGES).contains(&count) {
+        let allowed = format!("1 to {MAX_CHANGES}");
+        return Err(Rejected::invalid("changes", count.to_string(), allowed));
+    }
+    let mut seen = IndexSet::new();
+    match changes.iter().find(|c| !seen.insert((c.kind, &c.name))) {
+        None => Ok(()),
+        Some(change) => Err(Rejected::invalid(
+            format!("{}/{}", change.kind, change.name),
+            "two changes",
+            "each document once",
+        )),
+    }
+}
+
+pub(crate) fn check_change(change: &Change) -> Result<(), Rejected> {
+    match &change.body {
+        Some(body) => check_document(change.kind, &change.name, body),
+        None if change.base == Version(0) => Err(Rejected::invalid(
+            format!("{}/{}", change.kind, change.name),
+            "a deletion of what does not exist",
+            "a document in force",
+        )),
+        None => Ok(()),
+    }
+}
+
+pub(crate) fn check_document(kind: Kind, name: &DocName, body: &Body) -> Result<(), Rejected> {
+    let path = format!("{kind}/{name}");
+    if body.kind() != kind {
+        let found = format!("a body of the kind {}", body.kind());
+        return Err(Rejected::invalid(path, found, kind.to_string()));
+    }
+    check(&path, body)
+}
+
+/// Checks a document's content; `path` is where it stands.
+fn check(path: &str, body: &Body) -> Result<(), Rejected> {
     match body {
         Body::Account(account) => check_account(path, account),
         Body::Team(_) => Ok(()),
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -1,10 +1,12 @@
 //! The documents of a configuration.
 
 use std::fmt;
+use std::str::FromStr;
 
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
+use thiserror::Error;
 
 use crate::ids::ModelId;
 use crate::ids::PoolId;
@@ -39,6 +41,22 @@
     }
 }
 
+/// Tells why a text names no kind of documents.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{0:?} is none of account, team, pool and rule")]
+pub struct KindError(String);
+
+impl FromStr for Kind {
+    type Err = KindError;
+
+    fn from_str(text: &str) -> Result<Self, KindError> {
+        let all = [Self::Account, Self::Team, Self::Pool, Self::Rule];
+        all.into_iter()
+            .find(|kind| kind.to_string() == text)
+            .ok_or_else(|| KindError(text.to_owned()))
+    }
+}
+
 /// A document's content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -16,6 +16,7 @@
 pub use document::AccountSpec;
 pub use document::Body;
 pub use document::Kind;
+pub use document::KindError;
 pub use document::Limits;
 pub use document::PoolKind;
 pub use document::PoolSpec;
--- a/src/config/put.rs
+++ b/src/config/put.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::check;
 use crate::config::document::Body;
 use crate::config::document::Kind;
 use crate::config::rejected::Rejected;
@@ -36,7 +37,8 @@
     pub kind: Kind,
     /// The document's name.
     pub name: DocName,
-    /// The version that the change is based on: 0 where there is no such document yet.
+    /// The version that the change is based on: 0, or nothing, where there is no such document yet.
+    #[serde(default)]
     pub base: Version,
     /// The new content; `null` deletes the document.
     pub body: Option<Body>,
@@ -49,6 +51,16 @@
 }
 
 impl Put {
+    /// Makes a record of changes.
+    pub fn new(by: &str, changes: Vec<Change>) -> Self {
+        Self {
+            format: FORMAT,
+            by: by.to_owned(),
+            id: String::new(),
+            changes,
+        }
+    }
+
     /// Reads a record.
     ///
     /// # Errors
@@ -65,4 +77,23 @@
         }
         field::read_json(bytes).map_err(Rejected::Unreadable)
     }
+
+    /// Writes a record.
+    ///
+    /// # Panics
+    ///
+    /// Never: each part of it can be written as JSON.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a put is JSON")
+    }
+
+    /// Checks each change by itself, as far as that tells without the configuration that it will meet.
+    ///
+    /// # Errors
+    ///
+    /// With the first field that is wrong.
+    pub fn check(&self) -> Result<(), Rejected> {
+        check::check_count(&self.changes)?;
+        self.changes.iter().try_for_each(check::check_change)
+    }
 }
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -1,7 +1,6 @@
 //! The fold: what each record of the configuration's stream does.
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::config::check;
 use crate::config::document::AccountSpec;
@@ -26,10 +25,6 @@
 use crate::key_hash::KeyHash;
 use crate::labels::Labels;
 
-/// The most changes of one record: ten times the hourly share of 4,800 changes a day. It bounds how
-/// long one record can hold up the loop.
-const MAX_CHANGES: usize = 2000;
-
 type DocKey = (Kind, DocName);
 
 /// The configuration in force.
@@ -129,7 +124,7 @@
         };
         for document in snapshot.documents {
             let (kind, name) = (document.kind, document.name.clone());
-            check_document(kind, &name, &document.body)?;
+            check::check_document(kind, &name, &document.body)?;
             check_version("documents", document.version, snapshot.version.0)?;
             ahead.index.add(&name, &document.body)?;
             ahead.documents.insert((kind, name), document);
@@ -217,11 +212,8 @@
     }
 
     fn put(&mut self, version: Version, put: Put) -> Result<(), Rejected> {
-        check_count(&put.changes)?;
         self.check_bases(&put.changes)?;
-        for change in &put.changes {
-            check_change(change)?;
-        }
+        put.check()?;
         let before = self.replace(version, &put.changes);
         if let Err(rejected) = self.check_whole(&put.changes) {
             self.restore(before);
@@ -339,23 +331,6 @@
     Err(Rejected::invalid(path, version.to_string(), allowed))
 }
 
-fn check_count(changes: &[Change]) -> Result<(), Rejected> {
-    let count = changes.len();
-    if !(1..=MAX_CHANGES).contains(&count) {
-        let allowed = format!("1 to {MAX_CHANGES}");
-        return Err(Rejected::invalid("changes", count.to_string(), allowed));
-    }
-    let mut seen = IndexSet::new();
-    match changes.iter().find(|c| !seen.insert((c.kind, &c.name))) {
-        None => Ok(()),
-        Some(change) => Err(Rejected::invalid(
-            format!("{}/{}", change.kind, change.name),
-            "two changes",
-            "each document once",
-        )),
-    }
-}
-
 fn check_unused<I, U>(change: &Change, id: Option<I>, uses: U) -> Result<(), Rejected>
 where
     U: Fn(&I) -> usize,
@@ -369,24 +344,3 @@
         )),
     }
 }
-
-fn check_change(change: &Change) -> Result<(), Rejected> {
-    match &change.body {
-        Some(body) => check_document(change.kind, &change.name, body),
-        None if change.base == Version(0) => Err(Rejected::invalid(
-            format!("{}/{}", change.kind, change.name),
-            "a deletion of what does not exist",
-            "a document in force",
-        )),
-        None => Ok(()),
-    }
-}
-
-fn check_document(kind: Kind, name: &DocName, body: &Body) -> Result<(), Rejected> {
-    let path = format!("{kind}/{name}");
-    if body.kind() != kind {
-        let found = format!("a body of the kind {}", body.kind());
-        return Err(Rejected::invalid(path, found, kind.to_string()));
-    }
-    check::check(&path, body)
-}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -14,6 +14,7 @@
 pub use codec::DecodeError;
 pub use codec::decode;
 pub use codec::encode;
+pub(crate) use fold::KEY_MEMORY;
 pub use fold::Ledger;
 pub use key::BillState;
 pub use key::ClaimState;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A router fleet for prepaid token budgets.
 
+mod cli;
 mod clock;
 mod config;
 mod field;
@@ -8,9 +9,11 @@
 mod key_hash;
 mod labels;
 mod ledger;
+mod log_client;
 mod settings;
 mod tokens;
 
+pub use cli::run_cli;
 pub use clock::Clock;
 pub use config::AccountSpec;
 pub use config::Body;
@@ -18,6 +21,7 @@
 pub use config::Config;
 pub use config::Document;
 pub use config::Kind;
+pub use config::KindError;
 pub use config::Limits;
 pub use config::PoolKind;
 pub use config::PoolSpec;
@@ -69,6 +73,11 @@
 pub use ledger::Void;
 pub use ledger::decode;
 pub use ledger::encode;
+pub use log_client::AppendError;
+pub use log_client::LogClient;
+pub use log_client::LogPage;
+pub use log_client::LogRecord;
+pub use log_client::ReadError;
 pub use settings::BaseUrl;
 pub use settings::BaseUrlError;
 pub use settings::EndMarker;
