--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -124,6 +124,18 @@
     assert!(config.account_by_key("secret-9").is_some());
 }
 
+#[test]
+fn lets_a_team_go_once_no_rule_names_it() {
+    let mut config = example();
+    let rules = put(json!([
+        deletion("rule", "yard-only", 1),
+        deletion("rule", "a-late", 1)
+    ]));
+    config.apply(Offset(1), &rules).expect("it is sound");
+    let team = put(json!([deletion("team", "audit", 1)]));
+    assert_eq!(config.apply(Offset(2), &team), Ok(()));
+}
+
 /// An operator publishes a configuration with a mistake. Nothing of it comes into force, not even the parts that are
 /// right, and the operator is told the field.
 #[test]
--- a/tests/cli/ledger.rs
+++ b/tests/cli/ledger.rs
@@ -27,7 +27,8 @@
     })
 }
 
-/// A team of 500 tokens, of which a router drew 100 and billed 20; and a record that cannot be read.
+/// A team of 500 tokens, of which a router drew 100 and billed 20; a second run of the billed request, which took 10
+/// more; and a record that cannot be read.
 fn records() -> Vec<Vec<u8>> {
     let team: jasmineridge::TeamId = "lending".parse().expect("it is a name");
     let key = RequestKey {
@@ -48,7 +49,7 @@
         team: team.clone(),
         want: Tokens(100),
     };
-    let claim = Record::Claim(Claim {
+    let claim = Claim {
         key: key.clone(),
         team,
         reserved: Tokens(30),
@@ -57,17 +58,22 @@
         attempt: Attempt(1),
         idempotent: true,
         bearer: Bearer::Team,
-    });
-    let bill = Record::Bill {
-        key,
-        amount: Tokens(20),
+    };
+    let bill = |amount| Record::Bill {
+        key: key.clone(),
+        amount: Tokens(amount),
         outcome: Outcome::Whole,
     };
+    let again = Claim {
+        attempt: Attempt(2),
+        ..claim.clone()
+    };
     vec![
         batch(1, vec![open, top_up.clone()]),
-        batch(2, vec![draw, claim]),
+        batch(2, vec![draw, Record::Claim(claim)]),
         vec![255],
-        batch(3, vec![bill.clone(), bill, top_up]),
+        batch(3, vec![bill(20), bill(20), top_up]),
+        batch(4, vec![Record::Claim(again), bill(10)]),
     ]
 }
 
@@ -86,9 +92,9 @@
     assert_eq!(done.code, Some(0), "{done:?}");
     let expected = "\
 team     prepaid  spent  lost  held  used
-lending  500      20     0     80    -
+lending  500      20     10    70    -
 
-4 records, 1 unreadable, 0 violations
+5 records, 1 unreadable, 0 violations
 ";
     assert_eq!(done.out, expected);
     let engines = format!("{},{}", engine(15).url(), engine(15).url());
