--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A router fleet for prepaid token budgets.
 
+mod cli;
 mod clock;
 mod config;
 mod decide;
@@ -14,11 +15,13 @@
 mod logs;
 mod prompt;
 mod router;
+mod log_client;
 mod settings;
 mod standin;
 mod tokens;
 mod vms;
 
+pub use cli::run_cli;
 pub use clock::Clock;
 pub use config::AccountSpec;
 pub use config::Body;
@@ -26,6 +29,7 @@
 pub use config::Config;
 pub use config::Document;
 pub use config::Kind;
+pub use config::KindError;
 pub use config::Limits;
 pub use config::PoolKind;
 pub use config::PoolSpec;
@@ -120,6 +124,11 @@
 pub use router::Problem;
 pub use router::ProblemKind;
 pub use router::Ran;
+pub use log_client::AppendError;
+pub use log_client::LogClient;
+pub use log_client::LogPage;
+pub use log_client::LogRecord;
+pub use log_client::ReadError;
 pub use settings::BaseUrl;
 pub use settings::BaseUrlError;
 pub use settings::EndMarker;
