Add checkpoints: parts, assembler, schedule

Cause: the log keeps records for a limited time, and a fresh router has no disk; without a copy of the state in the log, budgets end with their records.

Change: the state as postcard in parts of up to 256 KiB with a version and a checksum each and one over the whole; `Assembler` takes them in the stream's order and yields each newer whole state whose sums add up; `Record::Checkpoint` is appended when the writer has read its parts back, and only what stands before an accepted one may be let go; `Schedule` says whose turn it is (rendezvous order that changes with each checkpoint; due after a quarter of the retention or a number of records, each next router a turn later). `share_names` gives equal names one allocation after decoding.

Ruled out: every router tailing the checkpoints' stream to know the newest (a state of 20 MB an hour is most of 7 KB/s; the record in the ledger tells all of them for some ten bytes); an index of writers in a part (equal histories give equal bytes, so parts of two writers fit together).

Not done: nobody calls it yet; reading and writing belong to the router.

--- /dev/null
+++ b/src/ledger/checkpoint/assembler.rs
@@ -0,0 +1,126 @@
+//! Puts checkpoints together from their stream.
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::Offset;
+use crate::ledger::checkpoint::part::Part;
+use crate::ledger::fold::Ledger;
+
+/// How many unfinished checkpoints are kept: that of the router whose turn it is, and those of routers that took it for
+/// dead or were it.
+const MAX_OPEN: usize = 4;
+
+/// A ledger that was put together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Restored {
+    /// The state; the ledger's stream goes on at its [`Ledger::next`].
+    pub ledger: Ledger,
+    /// Where in the checkpoints' stream its first part stands.
+    pub first: Offset,
+}
+
+/// Takes parts in the order of their stream and yields each whole state that is newer than the last one.
+#[derive(Debug, Default)]
+pub struct Assembler {
+    open: IndexMap<Name, Pile>,
+    /// The end of the newest one that was whole.
+    newest: Option<Offset>,
+    /// How many whole ones were damaged all the same.
+    damaged: u64,
+}
+
+/// What all parts of a checkpoint have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Name {
+    as_of: Offset,
+    count: u32,
+    whole: u64,
+}
+
+/// The parts of one checkpoint that have come so far.
+#[derive(Debug)]
+struct Pile {
+    first: Offset,
+    parts: IndexMap<u32, Vec<u8>>,
+}
+
+impl Assembler {
+    /// Makes one that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how many checkpoints had all their parts and could not be read.
+    pub fn damaged(&self) -> u64 {
+        self.damaged
+    }
+
+    /// Takes the part at `offset` of the checkpoints' stream.
+    pub fn push(&mut self, offset: Offset, part: Part) -> Option<Restored> {
+        if !part.is_sound() || self.newest.is_some_and(|newest| part.as_of <= newest) {
+            return None;
+        }
+        let name = Name {
+            as_of: part.as_of,
+            count: part.count,
+            whole: part.whole,
+        };
+        let pile = self.open.entry(name).or_insert_with(|| Pile::new(offset));
+        pile.parts.insert(part.index, part.bytes);
+        if pile.parts.len() as u64 == u64::from(name.count) {
+            return self.finish(name);
+        }
+        self.bound();
+        None
+    }
+
+    fn finish(&mut self, name: Name) -> Option<Restored> {
+        let pile = self.open.shift_remove(&name)?;
+        let first = pile.first;
+        match pile.restore(name) {
+            Some(ledger) => {
+                self.newest = Some(name.as_of);
+                self.open.retain(|other, _| other.as_of > name.as_of);
+                Some(Restored { ledger, first })
+            }
+            None => {
+                self.damaged += 1;
+                None
+            }
+        }
+    }
+
+    /// Drops the oldest unfinished one when there are too many.
+    fn bound(&mut self) {
+        if self.open.len() <= MAX_OPEN {
+            return;
+        }
+        if let Some(oldest) = self.open.keys().min_by_key(|name| name.as_of).copied() {
+            self.open.shift_remove(&oldest);
+        }
+    }
+}
+
+impl Pile {
+    fn new(first: Offset) -> Self {
+        Self {
+            first,
+            parts: IndexMap::new(),
+        }
+    }
+
+    fn restore(mut self, name: Name) -> Option<Ledger> {
+        self.parts.sort_unstable_keys();
+        let bytes: Vec<u8> = self.parts.into_values().flatten().collect();
+        if xxh3_64(&bytes) != name.whole {
+            return None;
+        }
+        let mut ledger: Ledger = postcard::from_bytes(&bytes).ok()?;
+        if ledger.next() != name.as_of || ledger.check_sums().is_err() {
+            return None;
+        }
+        ledger.share_names();
+        Some(ledger)
+    }
+}
--- a/src/ledger/codec.rs
+++ b/src/ledger/codec.rs
@@ -19,6 +19,9 @@
     /// The bytes are damaged.
     #[error("the record cannot be read: {0}")]
     Damaged(postcard::Error),
+    /// The bytes of a checkpoint's part are not those that were written.
+    #[error("the part's checksum or place does not fit")]
+    Checksum,
 }
 
 /// Encodes a batch.
--- a/src/ledger/expiry.rs
+++ b/src/ledger/expiry.rs
@@ -60,6 +60,15 @@
         queue.push_back(Settled { at, offset, key });
     }
 
+    /// Lets `share` replace each request's name by an equal one.
+    pub(super) fn share_keys<F>(&mut self, share: F)
+    where
+        F: Fn(&mut RequestKey),
+    {
+        let settled = self.keys.iter_mut().chain(&mut self.once);
+        settled.for_each(|settled| share(&mut settled.key));
+    }
+
     pub(super) fn close(&mut self, at: u64, router: Incarnation) {
         self.routers.push_back((at, router));
     }
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -31,6 +31,17 @@
 use crate::ledger::verdict::Verdict;
 use crate::ledger::verdict::Void;
 
+/// A whole checkpoint, as the ledger knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checkpointed {
+    /// The offset of the first record of the ledger that it has not folded.
+    pub as_of: Offset,
+    /// Where in the checkpoints' stream its first part stands.
+    pub first: Offset,
+    /// When the ledger learnt of it, milliseconds of the log service's clock.
+    pub at: u64,
+}
+
 /// One partition's state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -46,6 +57,7 @@
     pub(super) leaders: IndexMap<PoolId, (Incarnation, Offset)>,
     pub(super) crashes: IndexMap<Fingerprint, Crashes>,
     pub(super) expiry: Expiry,
+    pub(super) checkpoint: Option<Checkpointed>,
 }
 
 impl Ledger {
@@ -118,6 +130,11 @@
         self.crashes.get(&request).is_some_and(Crashes::at_limit)
     }
 
+    /// Returns the newest whole checkpoint. Neither stream may let go of what stands behind it.
+    pub fn checkpoint(&self) -> Option<Checkpointed> {
+        self.checkpoint
+    }
+
     /// Passes over the record at `offset`, which cannot be read, and counts it.
     pub fn skip(&mut self, offset: Offset) {
         if offset == self.next {
@@ -242,6 +259,7 @@
             Record::Close { router } => self.close(offset, *router),
             Record::Lead { pool } => self.lead(offset, router, pool),
             Record::Crash { request, endpoint } => self.crash(*request, endpoint),
+            Record::Checkpoint { as_of, first } => self.checkpointed(*as_of, *first),
         };
         match done {
             Ok(()) => Verdict::Accepted,
@@ -250,6 +268,22 @@
     }
 }
 
+impl Ledger {
+    /// Notes a whole checkpoint. A slow writer's older one does not put back what may be let go.
+    fn checkpointed(&mut self, as_of: Offset, first: Offset) -> Result<(), Void> {
+        let newest = self.checkpoint.map_or(Offset(0), |newest| newest.as_of);
+        if as_of <= newest {
+            return Err(Void::Repeated);
+        }
+        if as_of > self.next {
+            return Err(Void::Gap);
+        }
+        let at = self.at;
+        self.checkpoint = Some(Checkpointed { as_of, first, at });
+        Ok(())
+    }
+}
+
 /// Returns the offset behind `offset`; the largest has none, and no log gets there.
 fn after(offset: Offset) -> Offset {
     Offset(offset.0.saturating_add(1))
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! [`Ledger`]: every router folds the same records and so holds the same truth.
 
 mod budget;
+mod checkpoint;
 mod codec;
 mod crash;
 mod expiry;
@@ -13,13 +14,24 @@
 mod record;
 mod request;
 mod router;
+mod share;
 mod sums;
 mod team;
 mod verdict;
 
+pub use checkpoint::Assembler;
+pub use checkpoint::MAX_PARTS;
+pub use checkpoint::PART_SIZE;
+pub use checkpoint::Part;
+pub use checkpoint::Restored;
+pub use checkpoint::Schedule;
+pub use checkpoint::decode_part;
+pub use checkpoint::encode_part;
+pub use checkpoint::split;
 pub use codec::DecodeError;
 pub use codec::decode;
 pub use codec::encode;
+pub use fold::Checkpointed;
 pub use fold::Ledger;
 pub use key::BillState;
 pub use key::ClaimState;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -114,6 +114,13 @@
         /// The transfer's number among the lender's, which only grow.
         number: u64,
     },
+    /// A checkpoint stands whole in its stream: its writer has read it back.
+    Checkpoint {
+        /// The offset of the first record that it has not folded.
+        as_of: Offset,
+        /// Where in its stream its first part stands.
+        first: Offset,
+    },
 }
 
 /// A router's claim of a request.
--- /dev/null
+++ b/src/ledger/share.rs
@@ -0,0 +1,55 @@
+//! One copy of each name.
+//!
+//! A name is decoded to an allocation of its own wherever it stands. Requests name a few accounts and teams again and
+//! again; with a copy each, a restored ledger would need several times the memory of the one that was written.
+
+use indexmap::IndexSet;
+
+use crate::ids::AccountId;
+use crate::ids::RequestKey;
+use crate::ledger::fold::Ledger;
+
+impl Ledger {
+    /// Makes equal names share their bytes, after decoding.
+    pub(super) fn share_names(&mut self) {
+        self.share_keys();
+        self.share_teams();
+    }
+
+    fn share_keys(&mut self) {
+        let mut accounts = IndexSet::new();
+        let keys = std::mem::take(&mut self.keys);
+        self.keys = keys
+            .into_iter()
+            .map(|(key, state)| (share_account(&mut accounts, key), state))
+            .collect();
+        let keys = &self.keys;
+        self.expiry.share_keys(|key| {
+            if let Some((_, shared, _)) = keys.get_full(key) {
+                *key = shared.clone();
+            }
+        });
+    }
+
+    fn share_teams(&mut self) {
+        let teams = &self.teams;
+        let claims = self.keys.values_mut().flat_map(|key| {
+            let claim = key.claim.as_mut().map(|claim| &mut claim.team);
+            let bill = key.bill.as_mut().map(|bill| &mut bill.team);
+            claim.into_iter().chain(bill)
+        });
+        for team in claims {
+            if let Some((_, shared, _)) = teams.get_full(team) {
+                *team = shared.clone();
+            }
+        }
+    }
+}
+
+fn share_account(accounts: &mut IndexSet<AccountId>, key: RequestKey) -> RequestKey {
+    let (at, _) = accounts.insert_full(key.account);
+    RequestKey {
+        account: accounts[at].clone(),
+        key: key.key,
+    }
+}
