Keep poison requests off endpoints, lead pools, checkpoint the ledger, close the dead sooner

Cause: the decisions and the ledger had these, and nobody called them. Change: a run that breaks off and whose endpoint takes no new connection counts as the endpoint's death; its suspects go into the ledger, run apart from others, and are refused after the second death. One leader a pool, by a record in the log, orders models that endpoints lack, with the record's offset as fencing number. Checkpoints are written by turn, read back, and recorded; a router whose log has let go of what it needs starts from the newest checkpoint or peer. A router that died on a VM that lives is closed after a quarter of the silence, since the VM refuses connections for it. Not proved yet: tests with real processes follow.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -167,17 +167,12 @@
             let _ = sender.send(answer);
             RunEnd::Answered { status, body }
         }
-        Ok(Err(end)) => end,
-        Err(_) => BROKEN,
+        Ok(Err(end)) => engine::examined(&desk, &run, end).await,
+        Err(_) => engine::broken(),
     };
     desk.tell(Event::Ended(id, end));
 }
 
-const BROKEN: RunEnd = RunEnd::Broken {
-    usage: None,
-    begun: false,
-};
-
 async fn ask(desk: &Desk, id: RequestId, run: &Run, call: Call) -> Result<Answer, RunEnd> {
     let mut request = engine::begin(desk, id, run, &call.method, &call.path);
     if let Some(kind) = &call.kind {
@@ -195,6 +190,10 @@
         .unwrap_or("application/octet-stream")
         .to_owned();
     let body = Limited::new(answer.into_body(), MAX_ANSWER);
-    let body = body.collect().await.map_err(|_| BROKEN)?.to_bytes();
+    let body = body
+        .collect()
+        .await
+        .map_err(|_| engine::broken())?
+        .to_bytes();
     Ok(Answer { status, kind, body })
 }
--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -92,6 +92,7 @@
             Begun::Stopped(command) => return refuse(&mut line, command, res),
             Begun::Over(end) => {
                 line.run = None;
+                let end = engine::examined(&desk, &run, end).await;
                 desk.tell(Event::Ended(line.id, end));
             }
         }
@@ -144,27 +145,21 @@
             return Begun::Stream(bytes, rest);
         }
     }
-    Begun::Over(BROKEN)
+    Begun::Over(engine::broken())
 }
 
 async fn whole(answer: Answer<Incoming>) -> Begun {
     let body = Limited::new(answer.into_body(), MAX_ANSWER);
     let Ok(body) = body.collect().await else {
-        return Begun::Over(BROKEN);
+        return Begun::Over(engine::broken());
     };
     let body = body.to_bytes().to_vec();
     match sse::usage(&body) {
         Some(usage) => Begun::Whole(body, RunEnd::Whole { usage }),
-        None => Begun::Over(BROKEN),
+        None => Begun::Over(engine::broken()),
     }
 }
 
-/// The endpoint failed, and nothing went out.
-const BROKEN: RunEnd = RunEnd::Broken {
-    usage: None,
-    begun: false,
-};
-
 /// Holds an answer until it is billed.
 async fn finish(line: &mut Line, answer: Vec<u8>, end: RunEnd, res: &mut Response) {
     line.run = None;
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -18,9 +18,11 @@
 use tracing::warn;
 
 use crate::clock::Clock;
+use crate::edge::checkpoint;
 use crate::edge::clock::SystemClock;
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
+use crate::edge::engine;
 use crate::edge::fetch;
 use crate::edge::http;
 use crate::edge::log::CONFIG;
@@ -118,6 +120,7 @@
         patience: settings.limits.deadline_ms.duration(),
         queue: settings.limits.queue,
         drain: settings.limits.drain_ms.duration(),
+        retention: ledger.retention_ms.duration(),
     }
 }
 
@@ -249,7 +252,13 @@
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
             Effect::Fetch(peers) => {
-                tokio::spawn(fetch::fetch(self.desk.clone(), self.peers.clone(), peers));
+                tokio::spawn(fetch::fetch(self.log.clone(), self.peers.clone(), peers));
+            }
+            Effect::Checkpoint(as_of, parts) => {
+                tokio::spawn(checkpoint::write(self.log.clone(), as_of, parts));
+            }
+            Effect::Order(order) => {
+                tokio::spawn(engine::order(self.desk.clone(), order));
             }
             Effect::Probe(vm, address) => {
                 tokio::spawn(self.prober.clone().probe(vm, address));
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -1,5 +1,6 @@
 //! Requests to endpoints.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,10 +12,13 @@
 use hyper::header::RETRY_AFTER;
 use hyper::http::request::Builder;
 use serde::Deserialize;
+use serde_json::json;
+use tracing::warn;
 
 use crate::edge::desk::Desk;
 use crate::http_client::HttpError;
 use crate::ids::RequestId;
+use crate::router::Order;
 use crate::router::Run;
 use crate::router::RunEnd;
 use crate::router::Usage;
@@ -26,6 +30,12 @@
 /// How long to wait for an endpoint's word on what a cancelled run used; its bill waits for that.
 const CANCEL: Duration = Duration::from_millis(500);
 
+/// How long an endpoint may take to an order's answer.
+const ORDER: Duration = Duration::from_secs(2);
+
+/// How long an endpoint may take to show that it lives.
+const ALIVE: Duration = Duration::from_millis(300);
+
 /// Returns the name under which endpoints know a request.
 fn endpoint_id(desk: &Desk, id: RequestId) -> String {
     format!("{}-{id}", desk.origin)
@@ -65,10 +75,28 @@
     match desk.http.send(request, HEAD).await {
         Ok(answer) => Ok(answer),
         Err(HttpError::Connect(_) | HttpError::Request(_)) => Err(RunEnd::NotRun { retry: None }),
-        Err(_) => Err(RunEnd::Broken {
-            usage: None,
-            begun: false,
-        }),
+        Err(_) => Err(broken()),
+    }
+}
+
+/// The endpoint failed, and nothing went out.
+pub(crate) fn broken() -> RunEnd {
+    RunEnd::Broken {
+        usage: None,
+        begun: false,
+        died: false,
+    }
+}
+
+/// Notes in the end of a broken run whether its endpoint died.
+pub(crate) async fn examined(desk: &Desk, run: &Run, end: RunEnd) -> RunEnd {
+    match end {
+        RunEnd::Broken { usage, begun, .. } => RunEnd::Broken {
+            usage,
+            begun,
+            died: is_dead(desk, &run.address).await,
+        },
+        end => end,
     }
 }
 
@@ -85,10 +113,38 @@
         _ => RunEnd::Broken {
             usage: Some(Usage::default()),
             begun: false,
+            died: false,
         },
     }
 }
 
+/// Gives an endpoint an order. Whether it was followed shows in the endpoint's next load report.
+pub(crate) async fn order(desk: Arc<Desk>, order: Order) {
+    let url = format!("http://{}/v1/orders", order.address);
+    let body = json!({"fence": order.fence, "want": {"models": order.models, "role": "serve"}});
+    let answer = desk
+        .http
+        .post(&url, Bytes::from(body.to_string()), ORDER)
+        .await;
+    match answer {
+        Ok(answer) if answer.status.is_success() => {}
+        Ok(answer) => {
+            warn!(event = "order-refused", address = order.address, status = %answer.status)
+        }
+        Err(error) => warn!(event = "order-lost", address = order.address, %error),
+    }
+}
+
+/// Returns whether an endpoint is dead: right after a connection to it broke, no other is to be had.
+///
+/// A run that breaks off says little: its own connection may have been cut. An endpoint that died over the run takes no
+/// new connection either.
+pub(crate) async fn is_dead(desk: &Desk, address: &str) -> bool {
+    let url = format!("http://{address}/v1/load");
+    let answer = desk.http.get(&url, ALIVE).await;
+    matches!(answer, Err(HttpError::Connect(_) | HttpError::Lost(_)))
+}
+
 #[derive(Deserialize)]
 struct Cancelled {
     prompt_tokens: u64,
--- a/src/edge/fetch.rs
+++ b/src/edge/fetch.rs
@@ -1,18 +1,17 @@
 //! A state of the ledger to start from, where the log no longer has, or does not give, what came before.
 
-use std::sync::Arc;
-
 use tracing::info;
 
-use crate::edge::desk::Desk;
+use crate::edge::checkpoint;
+use crate::edge::log::Log;
 use crate::edge::peers::Caller;
 use crate::ledger::Ledger;
 use crate::router::Event;
 use crate::router::Peer;
 
-/// Gets the newest state that any peer has, and gives it to the core.
-pub(crate) async fn fetch(desk: Arc<Desk>, caller: Caller, peers: Vec<Peer>) {
-    let mut newest: Option<Ledger> = None;
+/// Gets the newest state that the log's checkpoints or any peer have, and gives it to the core.
+pub(crate) async fn fetch(log: Log, caller: Caller, peers: Vec<Peer>) {
+    let mut newest = checkpoint::restore(&log).await;
     for peer in &peers {
         let Some(ledger) = ask(&caller, peer).await else {
             continue;
@@ -23,7 +22,7 @@
         }
     }
     if let Some(ledger) = newest {
-        desk.tell(Event::LedgerSnapshot(Box::new(ledger)));
+        log.desk.tell(Event::LedgerSnapshot(Box::new(ledger)));
     }
 }
 
--- a/src/edge/log.rs
+++ b/src/edge/log.rs
@@ -21,6 +21,9 @@
 /// The stream of the ledger's partition.
 pub(crate) const LEDGER: &str = "ledger-0";
 
+/// The stream of the ledger's checkpoints.
+pub(crate) const CHECKPOINT: &str = "checkpoint-0";
+
 /// The stream of the configuration.
 pub(crate) const CONFIG: &str = "config";
 
@@ -42,6 +45,16 @@
     records: Vec<Row>,
 }
 
+#[derive(Deserialize)]
+struct Landed {
+    offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct Gone {
+    first: Offset,
+}
+
 #[derive(Deserialize)]
 struct Row {
     offset: Offset,
@@ -50,9 +63,12 @@
 }
 
 /// What a read brought.
-enum Read {
+pub(crate) enum Read {
+    /// Records, and the offset that follows the stream's last one.
     Page { entries: Vec<Entry>, next: Offset },
-    Gone,
+    /// The log has let go of what was asked for, and begins here.
+    Gone { first: Offset },
+    /// Nothing came.
     Failed,
 }
 
@@ -86,9 +102,21 @@
 
     /// Appends a record to the ledger; false means that nobody knows whether it landed.
     pub(crate) async fn append_raw(&self, bytes: Vec<u8>, limit: Duration) -> bool {
-        let url = self.records(LEDGER);
+        self.append_to(LEDGER, bytes, limit).await.is_some()
+    }
+
+    /// Appends a record to a stream and returns its offset, if the log says so.
+    pub(crate) async fn append_to(
+        &self,
+        stream: &str,
+        bytes: Vec<u8>,
+        limit: Duration,
+    ) -> Option<Offset> {
+        let url = self.records(stream);
         let answer = self.desk.http.post(&url, Bytes::from(bytes), limit).await;
-        answer.is_ok_and(|answer| answer.status.is_success())
+        let answer = answer.ok().filter(|answer| answer.status.is_success())?;
+        let landed: Landed = serde_json::from_slice(&answer.body).ok()?;
+        Some(landed.offset)
     }
 
     /// Follows a stream for ever; `wrap` makes the event that its records come in.
@@ -120,7 +148,7 @@
                         let _ = ready.send(());
                     }
                 }
-                Read::Gone => {
+                Read::Gone { .. } => {
                     warn!(event = "log-let-go", stream, from = %from);
                     self.desk.tell(Event::LedgerGone);
                     sleep(REST).await;
@@ -131,7 +159,8 @@
         }
     }
 
-    async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Read {
+    /// Reads records from an offset on, waiting so long if there are none.
+    pub(crate) async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Read {
         let base = self.records(stream);
         let wait = wait.as_millis();
         let url = format!("{base}?from={from}&max={MAX_READ}&wait_ms={wait}");
@@ -140,12 +169,17 @@
         };
         match answer.status.as_u16() {
             200 => read_page(&answer.body).unwrap_or(Read::Failed),
-            410 => Read::Gone,
+            410 => read_gone(&answer.body).unwrap_or(Read::Failed),
             _ => Read::Failed,
         }
     }
 }
 
+fn read_gone(body: &[u8]) -> Option<Read> {
+    let gone: Gone = serde_json::from_slice(body).ok()?;
+    Some(Read::Gone { first: gone.first })
+}
+
 fn read_page(body: &[u8]) -> Option<Read> {
     let page: Page = serde_json::from_slice(body).ok()?;
     let entries = page
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod call;
 mod chat;
 mod chat_body;
+mod checkpoint;
 mod clock;
 mod codec;
 mod desk;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -1,6 +1,7 @@
 //! What routers say to each other, by tarpc.
 
 use std::future::Future;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -131,6 +132,15 @@
     tarpc::tokio_util::codec::Framed::new(stream, codec())
 }
 
+/// Why a peer said nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// Its VM says that nothing listens there.
+    Refused,
+    /// Nothing came in time, or the connection broke.
+    Other,
+}
+
 /// Calls peers, over one connection each.
 #[derive(Clone)]
 pub(crate) struct Caller {
@@ -151,8 +161,9 @@
         let call =
             |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
         match self.call(&peer.address, CALL, call).await {
-            Some(Ok(word)) => self.desk.tell(Event::Heard(word)),
-            _ => self.desk.tell(Event::Unheard(peer.vm)),
+            Ok(Ok(word)) => self.desk.tell(Event::Heard(word)),
+            Ok(Err(_)) | Err(Silence::Other) => self.desk.tell(Event::Unheard(peer.vm, false)),
+            Err(Silence::Refused) => self.desk.tell(Event::Unheard(peer.vm, true)),
         }
     }
 
@@ -162,7 +173,7 @@
         let call = |client: PeeringClient| async move {
             client.keep(deadline(CALL), VERSION, batches).await
         };
-        if let Some(Ok(())) = self.call(&peer.address, CALL, call).await {
+        if let Ok(Ok(())) = self.call(&peer.address, CALL, call).await {
             self.desk.tell(Event::Kept {
                 peer: peer.vm,
                 router,
@@ -187,34 +198,37 @@
     pub(crate) async fn ledger(&self, peer: &Peer) -> Option<Vec<u8>> {
         let call =
             |client: PeeringClient| async move { client.ledger(deadline(SNAPSHOT), VERSION).await };
-        self.call(&peer.address, SNAPSHOT, call).await?.ok()
+        self.call(&peer.address, SNAPSHOT, call).await.ok()?.ok()
     }
 
-    /// Makes one call; nothing means that the peer could not be reached in time.
-    async fn call<F, A, T>(&self, address: &str, limit: Duration, call: F) -> Option<T>
+    /// Makes one call.
+    async fn call<F, A, T>(&self, address: &str, limit: Duration, call: F) -> Result<T, Silence>
     where
         F: FnOnce(PeeringClient) -> A,
         A: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
         let client = self.client(address).await?;
         match timeout(limit, call(client)).await {
-            Ok(Ok(answer)) => Some(answer),
+            Ok(Ok(answer)) => Ok(answer),
             _ => {
                 // A connection over which nothing comes is half open, or worse: the next call makes a new one.
                 self.clients.lock().await.swap_remove(address);
-                None
+                Err(Silence::Other)
             }
         }
     }
 
-    async fn client(&self, address: &str) -> Option<PeeringClient> {
+    async fn client(&self, address: &str) -> Result<PeeringClient, Silence> {
         if let Some(client) = self.clients.lock().await.get(address) {
-            return Some(client.clone());
+            return Ok(client.clone());
         }
-        let stream = timeout(CALL, TcpStream::connect(address))
-            .await
-            .ok()?
-            .ok()?;
+        let stream = match timeout(CALL, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(Silence::Refused);
+            }
+            _ => return Err(Silence::Other),
+        };
         let _ = stream.set_nodelay(true);
         let transport = serde_transport::new(codec_framed(stream), Postcard::default());
         let client = PeeringClient::new(tarpc::client::Config::default(), transport).spawn();
@@ -222,7 +236,7 @@
             .lock()
             .await
             .insert(address.to_owned(), client.clone());
-        Some(client)
+        Ok(client)
     }
 }
 
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -11,12 +11,12 @@
 use serde::Deserialize;
 
 use crate::clock::Clock;
+use crate::decide::CacheEvent;
 use crate::edge::clock::SystemClock;
 use crate::edge::desk::Desk;
 use crate::ids::ModelId;
 use crate::ids::VmId;
 use crate::prompt::BlockHash;
-use crate::router::CacheEvent;
 use crate::router::EndpointLoad;
 use crate::router::Event;
 
@@ -78,7 +78,9 @@
         let Some(page) = body.and_then(|body| serde_json::from_slice::<Page>(&body).ok()) else {
             return;
         };
-        self.next().insert(vm.clone(), page.next);
+        // An engine that is behind what was read of it is another one, which counts from the beginning.
+        let next = if page.next < from { 0 } else { page.next };
+        self.next().insert(vm.clone(), next);
         if !page.events.is_empty() {
             let events = page.events.into_iter().map(read_row).collect();
             self.desk.tell(Event::Cache(vm, events));
@@ -112,9 +114,13 @@
 }
 
 fn read_row(row: Row) -> CacheEvent {
+    let (stored, removed) = match row.kind.as_str() {
+        "stored" => (vec![row.block], Vec::new()),
+        _ => (Vec::new(), vec![row.block]),
+    };
     CacheEvent {
-        seq: row.seq,
-        block: row.block.0,
-        stored: row.kind == "stored",
+        sequence: row.seq,
+        stored,
+        removed,
     }
 }
--- a/src/edge/pump.rs
+++ b/src/edge/pump.rs
@@ -148,7 +148,11 @@
         };
         let usage = Some(told.unwrap_or(known));
         let end = match broken {
-            true => RunEnd::Broken { usage, begun: true },
+            true => RunEnd::Broken {
+                usage,
+                begun: true,
+                died: engine::is_dead(&self.line.desk, &self.run.address).await,
+            },
             false => RunEnd::CallerGone { usage },
         };
         self.line.desk.tell(Event::Ended(self.line.id, end));
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -81,7 +81,7 @@
     /// Holds an admitted request against quarantine and its account's limit.
     fn enter(&mut self, now: Instant, id: RequestId) {
         let request = &self.requests[&id];
-        if self.ledger.quarantined(request.fingerprint) {
+        if self.is_poison(id) {
             let detail = "endpoints failed over this request again and again";
             self.refuse(now, id, ProblemKind::Quarantined, detail);
             return;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 use rand::Rng;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -12,6 +13,7 @@
 use crate::decide::AccountLimit;
 use crate::decide::HoldingPolicy;
 use crate::decide::Lean;
+use crate::decide::Quarantine;
 use crate::decide::RetryBudget;
 use crate::ids::AccountId;
 use crate::ids::DomainId;
@@ -30,6 +32,7 @@
 use crate::router::event::AdminId;
 use crate::router::event::Event;
 use crate::router::members::Members;
+use crate::router::orders::Orders;
 use crate::router::outage::Outage;
 use crate::router::pool::Pool;
 use crate::router::purse::Purse;
@@ -62,6 +65,8 @@
     pub(crate) patience: Duration,
     /// How many requests may wait for each pool's endpoints.
     pub(crate) queue: usize,
+    /// How long the log keeps records.
+    pub(crate) retention: Duration,
     /// How long a planned stop waits for the requests in progress.
     pub(crate) drain: Duration,
 }
@@ -129,10 +134,24 @@
     pub(crate) proofs: ProofBudget,
     /// Until when requests may be ones that lay in a socket while the process was stopped.
     pub(crate) stale_until: Option<Instant>,
-    /// When a state of the ledger was last asked for, or the router started.
-    pub(crate) fetched: Instant,
+    /// When the router started.
+    pub(crate) started: Instant,
+    /// When a state of the ledger was last asked for.
+    pub(crate) fetched: Option<Instant>,
+    /// When a record was last folded.
+    pub(crate) folded: Option<Instant>,
+    /// Before this a router writes no checkpoint.
+    pub(crate) first_checkpoint: Instant,
+    /// When a checkpoint was last written.
+    pub(crate) checkpointed: Option<Instant>,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) orders: Orders,
 }
 
+/// How long a router leaves checkpoints to others at its start, once to thrice: in a fleet that starts together all would
+/// find that there is none, and write one at once.
+const FIRST_CHECKPOINT: Duration = Duration::from_secs(10);
+
 /// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop.
 const STALE: Duration = Duration::from_millis(250);
 
@@ -195,7 +214,13 @@
                 at: None,
             },
             stale_until: None,
-            fetched: now,
+            first_checkpoint: now + FIRST_CHECKPOINT.mul_f64(rng.random_range(1.0..3.0)),
+            started: now,
+            fetched: None,
+            folded: None,
+            checkpointed: None,
+            quarantine: Quarantine::new(),
+            orders: Orders::default(),
             tuning,
             rng,
         }
@@ -216,12 +241,13 @@
             Event::LedgerEntries(entries) => self.fold_ledger(now, entries),
             Event::ConfigEntries(entries) => self.fold_config(now, entries),
             Event::LedgerGone => self.fetch_ledger(now),
+            Event::Checkpointed { as_of, first } => self.checkpoint_written(as_of, first),
             Event::CaughtUp => self.caught_up(now),
             Event::LedgerSnapshot(ledger) => self.adopt_ledger(now, *ledger),
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
             Event::VmList(list) => self.vm_list(now, list),
             Event::Heard(beat) => self.heard(now, beat),
-            Event::Unheard(vm) => self.members.unheard(now, vm),
+            Event::Unheard(vm, refused) => self.members.unheard(now, vm, refused),
             Event::Keep(batches) => self.members.keep(batches),
             Event::Kept {
                 peer,
@@ -297,6 +323,8 @@
         self.close_dead(now);
         self.replicate(now);
         self.tick_pools(now);
+        self.write_checkpoint(now);
+        self.give_orders(now);
         self.go_on_draining(now);
     }
 }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -4,6 +4,8 @@
 
 use crate::config::Snapshot;
 use crate::ids::Incarnation;
+use crate::ids::ModelId;
+use crate::ids::Offset;
 use crate::ids::RequestId;
 use crate::ids::RequestKey;
 use crate::ids::Sequence;
@@ -46,6 +48,10 @@
     Relay(Box<Snapshot>, Peer),
     /// Gets a state of the ledger to start from.
     Fetch(Vec<Peer>),
+    /// Writes a checkpoint as of an offset, in these parts.
+    Checkpoint(Offset, Vec<Vec<u8>>),
+    /// Gives an endpoint an order.
+    Order(Order),
     /// Asks an endpoint for its load and its cache events.
     Probe(VmId, String),
     /// Answers an operator.
@@ -66,6 +72,17 @@
     pub(crate) address: String,
 }
 
+/// An order to an endpoint: the condition that is wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Order {
+    /// Where the endpoint listens, `ip:port`.
+    pub(crate) address: String,
+    /// The fencing number.
+    pub(crate) fence: u64,
+    /// The models that are to be loaded.
+    pub(crate) models: Vec<ModelId>,
+}
+
 /// A request's way to its endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Run {
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::config::Snapshot;
+use crate::decide::CacheEvent;
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
 use crate::ids::IdempotencyKey;
@@ -46,6 +47,13 @@
     ConfigEntries(Vec<Entry>),
     /// The log has let go records of the ledger that this router did not read.
     LedgerGone,
+    /// A checkpoint that this router wrote stands whole.
+    Checkpointed {
+        /// The offset of the first record that it has not folded.
+        as_of: Offset,
+        /// Where in its stream its first part stands.
+        first: Offset,
+    },
     /// All that the log held when the router started has been read.
     CaughtUp,
     /// A state to start from, from a checkpoint or a peer.
@@ -56,8 +64,8 @@
     VmList(VmList),
     /// A peer was heard, either way.
     Heard(Heartbeat),
-    /// A peer did not answer a heartbeat.
-    Unheard(VmId),
+    /// A peer did not answer a heartbeat; whether its VM said that nothing listens there.
+    Unheard(VmId, bool),
     /// A peer asks this router to keep the batches that it cannot append.
     Keep(KeptBatches),
     /// A peer keeps this router's batches up to this number.
@@ -213,6 +221,8 @@
         usage: Option<Usage>,
         /// Whether the caller has a part of the answer already, so that it cannot begin again.
         begun: bool,
+        /// Whether the endpoint was found dead.
+        died: bool,
     },
     /// The caller went away.
     CallerGone {
@@ -274,14 +284,3 @@
     /// Models that it has loaded.
     pub(crate) models: Vec<ModelId>,
 }
-
-/// What an endpoint says of a block of its prefix cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct CacheEvent {
-    /// Its number; a gap means that events were lost.
-    pub(crate) seq: u64,
-    /// The block's hash.
-    pub(crate) block: u64,
-    /// Whether it was stored, or else removed.
-    pub(crate) stored: bool,
-}
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -32,6 +32,12 @@
 /// How much longer a silent router is waited for while the VM list still shows its VM as live.
 const LISTED_FACTOR: u32 = 3;
 
+/// How many heartbeats in a row must find that nothing listens: one may meet a router that restarts.
+const REFUSALS: u32 = 2;
+
+/// How much shorter the silence of a router may be whose VM says that nothing listens there.
+const REFUSED_PART: u32 = 4;
+
 /// How far apart routers close the same dead one, by rank: one append's time, so that mostly one does it.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
@@ -49,7 +55,8 @@
 pub(crate) struct Members {
     pub(crate) vms: VmList,
     heard: IndexMap<VmId, (Instant, Heartbeat)>,
-    unheard: IndexMap<VmId, Instant>,
+    /// When each peer last did not answer, and how often in a row its VM said that nothing listens there.
+    unheard: IndexMap<VmId, (Instant, u32)>,
     /// When each incarnation last gave a sign of life.
     signs: IndexMap<Incarnation, Instant>,
     kept: IndexMap<Incarnation, KeptBatches>,
@@ -98,8 +105,17 @@
     }
 
     /// Notes that a peer did not answer.
-    pub(crate) fn unheard(&mut self, now: Instant, vm: VmId) {
-        self.unheard.insert(vm, now);
+    pub(crate) fn unheard(&mut self, now: Instant, vm: VmId, refused: bool) {
+        let (at, count) = self.unheard.entry(vm).or_insert((now, 0));
+        *at = now;
+        *count = if refused { *count + 1 } else { 0 };
+    }
+
+    /// Returns whether a peer's VM says again and again that its router does not listen.
+    fn is_refused(&self, vm: &VmId) -> bool {
+        self.unheard
+            .get(vm)
+            .is_some_and(|(_, count)| *count >= REFUSALS)
     }
 
     /// Keeps a peer's batches, in place of those that it left here before.
@@ -164,7 +180,7 @@
     fn any_unheard(&self, now: Instant) -> bool {
         self.unheard
             .iter()
-            .any(|(vm, at)| now < *at + FRESH && self.entry(vm).is_some())
+            .any(|(vm, (at, _))| now < *at + FRESH && self.entry(vm).is_some())
     }
 }
 
@@ -293,9 +309,12 @@
     fn is_silent(&mut self, now: Instant, router: Incarnation, vm: &VmId) -> bool {
         let rank = self.rank(router);
         let last = *self.members.signs.entry(router).or_insert(now);
-        let base = match self.members.listed(vm) {
-            true => self.tuning.silence * LISTED_FACTOR,
-            false => self.tuning.silence,
+        let silence = self.tuning.silence;
+        // A process that died on a VM that lives: the VM answers for it. The others may be frozen or parted, and live.
+        let base = match (self.members.is_refused(vm), self.members.listed(vm)) {
+            (true, _) => silence / REFUSED_PART,
+            (false, true) => silence * LISTED_FACTOR,
+            (false, false) => silence,
         };
         now >= last + base + RANK_DELAY * rank
     }
--- /dev/null
+++ b/src/router/poison.rs
@@ -0,0 +1,59 @@
+//! Requests that crash endpoints: noticing it, telling the fleet, and keeping them away.
+
+use std::time::Instant;
+
+use tracing::warn;
+
+use crate::decide::Isolation;
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::ledger::Batch;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::router::core::Core;
+use crate::router::core::Ticket;
+
+impl Core {
+    /// Returns whether a request is known to crash endpoints, here or in the fleet.
+    pub(crate) fn is_poison(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let here = self.quarantine.isolation(request.fingerprint) == Isolation::Refused;
+        here || self.ledger.quarantined(request.fingerprint)
+    }
+
+    /// Returns the endpoints that a request should keep off, and of these the ones that it must.
+    pub(crate) fn kept_off(&self, id: RequestId) -> (Vec<VmId>, Vec<VmId>) {
+        let Some(request) = self.requests.get(&id) else {
+            return (Vec::new(), Vec::new());
+        };
+        let avoid = self.quarantine.avoid(request.fingerprint);
+        let forbid = self.quarantine.forbid(request.fingerprint);
+        (avoid, forbid)
+    }
+
+    /// Takes note that an endpoint died, and records its suspects in the ledger for the other routers.
+    pub(crate) fn endpoint_died(&mut self, now: Instant, endpoint: &VmId) {
+        for request in self.quarantine.crash(now, endpoint) {
+            warn!(event = "crash", %endpoint, %request);
+            let record = Record::Crash {
+                request,
+                endpoint: endpoint.clone(),
+            };
+            self.appender.push(record, Ticket::Other);
+        }
+    }
+
+    /// Learns of crashes that other routers saw.
+    pub(crate) fn learn_crashes(&mut self, now: Instant, batch: &Batch, verdicts: &[Verdict]) {
+        if batch.router == self.me {
+            return;
+        }
+        for (record, verdict) in batch.records.iter().zip(verdicts) {
+            if let (Record::Crash { request, endpoint }, Verdict::Accepted) = (record, verdict) {
+                self.quarantine.learn(now, *request, endpoint);
+            }
+        }
+    }
+}
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -12,6 +12,7 @@
 
 use crate::config::PoolKind;
 use crate::config::PoolSpec;
+use crate::decide::CacheEvent;
 use crate::decide::Chooser;
 use crate::decide::Ejector;
 use crate::decide::Evidence;
@@ -28,7 +29,6 @@
 use crate::prompt::BlockHash;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
-use crate::router::event::CacheEvent;
 use crate::router::event::EndpointLoad;
 use crate::router::event::RunEnd;
 use crate::router::event::Work;
@@ -50,6 +50,8 @@
     /// Taken from the queue, but no endpoint with their model has room.
     pub(crate) stuck: Vec<RequestId>,
     pub(crate) addresses: IndexMap<VmId, SocketAddr>,
+    /// The models that each endpoint last said it has.
+    pub(crate) loaded: IndexMap<VmId, Vec<ModelId>>,
     engines: bool,
     probed: Option<Instant>,
 }
@@ -64,6 +66,7 @@
             places: IndexMap::new(),
             stuck: Vec::new(),
             addresses: IndexMap::new(),
+            loaded: IndexMap::new(),
             engines: false,
             probed: None,
         }
@@ -131,18 +134,26 @@
 
     /// Picks an endpoint for a request and counts the request there.
     pub(crate) fn pick_endpoint(&mut self, now: Instant, id: RequestId) -> Option<VmId> {
+        let (avoid, forbid) = self.kept_off(id);
         let request = self.requests.get(&id)?;
         let pool = self.pools.get_mut(&request.pool)?;
         let (model, blocks) = wish_of(request);
-        let wish = Wish {
-            model,
-            prefix: &blocks,
-            domain: &self.tuning.domain,
-            excluded: &request.tried,
-        };
-        let choice = pool
-            .chooser
-            .choose(now, &wish, &pool.index, &pool.health, &mut self.rng)?;
+        let mut choice = None;
+        for kept_off in [avoid, forbid] {
+            let excluded = [request.tried.clone(), kept_off].concat();
+            let wish = Wish {
+                model,
+                prefix: &blocks,
+                domain: &self.tuning.domain,
+                excluded: &excluded,
+            };
+            choice = choice.or_else(|| {
+                pool.chooser
+                    .choose(now, &wish, &pool.index, &pool.health, &mut self.rng)
+            });
+        }
+        let choice = choice?;
+        self.quarantine.start(request.fingerprint, &choice.endpoint);
         pool.chooser.start(now, &choice.endpoint);
         pool.index.learn(&choice.endpoint, &blocks);
         Some(choice.endpoint)
@@ -175,6 +186,15 @@
         if matches!(end, RunEnd::NotRun { .. } | RunEnd::Broken { .. }) {
             request.tried.push(endpoint.clone());
         }
+        let fingerprint = request.fingerprint;
+        match end {
+            RunEnd::Whole { .. } | RunEnd::Answered { .. } => {
+                self.quarantine.complete(fingerprint, &endpoint);
+            }
+            RunEnd::Broken { died: true, .. } => self.endpoint_died(now, &endpoint),
+            _ => self.quarantine.end(fingerprint, &endpoint),
+        }
+        let request = &self.requests[&id];
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             pool.chooser.end(now, &endpoint, sample);
             if let Some(evidence) = evidence {
@@ -194,6 +214,7 @@
             && let Some(pool) = self.pools.get_mut(&request.pool)
         {
             pool.chooser.end(now, endpoint, Sample::Other);
+            self.quarantine.end(request.fingerprint, endpoint);
         }
     }
 
@@ -206,6 +227,9 @@
                 measured: now.checked_sub(load.age).unwrap_or(now),
             };
             pool.chooser.report(now, vm, report);
+            if pool.addresses.contains_key(vm) {
+                pool.loaded.insert(vm.clone(), load.models.clone());
+            }
         }
         self.pump_all(now);
     }
@@ -213,12 +237,11 @@
     /// Takes in an endpoint's news of its prefix cache.
     pub(crate) fn endpoint_cache(&mut self, vm: &VmId, events: &[CacheEvent]) {
         for pool in self.pools.values_mut() {
+            if !pool.addresses.contains_key(vm) {
+                continue;
+            }
             for event in events {
-                let block = [BlockHash(event.block)];
-                match event.stored {
-                    true => pool.index.learn(vm, &block),
-                    false => pool.index.forget(vm, &block),
-                }
+                pool.index.event(vm, event);
             }
         }
     }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -89,7 +89,7 @@
                 self.bill(id, price, outcome, Then::Release);
             }
             RunEnd::NotRun { retry } => self.not_run(now, id, retry),
-            RunEnd::Broken { usage, begun } => self.broken(now, id, usage, begun),
+            RunEnd::Broken { usage, begun, .. } => self.broken(now, id, usage, begun),
             RunEnd::CallerGone { usage } => self.caller_gone(id, usage),
         }
     }
@@ -171,8 +171,8 @@
     /// When many endpoints fail, each retry adds load where there is least room for it; without the budget, retries
     /// keep the rest down.
     fn try_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
-        let request = &self.requests[&id];
-        if request.tried.len() >= MAX_RUNS || !self.retries.try_retry(now) {
+        let tries = self.requests[&id].tried.len();
+        if tries >= MAX_RUNS || self.is_poison(id) || !self.retries.try_retry(now) {
             return false;
         }
         let Some(endpoint) = self.pick_endpoint(now, id) else {
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -52,7 +52,9 @@
 
     fn fold_batch(&mut self, now: Instant, entry: &Entry, batch: &Batch) {
         let verdicts = self.ledger.apply(entry.offset, entry.at, batch);
+        self.folded = Some(now);
         self.members.appended(now, batch.router);
+        self.learn_crashes(now, batch, &verdicts);
         self.answer_shortage(now, batch, &verdicts);
         if self.phase == Phase::CatchingUp {
             return;
@@ -112,17 +114,17 @@
 
     /// Asks peers for the ledger when the log gives none, as in an outage.
     pub(crate) fn catch_up(&mut self, now: Instant) {
-        if self.phase == Phase::CatchingUp {
+        if self.phase == Phase::CatchingUp && now >= self.started + FETCH {
             self.fetch_ledger(now);
         }
     }
 
     /// Asks peers for the ledger, now and then.
     pub(crate) fn fetch_ledger(&mut self, now: Instant) {
-        if now < self.fetched + FETCH {
+        if self.fetched.is_some_and(|at| now < at + FETCH) {
             return;
         }
-        self.fetched = now;
+        self.fetched = Some(now);
         let peers = self.members.peers(&self.tuning.vm);
         self.effects.push(Effect::Fetch(peers));
     }
