Undo an unsound configuration record at the cost of what it changed

Every router folds the same record, so that all of them would have stopped at once.

Change: the index takes a document whole or not at all, and a refused record takes out just what it had put in. A test compares all lookups after records whose last change is a mistake. The index no longer holds a copy of each rule.

--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -1,6 +1,6 @@
 //! What requests are looked up by.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::hash::Hash;
 
 use indexmap::IndexMap;
@@ -14,14 +14,13 @@
 use crate::ids::PoolId;
 use crate::ids::TeamId;
 use crate::key_hash::KeyHash;
-use crate::labels::Labels;
 
 /// The label that tells whose request it is; each request has it.
-const ACCOUNT: &str = "account";
+pub(crate) const ACCOUNT: &str = "account";
 
-/// Rules in the order in which they are tried. A sorted map, since `indexmap` has none that stays sorted at a cost that
-/// does not grow with it.
-type Rules = BTreeMap<(u32, DocName), RuleSpec>;
+/// Rules in the order in which they are tried. A sorted set, since `indexmap` has none that stays sorted at a cost that
+/// does not grow with it. It holds names alone: what the rules say stands in the documents.
+type Rules = BTreeSet<(u32, DocName)>;
 
 /// Keys, service names and the rules' order, kept beside the documents so that no request searches through them.
 ///
@@ -43,16 +42,17 @@
         self.keys.get(key)
     }
 
-    /// Returns the first rule that matches.
-    pub(crate) fn route(&self, labels: &Labels) -> Option<(&DocName, &RuleSpec)> {
-        let own = labels.get(ACCOUNT).and_then(|a| self.by_account.get(a));
-        let own = own.and_then(|rules| first_match(rules, labels));
-        let common = first_match(&self.common, labels);
-        let first = match (own, common) {
-            (Some(a), Some(b)) => Some(if a.0 < b.0 { a } else { b }),
-            (a, b) => a.or(b),
-        };
-        first.map(|((_order, name), rule)| (name, rule))
+    /// Returns the first rule that matches a request of an account.
+    pub(crate) fn route<M>(&self, account: Option<&str>, matches: M) -> Option<&DocName>
+    where
+        M: Fn(&DocName) -> bool,
+    {
+        let own = account.and_then(|account| self.by_account.get(account));
+        let candidates = own.into_iter().chain([&self.common]);
+        candidates
+            .filter_map(|rules| rules.iter().find(|(_, name)| matches(name)))
+            .min()
+            .map(|(_order, name)| name)
     }
 
     /// Returns how many rules let a team pay.
@@ -69,14 +69,10 @@
     ///
     /// # Errors
     ///
-    /// When another document has the same key or service name.
+    /// When a key or a service name stands in another document, or twice in this one; nothing is added then.
     pub(crate) fn add(&mut self, name: &DocName, body: &Body) -> Result<(), Rejected> {
         match body {
-            Body::Account(account) => account
-                .keys
-                .iter()
-                .enumerate()
-                .try_for_each(|(at, key)| self.add_key(name, at, key)),
+            Body::Account(account) => self.add_keys(name, &account.keys),
             Body::Pool(pool) => match &pool.kind {
                 PoolKind::Service { name: service, .. } => self.add_service(name, service),
                 PoolKind::Engine { .. } => Ok(()),
@@ -112,12 +108,12 @@
         *self.pools.entry(rule.pool.clone()).or_default() += 1;
         let place = (rule.order, name.clone());
         let Some(accounts) = rule.when.0.get(ACCOUNT) else {
-            self.common.insert(place, rule.clone());
+            self.common.insert(place);
             return;
         };
         for account in accounts {
             let rules = self.by_account.entry(account.clone()).or_default();
-            rules.insert(place.clone(), rule.clone());
+            rules.insert(place.clone());
         }
     }
 
@@ -139,37 +135,36 @@
         }
     }
 
-    fn add_key(&mut self, name: &DocName, at: usize, key: &str) -> Result<(), Rejected> {
-        let hash = KeyHash::parse(key).unwrap_or_default();
-        match self.keys.insert(hash, name.clone()) {
-            None => Ok(()),
-            Some(other) => Err(Rejected::invalid(
-                format!("{}/{name}.keys[{at}]", Kind::Account),
-                format!("a key of account {other}"),
-                "a key that stands only once in all accounts",
-            )),
+    fn add_keys(&mut self, name: &DocName, keys: &[String]) -> Result<(), Rejected> {
+        let hashes: Vec<_> = keys.iter().filter_map(|key| KeyHash::parse(key)).collect();
+        for (at, hash) in hashes.iter().enumerate() {
+            let own = hashes[..at].contains(hash).then_some(name);
+            if let Some(other) = own.or_else(|| self.keys.get(hash)) {
+                return Err(Rejected::invalid(
+                    format!("{}/{name}.keys[{at}]", Kind::Account),
+                    format!("a key of account {other}"),
+                    "a key that stands only once in all accounts",
+                ));
+            }
         }
+        let entries = hashes.into_iter().map(|hash| (hash, name.clone()));
+        self.keys.extend(entries);
+        Ok(())
     }
 
     fn add_service(&mut self, name: &DocName, service: &str) -> Result<(), Rejected> {
-        match self.services.insert(service.to_owned(), name.clone()) {
-            None => Ok(()),
-            Some(other) => Err(Rejected::invalid(
+        if let Some(other) = self.services.get(service) {
+            return Err(Rejected::invalid(
                 format!("{}/{name}.kind.service.name", Kind::Pool),
                 format!("{service:?}, which is pool {other}'s"),
                 "a name that no other pool has",
-            )),
+            ));
         }
+        self.services.insert(service.to_owned(), name.clone());
+        Ok(())
     }
 }
 
-fn first_match<'a>(
-    rules: &'a Rules,
-    labels: &Labels,
-) -> Option<(&'a (u32, DocName), &'a RuleSpec)> {
-    rules.iter().find(|(_, rule)| rule.when.matches(labels))
-}
-
 fn count_down<K>(counts: &mut IndexMap<K, usize>, key: &K)
 where
     K: Hash + Eq,
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -9,6 +9,7 @@
 use crate::config::document::PoolSpec;
 use crate::config::document::RuleSpec;
 use crate::config::document::TeamSpec;
+use crate::config::index;
 use crate::config::index::Index;
 use crate::config::put::Change;
 use crate::config::put::Put;
@@ -155,7 +156,10 @@
 
     /// Returns who pays for a request with these labels and where it goes.
     pub fn route(&self, labels: &Labels) -> Option<Route> {
-        let (name, rule) = self.index.route(labels)?;
+        let account = labels.get(index::ACCOUNT);
+        let matches = |name: &DocName| self.rule(name).is_some_and(|r| r.when.matches(labels));
+        let name = self.index.route(account, matches)?;
+        let rule = self.rule(name)?;
         Some(Route {
             rule: name.clone(),
             team: rule.team.clone(),
@@ -207,6 +211,13 @@
             .map(|document| &document.body)
     }
 
+    fn rule(&self, name: &DocName) -> Option<&RuleSpec> {
+        match self.body(Kind::Rule, name)? {
+            Body::Rule(rule) => Some(rule),
+            _ => None,
+        }
+    }
+
     fn named(&self, kind: Kind, name: &str) -> Option<&Body> {
         self.body(kind, &name.parse().ok()?)
     }
@@ -215,12 +226,13 @@
         self.check_bases(&put.changes)?;
         put.check()?;
         let before = self.replace(version, &put.changes);
-        if let Err(rejected) = self.check_whole(&put.changes) {
-            self.restore(before);
-            return Err(rejected);
+        let (entered, outcome) = self.enter(&put.changes);
+        let outcome = outcome.and_then(|()| self.check_references(&put.changes));
+        match outcome {
+            Ok(()) => self.version = version,
+            Err(_) => self.restore(&put.changes[..entered], before),
         }
-        self.version = version;
-        Ok(())
+        outcome
     }
 
     /// Of two operators who change the same document, the one whose record lies first in the log wins; the other's
@@ -265,20 +277,27 @@
         before
     }
 
-    /// Checks what concerns more than one document, and brings the index up to date.
-    fn check_whole(&mut self, changes: &[Change]) -> Result<(), Rejected> {
-        for change in changes {
-            if let Some(body) = &change.body {
-                self.index.add(&change.name, body)?;
+    /// Brings the index up to date, and returns how many changes it has taken.
+    fn enter(&mut self, changes: &[Change]) -> (usize, Result<(), Rejected>) {
+        for (at, change) in changes.iter().enumerate() {
+            let Some(body) = &change.body else {
+                continue;
+            };
+            if let Err(rejected) = self.index.add(&change.name, body) {
+                return (at, Err(rejected));
             }
         }
+        (changes.len(), Ok(()))
+    }
+
+    fn check_references(&self, changes: &[Change]) -> Result<(), Rejected> {
         changes
             .iter()
-            .try_for_each(|change| self.check_references(change))
+            .try_for_each(|change| self.check_reference(change))
     }
 
     /// Checks that what the changed document refers to exists, and that nothing refers to a document that went.
-    fn check_references(&self, change: &Change) -> Result<(), Rejected> {
+    fn check_reference(&self, change: &Change) -> Result<(), Rejected> {
         let name = &change.name;
         match (&change.body, change.kind) {
             (Some(Body::Rule(rule)), _) => self.check_rule(name, rule),
@@ -306,18 +325,24 @@
         Ok(())
     }
 
-    /// Undoes a replacement. The index is built anew: this is rare, and so cannot go wrong half way.
-    fn restore(&mut self, before: Vec<(DocKey, Option<Document>)>) {
+    /// Undoes a replacement of which the index had taken the changes in `entered`.
+    ///
+    /// It undoes just these: to build the index anew would hold up every router at once, for as long as there are
+    /// documents, whenever an operator makes a mistake.
+    fn restore(&mut self, entered: &[Change], before: Vec<(DocKey, Option<Document>)>) {
+        for change in entered {
+            if let Some(body) = &change.body {
+                self.index.remove(&change.name, body);
+            }
+        }
         for (key, old) in before {
-            match old {
-                Some(old) => self.documents.insert(key, old),
-                None => self.documents.swap_remove(&key),
+            let Some(old) = old else {
+                self.documents.swap_remove(&key);
+                continue;
             };
-        }
-        self.index = Index::default();
-        for ((_, name), document) in &self.documents {
-            // It was accepted before, so there is nothing to tell.
-            let _ = self.index.add(name, &document.body);
+            // It was in force before, so there is nothing to tell.
+            let _ = self.index.add(&key.1, &old.body);
+            self.documents.insert(key, old);
         }
     }
 }
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -183,6 +183,33 @@
     assert_eq!((config.skipped(), config.rejected()), (3, 14));
 }
 
+/// A record replaces, deletes and adds documents, and its last change is a mistake. All lookups must be as they were,
+/// and cost no more than what the record changed.
+#[test]
+fn undoes_what_came_before_a_mistake() {
+    let mut twice = account("yard", 1, "new-2");
+    twice["body"]["account"]["keys"] = json!([hex("new-3"), hex("new-3")]);
+    let mistakes = [
+        twice,
+        service("x", 0, "renamed"),
+        rule("x", 1, json!({}), "nobody"),
+        deletion("team", "lending", 1),
+    ];
+    for mistake in mistakes {
+        let record = put(json!([
+            account("desk", 1, "new-1"),
+            service("loans", 1, "renamed"),
+            deletion("rule", "a-late", 1),
+            rule("a-new", 0, json!({"account": ["yard", "desk"]}), "audit"),
+            mistake,
+        ]));
+        assert!(matches!(
+            refused(&mut example(), &record),
+            Rejected::Invalid(_)
+        ));
+    }
+}
+
 #[test]
 fn keeps_a_wrong_key_out_of_the_message() {
     let mut change = account("x", 0, "k");
