Carry the configuration past the log's retention with a checkpoint record

Cause: the log keeps records for a limited time and routers keep nothing.

Change: a record of the stream may be a checkpoint: all documents as of an earlier offset. It changes nothing for who has read the stream; one that differs from the version in force is counted as rejected. `Config::resume` lets a reader that finds the beginning gone start from it, and read on from its offset, so that changes between the two are not lost. `Config::checkpointed` tells a router when another is due. The command line starts from a checkpoint too.

Not done: no router publishes one yet. Whoever does must have the next one readable before the log lets the last go.

--- a/src/cli/configuration.rs
+++ b/src/cli/configuration.rs
@@ -47,11 +47,11 @@
 pub(crate) type Folded = (LogRecord, Result<(), Rejected>);
 
 impl Stream {
-    /// Folds the stream from its beginning, or from a router's snapshot where the log has let the beginning go.
+    /// Folds the stream from its beginning; where the log has let that go, from a checkpoint or a router's snapshot.
     ///
     /// # Errors
     ///
-    /// When the log does not answer, or has let records go and no router is named.
+    /// When the log does not answer, or has let records go and neither is to be had.
     pub(crate) async fn open(places: &Places) -> Result<Self, Failure> {
         let http = HttpClient::default();
         let mut stream = Self {
@@ -60,8 +60,10 @@
         };
         match stream.catch_up().await {
             Ok(()) => {}
-            Err(ReadError::Gone { .. }) => {
-                stream.adopt(places).await?;
+            Err(ReadError::Gone { first, .. }) => {
+                if !stream.resume(first).await? {
+                    stream.adopt(places).await?;
+                }
                 stream.catch_up().await.map_err(anyhow::Error::new)?;
             }
             Err(e) => return Err(anyhow::Error::new(e).into()),
@@ -94,6 +96,23 @@
         Ok(())
     }
 
+    /// Looks for a checkpoint among the records that are kept.
+    async fn resume(&mut self, mut from: Offset) -> anyhow::Result<bool> {
+        loop {
+            let page = self.log.read(STREAM, from, PAGE, Duration::ZERO, LIMIT);
+            let page = page.await?;
+            let Some(last) = page.records.last() else {
+                return Ok(false);
+            };
+            from = Offset(last.offset.0 + 1);
+            for record in &page.records {
+                if self.config.resume(record.offset, &record.data)? {
+                    return Ok(true);
+                }
+            }
+        }
+    }
+
     async fn adopt(&mut self, places: &Places) -> Result<(), Failure> {
         let snapshot = Router::new(places)?.get("/v1/admin/config").await?;
         let adopted = self.config.adopt(snapshot).map_err(anyhow::Error::new)?;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,9 +3,11 @@
 //! As with the ledger, the stream's order is the agreement, and the pure [`Config`] is what it means.
 
 mod check;
+mod checkpoint;
 mod document;
 mod index;
 mod put;
+mod record;
 mod rejected;
 mod route;
 mod snapshot;
@@ -13,6 +15,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use checkpoint::Checkpoint;
 pub use document::AccountSpec;
 pub use document::Body;
 pub use document::Kind;
--- a/src/config/put.rs
+++ b/src/config/put.rs
@@ -6,15 +6,16 @@
 use crate::config::check;
 use crate::config::document::Body;
 use crate::config::document::Kind;
+use crate::config::record::Record;
 use crate::config::rejected::Rejected;
-use crate::field;
+use crate::field::FieldError;
 use crate::ids::DocName;
 use crate::ids::Version;
 
 /// The format that this version reads and writes.
 pub(crate) const FORMAT: u32 = 1;
 
-/// One record of the configuration's stream, written as JSON: changes that are accepted together or not at all.
+/// A record that operators publish, written as JSON: changes that are accepted together or not at all.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Put {
@@ -44,12 +45,6 @@
     pub body: Option<Body>,
 }
 
-/// What all formats have in common.
-#[derive(Deserialize)]
-struct Envelope {
-    format: u32,
-}
-
 impl Put {
     /// Makes a record of changes.
     pub fn new(by: &str, changes: Vec<Change>) -> Self {
@@ -67,15 +62,14 @@
     ///
     /// [`Rejected::Unreadable`] when the bytes are no put of this format.
     pub fn parse(bytes: &[u8]) -> Result<Self, Rejected> {
-        let envelope: Envelope = field::read_json(bytes).map_err(Rejected::Unreadable)?;
-        if envelope.format != FORMAT {
-            return Err(Rejected::Unreadable(field::FieldError::new(
-                "format",
-                envelope.format.to_string(),
-                FORMAT.to_string(),
-            )));
+        match Record::parse(bytes)? {
+            Record::Put(put) => Ok(put),
+            Record::Checkpoint(_) => Err(Rejected::Unreadable(FieldError::new(
+                "checkpoint",
+                "a checkpoint",
+                "changes",
+            ))),
         }
-        field::read_json(bytes).map_err(Rejected::Unreadable)
     }
 
     /// Writes a record.
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -13,6 +13,7 @@
 use crate::config::index::Index;
 use crate::config::put::Change;
 use crate::config::put::Put;
+use crate::config::record::Record;
 use crate::config::rejected::Rejected;
 use crate::config::route::Route;
 use crate::config::snapshot::Document;
@@ -35,6 +36,7 @@
     version: Version,
     skipped: u64,
     rejected: u64,
+    checkpoint: Option<Offset>,
     documents: IndexMap<DocKey, Document>,
     pub(super) index: Index,
 }
@@ -60,6 +62,11 @@
         self.rejected
     }
 
+    /// Returns the offset of the last checkpoint that it met. Before the log lets that one go, another is due.
+    pub fn checkpointed(&self) -> Option<Offset> {
+        self.checkpoint
+    }
+
     /// Folds one record; one that it has folded before changes nothing.
     ///
     /// # Errors
@@ -77,7 +84,10 @@
             });
         }
         self.next = Offset(offset.0 + 1);
-        let outcome = Put::parse(bytes).and_then(|put| self.put(Version(offset.0 + 1), put));
+        let outcome = Record::parse(bytes).and_then(|record| match record {
+            Record::Put(put) => self.put(Version(offset.0 + 1), put),
+            Record::Checkpoint(checkpoint) => self.checkpoint(offset, &checkpoint.checkpoint),
+        });
         match &outcome {
             Ok(()) => {}
             Err(Rejected::Unreadable(_)) => self.skipped += 1,
@@ -86,6 +96,29 @@
         outcome
     }
 
+    /// Takes over a record that is a checkpoint and ahead, and returns whether it was.
+    ///
+    /// This is for a router that finds the beginning of the stream gone, and no other router to ask: it hands on what
+    /// the log still keeps, from the first record on, until a checkpoint is taken, and then reads on from
+    /// [`Config::next`].
+    ///
+    /// # Errors
+    ///
+    /// When the checkpoint is not sound.
+    pub fn resume(&mut self, offset: Offset, bytes: &[u8]) -> Result<bool, Rejected> {
+        match Record::parse(bytes) {
+            Ok(Record::Checkpoint(checkpoint)) => {
+                check_version(
+                    "checkpoint.next",
+                    Version(checkpoint.checkpoint.next.0),
+                    offset.0,
+                )?;
+                self.adopt(checkpoint.checkpoint)
+            }
+            _ => Ok(false),
+        }
+    }
+
     /// Returns the whole configuration as a message; the same records give the same one.
     pub fn snapshot(&self) -> Snapshot {
         let mut documents: Vec<_> = self.documents.values().cloned().collect();
@@ -121,6 +154,7 @@
             version: snapshot.version,
             skipped: self.skipped,
             rejected: self.rejected,
+            checkpoint: self.checkpoint,
             ..Self::default()
         };
         for document in snapshot.documents {
@@ -235,6 +269,28 @@
         outcome
     }
 
+    /// Checks a checkpoint, which changes nothing for those who have read all before it.
+    ///
+    /// One that differs from what is in force comes from a router whose fold is not the same. Whoever starts from it
+    /// would route otherwise than the others do; to count it as rejected shows that in each router's dump.
+    fn checkpoint(&mut self, offset: Offset, checkpoint: &Snapshot) -> Result<(), Rejected> {
+        check_version("checkpoint.next", Version(checkpoint.next.0), offset.0)?;
+        if checkpoint.version == self.version && !self.equals(&checkpoint.documents) {
+            let allowed = format!("the documents of version {}", self.version);
+            return Err(Rejected::invalid("checkpoint.documents", "others", allowed));
+        }
+        self.checkpoint = Some(offset);
+        Ok(())
+    }
+
+    fn equals(&self, documents: &[Document]) -> bool {
+        let same = |document: &Document| {
+            let key = (document.kind, document.name.clone());
+            self.documents.get(&key) == Some(document)
+        };
+        documents.len() == self.documents.len() && documents.iter().all(same)
+    }
+
     /// Of two operators who change the same document, the one whose record lies first in the log wins; the other's
     /// names a version that is no longer in force. Without this, the second would undo the first unawares.
     fn check_bases(&self, changes: &[Change]) -> Result<(), Rejected> {
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::Checkpoint;
 use super::Config;
 use super::Kind;
 use super::Rejected;
@@ -247,6 +248,47 @@
     assert_eq!(behind.index, ahead.index);
 }
 
+/// All routers were replaced after the log had let the first records go. The new ones start from a checkpoint in place
+/// of refusing every caller for want of a configuration.
+#[test]
+fn resumes_from_a_checkpoint() {
+    let mut config = example();
+    let checkpoint = Checkpoint::new("vm-1", config.snapshot()).to_bytes();
+    let records = [
+        put(json!([team("between", 0)])),
+        checkpoint,
+        put(json!([team("after", 0)])),
+    ];
+    for record in &records {
+        config.apply(config.next(), record).expect("it is sound");
+    }
+    assert_eq!(config.checkpointed(), Some(Offset(2)));
+
+    let mut fresh = Config::default();
+    assert_eq!(fresh.resume(Offset(1), &records[0]), Ok(false));
+    assert_eq!(fresh.resume(Offset(2), &records[1]), Ok(true));
+    assert_eq!(fresh.next(), Offset(1));
+    for record in &records {
+        fresh.apply(fresh.next(), record).expect("it is sound");
+    }
+    assert_eq!(fresh.snapshot(), config.snapshot());
+}
+
+#[test]
+fn rejects_a_checkpoint_of_what_was_not_in_force() {
+    let mut other = example().snapshot();
+    other.documents.pop();
+    let mut ahead = example().snapshot();
+    ahead.next = Offset(7);
+    for snapshot in [other, ahead] {
+        let record = Checkpoint::new("vm-1", snapshot).to_bytes();
+        assert!(matches!(
+            refused(&mut example(), &record),
+            Rejected::Invalid(_)
+        ));
+    }
+}
+
 /// A peer sends a snapshot that this version cannot hold with, such as a rule without its team. The configuration in
 /// force stays.
 #[test]
@@ -271,17 +313,19 @@
     );
 }
 
-/// What some operator publishes: a change of one of three teams, based on what it saw, or noise.
+/// What is published: a change of one of three teams, based on what an operator saw, an earlier state, or noise.
 #[derive(Clone, Debug)]
 enum Publication {
+    Checkpoint(usize),
     Team { name: u8, stale: bool, gone: bool },
     Noise(Vec<u8>),
 }
 
 impl Arbitrary for Publication {
     fn arbitrary(g: &mut Gen) -> Self {
-        match u8::arbitrary(g) % 5 {
+        match u8::arbitrary(g) % 6 {
             0 => Self::Noise(Arbitrary::arbitrary(g)),
+            1 => Self::Checkpoint(Arbitrary::arbitrary(g)),
             _ => Self::Team {
                 name: u8::arbitrary(g) % 3,
                 stale: u8::arbitrary(g) % 4 == 0,
@@ -299,6 +343,10 @@
     for publication in publications {
         let record = match publication {
             Publication::Noise(bytes) => bytes.clone(),
+            Publication::Checkpoint(at) => {
+                let snapshot = states[at % states.len()].snapshot();
+                Checkpoint::new("test", snapshot).to_bytes()
+            }
             Publication::Team { name, stale, gone } => {
                 let name = format!("team-{name}");
                 let current = config.version_of(Kind::Team, &name.parse().expect("it is a name"));
@@ -363,19 +411,22 @@
 /// moment its configuration is one that the log made.
 #[test]
 fn never_reverts() {
-    check(never_reverts_holds as fn(Vec<Publication>, Vec<(usize, bool)>) -> bool);
+    check(never_reverts_holds as fn(Vec<Publication>, Vec<(usize, u8)>) -> bool);
 }
 
-fn never_reverts_holds(publications: Vec<Publication>, relays: Vec<(usize, bool)>) -> bool {
+fn never_reverts_holds(publications: Vec<Publication>, relays: Vec<(usize, u8)>) -> bool {
     let (records, states) = history(&publications);
     let mut config = Config::default();
-    relays.into_iter().all(|(at, whole)| {
+    relays.into_iter().all(|(at, way)| {
         let before = (config.next(), config.version());
-        if whole {
-            let _ = config.adopt(states[at % states.len()].snapshot());
-        } else if !records.is_empty() {
-            let at = at % records.len();
-            let _ = config.apply(Offset(at as u64), &records[at]);
+        let place = at % records.len().max(1);
+        let Some(record) = records.get(place) else {
+            return true;
+        };
+        match way % 3 {
+            0 => drop(config.adopt(states[at % states.len()].snapshot())),
+            1 => drop(config.resume(Offset(place as u64), record)),
+            _ => drop(config.apply(Offset(place as u64), record)),
         }
         let same = states.iter().any(|s| s.snapshot() == config.snapshot());
         same && (config.next(), config.version()) >= before && config.version() >= before.1
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub use config::AccountSpec;
 pub use config::Body;
 pub use config::Change;
+pub use config::Checkpoint;
 pub use config::Config;
 pub use config::Document;
 pub use config::Kind;
--- a/tests/cli/config.rs
+++ b/tests/cli/config.rs
@@ -109,6 +109,23 @@
     assert_eq!(done.code, Some(1), "{done:?}");
 }
 
+/// The log has let the first records go, and a router published a checkpoint before. The operator notices nothing.
+#[test]
+fn begins_with_a_checkpoint_after_old_records_went() {
+    let log = FakeLog::start(vec![team(0, "house").into_bytes()]);
+    let url = log.fake.url();
+    let before = run(&url, "", &["config", "get", "--json"]).json();
+    let snapshot = json!({"next": 1, "version": 1, "documents": before["documents"]});
+    let checkpoint = json!({"format": 1, "by": "vm-1", "checkpoint": snapshot});
+    lock(&log.stream)
+        .records
+        .push(checkpoint.to_string().into_bytes());
+    lock(&log.stream).first = 1;
+    assert_eq!(run(&url, "", &["config", "get", "--json"]).json(), before);
+    let next = file("checkpoint.json", &team(1, "team"));
+    assert_eq!(run(&url, "", &["config", "put", &next]).code, Some(0));
+}
+
 /// The log has let the first records go. With a router to ask, the operator works on as if it had not; without one, it
 /// is told what is missing.
 #[test]
