--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod checkpoint;
 mod document;
 mod index;
+mod lookup;
 mod put;
 mod record;
 mod rejected;
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -3,29 +3,19 @@
 use indexmap::IndexMap;
 
 use crate::config::check;
-use crate::config::document::AccountSpec;
 use crate::config::document::Body;
 use crate::config::document::Kind;
-use crate::config::document::PoolSpec;
 use crate::config::document::RuleSpec;
-use crate::config::document::TeamSpec;
-use crate::config::index;
 use crate::config::index::Index;
 use crate::config::put::Change;
 use crate::config::put::Put;
 use crate::config::record::Record;
 use crate::config::rejected::Rejected;
-use crate::config::route::Route;
 use crate::config::snapshot::Document;
 use crate::config::snapshot::Snapshot;
-use crate::ids::AccountId;
 use crate::ids::DocName;
 use crate::ids::Offset;
-use crate::ids::PoolId;
-use crate::ids::TeamId;
 use crate::ids::Version;
-use crate::key_hash::KeyHash;
-use crate::labels::Labels;
 
 type DocKey = (Kind, DocName);
 
@@ -37,7 +27,7 @@
     skipped: u64,
     rejected: u64,
     checkpoint: Option<Offset>,
-    documents: IndexMap<DocKey, Document>,
+    pub(super) documents: IndexMap<DocKey, Document>,
     pub(super) index: Index,
 }
 
@@ -171,91 +161,6 @@
         Ok(ahead)
     }
 
-    /// Returns the account that a bearer key is good for.
-    pub fn account_by_key(&self, bearer: &str) -> Option<(AccountId, &AccountSpec)> {
-        let name = self.index.account(&KeyHash::of(bearer))?;
-        match self.body(Kind::Account, name)? {
-            Body::Account(account) => Some((name.as_str().parse().ok()?, account)),
-            _ => None,
-        }
-    }
-
-    /// Returns an account.
-    pub fn account(&self, account: &AccountId) -> Option<&AccountSpec> {
-        match self.named(Kind::Account, account.as_str())? {
-            Body::Account(account) => Some(account),
-            _ => None,
-        }
-    }
-
-    /// Returns who pays for a request with these labels and where it goes.
-    pub fn route(&self, labels: &Labels) -> Option<Route> {
-        let account = labels.get(index::ACCOUNT);
-        let matches = |name: &DocName| self.rule(name).is_some_and(|r| r.when.matches(labels));
-        let name = self.index.route(account, matches)?;
-        let rule = self.rule(name)?;
-        Some(Route {
-            rule: name.clone(),
-            team: rule.team.clone(),
-            pool: rule.pool.clone(),
-            priority: rule.priority,
-        })
-    }
-
-    /// Returns a pool.
-    pub fn pool(&self, pool: &PoolId) -> Option<&PoolSpec> {
-        match self.named(Kind::Pool, pool.as_str())? {
-            Body::Pool(pool) => Some(pool),
-            _ => None,
-        }
-    }
-
-    /// Returns all pools.
-    pub fn pools(&self) -> impl Iterator<Item = (PoolId, &PoolSpec)> {
-        self.documents()
-            .filter_map(|document| match &document.body {
-                Body::Pool(pool) => Some((document.name.as_str().parse().ok()?, pool)),
-                _ => None,
-            })
-    }
-
-    /// Returns a team.
-    pub fn team(&self, team: &TeamId) -> Option<&TeamSpec> {
-        match self.named(Kind::Team, team.as_str())? {
-            Body::Team(team) => Some(team),
-            _ => None,
-        }
-    }
-
-    /// Returns all documents, in no order.
-    pub fn documents(&self) -> impl Iterator<Item = &Document> {
-        self.documents.values()
-    }
-
-    /// Returns a document's version: 0 where there is none.
-    pub fn version_of(&self, kind: Kind, name: &DocName) -> Version {
-        self.documents
-            .get(&(kind, name.clone()))
-            .map_or(Version(0), |document| document.version)
-    }
-
-    fn body(&self, kind: Kind, name: &DocName) -> Option<&Body> {
-        self.documents
-            .get(&(kind, name.clone()))
-            .map(|document| &document.body)
-    }
-
-    fn rule(&self, name: &DocName) -> Option<&RuleSpec> {
-        match self.body(Kind::Rule, name)? {
-            Body::Rule(rule) => Some(rule),
-            _ => None,
-        }
-    }
-
-    fn named(&self, kind: Kind, name: &str) -> Option<&Body> {
-        self.body(kind, &name.parse().ok()?)
-    }
-
     fn put(&mut self, version: Version, put: Put) -> Result<(), Rejected> {
         self.check_bases(&put.changes)?;
         put.check()?;
