--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -3,18 +3,36 @@
 //! A partition is a stream of the log service. Its order is the agreement, and what it means is the pure, deterministic
 //! [`Ledger`]: every router folds the same records and so holds the same truth.
 
+mod budget;
+mod checkpoint;
 mod codec;
+mod crash;
+mod expiry;
 mod fold;
 mod key;
+mod membership;
 mod record;
+mod request;
 mod router;
+mod share;
+mod sums;
 mod team;
 mod verdict;
 
+pub use checkpoint::Assembler;
+pub use checkpoint::MAX_PARTS;
+pub use checkpoint::PART_SIZE;
+pub use checkpoint::Part;
+pub use checkpoint::Restored;
+pub use checkpoint::Schedule;
+pub use checkpoint::decode_part;
+pub use checkpoint::encode_part;
+pub use checkpoint::split;
 pub use codec::DecodeError;
 pub use codec::decode;
 pub use codec::encode;
-pub(crate) use fold::KEY_MEMORY;
+pub(crate) use expiry::KEY_MEMORY;
+pub use fold::Checkpointed;
 pub use fold::Ledger;
 pub use key::BillState;
 pub use key::ClaimState;
@@ -24,6 +42,7 @@
 pub use record::Claim;
 pub use record::Outcome;
 pub use record::Record;
+pub(crate) use request::MAX_RERUNS;
 pub use router::RouterState;
 pub use team::Holding;
 pub use team::TeamState;
