--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -3,27 +3,19 @@
 use indexmap::IndexMap;
 
 use crate::config::check;
-use crate::config::document::AccountSpec;
 use crate::config::document::Body;
 use crate::config::document::Kind;
-use crate::config::document::PoolSpec;
 use crate::config::document::RuleSpec;
-use crate::config::document::TeamSpec;
 use crate::config::index::Index;
 use crate::config::put::Change;
 use crate::config::put::Put;
+use crate::config::record::Record;
 use crate::config::rejected::Rejected;
-use crate::config::route::Route;
 use crate::config::snapshot::Document;
 use crate::config::snapshot::Snapshot;
-use crate::ids::AccountId;
 use crate::ids::DocName;
 use crate::ids::Offset;
-use crate::ids::PoolId;
-use crate::ids::TeamId;
 use crate::ids::Version;
-use crate::key_hash::KeyHash;
-use crate::labels::Labels;
 
 type DocKey = (Kind, DocName);
 
@@ -34,7 +26,8 @@
     version: Version,
     skipped: u64,
     rejected: u64,
-    documents: IndexMap<DocKey, Document>,
+    checkpoint: Option<Offset>,
+    pub(super) documents: IndexMap<DocKey, Document>,
     pub(super) index: Index,
 }
 
@@ -59,6 +52,11 @@
         self.rejected
     }
 
+    /// Returns the offset of the last checkpoint that it met. Before the log lets that one go, another is due.
+    pub fn checkpointed(&self) -> Option<Offset> {
+        self.checkpoint
+    }
+
     /// Folds one record; one that it has folded before changes nothing.
     ///
     /// # Errors
@@ -76,7 +74,10 @@
             });
         }
         self.next = Offset(offset.0 + 1);
-        let outcome = Put::parse(bytes).and_then(|put| self.put(Version(offset.0 + 1), put));
+        let outcome = Record::parse(bytes).and_then(|record| match record {
+            Record::Put(put) => self.put(Version(offset.0 + 1), put),
+            Record::Checkpoint(checkpoint) => self.checkpoint(offset, &checkpoint.checkpoint),
+        });
         match &outcome {
             Ok(()) => {}
             Err(Rejected::Unreadable(_)) => self.skipped += 1,
@@ -85,6 +86,29 @@
         outcome
     }
 
+    /// Takes over a record that is a checkpoint and ahead, and returns whether it was.
+    ///
+    /// This is for a router that finds the beginning of the stream gone, and no other router to ask: it hands on what
+    /// the log still keeps, from the first record on, until a checkpoint is taken, and then reads on from
+    /// [`Config::next`].
+    ///
+    /// # Errors
+    ///
+    /// When the checkpoint is not sound.
+    pub fn resume(&mut self, offset: Offset, bytes: &[u8]) -> Result<bool, Rejected> {
+        match Record::parse(bytes) {
+            Ok(Record::Checkpoint(checkpoint)) => {
+                check_version(
+                    "checkpoint.next",
+                    Version(checkpoint.checkpoint.next.0),
+                    offset.0,
+                )?;
+                self.adopt(checkpoint.checkpoint)
+            }
+            _ => Ok(false),
+        }
+    }
+
     /// Returns the whole configuration as a message; the same records give the same one.
     pub fn snapshot(&self) -> Snapshot {
         let mut documents: Vec<_> = self.documents.values().cloned().collect();
@@ -120,6 +144,7 @@
             version: snapshot.version,
             skipped: self.skipped,
             rejected: self.rejected,
+            checkpoint: self.checkpoint,
             ..Self::default()
         };
         for document in snapshot.documents {
@@ -136,93 +161,41 @@
         Ok(ahead)
     }
 
-    /// Returns the account that a bearer key is good for.
-    pub fn account_by_key(&self, bearer: &str) -> Option<(AccountId, &AccountSpec)> {
-        let name = self.index.account(&KeyHash::of(bearer))?;
-        match self.body(Kind::Account, name)? {
-            Body::Account(account) => Some((name.as_str().parse().ok()?, account)),
-            _ => None,
-        }
-    }
-
-    /// Returns an account.
-    pub fn account(&self, account: &AccountId) -> Option<&AccountSpec> {
-        match self.named(Kind::Account, account.as_str())? {
-            Body::Account(account) => Some(account),
-            _ => None,
-        }
-    }
-
-    /// Returns who pays for a request with these labels and where it goes.
-    pub fn route(&self, labels: &Labels) -> Option<Route> {
-        let (name, rule) = self.index.route(labels)?;
-        Some(Route {
-            rule: name.clone(),
-            team: rule.team.clone(),
-            pool: rule.pool.clone(),
-            priority: rule.priority,
-        })
-    }
-
-    /// Returns a pool.
-    pub fn pool(&self, pool: &PoolId) -> Option<&PoolSpec> {
-        match self.named(Kind::Pool, pool.as_str())? {
-            Body::Pool(pool) => Some(pool),
-            _ => None,
-        }
-    }
-
-    /// Returns all pools.
-    pub fn pools(&self) -> impl Iterator<Item = (PoolId, &PoolSpec)> {
-        self.documents()
-            .filter_map(|document| match &document.body {
-                Body::Pool(pool) => Some((document.name.as_str().parse().ok()?, pool)),
-                _ => None,
-            })
-    }
-
-    /// Returns a team.
-    pub fn team(&self, team: &TeamId) -> Option<&TeamSpec> {
-        match self.named(Kind::Team, team.as_str())? {
-            Body::Team(team) => Some(team),
-            _ => None,
-        }
-    }
-
-    /// Returns all documents, in no order.
-    pub fn documents(&self) -> impl Iterator<Item = &Document> {
-        self.documents.values()
-    }
-
-    /// Returns a document's version: 0 where there is none.
-    pub fn version_of(&self, kind: Kind, name: &DocName) -> Version {
-        self.documents
-            .get(&(kind, name.clone()))
-            .map_or(Version(0), |document| document.version)
-    }
-
-    fn body(&self, kind: Kind, name: &DocName) -> Option<&Body> {
-        self.documents
-            .get(&(kind, name.clone()))
-            .map(|document| &document.body)
-    }
-
-    fn named(&self, kind: Kind, name: &str) -> Option<&Body> {
-        self.body(kind, &name.parse().ok()?)
-    }
-
     fn put(&mut self, version: Version, put: Put) -> Result<(), Rejected> {
         self.check_bases(&put.changes)?;
         put.check()?;
         let before = self.replace(version, &put.changes);
-        if let Err(rejected) = self.check_whole(&put.changes) {
-            self.restore(before);
-            return Err(rejected);
+        let (entered, outcome) = self.enter(&put.changes);
+        let outcome = outcome.and_then(|()| self.check_references(&put.changes));
+        match outcome {
+            Ok(()) => self.version = version,
+            Err(_) => self.restore(&put.changes[..entered], before),
+        }
+        outcome
+    }
+
+    /// Checks a checkpoint, which changes nothing for those who have read all before it.
+    ///
+    /// One that differs from what is in force comes from a router whose fold is not the same. Whoever starts from it
+    /// would route otherwise than the others do; to count it as rejected shows that in each router's dump.
+    fn checkpoint(&mut self, offset: Offset, checkpoint: &Snapshot) -> Result<(), Rejected> {
+        check_version("checkpoint.next", Version(checkpoint.next.0), offset.0)?;
+        if checkpoint.version == self.version && !self.equals(&checkpoint.documents) {
+            let allowed = format!("the documents of version {}", self.version);
+            return Err(Rejected::invalid("checkpoint.documents", "others", allowed));
         }
-        self.version = version;
+        self.checkpoint = Some(offset);
         Ok(())
     }
 
+    fn equals(&self, documents: &[Document]) -> bool {
+        let same = |document: &Document| {
+            let key = (document.kind, document.name.clone());
+            self.documents.get(&key) == Some(document)
+        };
+        documents.len() == self.documents.len() && documents.iter().all(same)
+    }
+
     /// Of two operators who change the same document, the one whose record lies first in the log wins; the other's
     /// names a version that is no longer in force. Without this, the second would undo the first unawares.
     fn check_bases(&self, changes: &[Change]) -> Result<(), Rejected> {
@@ -265,20 +238,27 @@
         before
     }
 
-    /// Checks what concerns more than one document, and brings the index up to date.
-    fn check_whole(&mut self, changes: &[Change]) -> Result<(), Rejected> {
-        for change in changes {
-            if let Some(body) = &change.body {
-                self.index.add(&change.name, body)?;
+    /// Brings the index up to date, and returns how many changes it has taken.
+    fn enter(&mut self, changes: &[Change]) -> (usize, Result<(), Rejected>) {
+        for (at, change) in changes.iter().enumerate() {
+            let Some(body) = &change.body else {
+                continue;
+            };
+            if let Err(rejected) = self.index.add(&change.name, body) {
+                return (at, Err(rejected));
             }
         }
+        (changes.len(), Ok(()))
+    }
+
+    fn check_references(&self, changes: &[Change]) -> Result<(), Rejected> {
         changes
             .iter()
-            .try_for_each(|change| self.check_references(change))
+            .try_for_each(|change| self.check_reference(change))
     }
 
     /// Checks that what the changed document refers to exists, and that nothing refers to a document that went.
-    fn check_references(&self, change: &Change) -> Result<(), Rejected> {
+    fn check_reference(&self, change: &Change) -> Result<(), Rejected> {
         let name = &change.name;
         match (&change.body, change.kind) {
             (Some(Body::Rule(rule)), _) => self.check_rule(name, rule),
@@ -306,18 +286,24 @@
         Ok(())
     }
 
-    /// Undoes a replacement. The index is built anew: this is rare, and so cannot go wrong half way.
-    fn restore(&mut self, before: Vec<(DocKey, Option<Document>)>) {
+    /// Undoes a replacement of which the index had taken the changes in `entered`.
+    ///
+    /// It undoes just these: to build the index anew would hold up every router at once, for as long as there are
+    /// documents, whenever an operator makes a mistake.
+    fn restore(&mut self, entered: &[Change], before: Vec<(DocKey, Option<Document>)>) {
+        for change in entered {
+            if let Some(body) = &change.body {
+                self.index.remove(&change.name, body);
+            }
+        }
         for (key, old) in before {
-            match old {
-                Some(old) => self.documents.insert(key, old),
-                None => self.documents.swap_remove(&key),
+            let Some(old) = old else {
+                self.documents.swap_remove(&key);
+                continue;
             };
-        }
-        self.index = Index::default();
-        for ((_, name), document) in &self.documents {
-            // It was accepted before, so there is nothing to tell.
-            let _ = self.index.add(name, &document.body);
+            // It was in force before, so there is nothing to tell.
+            let _ = self.index.add(&key.1, &old.body);
+            self.documents.insert(key, old);
         }
     }
 }
