--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -178,9 +178,14 @@
     if let Some(kind) = &call.kind {
         request = request.header(CONTENT_TYPE, kind);
     }
-    let answer = engine::send(desk, request.body(Full::new(call.body))).await?;
+    let request = request.body(Full::new(call.body));
+    let answer = match run.idempotent {
+        true => engine::send(&desk.http, request).await?,
+        false => engine::send(&desk.once, request).await?,
+    };
     let status = answer.status().as_u16();
-    if status == 503 {
+    // Of a call that may not be repeated, not even a 503 proves that it took no effect; the caller gets it as it is.
+    if status == 503 && run.idempotent {
         return Err(engine::refusal(&answer));
     }
     let kind = answer
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -50,6 +50,9 @@
     /// Tells this process's requests from all others' at endpoints.
     pub(crate) origin: String,
     pub(crate) http: HttpClient,
+    /// For calls that may not be repeated: on a connection that the service closed meanwhile, nobody could tell whether
+    /// a call arrived, so each gets a connection of its own.
+    pub(crate) once: HttpClient,
     events: mpsc::UnboundedSender<Event>,
     commands: Mutex<IndexMap<RequestId, mpsc::UnboundedSender<Command>>>,
     questions: Mutex<IndexMap<AdminId, oneshot::Sender<(u16, Value)>>>,
@@ -75,6 +78,7 @@
             admin_key,
             origin,
             http: HttpClient::new(None),
+            once: HttpClient::without_reuse(),
             events,
             commands: Mutex::default(),
             questions: Mutex::default(),
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -119,6 +119,9 @@
         silence: ledger.silence_ms.duration(),
         patience: settings.limits.deadline_ms.duration(),
         queue: settings.limits.queue,
+        wait: settings.limits.queue_ms.duration(),
+        keep: settings.limits.address_ms.duration(),
+        parted: ledger.parted_ms.duration(),
         drain: settings.limits.drain_ms.duration(),
         retention: ledger.retention_ms.duration(),
     }
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -16,6 +16,7 @@
 use tracing::warn;
 
 use crate::edge::desk::Desk;
+use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
 use crate::ids::RequestId;
 use crate::router::Order;
@@ -66,13 +67,13 @@
 
 /// Sends a request and returns the answer's head, or how the run ended.
 pub(crate) async fn send(
-    desk: &Desk,
+    http: &HttpClient,
     request: Result<Request<Full<Bytes>>, hyper::http::Error>,
 ) -> Result<Response<Incoming>, RunEnd> {
     let Ok(request) = request else {
         return Err(RunEnd::NotRun { retry: None });
     };
-    match desk.http.send(request, HEAD).await {
+    match http.send(request, HEAD).await {
         Ok(answer) => Ok(answer),
         Err(HttpError::Connect(_) | HttpError::Request(_)) => Err(RunEnd::NotRun { retry: None }),
         Err(_) => Err(broken()),
@@ -142,6 +143,7 @@
 pub(crate) async fn is_dead(desk: &Desk, address: &str) -> bool {
     let url = format!("http://{address}/v1/load");
     let answer = desk.http.get(&url, ALIVE).await;
+    // No answer in time may be a link that was cut, and the endpoint lives behind it.
     matches!(answer, Err(HttpError::Connect(_) | HttpError::Lost(_)))
 }
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -28,6 +28,7 @@
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
 use crate::router::Peer;
+use crate::router::Silence;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
 const VERSION: u32 = 1;
@@ -132,15 +133,6 @@
     tarpc::tokio_util::codec::Framed::new(stream, codec())
 }
 
-/// Why a peer said nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Silence {
-    /// Its VM says that nothing listens there.
-    Refused,
-    /// Nothing came in time, or the connection broke.
-    Other,
-}
-
 /// Calls peers, over one connection each.
 #[derive(Clone)]
 pub(crate) struct Caller {
@@ -162,8 +154,8 @@
             |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
         match self.call(&peer.address, CALL, call).await {
             Ok(Ok(word)) => self.desk.tell(Event::Heard(word)),
-            Ok(Err(_)) | Err(Silence::Other) => self.desk.tell(Event::Unheard(peer.vm, false)),
-            Err(Silence::Refused) => self.desk.tell(Event::Unheard(peer.vm, true)),
+            Ok(Err(_)) => self.desk.tell(Event::Unheard(peer.vm, Silence::Mute)),
+            Err(silence) => self.desk.tell(Event::Unheard(peer.vm, silence)),
         }
     }
 
@@ -213,7 +205,7 @@
             _ => {
                 // A connection over which nothing comes is half open, or worse: the next call makes a new one.
                 self.clients.lock().await.swap_remove(address);
-                Err(Silence::Other)
+                Err(Silence::Mute)
             }
         }
     }
@@ -227,7 +219,7 @@
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(Silence::Refused);
             }
-            _ => return Err(Silence::Other),
+            _ => return Err(Silence::Unreachable),
         };
         let _ = stream.set_nodelay(true);
         let transport = serde_transport::new(codec_framed(stream), Postcard::default());
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -18,6 +18,10 @@
 use thiserror::Error;
 
 /// The longest answer that is read, in bytes; one batch of a stream's records is well below it.
+/// How long a connection may take: between two VMs of one site it takes milliseconds, and a call that could not be sent
+/// may go elsewhere.
+const CONNECT: Duration = Duration::from_secs(1);
+
 const MAX_ANSWER: usize = 64 << 20;
 
 /// Why there is no answer.
@@ -69,14 +73,23 @@
 impl HttpClient {
     /// Makes a client that sends a bearer key, if one is given, with each call.
     pub fn new(bearer: Option<String>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: Client::builder(TokioExecutor::new()).build(connector()),
             bearer,
         }
     }
 
+    /// Makes a client that opens a connection for each call.
+    pub(crate) fn without_reuse() -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build(connector());
+        Self {
+            client,
+            bearer: None,
+        }
+    }
+
     /// Gets a resource.
     ///
     /// # Errors
@@ -145,6 +158,13 @@
     }
 }
 
+fn connector() -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT));
+    connector
+}
+
 /// Returns the innermost cause, which alone tells what happened.
 fn cause(error: &dyn std::error::Error) -> String {
     let mut inner = error;
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -262,8 +262,9 @@
                 false => OUTCOME_UNKNOWN,
             };
         }
+        let once = key.once || !request.idempotent;
         match &key.bill {
-            Some(bill) if !request.idempotent => match &bill.outcome {
+            Some(bill) if once => match &bill.outcome {
                 Outcome::Answered {
                     status,
                     body: Some(body),
@@ -275,6 +276,7 @@
                 _ => FINISHED,
             },
             Some(_) if key.reruns >= MAX_RERUNS => FINISHED,
+            None if once && key.orphaned => OUTCOME_UNKNOWN,
             _ => Look::Run,
         }
     }
--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -1,5 +1,6 @@
 //! Claims: taking a request for this router before anything is sent to an endpoint.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use tracing::info;
@@ -13,10 +14,15 @@
 use crate::ledger::Void;
 use crate::router::core::Core;
 use crate::router::core::Ticket;
+use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
 use crate::router::request::Stake;
 use crate::router::request::State;
 
+/// When a caller may come back to a router that is cut off from the log.
+pub(crate) const OUTAGE_RETRY: Duration = Duration::from_secs(2);
+
 impl Core {
     /// Claims a request that has its budget and its endpoint.
     pub(crate) fn claim(&mut self, now: Instant, id: RequestId, endpoint: VmId) {
@@ -51,11 +57,17 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        if let State::Claiming { endpoint } = &request.state
-            && request.idempotent
-        {
-            let endpoint = endpoint.clone();
+        let State::Claiming { endpoint } = &request.state else {
+            return;
+        };
+        let endpoint = endpoint.clone();
+        if request.idempotent && self.may_run_unclaimed(now) {
             self.dispatch(now, id, endpoint);
+        } else {
+            let detail = "the log service can't be reached from here";
+            let instead = self.other_address();
+            let problem = Problem::new(ProblemKind::LogOutage, Ran::Unknown, detail);
+            self.refuse_with(now, id, problem.retry_in(OUTAGE_RETRY).go_to(instead));
         }
     }
 
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -67,6 +67,12 @@
     pub(crate) queue: usize,
     /// How long the log keeps records.
     pub(crate) retention: Duration,
+    /// How long a request may wait for an endpoint.
+    pub(crate) wait: Duration,
+    /// How long a caller may keep an advised address.
+    pub(crate) keep: Duration,
+    /// How long a router that the VM list shows may be out of reach before it is closed.
+    pub(crate) parted: Duration,
     /// How long a planned stop waits for the requests in progress.
     pub(crate) drain: Duration,
 }
@@ -140,6 +146,8 @@
     pub(crate) fetched: Option<Instant>,
     /// When a record was last folded.
     pub(crate) folded: Option<Instant>,
+    /// When holdings were last looked over.
+    pub(crate) kept_house: Option<Instant>,
     /// Before this a router writes no checkpoint.
     pub(crate) first_checkpoint: Instant,
     /// When a checkpoint was last written.
@@ -215,6 +223,7 @@
             },
             stale_until: None,
             first_checkpoint: now + FIRST_CHECKPOINT.mul_f64(rng.random_range(1.0..3.0)),
+            kept_house: None,
             started: now,
             fetched: None,
             folded: None,
@@ -247,7 +256,7 @@
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
             Event::VmList(list) => self.vm_list(now, list),
             Event::Heard(beat) => self.heard(now, beat),
-            Event::Unheard(vm, refused) => self.members.unheard(now, vm, refused),
+            Event::Unheard(vm, silence) => self.members.unheard(now, vm, silence),
             Event::Keep(batches) => self.members.keep(batches),
             Event::Kept {
                 peer,
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -64,8 +64,8 @@
     VmList(VmList),
     /// A peer was heard, either way.
     Heard(Heartbeat),
-    /// A peer did not answer a heartbeat; whether its VM said that nothing listens there.
-    Unheard(VmId, bool),
+    /// A peer did not answer a heartbeat.
+    Unheard(VmId, Silence),
     /// A peer asks this router to keep the batches that it cannot append.
     Keep(KeptBatches),
     /// A peer keeps this router's batches up to this number.
@@ -95,6 +95,17 @@
     Tick,
 }
 
+/// Why a peer said nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Silence {
+    /// Its VM says that nothing listens there: the process is dead, and the VM lives.
+    Refused,
+    /// A connection was had, and no answer over it: the process is frozen, or what stands between is at fault.
+    Mute,
+    /// No connection was had: the VM is dead, or the network is parted.
+    Unreachable,
+}
+
 /// Names an operator's question, so that its answer finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct AdminId(pub u64);
--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -32,6 +32,9 @@
 /// When it may come back while other routers still hold some: they give it back as their requests end.
 const HELD_RETRY: Duration = Duration::from_secs(2);
 
+/// How often holdings are brought to what the policy wants: demand is averaged over half a minute.
+const KEEP_HOUSE: Duration = Duration::from_secs(1);
+
 /// The time over which a team's demand is averaged.
 const DEMAND_WINDOW: f64 = 30.0;
 
@@ -108,12 +111,32 @@
         let state = self.ledger.team(team);
         let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
         if undrawn == Tokens::ZERO {
+            self.ask_others(team, wanted);
             self.note_short(now, team);
         } else {
             self.adjust(now, team, wanted);
         }
     }
 
+    /// Draws though nothing is left: the others see the draw come back short, and give back what lies idle there.
+    fn ask_others(&mut self, team: &TeamId, wanted: Tokens) {
+        let holding = self.ledger.holding(self.me, team);
+        let mine = holding.free + holding.claimed;
+        let held = self.ledger.team(team).map_or(Tokens::ZERO, |t| t.held());
+        let Some(purse) = self.purses.get_mut(team) else {
+            return;
+        };
+        if purse.drawing || held <= mine {
+            return;
+        }
+        purse.drawing = true;
+        let record = Record::Draw {
+            team: team.clone(),
+            want: wanted,
+        };
+        self.appender.push(record, Ticket::Draw(team.clone()));
+    }
+
     /// Marks since when the waiting requests have nothing left to draw, and refuses those that no one can serve.
     fn note_short(&mut self, now: Instant, team: &TeamId) {
         let Some(purse) = self.purses.get(team) else {
@@ -255,9 +278,11 @@
     /// Brings holdings to what the policy wants, and refuses those that waited for budget in vain.
     pub(crate) fn keep_house(&mut self, now: Instant) {
         self.fund_all(now);
-        if !self.serving() {
+        let due = self.kept_house.is_none_or(|at| now >= at + KEEP_HOUSE);
+        if !self.serving() || !due {
             return;
         }
+        self.kept_house = Some(now);
         let teams: Vec<_> = self.purses.keys().cloned().collect();
         for team in teams {
             self.adjust(now, &team, Tokens::ZERO);
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::decide;
+use crate::ids::DomainId;
 use crate::ids::Incarnation;
 use crate::ids::Sequence;
 use crate::ids::VmId;
@@ -19,6 +20,7 @@
 use crate::router::effect::Peer;
 use crate::router::event::Heartbeat;
 use crate::router::event::KeptBatches;
+use crate::router::event::Silence;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 use crate::vms::VmState;
@@ -29,15 +31,9 @@
 /// The label that tells where a router listens for routers.
 const PEER: &str = "peer";
 
-/// How much longer a silent router is waited for while the VM list still shows its VM as live.
-const LISTED_FACTOR: u32 = 3;
-
 /// How many heartbeats in a row must find that nothing listens: one may meet a router that restarts.
 const REFUSALS: u32 = 2;
 
-/// How much shorter the silence of a router may be whose VM says that nothing listens there.
-const REFUSED_PART: u32 = 4;
-
 /// How far apart routers close the same dead one, by rank: one append's time, so that mostly one does it.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
@@ -50,19 +46,38 @@
 /// How often a router that some peer cannot hear shows itself in the log.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
+/// A peer's silence.
+#[derive(Clone, Copy, Debug)]
+struct Unheard {
+    /// When it last did not answer.
+    at: Instant,
+    /// In what way.
+    silence: Silence,
+    /// How often in a row in this way.
+    count: u32,
+}
+
+/// How far the closing of a dead router has come.
+#[derive(Clone, Copy, Debug)]
+struct Closing {
+    /// Since when it goes on.
+    since: Instant,
+    /// When its record was last sent off.
+    recorded: Option<Instant>,
+}
+
 /// What a router knows of the others.
 #[derive(Debug)]
 pub(crate) struct Members {
     pub(crate) vms: VmList,
     heard: IndexMap<VmId, (Instant, Heartbeat)>,
-    /// When each peer last did not answer, and how often in a row its VM said that nothing listens there.
-    unheard: IndexMap<VmId, (Instant, u32)>,
+    unheard: IndexMap<VmId, Unheard>,
     /// When each incarnation last gave a sign of life.
     signs: IndexMap<Incarnation, Instant>,
     kept: IndexMap<Incarnation, KeptBatches>,
-    closing: IndexMap<Incarnation, Instant>,
+    closing: IndexMap<Incarnation, Closing>,
     relayed: IndexMap<VmId, Instant>,
-    log_heard: Instant,
+    pub(crate) log_heard: Instant,
     beaten: Option<Instant>,
     shown: Instant,
 }
@@ -105,17 +120,29 @@
     }
 
     /// Notes that a peer did not answer.
-    pub(crate) fn unheard(&mut self, now: Instant, vm: VmId, refused: bool) {
-        let (at, count) = self.unheard.entry(vm).or_insert((now, 0));
-        *at = now;
-        *count = if refused { *count + 1 } else { 0 };
+    pub(crate) fn unheard(&mut self, now: Instant, vm: VmId, silence: Silence) {
+        let row = self.unheard.get(&vm).filter(|u| u.silence == silence);
+        let count = row.map_or(0, |u| u.count) + 1;
+        let unheard = Unheard {
+            at: now,
+            silence,
+            count,
+        };
+        self.unheard.insert(vm, unheard);
     }
 
-    /// Returns whether a peer's VM says again and again that its router does not listen.
-    fn is_refused(&self, vm: &VmId) -> bool {
-        self.unheard
-            .get(vm)
-            .is_some_and(|(_, count)| *count >= REFUSALS)
+    /// Returns in what way a peer is silent, if it is; one refusal may have met a router that restarts.
+    pub(crate) fn silence(&self, now: Instant, vm: &VmId) -> Option<Silence> {
+        let unheard = self.unheard.get(vm).filter(|u| now < u.at + FRESH)?;
+        match unheard.silence {
+            Silence::Refused if unheard.count < REFUSALS => Some(Silence::Mute),
+            silence => Some(silence),
+        }
+    }
+
+    /// Returns whether a peer was heard of late.
+    pub(crate) fn is_heard(&self, now: Instant, vm: &VmId) -> bool {
+        self.heard.get(vm).is_some_and(|(at, _)| now < *at + FRESH)
     }
 
     /// Keeps a peer's batches, in place of those that it left here before.
@@ -138,8 +165,13 @@
         self.vms.vms.iter().find(|entry| entry.vm == *vm)
     }
 
+    /// Returns the failure domain of a VM.
+    pub(crate) fn domain(&self, vm: &VmId) -> Option<&DomainId> {
+        self.entry(vm).map(|entry| &entry.domain)
+    }
+
     /// Returns whether the VM list shows a VM as live.
-    fn listed(&self, vm: &VmId) -> bool {
+    pub(crate) fn is_listed(&self, vm: &VmId) -> bool {
         self.entry(vm).is_some_and(|e| e.state == VmState::Live)
     }
 
@@ -180,7 +212,7 @@
     fn any_unheard(&self, now: Instant) -> bool {
         self.unheard
             .iter()
-            .any(|(vm, (at, _))| now < *at + FRESH && self.entry(vm).is_some())
+            .any(|(vm, unheard)| now < unheard.at + FRESH && self.entry(vm).is_some())
     }
 }
 
@@ -309,13 +341,7 @@
     fn is_silent(&mut self, now: Instant, router: Incarnation, vm: &VmId) -> bool {
         let rank = self.rank(router);
         let last = *self.members.signs.entry(router).or_insert(now);
-        let silence = self.tuning.silence;
-        // A process that died on a VM that lives: the VM answers for it. The others may be frozen or parted, and live.
-        let base = match (self.members.is_refused(vm), self.members.listed(vm)) {
-            (true, _) => silence / REFUSED_PART,
-            (false, true) => silence * LISTED_FACTOR,
-            (false, false) => silence,
-        };
+        let base = self.patience_with(now, vm);
         now >= last + base + RANK_DELAY * rank
     }
 
@@ -336,26 +362,29 @@
     /// Its last bills may be known to its peers alone. Were it closed first, they would be void, and answers that
     /// callers have whole would stay unbilled.
     fn close_one(&mut self, now: Instant, router: Incarnation, sequence: Sequence) {
-        let begun = self.members.closing.get(&router).copied();
         let kept = self.members.kept.get(&router);
         let missing = kept.is_some_and(|kept| kept.last > sequence);
-        match begun {
-            None => {
-                warn!(event = "closing", %router, left_here = missing);
-                self.members.closing.insert(router, now);
-                let batches = kept.map(|kept| kept.batches.clone()).unwrap_or_default();
-                let appends = batches.into_iter().map(Effect::AppendKept);
-                self.effects.extend(appends);
-                if !missing {
-                    self.push_close(router);
-                }
-            }
-            Some(at) if missing && now < at + KEPT_WAIT => {}
-            Some(at) if now < at + KEPT_WAIT * 2 && !missing => {}
-            Some(_) => {
-                self.members.closing.insert(router, now);
-                self.push_close(router);
-            }
+        let Some(closing) = self.members.closing.get(&router).copied() else {
+            warn!(event = "closing", %router, left_here = missing);
+            let batches = kept.map(|kept| kept.batches.clone()).unwrap_or_default();
+            self.effects
+                .extend(batches.into_iter().map(Effect::AppendKept));
+            let closing = Closing {
+                since: now,
+                recorded: None,
+            };
+            self.members.closing.insert(router, closing);
+            return;
+        };
+        let waited = !missing || now >= closing.since + KEPT_WAIT;
+        let due = closing.recorded.is_none_or(|at| now >= at + KEPT_WAIT);
+        if waited && due {
+            let closing = Closing {
+                recorded: Some(now),
+                ..closing
+            };
+            self.members.closing.insert(router, closing);
+            self.push_close(router);
         }
     }
 
--- a/src/router/outage.rs
+++ b/src/router/outage.rs
@@ -73,7 +73,7 @@
         last: Sequence,
         records: usize,
     ) {
-        if router != self.me || !self.is_apart(peer) {
+        if router != self.me || !self.may_keep(peer) {
             return;
         }
         let billed: Vec<_> = self
@@ -102,13 +102,4 @@
             }
         }
     }
-
-    /// Returns whether a peer stands in another failure domain.
-    fn is_apart(&self, peer: &VmId) -> bool {
-        self.members
-            .vms
-            .vms
-            .iter()
-            .any(|entry| entry.vm == *peer && entry.domain != self.tuning.domain)
-    }
 }
--- a/src/router/purse.rs
+++ b/src/router/purse.rs
@@ -51,6 +51,7 @@
 
     /// Returns whether nothing is in motion.
     pub(crate) fn idle(&self) -> bool {
-        self.promised == Tokens::ZERO && self.waiting.is_empty() && !self.drawing
+        let settled = self.promised == Tokens::ZERO && self.credit == Tokens::ZERO;
+        settled && self.waiting.is_empty() && !self.drawing
     }
 }
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -26,7 +26,7 @@
             priority: request.priority,
             weight,
             cost: request.reserve,
-            deadline: request.deadline,
+            deadline: request.deadline.min(now + self.tuning.wait),
         };
         let name = request.pool.clone();
         let Some(pool) = self.pools.get_mut(&name) else {
--- a/src/router/refuse.rs
+++ b/src/router/refuse.rs
@@ -89,7 +89,15 @@
             .active
             .get(&request.key)
             .is_some_and(|other| *other != id);
-        if request.dispatched || elsewhere || request.stake == Stake::Pushed {
+        // A claim on its way may still be accepted, though this router will not act on it; another attempt's router
+        // may have acted on that attempt's.
+        let claiming = request.stake == Stake::Pushed && request.attempt != Attempt(1);
+        if request.dispatched || elsewhere || claiming {
+            return Proof::None;
+        }
+        let known = self.ledger.key(&request.key);
+        let ran = known.is_some_and(|key| key.bill.is_some() || key.orphaned);
+        if ran {
             return Proof::None;
         }
         if request.stake == Stake::Held {
@@ -98,8 +106,7 @@
                 false => Proof::Record,
             };
         }
-        let known = self.ledger.key(&request.key);
-        if known.is_some_and(|key| key.claim.is_some() || key.bill.is_some()) {
+        if known.is_some_and(|key| key.claim.is_some()) {
             return Proof::None;
         }
         if request.attempt == Attempt(1) {
@@ -122,9 +129,13 @@
             return;
         };
         let mut problem = problem.as_ref().clone();
-        problem.ran = match verdict {
-            Verdict::Accepted => Ran::No,
-            _ => Ran::Unknown,
+        let unrun = self
+            .ledger
+            .key(&request.key)
+            .is_some_and(|key| key.is_unrun());
+        problem.ran = match *verdict == Verdict::Accepted && unrun {
+            true => Ran::No,
+            false => Ran::Unknown,
         };
         self.send_refusal(now, id, problem);
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -107,6 +107,16 @@
     Abandoned,
 }
 
+impl State {
+    /// Returns whether it waits for the log alone.
+    pub(crate) fn needs_log(&self) -> bool {
+        matches!(
+            self,
+            Self::Funding { .. } | Self::Claiming { .. } | Self::Proving { .. }
+        )
+    }
+}
+
 /// What a caller gets once its request is billed.
 #[derive(Debug)]
 pub(crate) enum Then {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -12,6 +12,7 @@
 use crate::ledger::Outcome;
 use crate::ledger::Record;
 use crate::ledger::Verdict;
+use crate::router::claim::OUTAGE_RETRY;
 use crate::router::core::Core;
 use crate::router::core::Ticket;
 use crate::router::effect::Effect;
@@ -30,6 +31,9 @@
 /// When a caller whose endpoint failed may come back: the time that a failing endpoint takes to be ejected.
 const FAILED_RETRY: Duration = Duration::from_secs(1);
 
+/// How long a request waits for budget that can't be drawn in a log outage: a short stutter of the log passes.
+const FUNDING_OUTAGE: Duration = Duration::from_secs(2);
+
 /// How many endpoints one request may be sent to: were it poison, it would take that many down.
 const MAX_RUNS: usize = 3;
 
@@ -233,9 +237,8 @@
                 let used = usage.map_or(request.reserve, Usage::total);
                 (used, Outcome::Cut)
             }
-            // The call goes on at the service; its price is its price.
-            (Work::Call { .. }, true) => (request.reserve, Outcome::Cut),
-            (Work::Call { .. }, false) => (request.reserve, Outcome::Unknown),
+            // It goes on at the service, and its price is its price.
+            (Work::Call { .. }, _) => (request.reserve, Outcome::Cut),
         };
         self.bill(id, used, outcome, Then::Nothing);
     }
@@ -263,6 +266,8 @@
             return;
         };
         match &request.state {
+            // A call that may not be repeated goes on without its caller: a retry is answered with its outcome.
+            State::Running { .. } if !request.idempotent => {}
             State::Running { .. } => {
                 self.ended(now, id, RunEnd::CallerGone { usage: None });
             }
@@ -331,10 +336,7 @@
         let late: Vec<_> = self
             .requests
             .iter()
-            .filter(|(_, r)| {
-                now >= r.deadline
-                    || (outage && matches!(r.state, State::Claiming { .. } | State::Proving { .. }))
-            })
+            .filter(|(_, r)| now >= r.deadline || (outage && r.state.needs_log()))
             .map(|(id, _)| *id)
             .collect();
         for id in late {
@@ -347,6 +349,7 @@
             return;
         };
         let past = now >= request.deadline;
+        let outage = self.in_outage(now);
         match &request.state {
             State::Contended if past => self.refuse_contended(now, id),
             State::Funding { .. } if past => {
@@ -357,7 +360,13 @@
                 let detail = "the wait for an endpoint outlasted the deadline";
                 self.refuse(now, id, ProblemKind::Overloaded, detail);
             }
-            State::Claiming { .. } if past || !request.idempotent => {
+            State::Funding { .. } if outage && now >= request.arrived + FUNDING_OUTAGE => {
+                let detail = "the log service can't be reached, and this router holds too little of the budget";
+                let instead = self.other_address();
+                let problem = Problem::new(ProblemKind::LogOutage, Ran::Unknown, detail);
+                self.refuse_with(now, id, problem.retry_in(OUTAGE_RETRY).go_to(instead));
+            }
+            State::Claiming { .. } if past => {
                 let detail = "the log service did not take the claim in time";
                 self.refuse(now, id, ProblemKind::LogOutage, detail);
             }
--- a/src/settings/ledger.rs
+++ b/src/settings/ledger.rs
@@ -27,6 +27,8 @@
     pub silence_ms: Millis,
     /// How long no append may succeed before the log is held to be out.
     pub outage_ms: Millis,
+    /// How long a router that the VM list shows may be out of reach before it is closed.
+    pub parted_ms: Millis,
     /// How long the log keeps records.
     pub retention_ms: Millis,
     /// What happens to the end marker of a whole answer in an outage of the log.
@@ -41,6 +43,7 @@
             heartbeat_ms: Millis(500),
             silence_ms: Millis(4_000),
             outage_ms: Millis(1_000),
+            parted_ms: Millis(3_600_000),
             retention_ms: Millis(3_600_000),
             end_marker: EndMarker::Peers,
         }
@@ -54,6 +57,7 @@
         check_time("ledger.heartbeat_ms", self.heartbeat_ms, Millis(10))?;
         check_time("ledger.silence_ms", self.silence_ms, Millis(10))?;
         check_time("ledger.outage_ms", self.outage_ms, Millis(10))?;
+        check_time("ledger.parted_ms", self.parted_ms, Millis(10))?;
         check_time("ledger.retention_ms", self.retention_ms, Millis(1_000))?;
         self.check_silence()?;
         self.check_outage()
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -49,10 +49,10 @@
             deadline_ms: Millis(120_000),
             connections: 4_096,
             queue: 512,
-            queue_ms: Millis(1_500),
+            queue_ms: Millis(10_000),
             stall_ms: Millis(30_000),
             drain_ms: Millis(60_000),
-            address_ms: Millis(5_000),
+            address_ms: Millis(30_000),
         }
     }
 }
