Hold a part of each team that the fleet serves, so that a router can serve in an outage

Cause: a router drew only for what was asked of it. With the log stopped, one that had never been asked for the team refused its first caller after 2.0 s, though 3,790 of 5,000 tokens lay undrawn. Ruled out: a fixed share for each team (430,000 teams, most of them idle). Change: claims of the whole fleet tell which teams are in use; a router holds for its part of that demand, and at least 1/16 (strict) or 1/4 (available) of what is left, over all routers.

--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -26,6 +26,13 @@
 /// The same, leaning to strictness.
 const STRICT_HELD: f64 = 1.0;
 
+/// What all routers together hold at least of a team that was asked for of late, leaning to availability: three quarters
+/// are there for the routers that are asked more.
+const AVAILABLE_LEAST: f64 = 0.25;
+
+/// The same, leaning to strictness.
+const STRICT_LEAST: f64 = 0.0625;
+
 /// A holding is filled up below this part of its aim, and emptied down to its aim above [`HIGH`] times it. The gap
 /// between saves appends: without one each bill would be followed by a draw.
 const LOW: f64 = 0.5;
@@ -109,16 +116,18 @@
 
     /// Returns what a router should hold free.
     fn aim(&self, share: &Share) -> Tokens {
-        let (cover, held) = match self.lean {
-            Lean::Strict => (STRICT_COVER, STRICT_HELD),
-            Lean::Available => (AVAILABLE_COVER, AVAILABLE_HELD),
+        let (cover, held, least) = match self.lean {
+            Lean::Strict => (STRICT_COVER, STRICT_HELD, STRICT_LEAST),
+            Lean::Available => (AVAILABLE_COVER, AVAILABLE_HELD, AVAILABLE_LEAST),
         };
         let needed = share.demand * cover.as_secs_f64();
         // Counted on what it holds as well: from what is undrawn alone, each draw would lower the aim that it served,
         // and be returned.
         let reach = (share.undrawn.0 + share.free.0) as f64;
         let fair = reach * held / (1.0 + held) / share.routers.max(1) as f64;
-        Tokens(needed.min(fair) as u64)
+        // Demand that is rare is no less due in a partition: the callers of a router that goes down come here at once.
+        let least = reach * least / share.routers.max(1) as f64;
+        Tokens(needed.max(least).min(fair) as u64)
     }
 }
 
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -28,6 +28,7 @@
 use crate::ledger::Record;
 use crate::router::appender::Appender;
 use crate::router::appender::Pace;
+use crate::router::demand::Demand;
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
 use crate::router::event::Event;
@@ -130,7 +131,10 @@
     pub(crate) contended: Vec<RequestId>,
     pub(crate) purses: IndexMap<TeamId, Purse>,
     pub(crate) policy: HoldingPolicy,
+    /// What was asked for here.
     pub(crate) demand: IndexMap<TeamId, Demand>,
+    /// What the whole fleet claimed.
+    pub(crate) fleet: IndexMap<TeamId, Demand>,
     pub(crate) accounts: IndexMap<AccountId, AccountLimit>,
     pub(crate) pools: IndexMap<PoolId, Pool>,
     pub(crate) retries: RetryBudget,
@@ -163,13 +167,6 @@
 /// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop.
 const STALE: Duration = Duration::from_millis(250);
 
-/// How fast a team spends here, as an average that forgets.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Demand {
-    pub(crate) rate: f64,
-    pub(crate) at: Instant,
-}
-
 /// Bounds the refuse records of a router, so that under overload the proofs cost less than serving would.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ProofBudget {
@@ -211,6 +208,7 @@
             contended: Vec::new(),
             purses: IndexMap::new(),
             demand: IndexMap::new(),
+            fleet: IndexMap::new(),
             accounts: IndexMap::new(),
             pools: IndexMap::new(),
             retries: RetryBudget::new(now),
--- /dev/null
+++ b/src/router/demand.rs
@@ -0,0 +1,37 @@
+//! How fast a team's budget is asked for.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::tokens::Tokens;
+
+/// A rate that forgets: an average over about `window`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Demand {
+    window: Duration,
+    rate: f64,
+    at: Instant,
+}
+
+impl Demand {
+    /// Begins with nothing.
+    pub(crate) fn new(now: Instant, window: Duration) -> Self {
+        Self {
+            window,
+            rate: 0.0,
+            at: now,
+        }
+    }
+
+    /// Counts an amount that was asked for.
+    pub(crate) fn add(&mut self, now: Instant, amount: Tokens) {
+        self.rate = self.rate(now) + amount.0 as f64 / self.window.as_secs_f64();
+        self.at = now;
+    }
+
+    /// Returns the rate, in tokens a second.
+    pub(crate) fn rate(&self, now: Instant) -> f64 {
+        let since = now.saturating_duration_since(self.at);
+        self.rate * (-since.as_secs_f64() / self.window.as_secs_f64()).exp()
+    }
+}
--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexSet;
 use tracing::info;
 
 use crate::decide::Action;
@@ -13,8 +14,8 @@
 use crate::ledger::Record;
 use crate::ledger::Verdict;
 use crate::router::core::Core;
-use crate::router::core::Demand;
 use crate::router::core::Ticket;
+use crate::router::demand::Demand;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
@@ -35,8 +36,14 @@
 /// How often holdings are brought to what the policy wants: demand is averaged over half a minute.
 const KEEP_HOUSE: Duration = Duration::from_secs(1);
 
-/// The time over which a team's demand is averaged.
-const DEMAND_WINDOW: f64 = 30.0;
+/// The time over which a team's demand at one router is averaged.
+const OWN_WINDOW: Duration = Duration::from_secs(30);
+
+/// The time over which a team's demand in the fleet is averaged: what comes here by chance is rarer.
+const FLEET_WINDOW: Duration = Duration::from_secs(300);
+
+/// A rate, in tokens a second, that is as good as none: one request an hour.
+const FORGOTTEN: f64 = 0.01;
 
 impl Core {
     /// Reserves what a request can cost, or has it wait for budget.
@@ -263,16 +270,34 @@
     }
 
     fn note_demand(&mut self, now: Instant, team: &TeamId, amount: Tokens) {
-        let rate = self.demand_of(now, team) + amount.0 as f64 / DEMAND_WINDOW;
-        self.demand.insert(team.clone(), Demand { rate, at: now });
+        self.demand
+            .entry(team.clone())
+            .or_insert_with(|| Demand::new(now, OWN_WINDOW))
+            .add(now, amount);
+    }
+
+    /// Counts what all routers claim.
+    pub(crate) fn note_claims(&mut self, now: Instant, batch: &Batch) {
+        for record in &batch.records {
+            if let Record::Claim(claim) = record {
+                self.fleet
+                    .entry(claim.team.clone())
+                    .or_insert_with(|| Demand::new(now, FLEET_WINDOW))
+                    .add(now, claim.reserved);
+            }
+        }
     }
 
-    /// Returns how fast a team has reserved here of late, in tokens a second.
+    /// Returns how fast a team is likely to be asked for here, in tokens a second.
+    ///
+    /// What was asked here of late, or this router's part of what the fleet was asked if that is more: callers change
+    /// routers as they are advised, and one that was never asked for a team would hold nothing of it when the log goes
+    /// down.
     fn demand_of(&self, now: Instant, team: &TeamId) -> f64 {
-        self.demand.get(team).map_or(0.0, |demand| {
-            let since = now.saturating_duration_since(demand.at).as_secs_f64();
-            demand.rate * (-since / DEMAND_WINDOW).exp()
-        })
+        let rate = |demand: Option<&Demand>| demand.map_or(0.0, |demand| demand.rate(now));
+        let routers = self.ledger.routers().filter(|(_, r)| !r.closed).count();
+        let part = rate(self.fleet.get(team)) / routers.max(1) as f64;
+        rate(self.demand.get(team)).max(part)
     }
 
     /// Brings holdings to what the policy wants, and refuses those that waited for budget in vain.
@@ -283,7 +308,10 @@
             return;
         }
         self.kept_house = Some(now);
-        let teams: Vec<_> = self.purses.keys().cloned().collect();
+        self.demand.retain(|_, demand| demand.rate(now) > FORGOTTEN);
+        self.fleet.retain(|_, demand| demand.rate(now) > FORGOTTEN);
+        let asked = self.fleet.keys().cloned();
+        let teams: IndexSet<_> = self.purses.keys().cloned().chain(asked).collect();
         for team in teams {
             self.adjust(now, &team, Tokens::ZERO);
         }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod checkpoint;
 mod claim;
 mod core;
+mod demand;
 mod effect;
 mod event;
 mod fund;
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -55,6 +55,7 @@
         self.folded = Some(now);
         self.members.appended(now, batch.router);
         self.learn_crashes(now, batch, &verdicts);
+        self.note_claims(now, batch);
         self.answer_shortage(now, batch, &verdicts);
         if self.phase == Phase::CatchingUp {
             return;
