Kill a real router mid-stream, and verify from the log alone

Change: tests/faults starts routers, log, VM lists, engines and a plain service as processes, each link of a router (log, VM list, each peer, each endpoint) through a link of its own in the fault-injecting proxy, and ends them by id, also on a panic. A reference verifier folds ledger-0 from its first record and holds it against engines' runs, the service's calls and what callers were told. First scenario: SIGKILL with eight streams open. The stand-ins' test client reads events on from where it stopped, so that a test can wait for the middle of a stream.

The rest of the harness waits for the next scenarios, hence the expected dead code.

--- /dev/null
+++ b/tests/faults/main.rs
@@ -0,0 +1,43 @@
+//! Real processes under faults: routers are killed, frozen and parted, the log goes down, and afterwards the log alone,
+//! the endpoints and the callers are asked what happened.
+
+#![expect(
+    clippy::disallowed_methods,
+    reason = "a test has sockets, timers, tasks and processes of its own"
+)]
+#![expect(dead_code, reason = "the next scenarios use the rest of the harness")]
+
+mod caller;
+#[path = "../standins/client.rs"]
+mod client;
+mod cluster;
+mod killed;
+mod network;
+mod process;
+mod verify;
+
+use std::time::Duration;
+
+use anyhow::Result;
+use anyhow::bail;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// How many clusters run at once: each has about a dozen processes.
+static CLUSTERS: Semaphore = Semaphore::const_new(4);
+
+/// Waits until something holds, for at most so long.
+async fn wait_for<F>(what: &str, limit: Duration, mut holds: F) -> Result<Duration>
+where
+    F: AsyncFnMut() -> Result<bool>,
+{
+    let start = Instant::now();
+    while !holds().await.unwrap_or(false) {
+        if start.elapsed() > limit {
+            bail!("{what} does not hold after {limit:?}");
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    Ok(start.elapsed())
+}
--- a/tests/standins/client.rs
+++ b/tests/standins/client.rs
@@ -91,25 +91,32 @@
     pub(crate) usage: Value,
     /// Whether the end marker came.
     pub(crate) whole: bool,
+    /// The beginning of an event whose end has not come yet.
+    rest: String,
 }
 
 impl Events {
     /// Reads until the end, the connection's end, or so many tokens.
     pub(crate) async fn read(body: &mut Incoming, most: u64) -> Self {
         let mut events = Self::default();
-        let mut rest = String::new();
-        while events.tokens < most {
+        events.go_on(body, most).await;
+        events
+    }
+
+    /// Reads on, with the same ends.
+    pub(crate) async fn go_on(&mut self, body: &mut Incoming, most: u64) {
+        while self.tokens < most {
             let Ok(Some(Ok(frame))) = timeout(PATIENCE, body.frame()).await else {
                 break;
             };
             let data = frame.into_data().unwrap_or_default();
-            rest.push_str(&String::from_utf8_lossy(&data));
-            while let Some((event, after)) = rest.split_once("\n\n") {
-                events.take(event);
-                rest = after.to_owned();
+            self.rest.push_str(&String::from_utf8_lossy(&data));
+            while let Some((event, after)) = self.rest.split_once("\n\n") {
+                let event = event.to_owned();
+                self.rest = after.to_owned();
+                self.take(&event);
             }
         }
-        events
     }
 
     fn take(&mut self, event: &str) {
