Say unknown of a first try that lay in a frozen router's socket

Cause: a router that wakes refuses what lay in its sockets, and said of a request with Jasmineridge-Attempt 1 that it was not run, on the caller's word that it never tried before. The same word was taken for a request that was queued here when the pause came.

Ruled out: the fold (the sleeper's claim of that key is void, Billed), and the verifier's clocks (2 s apart).

Change: a first try's word counts only where the request arrived after the pause was over. New scenario: SIGSTOP past the closing, a call in progress, a call that lies in the socket, a stream whose end comes during the sleep.

Conclusion: a pause that is detected (over 1.5 s) no longer makes a router lie. Still open: a caller that keeps try 1 open at a router that froze for less than that, and runs try 2 elsewhere meanwhile, relies on the refusing router's fold.

--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -56,14 +56,13 @@
                 self.requests.insert(id, request);
                 self.enter(now, id);
             }
-            Err(problem) => self.refuse_arrival(&arrival, *problem),
+            Err(problem) => self.refuse_arrival(now, &arrival, *problem),
         }
     }
 
     /// Decides on a request by what its caller says and the configuration.
     fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<Request, Box<Problem>> {
-        let stale = self.stale_until.is_some_and(|until| now < until);
-        if !self.serving() || stale {
+        if !self.serving() || self.is_stale(now) {
             return Err(self.not_serving());
         }
         let Some((account, spec)) = self.config.account_by_key(&arrival.bearer.0) else {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -268,6 +268,11 @@
         postcard::to_stdvec(&self.ledger).expect("a ledger can be encoded")
     }
 
+    /// Returns whether what arrived at a time may have lain in a socket while the process was stopped.
+    pub(crate) fn is_stale(&self, arrived: Instant) -> bool {
+        self.stale_until.is_some_and(|until| arrived < until)
+    }
+
     /// Begins to refuse what lay in the sockets while the process was stopped.
     fn paused(&mut self, now: Instant) {
         self.stale_until = Some(now + STALE);
--- a/src/router/refuse.rs
+++ b/src/router/refuse.rs
@@ -32,10 +32,11 @@
     /// Refuses a request that was not admitted.
     ///
     /// Without an account there is no key to look up; only the caller's own word that it never tried before proves that
-    /// it was not run.
-    pub(crate) fn refuse_arrival(&mut self, arrival: &Arrival, problem: Problem) {
+    /// it was not run. That word is old where the request lay in a socket while the process was stopped: its caller may
+    /// have gone on to another router, which ran it.
+    pub(crate) fn refuse_arrival(&mut self, now: Instant, arrival: &Arrival, problem: Problem) {
         let ran = match arrival.attempt {
-            Attempt(1) => Ran::No,
+            Attempt(1) if !self.is_stale(now) => Ran::No,
             _ => Ran::Unknown,
         };
         let problem = Problem { ran, ..problem };
@@ -102,7 +103,8 @@
         if known.is_some_and(|key| key.claim.is_some() || key.bill.is_some()) {
             return Proof::None;
         }
-        if request.attempt == Attempt(1) {
+        // What came before a pause may have been tried elsewhere during it, as above.
+        if request.attempt == Attempt(1) && !self.is_stale(request.arrived) {
             return Proof::Known;
         }
         match !self.in_outage(now) && self.serving() && self.proofs.take(now) {
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -11,6 +11,7 @@
 #[path = "../standins/client.rs"]
 mod client;
 mod cluster;
+mod frozen;
 mod killed;
 mod network;
 mod process;
