--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -167,25 +167,25 @@
             let _ = sender.send(answer);
             RunEnd::Answered { status, body }
         }
-        Ok(Err(end)) => end,
-        Err(_) => BROKEN,
+        Ok(Err(end)) => engine::examined(&desk, &run, end).await,
+        Err(_) => engine::broken(),
     };
     desk.tell(Event::Ended(id, end));
 }
 
-const BROKEN: RunEnd = RunEnd::Broken {
-    usage: None,
-    begun: false,
-};
-
 async fn ask(desk: &Desk, id: RequestId, run: &Run, call: Call) -> Result<Answer, RunEnd> {
     let mut request = engine::begin(desk, id, run, &call.method, &call.path);
     if let Some(kind) = &call.kind {
         request = request.header(CONTENT_TYPE, kind);
     }
-    let answer = engine::send(desk, request.body(Full::new(call.body))).await?;
+    let request = request.body(Full::new(call.body));
+    let answer = match run.idempotent {
+        true => engine::send(&desk.http, request).await?,
+        false => engine::send(&desk.once, request).await?,
+    };
     let status = answer.status().as_u16();
-    if status == 503 {
+    // Of a call that may not be repeated, not even a 503 proves that it took no effect; the caller gets it as it is.
+    if status == 503 && run.idempotent {
         return Err(engine::refusal(&answer));
     }
     let kind = answer
@@ -195,6 +195,10 @@
         .unwrap_or("application/octet-stream")
         .to_owned();
     let body = Limited::new(answer.into_body(), MAX_ANSWER);
-    let body = body.collect().await.map_err(|_| BROKEN)?.to_bytes();
+    let body = body
+        .collect()
+        .await
+        .map_err(|_| engine::broken())?
+        .to_bytes();
     Ok(Answer { status, kind, body })
 }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -18,9 +18,11 @@
 use tracing::warn;
 
 use crate::clock::Clock;
+use crate::edge::checkpoint;
 use crate::edge::clock::SystemClock;
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
+use crate::edge::engine;
 use crate::edge::fetch;
 use crate::edge::http;
 use crate::edge::log::CONFIG;
@@ -117,7 +119,11 @@
         silence: ledger.silence_ms.duration(),
         patience: settings.limits.deadline_ms.duration(),
         queue: settings.limits.queue,
+        wait: settings.limits.queue_ms.duration(),
+        keep: settings.limits.address_ms.duration(),
+        parted: ledger.parted_ms.duration(),
         drain: settings.limits.drain_ms.duration(),
+        retention: ledger.retention_ms.duration(),
     }
 }
 
@@ -249,7 +255,13 @@
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
             Effect::Fetch(peers) => {
-                tokio::spawn(fetch::fetch(self.desk.clone(), self.peers.clone(), peers));
+                tokio::spawn(fetch::fetch(self.log.clone(), self.peers.clone(), peers));
+            }
+            Effect::Checkpoint(as_of, parts) => {
+                tokio::spawn(checkpoint::write(self.log.clone(), as_of, parts));
+            }
+            Effect::Order(order) => {
+                tokio::spawn(engine::order(self.desk.clone(), order));
             }
             Effect::Probe(vm, address) => {
                 tokio::spawn(self.prober.clone().probe(vm, address));
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -1,6 +1,7 @@
 //! What routers say to each other, by tarpc.
 
 use std::future::Future;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,6 +28,7 @@
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
 use crate::router::Peer;
+use crate::router::Silence;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
 const VERSION: u32 = 1;
@@ -151,8 +153,9 @@
         let call =
             |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
         match self.call(&peer.address, CALL, call).await {
-            Some(Ok(word)) => self.desk.tell(Event::Heard(word)),
-            _ => self.desk.tell(Event::Unheard(peer.vm)),
+            Ok(Ok(word)) => self.desk.tell(Event::Heard(word)),
+            Ok(Err(_)) => self.desk.tell(Event::Unheard(peer.vm, Silence::Mute)),
+            Err(silence) => self.desk.tell(Event::Unheard(peer.vm, silence)),
         }
     }
 
@@ -162,7 +165,7 @@
         let call = |client: PeeringClient| async move {
             client.keep(deadline(CALL), VERSION, batches).await
         };
-        if let Some(Ok(())) = self.call(&peer.address, CALL, call).await {
+        if let Ok(Ok(())) = self.call(&peer.address, CALL, call).await {
             self.desk.tell(Event::Kept {
                 peer: peer.vm,
                 router,
@@ -187,34 +190,37 @@
     pub(crate) async fn ledger(&self, peer: &Peer) -> Option<Vec<u8>> {
         let call =
             |client: PeeringClient| async move { client.ledger(deadline(SNAPSHOT), VERSION).await };
-        self.call(&peer.address, SNAPSHOT, call).await?.ok()
+        self.call(&peer.address, SNAPSHOT, call).await.ok()?.ok()
     }
 
-    /// Makes one call; nothing means that the peer could not be reached in time.
-    async fn call<F, A, T>(&self, address: &str, limit: Duration, call: F) -> Option<T>
+    /// Makes one call.
+    async fn call<F, A, T>(&self, address: &str, limit: Duration, call: F) -> Result<T, Silence>
     where
         F: FnOnce(PeeringClient) -> A,
         A: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
         let client = self.client(address).await?;
         match timeout(limit, call(client)).await {
-            Ok(Ok(answer)) => Some(answer),
+            Ok(Ok(answer)) => Ok(answer),
             _ => {
                 // A connection over which nothing comes is half open, or worse: the next call makes a new one.
                 self.clients.lock().await.swap_remove(address);
-                None
+                Err(Silence::Mute)
             }
         }
     }
 
-    async fn client(&self, address: &str) -> Option<PeeringClient> {
+    async fn client(&self, address: &str) -> Result<PeeringClient, Silence> {
         if let Some(client) = self.clients.lock().await.get(address) {
-            return Some(client.clone());
+            return Ok(client.clone());
         }
-        let stream = timeout(CALL, TcpStream::connect(address))
-            .await
-            .ok()?
-            .ok()?;
+        let stream = match timeout(CALL, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(Silence::Refused);
+            }
+            _ => return Err(Silence::Unreachable),
+        };
         let _ = stream.set_nodelay(true);
         let transport = serde_transport::new(codec_framed(stream), Postcard::default());
         let client = PeeringClient::new(tarpc::client::Config::default(), transport).spawn();
@@ -222,7 +228,7 @@
             .lock()
             .await
             .insert(address.to_owned(), client.clone());
-        Some(client)
+        Ok(client)
     }
 }
 
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -80,7 +80,7 @@
     /// Holds an admitted request against quarantine and its account's limit.
     fn enter(&mut self, now: Instant, id: RequestId) {
         let request = &self.requests[&id];
-        if self.ledger.quarantined(request.fingerprint) {
+        if self.is_poison(id) {
             let detail = "endpoints failed over this request again and again";
             self.refuse(now, id, ProblemKind::Quarantined, detail);
             return;
@@ -261,8 +261,9 @@
                 false => OUTCOME_UNKNOWN,
             };
         }
+        let once = key.once || !request.idempotent;
         match &key.bill {
-            Some(bill) if !request.idempotent => match &bill.outcome {
+            Some(bill) if once => match &bill.outcome {
                 Outcome::Answered {
                     status,
                     body: Some(body),
@@ -274,6 +275,7 @@
                 _ => FINISHED,
             },
             Some(_) if key.reruns >= MAX_RERUNS => FINISHED,
+            None if once && key.orphaned => OUTCOME_UNKNOWN,
             _ => Look::Run,
         }
     }
