Drive callers against a fleet by a scenario, and judge what they received

The tool folds the log with the library's own ledger, lists what engines and services ran, and sets both against each caller's record.

Arrivals of a rate are an open loop: each time follows from the time before, so slow answers do not thin the load out. Ruled out: judging a refusal for a spent budget by the last record alone. A top-up that lands just before the refusal would make it false, though its router could not know; it is judged by the least budget between sending and refusal.

--- a/src/bin/jasmineridge_standin.rs
+++ b/src/bin/jasmineridge_standin.rs
@@ -1,22 +1,32 @@
-//! Small stand-ins for what the platform gives, each an HTTP server with faults to switch on.
+//! Small stand-ins for what the platform gives, each an HTTP server with faults to switch on; and callers.
 
+#![expect(
+    clippy::disallowed_methods,
+    reason = "a program reads a scenario from a file"
+)]
+
+use std::fs;
 use std::io;
 use std::net::SocketAddr;
 
 use anyhow::Context;
 use anyhow::Result;
+use anyhow::bail;
 use clap::Args;
 use clap::Parser;
 use clap::Subcommand;
 use jasmineridge::Engine;
 use jasmineridge::EngineOptions;
+use jasmineridge::LoadOptions;
 use jasmineridge::Log;
 use jasmineridge::LogOptions;
 use jasmineridge::Proxy;
+use jasmineridge::Scenario;
 use jasmineridge::Service;
 use jasmineridge::Vms;
 use jasmineridge::VmsOptions;
 use jasmineridge::listen;
+use jasmineridge::run_load;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::Signal;
@@ -59,6 +69,13 @@
         #[command(flatten)]
         bind: Bind,
     },
+    /// Drives callers against a running fleet by a scenario, and prints a report.
+    ///
+    /// Exits with 1 where a figure that must be nought is not.
+    Load {
+        #[command(flatten)]
+        options: LoadOptions,
+    },
     /// Runs a fault-injecting TCP proxy; more links can be added over its control interface.
     Proxy {
         #[command(flatten)]
@@ -112,6 +129,7 @@
         }
         Command::Engine { bind, options } => Engine::new(options).serve(bind.open()?).await,
         Command::Service { bind } => Service::new().serve(bind.open()?).await,
+        Command::Load { options } => load(&options).await?,
         Command::Proxy { bind, to, control } => {
             let proxy = Proxy::new();
             let address = proxy.link_default(bind.listen, to)?;
@@ -124,6 +142,19 @@
     Ok(())
 }
 
+/// Drives a fleet and prints what came of it.
+async fn load(options: &LoadOptions) -> Result<()> {
+    let path = options.scenario.display();
+    let text = fs::read_to_string(&options.scenario).with_context(|| format!("reading {path}"))?;
+    let scenario = Scenario::parse(&text).with_context(|| path.to_string())?;
+    let report = run_load(options, &scenario).await;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    if report.found.holds() && report.wrong_answers == 0 {
+        return Ok(());
+    }
+    bail!("the report has a figure that must be nought and is not");
+}
+
 /// The signals that end the program.
 struct Signals {
     terminate: Signal,
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -17,6 +17,7 @@
 mod time;
 
 pub(crate) mod engine;
+pub(crate) mod load;
 pub(crate) mod log;
 pub(crate) mod proxy;
 pub(crate) mod service;
