--- a/src/standin/load/audit.rs
+++ b/src/standin/load/audit.rs
@@ -154,8 +154,10 @@
             }
         }
         for (team, state) in ledger.teams() {
+            let holdings = ledger.routers().map(|(id, _)| ledger.holding(id, team));
+            let claimed = holdings.map(|holding| holding.claimed).sum();
             let timeline = self.timelines.entry(team.clone()).or_default();
-            timeline.note(row.at, state);
+            timeline.note(row.at, state, claimed);
         }
         Ok(())
     }
--- a/src/standin/load/tests.rs
+++ b/src/standin/load/tests.rs
@@ -149,7 +149,7 @@
     let ledger = ledger(billed);
     let mut timeline = Timeline::default();
     let team = "loans".parse().unwrap();
-    timeline.note(10, ledger.team(&team).unwrap());
+    timeline.note(10, ledger.team(&team).unwrap(), RESERVE);
     Audit {
         timelines: [(team, timeline)].into_iter().collect(),
         ledger: Some(ledger),
@@ -247,8 +247,8 @@
         team
     };
     let mut timeline = Timeline::default();
-    timeline.note(10, &team(5));
-    timeline.note(25, &team(100));
+    timeline.note(10, &team(5), Tokens::ZERO);
+    timeline.note(25, &team(100), Tokens::ZERO);
     assert!(!timeline.covered(20, 30, RESERVE));
     assert!(timeline.covered(26, 30, RESERVE));
     assert!(!timeline.covered(1, 9, RESERVE));
--- a/src/standin/load/timeline.rs
+++ b/src/standin/load/timeline.rs
@@ -21,13 +21,13 @@
 }
 
 impl Timeline {
-    /// Notes the budget as a record of that time left it.
-    pub(crate) fn note(&mut self, at: u64, team: &TeamState) {
+    /// Notes the budget as a record of that time left it, and what open claims reserve of it.
+    pub(crate) fn note(&mut self, at: u64, team: &TeamState, claimed: Tokens) {
         let used = team.spent.saturating_add(team.lost);
         self.points.push(Point {
             at,
             unspent: team.prepaid.saturating_sub(used),
-            claimed: team.holdings.values().map(|h| h.claimed).sum(),
+            claimed,
         });
     }
 
