--- a/tests/cli/config.rs
+++ b/tests/cli/config.rs
@@ -155,5 +155,10 @@
     let next = file("snapshot.json", &team(1, "team"));
     let done = run(&url, &router.url(), &["config", "put", &next]);
     assert_eq!(done.code, Some(0), "{done:?}");
-    assert_eq!(run(&url, "", &["config", "get"]).code, Some(1));
+    let done = run(&url, "", &["config", "get"]);
+    assert_eq!(done.code, Some(1));
+    assert!(
+        done.err.contains("the log keeps records from 1 on"),
+        "{done:?}"
+    );
 }
