--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -28,6 +28,7 @@
 use crate::ledger::Record;
 use crate::router::appender::Appender;
 use crate::router::appender::Pace;
+use crate::router::demand::Demand;
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
 use crate::router::event::Event;
@@ -67,6 +68,12 @@
     pub(crate) queue: usize,
     /// How long the log keeps records.
     pub(crate) retention: Duration,
+    /// How long a request may wait for an endpoint.
+    pub(crate) wait: Duration,
+    /// How long a caller may keep an advised address.
+    pub(crate) keep: Duration,
+    /// How long a router that the VM list shows may be out of reach before it is closed.
+    pub(crate) parted: Duration,
     /// How long a planned stop waits for the requests in progress.
     pub(crate) drain: Duration,
 }
@@ -124,7 +131,10 @@
     pub(crate) contended: Vec<RequestId>,
     pub(crate) purses: IndexMap<TeamId, Purse>,
     pub(crate) policy: HoldingPolicy,
+    /// What was asked for here.
     pub(crate) demand: IndexMap<TeamId, Demand>,
+    /// What the whole fleet claimed.
+    pub(crate) fleet: IndexMap<TeamId, Demand>,
     pub(crate) accounts: IndexMap<AccountId, AccountLimit>,
     pub(crate) pools: IndexMap<PoolId, Pool>,
     pub(crate) retries: RetryBudget,
@@ -140,6 +150,8 @@
     pub(crate) fetched: Option<Instant>,
     /// When a record was last folded.
     pub(crate) folded: Option<Instant>,
+    /// When holdings were last looked over.
+    pub(crate) kept_house: Option<Instant>,
     /// Before this a router writes no checkpoint.
     pub(crate) first_checkpoint: Instant,
     /// When a checkpoint was last written.
@@ -155,13 +167,6 @@
 /// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop.
 const STALE: Duration = Duration::from_millis(250);
 
-/// How fast a team spends here, as an average that forgets.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Demand {
-    pub(crate) rate: f64,
-    pub(crate) at: Instant,
-}
-
 /// Bounds the refuse records of a router, so that under overload the proofs cost less than serving would.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ProofBudget {
@@ -203,6 +208,7 @@
             contended: Vec::new(),
             purses: IndexMap::new(),
             demand: IndexMap::new(),
+            fleet: IndexMap::new(),
             accounts: IndexMap::new(),
             pools: IndexMap::new(),
             retries: RetryBudget::new(now),
@@ -215,6 +221,7 @@
             },
             stale_until: None,
             first_checkpoint: now + FIRST_CHECKPOINT.mul_f64(rng.random_range(1.0..3.0)),
+            kept_house: None,
             started: now,
             fetched: None,
             folded: None,
@@ -247,7 +254,7 @@
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
             Event::VmList(list) => self.vm_list(now, list),
             Event::Heard(beat) => self.heard(now, beat),
-            Event::Unheard(vm, refused) => self.members.unheard(now, vm, refused),
+            Event::Unheard(vm, silence) => self.members.unheard(now, vm, silence),
             Event::Keep(batches) => self.members.keep(batches),
             Event::Kept {
                 peer,
@@ -294,6 +301,11 @@
         postcard::to_stdvec(&self.ledger).expect("a ledger can be encoded")
     }
 
+    /// Returns whether what arrived at a time may have lain in a socket while the process was stopped.
+    pub(crate) fn is_stale(&self, arrived: Instant) -> bool {
+        self.stale_until.is_some_and(|until| arrived < until)
+    }
+
     /// Begins to refuse what lay in the sockets while the process was stopped.
     fn paused(&mut self, now: Instant) {
         self.stale_until = Some(now + STALE);
