Add ten scenarios with their faults, and run each in the tests

Burst of 10x, hot caller, hot key, slow endpoint, long among short, 3x overload, a router's death, a budget running out over seven routers healthy and parted, and a log outage.

--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -24,7 +24,7 @@
 use fleet::Process;
 
 /// How many fleets run at once: each has up to two dozen processes.
-static FLEETS: Semaphore = Semaphore::const_new(2);
+static FLEETS: Semaphore = Semaphore::const_new(3);
 
 /// Runs a scenario and checks what must hold in any.
 async fn run(name: &str) -> Result<()> {
@@ -74,4 +74,16 @@
     };
 }
 
-scenarios!(healthy);
+scenarios!(
+    healthy,
+    burst,
+    hot_caller,
+    hot_key,
+    slow_endpoint,
+    long_among_short,
+    overload,
+    router_death,
+    budget_healthy,
+    budget_parted,
+    log_outage,
+);
