--- a/src/router/refuse.rs
+++ b/src/router/refuse.rs
@@ -32,10 +32,11 @@
     /// Refuses a request that was not admitted.
     ///
     /// Without an account there is no key to look up; only the caller's own word that it never tried before proves that
-    /// it was not run.
-    pub(crate) fn refuse_arrival(&mut self, arrival: &Arrival, problem: Problem) {
+    /// it was not run. That word is old where the request lay in a socket while the process was stopped: its caller may
+    /// have gone on to another router, which ran it.
+    pub(crate) fn refuse_arrival(&mut self, now: Instant, arrival: &Arrival, problem: Problem) {
         let ran = match arrival.attempt {
-            Attempt(1) => Ran::No,
+            Attempt(1) if !self.is_stale(now) => Ran::No,
             _ => Ran::Unknown,
         };
         let problem = Problem { ran, ..problem };
@@ -89,7 +90,15 @@
             .active
             .get(&request.key)
             .is_some_and(|other| *other != id);
-        if request.dispatched || elsewhere || request.stake == Stake::Pushed {
+        // A claim on its way may still be accepted, though this router will not act on it; another attempt's router
+        // may have acted on that attempt's.
+        let claiming = request.stake == Stake::Pushed && request.attempt != Attempt(1);
+        if request.dispatched || elsewhere || claiming {
+            return Proof::None;
+        }
+        let known = self.ledger.key(&request.key);
+        let ran = known.is_some_and(|key| key.bill.is_some() || key.orphaned);
+        if ran {
             return Proof::None;
         }
         if request.stake == Stake::Held {
@@ -98,11 +107,11 @@
                 false => Proof::Record,
             };
         }
-        let known = self.ledger.key(&request.key);
-        if known.is_some_and(|key| key.claim.is_some() || key.bill.is_some()) {
+        if known.is_some_and(|key| key.claim.is_some()) {
             return Proof::None;
         }
-        if request.attempt == Attempt(1) {
+        // What came before a pause may have been tried elsewhere during it, as above.
+        if request.attempt == Attempt(1) && !self.is_stale(request.arrived) {
             return Proof::Known;
         }
         match !self.in_outage(now) && self.serving() && self.proofs.take(now) {
@@ -122,9 +131,13 @@
             return;
         };
         let mut problem = problem.as_ref().clone();
-        problem.ran = match verdict {
-            Verdict::Accepted => Ran::No,
-            _ => Ran::Unknown,
+        let unrun = self
+            .ledger
+            .key(&request.key)
+            .is_some_and(|key| key.is_unrun());
+        problem.ran = match *verdict == Verdict::Accepted && unrun {
+            true => Ran::No,
+            false => Ran::Unknown,
         };
         self.send_refusal(now, id, problem);
     }
