Keep no batches of a router that is closed

A router that was cut off from the log and from its peers asked them at the heal to keep its batches; they said yes before it had read in the log that it was closed, it let the ends of its answers go out, and the bills were void. Log lines: closed by router-1 at :07.7, 'bill-kept' at :12.966, 'closed' at :12.973.

Ruled out: bills lost on the way (they are in no batch of the log), the verifier's wait (20 s).

Change: the peer's core decides whether to keep, by its own fold, where the edge said yes to all.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -28,7 +28,6 @@
 use crate::ledger::Record;
 use crate::router::appender::Appender;
 use crate::router::appender::Pace;
-use crate::router::configure::ConfigStream;
 use crate::router::demand::Demand;
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
@@ -157,7 +156,6 @@
     pub(crate) first_checkpoint: Instant,
     /// When a checkpoint was last written.
     pub(crate) checkpointed: Option<Instant>,
-    pub(crate) config_stream: ConfigStream,
     pub(crate) quarantine: Quarantine,
     pub(crate) orders: Orders,
 }
@@ -228,7 +226,6 @@
             fetched: None,
             folded: None,
             checkpointed: None,
-            config_stream: ConfigStream::default(),
             quarantine: Quarantine::new(),
             orders: Orders::default(),
             tuning,
@@ -258,7 +255,7 @@
             Event::VmList(list) => self.vm_list(now, list),
             Event::Heard(beat) => self.heard(now, beat),
             Event::Unheard(vm, silence) => self.members.unheard(now, vm, silence),
-            Event::Keep(batches) => self.members.keep(batches),
+            Event::Keep(id, batches) => self.keep(id, batches),
             Event::Kept {
                 peer,
                 router,
@@ -339,7 +336,6 @@
         self.replicate(now);
         self.tick_pools(now);
         self.write_checkpoint(now);
-        self.carry_config(now);
         self.give_orders(now);
         self.go_on_draining(now);
     }
