Resume a stream whose connection to the engine broke, and take no early end for whole

Cause: a blip between router and engine cost the caller its answer though the engine can go on with the run. The first try of resuming found a second fault: an engine that had cancelled the run closed the stream with finish_reason "cancelled", and the router sold 8 tokens of 20 as the whole answer. Change: up to three resumes a stream; an answer is whole only if its finish reason is one that says so, streamed or not.

--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -24,6 +24,7 @@
 use crate::edge::pump;
 use crate::edge::render;
 use crate::edge::sse;
+use crate::edge::sse::Finish;
 use crate::ids::RequestId;
 use crate::router::Arrival;
 use crate::router::Event;
@@ -154,9 +155,12 @@
         return Begun::Over(engine::broken());
     };
     let body = body.to_bytes().to_vec();
-    match sse::usage(&body) {
-        Some(usage) => Begun::Whole(body, RunEnd::Whole { usage }),
-        None => Begun::Over(engine::broken()),
+    match sse::finish(&body) {
+        Finish {
+            whole: Some(true),
+            usage: Some(usage),
+        } => Begun::Whole(body, RunEnd::Whole { usage }),
+        _ => Begun::Over(engine::broken()),
     }
 }
 
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -34,6 +34,9 @@
 /// How long an endpoint may take to an order's answer.
 const ORDER: Duration = Duration::from_secs(2);
 
+/// How long an engine may take to resume a stream.
+const RESUME: Duration = Duration::from_secs(2);
+
 /// How long an endpoint may take to show that it lives.
 const ALIVE: Duration = Duration::from_millis(300);
 
@@ -119,6 +122,23 @@
     }
 }
 
+/// Asks an engine to go on with a run from a token on; nothing means that the run is over or the engine gone.
+pub(crate) async fn resume(
+    desk: &Desk,
+    id: RequestId,
+    run: &Run,
+    from: Tokens,
+) -> Option<Incoming> {
+    let name = endpoint_id(desk, id);
+    let url = format!(
+        "http://{}/v1/requests/{name}/stream?from_token={from}",
+        run.address
+    );
+    let request = desk.http.request("GET", &url).body(Full::default()).ok()?;
+    let answer = desk.http.send(request, RESUME).await.ok()?;
+    answer.status().is_success().then(|| answer.into_body())
+}
+
 /// Gives an endpoint an order. Whether it was followed shows in the endpoint's next load report.
 pub(crate) async fn order(desk: Arc<Desk>, order: Order) {
     let url = format!("http://{}/v1/orders", order.address);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -27,3 +27,6 @@
 
 pub use driver::Stopped;
 pub use driver::serve;
+
+#[cfg(test)]
+mod tests;
--- a/src/edge/pump.rs
+++ b/src/edge/pump.rs
@@ -12,6 +12,7 @@
 use salvo::http::header::CACHE_CONTROL;
 use salvo::http::header::CONTENT_TYPE;
 use tokio::time::timeout;
+use tracing::info;
 
 use crate::edge::chat_body::ChatBody;
 use crate::edge::desk::Command;
@@ -28,6 +29,9 @@
 /// How long an endpoint may be silent in a stream. Tokens are 80 ms apart; a minute of none is a dead endpoint.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// How often one stream is resumed: a link that breaks at every other token is no link.
+const MAX_RESUMES: u32 = 3;
+
 /// One stream.
 struct Pump {
     line: Line,
@@ -38,6 +42,7 @@
     /// The most that the prompt can have used.
     prompt: Tokens,
     stall: Duration,
+    resumed: u32,
 }
 
 /// How a stream went.
@@ -73,6 +78,7 @@
         splitter: Splitter::default(),
         prompt,
         stall,
+        resumed: 0,
     };
     tokio::spawn(pump.pump(first));
 }
@@ -103,12 +109,16 @@
             if !ready.is_empty() && !self.send(ready).await {
                 return End::CallerGone;
             }
-            if let Some((usage, end)) = self.splitter.whole() {
-                return End::Whole(usage, end);
+            if self.splitter.is_done() {
+                return match self.splitter.whole() {
+                    Some((usage, end)) => End::Whole(usage, end),
+                    None => End::Broken,
+                };
             }
             bytes = tokio::select! {
                 next = next_bytes(&mut self.rest) => match next {
                     Some(bytes) => bytes,
+                    None if self.resume().await => Bytes::new(),
                     None => return End::Broken,
                 },
                 // The core speaks to a stream only to break it off.
@@ -117,6 +127,26 @@
         }
     }
 
+    /// Goes on with a stream whose connection to the engine broke, if the run goes on there.
+    ///
+    /// Else a caller loses an answer of a minute to a blip of a millisecond, and its team pays for the run twice.
+    async fn resume(&mut self) -> bool {
+        if self.resumed >= MAX_RESUMES {
+            return false;
+        }
+        self.resumed += 1;
+        let from = self.splitter.restart();
+        let desk = &self.line.desk;
+        match engine::resume(desk, self.line.id, &self.run, from).await {
+            Some(rest) => {
+                info!(event = "stream-resumed", request = %self.line.id, from = %from);
+                self.rest = rest;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Sends bytes to the caller; false means that it is gone, or reads nothing.
     async fn send(&mut self, bytes: Bytes) -> bool {
         let sent = timeout(self.stall, self.out.send_data(bytes)).await;
--- a/src/edge/sse.rs
+++ b/src/edge/sse.rs
@@ -17,25 +17,59 @@
 /// An event that is larger is no token.
 const MAX_EVENT: usize = 1 << 20;
 
+/// The reasons for which an answer is over and whole. An engine that ends a run early, as one that was told to cancel it,
+/// gives another one, and closes the stream as if all were well.
+const WHOLE: [&str; 5] = [
+    "stop",
+    "length",
+    "tool_calls",
+    "function_call",
+    "content_filter",
+];
+
 #[derive(Deserialize)]
 struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
     usage: Option<Wire>,
 }
 
+#[derive(Deserialize)]
+struct Choice {
+    finish_reason: Option<String>,
+}
+
 #[derive(Deserialize)]
 struct Wire {
     prompt_tokens: u64,
     completion_tokens: u64,
 }
 
-/// Reads the usage out of an event's or an answer's JSON.
-pub(crate) fn usage(json: &[u8]) -> Option<Usage> {
-    let chunk: Chunk = serde_json::from_slice(json).ok()?;
-    let usage = chunk.usage?;
-    Some(Usage {
-        prompt: Tokens(usage.prompt_tokens),
-        answer: Tokens(usage.completion_tokens),
-    })
+/// What the JSON of an event or an answer says of the answer's end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Finish {
+    /// Whether the answer is whole; nothing where it is not over.
+    pub(crate) whole: Option<bool>,
+    /// What was used, where it is said.
+    pub(crate) usage: Option<Usage>,
+}
+
+/// Reads what an event or an answer says of the answer's end.
+pub(crate) fn finish(json: &[u8]) -> Finish {
+    let Ok(chunk) = serde_json::from_slice::<Chunk>(json) else {
+        return Finish::default();
+    };
+    let reason = chunk
+        .choices
+        .first()
+        .and_then(|c| c.finish_reason.as_deref());
+    Finish {
+        whole: reason.map(|reason| WHOLE.contains(&reason)),
+        usage: chunk.usage.map(|usage| Usage {
+            prompt: Tokens(usage.prompt_tokens),
+            answer: Tokens(usage.completion_tokens),
+        }),
+    }
 }
 
 /// Splits an answer's bytes into what may go out at once and its end, which waits for the bill.
@@ -46,7 +80,7 @@
 pub(crate) struct Splitter {
     partial: BytesMut,
     end: BytesMut,
-    usage: Option<Usage>,
+    finish: Finish,
     done: bool,
     events: u64,
 }
@@ -87,7 +121,11 @@
         let ends = self.done || !self.end.is_empty() || memmem::find(event, FINISH).is_some();
         if ends {
             let json = event.strip_prefix(b"data: ").unwrap_or(event);
-            self.usage = usage(json).or(self.usage);
+            let finish = finish(json);
+            self.finish = Finish {
+                whole: finish.whole.or(self.finish.whole),
+                usage: finish.usage.or(self.finish.usage),
+            };
             self.end.extend_from_slice(event);
         } else {
             self.events += 1;
@@ -95,14 +133,28 @@
         }
     }
 
-    /// Returns the whole answer's usage and its end, once all of it came.
+    /// Returns whether the engine has closed the answer.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Returns the answer's usage and its end, if it is whole.
     pub(crate) fn whole(&mut self) -> Option<(Usage, Bytes)> {
-        match (self.done, self.usage) {
-            (true, Some(usage)) => Some((usage, self.end.split().freeze())),
+        match (self.finish.whole, self.finish.usage) {
+            (Some(true), Some(usage)) => Some((usage, self.end.split().freeze())),
             _ => None,
         }
     }
 
+    /// Forgets what came and did not go out, and returns from which token on the answer is wanted again.
+    pub(crate) fn restart(&mut self) -> Tokens {
+        self.partial.clear();
+        self.end.clear();
+        self.finish = Finish::default();
+        self.done = false;
+        self.tokens()
+    }
+
     /// Returns how many tokens went out.
     pub(crate) fn tokens(&self) -> Tokens {
         Tokens(self.events)
