Drain a budget under seven routers, healthy and parted for an hour

How much a router holds was grounded by arithmetic alone.

Tried and reverted: holding nothing for the last 15, 60 or 180 s of demand.

Generous side: tokens that other requests reserve do not count as the team's.

--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Decisions under load, judged one by one and then by what callers receive.
 
+mod budget;
 mod each;
 mod engine;
 mod load;
