Send a poison request to three routers, and count what it costs

A caller sends a request that crashes each endpoint ten times, each time to another router, among 1,500 innocent ones. Without a quarantine that is ten endpoints.

--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod each;
 mod engine;
 mod load;
+mod poison;
 mod router;
 mod sim;
 
