Let a router die under 3,000 callers that go by its advice

Callers without a balancer go where the last answer sent them.

Generous side: callers begin evenly spread, and the load of a router is two seconds old.

--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod each;
 mod engine;
+mod herd;
 mod load;
 mod poison;
 mod router;
