--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::hash::BuildHasherDefault;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +19,7 @@
 
 use crate::decide::concurrency::EndpointLimit;
 use crate::decide::concurrency::Sample;
+use crate::decide::hasher::FastHasher;
 use crate::decide::health::Ejector;
 use crate::decide::health::Health;
 use crate::decide::prefix::BlockHash;
@@ -104,7 +106,7 @@
 #[derive(Debug)]
 pub struct Chooser {
     seed: u64,
-    endpoints: IndexMap<VmId, Endpoint>,
+    endpoints: IndexMap<VmId, Endpoint, BuildHasherDefault<FastHasher>>,
     /// The endpoints of each model, and all of them under none, in the order in which this router prefers them.
     ranked: IndexMap<Option<ModelId>, BTreeSet<(u64, VmId)>>,
 }
@@ -114,7 +116,7 @@
     pub fn new(router: &VmId) -> Self {
         Self {
             seed: xxh3_64_with_seed(router.as_str().as_bytes(), 0),
-            endpoints: IndexMap::new(),
+            endpoints: IndexMap::default(),
             ranked: IndexMap::new(),
         }
     }
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -6,6 +6,7 @@
 //! that the rest falls over. So only a part of a pool and of a failure domain may be out at once, it may go out only so
 //! fast, and an endpoint that was put out before stays out longer.
 
+use std::hash::BuildHasherDefault;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +14,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::decide::hasher::FastHasher;
 use crate::ids::DomainId;
 use crate::ids::VmId;
 
@@ -127,7 +129,7 @@
 #[derive(Debug, Default)]
 pub struct Ejector {
     caps: Caps,
-    endpoints: IndexMap<VmId, Endpoint>,
+    endpoints: IndexMap<VmId, Endpoint, BuildHasherDefault<FastHasher>>,
     median: f64,
     sorted: Option<Instant>,
     last: Option<Instant>,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod choose;
 mod concurrency;
+mod hasher;
 mod health;
 mod holding;
 mod limit;
--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -8,9 +8,11 @@
 
 use std::cmp::Ordering;
 use std::collections::VecDeque;
+use std::hash::BuildHasherDefault;
 
 use indexmap::IndexMap;
 
+use crate::decide::hasher::FastHasher;
 use crate::ids::VmId;
 
 /// How many blocks are remembered. At about 120 bytes each they take 48 MB of a router's 256, and hold the hottest ten
@@ -27,6 +29,9 @@
 /// After so many gaps an entry is worth next to nothing.
 const GAPS: u32 = 10;
 
+/// How many shorter matches are looked at, each half as long as the one before.
+const SHORTER: u32 = 4;
+
 /// The hash of a block of a prompt and of all blocks before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BlockHash(pub u64);
@@ -82,10 +87,10 @@
 /// Blocks and the endpoints that are thought to have them cached.
 #[derive(Debug, Default)]
 pub struct PrefixIndex {
-    blocks: IndexMap<BlockHash, Entry>,
+    blocks: IndexMap<BlockHash, Entry, BuildHasherDefault<FastHasher>>,
     order: VecDeque<BlockHash>,
-    slots: IndexMap<VmId, Slot>,
-    sources: IndexMap<Slot, Source>,
+    slots: IndexMap<VmId, Slot, BuildHasherDefault<FastHasher>>,
+    sources: IndexMap<Slot, Source, BuildHasherDefault<FastHasher>>,
     next: u32,
 }
 
@@ -172,28 +177,29 @@
 
     /// Returns what endpoints have of a prompt.
     ///
-    /// It looks at no more blocks than twice the logarithm of the prompt's length: whoever has a block has most likely
-    /// all before it, as caches evict ends first. An endpoint that has less than the longest match is credited with the
-    /// next half, quarter and so on of it.
+    /// It looks at about as many blocks as the logarithm of the prompt's length: whoever has a block has most likely all
+    /// before it, as caches evict ends first. An endpoint that has less than the longest match is credited with the next
+    /// half, quarter and so on of it.
     pub fn matches(&self, prompt: &[BlockHash]) -> Vec<Match> {
         let mut found: Vec<Match> = Vec::new();
-        let mut depth = prompt.partition_point(|block| self.is_held(block));
-        while depth > 0 {
+        let longest = prompt.partition_point(|block| self.is_held(block));
+        for depth in (0..=SHORTER).map(|half| longest >> half) {
             self.add_holders(&mut found, prompt, depth);
-            depth /= 2;
         }
         found
     }
 
     fn add_holders(&self, found: &mut Vec<Match>, prompt: &[BlockHash], depth: usize) {
-        let Some(entry) = self.blocks.get(&prompt[depth - 1]) else {
+        let last = depth.checked_sub(1).map(|last| prompt[last]);
+        let Some(entry) = last.and_then(|block| self.blocks.get(&block)) else {
             return;
         };
         for holder in &entry.holders {
             let Some(source) = self.sources.get(&holder.slot) else {
                 continue;
             };
-            if found.iter().all(|m| m.endpoint != source.vm) {
+            let forgotten = holder.since(source) >= GAPS;
+            if !forgotten && found.iter().all(|m| m.endpoint != source.vm) {
                 found.push(Match {
                     endpoint: source.vm.clone(),
                     blocks: depth,
@@ -204,13 +210,8 @@
     }
 
     fn is_held(&self, block: &BlockHash) -> bool {
-        self.blocks.get(block).is_some_and(|entry| {
-            entry
-                .holders
-                .iter()
-                .filter_map(|h| Some((h, self.sources.get(&h.slot)?)))
-                .any(|(h, source)| h.since(source) < GAPS)
-        })
+        let entry = self.blocks.get(block);
+        entry.is_some_and(|entry| !entry.holders.is_empty())
     }
 
     fn source(&mut self, endpoint: &VmId) -> Option<&mut Source> {
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -6,7 +6,9 @@
 //! (the cost of what was served, over the weight), accounts share within and across teams likewise, an account may fill
 //! only a part of the queue, and whoever would wait past the deadline is refused at once.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
@@ -40,6 +42,9 @@
 /// The time over which an account's use counts, in seconds: a few answers.
 const RECENT: f64 = 10.0;
 
+/// How often accounts that had next to nothing lately are forgotten.
+const SWEEP: Duration = Duration::from_secs(1);
+
 /// The time that must have been measured before the rate is believed.
 const MIN_MEASURE: f64 = 0.25;
 
@@ -214,8 +219,8 @@
     where
         F: FnMut(&T, Usage) -> bool,
     {
-        let place = self.fronts().into_iter().find(|place| {
-            let waiting = self.waiting.get(place);
+        let place = self.next_place(|place| {
+            let waiting = self.waiting.get(&place);
             waiting.is_some_and(|w| fits(&w.item, self.usage(now, &w.ticket.account)))
         })?;
         let waiting = self.take(place)?;
@@ -259,15 +264,10 @@
     /// team served beside it.
     pub fn wait(&self, now: Instant, ticket: &Ticket) -> Option<Duration> {
         let rate = self.drain.rate(now)?;
-        let total: u64 = self.teams.values().map(|t| t.part.cost).sum();
-        let own = self.teams.get(&ticket.team).map_or(0, |t| t.part.cost) + ticket.cost.0;
-        let beside: u64 = self
-            .teams
-            .iter()
-            .filter(|(id, _)| **id != ticket.team)
-            .map(|(_, t)| t.part.cost.min(own))
-            .sum();
-        let ahead = total.min(own - ticket.cost.0 + beside);
+        let queued = self.teams.get(&ticket.team).map_or(0, |t| t.part.cost);
+        let own = queued + ticket.cost.0;
+        let costs = self.teams.values().map(|t| t.part.cost);
+        let ahead: u64 = costs.map(|cost| cost.min(own)).sum();
         Some(Duration::from_secs_f64(
             (ahead as f64 / rate).min(MAX_RETRY * 100.0),
         ))
@@ -358,18 +358,33 @@
         self.recent.usage(now, account)
     }
 
-    /// Returns the first of each team, the team furthest behind first.
-    fn fronts(&self) -> Vec<Place> {
-        let mut fronts: Vec<_> = self
-            .teams
-            .values()
-            .filter_map(|team| {
-                let (place, pass) = team.front(&self.accounts)?;
-                Some((pass.max(team.part.pass), place))
-            })
+    /// Finds the first that fits of the first of each team, the team furthest behind first.
+    ///
+    /// A team's own virtual time is the least that its turn may come at; the account's, which costs a look, is looked at
+    /// only for teams whose turn it might be.
+    fn next_place<F>(&self, mut fits: F) -> Option<Place>
+    where
+        F: FnMut(Place) -> bool,
+    {
+        let bounds = self.teams.values().enumerate();
+        let mut turns: BinaryHeap<_> = bounds
+            .map(|(at, team)| Reverse((team.part.pass.to_bits(), at, None)))
             .collect();
-        fronts.sort_by(|a, b| a.0.total_cmp(&b.0));
-        fronts.into_iter().map(|(_, place)| place).collect()
+        while let Some(Reverse((_, at, place))) = turns.pop() {
+            let team = &self.teams[at];
+            match place {
+                Some(place) if fits(place) => return Some(place),
+                Some(_) => (),
+                None => {
+                    let front = team.front(&self.accounts);
+                    turns.extend(front.map(|(place, pass)| {
+                        // Passes are never negative, so that their bits are in their order.
+                        Reverse((pass.max(team.part.pass).to_bits(), at, Some(place)))
+                    }));
+                }
+            }
+        }
+        None
     }
 
     /// Moves the virtual times on by what is served.
@@ -461,6 +476,7 @@
     accounts: IndexMap<AccountId, (f64, Option<Instant>)>,
     all: f64,
     at: Option<Instant>,
+    swept: Option<Instant>,
 }
 
 impl Recent {
@@ -470,8 +486,11 @@
         *at = Some(now);
         self.all = decayed(self.all, self.at, now) + cost;
         self.at = Some(now);
-        self.accounts
-            .retain(|_, (cost, at)| decayed(*cost, *at, now) >= 1.0);
+        if self.swept.is_none_or(|at| now >= at + SWEEP) {
+            self.swept = Some(now);
+            self.accounts
+                .retain(|_, (cost, at)| decayed(*cost, *at, now) >= 1.0);
+        }
     }
 
     fn usage(&self, now: Instant, account: &AccountId) -> Usage {
