--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -175,6 +175,17 @@
         self.entry(vm).is_some_and(|e| e.state == VmState::Live)
     }
 
+    /// Returns the VMs of this router and of all others that the list shows as live.
+    pub(crate) fn serving_vms(&self, me: &VmId) -> Vec<VmId> {
+        let live = self.vms.vms.iter().filter(|entry| {
+            let router = entry.labels.get(ROLE) == Some("router");
+            entry.vm != *me && router && entry.state == VmState::Live
+        });
+        live.map(|entry| entry.vm.clone())
+            .chain([me.clone()])
+            .collect()
+    }
+
     /// Returns how to reach all other routers of the list.
     pub(crate) fn peers(&self, me: &VmId) -> Vec<Peer> {
         self.vms
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod members;
 mod orders;
 mod outage;
+mod picker;
 mod poison;
 mod pool;
 mod problem;
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -13,26 +13,24 @@
 use crate::config::PoolKind;
 use crate::config::PoolSpec;
 use crate::decide::CacheEvent;
-use crate::decide::Chooser;
-use crate::decide::Ejector;
+use crate::decide::Choice;
 use crate::decide::Evidence;
 use crate::decide::FairQueue;
 use crate::decide::Load;
 use crate::decide::Place;
-use crate::decide::PrefixIndex;
 use crate::decide::Sample;
-use crate::decide::Wish;
+use crate::decide::Usage;
 use crate::ids::ModelId;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
-use crate::prompt::BlockHash;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
 use crate::router::event::EndpointLoad;
 use crate::router::event::RunEnd;
-use crate::router::event::Work;
-use crate::router::request::Request;
+use crate::router::picker::Picker;
+use crate::router::picker::Site;
+use crate::router::picker::blocks;
 use crate::router::request::State;
 use crate::vms::VmEntry;
 use crate::vms::VmState;
@@ -42,13 +40,9 @@
 
 /// A pool's endpoints and its queue.
 pub(crate) struct Pool {
-    pub(crate) chooser: Chooser,
-    pub(crate) index: PrefixIndex,
-    pub(crate) health: Ejector,
+    pub(crate) picker: Picker,
     pub(crate) queue: FairQueue<RequestId>,
     pub(crate) places: IndexMap<RequestId, Place>,
-    /// Taken from the queue, but no endpoint with their model has room.
-    pub(crate) stuck: Vec<RequestId>,
     pub(crate) addresses: IndexMap<VmId, SocketAddr>,
     /// The models that each endpoint last said it has.
     pub(crate) loaded: IndexMap<VmId, Vec<ModelId>>,
@@ -59,12 +53,9 @@
 impl Pool {
     pub(crate) fn new(router: &VmId, length: usize, rng: ChaCha8Rng) -> Self {
         Self {
-            chooser: Chooser::new(router),
-            index: PrefixIndex::new(),
-            health: Ejector::new(),
+            picker: Picker::new(router),
             queue: FairQueue::new(length, rng),
             places: IndexMap::new(),
-            stuck: Vec::new(),
             addresses: IndexMap::new(),
             loaded: IndexMap::new(),
             engines: false,
@@ -91,15 +82,18 @@
             .collect();
         for vm in gone {
             self.addresses.shift_remove(&vm);
-            self.chooser.remove(&vm);
-            self.health.remove(&vm);
+            self.picker.chooser.remove(&vm);
+            self.picker.health.remove(&vm);
         }
         for entry in listed {
             let vm = &entry.vm;
-            self.chooser
+            self.picker
+                .chooser
                 .put(vm, &entry.domain, models, spec.concurrency);
-            self.chooser.leave(vm, entry.state == VmState::Leaving);
-            self.health.put(now, vm, &entry.domain);
+            self.picker
+                .chooser
+                .leave(vm, entry.state == VmState::Leaving);
+            self.picker.health.put(now, vm, &entry.domain);
             self.addresses.insert(vm.clone(), entry.address);
         }
     }
@@ -132,33 +126,75 @@
         Some(address.to_string())
     }
 
-    /// Picks an endpoint for a request and counts the request there.
+    /// Takes the next request that an endpoint has room for out of a queue.
+    pub(crate) fn next_with_room(
+        &mut self,
+        now: Instant,
+        name: &PoolId,
+    ) -> Option<(RequestId, Choice)> {
+        let routers = self.members.serving_vms(&self.tuning.vm);
+        let Self {
+            pools,
+            requests,
+            quarantine,
+            rng,
+            tuning,
+            ..
+        } = self;
+        let pool = pools.get_mut(name)?;
+        let Pool { queue, picker, .. } = pool;
+        let mut chosen = None;
+        let id = queue.pop_where(now, |id, usage| {
+            let Some(request) = requests.get(id) else {
+                return false;
+            };
+            let site = Site {
+                router: &tuning.vm,
+                domain: &tuning.domain,
+                routers: &routers,
+            };
+            chosen = picker.pick(now, request, usage, quarantine, &site, rng);
+            chosen.is_some()
+        })?;
+        pool.places.swap_remove(&id);
+        Some((id, chosen?))
+    }
+
+    /// Picks another endpoint for a request whose run failed, and counts the request there.
     pub(crate) fn pick_endpoint(&mut self, now: Instant, id: RequestId) -> Option<VmId> {
-        let (avoid, forbid) = self.kept_off(id);
+        let routers = self.members.serving_vms(&self.tuning.vm);
         let request = self.requests.get(&id)?;
-        let pool = self.pools.get_mut(&request.pool)?;
-        let (model, blocks) = wish_of(request);
-        let mut choice = None;
-        for kept_off in [avoid, forbid] {
-            let excluded = [request.tried.clone(), kept_off].concat();
-            let wish = Wish {
-                model,
-                prefix: &blocks,
-                domain: &self.tuning.domain,
-                excluded: &excluded,
-            };
-            choice = choice.or_else(|| {
-                pool.chooser
-                    .choose(now, &wish, &pool.index, &pool.health, &mut self.rng)
-            });
-        }
-        let choice = choice?;
-        self.quarantine.start(request.fingerprint, &choice.endpoint);
-        pool.chooser.start(now, &choice.endpoint);
-        pool.index.learn(&choice.endpoint, &blocks);
+        let pool = self.pools.get(&request.pool)?;
+        let site = Site {
+            router: &self.tuning.vm,
+            domain: &self.tuning.domain,
+            routers: &routers,
+        };
+        let choice = pool.picker.pick(
+            now,
+            request,
+            Usage::Heavy,
+            &self.quarantine,
+            &site,
+            &mut self.rng,
+        )?;
+        self.enter_endpoint(now, id, &choice);
         Some(choice.endpoint)
     }
 
+    /// Counts a request at the endpoint that was chosen for it.
+    pub(crate) fn enter_endpoint(&mut self, now: Instant, id: RequestId, choice: &Choice) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        self.quarantine.start(request.fingerprint, &choice.endpoint);
+        if let Some(pool) = self.pools.get_mut(&request.pool) {
+            let blocks = blocks(request);
+            pool.picker.chooser.start(now, &choice.endpoint);
+            pool.picker.index.learn(&choice.endpoint, &blocks);
+        }
+    }
+
     /// Takes a request off its endpoint, whose run ended.
     pub(crate) fn leave_endpoint(&mut self, now: Instant, id: RequestId, end: &RunEnd) {
         let request = &mut self.requests[&id];
@@ -196,9 +232,11 @@
         }
         let request = &self.requests[&id];
         if let Some(pool) = self.pools.get_mut(&request.pool) {
-            pool.chooser.end(now, &endpoint, sample);
+            pool.picker.chooser.end(now, &endpoint, sample);
             if let Some(evidence) = evidence {
-                pool.health.record(now, &endpoint, evidence, &mut self.rng);
+                pool.picker
+                    .health
+                    .record(now, &endpoint, evidence, &mut self.rng);
             }
         }
         let pool = request.pool.clone();
@@ -213,7 +251,7 @@
         if let State::Claiming { endpoint } | State::Running { endpoint, .. } = &request.state
             && let Some(pool) = self.pools.get_mut(&request.pool)
         {
-            pool.chooser.end(now, endpoint, Sample::Other);
+            pool.picker.chooser.end(now, endpoint, Sample::Other);
             self.quarantine.end(request.fingerprint, endpoint);
         }
     }
@@ -226,7 +264,7 @@
                 waiting: load.waiting,
                 measured: now.checked_sub(load.age).unwrap_or(now),
             };
-            pool.chooser.report(now, vm, report);
+            pool.picker.chooser.report(now, vm, report);
             if pool.addresses.contains_key(vm) {
                 pool.loaded.insert(vm.clone(), load.models.clone());
             }
@@ -241,7 +279,7 @@
                 continue;
             }
             for event in events {
-                pool.index.event(vm, event);
+                pool.picker.index.event(vm, event);
             }
         }
     }
@@ -268,18 +306,9 @@
             info!(event = "endpoint-check-failed", endpoint = %vm);
         }
         for pool in self.pools.values_mut() {
-            pool.health
+            pool.picker
+                .health
                 .record(now, vm, Evidence::Checked(passed), &mut self.rng);
         }
     }
 }
-
-/// Returns the model that a request needs and the blocks of its prompt.
-fn wish_of(request: &Request) -> (Option<&ModelId>, Vec<BlockHash>) {
-    match &request.work {
-        Work::Completion { model, blocks, .. } => {
-            (Some(model), blocks.iter().map(|b| BlockHash(*b)).collect())
-        }
-        Work::Call { .. } => (None, Vec::new()),
-    }
-}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,13 @@
 //! Decisions under load, judged one by one and then by what callers receive.
 
+mod budget;
 mod each;
+mod engine;
+mod herd;
+mod load;
+mod poison;
+mod router;
+mod sim;
 
 use std::time::Duration;
 use std::time::Instant;
