Keep no batches of a router that is closed

A router that was cut off from the log and from its peers asked them at the heal to keep its batches; they said yes before it had read in the log that it was closed, it let the ends of its answers go out, and the bills were void. Log lines: closed by router-1 at :07.7, 'bill-kept' at :12.966, 'closed' at :12.973.

Ruled out: bills lost on the way (they are in no batch of the log), the verifier's wait (20 s).

Change: the peer's core decides whether to keep, by its own fold, where the edge said yes to all.

--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -22,6 +22,7 @@
 use crate::router::AdminRequest;
 use crate::router::Event;
 use crate::router::Heartbeat;
+use crate::router::KeptBatches;
 use crate::router::Problem;
 use crate::router::Replay;
 use crate::router::Run;
@@ -117,10 +118,23 @@
 
     /// Asks the core something and waits for its answer.
     pub(crate) async fn ask(&self, request: AdminRequest) -> Option<(u16, Value)> {
+        self.question(|id| Event::Admin(id, request)).await
+    }
+
+    /// Asks the core whether it keeps a peer's batches.
+    pub(crate) async fn keep(&self, batches: KeptBatches) -> bool {
+        let answer = self.question(|id| Event::Keep(id, batches)).await;
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
+    async fn question<F>(&self, event: F) -> Option<(u16, Value)>
+    where
+        F: FnOnce(AdminId) -> Event,
+    {
         let id = AdminId(self.next.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
         lock(&self.questions).insert(id, sender);
-        self.tell(Event::Admin(id, request));
+        self.tell(event(id));
         answer.await.ok()
     }
 
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -49,6 +49,8 @@
     Version(u32),
     /// It has nothing to give yet.
     NotReady,
+    /// It knows of no such router, or that its incarnation is over.
+    Closed,
 }
 
 /// What a router does for its peers.
@@ -87,8 +89,10 @@
 
     async fn keep(self, _: Context, version: u32, batches: KeptBatches) -> Result<(), Refused> {
         check(version)?;
-        self.0.tell(Event::Keep(batches));
-        Ok(())
+        match self.0.keep(batches).await {
+            true => Ok(()),
+            false => Err(Refused::Closed),
+        }
     }
 
     async fn relay(self, _: Context, version: u32, config: String) -> Result<(), Refused> {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -255,7 +255,7 @@
             Event::VmList(list) => self.vm_list(now, list),
             Event::Heard(beat) => self.heard(now, beat),
             Event::Unheard(vm, silence) => self.members.unheard(now, vm, silence),
-            Event::Keep(batches) => self.members.keep(batches),
+            Event::Keep(id, batches) => self.keep(id, batches),
             Event::Kept {
                 peer,
                 router,
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -67,7 +67,7 @@
     /// A peer did not answer a heartbeat.
     Unheard(VmId, Silence),
     /// A peer asks this router to keep the batches that it cannot append.
-    Keep(KeptBatches),
+    Keep(AdminId, KeptBatches),
     /// A peer keeps this router's batches up to this number.
     Kept {
         /// Who keeps it.
--- a/src/router/outage.rs
+++ b/src/router/outage.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
 use tracing::info;
 
 use crate::ids::Incarnation;
@@ -12,6 +13,7 @@
 use crate::router::core::Core;
 use crate::router::core::Ticket;
 use crate::router::effect::Effect;
+use crate::router::event::AdminId;
 use crate::router::event::KeptBatches;
 use crate::router::request::State;
 use crate::router::request::Then;
@@ -65,6 +67,19 @@
         }
     }
 
+    /// Keeps a peer's batches, or says that it is no use.
+    ///
+    /// A router that was closed while it was cut off may not know it yet. Were its batches kept all the same, it would
+    /// let the ends of answers go out whose bills are void.
+    pub(crate) fn keep(&mut self, id: AdminId, batches: KeptBatches) {
+        let open = self.ledger.is_open(batches.router);
+        if open {
+            self.members.keep(batches);
+        }
+        let status = if open { 200 } else { 409 };
+        self.effects.push(Effect::Answer(id, status, Value::Null));
+    }
+
     /// Takes a peer's word that it keeps batches of this router.
     pub(crate) fn kept(
         &mut self,
