Bring a dead router's last batches until the log has them, then close it

The closing router sent the kept batches off once, into a log that was down already (it had no append of its own under way, so it had not noticed), and closed the router 3 s later without them, as soon as the log was back.

Ruled out: that the batches were not kept (left_here=true in router-2's log, six bill-kept lines in router-0's).

Change: kept batches are sent off every 500 ms until they are folded, and a closing begins anew when the log was out.

--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -40,6 +40,9 @@
 /// How long to wait for a dead router's batches to be folded before it is closed all the same.
 const KEPT_WAIT: Duration = Duration::from_secs(3);
 
+/// How often a dead router's batches are sent off anew until they are folded.
+const KEPT_AGAIN: Duration = Duration::from_millis(500);
+
 /// How old word from the log or from a peer may be to count as fresh.
 const FRESH: Duration = Duration::from_secs(3);
 
@@ -62,6 +65,8 @@
 struct Closing {
     /// Since when it goes on.
     since: Instant,
+    /// When the batches that it left here were last sent off.
+    brought: Option<Instant>,
     /// When its record was last sent off.
     recorded: Option<Instant>,
 }
@@ -321,6 +326,8 @@
     pub(crate) fn close_dead(&mut self, now: Instant) {
         let log_fresh = now < self.members.log_heard + FRESH;
         if !self.serving() || self.in_outage(now) || !log_fresh {
+            // What was sent off may not have landed; all of it begins again when the log is back.
+            self.members.closing.clear();
             return;
         }
         let open: Vec<_> = self
@@ -363,29 +370,31 @@
     /// callers have whole would stay unbilled.
     fn close_one(&mut self, now: Instant, router: Incarnation, sequence: Sequence) {
         let kept = self.members.kept.get(&router);
-        let missing = kept.is_some_and(|kept| kept.last > sequence);
-        let Some(closing) = self.members.closing.get(&router).copied() else {
-            warn!(event = "closing", %router, left_here = missing);
-            let batches = kept.map(|kept| kept.batches.clone()).unwrap_or_default();
-            self.effects
-                .extend(batches.into_iter().map(Effect::AppendKept));
-            let closing = Closing {
-                since: now,
-                recorded: None,
-            };
-            self.members.closing.insert(router, closing);
-            return;
-        };
-        let waited = !missing || now >= closing.since + KEPT_WAIT;
+        let missing = kept.filter(|kept| kept.last > sequence);
+        let begun = self.members.closing.get(&router).copied();
+        let mut closing = begun.unwrap_or(Closing {
+            since: now,
+            brought: None,
+            recorded: None,
+        });
+        if begun.is_none() {
+            warn!(event = "closing", %router, left_here = missing.is_some());
+        }
+        // An append may fail, so they are brought until they are folded.
+        if let Some(kept) = missing
+            && closing.brought.is_none_or(|at| now >= at + KEPT_AGAIN)
+        {
+            closing.brought = Some(now);
+            let batches = kept.batches.iter().cloned().map(Effect::AppendKept);
+            self.effects.extend(batches);
+        }
+        let waited = missing.is_none() || now >= closing.since + KEPT_WAIT;
         let due = closing.recorded.is_none_or(|at| now >= at + KEPT_WAIT);
-        if waited && due {
-            let closing = Closing {
-                recorded: Some(now),
-                ..closing
-            };
-            self.members.closing.insert(router, closing);
+        if begun.is_some() && waited && due {
+            closing.recorded = Some(now);
             self.push_close(router);
         }
+        self.members.closing.insert(router, closing);
     }
 
     fn push_close(&mut self, router: Incarnation) {
