--- a/src/cli/ask.rs
+++ b/src/cli/ask.rs
@@ -187,6 +187,20 @@
             text: String::new(),
             usage: None,
         };
+        let ended = self.read_into(answer, &mut whole).await;
+        match ended {
+            Ok(()) => Ok(whole),
+            Err(ended) => {
+                // The next try begins a line of its own, so that nobody takes the two for one answer.
+                if !self.output.is_json() && !whole.text.is_empty() {
+                    output::print("\n").map_err(|e| Ended::last(e.into()))?;
+                }
+                Err(ended)
+            }
+        }
+    }
+
+    async fn read_into(&self, answer: Response<Incoming>, whole: &mut Whole) -> Result<(), Ended> {
         let mut body = answer.into_body();
         let mut events = Events::default();
         loop {
@@ -201,9 +215,9 @@
             };
             for event in events.feed(bytes) {
                 if event == END {
-                    return Ok(whole);
+                    return Ok(());
                 }
-                self.event(&event, &mut whole).map_err(Ended::last)?;
+                self.event(&event, whole).map_err(Ended::last)?;
             }
         }
     }
--- a/src/cli/audit.rs
+++ b/src/cli/audit.rs
@@ -6,10 +6,11 @@
 use crate::ids::RequestKey;
 use crate::ids::TeamId;
 use crate::ids::TopUpId;
+use crate::ledger;
 use crate::ledger::Batch;
-use crate::ledger::KEY_MEMORY;
 use crate::ledger::Ledger;
 use crate::ledger::Record;
+use crate::ledger::TeamState;
 use crate::ledger::Verdict;
 use crate::log_client::LogRecord;
 use crate::tokens::Tokens;
@@ -18,59 +19,47 @@
 #[derive(Debug, Default)]
 pub(crate) struct Audit {
     pub(crate) ledger: Ledger,
-    /// Records that could not be read.
-    pub(crate) skipped: u64,
     /// What must not be, as found.
     pub(crate) violations: Vec<String>,
     topups: IndexSet<(TeamId, TopUpId)>,
     prepaid: IndexMap<TeamId, Tokens>,
     billed: IndexMap<TeamId, Tokens>,
+    /// When each request was last billed.
     bills: IndexMap<RequestKey, u64>,
-    once: IndexSet<RequestKey>,
+    /// When each request that may not run twice was claimed.
+    once: IndexMap<RequestKey, u64>,
 }
 
 impl Audit {
+    /// Goes on from a checkpoint, whose sums it has to believe.
+    pub(crate) fn resume(ledger: Ledger) -> Self {
+        let sums = |sum: fn(&TeamState) -> Tokens| {
+            let teams = ledger.teams();
+            teams
+                .map(|(team, state)| (team.clone(), sum(state)))
+                .collect()
+        };
+        Self {
+            prepaid: sums(|team| team.prepaid),
+            billed: sums(|team| team.spent),
+            ledger,
+            ..Self::default()
+        }
+    }
+
     /// Folds one record of the stream.
     pub(crate) fn apply(&mut self, record: &LogRecord) {
-        let Ok(batch) = crate::ledger::decode(&record.data) else {
-            self.skipped += 1;
+        let Ok(batch) = ledger::decode(&record.data) else {
             self.ledger.skip(record.offset);
             return;
         };
+        let mut known = self.billed_of(&batch);
         let verdicts = self.ledger.apply(record.offset, record.at, &batch);
-        self.count(record, &batch, &verdicts);
-        self.check_teams(record);
-    }
-
-    /// Compares the sums; to be called after the last record.
-    pub(crate) fn close(&mut self) {
-        let mut found = Vec::new();
-        for (team, state) in self.ledger.teams() {
-            let none = Tokens::ZERO;
-            let prepaid = self.prepaid.get(team).copied().unwrap_or(none);
-            let billed = self.billed.get(team).copied().unwrap_or(none);
-            if prepaid != state.prepaid {
-                let fold = state.prepaid;
-                found.push(format!(
-                    "team {team}: top-ups add up to {prepaid}, the fold says {fold}"
-                ));
-            }
-            if billed != state.spent {
-                let fold = state.spent;
-                found.push(format!(
-                    "team {team}: bills add up to {billed}, the fold says {fold}"
-                ));
-            }
-        }
-        self.violations.extend(found);
-    }
-
-    fn count(&mut self, record: &LogRecord, batch: &Batch, verdicts: &[Verdict]) {
-        let accepted = batch.records.iter().zip(verdicts);
+        let accepted = batch.records.iter().zip(&verdicts);
         for (entry, _) in accepted.filter(|(_, verdict)| **verdict == Verdict::Accepted) {
             match entry {
                 Record::TopUp { id, team, amount } => self.top_up(id, team, *amount),
-                Record::Bill { key, .. } => self.bill(record.at, key),
+                Record::Bill { key, .. } => self.bill(record, key, known.insert(key.clone())),
                 Record::Claim(claim) if !claim.idempotent => self.claim_once(record, &claim.key),
                 Record::Release { key } => {
                     self.once.swap_remove(key);
@@ -80,6 +69,31 @@
         }
     }
 
+    /// Compares the sums as of the last record.
+    pub(crate) fn check(&mut self) {
+        if let Err(team) = self.ledger.check_sums() {
+            let next = self.ledger.next();
+            let text = format!("team {team}: its holdings do not add up before record {next}");
+            self.violations.push(text);
+        }
+        let mut found = Vec::new();
+        for (team, state) in self.ledger.teams() {
+            compare("top-ups", team, &self.prepaid, state.prepaid, &mut found);
+            compare("bills", team, &self.billed, state.spent, &mut found);
+        }
+        self.violations.append(&mut found);
+    }
+
+    /// Returns those of a batch's requests that the ledger had a bill of before.
+    fn billed_of(&self, batch: &Batch) -> IndexSet<RequestKey> {
+        let keys = batch.records.iter().filter_map(|record| match record {
+            Record::Bill { key, .. } => Some(key),
+            _ => None,
+        });
+        let billed = |key: &&RequestKey| self.ledger.key(key).is_some_and(|k| k.bill.is_some());
+        keys.filter(billed).cloned().collect()
+    }
+
     fn top_up(&mut self, id: &TopUpId, team: &TeamId, amount: Tokens) {
         if !self.topups.insert((team.clone(), id.clone())) {
             let text = format!("team {team}: top-up {id} was added twice");
@@ -89,41 +103,50 @@
         *sum = sum.saturating_add(amount);
     }
 
-    /// Counts a request's bill once. What a later run of it used is lost or given back; it is no second bill. After the
-    /// ledger forgot a key, it stands for another request.
-    fn bill(&mut self, at: u64, key: &RequestKey) {
-        let before = self.bills.get(key).copied();
-        if before.is_some_and(|before| at <= before + KEY_MEMORY) {
+    /// Counts a request's first bill. What a later run of it used is lost or given back, and is no second bill.
+    fn bill(&mut self, record: &LogRecord, key: &RequestKey, first: bool) {
+        let before = self.bills.insert(key.clone(), record.at);
+        if !first {
             return;
         }
-        let Some(bill) = self.ledger.key(key).and_then(|state| state.bill.as_ref()) else {
-            self.violations
-                .push(format!("request {key}: its bill was accepted and is gone"));
-            return;
-        };
-        *self.billed.entry(bill.team.clone()).or_default() += bill.amount;
-        self.bills.insert(key.clone(), at);
+        if is_remembered(before, record.at) {
+            let text = format!("request {key}: billed twice, at {}", record.offset);
+            self.violations.push(text);
+        }
+        match self.ledger.key(key).and_then(|state| state.bill.as_ref()) {
+            Some(bill) => *self.billed.entry(bill.team.clone()).or_default() += bill.amount,
+            None => {
+                let text = format!("request {key}: its bill was accepted and is gone");
+                self.violations.push(text);
+            }
+        }
     }
 
     fn claim_once(&mut self, record: &LogRecord, key: &RequestKey) {
-        if !self.once.insert(key.clone()) {
+        let before = self.once.insert(key.clone(), record.at);
+        if is_remembered(before, record.at) {
             let offset = record.offset;
-            let text =
-                format!("request {key}: claimed twice though it may not run twice, at {offset}");
+            let text = format!("request {key}: claimed twice and may not run twice, at {offset}");
             self.violations.push(text);
         }
     }
+}
 
-    fn check_teams(&mut self, record: &LogRecord) {
-        for (team, state) in self.ledger.teams() {
-            let used = state.spent.saturating_add(state.lost);
-            let used = used.saturating_add(state.held());
-            if used > state.prepaid {
-                let prepaid = state.prepaid;
-                let offset = record.offset;
-                let text = format!("team {team}: {used} of {prepaid} allotted, at {offset}");
-                self.violations.push(text);
-            }
-        }
+/// After the ledger may have forgotten a key, it stands for another request.
+fn is_remembered(before: Option<u64>, now: u64) -> bool {
+    before.is_some_and(|before| now <= before + ledger::KEY_MEMORY)
+}
+
+fn compare(
+    what: &str,
+    team: &TeamId,
+    sums: &IndexMap<TeamId, Tokens>,
+    fold: Tokens,
+    found: &mut Vec<String>,
+) {
+    let sum = sums.get(team).copied().unwrap_or_default();
+    if sum != fold {
+        let text = format!("team {team}: {what} add up to {sum}, the fold says {fold}");
+        found.push(text);
     }
 }
--- a/src/cli/configuration.rs
+++ b/src/cli/configuration.rs
@@ -62,7 +62,7 @@
             Ok(()) => {}
             Err(ReadError::Gone { first, .. }) => {
                 if !stream.resume(first).await? {
-                    stream.adopt(places).await?;
+                    stream.adopt(places).await.map_err(|e| gone(first, e))?;
                 }
                 stream.catch_up().await.map_err(anyhow::Error::new)?;
             }
@@ -124,6 +124,11 @@
     }
 }
 
+fn gone(first: Offset, why: Failure) -> Failure {
+    let what = format!("the log keeps records from {first} on, and no checkpoint among them");
+    anyhow::Error::new(why).context(what).into()
+}
+
 #[derive(Debug, Serialize)]
 struct Shown {
     version: Version,
--- a/src/cli/diff.rs
+++ b/src/cli/diff.rs
@@ -91,9 +91,7 @@
 }
 
 fn compare(config: &Config, change: &Change) -> DocDiff {
-    let document = config
-        .documents()
-        .find(|d| d.kind == change.kind && d.name == change.name);
+    let document = config.document(change.kind, &change.name);
     let mut fields = Vec::new();
     let before = content(document.map(|d| &d.body));
     let after = content(change.body.as_ref());
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -19,6 +19,8 @@
 use crate::cli::failure::Failure;
 use crate::cli::file;
 use crate::cli::output::Output;
+use crate::config::Config;
+use crate::config::Document;
 use crate::config::Put;
 use crate::config::Rejected;
 use crate::ids::Version;
@@ -56,6 +58,12 @@
             change.base = stream.config.version_of(change.kind, &change.name);
         }
     }
+    leave_out_unchanged(&mut put, &stream.config);
+    if put.changes.is_empty() {
+        let version = stream.config.version();
+        let changes = 0;
+        return Ok(output.show(&Published::Accepted { version, changes })?);
+    }
     put.id = format!("{:016x}", rand::random::<u64>());
     let bytes = Bytes::from(put.to_bytes());
     try_out(&stream, &bytes)?;
@@ -69,6 +77,16 @@
     Ok(output.show(&Published::Accepted { version, changes })?)
 }
 
+/// Leaves out what is in force as it is. Published again, it would get a new version, and another operator who changes
+/// it at the same time would be told of a conflict over nothing.
+fn leave_out_unchanged(put: &mut Put, config: &Config) {
+    put.changes.retain(|change| {
+        let current = config.document(change.kind, &change.name);
+        let same = |d: &Document| d.version == change.base && change.body.as_ref() == Some(&d.body);
+        !current.is_some_and(same)
+    });
+}
+
 /// Applies the record to a copy, so that what is sure to be refused is not published. Only the log's order decides.
 fn try_out(stream: &Stream, bytes: &[u8]) -> Result<(), Failure> {
     let mut copy = stream.config.clone();
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
+use indexmap::IndexSet;
 use serde::Serialize;
-use serde_json::Map;
 use serde_json::Value;
 
 use crate::cli::args::Places;
@@ -30,19 +30,57 @@
 
 impl fmt::Display for Tables {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Some(parts) = self.0.as_object() else {
-            return writeln!(f, "{}", self.0);
-        };
-        let (plain, nested): (Vec<_>, Vec<_>) = parts.iter().partition(|(_, v)| is_plain(v));
-        let mut table = Table::new(["field", "value"]);
-        for (name, value) in plain {
-            table.add(vec![name.clone(), cell(value)]);
+        write_part(f, "", &self.0)
+    }
+}
+
+/// Writes a value's table, and after it the tables of what lies deeper.
+fn write_part(f: &mut fmt::Formatter<'_>, path: &str, value: &Value) -> fmt::Result {
+    let entries = entries(value);
+    let is_list = !entries.is_empty() && entries.iter().all(|(_, v)| v.is_object());
+    if is_list {
+        write_head(f, path)?;
+        write!(f, "{}", rows(&entries))?;
+    } else if entries.iter().any(|(_, v)| is_plain(v)) {
+        write_head(f, path)?;
+        write!(f, "{}", pairs(&entries))?;
+    }
+    for (name, entry) in &entries {
+        let dot = if path.is_empty() { "" } else { "." };
+        let path = format!("{path}{dot}{name}");
+        match is_list {
+            true => write_nested(f, &path, entry)?,
+            false if !is_plain(entry) => write_part(f, &path, entry)?,
+            false => {}
         }
-        table.fmt(f)?;
-        for (name, value) in nested {
-            write!(f, "\n{name}\n{}", part(value))?;
+    }
+    Ok(())
+}
+
+/// Writes the tables of what did not fit in an entry's row.
+fn write_nested(f: &mut fmt::Formatter<'_>, path: &str, entry: &Value) -> fmt::Result {
+    entries(entry)
+        .iter()
+        .filter(|(_, value)| !is_plain(value))
+        .try_for_each(|(name, value)| write_part(f, &format!("{path}.{name}"), value))
+}
+
+fn write_head(f: &mut fmt::Formatter<'_>, path: &str) -> fmt::Result {
+    match path {
+        "" => Ok(()),
+        _ => write!(f, "\n{path}\n"),
+    }
+}
+
+/// Returns the entries of a list, by their place, or of an object, by their name.
+fn entries(value: &Value) -> Vec<(String, &Value)> {
+    match value {
+        Value::Array(entries) => {
+            let entries = entries.iter().enumerate();
+            entries.map(|(at, v)| (at.to_string(), v)).collect()
         }
-        Ok(())
+        Value::Object(entries) => entries.iter().map(|(name, v)| (name.clone(), v)).collect(),
+        _ => Vec::new(),
     }
 }
 
@@ -57,46 +95,30 @@
     }
 }
 
-/// Lays out a list of objects, an object of objects, or an object, one row for each entry.
-fn part(value: &Value) -> Table {
-    match value {
-        Value::Array(entries) => rows(entries.iter().map(|entry| (None, entry)).collect()),
-        Value::Object(entries) if entries.values().all(Value::is_object) => {
-            rows(entries.iter().map(|(name, v)| (Some(name), v)).collect())
-        }
-        Value::Object(entries) => pairs(entries),
-        other => rows(vec![(None, other)]),
-    }
-}
-
-fn pairs(entries: &Map<String, Value>) -> Table {
+fn pairs(entries: &[(String, &Value)]) -> Table {
     let mut table = Table::new(["field", "value"]);
-    for (name, value) in entries {
+    for (name, value) in entries.iter().filter(|(_, v)| is_plain(v)) {
         table.add(vec![name.clone(), cell(value)]);
     }
     table
 }
 
-fn rows(entries: Vec<(Option<&String>, &Value)>) -> Table {
-    let mut columns: Vec<&String> = Vec::new();
-    for (_, entry) in &entries {
-        for name in entry.as_object().into_iter().flat_map(Map::keys) {
-            if !columns.contains(&name) {
-                columns.push(name);
-            }
-        }
-    }
-    let mut head = vec!["entry".to_owned()];
-    head.extend(columns.iter().map(|name| (*name).clone()));
-    let mut table = Table::new(head);
-    for (at, (name, entry)) in entries.iter().enumerate() {
-        let mut row = vec![name.map_or_else(|| at.to_string(), |name| (*name).clone())];
-        if is_plain(entry) {
-            row.push(cell(entry));
-        }
-        let value = |name: &&String| entry.get(name.as_str()).map(cell).unwrap_or_default();
-        row.extend(columns.iter().map(value));
-        table.add(row);
+fn rows(entries: &[(String, &Value)]) -> Table {
+    let fields = |entry: &'_ Value| entry.as_object().cloned().unwrap_or_default();
+    let columns: IndexSet<String> = entries
+        .iter()
+        .flat_map(|(_, entry)| fields(entry))
+        .filter_map(|(name, value)| is_plain(&value).then_some(name))
+        .collect();
+    let mut table = Table::new(
+        ["entry"]
+            .into_iter()
+            .chain(columns.iter().map(String::as_str)),
+    );
+    for (name, entry) in entries {
+        let value = |column: &String| entry.get(column).map(cell).unwrap_or_default();
+        let cells = columns.iter().map(value);
+        table.add([name.clone()].into_iter().chain(cells).collect());
     }
     table
 }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -49,7 +49,7 @@
 fn lays_out_a_dump_as_tables() {
     let dump = json!({
         "vm": "vm-1",
-        "endpoints": [{"vm": "e-1", "busy": 3}, {"vm": "e-2", "role": "decode"}],
+        "pools": [{"pool": "p", "endpoints": [{"vm": "e-1", "busy": 3}, {"vm": "e-2", "role": "decode"}]}],
         "teams": {"lending": {"held": 7}},
         "queue": {"length": 0},
     });
@@ -57,7 +57,11 @@
 field  value
 vm     vm-1
 
-endpoints
+pools
+entry  pool
+0      p
+
+pools.0.endpoints
 entry  busy  vm   role
 0      3     e-1
 1            e-2  decode
--- a/src/cli/verify.rs
+++ b/src/cli/verify.rs
@@ -18,17 +18,27 @@
 use crate::http_client::HttpClient;
 use crate::ids::Offset;
 use crate::ids::TeamId;
+use crate::ledger;
+use crate::ledger::Assembler;
+use crate::ledger::Ledger;
 use crate::log_client::LogClient;
+use crate::log_client::ReadError;
 use crate::settings::BaseUrl;
 use crate::tokens::Tokens;
 
 /// The partition's stream.
 const STREAM: &str = "ledger-0";
 
+/// The stream of the partition's checkpoints.
+const CHECKPOINTS: &str = "checkpoint-0";
+
 /// What was found.
 #[derive(Debug, Serialize)]
 struct Report {
-    records: Offset,
+    /// The first record that was verified; what came before is a checkpoint's word.
+    from: Offset,
+    /// The record that comes next.
+    next: Offset,
     skipped: u64,
     teams: Vec<TeamReport>,
     violations: Vec<String>,
@@ -69,8 +79,13 @@
             row.push(used);
             table.add(row);
         }
-        let (records, skipped) = (self.records, self.skipped);
-        write!(f, "{table}\n{records} records, {skipped} unreadable, ")?;
+        let (from, next, skipped) = (self.from, self.next, self.skipped);
+        if from > Offset(0) {
+            writeln!(f, "{table}\nsums before record {from} are a checkpoint's")?;
+        } else {
+            writeln!(f, "{table}")?;
+        }
+        write!(f, "records {from} to {next}, {skipped} unreadable, ")?;
         writeln!(f, "{} violations", self.violations.len())?;
         self.violations
             .iter()
@@ -85,13 +100,14 @@
 ) -> Result<(), Failure> {
     let http = HttpClient::default();
     let log = LogClient::new(http.clone(), &places.log()?.to_string());
-    let mut audit = fold(&log).await?;
-    audit.close();
+    let mut audit = begin(&log).await?;
+    let from = audit.ledger.next();
+    fold(&log, &mut audit).await?;
     let used = match engines {
         [] => None,
         _ => Some(ask_engines(&http, engines).await?),
     };
-    let report = report(audit, used.as_ref());
+    let report = report(from, audit, used.as_ref());
     output.show(&report)?;
     match report.violations.len() {
         0 => Ok(()),
@@ -99,16 +115,56 @@
     }
 }
 
-async fn fold(log: &LogClient) -> anyhow::Result<Audit> {
-    let mut audit = Audit::default();
+/// Begins with the first record, or with the newest checkpoint where the log has let that go.
+async fn begin(log: &LogClient) -> anyhow::Result<Audit> {
+    match log.read(STREAM, Offset(0), 1, Duration::ZERO, LIMIT).await {
+        Ok(_) => Ok(Audit::default()),
+        Err(gone @ ReadError::Gone { .. }) => match newest(log).await? {
+            Some(ledger) => Ok(Audit::resume(ledger)),
+            None => Err(anyhow::Error::new(gone).context("there is no whole checkpoint")),
+        },
+        Err(e) => Err(anyhow::Error::new(e).context(STREAM)),
+    }
+}
+
+/// Returns the newest whole checkpoint.
+async fn newest(log: &LogClient) -> anyhow::Result<Option<Ledger>> {
+    let mut assembler = Assembler::new();
+    let mut newest = None;
+    let mut from = Offset(0);
+    loop {
+        let page = match log
+            .read(CHECKPOINTS, from, PAGE, Duration::ZERO, LIMIT)
+            .await
+        {
+            Err(ReadError::Gone { first, .. }) if first > from => {
+                from = first;
+                continue;
+            }
+            page => page.context(CHECKPOINTS)?,
+        };
+        let Some(last) = page.records.last() else {
+            return Ok(newest);
+        };
+        from = Offset(last.offset.0 + 1);
+        for record in page.records {
+            let part = ledger::decode_part(&record.data).ok();
+            let whole = part.and_then(|part| assembler.push(record.offset, part));
+            newest = whole.map(|whole| whole.ledger).or(newest);
+        }
+    }
+}
+
+async fn fold(log: &LogClient, audit: &mut Audit) -> anyhow::Result<()> {
     loop {
         let from = audit.ledger.next();
         let page = log.read(STREAM, from, PAGE, Duration::ZERO, LIMIT).await;
-        let page = page.with_context(|| format!("stream {STREAM}"))?;
+        let page = page.context(STREAM)?;
+        page.records.iter().for_each(|record| audit.apply(record));
         if page.records.is_empty() {
-            return Ok(audit);
+            return Ok(());
         }
-        page.records.iter().for_each(|record| audit.apply(record));
+        audit.check();
     }
 }
 
@@ -130,7 +186,7 @@
     Ok(used)
 }
 
-fn report(audit: Audit, used: Option<&IndexMap<TeamId, Tokens>>) -> Report {
+fn report(from: Offset, audit: Audit, used: Option<&IndexMap<TeamId, Tokens>>) -> Report {
     let mut violations = audit.violations;
     let mut teams = Vec::new();
     for (team, state) in audit.ledger.teams() {
@@ -151,8 +207,9 @@
         });
     }
     Report {
-        records: audit.ledger.next(),
-        skipped: audit.skipped,
+        from,
+        next: audit.ledger.next(),
+        skipped: audit.ledger.unreadable(),
         teams,
         violations,
     }
--- a/src/config/lookup.rs
+++ b/src/config/lookup.rs
@@ -80,17 +80,19 @@
         self.documents.values()
     }
 
+    /// Returns a document.
+    pub fn document(&self, kind: Kind, name: &DocName) -> Option<&Document> {
+        self.documents.get(&(kind, name.clone()))
+    }
+
     /// Returns a document's version: 0 where there is none.
     pub fn version_of(&self, kind: Kind, name: &DocName) -> Version {
-        self.documents
-            .get(&(kind, name.clone()))
+        self.document(kind, name)
             .map_or(Version(0), |document| document.version)
     }
 
     fn body(&self, kind: Kind, name: &DocName) -> Option<&Body> {
-        self.documents
-            .get(&(kind, name.clone()))
-            .map(|document| &document.body)
+        self.document(kind, name).map(|document| &document.body)
     }
 
     fn rule(&self, name: &DocName) -> Option<&RuleSpec> {
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -257,6 +257,11 @@
             Effect::Fetch(peers) => {
                 tokio::spawn(fetch::fetch(self.log.clone(), self.peers.clone(), peers));
             }
+            Effect::AppendConfig(bytes) => {
+                let log = self.log.clone();
+                let limit = self.append;
+                tokio::spawn(async move { log.append_to(CONFIG, bytes, limit).await });
+            }
             Effect::Checkpoint(as_of, parts) => {
                 tokio::spawn(checkpoint::write(self.log.clone(), as_of, parts));
             }
--- a/src/edge/log.rs
+++ b/src/edge/log.rs
@@ -148,17 +148,28 @@
                         let _ = ready.send(());
                     }
                 }
-                Read::Gone { .. } => {
-                    warn!(event = "log-let-go", stream, from = %from);
-                    self.desk.tell(Event::LedgerGone);
-                    sleep(REST).await;
-                    from = from.max(self.desk.ledger_next());
+                Read::Gone { first } => {
+                    warn!(event = "log-let-go", stream, from = %from, %first);
+                    from = self.pass_gap(stream, from, first).await;
                 }
                 Read::Failed => sleep(REST).await,
             }
         }
     }
 
+    /// Returns where to read on when the log has let go of what was wanted.
+    ///
+    /// The configuration's stream has its checkpoints in it, so that it is read from where it begins. The ledger's are
+    /// in a stream of their own, and reading goes on where the newest ends.
+    async fn pass_gap(&self, stream: &str, from: Offset, first: Offset) -> Offset {
+        if stream == CONFIG {
+            return first;
+        }
+        self.desk.tell(Event::LedgerGone);
+        sleep(REST).await;
+        from.max(self.desk.ledger_next())
+    }
+
     /// Reads records from an offset on, waiting so long if there are none.
     pub(crate) async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Read {
         let base = self.records(stream);
--- a/src/router/checkpoint.rs
+++ b/src/router/checkpoint.rs
@@ -50,7 +50,7 @@
     }
 
     /// Returns the log service's time, as far as it can be told: that of the last record, and what passed since.
-    fn log_time(&self, now: Instant) -> u64 {
+    pub(crate) fn log_time(&self, now: Instant) -> u64 {
         let since = self
             .folded
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
@@ -58,6 +58,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -28,6 +28,7 @@
 use crate::ledger::Record;
 use crate::router::appender::Appender;
 use crate::router::appender::Pace;
+use crate::router::configure::ConfigStream;
 use crate::router::demand::Demand;
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
@@ -156,6 +157,7 @@
     pub(crate) first_checkpoint: Instant,
     /// When a checkpoint was last written.
     pub(crate) checkpointed: Option<Instant>,
+    pub(crate) config_stream: ConfigStream,
     pub(crate) quarantine: Quarantine,
     pub(crate) orders: Orders,
 }
@@ -226,6 +228,7 @@
             fetched: None,
             folded: None,
             checkpointed: None,
+            config_stream: ConfigStream::default(),
             quarantine: Quarantine::new(),
             orders: Orders::default(),
             tuning,
@@ -336,6 +339,7 @@
         self.replicate(now);
         self.tick_pools(now);
         self.write_checkpoint(now);
+        self.carry_config(now);
         self.give_orders(now);
         self.go_on_draining(now);
     }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -48,6 +48,8 @@
     Relay(Box<Snapshot>, Peer),
     /// Gets a state of the ledger to start from.
     Fetch(Vec<Peer>),
+    /// Appends a record to the configuration's stream.
+    AppendConfig(Vec<u8>),
     /// Writes a checkpoint as of an offset, in these parts.
     Checkpoint(Offset, Vec<Vec<u8>>),
     /// Gives an endpoint an order.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -364,7 +364,7 @@
     }
 
     /// Returns this router's place among those that may close a dead one.
-    fn rank(&self, dead: Incarnation) -> u32 {
+    pub(crate) fn rank(&self, dead: Incarnation) -> u32 {
         let score = |router: Incarnation| xxh3_64(&(router.0 ^ dead.0).to_le_bytes());
         let mine = score(self.me);
         let before = self
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -7,7 +7,6 @@
 use tracing::info;
 use tracing::warn;
 
-use crate::config::Snapshot;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::Sequence;
@@ -207,41 +206,6 @@
         }
     }
 
-    /// Folds records of the configuration.
-    pub(crate) fn fold_config(&mut self, now: Instant, entries: Vec<Entry>) {
-        for entry in entries {
-            if entry.offset < self.config.next() {
-                continue;
-            }
-            match self.config.apply(entry.offset, &entry.data) {
-                Ok(()) => info!(event = "config-in-force", version = %self.config.version()),
-                Err(error) => warn!(event = "config-rejected", offset = %entry.offset, %error),
-            }
-        }
-        self.config_changed(now);
-    }
-
-    /// Takes over a configuration that a peer sent, if it is ahead.
-    pub(crate) fn adopt_config(&mut self, now: Instant, snapshot: Snapshot) {
-        match self.config.adopt(snapshot) {
-            Ok(true) => {
-                info!(event = "config-relayed", version = %self.config.version());
-                self.config_changed(now);
-            }
-            Ok(false) => {}
-            Err(error) => warn!(event = "config-relay-rejected", %error),
-        }
-    }
-
-    fn config_changed(&mut self, now: Instant) {
-        for (account, limit) in &mut self.accounts {
-            if let Some(spec) = self.config.account(account) {
-                limit.change(now, &spec.limits);
-            }
-        }
-        self.rebuild_pools(now);
-    }
-
     /// Brings a request through the end of the incarnation that claimed it.
     fn start_over(&mut self, now: Instant, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else {
