Send metrics by statsd, and tell callers what their claim's wait was

The core now notes when a claim joined its batch, and the run that follows carries the wait.

Ruled out: a thread or a queue of its own for metrics (one loop on one thread); the socket does not block, and a full buffer drops them.

--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -87,8 +87,14 @@
         };
         line.run = Some(run.clone());
         match begin(&mut line, &run, &body).await {
-            Begun::Stream(first, rest) => return pump::start(line, run, first, rest, &body, res),
-            Begun::Whole(answer, end) => return finish(&mut line, answer, end, res).await,
+            Begun::Stream(first, rest) => {
+                begun(&line, &run, res);
+                return pump::start(line, run, first, rest, &body, res);
+            }
+            Begun::Whole(answer, end) => {
+                begun(&line, &run, res);
+                return finish(&mut line, answer, end, res).await;
+            }
             Begun::Stopped(command) => return refuse(&mut line, command, res),
             Begun::Over(end) => {
                 line.run = None;
@@ -99,6 +105,12 @@
     }
 }
 
+/// Measures what passed until the answer's first bytes, and tells the caller what its claim's wait was of that.
+fn begun(line: &Line, run: &Run, res: &mut Response) {
+    line.desk.metrics.first_byte(line.opened.elapsed());
+    render::claim_wait(res, run.claim_wait);
+}
+
 fn arrival(line: &Line, head: Head, body: &ChatBody) -> Arrival {
     Arrival {
         id: line.id,
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -6,14 +6,18 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use indexmap::IndexMap;
 use serde_json::Value;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::edge::engine;
+use crate::edge::metrics::Metrics;
 use crate::http_client::HttpClient;
 use crate::ids::Offset;
 use crate::ids::RequestId;
@@ -28,6 +32,9 @@
 use crate::router::RunEnd;
 use crate::settings::RequestLimits;
 
+/// How often metrics that have gathered are sent; statsd servers commonly sum up over ten seconds.
+const METRICS: Duration = Duration::from_secs(1);
+
 /// What the core tells the task that serves a request.
 #[derive(Clone, Debug)]
 pub(crate) enum Command {
@@ -50,6 +57,7 @@
     /// Tells this process's requests from all others' at endpoints.
     pub(crate) origin: String,
     pub(crate) http: HttpClient,
+    pub(crate) metrics: Metrics,
     /// For calls that may not be repeated: on a connection that the service closed meanwhile, nobody could tell whether
     /// a call arrived, so each gets a connection of its own.
     pub(crate) once: HttpClient,
@@ -71,6 +79,7 @@
         limits: RequestLimits,
         admin_key: Option<KeyHash>,
         origin: String,
+        metrics: Metrics,
         events: mpsc::UnboundedSender<Event>,
     ) -> Self {
         Self {
@@ -78,6 +87,7 @@
             admin_key,
             origin,
             http: HttpClient::new(None),
+            metrics,
             once: HttpClient::without_reuse(),
             events,
             commands: Mutex::default(),
@@ -98,9 +108,11 @@
     pub(crate) fn open(self: &Arc<Self>) -> Line {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
         let (sender, commands) = mpsc::unbounded_channel();
+        self.metrics.request();
         lock(&self.commands).insert(id, sender);
         Line {
             id,
+            opened: Instant::now(),
             desk: self.clone(),
             over: false,
             run: None,
@@ -110,11 +122,31 @@
 
     /// Passes the core's command on to a request's task. One whose caller is gone has none.
     pub(crate) fn command(&self, id: RequestId, command: Command) {
+        self.measure(&command);
         if let Some(sender) = lock(&self.commands).get(&id) {
             let _ = sender.send(command);
         }
     }
 
+    fn measure(&self, command: &Command) {
+        match command {
+            Command::Refuse(problem) => self.metrics.refused(problem.kind),
+            Command::Run(run) => self.metrics.claim_wait(run.claim_wait),
+            Command::Release => self.metrics.whole(),
+            Command::Cut(_) => self.metrics.cut(),
+            Command::Replay(_) => {}
+        }
+    }
+
+    /// Sends the metrics that have gathered, once a second for ever.
+    pub(crate) async fn send_metrics(self: Arc<Self>) {
+        loop {
+            sleep(METRICS).await;
+            let open = lock(&self.commands).len();
+            self.metrics.open(open);
+        }
+    }
+
     /// Asks the core something and waits for its answer.
     pub(crate) async fn ask(&self, request: AdminRequest) -> Option<(u16, Value)> {
         let id = AdminId(self.next.fetch_add(1, Ordering::Relaxed));
@@ -166,6 +198,8 @@
 /// One request's line to the core. Dropped before the request is over, it tells the core that the caller is gone.
 pub(crate) struct Line {
     pub(crate) id: RequestId,
+    /// When the request's head and body were read.
+    pub(crate) opened: Instant,
     pub(crate) desk: Arc<Desk>,
     pub(crate) over: bool,
     /// The run that is to be cancelled should the caller go away.
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -28,6 +28,7 @@
 use crate::edge::log::CONFIG;
 use crate::edge::log::LEDGER;
 use crate::edge::log::Log;
+use crate::edge::metrics::Metrics;
 use crate::edge::peers;
 use crate::edge::peers::Caller;
 use crate::edge::probe::Prober;
@@ -74,7 +75,10 @@
     let mut seeds = rand::rng();
     let origin = format!("{}-{:08x}", settings.vm, seeds.next_u32());
     let key = settings.admin_key();
-    let desk = Arc::new(Desk::new(settings.limits.clone(), key, origin, sender));
+    let metrics = Metrics::new(settings.statsd)?;
+    let limits = settings.limits.clone();
+    let desk = Arc::new(Desk::new(limits, key, origin, metrics, sender));
+    tokio::spawn(desk.clone().send_metrics());
     tokio::spawn(http::serve(callers, desk.clone()));
     tokio::spawn(peers::serve(routers, desk.clone()));
     tokio::spawn(vms::follow(settings.vms, desk.clone()));
@@ -207,6 +211,7 @@
     /// were not run.
     fn note_pause(&mut self, now: Instant, last: Instant) -> Instant {
         if now >= last + PAUSE {
+            self.desk.metrics.paused();
             warn!(event = "paused", for_ms = (now - last).as_millis());
             self.core.handle(now, Event::Paused);
         }
--- a/src/edge/log.rs
+++ b/src/edge/log.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -92,7 +93,9 @@
         bytes: Vec<u8>,
         limit: Duration,
     ) {
+        let begun = Instant::now();
         let landed = self.append_raw(bytes, limit).await;
+        self.desk.metrics.append(begun.elapsed());
         self.desk.tell(Event::Appended {
             router,
             sequence,
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,11 +18,14 @@
 mod fetch;
 mod http;
 mod log;
+mod metrics;
 mod peers;
 mod probe;
 mod pump;
 mod render;
 mod sse;
+#[cfg(test)]
+mod tests;
 mod vms;
 
 pub use driver::Stopped;
--- a/src/edge/pump.rs
+++ b/src/edge/pump.rs
@@ -81,7 +81,9 @@
     async fn pump(mut self, first: Bytes) {
         // From here on this task sees the caller go, and asks the engine what the run used.
         self.line.run = None;
-        match self.relay(first).await {
+        let end = self.relay(first).await;
+        self.line.desk.metrics.tokens(self.splitter.tokens().0);
+        match end {
             End::Whole(usage, end) => self.end_whole(usage, end).await,
             End::Broken => self.end_early(true).await,
             End::CallerGone => self.end_early(false).await,
--- a/src/edge/render.rs
+++ b/src/edge/render.rs
@@ -1,5 +1,7 @@
 //! Answers that routers give themselves.
 
+use std::time::Duration;
+
 use salvo::Response;
 use salvo::http::HeaderValue;
 use salvo::http::StatusCode;
@@ -13,6 +15,9 @@
 /// The header that names a request in a router's logs.
 const REQUEST_HEADER: &str = "jasmineridge-request";
 
+/// The header in which HTTP servers tell where time went.
+const TIMING_HEADER: &str = "server-timing";
+
 /// Writes a refusal.
 pub(crate) fn problem(res: &mut Response, problem: &Problem) {
     json(res, problem.kind.status(), &problem.to_json());
@@ -42,3 +47,11 @@
 pub(crate) fn name(res: &mut Response, id: RequestId) {
     res.headers_mut().insert(REQUEST_HEADER, id.0.into());
 }
+
+/// Says how long the request's claim waited for the ledger's word.
+pub(crate) fn claim_wait(res: &mut Response, wait: Duration) {
+    let text = format!("claim;dur={:.3}", wait.as_secs_f64() * 1000.0);
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        res.headers_mut().insert(TIMING_HEADER, value);
+    }
+}
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -188,6 +188,7 @@
             priority,
             work: arrival.work.clone(),
             arrived: now,
+            claimed: None,
             deadline: now + patience,
             state: State::Contended,
             tried: Vec::new(),
--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -40,6 +40,7 @@
             idempotent: request.idempotent,
             bearer: request.bearer,
         });
+        request.claimed = Some(now);
         request.stake = Stake::Pushed;
         request.state = State::Claiming { endpoint };
         self.appender.push(record, Ticket::Claim(id));
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -1,5 +1,7 @@
 //! What a router does.
 
+use std::time::Duration;
+
 use serde_json::Value;
 
 use crate::config::Snapshot;
@@ -98,6 +100,8 @@
     pub(crate) limit: u64,
     /// 0 (first) to 9 (last).
     pub(crate) priority: u8,
+    /// How long its claim waited for the verdict.
+    pub(crate) claim_wait: Duration,
     /// Whether a run whose answer breaks off may be begun again.
     pub(crate) idempotent: bool,
 }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -34,6 +34,8 @@
     pub(crate) priority: u8,
     pub(crate) work: Work,
     pub(crate) arrived: Instant,
+    /// When its last claim joined a batch.
+    pub(crate) claimed: Option<Instant>,
     pub(crate) deadline: Instant,
     pub(crate) state: State,
     /// Endpoints that failed over it.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -58,6 +58,7 @@
             team: request.team.clone(),
             limit: request.limit.0,
             priority: request.priority,
+            claim_wait: request.claimed.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
         };
         info!(event = "dispatch", request = %id, %endpoint);
