--- a/src/edge/sse.rs
+++ b/src/edge/sse.rs
@@ -166,3 +166,6 @@
     let ends = memmem::find(bytes, FINISH).is_some() || memmem::find(bytes, DONE).is_some();
     bytes.ends_with(b"\n\n") && !ends
 }
+
+#[cfg(test)]
+mod tests;
