Say unknown of refused tries whose caller does not count them

Ruled out: the seen offset alone (that is what was refuted), and hang-up detection (a trial of the stand-ins had a call run whose caller hung up at once). Requests count as stale for 2 s after a pause, before 0.25 s.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -166,8 +166,9 @@
 /// find that there is none, and write one at once.
 const FIRST_CHECKPOINT: Duration = Duration::from_secs(10);
 
-/// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop.
-const STALE: Duration = Duration::from_millis(250);
+/// How long after a pause requests count as stale: what lay in the sockets is read within a few turns of the loop, each of
+/// which a machine that is busy after the pause may take hundreds of milliseconds for.
+const STALE: Duration = Duration::from_secs(2);
 
 /// Bounds the refuse records of a router, so that under overload the proofs cost less than serving would.
 #[derive(Clone, Copy, Debug)]
--- a/src/router/refuse.rs
+++ b/src/router/refuse.rs
@@ -91,6 +91,11 @@
             .active
             .get(&request.key)
             .is_some_and(|other| *other != id);
+        // A caller that does not count its tries may have one on its way that no router has read, and that will look like a
+        // new one. The breadth-first check of the fold finds that run after a refusal, in ten steps.
+        if request.attempt == Attempt(0) {
+            return Proof::None;
+        }
         // A claim on its way may still be accepted, though this router will not act on it; another attempt's router
         // may have acted on that attempt's.
         let claiming = request.stake == Stake::Pushed && request.attempt != Attempt(1);
