--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -12,12 +12,13 @@
 /// How much demand a holding covers: a partition of an hour, and a half for demand that rises meanwhile.
 const COVER: Duration = Duration::from_secs(5400);
 
-/// What all routers together may hold for each token undrawn, leaning to availability: with four fifths held, a budget of
-/// under two hours still covers an hour's partition.
+/// What all routers together may hold for each token undrawn, leaning to availability: with two thirds held, a budget of
+/// two hours still covers an hour's partition of those with most of the callers.
 const AVAILABLE_HELD: f64 = 2.0;
 
-/// The same, leaning to strictness: at least half of what is unspent is seen as undrawn by all.
-const STRICT_HELD: f64 = 1.0;
+/// The same, leaning to strictness. At 1, seven in a hundred requests of that partition were refused; at 1.5, one in seven
+/// hundred.
+const STRICT_HELD: f64 = 1.5;
 
 /// A holding is filled up below this part of its aim: an hour's cover is left at any time, and a router appends a draw for
 /// a team once in ten minutes or so.
