Forget teams that the queue has served

Each pop charged its team and its account, which were then remembered with a virtual time ahead of the others'. They were removed only when something of theirs left the queue again, so each of 430,000 teams would have stayed for ever, and each pop looked at all of them.

Change: those with nothing waiting go once the others have caught up, looked at once a second, and all go when the queue is empty. A quickcheck test of any order of pushes, pops and hang-ups asks that each request leaves once and that nothing is remembered in the end.

--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -42,7 +42,7 @@
 /// The time over which an account's use counts, in seconds: a few answers.
 const RECENT: f64 = 10.0;
 
-/// How often accounts that had next to nothing lately are forgotten.
+/// How often teams and accounts that have nothing waiting and had next to nothing lately are forgotten.
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// The time that must have been measured before the rate is believed.
@@ -146,6 +146,7 @@
     recent: Recent,
     /// The virtual time: that of the last one served.
     pass: f64,
+    swept: Option<Instant>,
     drain: Drain,
     promised: Promised,
     next: u64,
@@ -164,6 +165,7 @@
             displaced: Vec::new(),
             recent: Recent::default(),
             pass: 0.0,
+            swept: None,
             drain: Drain::default(),
             promised: Promised::default(),
             next: 0,
@@ -181,6 +183,11 @@
         self.waiting.is_empty()
     }
 
+    /// Returns how many teams and accounts are remembered.
+    pub fn parts(&self) -> usize {
+        self.teams.len() + self.accounts.len()
+    }
+
     /// Lets a request wait.
     ///
     /// # Errors
@@ -225,6 +232,7 @@
         })?;
         let waiting = self.take(place)?;
         self.charge(now, &waiting.ticket);
+        self.sweep(now);
         self.drain
             .served(now, waiting.ticket.cost, self.waiting.is_empty());
         Some(waiting.item)
@@ -238,18 +246,14 @@
         {
             given_up.extend(self.take(place).map(|w| w.item));
         }
-        if self.is_empty() {
-            self.drain.stop(now);
-        }
+        self.settle(now);
         given_up
     }
 
     /// Takes out one whose caller no longer waits.
     pub fn cancel(&mut self, now: Instant, place: Place) -> Option<T> {
         let item = self.take(place)?.item;
-        if self.is_empty() {
-            self.drain.stop(now);
-        }
+        self.settle(now);
         Some(item)
     }
 
@@ -337,20 +341,37 @@
             team.part.part(ticket);
             team.forget(ticket, place);
         }
-        self.tidy(ticket);
         Some(waiting)
     }
 
-    /// Forgets a team or an account that has nothing waiting and is not ahead of the virtual time.
-    fn tidy(&mut self, ticket: &Ticket) {
-        let pass = self.pass;
-        let done = |part: &Part| part.count == 0 && part.pass <= pass;
-        if self.teams.get(&ticket.team).is_some_and(|t| done(&t.part)) {
-            self.teams.swap_remove(&ticket.team);
+    /// Ends the measuring of the drain when nobody waits.
+    fn settle(&mut self, now: Instant) {
+        if self.is_empty() {
+            self.drain.stop(now);
+            self.sweep(now);
         }
-        if self.accounts.get(&ticket.account).is_some_and(done) {
-            self.accounts.swap_remove(&ticket.account);
+    }
+
+    /// Forgets teams and accounts that have nothing waiting and are not ahead of the virtual time; all of them when nobody
+    /// waits, as nothing is shared then.
+    ///
+    /// One that was just served is ahead, and nothing of it may come again to remove it by: each of 430,000 teams would
+    /// stay for ever, and be looked at by each pop.
+    fn sweep(&mut self, now: Instant) {
+        if self.is_empty() {
+            self.teams.clear();
+            self.accounts.clear();
+            self.pass = 0.0;
+        }
+        if self.swept.is_some_and(|at| now < at + SWEEP) {
+            return;
         }
+        self.swept = Some(now);
+        let pass = self.pass;
+        let stays = |part: &Part| part.count > 0 || part.pass > pass;
+        self.teams.retain(|_, team| stays(&team.part));
+        self.accounts.retain(|_, part| stays(part));
+        self.recent.sweep(now);
     }
 
     /// Tells whether an account used less than its part lately.
@@ -476,7 +497,6 @@
     accounts: IndexMap<AccountId, (f64, Option<Instant>)>,
     all: f64,
     at: Option<Instant>,
-    swept: Option<Instant>,
 }
 
 impl Recent {
@@ -486,11 +506,11 @@
         *at = Some(now);
         self.all = decayed(self.all, self.at, now) + cost;
         self.at = Some(now);
-        if self.swept.is_none_or(|at| now >= at + SWEEP) {
-            self.swept = Some(now);
-            self.accounts
-                .retain(|_, (cost, at)| decayed(*cost, *at, now) >= 1.0);
-        }
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        self.accounts
+            .retain(|_, (cost, at)| decayed(*cost, *at, now) >= 1.0);
     }
 
     fn usage(&self, now: Instant, account: &AccountId) -> Usage {
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -467,3 +467,36 @@
     quarantine.crash(now + ms(900), &name("e5"));
     assert_eq!(quarantine.isolation(Fingerprint(0)), Isolation::Apart);
 }
+
+/// Any order of requests, turns and hang-ups. Each request leaves the queue once, and it remembers no team that left.
+#[test]
+fn queue_loses_nothing() {
+    fn check(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut now = start();
+        let mut queue = FairQueue::new(16, rng());
+        let mut places = Vec::new();
+        let (mut entered, mut left) = (Vec::new(), Vec::new());
+        for (at, (step, team, account)) in steps.into_iter().enumerate() {
+            now += ms(u64::from(step));
+            let (team, account) = (format!("t{}", team % 5), format!("a{}", account % 3));
+            match step % 4 {
+                0 | 1 => {
+                    let ticket = ticket(&team, &account, now + ms(300));
+                    if let Ok(place) = queue.push(now, at, ticket) {
+                        entered.push(at);
+                        places.push(place);
+                    }
+                }
+                2 => left.extend(queue.pop(now)),
+                _ => left.extend(places.pop().and_then(|place| queue.cancel(now, place))),
+            }
+            left.extend(queue.expired(now));
+        }
+        left.extend(std::iter::from_fn(|| queue.pop(now)));
+        left.sort_unstable();
+        queue.is_empty() && queue.parts() == 0 && left == entered
+    }
+    quickcheck::QuickCheck::new()
+        .tests(500)
+        .quickcheck(check as fn(Vec<(u8, u8, u8)>) -> bool);
+}
