Stop believing load reports that ceased

What other routers run at an endpoint was kept from its last report for ever. An endpoint that was full when its reports ceased (its relay died, the router was cut off, it is a plain service that reported once) got nothing ever after, and one would notice it idle beside full ones. Reports older than 10 s no longer count; the router's own count and the limit, which then follows answers, remain.

The test of lagged reports asks for it.

--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -42,6 +42,10 @@
 /// at its word go to the same endpoint until the next one.
 const NEWEST: f64 = 0.1;
 
+/// After so long a report counts no more. An endpoint that was full when its reports ceased would get nothing ever after,
+/// though it may be idle; its own answers tell how it is.
+const STALE: Duration = Duration::from_secs(10);
+
 /// How many blocks to compute count as much as a full endpoint. At 16 tokens a block and a prefill of 10,000 tokens a
 /// second these take 0.4 s, about what a full batch adds to the time to the first token.
 const FULL_BLOCKS: f64 = 256.0;
@@ -98,7 +102,8 @@
     leaving: bool,
     own: EndpointLimit,
     others: f64,
-    told: bool,
+    /// When it last reported.
+    told: Option<Instant>,
     changes: VecDeque<(Instant, u32)>,
 }
 
@@ -142,7 +147,7 @@
                 leaving: false,
                 own: EndpointLimit::new(limit),
                 others: 0.0,
-                told: false,
+                told: None,
                 changes: VecDeque::new(),
             });
         endpoint.domain = domain.clone();
@@ -169,9 +174,10 @@
         if let Some(endpoint) = self.endpoints.get_mut(vm) {
             let own = endpoint.own_at(load.measured);
             let others = f64::from((load.running + load.waiting).saturating_sub(own));
-            let weight = if endpoint.told { NEWEST } else { 1.0 };
+            let fresh = endpoint.is_fresh(now);
+            let weight = if fresh { NEWEST } else { 1.0 };
             endpoint.others += (others - endpoint.others) * weight;
-            endpoint.told = true;
+            endpoint.told = Some(now);
             endpoint.own.report(now, load);
         }
     }
@@ -194,8 +200,8 @@
     }
 
     /// Returns the estimated number of requests at an endpoint.
-    pub fn load(&self, vm: &VmId) -> Option<u32> {
-        self.endpoints.get(vm).map(Endpoint::load)
+    pub fn load(&self, now: Instant, vm: &VmId) -> Option<u32> {
+        self.endpoints.get(vm).map(|e| e.load(now) as u32)
     }
 
     /// Chooses an endpoint, or none where all that could are full, leaving, ejected or excluded.
@@ -221,7 +227,7 @@
             .filter(|(at, _, _, found)| drawn.contains(at) || found.is_some())
             .map(|(_, vm, endpoint, found)| {
                 let slow = health.slowness(vm);
-                (endpoint.score(wish, found, slow), vm, found)
+                (endpoint.score(now, wish, found, slow), vm, found)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, vm, found)| Choice {
@@ -244,7 +250,7 @@
             .filter_map(|(_, vm)| Some((vm, self.endpoints.get(vm)?)))
             .filter(|(_, endpoint)| !endpoint.leaving)
             .take(SUBSET)
-            .filter(|(vm, endpoint)| endpoint.admits(health.health(now, vm), wish.usage))
+            .filter(|(vm, endpoint)| endpoint.admits(now, health.health(now, vm), wish.usage))
             .filter(|(vm, _)| !wish.excluded.contains(vm))
             .collect()
     }
@@ -268,25 +274,30 @@
 }
 
 impl Endpoint {
-    fn load(&self) -> u32 {
-        (self.others + f64::from(self.own.active())) as u32
+    fn load(&self, now: Instant) -> f64 {
+        let others = if self.is_fresh(now) { self.others } else { 0.0 };
+        others + f64::from(self.own.active())
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.told.is_some_and(|at| now < at + STALE)
     }
 
     /// Returns whether it takes one more; on trial, one at a time from this router.
-    fn admits(&self, health: Health, usage: Usage) -> bool {
+    fn admits(&self, now: Instant, health: Health, usage: Usage) -> bool {
         match health {
             Health::Out => false,
             Health::Trial => self.own.active() == 0,
             Health::In => {
-                self.load() < self.limit && (self.own.has_room() || usage == Usage::Light)
+                self.load(now) < f64::from(self.limit)
+                    && (self.own.has_room() || usage == Usage::Light)
             }
         }
     }
 
     /// Returns how bad a choice it is, 1 being a full endpoint.
-    fn score(&self, wish: &Wish<'_>, found: Option<&Match>, slow: f64) -> f64 {
-        let load =
-            (self.others + f64::from(self.own.active()) + 1.0) / f64::from(self.limit.max(1));
+    fn score(&self, now: Instant, wish: &Wish<'_>, found: Option<&Match>, slow: f64) -> f64 {
+        let load = (self.load(now) + 1.0) / f64::from(self.limit.max(1));
         let cached = found.map_or(0.0, |m| m.blocks as f64 * m.trust);
         let missing = (wish.prefix.len() as f64 - cached) / FULL_BLOCKS;
         let remote = if self.domain == *wish.domain {
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -187,10 +187,15 @@
     };
     chooser.report(now + ms(600), &vms[0], load);
     assert_eq!(
-        chooser.load(&vms[0]),
+        chooser.load(now + ms(600), &vms[0]),
         Some(4),
         "two of others, two of its own"
     );
+    assert_eq!(
+        chooser.load(now + ms(20_000), &vms[0]),
+        Some(2),
+        "reports ceased"
+    );
 }
 
 /// Endpoints leave, fail the request or fill up. Nothing new goes there, and where all do, nothing is chosen.
