Look at the limit of a planned stop once a turn

A router whose drain limit passed named each request that it cut twice in its log: a turn begun by the tick handed the core a second tick before the first one's effects were carried out, and the exit among them came too late. All other work of a tick was done twice as well in an idle router. Ruled out: the second signal's way, which ends the loop itself. The loop now hands on a tick of its own only where the turn had none.

--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -179,10 +179,14 @@
             };
             let now = self.clock.now();
             last = self.note_pause(now, last);
+            let ticked = matches!(event, Event::Tick);
             let mut effects = self.core.handle(now, event);
             if now >= last + TICK {
                 last = now;
-                effects.extend(self.core.handle(now, Event::Tick));
+                // A second tick in one turn would come before the first one's effects, its exit among them.
+                if !ticked {
+                    effects.extend(self.core.handle(now, Event::Tick));
+                }
             }
             self.show_ledger();
             for effect in effects {
