--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -196,6 +196,7 @@
             undrawn,
             routers,
             demand,
+            team: self.fleet.get(team).map_or(0.0, |fleet| fleet.rate(now)),
             wanted,
             reachable,
         };
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -11,9 +11,11 @@
 use crate::decide;
 use crate::ids::DomainId;
 use crate::ids::Incarnation;
+use crate::ids::RequestKey;
 use crate::ids::Sequence;
 use crate::ids::VmId;
 use crate::ledger::Record;
+use crate::ledger::decode;
 use crate::router::core::Core;
 use crate::router::core::Ticket;
 use crate::router::effect::Effect;
@@ -40,6 +42,9 @@
 /// How long to wait for a dead router's batches to be folded before it is closed all the same.
 const KEPT_WAIT: Duration = Duration::from_secs(3);
 
+/// How often a dead router's batches are sent off anew until they are folded.
+const KEPT_AGAIN: Duration = Duration::from_millis(500);
+
 /// How old word from the log or from a peer may be to count as fresh.
 const FRESH: Duration = Duration::from_secs(3);
 
@@ -62,6 +67,8 @@
 struct Closing {
     /// Since when it goes on.
     since: Instant,
+    /// When the batches that it left here were last sent off.
+    brought: Option<Instant>,
     /// When its record was last sent off.
     recorded: Option<Instant>,
 }
@@ -150,12 +157,21 @@
         let older = self
             .kept
             .get(&batches.router)
-            .is_some_and(|kept| kept.last > batches.last);
+            .is_some_and(|kept| (kept.last, kept.records) > (batches.last, batches.records));
         if !older {
             self.kept.insert(batches.router, batches);
         }
     }
 
+    /// Returns whether a batch that is kept here claims a request.
+    pub(crate) fn keeps_claim(&self, key: &RequestKey) -> bool {
+        let batches = self.kept.values().flat_map(|kept| &kept.batches);
+        let mut records = batches
+            .filter_map(|bytes| decode(bytes).ok())
+            .flat_map(|batch| batch.records);
+        records.any(|record| matches!(record, Record::Claim(claim) if claim.key == *key))
+    }
+
     /// Returns how many routers' batches are kept here.
     pub(crate) fn kept(&self) -> usize {
         self.kept.len()
@@ -175,6 +191,17 @@
         self.entry(vm).is_some_and(|e| e.state == VmState::Live)
     }
 
+    /// Returns the VMs of this router and of all others that the list shows as live.
+    pub(crate) fn serving_vms(&self, me: &VmId) -> Vec<VmId> {
+        let live = self.vms.vms.iter().filter(|entry| {
+            let router = entry.labels.get(ROLE) == Some("router");
+            entry.vm != *me && router && entry.state == VmState::Live
+        });
+        live.map(|entry| entry.vm.clone())
+            .chain([me.clone()])
+            .collect()
+    }
+
     /// Returns how to reach all other routers of the list.
     pub(crate) fn peers(&self, me: &VmId) -> Vec<Peer> {
         self.vms
@@ -321,6 +348,8 @@
     pub(crate) fn close_dead(&mut self, now: Instant) {
         let log_fresh = now < self.members.log_heard + FRESH;
         if !self.serving() || self.in_outage(now) || !log_fresh {
+            // What was sent off may not have landed; all of it begins again when the log is back.
+            self.members.closing.clear();
             return;
         }
         let open: Vec<_> = self
@@ -346,7 +375,7 @@
     }
 
     /// Returns this router's place among those that may close a dead one.
-    fn rank(&self, dead: Incarnation) -> u32 {
+    pub(crate) fn rank(&self, dead: Incarnation) -> u32 {
         let score = |router: Incarnation| xxh3_64(&(router.0 ^ dead.0).to_le_bytes());
         let mine = score(self.me);
         let before = self
@@ -363,29 +392,31 @@
     /// callers have whole would stay unbilled.
     fn close_one(&mut self, now: Instant, router: Incarnation, sequence: Sequence) {
         let kept = self.members.kept.get(&router);
-        let missing = kept.is_some_and(|kept| kept.last > sequence);
-        let Some(closing) = self.members.closing.get(&router).copied() else {
-            warn!(event = "closing", %router, left_here = missing);
-            let batches = kept.map(|kept| kept.batches.clone()).unwrap_or_default();
-            self.effects
-                .extend(batches.into_iter().map(Effect::AppendKept));
-            let closing = Closing {
-                since: now,
-                recorded: None,
-            };
-            self.members.closing.insert(router, closing);
-            return;
-        };
-        let waited = !missing || now >= closing.since + KEPT_WAIT;
+        let missing = kept.filter(|kept| kept.last > sequence);
+        let begun = self.members.closing.get(&router).copied();
+        let mut closing = begun.unwrap_or(Closing {
+            since: now,
+            brought: None,
+            recorded: None,
+        });
+        if begun.is_none() {
+            warn!(event = "closing", %router, left_here = missing.is_some());
+        }
+        // An append may fail, so they are brought until they are folded.
+        if let Some(kept) = missing
+            && closing.brought.is_none_or(|at| now >= at + KEPT_AGAIN)
+        {
+            closing.brought = Some(now);
+            let batches = kept.batches.iter().cloned().map(Effect::AppendKept);
+            self.effects.extend(batches);
+        }
+        let waited = missing.is_none() || now >= closing.since + KEPT_WAIT;
         let due = closing.recorded.is_none_or(|at| now >= at + KEPT_WAIT);
-        if waited && due {
-            let closing = Closing {
-                recorded: Some(now),
-                ..closing
-            };
-            self.members.closing.insert(router, closing);
+        if begun.is_some() && waited && due {
+            closing.recorded = Some(now);
             self.push_close(router);
         }
+        self.members.closing.insert(router, closing);
     }
 
     fn push_close(&mut self, router: Incarnation) {
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -23,16 +23,6 @@
         here || self.ledger.quarantined(request.fingerprint)
     }
 
-    /// Returns the endpoints that a request should keep off, and of these the ones that it must.
-    pub(crate) fn kept_off(&self, id: RequestId) -> (Vec<VmId>, Vec<VmId>) {
-        let Some(request) = self.requests.get(&id) else {
-            return (Vec::new(), Vec::new());
-        };
-        let avoid = self.quarantine.avoid(request.fingerprint);
-        let forbid = self.quarantine.forbid(request.fingerprint);
-        (avoid, forbid)
-    }
-
     /// Takes note that an endpoint died, and records its suspects in the ledger for the other routers.
     pub(crate) fn endpoint_died(&mut self, now: Instant, endpoint: &VmId) {
         for request in self.quarantine.crash(now, endpoint) {
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -54,7 +54,6 @@
         let Some(pool) = self.pools.get_mut(&request.pool) else {
             return;
         };
-        pool.stuck.retain(|stuck| *stuck != id);
         if let Some(place) = pool.places.swap_remove(&id) {
             pool.queue.cancel(now, place);
         }
@@ -62,43 +61,9 @@
 
     /// Sends waiting requests on while endpoints have room.
     pub(crate) fn pump(&mut self, now: Instant, name: &PoolId) {
-        let Some(pool) = self.pools.get_mut(name) else {
-            return;
-        };
-        for id in std::mem::take(&mut pool.stuck) {
-            self.pump_one(now, name, id);
-        }
-        while let Some(id) = self.next_queued(now, name) {
-            self.pump_one(now, name, id);
-        }
-    }
-
-    /// Takes the next request from a queue, unless one that was taken before still waits.
-    fn next_queued(&mut self, now: Instant, name: &PoolId) -> Option<RequestId> {
-        let pool = self.pools.get_mut(name)?;
-        if !pool.stuck.is_empty() {
-            return None;
-        }
-        let id = pool.queue.pop(now)?;
-        pool.places.swap_remove(&id);
-        Some(id)
-    }
-
-    fn pump_one(&mut self, now: Instant, name: &PoolId, id: RequestId) {
-        let waits = self
-            .requests
-            .get(&id)
-            .is_some_and(|request| matches!(request.state, State::Queued));
-        if !waits {
-            return;
-        }
-        match self.pick_endpoint(now, id) {
-            Some(endpoint) => self.claim(now, id, endpoint),
-            None => {
-                if let Some(pool) = self.pools.get_mut(name) {
-                    pool.stuck.push(id);
-                }
-            }
+        while let Some((id, choice)) = self.next_with_room(now, name) {
+            self.enter_endpoint(now, id, &choice);
+            self.claim(now, id, choice.endpoint);
         }
     }
 
