--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -6,10 +6,13 @@
 //! each entry bears the number of gaps that its endpoint's events had when it was learnt, counts half for each gap
 //! since, and goes when an answer shows that less was cached than it said.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
+use std::hash::BuildHasherDefault;
 
 use indexmap::IndexMap;
 
+use crate::decide::hasher::FastHasher;
 use crate::ids::VmId;
 use crate::prompt::BlockHash;
 
@@ -22,10 +25,13 @@
 
 /// What an entry counts for each gap in its endpoint's events since it was learnt. A gap hides evictions as often as
 /// stores.
-const KEPT: f64 = 0.5;
+const KEPT: f64 = 0.8;
 
 /// After so many gaps an entry is worth next to nothing.
-const GAPS: u32 = 4;
+const GAPS: u32 = 10;
+
+/// How many shorter matches are looked at, each half as long as the one before.
+const SHORTER: u32 = 4;
 
 /// What an endpoint says that changed in its cache.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -64,6 +70,8 @@
     vm: VmId,
     sequence: u64,
     gaps: u32,
+    /// Answers in a row that had less cached than was thought.
+    doubts: u32,
 }
 
 #[derive(Debug, Default)]
@@ -76,10 +84,10 @@
 /// Blocks and the endpoints that are thought to have them cached.
 #[derive(Debug, Default)]
 pub struct PrefixIndex {
-    blocks: IndexMap<BlockHash, Entry>,
+    blocks: IndexMap<BlockHash, Entry, BuildHasherDefault<FastHasher>>,
     order: VecDeque<BlockHash>,
-    slots: IndexMap<VmId, Slot>,
-    sources: IndexMap<Slot, Source>,
+    slots: IndexMap<VmId, Slot, BuildHasherDefault<FastHasher>>,
+    sources: IndexMap<Slot, Source, BuildHasherDefault<FastHasher>>,
     next: u32,
 }
 
@@ -144,17 +152,17 @@
 
     /// Takes in how many leading blocks of a prompt an endpoint had cached when it ran it.
     ///
-    /// Fewer than thought means that it evicted them unseen; what it was then given it has cached again.
-    pub fn served(&mut self, endpoint: &VmId, prompt: &[BlockHash], cached: usize) {
-        let thought = self
-            .matches(prompt)
-            .into_iter()
-            .find(|m| m.endpoint == *endpoint);
-        let contradicted = thought.is_some_and(|m| m.blocks > cached);
-        if contradicted && let Some(source) = self.source(endpoint) {
-            source.gaps += 1;
-        }
+    /// Fewer than thought means that it evicted them unseen. What it ran it has cached again, but an endpoint that has
+    /// less than thought time after time caches less than others, or nothing.
+    pub fn served(&mut self, endpoint: &VmId, prompt: &[BlockHash], thought: usize, cached: usize) {
         self.learn(endpoint, prompt);
+        let Some(source) = self.source(endpoint) else {
+            return;
+        };
+        match thought.cmp(&cached) {
+            Ordering::Greater => source.doubts += 1,
+            _ => source.doubts = 0,
+        }
     }
 
     /// Forgets an endpoint.
@@ -166,45 +174,41 @@
 
     /// Returns what endpoints have of a prompt.
     ///
-    /// It looks at no more blocks than twice the logarithm of the prompt's length: whoever has a block has most likely
-    /// all before it, as caches evict ends first. An endpoint that has less than the longest match is credited with the
-    /// next half, quarter and so on of it.
+    /// It looks at about as many blocks as the logarithm of the prompt's length: whoever has a block has most likely all
+    /// before it, as caches evict ends first. An endpoint that has less than the longest match is credited with the next
+    /// half, quarter and so on of it.
     pub fn matches(&self, prompt: &[BlockHash]) -> Vec<Match> {
         let mut found: Vec<Match> = Vec::new();
-        let mut depth = prompt.partition_point(|block| self.is_held(block));
-        while depth > 0 {
+        let longest = prompt.partition_point(|block| self.is_held(block));
+        for depth in (0..=SHORTER).map(|half| longest >> half) {
             self.add_holders(&mut found, prompt, depth);
-            depth /= 2;
         }
         found
     }
 
     fn add_holders(&self, found: &mut Vec<Match>, prompt: &[BlockHash], depth: usize) {
-        let Some(entry) = self.blocks.get(&prompt[depth - 1]) else {
+        let last = depth.checked_sub(1).map(|last| prompt[last]);
+        let Some(entry) = last.and_then(|block| self.blocks.get(&block)) else {
             return;
         };
         for holder in &entry.holders {
             let Some(source) = self.sources.get(&holder.slot) else {
                 continue;
             };
-            if found.iter().all(|m| m.endpoint != source.vm) {
+            let forgotten = holder.since(source) >= GAPS;
+            if !forgotten && found.iter().all(|m| m.endpoint != source.vm) {
                 found.push(Match {
                     endpoint: source.vm.clone(),
                     blocks: depth,
-                    trust: KEPT.powi(holder.since(source) as i32),
+                    trust: KEPT.powi((holder.since(source) + source.doubts) as i32),
                 });
             }
         }
     }
 
     fn is_held(&self, block: &BlockHash) -> bool {
-        self.blocks.get(block).is_some_and(|entry| {
-            entry
-                .holders
-                .iter()
-                .filter_map(|h| Some((h, self.sources.get(&h.slot)?)))
-                .any(|(h, source)| h.since(source) < GAPS)
-        })
+        let entry = self.blocks.get(block);
+        entry.is_some_and(|entry| !entry.holders.is_empty())
     }
 
     fn source(&mut self, endpoint: &VmId) -> Option<&mut Source> {
@@ -224,6 +228,7 @@
             vm: endpoint.clone(),
             sequence: 0,
             gaps: 0,
+            doubts: 0,
         };
         self.sources.insert(slot, source);
         Holder { slot, gaps: 0 }
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -126,12 +126,12 @@
                         json!({
                             "vm": vm,
                             "address": address,
-                            "load": pool.chooser.load(vm),
-                            "health": format!("{:?}", pool.health.health(now, vm)).to_lowercase(),
+                            "load": pool.picker.chooser.load(vm),
+                            "health": format!("{:?}", pool.picker.health.health(now, vm)).to_lowercase(),
                         })
                     })
                     .collect();
-                json!({"pool": name, "waiting": pool.queue.len() + pool.stuck.len(), "endpoints": endpoints})
+                json!({"pool": name, "waiting": pool.queue.len(), "endpoints": endpoints})
             })
             .collect();
         let holdings: Vec<_> = self
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -16,6 +16,7 @@
 mod members;
 mod orders;
 mod outage;
+mod picker;
 mod poison;
 mod pool;
 mod problem;
--- /dev/null
+++ b/src/router/picker.rs
@@ -0,0 +1,115 @@
+//! Picking one of a pool's endpoints for a request.
+
+use std::time::Instant;
+
+use rand::Rng;
+
+use crate::decide::Caps;
+use crate::decide::Choice;
+use crate::decide::Chooser;
+use crate::decide::Ejector;
+use crate::decide::Isolation;
+use crate::decide::PrefixIndex;
+use crate::decide::Quarantine;
+use crate::decide::Usage;
+use crate::decide::Wish;
+use crate::decide::owner;
+use crate::ids::DomainId;
+use crate::ids::ModelId;
+use crate::ids::VmId;
+use crate::prompt::BlockHash;
+use crate::router::event::Work;
+use crate::router::request::Request;
+
+/// What a choice among a pool's endpoints rests on.
+pub(crate) struct Picker {
+    pub(crate) chooser: Chooser,
+    pub(crate) index: PrefixIndex,
+    pub(crate) health: Ejector,
+}
+
+/// Where the choice is made.
+pub(crate) struct Site<'a> {
+    /// The router's VM.
+    pub(crate) router: &'a VmId,
+    /// Its failure domain.
+    pub(crate) domain: &'a DomainId,
+    /// All routers' VMs.
+    pub(crate) routers: &'a [VmId],
+}
+
+impl Picker {
+    pub(crate) fn new(router: &VmId) -> Self {
+        Self {
+            chooser: Chooser::new(router),
+            index: PrefixIndex::new(),
+            health: Ejector::new(Caps::default()),
+        }
+    }
+
+    /// Picks an endpoint: one that the quarantine has nothing against, or else one that it does not forbid.
+    pub(crate) fn pick<R>(
+        &self,
+        now: Instant,
+        request: &Request,
+        usage: Usage,
+        quarantine: &Quarantine,
+        site: &Site<'_>,
+        rng: &mut R,
+    ) -> Option<Choice>
+    where
+        R: Rng,
+    {
+        let blocks = blocks(request);
+        let forbidden = self.forbidden(request, quarantine, site);
+        let avoided = quarantine.avoid(request.fingerprint);
+        let mut choose = |excluded: &[VmId]| {
+            let wish = Wish {
+                model: model(request),
+                prefix: &blocks,
+                domain: site.domain,
+                excluded,
+                usage,
+            };
+            self.chooser
+                .choose(now, &wish, &self.index, &self.health, rng)
+        };
+        let strict = [request.tried.clone(), forbidden.clone(), avoided.clone()].concat();
+        let choice = choose(&strict);
+        if choice.is_some() || avoided.is_empty() {
+            return choice;
+        }
+        choose(&[request.tried.clone(), forbidden].concat())
+    }
+
+    /// Returns the endpoints that a suspect must keep off: those where another suspect runs, and those where another
+    /// router's may.
+    fn forbidden(&self, request: &Request, quarantine: &Quarantine, site: &Site<'_>) -> Vec<VmId> {
+        if quarantine.isolation(request.fingerprint) == Isolation::None {
+            return Vec::new();
+        }
+        let mine = |vm: &VmId| owner(site.routers, vm) == Some(site.router);
+        let (owned, others): (Vec<_>, Vec<_>) = self.chooser.vms().cloned().partition(mine);
+        let mut forbidden = quarantine.forbid(request.fingerprint);
+        // With fewer endpoints than routers some router owns none, and its suspects run where they can.
+        if !owned.is_empty() {
+            forbidden.extend(others);
+        }
+        forbidden
+    }
+}
+
+fn model(request: &Request) -> Option<&ModelId> {
+    match &request.work {
+        Work::Completion { model, .. } => Some(model),
+        Work::Call { .. } => None,
+    }
+}
+
+/// Returns the blocks of a request's prompt.
+pub(crate) fn blocks(request: &Request) -> Vec<BlockHash> {
+    match &request.work {
+        Work::Completion { blocks, .. } => blocks.iter().map(|b| BlockHash(*b)).collect(),
+        Work::Call { .. } => Vec::new(),
+    }
+}
