Check the real fold breadth-first, each rule left out in turn

Cause: the fold's rules were argued for and driven at random, not explored.

Change: src/ledger/tests/ explores every history of two routers, a caller and the log within a bound, folded by the fold itself: records land late, never, twice, in any order; routers act on old views, pause, die, are closed while they live; tries lie on the network; each try may charge another team. A `Rule` names each check of the fold; outside of tests `holds` is a constant `true`. Each rule left out must give a counterexample, which is printed.

What it showed: - With tries that the caller counts, `seen` is not needed; the number alone refutes late claims. Without numbers `seen` is needed and is enough only if no earlier try lies unread on its way (`prompt`); otherwise a try that arrives behind the refusal of a later one runs (`uncounted`, refuted in ten steps). So a router must not say "not run" to a caller that does not count, unless it knows that earlier tries were read. - The rule that a claim is settled by its own router is not refuted by the model: routers that err are not in it. A test of its own covers it.

--- a/src/ledger/budget.rs
+++ b/src/ledger/budget.rs
@@ -8,6 +8,8 @@
 use crate::ledger::fold::Ledger;
 use crate::ledger::key::ClaimState;
 use crate::ledger::record::Bearer;
+use crate::ledger::rules::Rule;
+use crate::ledger::rules::holds;
 use crate::ledger::team::Holding;
 use crate::ledger::verdict::Void;
 use crate::tokens::Tokens;
@@ -19,7 +21,7 @@
         team: &TeamId,
         amount: Tokens,
     ) -> Result<(), Void> {
-        if !self.topups.insert(digest(team, id)) {
+        if !self.topups.insert(digest(team, id)) && holds(Rule::TopUp) {
             return Err(Void::Repeated);
         }
         let team = self.teams.entry(team.clone()).or_default();
@@ -32,7 +34,10 @@
         let Some((_, name, state)) = self.teams.get_full_mut(team) else {
             return Tokens::ZERO;
         };
-        let granted = want.min(state.undrawn());
+        let granted = match holds(Rule::Draw) {
+            true => want.min(state.undrawn()),
+            false => want,
+        };
         if granted == Tokens::ZERO {
             return granted;
         }
@@ -119,7 +124,7 @@
             .routers
             .get_mut(&router)
             .and_then(|r| r.holdings.get_mut(team))
-            .filter(|holding| holding.free >= amount)
+            .filter(|holding| holding.free >= amount || !holds(Rule::Reserve))
             .ok_or(Void::Holding)?;
         holding.free -= amount;
         holding.claimed += amount;
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -26,6 +26,8 @@
 use crate::ledger::record::Batch;
 use crate::ledger::record::Record;
 use crate::ledger::router::RouterState;
+use crate::ledger::rules::Rule;
+use crate::ledger::rules::holds;
 use crate::ledger::team::Holding;
 use crate::ledger::team::TeamState;
 use crate::ledger::verdict::Verdict;
@@ -176,8 +178,8 @@
     fn admit(&mut self, batch: &Batch) -> Result<(), Void> {
         match self.routers.get_mut(&batch.router) {
             None => self.admit_first(batch),
-            Some(router) if router.closed => Err(Void::Closed),
-            Some(router) if router.sequence.0.checked_add(1) != Some(batch.sequence.0) => {
+            Some(router) if router.closed && holds(Rule::Closed) => Err(Void::Closed),
+            Some(router) if !router.follows(batch.sequence) && holds(Rule::Sequence) => {
                 Err(Void::Sequence)
             }
             Some(router) => {
@@ -233,7 +235,7 @@
     ) -> Verdict {
         // A router may close itself, and what follows in the same batch is as void as what follows in the log: a draw
         // behind it would be held by no one who could give it back.
-        if !self.is_open(router) {
+        if !self.is_open(router) && holds(Rule::Closed) {
             return Verdict::Void(Void::Closed);
         }
         let done = match record {
--- a/src/ledger/membership.rs
+++ b/src/ledger/membership.rs
@@ -6,6 +6,8 @@
 use crate::ids::PoolId;
 use crate::ids::VmId;
 use crate::ledger::fold::Ledger;
+use crate::ledger::rules::Rule;
+use crate::ledger::rules::holds;
 use crate::ledger::verdict::Void;
 
 impl Ledger {
@@ -42,7 +44,9 @@
         for key in &claims {
             self.orphan(offset, key);
         }
-        self.free_holdings(router);
+        if holds(Rule::Freed) {
+            self.free_holdings(router);
+        }
         self.expiry.close(self.at, router);
         Ok(())
     }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -14,9 +14,12 @@
 mod record;
 mod request;
 mod router;
+mod rules;
 mod share;
 mod sums;
 mod team;
+#[cfg(test)]
+mod tests;
 mod verdict;
 
 pub use checkpoint::Assembler;
--- a/src/ledger/request.rs
+++ b/src/ledger/request.rs
@@ -10,6 +10,8 @@
 use crate::ledger::key::KeyState;
 use crate::ledger::record::Claim;
 use crate::ledger::record::Outcome;
+use crate::ledger::rules::Rule;
+use crate::ledger::rules::holds;
 use crate::ledger::verdict::Void;
 use crate::tokens::Tokens;
 
@@ -57,7 +59,9 @@
         if key.request.is_some_and(|request| request != claim.request) {
             return Err(Void::OtherRequest);
         }
-        if let Some(held) = &key.claim {
+        if let Some(held) = &key.claim
+            && holds(Rule::First)
+        {
             return match self.is_open(held.router) {
                 true if held.router == router => Err(Void::Mine),
                 true => Err(Void::ClaimedBy(held.router)),
@@ -67,10 +71,10 @@
             };
         }
         let once = key.once || !claim.idempotent;
-        if key.bill.is_some() && (once || key.reruns >= MAX_RERUNS) {
+        if key.bill.is_some() && holds(Rule::Billed) && (once || key.reruns >= MAX_RERUNS) {
             return Err(Void::Billed);
         }
-        if key.orphaned && once {
+        if key.orphaned && once && holds(Rule::Orphan) {
             return Err(Void::Unknown);
         }
         match key.refused {
@@ -119,15 +123,15 @@
     }
 
     fn check_refuse(&self, key: &KeyState) -> Result<(), Void> {
-        if key.bill.is_some() {
+        if key.bill.is_some() && holds(Rule::BillRefusal) {
             return Err(Void::Stands);
         }
-        if key.orphaned {
+        if key.orphaned && holds(Rule::OrphanRefusal) {
             return Err(Void::Unknown);
         }
         match &key.claim {
-            Some(_) => Err(Void::Stands),
-            None => Ok(()),
+            Some(_) if holds(Rule::ClaimRefusal) => Err(Void::Stands),
+            _ => Ok(()),
         }
     }
 
@@ -141,9 +145,12 @@
     ) -> Result<(), Void> {
         let claim = self.take_claim(router, key)?;
         // More than was reserved is never charged: what was reserved is all that the team was known to have.
-        let amount = amount.min(claim.reserved);
+        let amount = match holds(Rule::Cap) {
+            true => amount.min(claim.reserved),
+            false => amount,
+        };
         self.unreserve(&claim, claim.reserved - amount);
-        match self.touch(key).bill.is_some() {
+        match self.touch(key).bill.is_some() && holds(Rule::FirstBill) {
             true => self.settle_lost(&claim, amount),
             false => self.bill_first(key, &claim, amount, outcome),
         }
@@ -176,7 +183,7 @@
             return;
         };
         state.orphaned = true;
-        if !claim.idempotent {
+        if !claim.idempotent && holds(Rule::Orphan) {
             let kept = ClaimState {
                 reserved: Tokens::ZERO,
                 ..(*claim).clone()
@@ -216,5 +223,7 @@
 /// gives it away. Once a refusal was counted, an attempt without a number cannot be told from such a one.
 fn refused(claim: &Claim, offset: Offset, attempt: Attempt) -> bool {
     let counted = attempt != Attempt(0);
-    offset > claim.seen || (counted && claim.attempt <= attempt)
+    let late = offset > claim.seen && holds(Rule::Seen);
+    let earlier = counted && claim.attempt <= attempt && holds(Rule::Count);
+    late || earlier
 }
--- a/src/ledger/router.rs
+++ b/src/ledger/router.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Tells whether a batch of this number is its next.
+    pub(super) fn follows(&self, sequence: Sequence) -> bool {
+        self.sequence.0.checked_add(1) == Some(sequence.0)
+    }
+
     pub(super) fn holding(&mut self, team: &TeamId) -> &mut Holding {
         self.holdings.entry(team.clone()).or_default()
     }
--- /dev/null
+++ b/src/ledger/tests/world.rs
@@ -0,0 +1,517 @@
+//! Two routers, a caller and the log, as far as the fold must get along with them.
+//!
+//! A record in flight lands at any time or never, in any order, and may land again, since its answer was lost: so a log
+//! outage is one in which nothing lands, and a peer that appends a dead router's records is one of them landing late.
+//! A router acts on what it has folded, which may be old. One that is paused takes no step, and goes on afterwards where
+//! it was; one that died takes none ever. A try that was sent lies on the network, or in the socket of its router, until
+//! that router reads it. Each try may charge another team or none: a selector changed in between.
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::ids::Attempt;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::Offset;
+use crate::ids::RequestKey;
+use crate::ids::Sequence;
+use crate::ids::TeamId;
+use crate::ledger::Batch;
+use crate::ledger::Bearer;
+use crate::ledger::Claim;
+use crate::ledger::Ledger;
+use crate::ledger::Outcome;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::tokens::Tokens;
+
+/// Who closes routers and tops up.
+const OPERATOR: u64 = 9;
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+pub(super) enum Step {
+    Send { attempt: usize, router: usize },
+    Fold { router: usize },
+    Claim { attempt: usize },
+    Refuse { attempt: usize },
+    Dispatch { attempt: usize },
+    Release { attempt: usize },
+    Bill { attempt: usize },
+    End { attempt: usize },
+    Tell { attempt: usize },
+    Draw { router: usize },
+    Return { router: usize },
+    TopUp,
+    Land { message: usize },
+    Close { router: usize },
+}
+
+/// How far a try has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+enum Stage {
+    New,
+    Sent,
+    Claiming,
+    Claimed,
+    Running,
+    Billing,
+    Billed,
+    /// A refusal or release is in flight.
+    Refusing,
+    /// The ledger proves that the request was not run.
+    Unrun,
+    Over,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Try {
+    key: u64,
+    number: u64,
+    team: u64,
+    stage: Stage,
+    router: usize,
+    /// Where its last record landed.
+    landed: u64,
+}
+
+/// A record in flight, or one that landed and may land again.
+#[derive(Clone, Debug, Serialize)]
+struct Message {
+    router: usize,
+    sequence: u64,
+    attempt: Option<usize>,
+    record: Record,
+    landed: Option<u64>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct World {
+    ledger: Ledger,
+    folded: [u64; 2],
+    sent: [u64; 2],
+    operator: u64,
+    tries: Vec<Try>,
+    net: Vec<Message>,
+    closes: u8,
+    repeats: u8,
+    /// What the team may have prepaid so far.
+    prepaid: u64,
+    topups: u8,
+    draws: u8,
+    /// Tries in the order of their dispatch, of their refusal and of their end.
+    ran: Vec<usize>,
+    told: Vec<usize>,
+    ended: Vec<usize>,
+    once: bool,
+    routers: usize,
+    prompt: bool,
+    hasty_dispatch: bool,
+    hasty_end: bool,
+}
+
+impl World {
+    fn new(tries: Vec<Try>, once: bool) -> Self {
+        let mut world = Self {
+            ledger: Ledger::default(),
+            folded: [0; 2],
+            sent: [1; 2],
+            operator: 0,
+            tries,
+            net: Vec::new(),
+            closes: 1,
+            repeats: 1,
+            prepaid: 0,
+            topups: 0,
+            draws: 0,
+            ran: Vec::new(),
+            told: Vec::new(),
+            ended: Vec::new(),
+            once,
+            routers: 2,
+            prompt: false,
+            hasty_dispatch: false,
+            hasty_end: false,
+        };
+        world.operate(open(OPERATOR));
+        for router in 0..2 {
+            let batch = batch(incarnation(router).0, 1, open(router as u64));
+            world.ledger.apply(world.ledger.next(), 0, &batch);
+        }
+        world.folded = [world.ledger.next().0; 2];
+        world
+    }
+
+    /// One request that is tried `tries` times, each at the cost of another team, of which both routers hold enough.
+    pub(super) fn request(tries: u64, once: bool, counted: bool) -> Self {
+        let numbers = 1..=tries;
+        let list = numbers.map(|at| attempt(1, if counted { at } else { 0 }, at));
+        let mut world = Self::new(list.collect(), once);
+        world.prepaid = 9;
+        for number in 1..=tries {
+            world.operate(topup(0, number, 9));
+            world.hold(team(number));
+        }
+        world.folded = [world.ledger.next().0; 2];
+        world
+    }
+
+    fn hold(&mut self, team: TeamId) {
+        for router in 0..2 {
+            self.sent[router] += 1;
+            let want = Tokens(4);
+            let team = team.clone();
+            let draw = Record::Draw { team, want };
+            let batch = batch(incarnation(router).0, self.sent[router], draw);
+            self.ledger.apply(self.ledger.next(), 0, &batch);
+        }
+    }
+
+    /// Two requests that cost one token each of a team that prepaid one, which the first router holds, and prepays one more some time.
+    pub(super) fn budget() -> Self {
+        let mut world = Self::new(vec![attempt(1, 1, 1), attempt(2, 1, 1)], false);
+        world.operate(topup(0, 1, 1));
+        world.operate(topup(0, 1, 1));
+        world.prepaid = 1;
+        world.topups = 2;
+        world.draws = 2;
+        world.hold(team(1));
+        world.folded = [world.ledger.next().0; 2];
+        world
+    }
+
+    pub(super) fn hasty_dispatch(mut self) -> Self {
+        self.hasty_dispatch = true;
+        self
+    }
+
+    /// Leaves one router, which is not closed.
+    pub(super) fn alone(mut self) -> Self {
+        self.routers = 1;
+        self.closes = 0;
+        self
+    }
+
+    /// Lets no try lie on the network, or unread in a socket, while the next one is sent.
+    pub(super) fn prompt(mut self) -> Self {
+        self.prompt = true;
+        self
+    }
+
+    pub(super) fn hasty_end(mut self) -> Self {
+        self.hasty_end = true;
+        self
+    }
+
+    pub(super) fn digest(&self) -> u128 {
+        xxh3_128(&postcard::to_stdvec(self).expect("it can be encoded"))
+    }
+
+    /// Lists what may happen next.
+    pub(super) fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for router in 0..self.routers {
+            if self.folded[router] < self.ledger.next().0 {
+                steps.push(Step::Fold { router });
+            }
+            if self.closes > 0 {
+                steps.push(Step::Close { router });
+            }
+            if self.draws > 0 && self.may_write(router) {
+                steps.push(Step::Draw { router });
+                steps.push(Step::Return { router });
+            }
+        }
+        if self.topups > 0 {
+            steps.push(Step::TopUp);
+        }
+        for at in 0..self.tries.len() {
+            self.try_steps(at, &mut steps);
+        }
+        for (at, message) in self.net.iter().enumerate() {
+            if message.landed.is_none() || self.repeats > 0 {
+                steps.push(Step::Land { message: at });
+            }
+        }
+        steps
+    }
+
+    fn try_steps(&self, attempt: usize, steps: &mut Vec<Step>) {
+        let this = &self.tries[attempt];
+        let write = self.may_write(this.router);
+        let known = this.landed < self.folded[this.router];
+        match this.stage {
+            Stage::New if self.is_next(attempt) => {
+                steps.push(Step::Send { attempt, router: 0 });
+                // The routers are alike, so the first try goes to the first.
+                if attempt > 0 && self.routers > 1 {
+                    steps.push(Step::Send { attempt, router: 1 });
+                }
+            }
+            Stage::Sent if write => {
+                steps.push(Step::Claim { attempt });
+                steps.push(Step::Refuse { attempt });
+            }
+            Stage::Claiming if self.hasty_dispatch => steps.push(Step::Dispatch { attempt }),
+            Stage::Claimed if known => {
+                steps.push(Step::Dispatch { attempt });
+                if write {
+                    steps.push(Step::Release { attempt });
+                }
+            }
+            Stage::Running if write => steps.push(Step::Bill { attempt }),
+            Stage::Billing if self.hasty_end => steps.push(Step::End { attempt }),
+            Stage::Billed if known => steps.push(Step::End { attempt }),
+            Stage::Unrun if known => steps.push(Step::Tell { attempt }),
+            _ => {}
+        }
+    }
+
+    /// A caller sends its tries in order; it may have given up on the one before.
+    fn is_next(&self, attempt: usize) -> bool {
+        let unread = |t: &Try| t.stage == Stage::New || (self.prompt && t.stage == Stage::Sent);
+        !self.tries[..attempt].iter().any(unread)
+    }
+
+    /// One batch in flight: the last one landed, and its router has folded it.
+    fn may_write(&self, router: usize) -> bool {
+        let known = |at: u64| at < self.folded[router];
+        let mut mine = self.net.iter().filter(|m| m.router == router);
+        mine.all(|m| m.landed.is_some_and(known))
+    }
+
+    /// Returns what comes of a step, or nothing where it changes nothing.
+    pub(super) fn take(&self, step: &Step) -> Option<Self> {
+        let mut next = self.clone();
+        match *step {
+            Step::Send { attempt, router } => {
+                next.tries[attempt].router = router;
+                next.tries[attempt].stage = Stage::Sent;
+            }
+            Step::Fold { router } => next.folded[router] = self.ledger.next().0,
+            Step::Claim { attempt } => next.claim(attempt),
+            Step::Refuse { attempt } => {
+                next.write_try(attempt, Stage::Refusing, |t| Record::Refuse {
+                    key: key(t.key),
+                    attempt: Attempt(t.number),
+                })
+            }
+            Step::Release { attempt } => next.write_try(attempt, Stage::Refusing, |t| {
+                Record::Release { key: key(t.key) }
+            }),
+            Step::Bill { attempt } => next.write_try(attempt, Stage::Billing, |t| Record::Bill {
+                key: key(t.key),
+                // More than was reserved, as after a miscount.
+                amount: Tokens(2),
+                outcome: Outcome::Whole,
+            }),
+            Step::Dispatch { attempt } => next.done(attempt, Stage::Running, |w| &mut w.ran),
+            Step::End { attempt } => next.done(attempt, Stage::Over, |w| &mut w.ended),
+            Step::Tell { attempt } => next.done(attempt, Stage::Over, |w| &mut w.told),
+            Step::Draw { router } => {
+                next.draws -= 1;
+                let want = Tokens(1);
+                let team = team(1);
+                next.write(router, None, Record::Draw { team, want });
+            }
+            Step::Return { router } => {
+                next.draws -= 1;
+                let amount = Tokens(1);
+                let team = team(1);
+                next.write(router, None, Record::Return { team, amount });
+            }
+            Step::TopUp => {
+                next.topups -= 1;
+                // The second time it is a repetition.
+                next.prepaid = 2;
+                next.operate(topup(1, 1, 1));
+            }
+            Step::Land { message } => return next.land(message).then_some(next),
+            Step::Close { router } => {
+                next.closes -= 1;
+                let router = incarnation(router);
+                next.operate(Record::Close { router });
+            }
+        }
+        Some(next)
+    }
+
+    fn claim(&mut self, attempt: usize) {
+        let this = &self.tries[attempt];
+        let seen = Offset(self.folded[this.router] - 1);
+        let once = self.once;
+        self.write_try(attempt, Stage::Claiming, |this| {
+            Record::Claim(Claim {
+                key: key(this.key),
+                team: team(this.team),
+                reserved: Tokens(1),
+                request: Fingerprint(1),
+                seen,
+                attempt: Attempt(this.number),
+                idempotent: !once,
+                bearer: Bearer::Team,
+            })
+        });
+    }
+
+    fn write_try<F>(&mut self, attempt: usize, stage: Stage, record: F)
+    where
+        F: FnOnce(&Try) -> Record,
+    {
+        let this = &mut self.tries[attempt];
+        this.stage = stage;
+        let router = this.router;
+        let record = record(this);
+        self.write(router, Some(attempt), record);
+    }
+
+    fn write(&mut self, router: usize, attempt: Option<usize>, record: Record) {
+        self.sent[router] += 1;
+        self.net.push(Message {
+            router,
+            sequence: self.sent[router],
+            attempt,
+            record,
+            landed: None,
+        });
+    }
+
+    fn done<F>(&mut self, attempt: usize, stage: Stage, list: F)
+    where
+        F: FnOnce(&mut Self) -> &mut Vec<usize>,
+    {
+        list(self).push(attempt);
+        self.tries[attempt].stage = stage;
+    }
+
+    /// Lands a record and tells whether that changed anything.
+    fn land(&mut self, message: usize) -> bool {
+        let at = self.ledger.next();
+        let Message {
+            router,
+            sequence,
+            attempt,
+            record,
+            landed,
+        } = self.net[message].clone();
+        let batch = batch(incarnation(router).0, sequence, record.clone());
+        let verdicts = self.ledger.apply(at, 0, &batch);
+        let good = !matches!(verdicts[0], Verdict::Void(_));
+        if landed.is_some() {
+            self.repeats -= 1;
+            return good;
+        }
+        self.net[message].landed = Some(at.0);
+        if let Some(attempt) = attempt {
+            self.tries[attempt].landed = at.0;
+            self.tries[attempt].stage = self.stage_after(&record, good);
+        }
+        true
+    }
+
+    fn stage_after(&self, record: &Record, good: bool) -> Stage {
+        let unrun = |key| self.ledger.key(key).is_some_and(|k| k.is_unrun());
+        match record {
+            Record::Claim(_) if good => Stage::Claimed,
+            Record::Bill { .. } if good => Stage::Billed,
+            // What was refused is proved by the record's own verdict; a release proves it of a request that nothing
+            // else was known of.
+            Record::Refuse { .. } if good => Stage::Unrun,
+            Record::Release { key } if good && unrun(key) => Stage::Unrun,
+            _ => Stage::Over,
+        }
+    }
+
+    fn operate(&mut self, record: Record) {
+        self.operator += 1;
+        let batch = batch(OPERATOR, self.operator, record);
+        self.ledger.apply(self.ledger.next(), 0, &batch);
+    }
+
+    /// Names what does not hold, if something does not.
+    pub(super) fn broken(&self) -> Option<&'static str> {
+        let teams = || self.ledger.teams().map(|(_, team)| team);
+        let (spent, over) = (
+            teams().map(|t| t.spent.0).sum::<u64>(),
+            teams().any(|t| t.prepaid.0 > self.prepaid),
+        );
+        let bills = self.ledger.keys().filter(|(_, k)| k.bill.is_some()).count() as u64;
+        let closed = self.ledger.routers().filter(|(_, r)| r.closed);
+        let rerun = |at: &usize| self.ran.iter().any(|ran| self.is_behind(*at, *ran));
+        if self.ledger.check_sums().is_err() || over {
+            Some("a team was allotted more than it prepaid")
+        } else if closed.into_iter().any(|(_, r)| !r.holdings.is_empty()) {
+            Some("a closed router holds tokens")
+        } else if self.once && self.ran.len() > 1 {
+            Some("what may not run twice did")
+        } else if self.told.iter().any(rerun) {
+            Some("what was told not to run ran")
+        } else if spent > bills {
+            Some("a request was billed twice")
+        } else if self.ended.iter().any(|at| !self.is_billed(*at)) {
+            Some("an answer ended without its bill")
+        } else {
+            None
+        }
+    }
+
+    /// "Not run", said of a try, speaks of the request: of this try and of those before it.
+    fn is_behind(&self, told: usize, ran: usize) -> bool {
+        self.tries[told].key == self.tries[ran].key && ran <= told
+    }
+
+    fn is_billed(&self, attempt: usize) -> bool {
+        let state = self.ledger.key(&key(self.tries[attempt].key));
+        state.is_some_and(|state| state.bill.is_some())
+    }
+}
+
+fn attempt(key: u64, number: u64, team: u64) -> Try {
+    Try {
+        key,
+        number,
+        team,
+        stage: Stage::New,
+        router: 0,
+        landed: 0,
+    }
+}
+
+fn incarnation(router: usize) -> Incarnation {
+    Incarnation(router as u64 + 1)
+}
+
+fn batch(router: u64, sequence: u64, record: Record) -> Batch {
+    Batch {
+        router: Incarnation(router),
+        sequence: Sequence(sequence),
+        records: vec![record],
+    }
+}
+
+fn open(vm: u64) -> Record {
+    Record::Open {
+        vm: format!("vm-{vm}").parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        address: String::new(),
+    }
+}
+
+fn topup(number: u64, of: u64, amount: u64) -> Record {
+    Record::TopUp {
+        id: format!("topup-{number}").parse().expect("a name"),
+        team: team(of),
+        amount: Tokens(amount),
+    }
+}
+
+fn team(number: u64) -> TeamId {
+    format!("team-{number}").parse().expect("a name")
+}
+
+fn key(number: u64) -> RequestKey {
+    RequestKey {
+        account: "a".parse().expect("a name"),
+        key: format!("key-{number}").parse().expect("a name"),
+    }
+}
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -16,6 +16,7 @@
 use jasmineridge::Incarnation;
 use jasmineridge::Ledger;
 use jasmineridge::Offset;
+use jasmineridge::Outcome;
 use jasmineridge::Record;
 use jasmineridge::RequestKey;
 use jasmineridge::Sequence;
@@ -413,6 +414,26 @@
     assert_eq!(verdicts, [Verdict::Void(Void::Refused), Verdict::Accepted]);
 }
 
+/// A router that errs bills or releases what another one runs. That one's caller would get its answer unbilled, and
+/// the request could be claimed and run beside it.
+#[test]
+fn a_claim_is_settled_by_its_own_router_alone() {
+    let bill = Record::Bill {
+        key: key("k"),
+        amount: Tokens::ZERO,
+        outcome: Outcome::Whole,
+    };
+    let release = Record::Release { key: key("k") };
+    let mut ledger = Ledger::default();
+    ledger.apply(Offset(0), 0, &open(1, "vm-1", vec![claim("k", 0)]));
+    let verdicts = ledger.apply(Offset(1), 0, &open(2, "vm-2", vec![bill, release]));
+    assert_eq!(
+        verdicts[1..],
+        [Verdict::Void(Void::NoClaim), Verdict::Void(Void::NoClaim)]
+    );
+    assert!(ledger.key(&key("k")).is_some_and(|k| k.claim.is_some()));
+}
+
 /// The log let records go before a router had read them. What it folded behind the gap would be another truth than
 /// that of the routers that read them all.
 #[test]
