--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -271,10 +271,14 @@
 }
 
 impl Ledger {
-    /// Notes a whole checkpoint. A slow writer's older one does not put back what may be let go.
+    /// Notes a whole checkpoint, so that what stands before it may be let go.
+    ///
+    /// A paused writer's announcement may land late, or be of a state that was old when it was written. Either stream may
+    /// then have let go of its parts or of the records behind it; so both its ends must lie behind those of the newest.
     fn checkpointed(&mut self, as_of: Offset, first: Offset) -> Result<(), Void> {
-        let newest = self.checkpoint.map_or(Offset(0), |newest| newest.as_of);
-        if as_of <= newest {
+        if let Some(newest) = self.checkpoint
+            && (as_of <= newest.as_of || first <= newest.first)
+        {
             return Err(Void::Repeated);
         }
         if as_of > self.next {
--- a/tests/checkpoint.rs
+++ b/tests/checkpoint.rs
@@ -253,3 +253,27 @@
     assert_eq!(due(12 * HOUR), 200);
     assert!(split(&ledger, PART_SIZE).len() == 1);
 }
+
+/// A router wrote a checkpoint, stopped before it announced it, and does so after another one was announced whose parts
+/// stand behind its own. The log may have let go of its parts; if it were taken for the newest, the records behind the
+/// other would go as well, and no router could start.
+#[test]
+fn an_announcement_that_comes_late_is_void() {
+    let mut ledger = Ledger::default();
+    let mut sequence = 0;
+    append(&mut ledger, 0, 1, &mut sequence, open(1));
+    for as_of in [2, 1, 3] {
+        let as_of = Offset(as_of);
+        let first = Offset(10 - as_of.0);
+        let record = Record::Checkpoint { as_of, first };
+        append(&mut ledger, 0, 1, &mut sequence, record);
+    }
+    let newest = ledger.checkpoint().map(|newest| newest.as_of);
+    assert_eq!(newest, Some(Offset(2)));
+    let record = Record::Checkpoint {
+        as_of: Offset(3),
+        first: Offset(9),
+    };
+    append(&mut ledger, 0, 1, &mut sequence, record);
+    assert_eq!(ledger.checkpoint().map(|n| n.as_of), Some(Offset(3)));
+}
