--- a/src/ledger/request.rs
+++ b/src/ledger/request.rs
@@ -10,6 +10,8 @@
 use crate::ledger::key::KeyState;
 use crate::ledger::record::Claim;
 use crate::ledger::record::Outcome;
+use crate::ledger::rules::Rule;
+use crate::ledger::rules::holds;
 use crate::ledger::verdict::Void;
 use crate::tokens::Tokens;
 
@@ -19,18 +21,11 @@
 impl Ledger {
     pub(super) fn claim(&mut self, router: Incarnation, claim: &Claim) -> Result<(), Void> {
         self.check_claim(router, claim)?;
-        self.reserve(router, &claim.team, claim.reserved)?;
-        let team = match self.teams.get_full(&claim.team) {
-            // The ledger's own copy of the name, so that a million requests do not each carry one.
-            Some((_, name, _)) => name.clone(),
-            None => claim.team.clone(),
-        };
+        let team = self.reserve(router, &claim.team, claim.reserved)?;
         let key = self.touch(&claim.key);
         key.request = Some(claim.request);
         key.once |= !claim.idempotent;
-        if key.bill.is_some() {
-            key.reruns += 1;
-        }
+        key.reruns += u8::from(key.bill.is_some());
         key.claim = Some(Box::new(ClaimState {
             router,
             team,
@@ -57,7 +52,9 @@
         if key.request.is_some_and(|request| request != claim.request) {
             return Err(Void::OtherRequest);
         }
-        if let Some(held) = &key.claim {
+        if let Some(held) = &key.claim
+            && holds(Rule::First)
+        {
             return match self.is_open(held.router) {
                 true if held.router == router => Err(Void::Mine),
                 true => Err(Void::ClaimedBy(held.router)),
@@ -67,10 +64,10 @@
             };
         }
         let once = key.once || !claim.idempotent;
-        if key.bill.is_some() && (once || key.reruns >= MAX_RERUNS) {
+        if key.bill.is_some() && holds(Rule::Billed) && (once || key.reruns >= MAX_RERUNS) {
             return Err(Void::Billed);
         }
-        if key.orphaned && once {
+        if key.orphaned && once && holds(Rule::Orphan) {
             return Err(Void::Unknown);
         }
         match key.refused {
@@ -119,15 +116,15 @@
     }
 
     fn check_refuse(&self, key: &KeyState) -> Result<(), Void> {
-        if key.bill.is_some() {
+        if key.bill.is_some() && holds(Rule::BillRefusal) {
             return Err(Void::Stands);
         }
-        if key.orphaned {
+        if key.orphaned && holds(Rule::OrphanRefusal) {
             return Err(Void::Unknown);
         }
         match &key.claim {
-            Some(_) => Err(Void::Stands),
-            None => Ok(()),
+            Some(_) if holds(Rule::ClaimRefusal) => Err(Void::Stands),
+            _ => Ok(()),
         }
     }
 
@@ -141,32 +138,26 @@
     ) -> Result<(), Void> {
         let claim = self.take_claim(router, key)?;
         // More than was reserved is never charged: what was reserved is all that the team was known to have.
-        let amount = amount.min(claim.reserved);
+        let amount = match holds(Rule::Cap) {
+            true => amount.min(claim.reserved),
+            false => amount,
+        };
         self.unreserve(&claim, claim.reserved - amount);
-        match self.touch(key).bill.is_some() {
-            true => self.settle_lost(&claim, amount),
-            false => self.bill_first(key, &claim, amount, outcome),
+        let state = self.touch(key);
+        if state.bill.is_some() && holds(Rule::FirstBill) {
+            self.settle_lost(&claim, amount);
+        } else {
+            state.bill = Some(Box::new(BillState {
+                team: claim.team.clone(),
+                amount,
+                outcome: outcome.clone(),
+            }));
+            self.spend(&claim, amount);
         }
         self.remember(offset, key, claim.idempotent);
         Ok(())
     }
 
-    fn bill_first(
-        &mut self,
-        key: &RequestKey,
-        claim: &ClaimState,
-        amount: Tokens,
-        outcome: &Outcome,
-    ) {
-        self.spend(claim, amount);
-        let bill = BillState {
-            team: claim.team.clone(),
-            amount,
-            outcome: outcome.clone(),
-        };
-        self.touch(key).bill = Some(Box::new(bill));
-    }
-
     /// Settles the claim of a router that is being closed.
     ///
     /// The claim of a request that may not run twice stays, with nothing reserved, so that no one ever runs it again.
@@ -176,7 +167,7 @@
             return;
         };
         state.orphaned = true;
-        if !claim.idempotent {
+        if !claim.idempotent && holds(Rule::Orphan) {
             let kept = ClaimState {
                 reserved: Tokens::ZERO,
                 ..(*claim).clone()
@@ -200,12 +191,19 @@
     }
 
     fn touch(&mut self, key: &RequestKey) -> &mut KeyState {
-        self.keys.entry(key.clone()).or_default()
+        let at = match self.keys.get_index_of(key) {
+            Some(at) => at,
+            None => self.keys.insert_full(key.clone(), KeyState::default()).0,
+        };
+        &mut self.keys[at]
     }
 
     /// Notes when a request of which no claim is open may be forgotten.
     fn remember(&mut self, offset: Offset, key: &RequestKey, idempotent: bool) {
-        self.touch(key).settled = offset;
+        let Some((_, key, state)) = self.keys.get_full_mut(key) else {
+            return;
+        };
+        state.settled = offset;
         self.expiry.settle(self.at, offset, key, idempotent);
     }
 }
@@ -216,5 +214,7 @@
 /// gives it away. Once a refusal was counted, an attempt without a number cannot be told from such a one.
 fn refused(claim: &Claim, offset: Offset, attempt: Attempt) -> bool {
     let counted = attempt != Attempt(0);
-    offset > claim.seen || (counted && claim.attempt <= attempt)
+    let late = offset > claim.seen && holds(Rule::Seen);
+    let earlier = counted && claim.attempt <= attempt && holds(Rule::Count);
+    late || earlier
 }
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -126,7 +126,7 @@
                         json!({
                             "vm": vm,
                             "address": address,
-                            "load": pool.picker.chooser.load(vm),
+                            "load": pool.picker.chooser.load(now, vm),
                             "health": format!("{:?}", pool.picker.health.health(now, vm)).to_lowercase(),
                         })
                     })
--- a/tests/faults/process.rs
+++ b/tests/faults/process.rs
@@ -30,7 +30,7 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let out = child.stdout.take().context("its output")?;
-        let process = Self(child);
+        let process = Self::of(child);
         let mut line = String::new();
         BufReader::new(out).read_line(&mut line)?;
         let pairs = line.split_whitespace().filter_map(|w| w.split_once('='));
@@ -52,7 +52,7 @@
             .arg(&path)
             .stderr(File::create(&log)?)
             .spawn()?;
-        let process = Self(child);
+        let process = Self::of(child);
         let limit = Duration::from_secs(20);
         wait_for("the router listens", limit, async || {
             Ok(listening(&log).is_some())
