Bound what a pop looks at, and say how a router uses the decisions

Under overload each arrival makes the router ask for the next request with a place. When all endpoints are full, no request fits, and the queue offered the first of each team in vain: with 430 teams and some microseconds for a choice, milliseconds for each arrival, which one would see as a router at 100% of a core while engines wait. A pop gives up after eight that do not fit; requests for one model belong in one queue, which the module's page now says with the order of calls. `owner` is called `suspect_router`, as its name stands at the crate's root.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,12 @@
 //! Nothing here has input or output. Each module is told the time and given a seeded generator where it needs chance, so
 //! that a scenario can be replayed. Each opens with the load pattern that it answers, what happens without it, and the
 //! grounds for its figures; `docs/design/decisions.md` has what was measured.
+//!
+//! A router has one [`FairQueue`], [`Chooser`] and [`Ejector`] for each pool and model, and one of the others for itself.
+//! A request passes [`AccountLimit::try_enter`], [`Quarantine::isolation`], the holding that [`HoldingPolicy`] keeps, and
+//! [`FairQueue::push`]. On each arrival, end, report and deadline the router takes requests by [`FairQueue::pop_where`] as
+//! long as [`Chooser::choose`] finds an endpoint, calls [`Chooser::start`] and dispatches them. [`Chooser::end`],
+//! [`Ejector::record`], [`PrefixIndex::served`] and [`Quarantine::complete`] take in how it went.
 
 mod advice;
 mod choose;
@@ -41,7 +47,7 @@
 pub use prefix::PrefixIndex;
 pub use quarantine::Isolation;
 pub use quarantine::Quarantine;
-pub use quarantine::owner;
+pub use quarantine::suspect_router;
 pub use queue::FairQueue;
 pub use queue::Full;
 pub use queue::Place;
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -50,7 +50,7 @@
 ///
 /// Routers do not tell each other where their suspects run. Without an owner for each endpoint, an innocent suspect of one
 /// runs beside the guilty one of another, dies with it and is refused for it.
-pub fn owner<'a>(routers: &'a [VmId], endpoint: &VmId) -> Option<&'a VmId> {
+pub fn suspect_router<'a>(routers: &'a [VmId], endpoint: &VmId) -> Option<&'a VmId> {
     routers.iter().max_by_key(|router| {
         let seed = xxh3_64(router.as_str().as_bytes());
         xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed)
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -42,6 +42,10 @@
 /// The time over which an account's use counts, in seconds: a few answers.
 const RECENT: f64 = 10.0;
 
+/// How many that do not fit are looked at before a pop gives up. At some microseconds for a choice, looking at all of 430
+/// teams at each arrival in an overload would take a router's whole time.
+const TRIED: u32 = 8;
+
 /// How often teams and accounts that have nothing waiting and had next to nothing lately are forgotten.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -221,7 +225,9 @@
 
     /// Takes out the one to serve next of those for which there is a place; `fits` is also told its account's usage.
     ///
-    /// Without a choice, one request whose model's endpoints are full would keep all others waiting.
+    /// Without a choice, one request that may not go to the endpoint with room, having failed there, would keep all others
+    /// waiting. It looks at a few only: requests for one model belong in one queue, and when that model's endpoints are
+    /// full, each look at another request is for nothing.
     pub fn pop_where<F>(&mut self, now: Instant, mut fits: F) -> Option<T>
     where
         F: FnMut(&T, Usage) -> bool,
@@ -391,11 +397,14 @@
         let mut turns: BinaryHeap<_> = bounds
             .map(|(at, team)| Reverse((team.part.pass.to_bits(), at, None)))
             .collect();
-        while let Some(Reverse((_, at, place))) = turns.pop() {
+        let mut left = TRIED;
+        while left > 0
+            && let Some(Reverse((_, at, place))) = turns.pop()
+        {
             let team = &self.teams[at];
             match place {
                 Some(place) if fits(place) => return Some(place),
-                Some(_) => (),
+                Some(_) => left -= 1,
                 None => {
                     let front = team.front(&self.accounts);
                     turns.extend(front.map(|(place, pass)| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,7 +48,7 @@
 pub use decide::Usage;
 pub use decide::Wish;
 pub use decide::advise;
-pub use decide::owner;
+pub use decide::suspect_router;
 pub use ids::AccountId;
 pub use ids::Attempt;
 pub use ids::DomainId;
--- a/tests/decisions/poison.rs
+++ b/tests/decisions/poison.rs
@@ -10,7 +10,7 @@
 use jasmineridge::Isolation;
 use jasmineridge::Quarantine;
 use jasmineridge::VmId;
-use jasmineridge::owner;
+use jasmineridge::suspect_router;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -83,8 +83,9 @@
             .filter(|e| self.back[*e] <= self.now && !forbid.contains(&self.vms[*e]))
             .collect();
         let suspect = quarantine.isolation(request) == Isolation::Apart && self.quarantine;
-        let mine =
-            |e: &usize| !suspect || owner(&self.names, &self.vms[*e]) == self.names.get(router);
+        let mine = |e: &usize| {
+            !suspect || suspect_router(&self.names, &self.vms[*e]) == self.names.get(router)
+        };
         let free: Vec<_> = up
             .iter()
             .copied()
@@ -92,8 +93,8 @@
             .collect();
         let mine: Vec<_> = up.iter().copied().filter(mine).collect();
         // A suspect rather waits for an endpoint of its own router's, if there is any.
-        let owns =
-            (0..ENDPOINTS).any(|e| owner(&self.names, &self.vms[e]) == self.names.get(router));
+        let owns = (0..ENDPOINTS)
+            .any(|e| suspect_router(&self.names, &self.vms[e]) == self.names.get(router));
         let rest = if suspect && owns { Vec::new() } else { up };
         let from = [free, mine, rest]
             .into_iter()
