Refuse at once what no draw can help

Change: what can be reached is what is held and what is undrawn; a request beyond it waits 0.4 s for other routers' returns, and none at all where the whole team's unspent budget does not cover it. No holding is given back while requests of its team wait here.

--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -102,26 +102,31 @@
         self.draw_for_waiting(now, team);
     }
 
+    /// Draws for the requests that wait, and refuses those that no draw can help.
+    ///
+    /// A request of 65 tokens whose team has 43 left, undrawn, is as hopeless as one whose team has none: waiting would
+    /// only hold its refusal back.
     fn draw_for_waiting(&mut self, now: Instant, team: &TeamId) {
         let Some(purse) = self.purses.get(team) else {
             return;
         };
-        let wanted: Tokens = purse
-            .waiting
-            .iter()
-            .filter_map(|id| self.requests.get(id))
-            .map(|request| request.reserve)
-            .sum();
-        if wanted == Tokens::ZERO {
-            return;
-        }
         let state = self.ledger.team(team);
         let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
-        if undrawn == Tokens::ZERO {
-            self.ask_others(team, wanted);
-            self.note_short(now, team);
-        } else {
-            self.adjust(now, team, wanted);
+        let free = self.ledger.holding(self.me, team).free;
+        let reach = purse.available(free).saturating_add(undrawn);
+        let reserve = |id: &RequestId| self.requests.get(id).map(|request| request.reserve);
+        let needs: Vec<_> = purse.waiting.iter().filter_map(reserve).collect();
+        let Some(most) = needs.iter().max().copied() else {
+            return;
+        };
+        let least = needs.iter().min().copied().unwrap_or(most);
+        if most > reach {
+            self.ask_others(team, most);
+            self.note_short(now, team, reach);
+        }
+        if least <= reach {
+            let within: Tokens = needs.into_iter().filter(|need| *need <= reach).sum();
+            self.adjust(now, team, within.min(reach));
         }
     }
 
@@ -144,8 +149,8 @@
         self.appender.push(record, Ticket::Draw(team.clone()));
     }
 
-    /// Marks since when the waiting requests have nothing left to draw, and refuses those that no one can serve.
-    fn note_short(&mut self, now: Instant, team: &TeamId) {
+    /// Marks since when the waiting requests need more than can be drawn, and refuses those that no one can serve.
+    fn note_short(&mut self, now: Instant, team: &TeamId, reach: Tokens) {
         let Some(purse) = self.purses.get(team) else {
             return;
         };
@@ -158,6 +163,10 @@
             let State::Funding { short } = &mut request.state else {
                 continue;
             };
+            if request.reserve <= reach {
+                *short = None;
+                continue;
+            }
             let since = *short.get_or_insert(now);
             if hopeless || now >= since + SHORT_WAIT {
                 self.refuse_spent(now, id, hopeless);
@@ -314,7 +323,13 @@
         let asked = self.fleet.keys().cloned();
         let teams: IndexSet<_> = self.purses.keys().cloned().chain(asked).collect();
         for team in teams {
-            self.adjust(now, &team, Tokens::ZERO);
+            let waits = self
+                .purses
+                .get(&team)
+                .is_some_and(|p| !p.waiting.is_empty());
+            if !waits {
+                self.adjust(now, &team, Tokens::ZERO);
+            }
         }
         let me = self.me;
         let ledger = &self.ledger;
