Refuse a spent budget though a few tokens are left to draw

The demo's last caller waited for two minutes instead of reading at once that the budget is spent. It drew 43 tokens a second and gave them back, while a request for 115 waited on a team that had 86 left.

Ruled out: the policy itself, whose return is meant (it lets another router make up what this one can't). A waiting request now counts as short when it asks for more than this router holds and could draw; it is refused at once when the team has not that much, and after SHORT_WAIT when others hold it. Others are asked once when a request becomes short, and what can't be made up here still goes back.

--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -103,6 +103,7 @@
     }
 
     fn draw_for_waiting(&mut self, now: Instant, team: &TeamId) {
+        let scarce = self.note_short(now, team);
         let Some(purse) = self.purses.get(team) else {
             return;
         };
@@ -110,19 +111,16 @@
             .waiting
             .iter()
             .filter_map(|id| self.requests.get(id))
+            .filter(|request| matches!(request.state, State::Funding { .. }))
             .map(|request| request.reserve)
             .sum();
         if wanted == Tokens::ZERO {
             return;
         }
-        let state = self.ledger.team(team);
-        let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
-        if undrawn == Tokens::ZERO {
+        if scarce {
             self.ask_others(team, wanted);
-            self.note_short(now, team);
-        } else {
-            self.adjust(now, team, wanted);
         }
+        self.adjust(now, team, wanted);
     }
 
     /// Draws though nothing is left: the others see the draw come back short, and give back what lies idle there.
@@ -144,25 +142,40 @@
         self.appender.push(record, Ticket::Draw(team.clone()));
     }
 
-    /// Marks since when the waiting requests have nothing left to draw, and refuses those that no one can serve.
-    fn note_short(&mut self, now: Instant, team: &TeamId) {
+    /// Marks since when the waiting requests ask for more than can be drawn, and refuses those that no one can serve;
+    /// returns whether one is such for the first time.
+    ///
+    /// What can be drawn need not be nought for that: the last tokens of a budget that are too few for any request would
+    /// be drawn and returned until the caller's deadline, though its refusal was certain from the start.
+    fn note_short(&mut self, now: Instant, team: &TeamId) -> bool {
+        let free = self.ledger.holding(self.me, team).free;
         let Some(purse) = self.purses.get(team) else {
-            return;
+            return false;
         };
-        let unspent = self.ledger.team(team).map_or(Tokens::ZERO, |t| t.unspent());
+        let state = self.ledger.team(team);
+        let unspent = state.map_or(Tokens::ZERO, |t| t.unspent());
+        let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
+        let reach = purse.available(free).saturating_add(undrawn);
+        let mut first = false;
         for id in purse.waiting.clone() {
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
             };
             let hopeless = request.reserve > unspent;
+            let scarce = request.reserve > reach;
             let State::Funding { short } = &mut request.state else {
                 continue;
             };
+            if !scarce {
+                continue;
+            }
+            first |= short.is_none();
             let since = *short.get_or_insert(now);
             if hopeless || now >= since + SHORT_WAIT {
                 self.refuse_spent(now, id, hopeless);
             }
         }
+        first
     }
 
     fn refuse_spent(&mut self, now: Instant, id: RequestId, hopeless: bool) {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -74,7 +74,7 @@
     Contended,
     /// It waits for budget.
     Funding {
-        /// Since when nothing is left to draw.
+        /// Since when it asks for more than can be drawn.
         short: Option<Instant>,
     },
     /// It waits for an endpoint.
