--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,15 +18,15 @@
 mod fetch;
 mod http;
 mod log;
+mod metrics;
 mod peers;
 mod probe;
 mod pump;
 mod render;
 mod sse;
+#[cfg(test)]
+mod tests;
 mod vms;
 
 pub use driver::Stopped;
 pub use driver::serve;
-
-#[cfg(test)]
-mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,7 @@
 pub use decide::Usage;
 pub use decide::Wish;
 pub use decide::advise;
-pub use decide::owner;
+pub use decide::suspect_router;
 pub use demo::DEMO_KEY;
 pub use demo::Demo;
 pub use demo::demo_lines;
