--- a/tests/faults/process.rs
+++ b/tests/faults/process.rs
@@ -62,6 +62,11 @@
         Ok((process, addresses))
     }
 
+    /// Takes over a process that was started in another way.
+    pub(crate) fn of(child: Child) -> Self {
+        Self(child)
+    }
+
     /// Sends a signal, by the name that `kill` has for it.
     pub(crate) fn signal(&self, name: &str) -> Result<()> {
         let id = self.0.id().to_string();
--- a/tests/path/program.rs
+++ b/tests/path/program.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
@@ -108,17 +107,6 @@
     Ok(())
 }
 
-/// The demo's process, which is killed when the test is over, also by a panic.
-struct Demo(Child);
-
-impl Drop for Demo {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// Returns an address that was free a moment ago.
 fn free() -> Result<SocketAddr> {
     Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
@@ -132,7 +120,7 @@
         .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()?;
-    let mut demo = Demo(child);
+    let mut demo = Process::of(child);
     let http = Client::new(listen);
     wait_for("the demo's team has its budget", PATIENCE, async || {
         let status = http.get("/v1/status").await?.json;
@@ -163,11 +151,10 @@
     }
     assert_eq!(kinds[0], 200, "{kinds:?}");
     assert_eq!(kinds[9], 402, "{kinds:?}");
-    let id = demo.0.id().to_string();
-    Command::new("kill").args(["-s", "TERM", &id]).status()?;
+    demo.signal("TERM")?;
     let mut code = None;
     wait_for("the demo ended", PATIENCE, async || {
-        code = demo.0.try_wait()?.map(|status| status.code());
+        code = demo.ended()?.map(|status| status.code());
         Ok(code.is_some())
     })
     .await?;
