Count no answered request against its account in a log outage

In a log outage a request whose answer went out whole, on other routers' word that they keep its bill, stayed in progress until the log was back, as its bill has no verdict before. It counted against its account's limit all that time: after 256 answers (the default concurrency) a router refused the account as rate-limited for the rest of the outage, with budget left. Ruled out: giving the entry back when the run ends, for a run whose bill is not kept yet is still in progress to its caller. The entry now goes back with the release.

--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -308,6 +308,19 @@
         Box::new(problem.go_to(instead).retry_in(NOT_SERVING_RETRY))
     }
 
+    /// Counts a request no more against its account's limit.
+    ///
+    /// In a log outage bills wait for the log while their callers have their answers. Were those still in progress, an
+    /// account would be refused after as many requests as it may have at once, until the log is back.
+    pub(crate) fn leave(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && std::mem::take(&mut request.entered)
+        {
+            let account = request.account().clone();
+            self.leave_account(&account);
+        }
+    }
+
     /// Makes sure that an account's entry is given back.
     pub(crate) fn leave_account(&mut self, account: &AccountId) {
         if let Entry::Occupied(mut limit) = self.accounts.entry(account.clone()) {
