Give up a dispatch that nobody carries out

A caller that hangs up in the moment of its claim's verdict leaves a dispatch without a task to send it: the command lies unread in the line that is dropped, or the line is gone already. For a call that may not be repeated the core then waited for its end for ever, its claim stood, and each retry was told until the router's end that the call was in progress. A completion was billed with all that it had reserved, though nothing ran. The same whole reservation was billed for a completion whose caller hung up while its failed endpoint was examined.

Ruled out: a time limit on runs, which can't tell a lost one from a slow one. The desk now tells the core of a run that nobody will send (`RunEnd::Unsent`), which gives the claim up, or bills what an earlier, broken run used. A hang-up while a request runs says nothing by itself any more: the task that has the run says how it went. The run is kept for cancelling until its failed endpoint was examined.

--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -98,8 +98,9 @@
             }
             Begun::Stopped(command) => return refuse(&mut line, command, res),
             Begun::Over(end) => {
-                line.run = None;
                 let end = engine::examined(&desk, &run, end).await;
+                // Not sooner: a caller that hangs up meanwhile must have its run cancelled and its use counted.
+                line.run = None;
                 desk.tell(Event::Ended(line.id, end));
             }
         }
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -122,10 +122,17 @@
     }
 
     /// Passes the core's command on to a request's task. One whose caller is gone has none.
+    ///
+    /// A run that nobody will send is told of: the core would wait for its end for ever, and so would each retry.
     pub(crate) fn command(&self, id: RequestId, command: Command) {
         self.measure(&command);
-        if let Some(sender) = lock(&self.commands).get(&id) {
-            let _ = sender.send(command);
+        let sender = lock(&self.commands).get(&id).cloned();
+        let lost = match sender {
+            Some(sender) => sender.send(command).err().map(|error| error.0),
+            None => Some(command),
+        };
+        if let Some(Command::Run(_)) = lost {
+            self.tell(Event::Ended(id, RunEnd::Unsent));
         }
     }
 
@@ -234,6 +241,12 @@
         if self.over {
             return;
         }
+        // A run that lies here unread has not been sent, and now won't be.
+        while let Ok(command) = self.commands.try_recv() {
+            if let Command::Run(_) = command {
+                return self.desk.tell(Event::Ended(self.id, RunEnd::Unsent));
+            }
+        }
         match (self.run.take(), Handle::try_current()) {
             (Some(run), Ok(handle)) => {
                 let desk = self.desk.clone();
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -226,6 +226,8 @@
         /// How long the endpoint asks to be left alone, if it does.
         retry: Option<Duration>,
     },
+    /// Nobody sent the request: its caller was gone when it was dispatched.
+    Unsent,
     /// The endpoint failed after it had the request.
     Broken {
         /// What is known to have been used; nothing where nobody knows.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -217,7 +217,7 @@
             RunEnd::NotRun { .. } | RunEnd::Broken { .. } => {
                 (Sample::Other, Some(Evidence::Failed))
             }
-            RunEnd::CallerGone { .. } => (Sample::Other, None),
+            RunEnd::CallerGone { .. } | RunEnd::Unsent => (Sample::Other, None),
         };
         if matches!(end, RunEnd::NotRun { .. } | RunEnd::Broken { .. }) {
             request.tried.push(endpoint.clone());
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -96,6 +96,7 @@
             RunEnd::NotRun { retry } => self.not_run(now, id, retry),
             RunEnd::Broken { usage, begun, .. } => self.broken(now, id, usage, begun),
             RunEnd::CallerGone { usage } => self.caller_gone(id, usage),
+            RunEnd::Unsent => self.unsent(now, id),
         }
     }
 
@@ -230,6 +231,18 @@
         self.effects.push(Effect::Cut(id, Box::new(problem)));
     }
 
+    /// Gives up a request that was dispatched when its caller was gone already.
+    ///
+    /// No answer will come. Were its claim left standing, each retry would be told that the request is in progress.
+    fn unsent(&mut self, now: Instant, id: RequestId) {
+        let request = &mut self.requests[&id];
+        request.dispatched = request.wasted > Tokens::ZERO;
+        match request.dispatched {
+            true => self.bill(id, Tokens::ZERO, Outcome::Cut, Then::Nothing),
+            false => self.abandon(now, id),
+        }
+    }
+
     /// Bills what a caller that went away had of its answer.
     fn caller_gone(&mut self, id: RequestId, usage: Option<Usage>) {
         let request = &self.requests[&id];
@@ -267,11 +280,9 @@
             return;
         };
         match &request.state {
-            // A call that may not be repeated goes on without its caller: a retry is answered with its outcome.
-            State::Running { .. } if !request.idempotent => {}
-            State::Running { .. } => {
-                self.ended(now, id, RunEnd::CallerGone { usage: None });
-            }
+            // A call goes on without its caller: a retry is answered with its outcome. Whoever runs a completion, or
+            // finds that nobody does, says so next.
+            State::Running { .. } => {}
             State::Billing { .. } => {
                 self.requests[&id].state = State::Billing {
                     then: Then::Nothing,
@@ -392,5 +403,6 @@
         RunEnd::NotRun { .. } => "not-run",
         RunEnd::Broken { .. } => "broken",
         RunEnd::CallerGone { .. } => "caller-gone",
+        RunEnd::Unsent => "unsent",
     }
 }
