Test the core as plain values

The core had no unit tests; what it does in an outage, a partition or a wrong close was seen through processes alone, where few moments can be hit. The new tests run one core or two against a log in memory that feeds back what was appended, takes it without an answer, or is down; time passes only when a test says so. They cover group commit and repeated appends, contended keys, each proof of "not run", outages (a peer keeps claims and bills, no keeper, what is held, a dead router's bills), how long each kind of silence is borne on both sides, a wrong close with requests in each state, hang-ups and planned stops. A random test runs 200 series of up to 120 steps with a fixed seed over two cores and checks: no panic, no budget passed, bills add up to what was spent, nothing available beyond what the ledger holds, no call answered twice or answered and refused as not run.

--- /dev/null
+++ b/src/router/tests/bench.rs
@@ -0,0 +1,439 @@
+//! One core or two, and a log in memory between them. It is no simulator: time passes and the log answers only when a test
+//! says so.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::decide::Lean;
+use crate::ids::Attempt;
+use crate::ids::Fingerprint;
+use crate::ids::Offset;
+use crate::ids::RequestId;
+use crate::ids::RequestKey;
+use crate::key_hash::KeyHash;
+use crate::labels::Labels;
+use crate::ledger::KeyState;
+use crate::ledger::Ledger;
+use crate::ledger::decode;
+use crate::router::AdminId;
+use crate::router::AdminRequest;
+use crate::router::Arrival;
+use crate::router::Core;
+use crate::router::Effect;
+use crate::router::Entry;
+use crate::router::Event;
+use crate::router::Pace;
+use crate::router::Problem;
+use crate::router::Run;
+use crate::router::RunEnd;
+use crate::router::Secret;
+use crate::router::Tuning;
+use crate::router::Usage;
+use crate::router::Work;
+use crate::settings::EndMarker;
+use crate::tokens::Tokens;
+use crate::vms::VmEntry;
+use crate::vms::VmList;
+use crate::vms::VmState;
+
+/// The commit interval of the cores.
+pub(crate) const COMMIT: Duration = Duration::from_millis(25);
+
+/// How long a batch may go without its verdict.
+pub(crate) const OUTAGE: Duration = Duration::from_millis(500);
+
+/// What a call costs.
+pub(crate) const PRICE: u64 = 5;
+
+/// What the team has prepaid, unless a test says otherwise.
+pub(crate) const BUDGET: u64 = 100_000;
+
+/// How the log service answers appends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Log {
+    /// They take effect and are answered.
+    Up,
+    /// They take effect, and the answer is lost.
+    LosesAnswers,
+    /// They neither take effect nor are answered.
+    Down,
+}
+
+/// One router.
+pub(crate) struct Node {
+    pub(crate) core: Core,
+    /// What it did that is not the log's or the peers' affair.
+    pub(crate) out: Vec<Effect>,
+    /// The batches that it sent off, one for each try.
+    pub(crate) sent: Vec<Vec<u8>>,
+    read: usize,
+}
+
+/// One core or two, and a log.
+pub(crate) struct Bench {
+    pub(crate) now: Instant,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) log: Log,
+    /// Whether the routers hear each other.
+    pub(crate) linked: bool,
+    pub(crate) records: Vec<Vec<u8>>,
+    started: Instant,
+    next: u64,
+}
+
+pub(crate) fn tuning(at: usize) -> Tuning {
+    Tuning {
+        vm: format!("router-{at}").parse().expect("a name"),
+        domain: format!("domain-{at}").parse().expect("a name"),
+        address: format!("127.0.0.1:{}", 8000 + at),
+        lean: Lean::Strict,
+        pace: Pace {
+            interval: COMMIT,
+            timeout: OUTAGE,
+        },
+        outage: OUTAGE,
+        marker: EndMarker::Peers,
+        heartbeat: Duration::from_millis(100),
+        silence: Duration::from_secs(4),
+        patience: Duration::from_secs(60),
+        queue: 512,
+        retention: Duration::from_secs(3600),
+        wait: Duration::from_secs(10),
+        keep: Duration::from_secs(30),
+        parted: Duration::from_secs(3600),
+        drain: Duration::from_secs(60),
+    }
+}
+
+impl Bench {
+    /// Brings up so many cores, which serve, and gives the team its budget.
+    pub(crate) fn start(routers: usize) -> Self {
+        Self::tuned((0..routers).map(tuning).collect())
+    }
+
+    pub(crate) fn tuned(tunings: Vec<Tuning>) -> Self {
+        let mut bench = Self::unfunded(tunings);
+        bench.top_up("first", BUDGET);
+        bench
+    }
+
+    pub(crate) fn unfunded(tunings: Vec<Tuning>) -> Self {
+        let now = Instant::now();
+        let nodes = tunings.into_iter().enumerate();
+        let nodes = nodes.map(|(at, tuning)| Node {
+            core: Core::new(now, tuning, at as u64 + 1),
+            out: Vec::new(),
+            sent: Vec::new(),
+            read: 0,
+        });
+        let mut bench = Self {
+            now,
+            nodes: nodes.collect(),
+            log: Log::Up,
+            linked: true,
+            records: Vec::new(),
+            started: now,
+            next: 1,
+        };
+        let list = vm_list(bench.nodes.len());
+        for at in 0..bench.nodes.len() {
+            let entry = Entry {
+                offset: Offset(0),
+                at: 1,
+                data: config().to_string().into_bytes(),
+            };
+            bench.tell(at, Event::ConfigEntries(vec![entry]));
+            bench.tell(at, Event::VmList(list.clone()));
+            bench.tell(at, Event::CaughtUp);
+        }
+        bench.pass(200);
+        for node in &bench.nodes {
+            assert!(node.core.serving());
+        }
+        bench
+    }
+
+    pub(crate) fn top_up(&mut self, id: &str, amount: u64) {
+        let request = AdminRequest::TopUp {
+            id: id.parse().expect("a name"),
+            team: "loans".parse().expect("a name"),
+            amount: Tokens(amount),
+        };
+        self.tell(0, Event::Admin(AdminId(u64::MAX), request));
+        self.pass(200);
+    }
+
+    /// Tells a core of an event and carries out what it wants of the log and of the other.
+    pub(crate) fn tell(&mut self, at: usize, event: Event) {
+        let effects = self.nodes[at].core.handle(self.now, event);
+        for effect in effects {
+            self.carry_out(at, effect);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Append {
+                router,
+                sequence,
+                bytes,
+            } => {
+                self.nodes[at].sent.push(bytes.clone());
+                if self.log != Log::Down {
+                    self.records.push(bytes);
+                }
+                if self.log != Log::Down {
+                    let landed = self.log == Log::Up;
+                    let event = Event::Appended {
+                        router,
+                        sequence,
+                        landed,
+                    };
+                    self.tell(at, event);
+                }
+            }
+            Effect::AppendKept(bytes) if self.log != Log::Down => self.records.push(bytes),
+            Effect::Beat(beat, _) if self.linked => {
+                for other in (0..self.nodes.len()).filter(|other| *other != at) {
+                    self.tell(other, Event::Heard(beat.clone()));
+                }
+            }
+            Effect::Keep(batches, peers) if self.linked && !peers.is_empty() => {
+                let other = 1 - at;
+                let event = Event::Keep(AdminId(0), batches.clone());
+                let answers = self.nodes[other].core.handle(self.now, event);
+                let keeps = |e: &Effect| matches!(e, Effect::Answer(AdminId(0), 200, _));
+                if answers.iter().any(keeps) {
+                    let event = Event::Kept {
+                        peer: peers[0].vm.clone(),
+                        router: batches.router,
+                        last: batches.last,
+                        records: batches.records,
+                    };
+                    self.tell(at, event);
+                }
+            }
+            Effect::Beat(..) | Effect::Keep(..) | Effect::AppendKept(_) => {}
+            other => self.nodes[at].out.push(other),
+        }
+    }
+
+    /// Shows a core what the log has that it has not read.
+    pub(crate) fn read(&mut self, at: usize) {
+        if self.log == Log::Down {
+            return;
+        }
+        let from = self.nodes[at].read;
+        let millis = u64::try_from((self.now - self.started).as_millis()).expect("it fits");
+        let entries: Vec<_> = (from..self.records.len())
+            .map(|offset| Entry {
+                offset: Offset(offset as u64),
+                at: 1 + millis,
+                data: self.records[offset].clone(),
+            })
+            .collect();
+        self.nodes[at].read = self.records.len();
+        // A reader that waits for records is answered after a while also where there are none.
+        self.tell(at, Event::LedgerEntries(entries));
+    }
+
+    /// Lets time pass, in steps of the loop's tick, with the log read at each.
+    pub(crate) fn pass(&mut self, millis: u64) {
+        let step = 5;
+        for _ in 0..millis.div_ceil(step) {
+            self.now += Duration::from_millis(step);
+            for at in 0..self.nodes.len() {
+                self.read(at);
+                self.tell(at, Event::Tick);
+            }
+        }
+    }
+
+    /// Names a request.
+    pub(crate) fn id(&mut self) -> RequestId {
+        self.next += 1;
+        RequestId(self.next)
+    }
+
+    /// A completion of at most 100 tokens.
+    pub(crate) fn chat(&mut self, key: &str, attempt: u64) -> Arrival {
+        Arrival {
+            id: self.id(),
+            bearer: Secret("yard-key".to_owned()),
+            key: key.parse().expect("a name"),
+            attempt: Attempt(attempt),
+            labels: Labels::default(),
+            work: Work::Completion {
+                model: "demo".parse().expect("a name"),
+                prompt: 10,
+                limit: Some(Tokens(100)),
+                blocks: Vec::new(),
+            },
+            request: Fingerprint(7),
+            patience: None,
+            priority: None,
+        }
+    }
+
+    /// A call that may not be repeated.
+    pub(crate) fn call(&mut self, key: &str, attempt: u64) -> Arrival {
+        Arrival {
+            work: Work::Call {
+                service: "records".to_owned(),
+                method: "POST".to_owned(),
+            },
+            ..self.chat(key, attempt)
+        }
+    }
+
+    /// Has a request arrive at a router.
+    pub(crate) fn arrive(&mut self, at: usize, arrival: &Arrival) -> RequestId {
+        self.tell(at, Event::Arrived(Box::new(arrival.clone())));
+        arrival.id
+    }
+
+    /// Has a request arrive, and waits until it was dispatched.
+    pub(crate) fn dispatched(&mut self, at: usize, arrival: &Arrival) -> RequestId {
+        let id = self.arrive(at, arrival);
+        self.pass(200);
+        assert_eq!(self.nodes[at].runs(id).len(), 1, "{:?}", self.nodes[at].out);
+        id
+    }
+
+    /// Ends a completion's run whole.
+    pub(crate) fn whole(&mut self, at: usize, id: RequestId) {
+        let usage = Usage {
+            prompt: Tokens(3),
+            answer: Tokens(20),
+        };
+        self.tell(at, Event::Ended(id, RunEnd::Whole { usage }));
+    }
+
+    /// Ends all runs of a router whole.
+    pub(crate) fn end_all(&mut self, at: usize) {
+        let ids: Vec<_> = self.nodes[at].core.requests.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.whole(at, id));
+    }
+
+    /// Folds the whole log anew.
+    pub(crate) fn ledger(&self) -> Ledger {
+        let mut ledger = Ledger::default();
+        for (offset, bytes) in self.records.iter().enumerate() {
+            let batch = decode(bytes).expect("a batch");
+            ledger.apply(Offset(offset as u64), offset as u64, &batch);
+        }
+        ledger
+    }
+
+    pub(crate) fn key_state(&self, key: &str) -> Option<KeyState> {
+        let key = RequestKey {
+            account: "yard".parse().expect("a name"),
+            key: key.parse().expect("a name"),
+        };
+        self.ledger().key(&key).cloned()
+    }
+
+    /// Returns what the log says that a request was billed.
+    pub(crate) fn bill(&self, key: &str) -> Option<u64> {
+        Some(self.key_state(key)?.bill?.amount.0)
+    }
+
+    /// Returns what the log says that the team spent.
+    pub(crate) fn spent(&self) -> u64 {
+        let team = "loans".parse().expect("a name");
+        self.ledger().team(&team).map_or(0, |team| team.spent.0)
+    }
+}
+
+impl Node {
+    /// Returns a request's dispatches.
+    pub(crate) fn runs(&self, id: RequestId) -> Vec<&Run> {
+        let runs = self.out.iter().filter_map(|effect| match effect {
+            Effect::Run(of, run) if *of == id => Some(&**run),
+            _ => None,
+        });
+        runs.collect()
+    }
+
+    /// Counts all dispatches.
+    pub(crate) fn dispatches(&self) -> u64 {
+        let runs = self.out.iter().filter(|e| matches!(e, Effect::Run(..)));
+        runs.count() as u64
+    }
+
+    /// Returns a request's refusal.
+    pub(crate) fn refusal(&self, id: RequestId) -> Option<&Problem> {
+        self.out.iter().find_map(|effect| match effect {
+            Effect::Refuse(of, problem) | Effect::Cut(of, problem) if *of == id => Some(&**problem),
+            _ => None,
+        })
+    }
+
+    /// Returns whether the end of a request's answer went out.
+    pub(crate) fn released(&self, id: RequestId) -> bool {
+        let release = |effect: &Effect| matches!(effect, Effect::Release(of) if *of == id);
+        self.out.iter().any(release)
+    }
+
+    /// Returns whether a request's answer was cut.
+    pub(crate) fn cut(&self, id: RequestId) -> bool {
+        let cut = |effect: &Effect| matches!(effect, Effect::Cut(of, _) if *of == id);
+        self.out.iter().any(cut)
+    }
+
+    /// Returns what a request was answered with from the ledger.
+    pub(crate) fn replayed(&self, id: RequestId) -> Option<(u16, &[u8])> {
+        self.out.iter().find_map(|effect| match effect {
+            Effect::Replay(of, replay) if *of == id => Some((replay.status, &replay.body[..])),
+            _ => None,
+        })
+    }
+}
+
+fn vm_list(routers: usize) -> VmList {
+    let entry = |vm: &str, port: u16, domain: &str, role: &str, peer: Option<u16>| {
+        let mut labels = Labels::default();
+        labels.set("role", role);
+        if let Some(peer) = peer {
+            labels.set("peer", &format!("127.0.0.1:{peer}"));
+        }
+        VmEntry {
+            vm: vm.parse().expect("a name"),
+            address: ([127, 0, 0, 1], port).into(),
+            domain: domain.parse().expect("a name"),
+            labels,
+            state: VmState::Live,
+        }
+    };
+    let mut vms = vec![
+        entry("engine-0", 9000, "domain-0", "engine", None),
+        entry("engine-1", 9001, "domain-1", "engine", None),
+        entry("records-0", 9100, "domain-0", "records", None),
+    ];
+    for at in 0..routers as u16 {
+        let vm = format!("router-{at}");
+        let domain = format!("domain-{at}");
+        vms.push(entry(&vm, 8000 + at, &domain, "router", Some(7000 + at)));
+    }
+    VmList { as_of: 1, vms }
+}
+
+fn config() -> Value {
+    let change = |kind: &str, name: &str, body: Value| json!({"kind": kind, "name": name, "base": 0, "body": {kind: body}});
+    let rule = |order: u64, what: &str, value: &str, pool: &str| json!({"order": order, "when": {what: [value]}, "team": "loans", "pool": pool});
+    json!({"format": 1, "by": "test", "changes": [
+        change("pool", "engines", json!({
+            "kind": {"engine": {"models": ["demo"], "max_tokens": 1000}}, "select": {"role": ["engine"]},
+        })),
+        change("pool", "records", json!({
+            "kind": {"service": {"name": "records", "price": PRICE}}, "select": {"role": ["records"]},
+        })),
+        change("team", "loans", json!({"bearer": "team"})),
+        change("account", "yard", json!({"keys": [KeyHash::of("yard-key").to_string()]})),
+        change("rule", "chat", rule(10, "model", "demo", "engines")),
+        change("rule", "records", rule(20, "service", "records", "records")),
+    ]})
+}
--- /dev/null
+++ b/src/router/tests/hung_up.rs
@@ -0,0 +1,130 @@
+//! Callers that go away.
+
+use crate::ledger::Outcome;
+use crate::router::Event;
+use crate::router::RunEnd;
+use crate::router::Usage;
+use crate::router::tests::bench::Bench;
+use crate::router::tests::bench::PRICE;
+use crate::tokens::Tokens;
+
+/// A caller hangs up while its call's claim is on its way. Nothing was sent to the service, so nothing is billed and the
+/// retry runs.
+#[test]
+fn before_the_claims_verdict_the_claim_is_given_up() {
+    let mut bench = Bench::start(1);
+    let ask = bench.call("h1", 1);
+    let id = bench.arrive(0, &ask);
+    bench.tell(0, Event::HungUp(id));
+    bench.pass(300);
+    assert!(bench.nodes[0].runs(id).is_empty());
+    assert!(bench.nodes[0].core.requests.is_empty());
+    assert_eq!(bench.spent(), 0);
+    let retry = bench.call("h1", 2);
+    bench.dispatched(0, &retry);
+}
+
+/// The core dispatches a call in the moment in which its caller hangs up: the task that was to send it is gone. Nobody
+/// sends it, and no answer ever comes. Were its claim left standing, each retry would be told until the router's end that
+/// the call is in progress.
+#[test]
+fn a_dispatch_that_nobody_carries_out_is_given_up() {
+    for hung_up_first in [true, false] {
+        let mut bench = Bench::start(1);
+        for (key, call) in [("h2", true), ("h3", false)] {
+            let mut ask = bench.chat(key, 1);
+            if call {
+                ask = bench.call(key, 1);
+            }
+            let id = bench.dispatched(0, &ask);
+            if hung_up_first {
+                bench.tell(0, Event::HungUp(id));
+            }
+            bench.tell(0, Event::Ended(id, RunEnd::Unsent));
+            bench.pass(300);
+            assert!(!bench.nodes[0].core.requests.contains_key(&id), "{key}");
+            assert_eq!(bench.bill(key), None, "{key}");
+            assert_eq!(bench.spent(), 0);
+            let mut retry = bench.chat(key, 2);
+            if call {
+                retry = bench.call(key, 2);
+            }
+            let retry = bench.dispatched(0, &retry);
+            assert_ne!(retry, id);
+        }
+    }
+}
+
+/// The first endpoint broke over a completion after it had used some tokens, and the caller hung up before the next one
+/// was asked. What was used is billed once.
+#[test]
+fn what_an_earlier_run_used_is_billed_though_the_next_is_not_sent() {
+    let mut bench = Bench::start(1);
+    let ask = bench.chat("h4", 1);
+    let id = bench.dispatched(0, &ask);
+    let usage = Usage {
+        prompt: Tokens(3),
+        answer: Tokens(4),
+    };
+    let broken = RunEnd::Broken {
+        usage: Some(usage),
+        begun: false,
+        died: false,
+    };
+    bench.tell(0, Event::Ended(id, broken));
+    assert_eq!(bench.nodes[0].runs(id).len(), 2);
+    bench.tell(0, Event::HungUp(id));
+    bench.tell(0, Event::Ended(id, RunEnd::Unsent));
+    bench.pass(300);
+    assert_eq!(bench.bill("h4"), Some(7));
+    assert_eq!(bench.spent(), 7);
+    assert!(bench.nodes[0].core.requests.is_empty());
+}
+
+#[test]
+fn while_a_call_runs_its_outcome_is_kept() {
+    let mut bench = Bench::start(1);
+    let ask = bench.call("h5", 1);
+    let id = bench.dispatched(0, &ask);
+    bench.tell(0, Event::HungUp(id));
+    bench.pass(200);
+    let body = Some(b"receipt".to_vec());
+    bench.tell(0, Event::Ended(id, RunEnd::Answered { status: 201, body }));
+    bench.pass(200);
+    let again = bench.call("h5", 2);
+    let again = bench.arrive(0, &again);
+    assert_eq!(bench.nodes[0].replayed(again), Some((201, &b"receipt"[..])));
+    assert_eq!(bench.spent(), PRICE);
+}
+
+#[test]
+fn in_a_stream_what_was_used_is_billed() {
+    let mut bench = Bench::start(1);
+    let ask = bench.chat("h6", 1);
+    let id = bench.dispatched(0, &ask);
+    bench.tell(0, Event::Started(id));
+    let usage = Some(Usage {
+        prompt: Tokens(3),
+        answer: Tokens(5),
+    });
+    bench.tell(0, Event::Ended(id, RunEnd::CallerGone { usage }));
+    bench.pass(200);
+    let bill = bench
+        .key_state("h6")
+        .and_then(|key| key.bill)
+        .expect("a bill");
+    assert_eq!((bill.amount, bill.outcome), (Tokens(8), Outcome::Cut));
+    assert_eq!(bench.spent(), 8);
+}
+
+#[test]
+fn while_its_bill_is_on_its_way_the_bill_stands() {
+    let mut bench = Bench::start(1);
+    let ask = bench.chat("h7", 1);
+    let id = bench.dispatched(0, &ask);
+    bench.whole(0, id);
+    bench.tell(0, Event::HungUp(id));
+    bench.pass(200);
+    assert_eq!(bench.bill("h7"), Some(23));
+    assert!(bench.nodes[0].core.requests.is_empty());
+}
--- /dev/null
+++ b/src/router/tests/mod.rs
@@ -0,0 +1,18 @@
+//! Tests of the core as plain values: events in, effects out, and a log in memory that feeds what was appended back.
+
+#![expect(
+    clippy::disallowed_methods,
+    reason = "a test takes the moment at which it starts from the system"
+)]
+
+mod bench;
+mod commit;
+mod contended;
+mod drained;
+mod hung_up;
+mod isolated;
+mod outage;
+mod purse;
+mod random;
+mod refused;
+mod reincarnated;
--- /dev/null
+++ b/src/router/tests/outage.rs
@@ -0,0 +1,169 @@
+//! Log outages.
+
+use crate::decide::Lean;
+use crate::router::Event;
+use crate::router::ProblemKind;
+use crate::router::Ran;
+use crate::router::Silence;
+use crate::router::Tuning;
+use crate::router::tests::bench::Bench;
+use crate::router::tests::bench::Log;
+use crate::router::tests::bench::tuning;
+use crate::settings::EndMarker;
+
+/// Brings up two cores that hold budget, of which the first has noticed that the log is down.
+fn in_outage(change: impl Fn(Tuning) -> Tuning) -> Bench {
+    let mut bench = Bench::tuned(vec![change(tuning(0)), change(tuning(1))]);
+    for at in 0..2 {
+        let ask = bench.chat(&format!("before-{at}"), 1);
+        let id = bench.dispatched(at, &ask);
+        bench.whole(at, id);
+    }
+    bench.pass(2000);
+    bench.log = Log::Down;
+    // What meets the outage first waits until it counts as one.
+    let ask = bench.chat("first", 1);
+    bench.arrive(0, &ask);
+    bench.pass(800);
+    assert!(bench.nodes[0].core.in_outage(bench.now));
+    bench
+}
+
+/// The log is down for a while. A caller's completion is served all the same: another router keeps its claim and then its
+/// bill, so that neither is lost with this router, and the caller gets its whole answer before the log is back.
+#[test]
+fn a_completion_is_served_whole_while_a_peer_keeps_its_records() {
+    let mut bench = in_outage(|tuning| tuning);
+    let ask = bench.chat("o1", 1);
+    let id = bench.dispatched(0, &ask);
+    bench.whole(0, id);
+    bench.pass(200);
+    assert!(bench.nodes[0].released(id));
+    assert_eq!(bench.bill("o1"), None);
+    bench.log = Log::Up;
+    bench.pass(2000);
+    assert_eq!(bench.bill("o1"), Some(23));
+}
+
+#[test]
+fn with_hold_the_end_waits_for_the_log() {
+    let mut bench = in_outage(|tuning| Tuning {
+        marker: EndMarker::Hold,
+        ..tuning
+    });
+    let ask = bench.chat("o2", 1);
+    let id = bench.dispatched(0, &ask);
+    bench.whole(0, id);
+    bench.pass(1000);
+    assert!(!bench.nodes[0].released(id));
+    bench.log = Log::Up;
+    bench.pass(2000);
+    assert!(bench.nodes[0].released(id));
+    assert_eq!(bench.bill("o2"), Some(23));
+}
+
+/// A call that may not be repeated could be claimed by another router that reaches the log. It is refused, and nothing of
+/// it runs later.
+#[test]
+fn a_call_that_may_not_be_repeated_is_refused() {
+    let mut bench = in_outage(|tuning| tuning);
+    let ask = bench.call("o3", 1);
+    let id = bench.arrive(0, &ask);
+    bench.pass(100);
+    let refusal = bench.nodes[0].refusal(id).expect("a refusal");
+    assert_eq!(
+        (refusal.kind, refusal.ran),
+        (ProblemKind::LogOutage, Ran::No)
+    );
+    // Without the caller's word that it is the first try, nothing proves it.
+    let again = bench.call("o3", 2);
+    let again = bench.arrive(0, &again);
+    bench.pass(100);
+    let refusal = bench.nodes[0].refusal(again).expect("a refusal");
+    assert_eq!(
+        (refusal.kind, refusal.ran),
+        (ProblemKind::LogOutage, Ran::Unknown)
+    );
+    bench.log = Log::Up;
+    bench.pass(2000);
+    assert!(bench.nodes[0].runs(id).is_empty() && bench.nodes[0].runs(again).is_empty());
+}
+
+/// The router hears no other in the outage. Nobody would keep its records, so the end of no answer could go out: it
+/// refuses rather than spend tokens on it.
+#[test]
+fn without_a_keeper_a_completion_is_refused() {
+    for lean in [Lean::Strict, Lean::Available] {
+        let mut bench = in_outage(|tuning| Tuning { lean, ..tuning });
+        bench.linked = false;
+        bench.pass(4000);
+        let ask = bench.chat("o4", 1);
+        let id = bench.arrive(0, &ask);
+        bench.pass(200);
+        let refusal = bench.nodes[0].refusal(id).expect("a refusal");
+        assert_eq!(refusal.kind, ProblemKind::LogOutage);
+        assert!(bench.nodes[0].runs(id).is_empty());
+        bench.log = Log::Up;
+        bench.linked = true;
+        bench.pass(3000);
+        assert!(bench.nodes[0].runs(id).is_empty());
+        assert_eq!(bench.bill("o4"), None);
+    }
+}
+
+/// More is asked for in the outage than the router holds. It can't draw, and refuses; what it serves stays within what it
+/// holds.
+#[test]
+fn no_more_is_served_than_is_held() {
+    let mut bench = in_outage(|tuning| tuning);
+    let me = bench.nodes[0].core.me;
+    let team = "loans".parse().expect("a name");
+    let held = bench.ledger().holding(me, &team);
+    let held = held.free.0 + held.claimed.0;
+    let before = bench.nodes[0].dispatches();
+    for number in 0..1500 {
+        let ask = bench.chat(&format!("much-{number}"), 1);
+        bench.arrive(0, &ask);
+        bench.pass(10);
+        bench.end_all(0);
+    }
+    bench.pass(3000);
+    bench.end_all(0);
+    let served = bench.nodes[0].dispatches() - before;
+    // Each reserved 110 tokens and gave back what it did not use, 87 of them.
+    assert!(served > 256, "{served} were served out of {held}");
+    assert!(served * 23 <= held, "{served} of 23 out of {held}");
+    let last = bench.chat("last", 1);
+    let last = bench.arrive(0, &last);
+    bench.pass(3000);
+    assert_eq!(
+        bench.nodes[0].refusal(last).map(|p| p.kind),
+        Some(ProblemKind::LogOutage)
+    );
+    bench.log = Log::Up;
+    bench.pass(5000);
+    let all = bench.nodes[0].dispatches() + bench.nodes[1].dispatches();
+    assert_eq!(bench.spent(), all * 23, "each that was served is billed");
+}
+
+/// The router dies in the outage with bills that only its peer keeps. When the log is back the peer appends them before it
+/// closes the dead one, so that what callers had is billed.
+#[test]
+fn a_dead_routers_bills_are_brought_by_its_peer() {
+    let mut bench = in_outage(|tuning| tuning);
+    let ask = bench.chat("o5", 1);
+    let id = bench.dispatched(0, &ask);
+    bench.whole(0, id);
+    bench.pass(200);
+    assert!(bench.nodes[0].released(id));
+    let dead = bench.nodes[0].core.me;
+    bench.nodes.remove(0);
+    bench.log = Log::Up;
+    for _ in 0..80 {
+        let vm = "router-0".parse().expect("a name");
+        bench.tell(0, Event::Unheard(vm, Silence::Refused));
+        bench.pass(100);
+    }
+    assert!(!bench.ledger().is_open(dead));
+    assert_eq!(bench.bill("o5"), Some(23));
+}
--- /dev/null
+++ b/src/router/tests/random.rs
@@ -0,0 +1,266 @@
+//! Many interleavings: whatever happens in whatever order, nothing panics, no budget is passed, each request is billed
+//! once, and a call that may not be repeated is dispatched once.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use crate::ids::RequestId;
+use crate::ledger::Ledger;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Ran;
+use crate::router::RunEnd;
+use crate::router::Silence;
+use crate::router::Usage;
+use crate::router::tests::bench::Bench;
+use crate::router::tests::bench::Log;
+use crate::router::tests::bench::tuning;
+use crate::tokens::Tokens;
+
+/// What the team has prepaid: enough for some of the requests.
+const BUDGET: u64 = 1_500;
+
+/// What the steps are drawn from.
+const SEED: u64 = 1;
+
+/// What happens next; the numbers pick the router, the key and the like.
+#[derive(Clone, Debug)]
+enum Step {
+    Chat(usize, u8, u8),
+    Call(usize, u8, u8),
+    HungUp(usize, usize),
+    Ended(usize, usize, u8),
+    Log(u8),
+    Link(bool),
+    Pass(u16),
+    Leap(u16),
+    Paused(usize),
+    Unheard(usize, u8),
+    TopUp(u8, u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let at = usize::arbitrary(g) % 2;
+        let any = usize::arbitrary(g);
+        let (a, b) = (u8::arbitrary(g), u8::arbitrary(g));
+        match u8::arbitrary(g) % 24 {
+            0..=4 => Self::Chat(at, a, b),
+            5..=8 => Self::Call(at, a, b),
+            9 => Self::HungUp(at, any),
+            10..=13 => Self::Ended(at, any, a),
+            14 => Self::Log(a),
+            15 => Self::Link(a % 3 > 0),
+            16..=20 => Self::Pass(u16::from(a)),
+            21 => match b % 4 {
+                0 => Self::Leap(u16::from(a) * 40),
+                1 => Self::Paused(at),
+                _ => Self::Pass(u16::from(a) * 4),
+            },
+            22 => Self::Unheard(at, a),
+            _ => Self::TopUp(a, b),
+        }
+    }
+}
+
+/// A run and what the test knows of it.
+struct Trial {
+    bench: Bench,
+    /// The keys of the calls, by request.
+    calls: IndexMap<RequestId, (String, usize)>,
+}
+
+impl Trial {
+    fn new() -> Self {
+        let mut bench = Bench::unfunded(vec![tuning(0), tuning(1)]);
+        bench.top_up("first", BUDGET);
+        Self {
+            bench,
+            calls: IndexMap::new(),
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        let bench = &mut self.bench;
+        match *step {
+            Step::Chat(at, key, attempt) => {
+                let ask = bench.chat(&format!("chat-{}", key % 12), u64::from(attempt % 4));
+                bench.arrive(at, &ask);
+            }
+            Step::Call(at, key, attempt) => {
+                let key = format!("call-{}", key % 12);
+                let ask = bench.call(&key, u64::from(attempt % 4));
+                let id = bench.arrive(at, &ask);
+                self.calls.insert(id, (key, at));
+            }
+            Step::HungUp(at, any) => {
+                if let Some(id) = self.pick(at, any) {
+                    self.bench.tell(at, Event::HungUp(id));
+                }
+            }
+            Step::Ended(at, any, how) => {
+                if let Some(id) = self.pick(at, any) {
+                    let end = self.end(id, how);
+                    self.bench.tell(at, Event::Ended(id, end));
+                }
+            }
+            Step::Log(how) => {
+                bench.log = match how % 4 {
+                    0 => Log::Down,
+                    1 => Log::LosesAnswers,
+                    _ => Log::Up,
+                }
+            }
+            Step::Link(linked) => bench.linked = linked,
+            Step::Pass(millis) => bench.pass(u64::from(millis)),
+            Step::Leap(millis) => bench.now += Duration::from_millis(u64::from(millis)),
+            Step::Paused(at) => {
+                bench.now += Duration::from_secs(5);
+                bench.tell(at, Event::Paused);
+            }
+            Step::Unheard(at, kind) => {
+                let vm = format!("router-{}", 1 - at).parse().expect("a name");
+                let silence = match kind % 3 {
+                    0 => Silence::Refused,
+                    1 => Silence::Mute,
+                    _ => Silence::Unreachable,
+                };
+                bench.tell(at, Event::Unheard(vm, silence));
+            }
+            Step::TopUp(id, amount) => bench.top_up(&format!("t{}", id % 4), u64::from(amount)),
+        }
+    }
+
+    /// Picks a request that a router has in progress.
+    fn pick(&self, at: usize, any: usize) -> Option<RequestId> {
+        let requests = &self.bench.nodes[at].core.requests;
+        let count = requests.len();
+        let (id, _) = requests.get_index(any.checked_rem(count)?)?;
+        Some(*id)
+    }
+
+    fn end(&self, id: RequestId, how: u8) -> RunEnd {
+        let usage = Usage {
+            prompt: Tokens(3),
+            answer: Tokens(u64::from(how)),
+        };
+        let known = how.is_multiple_of(2).then_some(usage);
+        match (how % 7, self.calls.contains_key(&id)) {
+            (0, _) => RunEnd::NotRun { retry: None },
+            (1, _) => RunEnd::Broken {
+                usage: known,
+                begun: false,
+                died: how > 128,
+            },
+            (2, _) => RunEnd::Unsent,
+            (_, true) => RunEnd::Answered {
+                status: 201,
+                body: Some(vec![how]),
+            },
+            (3, _) => RunEnd::Broken {
+                usage: known,
+                begun: true,
+                died: false,
+            },
+            (4, _) => RunEnd::CallerGone { usage: known },
+            _ => RunEnd::Whole { usage },
+        }
+    }
+
+    /// Mends all and lets it come to rest.
+    fn settle(&mut self) {
+        self.bench.log = Log::Up;
+        self.bench.linked = true;
+        self.bench.pass(3000);
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let ledger = self.bench.ledger();
+        let team = "loans".parse().expect("a name");
+        let state = ledger.team(&team).ok_or("no team")?;
+        let held: Tokens = ledger
+            .routers()
+            .map(|(router, _)| ledger.holding(router, &team))
+            .map(|holding| holding.free + holding.claimed)
+            .sum();
+        if state.spent + state.lost + held > state.prepaid {
+            return Err(format!("beyond the budget: {state:?}"));
+        }
+        let bills: Tokens = ledger
+            .keys()
+            .filter_map(|(_, key)| key.bill.as_ref())
+            .map(|bill| bill.amount)
+            .sum();
+        if bills != state.spent {
+            return Err(format!("bills of {bills}, spent {}", state.spent));
+        }
+        self.check_purses(&ledger)?;
+        self.check_calls()
+    }
+
+    /// What a router would reserve has to be there: after all is folded, it is what the ledger says at most.
+    fn check_purses(&self, ledger: &Ledger) -> Result<(), String> {
+        for node in &self.bench.nodes {
+            let core = &node.core;
+            for (team, purse) in &core.purses {
+                let free = ledger.holding(core.me, team).free;
+                let credit = core.appender.waiting() > 0;
+                if !credit && purse.available(free) > free {
+                    return Err(format!("{} available of {free}", purse.available(free)));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A call is dispatched once under its key, unless a dispatch never reached the service.
+    fn check_calls(&self) -> Result<(), String> {
+        let mut ran: IndexMap<&str, usize> = IndexMap::new();
+        for (id, (key, at)) in &self.calls {
+            let node = &self.bench.nodes[*at];
+            let refused = node
+                .refusal(*id)
+                .is_some_and(|problem| problem.ran == Ran::No);
+            let released = node.released(*id);
+            if refused && released {
+                return Err(format!("{key} was refused as not run and answered"));
+            }
+            *ran.entry(key).or_default() += usize::from(released);
+        }
+        match ran.iter().find(|(_, times)| **times > 1) {
+            Some((key, times)) => Err(format!("{key} was answered {times} times by a run")),
+            None => Ok(()),
+        }
+    }
+}
+
+fn holds(steps: Vec<Step>) -> Result<(), String> {
+    let mut trial = Trial::new();
+    for step in &steps {
+        trial.step(step);
+    }
+    trial.settle();
+    let exits = |effect: &Effect| matches!(effect, Effect::Exit { .. });
+    if trial
+        .bench
+        .nodes
+        .iter()
+        .any(|node| node.out.iter().any(exits))
+    {
+        return Err("it ended".to_owned());
+    }
+    trial.check()
+}
+
+#[test]
+fn no_interleaving_breaks_what_must_hold() {
+    println!("seed={SEED}");
+    QuickCheck::new()
+        .tests(200)
+        .rng(Gen::from_size_and_seed(120, SEED))
+        .quickcheck(holds as fn(Vec<Step>) -> Result<(), String>);
+}
