--- a/src/edge/vms.rs
+++ b/src/edge/vms.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
+use tracing::warn;
 
 use crate::edge::desk::Desk;
 use crate::router::Event;
@@ -19,8 +20,15 @@
 /// Reads the VM list for ever.
 pub(crate) async fn follow(url: BaseUrl, desk: Arc<Desk>) {
     let url = format!("{url}/v1/vms");
+    let mut reached = true;
     loop {
-        if let Some(list) = read(&desk, &url).await {
+        let list = read(&desk, &url).await;
+        // The last list goes on being used, so nothing else shows that it grows old.
+        if list.is_some() != reached {
+            reached = list.is_some();
+            warn!(event = "vm-list", reachable = reached);
+        }
+        if let Some(list) = list {
             desk.tell(Event::VmList(list));
         }
         sleep(EVERY).await;
--- a/tests/path/served.rs
+++ b/tests/path/served.rs
@@ -157,6 +157,29 @@
     Ok(())
 }
 
+/// The VM list goes down. Routers go on with the last one that they read, and say so in their logs: nothing else would
+/// show that it grows old.
+#[tokio::test]
+async fn without_the_vm_list_the_last_one_serves() -> Result<()> {
+    let site = Site::start(Plan::new("vm-list")).await?;
+    let router = &site.routers[0];
+    site.vms.fault("/v1/faults", &json!({"down": true})).await?;
+    wait_for("the router notices", PATIENCE, async || {
+        Ok(router.logged()?.contains("event=vm-list reachable=false"))
+    })
+    .await?;
+    let reply = router.ask(&Ask::plain("v1", "who may borrow", 5)).await?;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    site.vms.fault("/v1/faults", &json!({})).await?;
+    wait_for("the router has it again", PATIENCE, async || {
+        Ok(router.logged()?.contains("event=vm-list reachable=true"))
+    })
+    .await?;
+    assert_eq!(router.logged()?.matches("event=vm-list").count(), 2);
+    at_rest(&site).await?.assert_billed(&["v1"]);
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_request_beyond_the_budget_is_refused_as_not_run() -> Result<()> {
     let site = Site::start(Plan::new("spent")).await?;
--- a/tests/path/site.rs
+++ b/tests/path/site.rs
@@ -187,7 +187,7 @@
 /// A small site.
 pub(crate) struct Site {
     pub(crate) log: StandIn,
-    vms: StandIn,
+    pub(crate) vms: StandIn,
     pub(crate) engine: StandIn,
     pub(crate) service: StandIn,
     pub(crate) routers: Vec<Router>,
