--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -102,32 +102,25 @@
         self.draw_for_waiting(now, team);
     }
 
-    /// Draws for the requests that wait, and refuses those that no draw can help.
-    ///
-    /// A request of 65 tokens whose team has 43 left, undrawn, is as hopeless as one whose team has none: waiting would
-    /// only hold its refusal back.
     fn draw_for_waiting(&mut self, now: Instant, team: &TeamId) {
+        let scarce = self.note_short(now, team);
         let Some(purse) = self.purses.get(team) else {
             return;
         };
-        let state = self.ledger.team(team);
-        let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
-        let free = self.ledger.holding(self.me, team).free;
-        let reach = purse.available(free).saturating_add(undrawn);
-        let reserve = |id: &RequestId| self.requests.get(id).map(|request| request.reserve);
-        let needs: Vec<_> = purse.waiting.iter().filter_map(reserve).collect();
-        let Some(most) = needs.iter().max().copied() else {
+        let wanted: Tokens = purse
+            .waiting
+            .iter()
+            .filter_map(|id| self.requests.get(id))
+            .filter(|request| matches!(request.state, State::Funding { .. }))
+            .map(|request| request.reserve)
+            .sum();
+        if wanted == Tokens::ZERO {
             return;
-        };
-        let least = needs.iter().min().copied().unwrap_or(most);
-        if most > reach {
-            self.ask_others(team, most);
-            self.note_short(now, team, reach);
         }
-        if least <= reach {
-            let within: Tokens = needs.into_iter().filter(|need| *need <= reach).sum();
-            self.adjust(now, team, within.min(reach));
+        if scarce {
+            self.ask_others(team, wanted);
         }
+        self.adjust(now, team, wanted);
     }
 
     /// Draws though nothing is left: the others see the draw come back short, and give back what lies idle there.
@@ -149,29 +142,40 @@
         self.appender.push(record, Ticket::Draw(team.clone()));
     }
 
-    /// Marks since when the waiting requests need more than can be drawn, and refuses those that no one can serve.
-    fn note_short(&mut self, now: Instant, team: &TeamId, reach: Tokens) {
+    /// Marks since when the waiting requests ask for more than can be drawn, and refuses those that no one can serve;
+    /// returns whether one is such for the first time.
+    ///
+    /// What can be drawn need not be nought for that: the last tokens of a budget that are too few for any request would
+    /// be drawn and returned until the caller's deadline, though its refusal was certain from the start.
+    fn note_short(&mut self, now: Instant, team: &TeamId) -> bool {
+        let free = self.ledger.holding(self.me, team).free;
         let Some(purse) = self.purses.get(team) else {
-            return;
+            return false;
         };
-        let unspent = self.ledger.team(team).map_or(Tokens::ZERO, |t| t.unspent());
+        let state = self.ledger.team(team);
+        let unspent = state.map_or(Tokens::ZERO, |t| t.unspent());
+        let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
+        let reach = purse.available(free).saturating_add(undrawn);
+        let mut first = false;
         for id in purse.waiting.clone() {
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
             };
             let hopeless = request.reserve > unspent;
+            let scarce = request.reserve > reach;
             let State::Funding { short } = &mut request.state else {
                 continue;
             };
-            if request.reserve <= reach {
-                *short = None;
+            if !scarce {
                 continue;
             }
+            first |= short.is_none();
             let since = *short.get_or_insert(now);
             if hopeless || now >= since + SHORT_WAIT {
                 self.refuse_spent(now, id, hopeless);
             }
         }
+        first
     }
 
     fn refuse_spent(&mut self, now: Instant, id: RequestId, hopeless: bool) {
@@ -323,13 +327,7 @@
         let asked = self.fleet.keys().cloned();
         let teams: IndexSet<_> = self.purses.keys().cloned().chain(asked).collect();
         for team in teams {
-            let waits = self
-                .purses
-                .get(&team)
-                .is_some_and(|p| !p.waiting.is_empty());
-            if !waits {
-                self.adjust(now, &team, Tokens::ZERO);
-            }
+            self.adjust(now, &team, Tokens::ZERO);
         }
         let me = self.me;
         let ledger = &self.ledger;
