Blame no request for an engine that was down already

Change: within 5 s of an endpoint's fall, by this router or another's record, what is cut off there becomes no suspect; what is one already still counts.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -57,6 +57,9 @@
     })
 }
 
+/// How long an endpoint that fell may still be down: as long as an engine's process takes to be started again.
+const DOWN: Duration = Duration::from_secs(5);
+
 #[derive(Debug)]
 struct Suspect {
     endpoints: Vec<VmId>,
@@ -75,6 +78,8 @@
     running: IndexMap<VmId, IndexMap<Fingerprint, u32>>,
     suspects: IndexMap<Fingerprint, Suspect>,
     deaths: VecDeque<Death>,
+    /// When each endpoint last fell, by this router or by another's record.
+    fallen: IndexMap<VmId, Instant>,
 }
 
 impl Quarantine {
@@ -159,7 +164,8 @@
         if accident {
             return Vec::new();
         }
-        let blamed = self.blame(requests);
+        let blamed = self.blame(now, endpoint, requests);
+        self.fallen.insert(endpoint.clone(), now);
         for request in &blamed {
             self.learn(now, *request, endpoint);
         }
@@ -169,6 +175,7 @@
     /// Takes in a crash, of this router or from the ledger.
     pub fn learn(&mut self, now: Instant, request: Fingerprint, endpoint: &VmId) {
         self.expire(now);
+        self.fallen.insert(endpoint.clone(), now);
         let suspect = self.suspects.entry(request).or_insert(Suspect {
             endpoints: Vec::new(),
             at: now,
@@ -180,11 +187,20 @@
     }
 
     /// Picks those that explain a death: the ones that were suspects before, or else all.
-    fn blame(&self, requests: Vec<Fingerprint>) -> Vec<Fingerprint> {
+    ///
+    /// An endpoint that fell a moment ago cuts off whatever is sent to it until it is up again. A request that met only
+    /// that would be refused for the crash of another, so nothing that is not a suspect already becomes one by it.
+    fn blame(&self, now: Instant, endpoint: &VmId, requests: Vec<Fingerprint>) -> Vec<Fingerprint> {
         let (known, fresh): (Vec<_>, Vec<_>) = requests
             .into_iter()
             .partition(|request| self.suspects.contains_key(request));
-        if known.is_empty() { fresh } else { known }
+        let fallen = self.fallen.get(endpoint);
+        let down = fallen.is_some_and(|at| now < *at + DOWN);
+        if known.is_empty() && !down {
+            fresh
+        } else {
+            known
+        }
     }
 
     /// Tells whether a death is one of several that no request explains.
@@ -203,6 +219,7 @@
 
     fn expire(&mut self, now: Instant) {
         self.suspects.retain(|_, s| now < s.at + MEMORY);
+        self.fallen.retain(|_, at| now < *at + DOWN);
         while self.suspects.len() >= SUSPECTS {
             self.suspects.shift_remove_index(0);
         }
