Open only after the bills of the VM's earlier incarnation are in the log

The new router's open record ends the one before, and it came before the bills that the peers kept, which so were void.

Change: a router that is caught up waits, for at most 3 s, while an earlier incarnation on its VM is open and peers are there. A peer that hears another incarnation from a VM takes the earlier one for dead at once, brings what it keeps of it and closes it. A router's own VM no longer counts among those that may close it.

--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -147,6 +147,8 @@
     pub(crate) stale_until: Option<Instant>,
     /// When the router started.
     pub(crate) started: Instant,
+    /// Since when all of the log is folded, while the router waits to open.
+    pub(crate) caught: Option<Instant>,
     /// When a state of the ledger was last asked for.
     pub(crate) fetched: Option<Instant>,
     /// When a record was last folded.
@@ -226,6 +228,7 @@
             first_checkpoint: now + FIRST_CHECKPOINT.mul_f64(rng.random_range(1.0..3.0)),
             kept_house: None,
             started: now,
+            caught: None,
             fetched: None,
             folded: None,
             checkpointed: None,
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -152,6 +152,12 @@
         self.heard.get(vm).is_some_and(|(at, _)| now < *at + FRESH)
     }
 
+    /// Returns whether another incarnation runs on a router's VM, so that it is dead.
+    fn is_replaced(&self, now: Instant, router: Incarnation, vm: &VmId) -> bool {
+        let heard = self.heard.get(vm).filter(|(at, _)| now < *at + FRESH);
+        heard.is_some_and(|(_, beat)| beat.router != router)
+    }
+
     /// Keeps a peer's batches, in place of those that it left here before.
     pub(crate) fn keep(&mut self, batches: KeptBatches) {
         let older = self
@@ -370,7 +376,10 @@
     fn is_silent(&mut self, now: Instant, router: Incarnation, vm: &VmId) -> bool {
         let rank = self.rank(router);
         let last = *self.members.signs.entry(router).or_insert(now);
-        let base = self.patience_with(now, vm);
+        let base = match self.members.is_replaced(now, router, vm) {
+            true => Duration::ZERO,
+            false => self.patience_with(now, vm),
+        };
         now >= last + base + RANK_DELAY * rank
     }
 
--- a/src/router/outage.rs
+++ b/src/router/outage.rs
@@ -142,9 +142,9 @@
 
     /// Returns the VMs of the other routers that are open and listed.
     pub(crate) fn closers(&self) -> Vec<VmId> {
-        let others = self.ledger.routers().filter(|(id, _)| *id != self.me);
-        others
-            .filter(|(_, state)| !state.closed && self.members.domain(&state.vm).is_some())
+        let open = self.ledger.routers().filter(|(_, state)| !state.closed);
+        open.filter(|(_, state)| state.vm != self.tuning.vm)
+            .filter(|(_, state)| self.members.domain(&state.vm).is_some())
             .map(|(_, state)| state.vm.clone())
             .collect()
     }
--- a/src/router/stream.rs
+++ b/src/router/stream.rs
@@ -28,6 +28,10 @@
 /// How often the ledger is asked for where the log does not give it: a log that only stutters answers sooner.
 const FETCH: Duration = Duration::from_secs(2);
 
+/// How long to wait for peers to close the incarnation before: its last batches are sent off every half second, and the
+/// peers take turns 300 ms apart.
+const EARLIER: Duration = Duration::from_secs(3);
+
 impl Core {
     /// Folds records of the ledger.
     pub(crate) fn fold_ledger(&mut self, now: Instant, entries: Vec<Entry>) {
@@ -117,6 +121,7 @@
         if self.phase == Phase::CatchingUp && now >= self.started + FETCH {
             self.fetch_ledger(now);
         }
+        self.open_in_turn(now);
     }
 
     /// Asks peers for the ledger, now and then.
@@ -135,7 +140,27 @@
             return;
         }
         self.members.forgive(now);
-        self.open();
+        self.caught = Some(now);
+        self.open_in_turn(now);
+    }
+
+    /// Opens, once the incarnation that ran on this VM before is closed.
+    ///
+    /// To open ends that one. Where it died in a log outage its last bills are known to its peers alone, and came they
+    /// later than that, they would be void, and answers that callers have whole would stay unbilled. The peers bring
+    /// them and close it as soon as they hear this router.
+    pub(crate) fn open_in_turn(&mut self, now: Instant) {
+        let Some(caught) = self.caught else {
+            return;
+        };
+        let mut routers = self.ledger.routers();
+        let earlier = routers.any(|(_, state)| !state.closed && state.vm == self.tuning.vm);
+        drop(routers);
+        let waits = earlier && !self.closers().is_empty() && now < caught + EARLIER;
+        if !waits {
+            self.caught = None;
+            self.open();
+        }
     }
 
     fn open(&mut self) {
