--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -9,14 +9,18 @@
 #[path = "../standins/client.rs"]
 mod client;
 mod cluster;
+mod fresh;
 mod frozen;
 mod killed;
 mod load;
 mod network;
+mod operators;
 mod outage;
 mod parted;
+mod poison;
 mod process;
 mod stopped;
+mod twice;
 mod verify;
 
 use std::time::Duration;
