--- a/tests/faults/outage.rs
+++ b/tests/faults/outage.rs
@@ -183,3 +183,30 @@
     verify(&cluster).await?;
     Ok(())
 }
+
+/// A yard's program is impatient and sends each disbursement to three routers at the same moment, while the log loses a
+/// fifth of its answers. Each is recorded once, and all three callers are told of that one, or that it is unknown.
+#[tokio::test]
+async fn a_call_sent_to_three_routers_at_once_runs_once() -> Result<()> {
+    LocalSet::new().run_until(at_once()).await
+}
+
+async fn at_once() -> Result<()> {
+    let cluster = Cluster::start(Plan::new("at-once", 3), 19).await?;
+    cluster.fund("loans", 5_000).await?;
+    let fault = json!({"lose_answer": 0.2, "seed": 19});
+    cluster.log.fault(&fault).await?;
+    for round in 0..12 {
+        let ask = Ask::call("loans", &format!("at-once-{round}"));
+        let tries = cluster
+            .routers
+            .iter()
+            .zip(1..)
+            .map(|(router, attempt)| cluster.journal.ask(router.node.address, &ask, attempt));
+        let tries = futures::future::join_all(tries).await;
+        assert!(tries.iter().any(|t| t.whole), "{tries:?}");
+    }
+    cluster.log.fault(&json!({})).await?;
+    verify(&cluster).await?;
+    Ok(())
+}
--- a/tests/faults/verify.rs
+++ b/tests/faults/verify.rs
@@ -1,5 +1,6 @@
 //! The reference verifier: what the log alone says, held against what endpoints and callers say.
 
+use std::process::Command;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -121,7 +122,22 @@
 ///
 /// When something does not hold.
 pub(crate) async fn verify(cluster: &Cluster) -> Result<Reading> {
-    verify_from(cluster, Reading::default()).await
+    let reading = verify_from(cluster, Reading::default()).await?;
+    audit(cluster).await?;
+    Ok(reading)
+}
+
+/// Has the operators' command line verify the same.
+async fn audit(cluster: &Cluster) -> Result<()> {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_jasmineridge"));
+    program.args(["--log", &format!("http://{}", cluster.log.address)]);
+    program.args(["ledger", "verify"]);
+    for engine in &cluster.engines {
+        program.args(["--engines", &format!("http://{}", engine.address)]);
+    }
+    let output = tokio::task::spawn_blocking(move || program.output()).await??;
+    assert!(output.status.success(), "{output:?}");
+    Ok(())
 }
 
 /// The same, where the log has let go what was read before.
