Send a stream's first token at once

Cause: the router's listener left Nagle's algorithm on. The head of a stream and its first token are two small writes, and the second waited for the acknowledgement of the first, which the caller's kernel puts off for 40 ms.

Ruled out: the claim's wait (taken off each request by itself), the engine (0.27 ms when asked directly), the router's processor time (8.8 % of a core).

Change: the listener that the stand-ins use already, moved to src/listen.rs, with the test that failed first.

--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -33,6 +33,7 @@
 use crate::edge::peers::Caller;
 use crate::edge::probe::Prober;
 use crate::edge::vms;
+use crate::listen::listen;
 use crate::router::Core;
 use crate::router::Effect;
 use crate::router::Event;
@@ -62,8 +63,8 @@
 ///
 /// When an address cannot be bound.
 pub async fn serve(settings: Settings) -> io::Result<Stopped> {
-    let callers = bind(settings.listen).await?;
-    let routers = bind(settings.peer_listen).await?;
+    let callers = bind(settings.listen)?;
+    let routers = bind(settings.peer_listen)?;
     let mut settings = settings;
     // A port of 0 is the system's choice; callers must be told the one that it chose.
     settings.listen = callers.local_addr()?;
@@ -101,9 +102,9 @@
     driver.run(events).await
 }
 
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+/// Binds an address; an error names it.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    listen(address).map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
 }
 
 fn tuning(settings: &Settings) -> Tuning {
--- a/src/edge/tests.rs
+++ b/src/edge/tests.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use tokio::net::TcpStream;
 
+use crate::edge::driver::bind;
 use crate::edge::metrics::Metrics;
 use crate::router::ProblemKind;
 
@@ -31,3 +33,14 @@
     assert_eq!(lines, expected);
     Ok(())
 }
+
+/// A router writes the head of a stream, and then its first token. The kernel holds the second small write back until the
+/// caller's kernel acknowledges the first, which it puts off for 40 ms, and each first token comes so much later.
+#[tokio::test]
+async fn a_callers_connection_sends_each_token_at_once() -> Result<()> {
+    let listener = bind("127.0.0.1:0".parse()?)?;
+    let _caller = TcpStream::connect(listener.local_addr()?).await?;
+    let (connection, _) = listener.accept().await?;
+    assert!(connection.nodelay()?);
+    Ok(())
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -24,4 +24,3 @@
 pub(crate) mod vms;
 
 pub use server::Started;
-pub use server::listen;
--- a/src/standin/proxy/link.rs
+++ b/src/standin/proxy/link.rs
@@ -10,10 +10,10 @@
 use tokio::task::JoinSet;
 use tokio::try_join;
 
+use crate::listen::listen;
 use crate::standin::proxy::faults::Direction;
 use crate::standin::proxy::faults::Faults;
 use crate::standin::proxy::pump::pump;
-use crate::standin::server::listen;
 
 /// A link, which ends with its connections when it is dropped.
 #[derive(Debug)]
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -29,15 +29,13 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
+use crate::listen::listen;
+
 /// The largest body that is read, in bytes: a whole application file or a batch of log records fits well.
 const MAX_BODY: usize = 16 << 20;
 
-/// How many connections may wait to be accepted: a test's burst of callers fits.
-const BACKLOG: u32 = 1024;
-
 /// A stand-in that runs on the caller's loop.
 #[derive(Debug)]
 pub struct Started {
@@ -47,24 +45,6 @@
     pub task: JoinHandle<()>,
 }
 
-/// Binds a listener whose connections send each token at once.
-///
-/// # Errors
-///
-/// When the address is taken or is not this machine's.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    // Linux hands this on to each connection that the listener accepts. Without it the last small write of an answer
-    // waits for the acknowledgement of the one before, which a caller sees as a stall of 40 ms.
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Serves a router on a listener, for ever.
 pub(crate) async fn serve(listener: TcpListener, router: Router) {
     let Ok(acceptor) = TcpAcceptor::try_from(listener) else {
