--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -26,6 +26,8 @@
 use crate::ledger::record::Batch;
 use crate::ledger::record::Record;
 use crate::ledger::router::RouterState;
+use crate::ledger::rules::Rule;
+use crate::ledger::rules::holds;
 use crate::ledger::team::Holding;
 use crate::ledger::team::TeamState;
 use crate::ledger::verdict::Verdict;
@@ -176,8 +178,8 @@
     fn admit(&mut self, batch: &Batch) -> Result<(), Void> {
         match self.routers.get_mut(&batch.router) {
             None => self.admit_first(batch),
-            Some(router) if router.closed => Err(Void::Closed),
-            Some(router) if router.sequence.0.checked_add(1) != Some(batch.sequence.0) => {
+            Some(router) if router.closed && holds(Rule::Closed) => Err(Void::Closed),
+            Some(router) if !router.follows(batch.sequence) && holds(Rule::Sequence) => {
                 Err(Void::Sequence)
             }
             Some(router) => {
@@ -233,7 +235,7 @@
     ) -> Verdict {
         // A router may close itself, and what follows in the same batch is as void as what follows in the log: a draw
         // behind it would be held by no one who could give it back.
-        if !self.is_open(router) {
+        if !self.is_open(router) && holds(Rule::Closed) {
             return Verdict::Void(Void::Closed);
         }
         let done = match record {
@@ -269,10 +271,14 @@
 }
 
 impl Ledger {
-    /// Notes a whole checkpoint. A slow writer's older one does not put back what may be let go.
+    /// Notes a whole checkpoint, so that what stands before it may be let go.
+    ///
+    /// A paused writer's announcement may land late, or be of a state that was old when it was written. Either stream may
+    /// then have let go of its parts or of the records behind it; so both its ends must lie behind those of the newest.
     fn checkpointed(&mut self, as_of: Offset, first: Offset) -> Result<(), Void> {
-        let newest = self.checkpoint.map_or(Offset(0), |newest| newest.as_of);
-        if as_of <= newest {
+        if let Some(newest) = self.checkpoint
+            && (as_of <= newest.as_of || first <= newest.first)
+        {
             return Err(Void::Repeated);
         }
         if as_of > self.next {
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -13,7 +13,7 @@
 use crate::decide::Quarantine;
 use crate::decide::Usage;
 use crate::decide::Wish;
-use crate::decide::owner;
+use crate::decide::suspect_router;
 use crate::ids::DomainId;
 use crate::ids::ModelId;
 use crate::ids::VmId;
@@ -88,7 +88,7 @@
         if quarantine.isolation(request.fingerprint) == Isolation::None {
             return Vec::new();
         }
-        let mine = |vm: &VmId| owner(site.routers, vm) == Some(site.router);
+        let mine = |vm: &VmId| suspect_router(site.routers, vm) == Some(site.router);
         let (owned, others): (Vec<_>, Vec<_>) = self.chooser.vms().cloned().partition(mine);
         let mut forbidden = quarantine.forbid(request.fingerprint);
         // With fewer endpoints than routers some router owns none, and its suspects run where they can.
