Let a batch take records until it is sent

Cause: once a batch was folded, the next record to come closed the next batch at once, though it was not due for 24 ms more. All records behind that first one went into the batch after, and waited an interval longer.

Ruled out: the log service (p95 of log.append below 1 ms), the tick of 20 ms (the fold's event is handled at once).

Change: the records are closed into a batch when it is sent. The unit test failed before it.

--- a/src/router/appender.rs
+++ b/src/router/appender.rs
@@ -104,12 +104,15 @@
 
     /// Returns the batch that is to be appended now, if one is.
     pub(crate) fn poll(&mut self, now: Instant) -> Option<Append> {
-        if self.sealed.is_empty() {
-            self.seal();
-        }
         let interval = self.pace.interval;
         let timeout = self.pace.timeout;
         let paced = self.sent.is_none_or(|at| now >= at + interval);
+        // A batch takes records until it is sent. One closed by the first record to come would leave the others to the
+        // next, and each claim would wait an interval more.
+        let unsent = self.sealed.front().is_none_or(|s| s.first_sent.is_none());
+        if paced && unsent {
+            self.seal();
+        }
         let rested = self.failed.is_none_or(|at| now >= at + interval * 4);
         let front = self.sealed.front_mut()?;
         let due = match front.state {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -26,6 +26,8 @@
 mod request;
 mod run;
 mod stream;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use appender::Pace;
 pub(crate) use core::Core;
--- /dev/null
+++ b/src/router/tests.rs
@@ -0,0 +1,64 @@
+//! The group commit's pace.
+
+#![expect(
+    clippy::disallowed_methods,
+    reason = "a test picks a time to start from"
+)]
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::Incarnation;
+use crate::ids::Sequence;
+use crate::ids::TeamId;
+use crate::ledger::Batch;
+use crate::ledger::Record;
+use crate::ledger::Verdict;
+use crate::ledger::decode;
+use crate::router::appender::Append;
+use crate::router::appender::Appender;
+use crate::router::appender::Pace;
+use crate::tokens::Tokens;
+
+const INTERVAL: Duration = Duration::from_millis(25);
+
+const PACE: Pace = Pace {
+    interval: INTERVAL,
+    timeout: Duration::from_millis(500),
+};
+
+fn draw() -> Record {
+    let team: TeamId = "loans".parse().unwrap();
+    let want = Tokens(1);
+    Record::Draw { team, want }
+}
+
+fn batch(append: &Append) -> Batch {
+    decode(&append.bytes).unwrap()
+}
+
+/// Starts an appender whose first batch went out at a time and was folded a millisecond later.
+fn begun(start: Instant) -> Appender<u8> {
+    let mut appender = Appender::new(Incarnation(1), PACE);
+    appender.push(draw(), 0);
+    let first = appender.poll(start).unwrap();
+    let later = start + Duration::from_millis(1);
+    appender.answered(later, first.sequence, true);
+    let verdicts = vec![Verdict::Granted(Tokens(1))];
+    assert_eq!(appender.folded(first.sequence, verdicts).len(), 1);
+    appender
+}
+
+/// A request arrives just behind a batch, and others before the next one is due. Were the next batch closed with the first
+/// of them in it, the others would wait for the one after, and each first token would come 25 ms later.
+#[test]
+fn a_batch_takes_records_until_it_is_sent() {
+    let start = Instant::now();
+    let mut appender = begun(start);
+    appender.push(draw(), 1);
+    assert_eq!(appender.poll(start + INTERVAL / 2), None);
+    appender.push(draw(), 2);
+    let sent = appender.poll(start + INTERVAL).unwrap();
+    assert_eq!(sent.sequence, Sequence(2));
+    assert_eq!(batch(&sent).records.len(), 2);
+}
