--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,182 @@
+//! Whether a change is sound by itself.
+
+use indexmap::IndexSet;
+
+use crate::config::document::AccountSpec;
+use crate::config::document::Body;
+use crate::config::document::Kind;
+use crate::config::document::Limits;
+use crate::config::document::PoolKind;
+use crate::config::document::PoolSpec;
+use crate::config::document::RuleSpec;
+use crate::config::put::Change;
+use crate::config::rejected::Rejected;
+use crate::ids::DocName;
+use crate::ids::Version;
+use crate::key_hash::KeyHash;
+use crate::labels::Selector;
+use crate::tokens::Tokens;
+
+/// The most changes of one record: ten times the hourly share of 4,800 changes a day. It bounds how
+/// long one record can hold up the loop.
+const MAX_CHANGES: usize = 2000;
+
+/// The last of the priorities.
+const MAX_PRIORITY: u8 = 9;
+
+/// The most keys of one account: the old one, the new one, and room for a change that overlaps another.
+const MAX_KEYS: usize = 8;
+
+/// The largest share of one account. Shares only tell against each other, so that more adds nothing.
+const MAX_WEIGHT: u32 = 1000;
+
+pub(crate) fn check_count(changes: &[Change]) -> Result<(), Rejected> {
+    let count = changes.len();
+    if !(1..=MAX_CHANGES).contains(&count) {
+        let allowed = format!("1 to {MAX_CHANGES}");
+        return Err(Rejected::invalid("changes", count.to_string(), allowed));
+    }
+    let mut seen = IndexSet::new();
+    match changes.iter().find(|c| !seen.insert((c.kind, &c.name))) {
+        None => Ok(()),
+        Some(change) => Err(Rejected::invalid(
+            format!("{}/{}", change.kind, change.name),
+            "two changes",
+            "each document once",
+        )),
+    }
+}
+
+pub(crate) fn check_change(change: &Change) -> Result<(), Rejected> {
+    match &change.body {
+        Some(body) => check_document(change.kind, &change.name, body),
+        None if change.base == Version(0) => Err(Rejected::invalid(
+            format!("{}/{}", change.kind, change.name),
+            "a deletion of what does not exist",
+            "a document in force",
+        )),
+        None => Ok(()),
+    }
+}
+
+pub(crate) fn check_document(kind: Kind, name: &DocName, body: &Body) -> Result<(), Rejected> {
+    let path = format!("{kind}/{name}");
+    if body.kind() != kind {
+        let found = format!("a body of the kind {}", body.kind());
+        return Err(Rejected::invalid(path, found, kind.to_string()));
+    }
+    check(&path, body)
+}
+
+/// Checks a document's content; `path` is where it stands.
+fn check(path: &str, body: &Body) -> Result<(), Rejected> {
+    match body {
+        Body::Account(account) => check_account(path, account),
+        Body::Team(_) => Ok(()),
+        Body::Pool(pool) => check_pool(path, pool),
+        Body::Rule(rule) => check_rule(path, rule),
+    }
+}
+
+fn check_account(path: &str, account: &AccountSpec) -> Result<(), Rejected> {
+    let count = account.keys.len();
+    if count > MAX_KEYS {
+        let allowed = format!("at most {MAX_KEYS}");
+        return Err(Rejected::invalid(
+            format!("{path}.keys"),
+            format!("{count} keys"),
+            allowed,
+        ));
+    }
+    for (at, key) in account.keys.iter().enumerate() {
+        KeyHash::check(&format!("{path}.keys[{at}]"), key).map_err(Rejected::Invalid)?;
+    }
+    check_limits(&format!("{path}.limits"), &account.limits)
+}
+
+fn check_limits(path: &str, limits: &Limits) -> Result<(), Rejected> {
+    check_range(&format!("{path}.rate"), limits.rate, u32::MAX)?;
+    check_range(&format!("{path}.burst"), limits.burst, u32::MAX)?;
+    check_range(&format!("{path}.concurrency"), limits.concurrency, u32::MAX)?;
+    check_range(&format!("{path}.weight"), limits.weight, MAX_WEIGHT)
+}
+
+fn check_range(path: &str, value: u32, max: u32) -> Result<(), Rejected> {
+    if (1..=max).contains(&value) {
+        return Ok(());
+    }
+    let allowed = format!("1 to {max}");
+    Err(Rejected::invalid(path, value.to_string(), allowed))
+}
+
+fn check_pool(path: &str, pool: &PoolSpec) -> Result<(), Rejected> {
+    check_selector(&format!("{path}.select"), &pool.select)?;
+    check_range(&format!("{path}.concurrency"), pool.concurrency, u32::MAX)?;
+    match &pool.kind {
+        PoolKind::Engine { models, max_tokens } => {
+            let path = format!("{path}.kind.engine");
+            if models.is_empty() {
+                let path = format!("{path}.models");
+                return Err(Rejected::invalid(path, "no model", "at least one"));
+            }
+            check_amount(&format!("{path}.max_tokens"), *max_tokens)
+        }
+        PoolKind::Service {
+            name, repeatable, ..
+        } => {
+            let path = format!("{path}.kind.service");
+            check_segment(&format!("{path}.name"), name)?;
+            repeatable
+                .keys()
+                .try_for_each(|method| check_method(&format!("{path}.repeatable"), method))
+        }
+    }
+}
+
+fn check_amount(path: &str, amount: Tokens) -> Result<(), Rejected> {
+    match amount {
+        Tokens::ZERO => Err(Rejected::invalid(path, "0", "1 or more")),
+        _ => Ok(()),
+    }
+}
+
+fn check_segment(path: &str, name: &str) -> Result<(), Rejected> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_' || b == b'.';
+    if (1..=64).contains(&name.len()) && name.bytes().all(plain) {
+        return Ok(());
+    }
+    let allowed = "1 to 64 letters, digits, `-`, `_` and `.`";
+    Err(Rejected::invalid(path, format!("{name:?}"), allowed))
+}
+
+fn check_method(path: &str, method: &str) -> Result<(), Rejected> {
+    if !method.is_empty() && method.bytes().all(|b| b.is_ascii_uppercase()) {
+        return Ok(());
+    }
+    let allowed = "an HTTP method in capital letters";
+    Err(Rejected::invalid(path, format!("{method:?}"), allowed))
+}
+
+fn check_rule(path: &str, rule: &RuleSpec) -> Result<(), Rejected> {
+    check_selector(&format!("{path}.when"), &rule.when)?;
+    if rule.priority <= MAX_PRIORITY {
+        return Ok(());
+    }
+    Err(Rejected::invalid(
+        format!("{path}.priority"),
+        rule.priority.to_string(),
+        format!("0 to {MAX_PRIORITY}"),
+    ))
+}
+
+/// A label without allowed values would match nothing, which nobody means.
+fn check_selector(path: &str, selector: &Selector) -> Result<(), Rejected> {
+    match selector.0.iter().find(|(_, values)| values.is_empty()) {
+        None => Ok(()),
+        Some((label, _)) => Err(Rejected::invalid(
+            format!("{path}.{label}"),
+            "no value",
+            "at least one",
+        )),
+    }
+}
--- /dev/null
+++ b/src/config/index.rs
@@ -0,0 +1,178 @@
+//! What requests are looked up by.
+
+use std::collections::BTreeSet;
+use std::hash::Hash;
+
+use indexmap::IndexMap;
+
+use crate::config::document::Body;
+use crate::config::document::Kind;
+use crate::config::document::PoolKind;
+use crate::config::document::RuleSpec;
+use crate::config::rejected::Rejected;
+use crate::ids::DocName;
+use crate::ids::PoolId;
+use crate::ids::TeamId;
+use crate::key_hash::KeyHash;
+
+/// The label that tells whose request it is; each request has it.
+pub(crate) const ACCOUNT: &str = "account";
+
+/// Rules in the order in which they are tried. A sorted set, since `indexmap` has none that stays sorted at a cost that
+/// does not grow with it. It holds names alone: what the rules say stands in the documents.
+type Rules = BTreeSet<(u32, DocName)>;
+
+/// Keys, service names and the rules' order, kept beside the documents so that no request searches through them.
+///
+/// Rules that name accounts are kept by account. With hundreds of thousands of teams there are as many rules; trying all
+/// of them for each request would take tens of milliseconds of the one thread, and so those of other accounts are not
+/// looked at.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Index {
+    keys: IndexMap<KeyHash, DocName>,
+    services: IndexMap<String, DocName>,
+    common: Rules,
+    by_account: IndexMap<String, Rules>,
+    teams: IndexMap<TeamId, usize>,
+    pools: IndexMap<PoolId, usize>,
+}
+
+impl Index {
+    pub(crate) fn account(&self, key: &KeyHash) -> Option<&DocName> {
+        self.keys.get(key)
+    }
+
+    /// Returns the first rule that matches a request of an account.
+    pub(crate) fn route<M>(&self, account: Option<&str>, matches: M) -> Option<&DocName>
+    where
+        M: Fn(&DocName) -> bool,
+    {
+        let own = account.and_then(|account| self.by_account.get(account));
+        let candidates = own.into_iter().chain([&self.common]);
+        candidates
+            .filter_map(|rules| rules.iter().find(|(_, name)| matches(name)))
+            .min()
+            .map(|(_order, name)| name)
+    }
+
+    /// Returns how many rules let a team pay.
+    pub(crate) fn team_uses(&self, team: &TeamId) -> usize {
+        self.teams.get(team).copied().unwrap_or_default()
+    }
+
+    /// Returns how many rules send work to a pool.
+    pub(crate) fn pool_uses(&self, pool: &PoolId) -> usize {
+        self.pools.get(pool).copied().unwrap_or_default()
+    }
+
+    /// Adds a document that was checked by itself.
+    ///
+    /// # Errors
+    ///
+    /// When a key or a service name stands in another document, or twice in this one; nothing is added then.
+    pub(crate) fn add(&mut self, name: &DocName, body: &Body) -> Result<(), Rejected> {
+        match body {
+            Body::Account(account) => self.add_keys(name, &account.keys),
+            Body::Pool(pool) => match &pool.kind {
+                PoolKind::Service { name: service, .. } => self.add_service(name, service),
+                PoolKind::Engine { .. } => Ok(()),
+            },
+            Body::Rule(rule) => {
+                self.add_rule(name, rule);
+                Ok(())
+            }
+            Body::Team(_) => Ok(()),
+        }
+    }
+
+    /// Takes a document out.
+    pub(crate) fn remove(&mut self, name: &DocName, body: &Body) {
+        match body {
+            Body::Account(account) => {
+                for hash in account.keys.iter().filter_map(|key| KeyHash::parse(key)) {
+                    self.keys.swap_remove(&hash);
+                }
+            }
+            Body::Pool(pool) => {
+                if let PoolKind::Service { name: service, .. } = &pool.kind {
+                    self.services.swap_remove(service);
+                }
+            }
+            Body::Rule(rule) => self.remove_rule(name, rule),
+            Body::Team(_) => {}
+        }
+    }
+
+    fn add_rule(&mut self, name: &DocName, rule: &RuleSpec) {
+        *self.teams.entry(rule.team.clone()).or_default() += 1;
+        *self.pools.entry(rule.pool.clone()).or_default() += 1;
+        let place = (rule.order, name.clone());
+        let Some(accounts) = rule.when.0.get(ACCOUNT) else {
+            self.common.insert(place);
+            return;
+        };
+        for account in accounts {
+            let rules = self.by_account.entry(account.clone()).or_default();
+            rules.insert(place.clone());
+        }
+    }
+
+    fn remove_rule(&mut self, name: &DocName, rule: &RuleSpec) {
+        count_down(&mut self.teams, &rule.team);
+        count_down(&mut self.pools, &rule.pool);
+        let place = (rule.order, name.clone());
+        let Some(accounts) = rule.when.0.get(ACCOUNT) else {
+            self.common.remove(&place);
+            return;
+        };
+        for account in accounts {
+            if let Some(rules) = self.by_account.get_mut(account) {
+                rules.remove(&place);
+            }
+            if self.by_account.get(account).is_some_and(Rules::is_empty) {
+                self.by_account.swap_remove(account);
+            }
+        }
+    }
+
+    fn add_keys(&mut self, name: &DocName, keys: &[String]) -> Result<(), Rejected> {
+        let hashes: Vec<_> = keys.iter().filter_map(|key| KeyHash::parse(key)).collect();
+        for (at, hash) in hashes.iter().enumerate() {
+            let own = hashes[..at].contains(hash).then_some(name);
+            if let Some(other) = own.or_else(|| self.keys.get(hash)) {
+                return Err(Rejected::invalid(
+                    format!("{}/{name}.keys[{at}]", Kind::Account),
+                    format!("a key of account {other}"),
+                    "a key that stands only once in all accounts",
+                ));
+            }
+        }
+        let entries = hashes.into_iter().map(|hash| (hash, name.clone()));
+        self.keys.extend(entries);
+        Ok(())
+    }
+
+    fn add_service(&mut self, name: &DocName, service: &str) -> Result<(), Rejected> {
+        if let Some(other) = self.services.get(service) {
+            return Err(Rejected::invalid(
+                format!("{}/{name}.kind.service.name", Kind::Pool),
+                format!("{service:?}, which is pool {other}'s"),
+                "a name that no other pool has",
+            ));
+        }
+        self.services.insert(service.to_owned(), name.clone());
+        Ok(())
+    }
+}
+
+fn count_down<K>(counts: &mut IndexMap<K, usize>, key: &K)
+where
+    K: Hash + Eq,
+{
+    if let Some(count) = counts.get_mut(key) {
+        *count -= 1;
+    }
+    if counts.get(key) == Some(&0) {
+        counts.swap_remove(key);
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -53,7 +53,7 @@
     type Value = Arc<str>;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a name")
+        f.write_str("a string")
     }
 
     fn visit_str<E>(self, text: &str) -> Result<Arc<str>, E>
@@ -151,6 +151,10 @@
     /// Names a pool: the endpoints that one selector picks.
     PoolId
 );
+name!(
+    /// Names a configuration document among those of its kind.
+    DocName
+);
 name!(
     /// Names a top-up; a second one of the same name adds nothing.
     TopUpId
--- /dev/null
+++ b/tests/decisions/each.rs
@@ -0,0 +1,497 @@
+//! Each decision by itself.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jasmineridge::AccountLimit;
+use jasmineridge::Action;
+use jasmineridge::BlockHash;
+use jasmineridge::CacheEvent;
+use jasmineridge::Caps;
+use jasmineridge::Chooser;
+use jasmineridge::DomainId;
+use jasmineridge::Ejector;
+use jasmineridge::EndpointLimit;
+use jasmineridge::Evidence;
+use jasmineridge::FairQueue;
+use jasmineridge::Fingerprint;
+use jasmineridge::Full;
+use jasmineridge::Health;
+use jasmineridge::HoldingPolicy;
+use jasmineridge::Isolation;
+use jasmineridge::Lean;
+use jasmineridge::Limits;
+use jasmineridge::Load;
+use jasmineridge::Peer;
+use jasmineridge::PrefixIndex;
+use jasmineridge::Quarantine;
+use jasmineridge::RetryBudget;
+use jasmineridge::Sample;
+use jasmineridge::Share;
+use jasmineridge::Ticket;
+use jasmineridge::Tokens;
+use jasmineridge::Usage;
+use jasmineridge::VmId;
+use jasmineridge::Wish;
+use jasmineridge::advise;
+
+use crate::ms;
+use crate::name;
+use crate::rng;
+use crate::start;
+
+fn ticket(team: &str, account: &str, deadline: Instant) -> Ticket {
+    Ticket {
+        team: name(team),
+        account: name(account),
+        priority: 5,
+        weight: 1,
+        cost: Tokens(100),
+        deadline,
+    }
+}
+
+/// A client loops without a pause. Its callers are told later and later places, and none before the rate allows it.
+#[test]
+fn account_limit_spaces_refusals() {
+    let now = start();
+    let limits = Limits {
+        rate: 10,
+        burst: 2,
+        concurrency: 3,
+        weight: 1,
+    };
+    let mut limit = AccountLimit::new(now, &limits);
+    assert_eq!(limit.try_enter(now), Ok(()));
+    assert_eq!(limit.try_enter(now), Ok(()));
+    let waits: Vec<_> = (0..3)
+        .map(|_| limit.try_enter(now).unwrap_err().retry_after())
+        .collect();
+    assert_eq!(waits, [ms(100), ms(200), ms(300)]);
+    assert_eq!(limit.try_enter(now + ms(100)), Ok(()));
+    assert!(limit.try_enter(now + ms(1000)).is_err(), "three are in");
+    limit.leave();
+    assert_eq!(limit.try_enter(now + ms(1000)), Ok(()));
+}
+
+/// One account sends a hundred requests, then another sends two. The second waits for two turns, not for a hundred.
+#[test]
+fn queue_serves_a_modest_account_beside_a_hot_one() {
+    let now = start();
+    let late = now + Duration::from_secs(60);
+    for (hot, modest) in [
+        (("a", "x"), ("b", "y")),
+        (("a", "x"), ("a", "y")),
+        (("a", "x"), ("b", "x")),
+    ] {
+        let mut queue = FairQueue::new(1000, rng());
+        for _ in 0..100 {
+            queue.push(now, "hot", ticket(hot.0, hot.1, late)).unwrap();
+        }
+        for _ in 0..2 {
+            queue
+                .push(now, "modest", ticket(modest.0, modest.1, late))
+                .unwrap();
+        }
+        let first: Vec<_> = (0..5).filter_map(|_| queue.pop(now)).collect();
+        let served = first.iter().filter(|w| **w == "modest").count();
+        // One account gets no more by naming two teams than by naming one.
+        let due = if hot.1 == modest.1 { 0..=2 } else { 2..=2 };
+        assert!(due.contains(&served), "{hot:?} {modest:?}: {first:?}");
+    }
+}
+
+/// Requests wait past their deadlines, or fill the queue. Each gets its final answer, and none is served after it.
+#[test]
+fn queue_gives_up_in_time() {
+    let now = start();
+    let mut queue = FairQueue::new(8, rng());
+    queue.push(now, 0, ticket("a", "x", now + ms(10))).unwrap();
+    queue.push(now, 1, ticket("a", "x", now + ms(500))).unwrap();
+    assert_eq!(
+        queue
+            .push(now, 2, ticket("a", "x", now + ms(500)))
+            .map_err(|f| matches!(f, Full::Account { .. })),
+        Err(true)
+    );
+    assert_eq!(queue.next_deadline(), Some(now + ms(10)));
+    assert_eq!(queue.expired(now + ms(10)), [0]);
+    assert_eq!(queue.pop(now + ms(20)), Some(1));
+    assert_eq!(queue.pop(now + ms(20)), None);
+}
+
+/// Four accounts fill the queue and a fifth comes. The newest request of a larger one makes room for it.
+#[test]
+fn queue_displaces_the_largest() {
+    let now = start();
+    let late = now + Duration::from_secs(60);
+    let mut queue = FairQueue::new(8, rng());
+    for n in 0..8 {
+        let account = format!("x{}", n % 4);
+        queue.push(now, n, ticket("a", &account, late)).unwrap();
+    }
+    queue.push(now, 8, ticket("a", "y", late)).unwrap();
+    assert_eq!(queue.expired(now).len(), 1);
+    assert_eq!(queue.len(), 8);
+}
+
+/// The queue drains slowly. Whoever would wait past the deadline is told so at once, with a time that the drain grounds.
+#[test]
+fn queue_refuses_early() {
+    let now = start();
+    let late = now + Duration::from_secs(600);
+    let mut queue = FairQueue::new(100, rng());
+    for n in 0..20 {
+        queue.push(now, n, ticket("a", "x", late)).unwrap();
+    }
+    for n in 1..=10 {
+        queue.pop(now + ms(n * 1000)).unwrap();
+    }
+    let now = now + ms(10_000);
+    let refused = queue.push(now, 99, ticket("a", "x", now + ms(5000)));
+    let Err(Full::Deadline { retry_after }) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(
+        (ms(10_000)..ms(20_000)).contains(&retry_after),
+        "{retry_after:?}"
+    );
+    queue
+        .push(now, 99, ticket("b", "y", now + ms(5000)))
+        .unwrap();
+}
+
+fn pool(count: usize) -> (Chooser, Ejector, Vec<VmId>, DomainId) {
+    let domain: DomainId = name("d0");
+    let mut chooser = Chooser::new(&name("router"));
+    let mut ejector = Ejector::new(Caps::default());
+    let vms: Vec<VmId> = (0..count).map(|n| name(&format!("e{n}"))).collect();
+    for vm in &vms {
+        chooser.put(vm, &domain, &[name("m")], 4);
+        ejector.put(start(), vm, &domain);
+    }
+    (chooser, ejector, vms, domain)
+}
+
+/// A load report counts what this router sent before it. What was sent since then comes on top, and is not counted twice.
+#[test]
+fn chooser_corrects_lagged_reports() {
+    let now = start();
+    let (mut chooser, _, vms, _) = pool(1);
+    chooser.start(now, &vms[0]);
+    chooser.start(now + ms(500), &vms[0]);
+    let load = Load {
+        running: 3,
+        waiting: 0,
+        measured: now + ms(100),
+    };
+    chooser.report(now + ms(600), &vms[0], load);
+    assert_eq!(
+        chooser.load(&vms[0]),
+        Some(4),
+        "two of others, two of its own"
+    );
+}
+
+/// Endpoints leave, fail the request or fill up. Nothing new goes there, and where all do, nothing is chosen.
+#[test]
+fn chooser_avoids_what_cannot_serve() {
+    let now = start();
+    let (mut chooser, ejector, vms, domain) = pool(3);
+    let index = PrefixIndex::new();
+    let model = name("m");
+    let excluded = [vms[0].clone()];
+    let wish = Wish {
+        model: Some(&model),
+        prefix: &[],
+        domain: &domain,
+        excluded: &excluded,
+        usage: Usage::Heavy,
+    };
+    chooser.leave(&vms[1], true);
+    for _ in 0..4 {
+        let choice = chooser
+            .choose(now, &wish, &index, &ejector, &mut rng())
+            .unwrap();
+        assert_eq!(choice.endpoint, vms[2]);
+        chooser.start(now, &vms[2]);
+    }
+    assert_eq!(
+        chooser.choose(now, &wish, &index, &ejector, &mut rng()),
+        None
+    );
+}
+
+/// A conversation goes on. Its next turn goes where its prefix is cached, until that endpoint says otherwise.
+#[test]
+fn chooser_follows_the_prefix() {
+    let now = start();
+    let (chooser, ejector, vms, domain) = pool(12);
+    let mut index = PrefixIndex::new();
+    let prompt: Vec<_> = (0..300).map(BlockHash).collect();
+    index.learn(&vms[7], &prompt[..200]);
+    let wish = Wish {
+        model: None,
+        prefix: &prompt,
+        domain: &domain,
+        excluded: &[],
+        usage: Usage::Heavy,
+    };
+    let choice = chooser
+        .choose(now, &wish, &index, &ejector, &mut rng())
+        .unwrap();
+    assert_eq!((choice.endpoint, choice.cached), (vms[7].clone(), 200));
+    index.forget(&vms[7], &prompt);
+    assert!(index.matches(&prompt).is_empty());
+}
+
+/// One endpoint fails all that it gets. It goes out, is tried again at growing intervals, and comes back when it is well.
+#[test]
+fn ejector_tries_again_at_growing_intervals() {
+    let mut now = start();
+    let mut rng = rng();
+    let (_, mut ejector, vms, _) = pool(12);
+    let mut trials = Vec::new();
+    let begin = now;
+    while now < begin + Duration::from_secs(60) {
+        if ejector.health(now, &vms[0]) != Health::Out {
+            trials.push(now);
+            ejector.record(now, &vms[0], Evidence::Failed, &mut rng);
+        }
+        now += ms(100);
+    }
+    let gaps: Vec<_> = trials[5..].windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(
+        gaps.len() >= 2 && gaps.windows(2).all(|w| w[1] > w[0]),
+        "{gaps:?}"
+    );
+    while ejector.health(now, &vms[0]) != Health::In {
+        now += ms(1000);
+        ejector.record(now, &vms[0], Evidence::Answered(ms(100)), &mut rng);
+        assert!(now < begin + Duration::from_secs(400));
+    }
+}
+
+/// Checks of all endpoints fail at once, though they answer. A fifth of the pool may go out, and no more.
+#[test]
+fn ejector_keeps_most_of_the_pool() {
+    let now = start();
+    let mut rng = rng();
+    let (_, mut ejector, vms, _) = pool(15);
+    for n in 0..4000 {
+        let now = now + ms(n);
+        for vm in &vms {
+            ejector.record(now, vm, Evidence::Checked(false), &mut rng);
+        }
+        assert!(ejector.ejected() <= 3);
+    }
+    assert!(ejector.ejected() > 0);
+}
+
+/// All endpoints fail for a while. Retries add a tenth to the load, plus one a second.
+#[test]
+fn retries_are_a_share_of_requests() {
+    let mut now = start();
+    let mut budget = RetryBudget::new(now);
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        now += ms(10);
+        budget.request(now);
+        while budget.try_retry(now) {
+            retries += 1;
+        }
+    }
+    assert!((1000..=1120).contains(&retries), "{retries}");
+    let mut rng = rng();
+    assert!((0..100).all(|_| budget.backoff(3, &mut rng) < ms(100)));
+}
+
+/// A budget drains. A router draws while there is plenty, and gives back what would strand when little is left.
+#[test]
+fn holdings_follow_the_budget() {
+    let share = Share {
+        free: Tokens(0),
+        claimed: Tokens(0),
+        undrawn: Tokens(7_000_000),
+        routers: 7,
+        demand: 100.0,
+        team: 0.0,
+        wanted: Tokens(500),
+        reachable: true,
+    };
+    let strict = HoldingPolicy::new(Lean::Strict);
+    let available = HoldingPolicy::new(Lean::Available);
+    assert_eq!(strict.decide(&share), Action::Draw(Tokens(540_500)));
+    assert_eq!(available.decide(&share), Action::Draw(Tokens(540_500)));
+    let low = Share {
+        free: Tokens(90_000),
+        undrawn: Tokens(7000),
+        ..share
+    };
+    assert_eq!(strict.decide(&low), Action::Return(Tokens(44_500)));
+    assert_eq!(available.decide(&low), Action::Return(Tokens(29_334)));
+    let scattered = Share {
+        free: Tokens(400),
+        undrawn: Tokens(50),
+        ..share
+    };
+    assert_eq!(strict.decide(&scattered), Action::Return(Tokens(400)));
+    let parted = Share {
+        reachable: false,
+        ..share
+    };
+    assert_eq!(strict.decide(&parted), Action::None);
+}
+
+/// A team has 43 tokens left and one router. Were the aim taken from what is undrawn alone, each draw would lower it, and
+/// the same tokens would go to and fro at each commit; an operator sees the log full of draws and returns.
+#[test]
+fn a_draw_is_not_returned_at_once() {
+    for lean in [Lean::Strict, Lean::Available] {
+        let policy = HoldingPolicy::new(lean);
+        let before = Share {
+            free: Tokens(0),
+            claimed: Tokens(0),
+            undrawn: Tokens(43),
+            routers: 1,
+            demand: 30.0,
+            team: 30.0,
+            wanted: Tokens(0),
+            reachable: true,
+        };
+        let Action::Draw(drawn) = policy.decide(&before) else {
+            panic!("{lean:?} draws nothing");
+        };
+        let after = Share {
+            free: drawn,
+            undrawn: before.undrawn - drawn,
+            ..before
+        };
+        assert_eq!(policy.decide(&after), Action::None, "{lean:?}");
+    }
+}
+
+/// A router leaves and another is full. Callers are sent to the rest, and not all at the same moment.
+#[test]
+fn advice_spreads_callers() {
+    let mut rng = rng();
+    let peers: Vec<_> = (0..4)
+        .map(|n| Peer {
+            vm: name(&format!("r{n}")),
+            domain: name("d0"),
+            address: format!("10.0.0.{n}:80"),
+            load: if n == 1 { 1.0 } else { 0.5 },
+            leaving: n == 0,
+        })
+        .collect();
+    let advice: Vec<_> = (0..1000)
+        .filter_map(|_| advise(&peers, None, &mut rng))
+        .collect();
+    let to = |n: usize| {
+        advice
+            .iter()
+            .filter(|a| a.address == peers[n].address)
+            .count()
+    };
+    assert_eq!((advice.len(), to(0)), (1000, 0));
+    assert!(to(1) < 60 && to(2) > 400 && to(3) > 400);
+    assert!(advice.iter().all(|a| a.alternates.len() == 2));
+    let early = advice.iter().filter(|a| a.keep < ms(30_000)).count();
+    assert!((400..600).contains(&early), "{early}");
+    assert_eq!(advise(&peers[..1], None, &mut rng), None);
+}
+
+/// An endpoint's events get lost, or it evicts unseen. What was known of it counts less, and goes when an answer says so.
+#[test]
+fn prefixes_are_doubted_after_gaps() {
+    let (vm, prompt) = (name("e0"), [1, 2, 3, 4].map(BlockHash));
+    let mut index = PrefixIndex::new();
+    let event = |sequence, stored: &[BlockHash], removed: &[BlockHash]| CacheEvent {
+        sequence,
+        stored: stored.to_vec(),
+        removed: removed.to_vec(),
+    };
+    let found = |index: &PrefixIndex| {
+        let found = index.matches(&prompt);
+        found.first().map_or((0, 0.0), |m| (m.blocks, m.trust))
+    };
+    index.event(&vm, &event(1, &prompt, &[]));
+    assert_eq!(found(&index), (4, 1.0));
+    index.event(&vm, &event(2, &[], &prompt[3..]));
+    assert_eq!(found(&index), (3, 1.0));
+    index.event(&vm, &event(5, &[], &[]));
+    let (blocks, trust) = found(&index);
+    assert!(blocks == 3 && trust < 1.0, "{trust}");
+    index.event(&vm, &event(3, &prompt, &prompt[2..]));
+    assert_eq!(found(&index), (2, trust), "a late event only takes away");
+    index.event(&vm, &event(1, &prompt[..1], &[]));
+    assert_eq!(found(&index), (1, 1.0), "a restart begins anew");
+    index.served(&vm, &prompt, 4, 0);
+    assert!(found(&index).1 < 1.0, "it had less than thought");
+    index.served(&vm, &prompt, 4, 4);
+    assert_eq!(found(&index), (4, 1.0));
+}
+
+/// An endpoint does less than its setting says, and says that requests wait there. Less is sent to it, and more again later.
+#[test]
+fn endpoint_limit_follows_the_endpoint() {
+    let mut now = start();
+    let mut limit = EndpointLimit::new(32);
+    let full = Load {
+        running: 8,
+        waiting: 8,
+        measured: now,
+    };
+    for _ in 0..20 {
+        now += ms(1000);
+        limit.report(now, full);
+    }
+    let low = limit.limit();
+    assert!(low <= 8, "{low}");
+    for _ in 0..200 {
+        while limit.try_acquire() {}
+        now += ms(100);
+        limit.release(now, Sample::Answered(ms(100)));
+    }
+    assert!(limit.limit() > low + 4 && limit.limit() <= 32);
+}
+
+/// One request crashes whatever runs it, beside others that do nothing wrong. It is refused after two endpoints, and the
+/// others, which run again apart from each other, complete and are cleared.
+#[test]
+fn quarantine_tells_the_poison_from_the_innocent() {
+    let now = start();
+    let [e0, e1, e2]: [VmId; 3] = ["e0", "e1", "e2"].map(name);
+    let [poison, innocent, later] = [1, 2, 3].map(Fingerprint);
+    let mut quarantine = Quarantine::new();
+    quarantine.start(poison, &e0);
+    quarantine.start(innocent, &e0);
+    assert_eq!(quarantine.crash(now, &e0).len(), 2);
+    assert_eq!(quarantine.isolation(innocent), Isolation::Apart);
+    quarantine.start(poison, &e1);
+    assert_eq!(quarantine.forbid(innocent), std::slice::from_ref(&e1));
+    assert_eq!(quarantine.avoid(later), std::slice::from_ref(&e1));
+    quarantine.start(later, &e1);
+    quarantine.start(innocent, &e2);
+    quarantine.complete(innocent, &e2);
+    assert_eq!(quarantine.isolation(innocent), Isolation::None);
+    assert_eq!(quarantine.crash(now + ms(5000), &e1), [poison]);
+    assert_eq!(quarantine.isolation(poison), Isolation::Refused);
+    assert_eq!(quarantine.isolation(later), Isolation::None);
+}
+
+/// A rack dies, and requests sent from its first endpoint to its second die twice. They are not refused for that.
+#[test]
+fn quarantine_sees_a_rack_die() {
+    let now = start();
+    let mut quarantine = Quarantine::new();
+    for n in 0..4 {
+        quarantine.start(Fingerprint(n), &name(&format!("e{n}")));
+    }
+    for n in 0..4 {
+        quarantine.crash(now + ms(n * 100), &name(&format!("e{n}")));
+    }
+    quarantine.start(Fingerprint(0), &name("e5"));
+    quarantine.crash(now + ms(900), &name("e5"));
+    assert_eq!(quarantine.isolation(Fingerprint(0)), Isolation::Apart);
+}
