Check that a restored state's claims and holdings agree

Cause: `check_sums` compared what teams note as held with the holdings, but not what holdings have set apart with what open claims reserve. A checkpoint damaged there, its checksum made over the damage, would stop each router that starts from it at that claim's bill.

Change: it compares both.

--- a/src/ledger/checkpoint/schedule.rs
+++ b/src/ledger/checkpoint/schedule.rs
@@ -24,7 +24,8 @@
 pub struct Schedule {
     /// How long the log keeps records, milliseconds.
     pub retention: u64,
-    /// How many records may follow a checkpoint before the next one is due: what a fresh router has to fold.
+    /// How many records of the stream, a batch each, may follow a checkpoint before the next one is due: what a fresh
+    /// router has to read and fold.
     pub records: u64,
 }
 
--- a/src/ledger/crash.rs
+++ b/src/ledger/crash.rs
@@ -21,7 +21,7 @@
     /// Notes one more endpoint and tells whether that was news.
     pub(super) fn note(&mut self, endpoint: &VmId) -> bool {
         let news = !self.at_limit() && self.endpoints.insert(endpoint.clone());
-        self.noted += u32::from(news);
+        self.noted = self.noted.saturating_add(u32::from(news));
         news
     }
 
--- a/src/ledger/sums.rs
+++ b/src/ledger/sums.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::ids::Incarnation;
 use crate::ids::TeamId;
 use crate::ledger::fold::Ledger;
 use crate::tokens::Tokens;
@@ -14,7 +15,8 @@
     ///
     /// # Errors
     ///
-    /// Names a team whose holdings are not what is noted of them, or exceed what it prepaid and has not used.
+    /// Names a team whose holdings are not what is noted of them, exceed what it prepaid and has not used, or have
+    /// another amount set apart than the open claims reserve.
     pub fn check_sums(&self) -> Result<(), TeamId> {
         let mut held: IndexMap<&TeamId, u128> = IndexMap::new();
         for (id, holding) in self.routers.values().flat_map(|r| &r.holdings) {
@@ -28,8 +30,29 @@
             }
         }
         // What is held of a team that nobody topped up was made of nothing.
-        match held.first() {
-            Some((id, _)) => Err((*id).clone()),
+        if let Some((id, _)) = held.first() {
+            return Err((*id).clone());
+        }
+        self.check_claims()
+    }
+
+    /// Tells whether each holding has set apart what the open claims on it reserve, and no more.
+    fn check_claims(&self) -> Result<(), TeamId> {
+        let mut claimed: IndexMap<(Incarnation, &TeamId), u128> = IndexMap::new();
+        for claim in self.keys.values().filter_map(|key| key.claim.as_ref()) {
+            let sum = claimed.entry((claim.router, &claim.team)).or_default();
+            *sum += wide(claim.reserved);
+        }
+        for (router, state) in &self.routers {
+            for (team, holding) in &state.holdings {
+                let sum = claimed.swap_remove(&(*router, team)).unwrap_or_default();
+                if sum != wide(holding.claimed) {
+                    return Err(team.clone());
+                }
+            }
+        }
+        match claimed.iter().find(|(_, sum)| **sum > 0) {
+            Some(((_, team), _)) => Err((*team).clone()),
             None => Ok(()),
         }
     }
--- a/tests/checkpoint.rs
+++ b/tests/checkpoint.rs
@@ -4,16 +4,23 @@
 
 use history::History;
 use jasmineridge::Assembler;
+use jasmineridge::Attempt;
 use jasmineridge::Batch;
+use jasmineridge::Bearer;
+use jasmineridge::Claim;
+use jasmineridge::Fingerprint;
 use jasmineridge::Incarnation;
 use jasmineridge::Ledger;
 use jasmineridge::Offset;
 use jasmineridge::PART_SIZE;
 use jasmineridge::Part;
 use jasmineridge::Record;
+use jasmineridge::RequestKey;
 use jasmineridge::Restored;
 use jasmineridge::Schedule;
 use jasmineridge::Sequence;
+use jasmineridge::TeamId;
+use jasmineridge::Tokens;
 use jasmineridge::decode_part;
 use jasmineridge::encode_part;
 use jasmineridge::split;
@@ -162,6 +169,55 @@
     assert!(refused >= 50);
 }
 
+/// The same of what a claim reserves: more than its holding has set apart would stop each router at its bill.
+#[test]
+fn a_claim_that_reserves_what_is_not_set_apart_is_not_restored() {
+    let team: TeamId = "t".parse().expect("a name");
+    let reserved = Tokens(123_456);
+    let claim = Claim {
+        key: RequestKey {
+            account: "a".parse().expect("a name"),
+            key: "k".parse().expect("a name"),
+        },
+        team: team.clone(),
+        reserved,
+        request: Fingerprint(1),
+        seen: Offset(0),
+        attempt: Attempt(1),
+        idempotent: true,
+        bearer: Bearer::Team,
+    };
+    let topup = Record::TopUp {
+        id: "x".parse().expect("a name"),
+        team: team.clone(),
+        amount: Tokens(900_000),
+    };
+    let want = Tokens(500_000);
+    let mut ledger = Ledger::default();
+    let mut sequence = 0;
+    for record in [
+        open(1),
+        topup,
+        Record::Draw { team, want },
+        Record::Claim(claim),
+    ] {
+        append(&mut ledger, 0, 1, &mut sequence, record);
+    }
+    assert_eq!(ledger.check_sums(), Ok(()));
+    let whole = bytes(&ledger);
+    let amount = postcard::to_stdvec(&reserved).expect("it can be encoded");
+    let places: Vec<_> = (0..whole.len())
+        .filter(|at| whole[*at..].starts_with(&amount))
+        .collect();
+    assert_eq!(places.len(), 2);
+    for at in places {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 1;
+        let read: Ledger = postcard::from_bytes(&damaged).expect("it can be read");
+        assert!(read.check_sums().is_err());
+    }
+}
+
 const HOUR: u64 = 60 * 60 * 1000;
 const MINUTE: u64 = 60 * 1000;
 
