--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -12,6 +12,7 @@
 mod hung_up;
 mod isolated;
 mod outage;
+mod pace;
 mod purse;
 mod random;
 mod refused;
--- a/src/router/tests.rs
+++ b/src/router/tests/pace.rs
@@ -1,10 +1,5 @@
 //! The group commit's pace.
 
-#![expect(
-    clippy::disallowed_methods,
-    reason = "a test picks a time to start from"
-)]
-
 use std::time::Duration;
 use std::time::Instant;
 
