--- a/src/ids.rs
+++ b/src/ids.rs
@@ -53,7 +53,7 @@
     type Value = Arc<str>;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a string")
+        f.write_str("a string that is a name")
     }
 
     fn visit_str<E>(self, text: &str) -> Result<Arc<str>, E>
