Refuse a request that what is left of a budget cannot cover

Cause: a request that needs more than is undrawn, while something is undrawn, was neither drawn for (the policy draws only what makes a request whole) nor counted as short, so it waited for its deadline: two minutes without a word. The same for a request that what is left covers, if another beside it in the queue made their sum too large.

Change: the waiting requests that what is left covers are drawn for; the others are short, ask the other routers, and are refused after SHORT_WAIT as before. What can't be made up here is still given back, so that another router can.

--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -102,27 +102,46 @@
         self.draw_for_waiting(now, team);
     }
 
+    /// Draws for the requests that wait, and has those wait for other routers' holdings that what is left can't cover.
+    ///
+    /// Were all of them drawn for at once, a draw for more than is left would not be made at all, and a request that what
+    /// is left covers would wait for its deadline behind one that it does not.
     fn draw_for_waiting(&mut self, now: Instant, team: &TeamId) {
         let Some(purse) = self.purses.get(team) else {
             return;
         };
-        let wanted: Tokens = purse
-            .waiting
-            .iter()
-            .filter_map(|id| self.requests.get(id))
-            .map(|request| request.reserve)
-            .sum();
-        if wanted == Tokens::ZERO {
-            return;
-        }
+        let free = self.ledger.holding(self.me, team).free;
         let state = self.ledger.team(team);
         let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
-        if undrawn == Tokens::ZERO {
-            self.ask_others(team, wanted);
-            self.note_short(now, team);
-        } else {
+        let reach = undrawn.saturating_add(purse.available(free));
+        let mut wanted = Tokens::ZERO;
+        let mut missing = Tokens::ZERO;
+        let mut short = Vec::new();
+        for id in &purse.waiting {
+            let Some(request) = self.requests.get(id) else {
+                continue;
+            };
+            if wanted.saturating_add(request.reserve) <= reach {
+                wanted += request.reserve;
+            } else {
+                missing = missing.saturating_add(request.reserve);
+                short.push(*id);
+            }
+        }
+        let idle = purse.available(free);
+        if wanted > Tokens::ZERO {
             self.adjust(now, team, wanted);
+        } else if undrawn > Tokens::ZERO {
+            // What can't be made up here is given back, so that another router can make it up.
+            self.adjust(now, team, missing);
+        }
+        if short.is_empty() {
+            return;
         }
+        if undrawn == Tokens::ZERO || idle == Tokens::ZERO {
+            self.ask_others(team, wanted.saturating_add(missing));
+        }
+        self.note_short(now, team, &short);
     }
 
     /// Draws though nothing is left: the others see the draw come back short, and give back what lies idle there.
@@ -144,13 +163,10 @@
         self.appender.push(record, Ticket::Draw(team.clone()));
     }
 
-    /// Marks since when the waiting requests have nothing left to draw, and refuses those that no one can serve.
-    fn note_short(&mut self, now: Instant, team: &TeamId) {
-        let Some(purse) = self.purses.get(team) else {
-            return;
-        };
+    /// Marks since when requests have nothing left to draw, and refuses those that no one can serve.
+    fn note_short(&mut self, now: Instant, team: &TeamId, short: &[RequestId]) {
         let unspent = self.ledger.team(team).map_or(Tokens::ZERO, |t| t.unspent());
-        for id in purse.waiting.clone() {
+        for id in short.iter().copied() {
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
             };
