--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -102,25 +102,46 @@
         self.draw_for_waiting(now, team);
     }
 
+    /// Draws for the requests that wait, and has those wait for other routers' holdings that what is left can't cover.
+    ///
+    /// Were all of them drawn for at once, a draw for more than is left would not be made at all, and a request that what
+    /// is left covers would wait for its deadline behind one that it does not.
     fn draw_for_waiting(&mut self, now: Instant, team: &TeamId) {
-        let scarce = self.note_short(now, team);
         let Some(purse) = self.purses.get(team) else {
             return;
         };
-        let wanted: Tokens = purse
-            .waiting
-            .iter()
-            .filter_map(|id| self.requests.get(id))
-            .filter(|request| matches!(request.state, State::Funding { .. }))
-            .map(|request| request.reserve)
-            .sum();
-        if wanted == Tokens::ZERO {
+        let free = self.ledger.holding(self.me, team).free;
+        let state = self.ledger.team(team);
+        let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
+        let reach = undrawn.saturating_add(purse.available(free));
+        let mut wanted = Tokens::ZERO;
+        let mut missing = Tokens::ZERO;
+        let mut short = Vec::new();
+        for id in &purse.waiting {
+            let Some(request) = self.requests.get(id) else {
+                continue;
+            };
+            if wanted.saturating_add(request.reserve) <= reach {
+                wanted += request.reserve;
+            } else {
+                missing = missing.saturating_add(request.reserve);
+                short.push(*id);
+            }
+        }
+        let idle = purse.available(free);
+        if wanted > Tokens::ZERO {
+            self.adjust(now, team, wanted);
+        } else if undrawn > Tokens::ZERO {
+            // What can't be made up here is given back, so that another router can make it up.
+            self.adjust(now, team, missing);
+        }
+        if short.is_empty() {
             return;
         }
-        if scarce {
-            self.ask_others(team, wanted);
+        if undrawn == Tokens::ZERO || idle == Tokens::ZERO {
+            self.ask_others(team, wanted.saturating_add(missing));
         }
-        self.adjust(now, team, wanted);
+        self.note_short(now, team, &short);
     }
 
     /// Draws though nothing is left: the others see the draw come back short, and give back what lies idle there.
@@ -142,40 +163,22 @@
         self.appender.push(record, Ticket::Draw(team.clone()));
     }
 
-    /// Marks since when the waiting requests ask for more than can be drawn, and refuses those that no one can serve;
-    /// returns whether one is such for the first time.
-    ///
-    /// What can be drawn need not be nought for that: the last tokens of a budget that are too few for any request would
-    /// be drawn and returned until the caller's deadline, though its refusal was certain from the start.
-    fn note_short(&mut self, now: Instant, team: &TeamId) -> bool {
-        let free = self.ledger.holding(self.me, team).free;
-        let Some(purse) = self.purses.get(team) else {
-            return false;
-        };
-        let state = self.ledger.team(team);
-        let unspent = state.map_or(Tokens::ZERO, |t| t.unspent());
-        let undrawn = state.map_or(Tokens::ZERO, |t| t.undrawn());
-        let reach = purse.available(free).saturating_add(undrawn);
-        let mut first = false;
-        for id in purse.waiting.clone() {
+    /// Marks since when requests have nothing left to draw, and refuses those that no one can serve.
+    fn note_short(&mut self, now: Instant, team: &TeamId, short: &[RequestId]) {
+        let unspent = self.ledger.team(team).map_or(Tokens::ZERO, |t| t.unspent());
+        for id in short.iter().copied() {
             let Some(request) = self.requests.get_mut(&id) else {
                 continue;
             };
             let hopeless = request.reserve > unspent;
-            let scarce = request.reserve > reach;
             let State::Funding { short } = &mut request.state else {
                 continue;
             };
-            if !scarce {
-                continue;
-            }
-            first |= short.is_none();
             let since = *short.get_or_insert(now);
             if hopeless || now >= since + SHORT_WAIT {
                 self.refuse_spent(now, id, hopeless);
             }
         }
-        first
     }
 
     fn refuse_spent(&mut self, now: Instant, id: RequestId, hopeless: bool) {
