Blame no suspect for an engine that it was sent to after its fall

Change: what an endpoint ran when it fell is kept with the fall; for 5 s only that can be blamed for what is cut off there.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -78,8 +78,8 @@
     running: IndexMap<VmId, IndexMap<Fingerprint, u32>>,
     suspects: IndexMap<Fingerprint, Suspect>,
     deaths: VecDeque<Death>,
-    /// When each endpoint last fell, by this router or by another's record.
-    fallen: IndexMap<VmId, Instant>,
+    /// When each endpoint last fell, by this router or by another's record, and what ran there then.
+    fallen: IndexMap<VmId, (Instant, Vec<Fingerprint>)>,
 }
 
 impl Quarantine {
@@ -164,8 +164,8 @@
         if accident {
             return Vec::new();
         }
-        let blamed = self.blame(now, endpoint, requests);
-        self.fallen.insert(endpoint.clone(), now);
+        let blamed = self.blame(now, endpoint, requests.clone());
+        self.fallen.insert(endpoint.clone(), (now, requests));
         for request in &blamed {
             self.learn(now, *request, endpoint);
         }
@@ -175,7 +175,10 @@
     /// Takes in a crash, of this router or from the ledger.
     pub fn learn(&mut self, now: Instant, request: Fingerprint, endpoint: &VmId) {
         self.expire(now);
-        self.fallen.insert(endpoint.clone(), now);
+        let running = self.running.get(endpoint);
+        let ran = running.map(|requests| requests.keys().copied().collect());
+        let fall = (now, ran.unwrap_or_default());
+        self.fallen.entry(endpoint.clone()).or_insert(fall);
         let suspect = self.suspects.entry(request).or_insert(Suspect {
             endpoints: Vec::new(),
             at: now,
@@ -189,14 +192,16 @@
     /// Picks those that explain a death: the ones that were suspects before, or else all.
     ///
     /// An endpoint that fell a moment ago cuts off whatever is sent to it until it is up again. A request that met only
-    /// that would be refused for the crash of another, so nothing that is not a suspect already becomes one by it.
+    /// that would be refused for the crash of another, so nothing that was sent there later is blamed, and nothing becomes
+    /// a suspect by a fall that a record explains.
     fn blame(&self, now: Instant, endpoint: &VmId, requests: Vec<Fingerprint>) -> Vec<Fingerprint> {
+        let fallen = self.fallen.get(endpoint);
+        let down = fallen.filter(|(at, _)| now < *at + DOWN);
         let (known, fresh): (Vec<_>, Vec<_>) = requests
             .into_iter()
+            .filter(|request| down.is_none_or(|(_, ran)| ran.contains(request)))
             .partition(|request| self.suspects.contains_key(request));
-        let fallen = self.fallen.get(endpoint);
-        let down = fallen.is_some_and(|at| now < *at + DOWN);
-        if known.is_empty() && !down {
+        if known.is_empty() && down.is_none() {
             fresh
         } else {
             known
@@ -219,7 +224,7 @@
 
     fn expire(&mut self, now: Instant) {
         self.suspects.retain(|_, s| now < s.at + MEMORY);
-        self.fallen.retain(|_, at| now < *at + DOWN);
+        self.fallen.retain(|_, (at, _)| now < *at + DOWN);
         while self.suspects.len() >= SUSPECTS {
             self.suspects.shift_remove_index(0);
         }
