Wake the loop for a failed append only when it may go out again

Cause: the appender's wake named the end of the interval also while a failed append rests for four; the time lay in the past, and the loop turned without rest until then, with a tick of the core in each turn. Found by reading, with the pace of batches; the processor time of a router in a log outage was not measured before or after.

Change: the wake is the later of the two. The unit test failed before it. cargo test: all pass.

--- a/src/router/appender.rs
+++ b/src/router/appender.rs
@@ -113,7 +113,7 @@
         if paced && unsent {
             self.seal();
         }
-        let rested = self.failed.is_none_or(|at| now >= at + interval * 4);
+        let rested = self.rested().is_none_or(|rested| now >= rested);
         let front = self.sealed.front_mut()?;
         let due = match front.state {
             Flight::Due => true,
@@ -230,13 +230,21 @@
         front.tickets.into_iter().zip(verdicts).collect()
     }
 
+    /// Returns until when a failed append rests before it is sent again.
+    fn rested(&self) -> Option<Instant> {
+        self.failed.map(|at| at + self.pace.interval * 4)
+    }
+
     /// Returns when [`Self::poll`] is worth calling again.
     pub(crate) fn wake(&self) -> Option<Instant> {
         let sent = self.sent?;
         let front = self.sealed.front();
         match front.map(|s| s.state) {
             None if self.pending.is_empty() => None,
-            None | Some(Flight::Due) => Some(sent + self.pace.interval),
+            None | Some(Flight::Due) => {
+                let paced = sent + self.pace.interval;
+                Some(self.rested().map_or(paced, |rested| rested.max(paced)))
+            }
             Some(Flight::Sent(at)) => Some(at + self.pace.timeout),
             Some(Flight::Landed) => None,
         }
--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -62,3 +62,18 @@
     assert_eq!(sent.sequence, Sequence(2));
     assert_eq!(batch(&sent).records.len(), 2);
 }
+
+/// The log service refuses an append at once. A loop that is woken before the append may be sent again turns without rest
+/// until then, and an idle router in a log outage takes most of a core.
+#[test]
+fn a_failed_append_wakes_the_loop_when_it_may_be_sent_again() {
+    let start = Instant::now();
+    let mut appender = begun(start);
+    appender.push(draw(), 1);
+    let sent = appender.poll(start + INTERVAL).unwrap();
+    let failed = start + INTERVAL + Duration::from_millis(1);
+    appender.answered(failed, sent.sequence, false);
+    let wake = appender.wake().unwrap();
+    assert_eq!(appender.poll(wake - Duration::from_millis(1)), None);
+    assert!(appender.poll(wake).is_some());
+}
