Free the place of a request whose endpoint left between choice and claim

Cause: found by reading: the VM list dropped the endpoint while the claim was on its way, and the request's place there, and in the quarantine's count, was kept. No test shows it.

--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -41,6 +41,7 @@
     /// Sends a request to its endpoint.
     pub(crate) fn dispatch(&mut self, now: Instant, id: RequestId, endpoint: VmId) {
         let Some(address) = self.endpoint_address(&self.requests[&id].pool, &endpoint) else {
+            self.free_endpoint(now, id);
             self.not_run(now, id, None);
             return;
         };
