--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -1,8 +1,8 @@
 //! The slopes that `docs/CAPACITY.md` extrapolates from: bytes, records, appends and memory by size, each with a
 //! least-squares line and the largest distance of a point from it.
 //!
-//! `cargo bench --locked --bench capacity`. Memory is measured in a process of its own for each size. Processor time is
-//! the main thread's, from `/proc/thread-self/schedstat`, so that a busy machine changes it little.
+//! `cargo bench --locked --bench capacity`; with `-- fleet`, idle routers as processes instead. Memory is measured
+//! in a process of its own for each size. Processor time is the main thread's, from `/proc/thread-self/schedstat`, so that a busy machine changes it little.
 
 #![expect(
     clippy::disallowed_methods,
@@ -11,7 +11,11 @@
 
 use std::env;
 use std::fs;
+use std::process::Child;
 use std::process::Command;
+use std::process::Stdio;
+use std::thread::sleep;
+use std::time::Duration;
 
 use jasmineridge::Attempt;
 use jasmineridge::Batch;
@@ -78,6 +82,9 @@
     if let Ok(what) = env::var(CHILD) {
         return child(&what);
     }
+    if env::args().any(|arg| arg == "fleet") {
+        return grown("fleet", &[7, 25, 50, 100], &["cpu percent", "memory mb"]);
+    }
     request_bytes();
     appends();
     partitions();
@@ -87,14 +94,18 @@
     grown(
         "teams",
         &[10_000, 50_000, 100_000, 430_000],
-        &["memory", "checkpoint"],
+        &["memory bytes", "checkpoint bytes"],
     );
     grown(
         "documents",
         &[10_000, 50_000, 100_000, 430_000],
-        &["memory", "snapshot"],
+        &["memory bytes", "snapshot bytes"],
+    );
+    grown(
+        "keys",
+        &[10_000, 50_000, 100_000, 200_000],
+        &["memory bytes"],
     );
-    grown("keys", &[10_000, 50_000, 100_000, 200_000], &["memory"]);
 }
 
 /// Prints `y = a + b x` by least squares, and the point farthest from it.
@@ -312,13 +323,16 @@
         }
     }
     for (points, name) in all.iter().zip(names) {
-        fit(&format!("{name} bytes by {what}"), points);
+        fit(&format!("{name} by {what}"), points);
     }
 }
 
 fn child(what: &str) {
     let (what, size) = what.split_once(' ').expect("two words");
     let size: u64 = size.parse().expect("it is a number");
+    if what == "fleet" {
+        return fleet(size);
+    }
     let before = resident();
     if what == "documents" {
         let config = with_documents(size);
@@ -338,6 +352,95 @@
     println!("memory_bytes={memory} checkpoint_bytes={bytes} parts={count}");
 }
 
+/// A process that ends with this value, also on a panic.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(program: &str, args: &[&str]) -> Running {
+    let mut command = Command::new(program);
+    command
+        .args(args)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null());
+    Running(command.spawn().expect("it starts"))
+}
+
+/// Starts as many routers as processes, idle, before a log service and a VM list; prints each one's processor time
+/// and memory, the mean and the highest.
+fn fleet(routers: u64) {
+    const FIRST: u64 = 31_000;
+    const WARM: Duration = Duration::from_secs(10);
+    const SECONDS: u64 = 10;
+    let standin = env!("CARGO_BIN_EXE_jasmineridge-standin");
+    let folder = env::temp_dir().join(format!("jasmineridge-capacity-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("there is room");
+    let peer = |at: u64| format!("127.0.0.1:{}", FIRST + 2 * at);
+    let listen = |at: u64| format!("127.0.0.1:{}", FIRST + 2 * at + 1);
+    let (log, vms) = (peer(1_000), listen(1_000));
+    let entry = |at| {
+        json!({"vm": format!("vm-{at}"), "address": listen(at), "domain": format!("domain-{}", at % 5),
+        "labels": {"role": "router", "peer": peer(at)}})
+    };
+    let list: Vec<_> = (0..routers).map(entry).collect();
+    let file = folder.join("vms.json");
+    fs::write(&file, Value::from(list).to_string()).expect("there is room");
+    let file = file.to_str().expect("it is plain");
+    let platform = [
+        start(standin, &["log", "--listen", &log]),
+        start(standin, &["vms", "--listen", &vms, "--file", file]),
+    ];
+    let mut running = Vec::new();
+    for at in 0..routers {
+        let settings = json!({"vm": format!("vm-{at}"), "domain": format!("domain-{}", at % 5), "listen": listen(at),
+            "peer_listen": peer(at), "log": format!("http://{log}"), "vms": format!("http://{vms}")});
+        let file = folder.join(format!("{at}.json"));
+        fs::write(&file, settings.to_string()).expect("there is room");
+        let file = file.to_str().expect("it is plain");
+        running.push(start(
+            env!("CARGO_BIN_EXE_jasmineridged"),
+            &["--settings", file],
+        ));
+    }
+    sleep(WARM);
+    let before: Vec<_> = running.iter().map(ticks).collect();
+    sleep(Duration::from_secs(SECONDS));
+    let spent = running.iter().zip(before).map(|(r, b)| ticks(r) - b);
+    // A tick is 10 ms, so that one a second is one percent.
+    let spent: Vec<f64> = spent.map(|t| t as f64 / SECONDS as f64).collect();
+    let memory: Vec<f64> = running.iter().map(|r| resident_of(r) as f64).collect();
+    let mean = |all: &[f64]| all.iter().sum::<f64>() / all.len() as f64;
+    let most = |all: &[f64]| all.iter().copied().fold(0.0, f64::max);
+    println!(
+        "cpu_percent_mean={:.2} memory_mb_mean={:.1} cpu_percent_max={:.2} memory_mb_max={:.1}",
+        mean(&spent),
+        mean(&memory) / 1e6,
+        most(&spent),
+        most(&memory) / 1e6
+    );
+    drop(running);
+    drop(platform);
+    fs::remove_dir_all(&folder).expect("it was made here");
+}
+
+/// Returns a process's processor time, ticks.
+fn ticks(running: &Running) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{}/stat", running.0.id())).expect("it runs");
+    let (_, text) = text.rsplit_once(')').expect("its name is in brackets");
+    let fields: Vec<&str> = text.split_whitespace().collect();
+    let field = |at: usize| fields[at].parse::<u64>().expect("it is a number");
+    field(11) + field(12)
+}
+
+fn resident_of(running: &Running) -> u64 {
+    memory_of(&running.0.id().to_string())
+}
+
 /// All topped up, and drawn on by a router each.
 fn with_teams(teams: u64) -> Ledger {
     let mut writer = Writer::default();
@@ -440,7 +543,11 @@
 
 /// Returns the process's resident memory, bytes.
 fn resident() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").expect("this is Linux");
+    memory_of("self")
+}
+
+fn memory_of(process: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
     let kb = line.and_then(|line| line.split_whitespace().nth(1));
     kb.and_then(|kb| kb.parse::<u64>().ok())
