--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -85,5 +85,6 @@
     router_death,
     budget_healthy,
     budget_parted,
+    budget_parted_available,
     log_outage,
 );
