--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod arrive;
 mod checkpoint;
 mod claim;
+mod closing;
 mod configure;
 mod core;
 mod demand;
