Leave with a peer only what it does not keep yet

Cause: in a log outage all that waited was sent to all peers with each record. Ruled out: two keepers in place of all peers, which lean strict does not allow as its rule stands. Change: batches that are left with peers take 64 records; a peer is sent those behind what it keeps, and the last of these again as it grows; a peer that lacks what comes before says so, and gets all. Test: what_is_left_with_peers_is_sent_once_or_so, bound 10,000 bytes a request over 600 requests.

--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -169,13 +169,15 @@
         let call = |client: PeeringClient| async move {
             client.keep(deadline(CALL), VERSION, batches).await
         };
-        if let Ok(Ok(())) = self.call(&peer.address, CALL, call).await {
-            self.desk.tell(Event::Kept {
+        match self.call(&peer.address, CALL, call).await {
+            Ok(Ok(())) => self.desk.tell(Event::Kept {
                 peer: peer.vm,
                 router,
                 last,
                 records,
-            });
+            }),
+            Ok(Err(_)) => self.desk.tell(Event::Unkept(peer.vm)),
+            Err(_) => {}
         }
     }
 
--- a/src/router/appender.rs
+++ b/src/router/appender.rs
@@ -111,7 +111,7 @@
         // next, and each claim would wait an interval more.
         let unsent = self.sealed.front().is_none_or(|s| s.first_sent.is_none());
         if paced && unsent {
-            self.seal();
+            self.seal(MAX_RECORDS);
         }
         let rested = self.rested().is_none_or(|rested| now >= rested);
         let front = self.sealed.front_mut()?;
@@ -132,15 +132,15 @@
         })
     }
 
-    /// Gives the pending records their batch and number.
+    /// Gives the pending records their batches, of at most so many records, and their numbers.
     ///
     /// In a log outage this is done before they can be sent, so that other routers may keep the batches and append
     /// them verbatim should this router die. A batch that was never sent to the log still takes records: one batch for
     /// each moment of an hour's outage would take longer to append than the outage lasted.
-    pub(crate) fn seal(&mut self) {
+    pub(crate) fn seal(&mut self, most: usize) {
         while !self.pending.is_empty() {
             let room = match self.sealed.back() {
-                Some(last) if last.first_sent.is_none() => MAX_RECORDS - last.tickets.len(),
+                Some(last) if last.first_sent.is_none() => most.saturating_sub(last.tickets.len()),
                 _ => 0,
             };
             if room == 0 {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -269,6 +269,7 @@
                 last,
                 records,
             } => self.kept(now, peer, router, (last, records)),
+            Event::Unkept(peer) => self.unkept(&peer),
             Event::Checked(vm, passed) => self.endpoint_checked(now, &vm, passed),
             Event::Load(vm, load) => self.endpoint_load(now, &vm, &load),
             Event::Cache(vm, events) => self.endpoint_cache(&vm, &events),
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -81,6 +81,8 @@
     },
     /// An endpoint was asked how it is, and answered or did not.
     Checked(VmId, bool),
+    /// A peer can't keep this router's batches, for it lacks those before them.
+    Unkept(VmId),
     /// What an endpoint says of its load.
     Load(VmId, EndpointLoad),
     /// What an endpoint says of its cache.
@@ -275,6 +277,9 @@
 pub(crate) struct KeptBatches {
     /// The incarnation that wrote them.
     pub(crate) router: Incarnation,
+    /// The number of the batch that they follow; 0 where all are here. The keeper has what lies before, or can't keep
+    /// them.
+    pub(crate) after: Sequence,
     /// The number of the last of them.
     pub(crate) last: Sequence,
     /// How many records the last one has by now; it may still grow.
@@ -283,6 +288,14 @@
     pub(crate) batches: Vec<Vec<u8>>,
 }
 
+impl KeptBatches {
+    /// Returns the batches up to a number.
+    pub(crate) fn upto(&self, number: Sequence) -> &[Vec<u8>] {
+        let beyond = usize::try_from(self.last.0.saturating_sub(number.0)).unwrap_or(usize::MAX);
+        &self.batches[..self.batches.len().saturating_sub(beyond)]
+    }
+}
+
 /// What an endpoint says of its load, some time ago.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct EndpointLoad {
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -9,6 +9,7 @@
 use crate::ids::DomainId;
 use crate::ids::Incarnation;
 use crate::ids::RequestKey;
+use crate::ids::Sequence;
 use crate::ids::VmId;
 use crate::ledger::Record;
 use crate::ledger::decode;
@@ -134,15 +135,28 @@
         heard.is_some_and(|(_, beat)| beat.router != router)
     }
 
-    /// Keeps a peer's batches, in place of those that it left here before.
-    pub(crate) fn keep(&mut self, batches: KeptBatches) {
-        let older = self
-            .kept
-            .get(&batches.router)
-            .is_some_and(|kept| (kept.last, kept.records) > (batches.last, batches.records));
-        if !older {
-            self.kept.insert(batches.router, batches);
+    /// Keeps a peer's batches behind those that it left here before; returns whether it could.
+    ///
+    /// `folded` is the number of the last one that the log has. With a gap behind that, or behind what is kept, no batch
+    /// after the gap would count when the peer is dead.
+    pub(crate) fn keep(&mut self, new: KeptBatches, folded: Sequence) -> bool {
+        let old = self.kept.get(&new.router);
+        if old.is_some_and(|old| (old.last, old.records) > (new.last, new.records)) {
+            return true;
         }
+        let before = match old {
+            Some(old) if old.last >= new.after => old.upto(new.after),
+            _ if folded >= new.after => &[],
+            _ => return false,
+        };
+        let batches = [before, &new.batches].concat();
+        let kept = KeptBatches {
+            after: Sequence(0),
+            batches,
+            ..new
+        };
+        self.kept.insert(kept.router, kept);
+        true
     }
 
     /// Returns whether a batch that is kept here claims a request.
--- a/src/router/outage.rs
+++ b/src/router/outage.rs
@@ -16,6 +16,7 @@
 use crate::router::core::Core;
 use crate::router::core::Ticket;
 use crate::router::effect::Effect;
+use crate::router::effect::Peer;
 use crate::router::event::AdminId;
 use crate::router::event::KeptBatches;
 use crate::router::request::State;
@@ -26,6 +27,10 @@
 /// a batch of a busy router's records stays small.
 const REPLICATE: Duration = Duration::from_millis(50);
 
+/// How many records a batch takes that is left with peers: while it grows it is sent again with each, and an hour of a few
+/// requests a second makes some hundred batches, which are appended within seconds when the log is back.
+const KEPT_RECORDS: usize = 64;
+
 /// How far a router's batches go: the number of the last one, and how many records that has.
 type Extent = (Sequence, usize);
 
@@ -54,7 +59,7 @@
             return;
         }
         let due = self.outage.sent.is_none_or(|at| now >= at + REPLICATE);
-        self.appender.seal();
+        self.appender.seal(KEPT_RECORDS);
         let waiting = self.appender.waiting();
         let again = self.outage.sent.is_none_or(|at| now >= at + REPLICATE * 20);
         if !due || (waiting == self.outage.waiting && !again) {
@@ -62,29 +67,50 @@
         }
         self.outage.sent = Some(now);
         self.outage.waiting = waiting;
-        let peers = self.members.peers(&self.tuning.vm);
-        if let Some((last, records)) = self.appender.extent() {
-            let batches = KeptBatches {
-                router: self.me,
-                last,
-                records,
-                batches: self.appender.unfolded().map(encode).collect(),
-            };
-            self.effects.push(Effect::Keep(batches, peers));
+        for peer in self.members.peers(&self.tuning.vm) {
+            self.leave_with(peer);
         }
         self.go_on_kept(now);
     }
 
+    /// Leaves with a peer what it does not keep yet.
+    ///
+    /// The last batch that it keeps may have grown since, so that one goes again. Were all sent each time, what an hour's
+    /// outage gathers would be sent some thousand times.
+    fn leave_with(&mut self, peer: Peer) {
+        let kept = self.outage.kept.get(&peer.vm).copied();
+        let Some((last, records)) = self.appender.extent() else {
+            return;
+        };
+        if kept == Some((last, records)) {
+            return;
+        }
+        let after = Sequence(kept.map_or(0, |(number, _)| number.0.saturating_sub(1)));
+        let batches = self.appender.unfolded();
+        let batches = KeptBatches {
+            router: self.me,
+            after,
+            last,
+            records,
+            batches: batches.filter(|b| b.sequence > after).map(encode).collect(),
+        };
+        self.effects.push(Effect::Keep(batches, vec![peer]));
+    }
+
+    /// Takes a peer's word that it lacks what it was left before, as one that began anew does.
+    pub(crate) fn unkept(&mut self, peer: &VmId) {
+        self.outage.kept.shift_remove(peer);
+    }
+
     /// Keeps a peer's batches, or says that it is no use.
     ///
     /// A router that was closed while it was cut off may not know it yet. Were its batches kept all the same, it would
     /// let the ends of answers go out whose bills are void.
     pub(crate) fn keep(&mut self, id: AdminId, batches: KeptBatches) {
-        let open = self.ledger.is_open(batches.router);
-        if open {
-            self.members.keep(batches);
-        }
-        let status = if open { 200 } else { 409 };
+        let state = self.ledger.router(batches.router);
+        let folded = state.filter(|state| !state.closed).map(|s| s.sequence);
+        let keeps = folded.is_some_and(|folded| self.members.keep(batches, folded));
+        let status = if keeps { 200 } else { 409 };
         self.effects.push(Effect::Answer(id, status, Value::Null));
     }
 
--- a/src/router/tests/bench.rs
+++ b/src/router/tests/bench.rs
@@ -80,6 +80,8 @@
     /// Whether the routers hear each other.
     pub(crate) linked: bool,
     pub(crate) records: Vec<Vec<u8>>,
+    /// How many bytes the routers have left with each other.
+    pub(crate) left: usize,
     started: Instant,
     next: u64,
 }
@@ -135,6 +137,7 @@
             log: Log::Up,
             linked: true,
             records: Vec::new(),
+            left: 0,
             started: now,
             next: 1,
         };
@@ -203,6 +206,7 @@
             }
             Effect::Keep(batches, peers) if self.linked && !peers.is_empty() => {
                 let other = 1 - at;
+                self.left += batches.batches.iter().map(Vec::len).sum::<usize>();
                 let event = Event::Keep(AdminId(0), batches.clone());
                 let answers = self.nodes[other].core.handle(self.now, event);
                 let keeps = |e: &Effect| matches!(e, Effect::Answer(AdminId(0), 200, _));
@@ -214,6 +218,8 @@
                         records: batches.records,
                     };
                     self.tell(at, event);
+                } else {
+                    self.tell(at, Event::Unkept(peers[0].vm.clone()));
                 }
             }
             Effect::Beat(..) | Effect::Keep(..) | Effect::AppendKept(_) => {}
--- a/src/router/tests/outage.rs
+++ b/src/router/tests/outage.rs
@@ -1,11 +1,14 @@
 //! Log outages.
 
 use crate::decide::Lean;
+use crate::ids::Sequence;
 use crate::router::Event;
+use crate::router::KeptBatches;
 use crate::router::ProblemKind;
 use crate::router::Ran;
 use crate::router::Silence;
 use crate::router::Tuning;
+use crate::router::members::Members;
 use crate::router::tests::bench::Bench;
 use crate::router::tests::bench::Log;
 use crate::router::tests::bench::tuning;
@@ -167,3 +170,52 @@
     assert!(!bench.ledger().is_open(dead));
     assert_eq!(bench.bill("o5"), Some(23));
 }
+
+/// The log is down for long, and a router leaves each record with its peers. Were all that waits sent again with each
+/// record, an hour's outage would fill the network between the routers, and callers would wait for the ends of their
+/// answers ever longer.
+#[test]
+fn what_is_left_with_peers_is_sent_once_or_so() {
+    const REQUESTS: usize = 600;
+    let mut bench = in_outage(|tuning| tuning);
+    let before = bench.left;
+    for number in 0..REQUESTS {
+        let ask = bench.chat(&format!("long-{number}"), 1);
+        let id = bench.dispatched(0, &ask);
+        bench.whole(0, id);
+        bench.pass(100);
+        assert!(bench.nodes[0].released(id), "{number}");
+    }
+    let each = (bench.left - before) / REQUESTS;
+    assert!(each < 10_000, "{each} bytes a request");
+    bench.log = Log::Up;
+    bench.pass(5000);
+    for number in 0..REQUESTS {
+        assert_eq!(bench.bill(&format!("long-{number}")), Some(23), "{number}");
+    }
+}
+
+/// A router begins anew in the middle of an outage, and a peer goes on leaving it only what is new. Batches behind a gap
+/// would count for nothing when the peer is dead, so it says that it lacks those before, and gets all.
+#[test]
+fn batches_behind_a_gap_are_not_kept() {
+    let bench = in_outage(|tuning| tuning);
+    let router = bench.nodes[0].core.me;
+    let folded = bench.nodes[1].core.ledger.router(router);
+    let folded = folded.expect("it is open").sequence;
+    let left = |after: u64, count: usize| KeptBatches {
+        router,
+        after: Sequence(after),
+        last: Sequence(after + count as u64),
+        records: 1,
+        batches: vec![vec![1]; count],
+    };
+    let fresh = || Members::new(bench.now);
+    assert!(!fresh().keep(left(folded.0 + 5, 1), folded));
+    assert!(fresh().keep(left(folded.0, 2), folded));
+    let mut members = fresh();
+    assert!(members.keep(left(folded.0, 3), folded));
+    assert!(members.keep(left(folded.0 + 2, 2), folded));
+    assert_eq!(members.kept[&router].batches.len(), 4);
+    assert_eq!(members.kept[&router].last, Sequence(folded.0 + 4));
+}
