--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -24,7 +24,7 @@
 use crate::decide::health::Health;
 use crate::decide::prefix::Match;
 use crate::decide::prefix::PrefixIndex;
-use crate::decide::queue::Usage;
+use crate::decide::recent::Usage;
 use crate::ids::DomainId;
 use crate::ids::ModelId;
 use crate::ids::VmId;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 mod advice;
 mod choose;
 mod concurrency;
+mod drain;
 mod hasher;
 mod health;
 mod holding;
@@ -20,6 +21,7 @@
 mod prefix;
 mod quarantine;
 mod queue;
+mod recent;
 mod retry;
 
 pub use advice::Advice;
@@ -51,5 +53,5 @@
 pub use queue::Full;
 pub use queue::Place;
 pub use queue::Ticket;
-pub use queue::Usage;
+pub use recent::Usage;
 pub use retry::RetryBudget;
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -18,6 +18,9 @@
 use rand_chacha::ChaCha8Rng;
 use thiserror::Error;
 
+use crate::decide::drain::Drain;
+use crate::decide::recent::Recent;
+use crate::decide::recent::Usage;
 use crate::ids::AccountId;
 use crate::ids::TeamId;
 use crate::tokens::Tokens;
@@ -29,9 +32,6 @@
 /// and lets an account that is alone on a router still queue for a burst.
 const ACCOUNT_SHARE: usize = 4;
 
-/// The time over which the drain rate is averaged: several answers, so that one long one does not swing it.
-const DRAIN_WINDOW: f64 = 5.0;
-
 /// Those refused together come back over so many times the time that they were told at least.
 const SPREAD: f64 = 1.5;
 
@@ -39,9 +39,6 @@
 /// those that waited reached their deadlines all the same and had waited for nothing, at 2 none did.
 const MARGIN: f64 = 2.0;
 
-/// The time over which an account's use counts, in seconds: a few answers.
-const RECENT: f64 = 10.0;
-
 /// How many that do not fit are looked at before a pop gives up. At some microseconds for a choice, looking at all of 430
 /// teams at each arrival in an overload would take a router's whole time.
 const TRIED: u32 = 8;
@@ -49,9 +46,6 @@
 /// How often teams and accounts that have nothing waiting and had next to nothing lately are forgotten.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// The time that must have been measured before the rate is believed.
-const MIN_MEASURE: f64 = 0.25;
-
 /// The shortest wait that a refusal asks for.
 const MIN_RETRY: f64 = 1.0;
 
@@ -490,97 +484,3 @@
         self.at = Some(now);
     }
 }
-
-/// How much of the endpoints an account had lately.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Usage {
-    /// Less than half of an equal part.
-    Light,
-    /// More.
-    Heavy,
-}
-
-/// What accounts were served lately.
-#[derive(Debug, Default)]
-struct Recent {
-    accounts: IndexMap<AccountId, (f64, Option<Instant>)>,
-    all: f64,
-    at: Option<Instant>,
-}
-
-impl Recent {
-    fn charge(&mut self, now: Instant, account: &AccountId, cost: f64) {
-        let (mine, at) = self.accounts.entry(account.clone()).or_default();
-        *mine = decayed(*mine, *at, now) + cost;
-        *at = Some(now);
-        self.all = decayed(self.all, self.at, now) + cost;
-        self.at = Some(now);
-    }
-
-    fn sweep(&mut self, now: Instant) {
-        self.accounts
-            .retain(|_, (cost, at)| decayed(*cost, *at, now) >= 1.0);
-    }
-
-    fn usage(&self, now: Instant, account: &AccountId) -> Usage {
-        let mine = self
-            .accounts
-            .get(account)
-            .map_or(0.0, |(cost, at)| decayed(*cost, *at, now));
-        let all = decayed(self.all, self.at, now);
-        match mine * 2.0 * self.accounts.len() as f64 <= all {
-            true => Usage::Light,
-            false => Usage::Heavy,
-        }
-    }
-}
-
-fn decayed(cost: f64, at: Option<Instant>, now: Instant) -> f64 {
-    let passed = at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
-    cost * (-passed / RECENT).exp()
-}
-
-/// Measures how fast the queue drains while something waits in it.
-#[derive(Debug, Default)]
-struct Drain {
-    cost: f64,
-    time: f64,
-    since: Option<Instant>,
-}
-
-impl Drain {
-    fn start(&mut self, now: Instant) {
-        self.since = Some(now);
-    }
-
-    fn stop(&mut self, now: Instant) {
-        self.pass(now);
-        self.since = None;
-    }
-
-    fn served(&mut self, now: Instant, cost: Tokens, empty: bool) {
-        self.pass(now);
-        self.cost += cost.0.max(1) as f64;
-        if empty {
-            self.since = None;
-        }
-    }
-
-    fn pass(&mut self, now: Instant) {
-        let Some(since) = self.since else { return };
-        let passed = now.saturating_duration_since(since).as_secs_f64();
-        let kept = (-passed / DRAIN_WINDOW).exp();
-        self.cost *= kept;
-        self.time = self.time * kept + passed;
-        self.since = Some(now);
-    }
-
-    /// Returns the cost served a second. The time since the last one counts, so that a stall shows.
-    fn rate(&self, now: Instant) -> Option<f64> {
-        let idle = self
-            .since
-            .map_or(0.0, |s| now.saturating_duration_since(s).as_secs_f64());
-        let time = self.time + idle;
-        (self.cost > 0.0 && time > MIN_MEASURE).then(|| self.cost / time)
-    }
-}
--- a/src/router/checkpoint.rs
+++ b/src/router/checkpoint.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use tracing::info;
+use tracing::warn;
 
 use crate::ids::Offset;
 use crate::ledger::PART_SIZE;
@@ -38,6 +39,14 @@
         }
         self.checkpointed = Some(now);
         let parts = split(&self.ledger, PART_SIZE);
+        if parts.is_empty() {
+            // Unsaid, the log would let go of the last checkpoint, and nobody would know until a fleet restarts.
+            warn!(
+                event = "checkpoint-too-large",
+                keys = self.ledger.keys().count()
+            );
+            return;
+        }
         info!(event = "checkpoint", as_of = %self.ledger.next(), parts = parts.len());
         let parts = parts.iter().map(encode_part).collect();
         self.effects
