Give back what is too little for the request that waits here

Cause: another router's shortage was answered with nothing where a request of the team waited here. At a budget's end each router then held a part of what one request needs, and all refused. Ruled out: the wait for others' returns (0.4 s), which three commits fit into, and the partition itself, whose stranded share came back at 9 s while refusals went on to 16 s. Change: what lies here and is too little for each request that waits goes back. Test: one_of_two_that_each_hold_a_part_is_served, 0 of 2 served before, 1 after.

--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -279,11 +279,14 @@
             return;
         };
         let idle = purse.available(free);
-        // What the next second is likely to need stays, lest the tokens go round in circles.
-        let keep = Tokens(demand as u64).min(Tokens(idle.0 / 2));
-        let waits = !purse.waiting.is_empty();
-        let give = if waits { Tokens::ZERO } else { idle - keep };
-        self.give_back(team, give);
+        // What the next second is likely to need stays, lest the tokens go round in circles. But where a request waits, what
+        // lies here is too little for it: were it kept, each router would hold a part of what one request needs, and all
+        // would refuse.
+        let keep = match purse.waiting.is_empty() {
+            true => Tokens(demand as u64).min(Tokens(idle.0 / 2)),
+            false => Tokens::ZERO,
+        };
+        self.give_back(team, idle - keep);
     }
 
     fn note_demand(&mut self, now: Instant, team: &TeamId, amount: Tokens) {
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -17,3 +17,4 @@
 mod random;
 mod refused;
 mod reincarnated;
+mod scattered;
