Make a request's arrival in one place, and look for endpoints only where something waits

Found by reading the whole change once more. Completions and calls each spelled out the same nine fields of an arrival; Head::arrival makes it for both. Each turn of the loop copied the names of all routers for each pool, with nothing in its queue as well; an empty queue is asked nothing now, and taking from one changed nothing before.

--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -27,7 +27,6 @@
 use crate::edge::render;
 use crate::ids::Fingerprint;
 use crate::ids::RequestId;
-use crate::router::Arrival;
 use crate::router::Event;
 use crate::router::Problem;
 use crate::router::Run;
@@ -105,21 +104,11 @@
 async fn serve(desk: Arc<Desk>, head: Head, call: Call, res: &mut Response) {
     let mut line = desk.open();
     render::name(res, line.id);
-    let arrival = Arrival {
-        id: line.id,
-        bearer: head.bearer,
-        key: head.key,
-        attempt: head.attempt,
-        labels: head.labels,
-        request: fingerprint(&call),
-        work: Work::Call {
-            service: call.service.clone(),
-            method: call.method.clone(),
-        },
-        patience: head.patience,
-        priority: head.priority,
+    let work = Work::Call {
+        service: call.service.clone(),
+        method: call.method.clone(),
     };
-    desk.tell(Event::Arrived(Box::new(arrival)));
+    desk.tell(head.arrival(line.id, work, fingerprint(&call)));
     let mut answers = None;
     loop {
         match line.next().await {
--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -26,7 +26,6 @@
 use crate::edge::sse;
 use crate::edge::sse::Finish;
 use crate::ids::RequestId;
-use crate::router::Arrival;
 use crate::router::Event;
 use crate::router::Problem;
 use crate::router::ProblemKind;
@@ -80,7 +79,7 @@
 async fn serve(desk: Arc<Desk>, head: Head, body: ChatBody, res: &mut Response) {
     let mut line = desk.open();
     render::name(res, line.id);
-    desk.tell(Event::Arrived(Box::new(arrival(&line, head, &body))));
+    desk.tell(head.arrival(line.id, body.work.clone(), body.request));
     loop {
         let run = match line.next().await {
             Some(Command::Run(run)) => *run,
@@ -113,20 +112,6 @@
     render::claim_wait(res, run.claim_wait);
 }
 
-fn arrival(line: &Line, head: Head, body: &ChatBody) -> Arrival {
-    Arrival {
-        id: line.id,
-        bearer: head.bearer,
-        key: head.key,
-        attempt: head.attempt,
-        labels: head.labels,
-        work: body.work.clone(),
-        request: body.request,
-        patience: head.patience,
-        priority: head.priority,
-    }
-}
-
 /// Sends a request to its endpoint, unless the core breaks it off.
 async fn begin(line: &mut Line, run: &Run, body: &ChatBody) -> Begun {
     let desk = line.desk.clone();
--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -16,12 +16,17 @@
 use crate::edge::chat::Chat;
 use crate::edge::desk::Desk;
 use crate::ids::Attempt;
+use crate::ids::Fingerprint;
 use crate::ids::IdempotencyKey;
+use crate::ids::RequestId;
 use crate::labels::Labels;
+use crate::router::Arrival;
+use crate::router::Event;
 use crate::router::Problem;
 use crate::router::ProblemKind;
 use crate::router::Ran;
 use crate::router::Secret;
+use crate::router::Work;
 
 const KEY: &str = "idempotency-key";
 const ATTEMPT: &str = "jasmineridge-attempt";
@@ -93,6 +98,21 @@
             priority,
         })
     }
+
+    /// Makes the event of a request with this head.
+    pub(crate) fn arrival(self, id: RequestId, work: Work, request: Fingerprint) -> Event {
+        Event::Arrived(Box::new(Arrival {
+            id,
+            bearer: self.bearer,
+            key: self.key,
+            attempt: self.attempt,
+            labels: self.labels,
+            work,
+            request,
+            patience: self.patience,
+            priority: self.priority,
+        }))
+    }
 }
 
 /// Returns the bearer key, or an empty one, which no account has.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -132,6 +132,9 @@
         now: Instant,
         name: &PoolId,
     ) -> Option<(RequestId, Choice)> {
+        if self.pools.get(name)?.queue.is_empty() {
+            return None;
+        }
         let routers = self.members.serving_vms(&self.tuning.vm);
         let Self {
             pools,
