--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -136,6 +136,7 @@
                 domain: &domain,
                 excluded: &[],
                 usage: Usage::Heavy,
+                home: None,
             };
             let chosen =
                 fleet
--- a/src/bin/jasmineridged.rs
+++ b/src/bin/jasmineridged.rs
@@ -16,10 +16,13 @@
 use anyhow::bail;
 use clap::Parser;
 use jasmineridge::Settings;
+use jasmineridge::SettingsError;
+use jasmineridge::SiteSettings;
 use jasmineridge::Stopped;
 use jasmineridge::demo_lines;
 use jasmineridge::init_logs;
 use jasmineridge::serve;
+use jasmineridge::serve_site;
 use jasmineridge::start_demo;
 use jasmineridge::top_up_demo;
 use tokio::runtime::Builder;
@@ -37,6 +40,9 @@
     /// The settings, a JSON file.
     #[arg(long, required_unless_present = "demo")]
     settings: Option<PathBuf>,
+    /// The settings are those of a platform with a metadata store.
+    #[arg(long, requires = "settings")]
+    site: bool,
     /// Checks the settings and ends.
     #[arg(long, requires = "settings")]
     check: bool,
@@ -61,8 +67,17 @@
 fn run(cli: &Cli) -> Result<ExitCode> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let stopped = match &cli.settings {
+        Some(path) if cli.site => {
+            let settings = read(path, SiteSettings::parse)?;
+            if cli.check {
+                println!("{}: the settings are good", path.display());
+                return Ok(ExitCode::SUCCESS);
+            }
+            init_logs(settings.log_level);
+            runtime.block_on(serve_site(settings))?
+        }
         Some(path) => {
-            let settings = read(path)?;
+            let settings = read(path, Settings::parse)?;
             if cli.check {
                 println!("{}: the settings are good", path.display());
                 return Ok(ExitCode::SUCCESS);
@@ -78,9 +93,9 @@
     })
 }
 
-fn read(path: &Path) -> Result<Settings> {
+fn read<T>(path: &Path, parse: fn(&str) -> Result<T, SettingsError>) -> Result<T, anyhow::Error> {
     let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    match Settings::parse(&text) {
+    match parse(&text) {
         Ok(settings) => Ok(settings),
         Err(error) => bail!("{}: {error}", path.display()),
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,6 +13,7 @@
 mod route;
 mod snapshot;
 mod state;
+mod table;
 #[cfg(test)]
 mod tests;
 
@@ -33,3 +34,9 @@
 pub use snapshot::Document;
 pub use snapshot::Snapshot;
 pub use state::Config;
+pub(crate) use table::Intake;
+pub(crate) use table::PathRoute;
+pub(crate) use table::Payer;
+pub(crate) use table::Repeat;
+pub(crate) use table::RouteTable;
+pub(crate) use table::TablePool;
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -59,6 +59,18 @@
 /// How many changes of the own count are remembered for each endpoint.
 const CHANGES: usize = 64;
 
+/// How many endpoints a shared part of prompts has as its homes, in order. With four, a part that half of the traffic asks
+/// for is still spread, and one that is asked for now and then stays with the first.
+const HOMES: usize = 4;
+
+/// How much more than the mean number of a router's requests a home may have, and how many more, before the next home is
+/// taken: a hot part then spreads to its next homes, while chance alone (a handful in progress at each) does not move
+/// requests away from where their part is cached.
+const HOME_LOAD: f64 = 1.5;
+
+/// See [`HOME_LOAD`].
+const HOME_MORE: f64 = 2.0;
+
 /// What an endpoint says of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -83,6 +95,8 @@
     pub excluded: &'a [VmId],
     /// How much of the endpoints its account had lately.
     pub usage: Usage,
+    /// The part of the prompt that it shares with others, where that is known by name: it goes where that part is kept.
+    pub home: Option<u64>,
 }
 
 /// The endpoint chosen.
@@ -156,6 +170,13 @@
         endpoint.own.change(limit);
     }
 
+    /// Keeps the limit of an endpoint at its setting.
+    pub fn fix(&mut self, vm: &VmId) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.own.fix();
+        }
+    }
+
     /// Removes an endpoint.
     pub fn remove(&mut self, vm: &VmId) {
         self.unrank(vm);
@@ -222,6 +243,9 @@
         R: Rng,
     {
         let usable = self.usable(now, wish, health);
+        if let Some(home) = wish.home {
+            return at_home(now, home, &usable);
+        }
         let cached = index.matches(wish.prefix);
         let found = |vm: &VmId| cached.iter().find(|m| m.endpoint == *vm);
         let drawn = draw(usable.len(), rng);
@@ -278,6 +302,37 @@
     }
 }
 
+/// Chooses the first home of a shared part that is not loaded far beyond the mean, or else the least loaded endpoint.
+///
+/// All routers rank the same endpoints alike without a word between them, so that a part is computed at few endpoints
+/// however many routers there are.
+fn at_home(now: Instant, home: u64, usable: &[(&VmId, &Endpoint)]) -> Option<Choice> {
+    let mean = usable.iter().map(|(_, e)| e.load(now)).sum::<f64>() / usable.len().max(1) as f64;
+    let mut ranked: Vec<_> = usable
+        .iter()
+        .map(|(vm, endpoint)| {
+            (
+                xxh3_64_with_seed(vm.as_str().as_bytes(), home),
+                *vm,
+                *endpoint,
+            )
+        })
+        .collect();
+    ranked.sort_by_key(|(rank, ..)| std::cmp::Reverse(*rank));
+    let homes = ranked.iter().take(HOMES);
+    let mut fits = homes.filter(|(.., e)| e.load(now) <= mean * HOME_LOAD + HOME_MORE);
+    let least = || {
+        ranked
+            .iter()
+            .min_by(|a, b| a.2.load(now).total_cmp(&b.2.load(now)))
+    };
+    let (_, vm, _) = fits.next().or_else(least)?;
+    Some(Choice {
+        endpoint: (*vm).clone(),
+        cached: 0,
+    })
+}
+
 impl Endpoint {
     fn load(&self, now: Instant) -> f64 {
         let others = if self.is_fresh(now) { self.others } else { 0.0 };
--- a/src/decide/concurrency.rs
+++ b/src/decide/concurrency.rs
@@ -69,6 +69,8 @@
     most: f64,
     limit: f64,
     active: u32,
+    /// Whether the limit stays what the pool's setting says.
+    fixed: bool,
     /// The rest of limits that are no whole numbers: at 2.7, three are allowed seven times in ten.
     credit: f64,
     /// How many the endpoint runs at once, known once it had some waiting.
@@ -92,6 +94,7 @@
             most,
             limit: (most * FIRST).max(FEW).min(most),
             active: 0,
+            fixed: false,
             credit: 0.0,
             slots: None,
             reached: false,
@@ -104,6 +107,15 @@
         }
     }
 
+    /// Keeps the limit at what the pool's setting says.
+    ///
+    /// Where prompts differ by three orders of magnitude the time to the first token tells of the prompt, not of the load,
+    /// and a limit that follows it would shrink to nothing on an idle endpoint.
+    pub fn fix(&mut self) {
+        self.fixed = true;
+        self.limit = self.most;
+    }
+
     /// Returns how many may be in progress now.
     pub fn limit(&self) -> u32 {
         self.limit as u32
@@ -117,7 +129,10 @@
     /// Takes over a changed setting.
     pub fn change(&mut self, most: u32) {
         self.most = f64::from(most.max(1));
-        self.limit = self.limit.min(self.most);
+        self.limit = match self.fixed {
+            true => self.most,
+            false => self.limit.min(self.most),
+        };
     }
 
     /// Returns whether one more may start.
@@ -137,6 +152,9 @@
     pub fn release(&mut self, now: Instant, sample: Sample) {
         self.credit = self.credit.fract() + self.limit.fract();
         self.active = self.active.saturating_sub(1);
+        if self.fixed {
+            return;
+        }
         match sample {
             Sample::Answered(time) => self.answered(now, time.as_secs_f64()),
             Sample::Refused => self.step_back(now),
--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -71,8 +71,8 @@
 
 impl Share {
     /// Returns what its own demand needs for a while.
-    fn needed(&self) -> Tokens {
-        Tokens((self.demand * COVER.as_secs_f64()) as u64)
+    fn needed(&self, cover: Duration) -> Tokens {
+        Tokens((self.demand * cover.as_secs_f64()) as u64)
     }
 
     /// Returns the router's part of the team's demand, of 1.
@@ -96,15 +96,21 @@
 }
 
 /// Decides how much of a team's budget a router draws, keeps and returns.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct HoldingPolicy {
     lean: Lean,
+    cover: Duration,
 }
 
 impl HoldingPolicy {
     /// Makes a policy that leans to one side.
     pub fn new(lean: Lean) -> Self {
-        Self { lean }
+        Self { lean, cover: COVER }
+    }
+
+    /// Makes holdings cover another time of demand: the longest partition that is to be borne.
+    pub fn covering(self, cover: Duration) -> Self {
+        Self { cover, ..self }
     }
 
     /// Decides what to do now.
@@ -113,7 +119,7 @@
             return Action::None;
         }
         let fair = self.fair(share);
-        let needed = share.needed().max(Tokens(fair.0 / LEAST));
+        let needed = share.needed(self.cover).max(Tokens(fair.0 / LEAST));
         let aim = needed.min(fair);
         if share.free < share.wanted {
             return short(share, aim);
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -69,9 +70,10 @@
     ledger_next: AtomicU64,
     beat: Mutex<Option<Heartbeat>>,
     snapshots: Mutex<Vec<oneshot::Sender<Vec<u8>>>>,
+    leaving: AtomicBool,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -97,6 +99,7 @@
             ledger_next: AtomicU64::new(0),
             beat: Mutex::default(),
             snapshots: Mutex::default(),
+            leaving: AtomicBool::new(false),
         }
     }
 
@@ -184,6 +187,16 @@
         }
     }
 
+    /// Notes that a planned stop began.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a planned stop began.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Returns what this router last said of itself.
     pub(crate) fn beat(&self) -> Option<Heartbeat> {
         lock(&self.beat).clone()
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -33,7 +33,10 @@
 use crate::edge::peers::Caller;
 use crate::edge::probe::Prober;
 use crate::edge::vms;
+use crate::escrow::Proposal;
+use crate::ids::Offset;
 use crate::listen::listen;
+use crate::router::Accounting;
 use crate::router::Core;
 use crate::router::Effect;
 use crate::router::Event;
@@ -93,8 +96,10 @@
     let driver = Driver {
         clock,
         core,
-        log,
-        append: settings.ledger.append_ms.duration(),
+        storage: Storage::Ledger {
+            log,
+            append: settings.ledger.append_ms.duration(),
+        },
         peers: Caller::new(desk.clone()),
         prober: Prober::new(desk.clone()),
         desk,
@@ -129,6 +134,7 @@
         parted: ledger.parted_ms.duration(),
         drain: settings.limits.drain_ms.duration(),
         retention: ledger.retention_ms.duration(),
+        accounting: Accounting::Ledger,
     }
 }
 
@@ -152,18 +158,45 @@
     });
 }
 
-struct Driver {
-    clock: SystemClock,
-    core: Core,
-    log: Log,
-    append: Duration,
-    peers: Caller,
-    prober: Prober,
-    desk: Arc<Desk>,
+/// Where what must last is kept.
+pub(crate) enum Storage {
+    /// In the ledger's log.
+    Ledger {
+        /// The log.
+        log: Log,
+        /// How long an append may take.
+        append: Duration,
+    },
+    /// In a log that keeps the newest grant of each router.
+    Grants(Box<dyn GrantLog>),
+}
+
+/// A log that keeps grants.
+pub(crate) trait GrantLog: Send {
+    /// Begins to append grants on a condition; what comes of it is told as an event.
+    fn propose(&self, proposal: Proposal);
+
+    /// Begins to read grants from an offset on, or the newest of each key.
+    fn read(&self, from: Option<Offset>);
+
+    /// Takes note that a planned stop began.
+    fn leave(&self);
+}
+
+pub(crate) struct Driver {
+    pub(crate) clock: SystemClock,
+    pub(crate) core: Core,
+    pub(crate) storage: Storage,
+    pub(crate) peers: Caller,
+    pub(crate) prober: Prober,
+    pub(crate) desk: Arc<Desk>,
 }
 
 impl Driver {
-    async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) -> io::Result<Stopped> {
+    pub(crate) async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<Event>,
+    ) -> io::Result<Stopped> {
         let mut term = signal(SignalKind::terminate())?;
         let mut int = signal(SignalKind::interrupt())?;
         let mut told = false;
@@ -179,6 +212,7 @@
                         return Ok(Stopped::Cut);
                     }
                     told = true;
+                    self.leave();
                     Event::Drain
                 }
             };
@@ -204,6 +238,13 @@
         }
     }
 
+    fn leave(&self) {
+        self.desk.leave();
+        if let Storage::Grants(log) = &self.storage {
+            log.leave();
+        }
+    }
+
     /// Returns when the core must be called though nothing happens.
     fn next_turn(&self, last: Instant) -> Instant {
         let tick = last + TICK;
@@ -237,19 +278,6 @@
             Effect::Run(id, run) => self.desk.command(id, Command::Run(run)),
             Effect::Release(id) => self.desk.command(id, Command::Release),
             Effect::Cut(id, problem) => self.desk.command(id, Command::Cut(problem)),
-            Effect::Append {
-                router,
-                sequence,
-                bytes,
-            } => {
-                let log = self.log.clone();
-                tokio::spawn(log.append(router, sequence, bytes, self.append));
-            }
-            Effect::AppendKept(bytes) => {
-                let log = self.log.clone();
-                let limit = self.append;
-                tokio::spawn(async move { log.append_raw(bytes, limit).await });
-            }
             Effect::Beat(beat, peers) => {
                 self.desk.set_beat(beat.clone());
                 for peer in peers {
@@ -264,17 +292,6 @@
             Effect::Relay(snapshot, peer) => {
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
-            Effect::Fetch(peers) => {
-                tokio::spawn(fetch::fetch(self.log.clone(), self.peers.clone(), peers));
-            }
-            Effect::AppendConfig(bytes) => {
-                let log = self.log.clone();
-                let limit = self.append;
-                tokio::spawn(async move { log.append_to(CONFIG, bytes, limit).await });
-            }
-            Effect::Checkpoint(as_of, parts) => {
-                tokio::spawn(checkpoint::write(self.log.clone(), as_of, parts));
-            }
             Effect::Order(order) => {
                 tokio::spawn(engine::order(self.desk.clone(), order));
             }
@@ -283,6 +300,45 @@
             }
             Effect::Answer(id, status, body) => self.desk.answer(id, status, body),
             Effect::Exit { .. } => {}
+            effect => self.store(effect),
+        }
+    }
+
+    /// Carries out what concerns what must last.
+    fn store(&self, effect: Effect) {
+        match &self.storage {
+            Storage::Ledger { log, append } => self.store_in_ledger(effect, log, *append),
+            Storage::Grants(log) => match effect {
+                Effect::ProposeGrants(proposal) => log.propose(proposal),
+                Effect::ReadGrants(from) => log.read(from),
+                effect => warn!(event = "no-ledger", ?effect),
+            },
+        }
+    }
+
+    fn store_in_ledger(&self, effect: Effect, log: &Log, limit: Duration) {
+        let log = log.clone();
+        match effect {
+            Effect::Append {
+                router,
+                sequence,
+                bytes,
+            } => {
+                tokio::spawn(log.append(router, sequence, bytes, limit));
+            }
+            Effect::AppendKept(bytes) => {
+                tokio::spawn(async move { log.append_raw(bytes, limit).await });
+            }
+            Effect::Fetch(peers) => {
+                tokio::spawn(fetch::fetch(log, self.peers.clone(), peers));
+            }
+            Effect::AppendConfig(bytes) => {
+                tokio::spawn(async move { log.append_to(CONFIG, bytes, limit).await });
+            }
+            Effect::Checkpoint(as_of, parts) => {
+                tokio::spawn(checkpoint::write(log, as_of, parts));
+            }
+            effect => warn!(event = "no-grants", ?effect),
         }
     }
 }
--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -104,7 +104,7 @@
         Event::Arrived(Box::new(Arrival {
             id,
             bearer: self.bearer,
-            key: self.key,
+            key: Some(self.key),
             attempt: self.attempt,
             labels: self.labels,
             work,
--- a/src/edge/pump.rs
+++ b/src/edge/pump.rs
@@ -67,7 +67,7 @@
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
     let prompt = match &body.work {
         Work::Completion { prompt, .. } => Tokens(*prompt),
-        Work::Call { .. } => Tokens::ZERO,
+        Work::Call { .. } | Work::Relay(_) => Tokens::ZERO,
     };
     let stall = line.desk.limits.stall_ms.duration();
     let pump = Pump {
--- /dev/null
+++ b/src/edge/relay/front.rs
@@ -0,0 +1,92 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tracing::warn;
+
+use crate::router::Problem;
+
+/// What goes back to a caller.
+pub(crate) type Reply = Response<BoxBody<Bytes, io::Error>>;
+
+/// How long a connection may be idle, or a head may take. Callers use connections again that were idle for up to four
+/// fifths of the 15 s that configurations allow; a router that closed sooner would cut requests that cross its close.
+const IDLE: Duration = Duration::from_secs(16);
+
+/// How long to rest when no connection can be accepted, as when all descriptors are in use.
+const REST: Duration = Duration::from_millis(20);
+
+/// Accepts connections for ever and answers each of their requests.
+pub(crate) async fn accept<S, F>(listener: TcpListener, answer: S)
+where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(event = "accept-failed", %error);
+                sleep(REST).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |request| {
+            let reply = answer(request);
+            async move { Ok::<_, Infallible>(reply.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE)
+            .serve_connection(TokioIo::new(stream), service);
+        // A connection's end is its caller's affair; each request's own line says how the request went.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Makes a reply of a status and a body.
+pub(crate) fn plain(status: StatusCode, kind: &'static str, body: Bytes) -> Reply {
+    let body = Full::new(body).map_err(|never| match never {}).boxed();
+    let mut reply = Response::new(body);
+    *reply.status_mut() = status;
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    reply
+}
+
+/// Makes a reply of a refusal.
+pub(crate) fn problem(problem: &Problem) -> Reply {
+    let status = StatusCode::from_u16(problem.kind.status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = Bytes::from(problem.to_json().to_string());
+    let mut reply = plain(status, "application/problem+json", body);
+    if let Some(retry) = problem.retry
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry.as_secs_f64()))
+    {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
--- /dev/null
+++ b/src/edge/relay/mod.rs
@@ -0,0 +1,18 @@
+//! Requests that are passed on as they came: the connections of callers and of endpoints, and what goes between them.
+
+mod events;
+mod front;
+mod request;
+mod serve;
+mod stream;
+mod upstream;
+
+pub(crate) use front::Reply;
+pub(crate) use front::accept;
+pub(crate) use front::plain;
+pub(crate) use request::Ask;
+pub(crate) use request::Verdict;
+pub(crate) use serve::Dialect;
+pub(crate) use serve::Relays;
+pub(crate) use serve::serve;
+pub(crate) use upstream::Upstream;
--- /dev/null
+++ b/src/edge/relay/serve.rs
@@ -0,0 +1,365 @@
+//! One request, from its head to its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use tokio::time::timeout;
+use tracing::debug;
+use tracing::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::edge::desk::Command;
+use crate::edge::desk::Desk;
+use crate::edge::desk::Line;
+use crate::edge::relay::front;
+use crate::edge::relay::front::Reply;
+use crate::edge::relay::request::Ask;
+use crate::edge::relay::request::Verdict;
+use crate::edge::relay::stream;
+use crate::edge::relay::upstream::Connection;
+use crate::edge::relay::upstream::Target;
+use crate::edge::relay::upstream::Upstream;
+use crate::edge::relay::upstream::UpstreamError;
+use crate::ids::Attempt;
+use crate::ids::Fingerprint;
+use crate::labels::Labels;
+use crate::router::Arrival;
+use crate::router::Event;
+use crate::router::Problem;
+use crate::router::ProblemKind;
+use crate::router::Ran;
+use crate::router::Run;
+use crate::router::RunEnd;
+use crate::router::Usage;
+use crate::router::Work;
+
+/// The largest answer that is gathered before it goes on: what is no stream is a record or a map tile.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// What answers that are streams have as their type.
+const EVENTS: &[u8] = b"text/event-stream";
+
+/// How callers and endpoints spell what the relay needs to know.
+pub(crate) trait Dialect: Send + Sync {
+    /// Reads the head of a caller's request.
+    fn read(&self, parts: &Parts) -> Result<Ask, Problem>;
+
+    /// Returns the head for a run; `last` is the event that a resumed stream goes on after.
+    fn head(&self, ask: &Ask, run: &Run, left: Duration, last: Option<&str>) -> HeaderMap;
+
+    /// Reads the head of an endpoint's answer.
+    fn verdict(&self, ask: &Ask, answer: &Response<Incoming>) -> Verdict;
+
+    /// Returns how long the endpoint keeps an idle connection open, if it says so; nothing at all where it closes it.
+    fn keep_alive(&self, headers: &HeaderMap) -> Option<Option<Duration>>;
+
+    /// Takes out the headers that concern the endpoint's connection alone.
+    fn strip(&self, headers: &mut HeaderMap);
+}
+
+/// What all relayed requests share.
+pub(crate) struct Relays {
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) upstream: Upstream,
+    pub(crate) dialect: Box<dyn Dialect>,
+}
+
+impl Relays {
+    /// Keeps a connection whose answer was read whole.
+    pub(crate) fn keep(&self, kept: Kept) {
+        if let Some(idle) = kept.idle {
+            self.upstream.keep(kept.connection, idle);
+        }
+    }
+}
+
+/// A connection that an answer came over, and how long it may be idle; nothing at all where it is to be closed.
+pub(crate) struct Kept {
+    connection: Connection,
+    idle: Option<Option<Duration>>,
+}
+
+/// What came of sending a request to an endpoint.
+pub(crate) enum Sent {
+    /// The head of its answer.
+    Answer(Box<Kept>, Box<Response<Incoming>>),
+    /// The run is over, and nothing came of it.
+    Over(RunEnd),
+    /// The core broke it off.
+    Stopped(Option<Command>),
+}
+
+/// A request on its way to endpoints.
+pub(crate) struct Runner {
+    pub(crate) line: Line,
+    ask: Ask,
+    body: Bytes,
+    run: Option<Run>,
+}
+
+impl Runner {
+    /// Sends the request to an endpoint.
+    pub(crate) async fn send(&mut self, relays: &Relays, run: Run, last: Option<&str>) -> Sent {
+        self.run = Some(run.clone());
+        let Some((target, request)) = self.request(relays, &run, last) else {
+            return Sent::Over(RunEnd::NotRun { retry: None });
+        };
+        let sent = tokio::select! {
+            sent = relays.upstream.send(target, request) => sent,
+            command = self.line.next() => return Sent::Stopped(command),
+        };
+        let (connection, answer) = match sent {
+            Ok(sent) => sent,
+            Err(UpstreamError::Unsent) => {
+                debug!(event = "unsent", request = %self.line.id, endpoint = %run.endpoint);
+                return Sent::Over(RunEnd::NotRun { retry: None });
+            }
+            Err(UpstreamError::Broken) => {
+                info!(event = "no-answer", request = %self.line.id, endpoint = %run.endpoint);
+                return Sent::Over(broken(None, false));
+            }
+        };
+        let kept = Kept {
+            idle: relays.dialect.keep_alive(answer.headers()),
+            connection,
+        };
+        match relays.dialect.verdict(&self.ask, &answer) {
+            Verdict::Answer => Sent::Answer(Box::new(kept), Box::new(answer)),
+            Verdict::Failed if run.idempotent && self.may_repeat(&answer) => {
+                Sent::Over(broken(None, false))
+            }
+            Verdict::Failed => Sent::Answer(Box::new(kept), Box::new(answer)),
+            Verdict::Foreign => {
+                info!(event = "foreign-answer", request = %self.line.id, endpoint = %run.endpoint);
+                Sent::Over(broken(None, false))
+            }
+            Verdict::Moved => Sent::Over(RunEnd::NotRun { retry: None }),
+            Verdict::NotRun(retry) => Sent::Over(RunEnd::NotRun { retry }),
+        }
+    }
+
+    /// Tells the core how the run ended.
+    pub(crate) fn end(&mut self, end: RunEnd) {
+        self.run = None;
+        self.line.desk.tell(Event::Ended(self.line.id, end));
+    }
+
+    /// Returns the most tokens that one event holds.
+    pub(crate) fn stride(&self) -> u64 {
+        let relay = self.run.as_ref().and_then(|run| run.relay.as_ref());
+        relay.map_or(1, |relay| relay.stride)
+    }
+
+    /// Returns whether an endpoint's own failure is tried again elsewhere, rather than handed to the caller: not a stream's,
+    /// which says what is wrong with the request.
+    fn may_repeat(&self, answer: &Response<Incoming>) -> bool {
+        answer.status().is_server_error()
+    }
+
+    fn request(
+        &self,
+        relays: &Relays,
+        run: &Run,
+        last: Option<&str>,
+    ) -> Option<(Target, Request<Full<Bytes>>)> {
+        let address: SocketAddr = run.address.parse().ok()?;
+        let deadline = run.relay.as_ref()?.deadline;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.ask.method.clone();
+        *request.uri_mut() = self.ask.uri.clone();
+        *request.headers_mut() = relays.dialect.head(&self.ask, run, left, last);
+        let endpoint = run.endpoint.to_string();
+        Some((Target { address, endpoint }, request))
+    }
+}
+
+impl Drop for Runner {
+    /// Tells the core of a run that ends because its caller is gone; the connection that it came by is closed by then.
+    fn drop(&mut self) {
+        if self.run.is_some() {
+            self.end(RunEnd::CallerGone { usage: None });
+        }
+    }
+}
+
+fn broken(usage: Option<Usage>, begun: bool) -> RunEnd {
+    RunEnd::Broken {
+        usage,
+        begun,
+        died: false,
+    }
+}
+
+/// Serves one request.
+pub(crate) async fn serve(relays: Arc<Relays>, request: Request<Incoming>) -> Reply {
+    let leaving = relays.desk.clone();
+    let mut reply = match read(&relays, request).await {
+        Ok(runner) => carry_out(relays, runner).await,
+        Err(problem) => front::problem(&problem),
+    };
+    // A caller that keeps its connection would go on using a router that is about to end.
+    if leaving.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(CONNECTION, close);
+    }
+    reply
+}
+
+/// Reads a request whole and tells the core of it.
+async fn read(relays: &Relays, request: Request<Incoming>) -> Result<Runner, Problem> {
+    let (parts, body) = request.into_parts();
+    let ask = relays.dialect.read(&parts)?;
+    let body = read_body(&relays.desk, body).await?;
+    let line = relays.desk.open();
+    info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path());
+    let arrival = Arrival {
+        id: line.id,
+        bearer: ask.bearer.clone(),
+        key: None,
+        attempt: Attempt(1),
+        labels: Labels::default(),
+        request: fingerprint(&ask, &body),
+        work: Work::Relay(ask.relay.clone()),
+        patience: ask.patience,
+        priority: None,
+    };
+    relays.desk.tell(Event::Arrived(Box::new(arrival)));
+    Ok(Runner {
+        line,
+        ask,
+        body,
+        run: None,
+    })
+}
+
+async fn read_body(desk: &Desk, body: Incoming) -> Result<Bytes, Problem> {
+    let most = desk.limits.body_bytes;
+    let limit = desk.limits.body_ms.duration();
+    let body = Limited::new(body, most).collect();
+    let refuse = |kind, detail: &str| Problem::new(kind, Ran::No, detail);
+    match timeout(limit, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let detail = format!("the body has more than {most} bytes");
+            Err(refuse(ProblemKind::TooLarge, &detail))
+        }
+        Ok(Err(error)) => {
+            let detail = format!("the body can't be read: {error}");
+            Err(refuse(ProblemKind::Malformed, &detail))
+        }
+        Err(_) => Err(refuse(
+            ProblemKind::Malformed,
+            "the body did not come in time",
+        )),
+    }
+}
+
+/// Tells requests for the same thing by the same caller, which may crash endpoints again and again under new names.
+fn fingerprint(ask: &Ask, body: &[u8]) -> Fingerprint {
+    let head = format!("{} {} {}\n", ask.bearer.0, ask.method, ask.uri);
+    Fingerprint(xxh3_64(&[head.as_bytes(), body].concat()))
+}
+
+/// Carries out what the core says about a request until there is the head of an answer.
+async fn carry_out(relays: Arc<Relays>, mut runner: Runner) -> Reply {
+    loop {
+        let run = match runner.line.next().await {
+            Some(Command::Run(run)) => *run,
+            command => return refuse(&mut runner, command),
+        };
+        match runner.send(&relays, run, None).await {
+            Sent::Answer(kept, answer) if is_stream(&answer) => {
+                return begin_stream(relays, runner, *kept, *answer);
+            }
+            Sent::Answer(kept, answer) => {
+                if let Some(reply) = whole(&relays, &mut runner, *kept, *answer).await {
+                    return reply;
+                }
+            }
+            Sent::Over(end) => runner.end(end),
+            Sent::Stopped(command) => {
+                runner.end(RunEnd::CallerGone { usage: None });
+                return refuse(&mut runner, command);
+            }
+        }
+    }
+}
+
+fn is_stream(answer: &Response<Incoming>) -> bool {
+    let kind = answer.headers().get(CONTENT_TYPE);
+    let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENTS));
+    events && answer.status().is_success()
+}
+
+fn begin_stream(
+    relays: Arc<Relays>,
+    mut runner: Runner,
+    kept: Kept,
+    answer: Response<Incoming>,
+) -> Reply {
+    let (mut parts, body) = answer.into_parts();
+    relays.dialect.strip(&mut parts.headers);
+    runner.line.over = true;
+    let (pump, out) = stream::start(relays, runner);
+    tokio::spawn(pump.run(kept, body));
+    Response::from_parts(parts, out)
+}
+
+/// Gathers an answer that is no stream; nothing where it broke off and the core was told.
+async fn whole(
+    relays: &Relays,
+    runner: &mut Runner,
+    kept: Kept,
+    answer: Response<Incoming>,
+) -> Option<Reply> {
+    let (mut parts, body) = answer.into_parts();
+    let gathered = tokio::select! {
+        gathered = Limited::new(body, MAX_ANSWER).collect() => gathered,
+        command = runner.line.next() => {
+            runner.end(RunEnd::CallerGone { usage: None });
+            return Some(refuse(runner, command));
+        }
+    };
+    let Ok(gathered) = gathered else {
+        info!(event = "answer-broken", request = %runner.line.id);
+        runner.end(broken(None, false));
+        return None;
+    };
+    relays.keep(kept);
+    relays.dialect.strip(&mut parts.headers);
+    runner.end(RunEnd::Answered {
+        status: parts.status.as_u16(),
+        body: None,
+    });
+    runner.line.over = true;
+    let body = Full::new(gathered.to_bytes()).map_err(|never| match never {});
+    Some(Response::from_parts(parts, body.boxed()))
+}
+
+/// Answers with the core's refusal.
+fn refuse(runner: &mut Runner, command: Option<Command>) -> Reply {
+    runner.line.over = true;
+    match command {
+        Some(Command::Refuse(problem) | Command::Cut(problem)) => front::problem(&problem),
+        _ => {
+            let detail = "this router stopped";
+            let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, detail);
+            front::problem(&problem)
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/relay/stream.rs
@@ -0,0 +1,174 @@
+//! Streams: an endpoint's events to the caller as they come.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+
+use crate::edge::desk::Command;
+use crate::edge::relay::events::EventSplitter;
+use crate::edge::relay::serve::Kept;
+use crate::edge::relay::serve::Relays;
+use crate::edge::relay::serve::Runner;
+use crate::edge::relay::serve::Sent;
+use crate::router::RunEnd;
+use crate::router::Usage;
+use crate::tokens::Tokens;
+
+/// How many pieces may wait for a caller that reads slowly, before the endpoint is read no further.
+const AHEAD: usize = 64;
+
+/// What goes to the caller of a stream.
+type Out = mpsc::Sender<Result<Frame<Bytes>, io::Error>>;
+
+/// How a stream went on one endpoint.
+enum End {
+    Whole(Kept),
+    Broken,
+    CallerGone,
+    /// The core broke it off.
+    Stopped,
+}
+
+fn broken(usage: Option<Usage>) -> RunEnd {
+    RunEnd::Broken {
+        usage,
+        begun: true,
+        died: false,
+    }
+}
+
+/// One stream.
+pub(crate) struct Pump {
+    relays: Arc<Relays>,
+    runner: Runner,
+    out: Out,
+    splitter: EventSplitter,
+    /// Events that went to the caller from the endpoint that answers now.
+    events: u64,
+}
+
+/// Makes the body that a stream goes out by, and what fills it.
+pub(crate) fn start(relays: Arc<Relays>, runner: Runner) -> (Pump, BoxBody<Bytes, io::Error>) {
+    let (out, pieces) = mpsc::channel(AHEAD);
+    let pieces = futures::stream::unfold(pieces, async |mut pieces| {
+        pieces.recv().await.map(|piece| (piece, pieces))
+    });
+    let pump = Pump {
+        relays,
+        runner,
+        out,
+        splitter: EventSplitter::default(),
+        events: 0,
+    };
+    (pump, BodyExt::boxed(StreamBody::new(pieces)))
+}
+
+impl Pump {
+    /// Relays a stream to its end, over as many endpoints as that takes.
+    pub(crate) async fn run(mut self, mut connection: Kept, mut body: Incoming) {
+        loop {
+            let end = self.relay(connection, body).await;
+            let usage = self.usage();
+            match end {
+                End::Whole(connection) => {
+                    self.runner.end(RunEnd::Whole { usage });
+                    self.relays.keep(connection);
+                    return;
+                }
+                End::CallerGone => {
+                    let usage = Some(usage);
+                    return self.runner.end(RunEnd::CallerGone { usage });
+                }
+                End::Stopped => {
+                    let usage = Some(usage);
+                    self.runner.end(RunEnd::CallerGone { usage });
+                    return self.cut().await;
+                }
+                End::Broken => match self.go_on(usage).await {
+                    Some(next) => (connection, body) = next,
+                    None => return self.cut().await,
+                },
+            }
+        }
+    }
+
+    /// Relays what one endpoint sends.
+    async fn relay(&mut self, connection: Kept, mut body: Incoming) -> End {
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.out.closed() => return End::CallerGone,
+                command = self.runner.line.next() => match command {
+                    Some(Command::Cut(_)) | None => return End::Stopped,
+                    Some(_) => continue,
+                },
+            };
+            let bytes = match frame {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => return End::Broken,
+                None => break,
+            };
+            let events = self.splitter.push(&bytes);
+            self.events += events.count;
+            if !events.bytes.is_empty() && !self.give(events.bytes).await {
+                return End::CallerGone;
+            }
+        }
+        let rest = self.splitter.rest();
+        if !rest.is_empty() && !self.give(rest).await {
+            return End::CallerGone;
+        }
+        End::Whole(connection)
+    }
+
+    async fn give(&self, bytes: Bytes) -> bool {
+        self.out.send(Ok(Frame::data(bytes))).await.is_ok()
+    }
+
+    /// Goes on at another endpoint from the last whole event, if the core finds one.
+    async fn go_on(&mut self, usage: Usage) -> Option<(Kept, Incoming)> {
+        let mut end = broken(Some(usage));
+        loop {
+            self.events = 0;
+            self.splitter.resume();
+            self.runner.end(end);
+            let Some(Command::Run(run)) = self.runner.line.next().await else {
+                return None;
+            };
+            let last = self.splitter.last().map(str::to_owned);
+            end = match self.runner.send(&self.relays, *run, last.as_deref()).await {
+                Sent::Answer(connection, answer) if answer.status().is_success() => {
+                    return Some((*connection, answer.into_body()));
+                }
+                Sent::Answer(..) => broken(None),
+                Sent::Over(end) => end,
+                Sent::Stopped(_) => {
+                    self.runner.end(RunEnd::CallerGone { usage: None });
+                    return None;
+                }
+            };
+        }
+    }
+
+    /// Ends the answer so that the caller sees that it is not whole.
+    async fn cut(&self) {
+        let broken = io::Error::other("the answer is not whole");
+        let _ = self.out.send(Err(broken)).await;
+    }
+
+    /// Returns the most that went to the caller from the endpoint that answers now.
+    fn usage(&self) -> Usage {
+        let stride = self.runner.stride();
+        Usage {
+            prompt: Tokens::ZERO,
+            answer: Tokens(self.events * stride),
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/relay/upstream.rs
@@ -0,0 +1,182 @@
+//! Connections to endpoints.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use crate::edge::desk::lock;
+
+/// How long a connection may take: an endpoint is a few milliseconds away, and a request that could not be sent may go to
+/// another one.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// How long sent bytes may stay without acknowledgement before the connection counts as dead: three retransmissions on a
+/// path of a few milliseconds.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1500);
+
+/// After which silence, and how often, the system asks whether the other end is still there.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// How many of these questions go unanswered on a connection that is given up.
+const KEEPALIVES: u32 = 2;
+
+/// How long a connection is kept for the next request where the endpoint does not say when it closes it.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// How long before the endpoint would close a connection it is used no more: a request that crosses the close is lost, and
+/// nobody can tell whether it ran.
+const MARGIN: Duration = Duration::from_millis(1000);
+
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub(crate) enum UpstreamError {
+    /// No byte of it was sent.
+    #[error("no connection")]
+    Unsent,
+    /// The connection broke before the head of an answer came.
+    #[error("the connection broke")]
+    Broken,
+}
+
+/// Where an endpoint is: one that has another's address gets no connection that was the other's.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Target {
+    pub(crate) address: SocketAddr,
+    pub(crate) endpoint: String,
+}
+
+/// One connection. Dropped, it is closed at once, which makes an endpoint stop what it runs for it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    target: Target,
+    /// Until when it may be used again.
+    until: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The connections that wait for the next request.
+#[derive(Debug, Default)]
+pub(crate) struct Upstream {
+    idle: Mutex<IndexMap<Target, Vec<Connection>>>,
+}
+
+impl Upstream {
+    /// Sends a request and returns the head of its answer, with the connection that the rest will come over.
+    ///
+    /// # Errors
+    ///
+    /// When no head came.
+    pub(crate) async fn send(
+        &self,
+        target: Target,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Connection, Response<Incoming>), UpstreamError> {
+        let mut connection = match self.take(&target) {
+            Some(connection) => connection,
+            None => connect(target).await?,
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(answer) => Ok((connection, answer)),
+            // Given back with the error is only a request of which nothing was written.
+            Err(error) if error.message().is_some() => Err(UpstreamError::Unsent),
+            Err(_) => Err(UpstreamError::Broken),
+        }
+    }
+
+    /// Keeps a connection whose answer was read whole for the next request.
+    pub(crate) fn keep(&self, mut connection: Connection, idle: Option<Duration>) {
+        let idle = idle.unwrap_or(IDLE).saturating_sub(MARGIN);
+        connection.until = Instant::now() + idle;
+        if connection.sender.is_closed() || idle.is_zero() {
+            return;
+        }
+        let target = connection.target.clone();
+        lock(&self.idle).entry(target).or_default().push(connection);
+    }
+
+    /// Closes the connections that were not used again in time.
+    pub(crate) fn sweep(&self) {
+        let now = Instant::now();
+        lock(&self.idle).retain(|_, idle| {
+            idle.retain(|c| now < c.until && !c.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    /// Takes the connection that was used last: the others then grow old and are closed.
+    fn take(&self, target: &Target) -> Option<Connection> {
+        let now = Instant::now();
+        let mut all = lock(&self.idle);
+        let idle = all.get_mut(target)?;
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() && now < connection.until {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(target: Target) -> Result<Connection, UpstreamError> {
+    let stream = timeout(CONNECT, TcpStream::connect(target.address)).await;
+    let Ok(Ok(stream)) = stream else {
+        return Err(UpstreamError::Unsent);
+    };
+    watch(&stream);
+    let built = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let Ok((sender, connection)) = built else {
+        return Err(UpstreamError::Unsent);
+    };
+    // How a connection ends shows at the request that is on it.
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(Connection {
+        sender,
+        task: task.abort_handle(),
+        target,
+        until: Instant::now(),
+    })
+}
+
+/// Has the system notice a connection whose other end is gone without a word.
+///
+/// A machine that lost its power, or that is cut off, sends no reset: a request would wait for its deadline.
+fn watch(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVES);
+    let set = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    if let Err(error) = set {
+        tracing::warn!(event = "socket-option", %error);
+    }
+}
--- /dev/null
+++ b/src/escrow/book.rs
@@ -0,0 +1,216 @@
+//! The grants as one router knows them.
+
+use indexmap::IndexMap;
+
+use crate::escrow::record::GrantKey;
+use crate::escrow::record::GrantRow;
+use crate::ids::Incarnation;
+use crate::ids::Offset;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::tokens::Tokens;
+
+/// One team's new grant to this router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Change {
+    /// The team.
+    pub(crate) team: TeamId,
+    /// What the grant is to be.
+    pub(crate) row: GrantRow,
+}
+
+/// Records to be appended on the condition that the partition ends at an offset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Proposal {
+    /// The offset that the first of them must have.
+    pub(crate) at: Offset,
+    /// The records, all or none of which are appended.
+    pub(crate) records: Vec<(GrantKey, GrantRow)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    row: GrantRow,
+    offset: Offset,
+}
+
+/// The grants that were read, and the one append of this router that may be on its way.
+///
+/// An append whose answer was lost may still take effect, seconds later, as long as its condition holds. Until the
+/// partition is known to have moved past that offset, what the append gives up counts as given up and what it takes
+/// counts as not taken.
+#[derive(Debug)]
+pub(crate) struct Book {
+    vm: VmId,
+    me: Incarnation,
+    /// The offset that follows the last record that was applied; nothing before the first read.
+    end: Option<Offset>,
+    grants: IndexMap<TeamId, IndexMap<(VmId, Incarnation), Entry>>,
+    pending: Option<Proposal>,
+    /// Whether an answer to the pending append was lost, so that it may still take effect.
+    doubt: bool,
+}
+
+impl Book {
+    /// Makes one that knows nothing, for a lifetime of the router on a VM.
+    pub(crate) fn new(vm: VmId, me: Incarnation) -> Self {
+        Self {
+            vm,
+            me,
+            end: None,
+            grants: IndexMap::new(),
+            pending: None,
+            doubt: false,
+        }
+    }
+
+    /// Returns the offset up to which the partition is known; nothing before the first read.
+    pub(crate) fn end(&self) -> Option<Offset> {
+        self.end
+    }
+
+    /// Returns the append whose outcome is not known.
+    pub(crate) fn pending(&self) -> Option<&Proposal> {
+        self.pending.as_ref()
+    }
+
+    /// Applies a record that was read, in any order; an older record of a key changes nothing.
+    pub(crate) fn apply(&mut self, offset: Offset, key: &GrantKey, row: GrantRow) {
+        let holder = (key.vm.clone(), key.router);
+        let grants = self.grants.entry(key.team.clone()).or_default();
+        let entry = Entry { row, offset };
+        let known = grants.get(&holder).is_some_and(|old| old.offset >= offset);
+        if !known {
+            grants.insert(holder, entry);
+        }
+    }
+
+    /// Notes that all records before an offset are applied. An append that was to begin before it is settled: it stands
+    /// among those records or never will.
+    pub(crate) fn advance(&mut self, end: Offset) {
+        self.end = self.end.max(Some(end));
+        if self.pending.as_ref().is_some_and(|p| p.at < end) {
+            self.pending = None;
+        }
+    }
+
+    /// Proposes new grants to this router, or nothing while an earlier proposal is not settled, the partition was never
+    /// read, or the sum would pass a team's `prepaid`.
+    pub(crate) fn propose<F>(&mut self, changes: Vec<Change>, prepaid: F) -> Option<Proposal>
+    where
+        F: Fn(&TeamId) -> Tokens,
+    {
+        let at = self.end?;
+        let fits = |change: &Change| {
+            let others = self.others(&change.team);
+            others.saturating_add(change.row.granted) <= prepaid(&change.team)
+                || change.row.granted <= self.granted(&change.team)
+        };
+        if self.pending.is_some() || changes.is_empty() || !changes.iter().all(fits) {
+            return None;
+        }
+        let records = changes
+            .into_iter()
+            .map(|change| (self.key(change.team), change.row));
+        let proposal = Proposal {
+            at,
+            records: records.collect(),
+        };
+        self.pending = Some(proposal.clone());
+        self.doubt = false;
+        Some(proposal)
+    }
+
+    /// Takes the log's word that the pending proposal was appended.
+    pub(crate) fn landed(&mut self, at: Offset) {
+        let Some(pending) = self.pending.take_if(|p| p.at == at) else {
+            return;
+        };
+        let mut next = at;
+        for (key, row) in pending.records {
+            self.apply(next, &key, row);
+            next = Offset(next.0 + 1);
+        }
+        self.advance(next);
+    }
+
+    /// Takes note that nobody knows whether the pending proposal was appended.
+    pub(crate) fn lost(&mut self, at: Offset) {
+        self.doubt |= self.pending.as_ref().is_some_and(|p| p.at == at);
+    }
+
+    /// Takes the log's word that it did nothing about the pending proposal. Where an earlier answer about it was lost, that
+    /// earlier append may still take effect, and the proposal stays.
+    pub(crate) fn refused(&mut self, at: Offset) {
+        if !self.doubt {
+            self.pending.take_if(|p| p.at == at);
+        }
+    }
+
+    /// Forgets how far it was read: the log let go of records that were not, and all grants are to be read anew.
+    pub(crate) fn restart(&mut self) {
+        self.end = None;
+    }
+
+    /// Returns what this lifetime may spend of a team's budget in all, whatever becomes of what is pending.
+    pub(crate) fn granted(&self, team: &TeamId) -> Tokens {
+        let stands = self.row(team).granted;
+        match self.proposed(team) {
+            Some(row) => stands.min(row.granted),
+            None => stands,
+        }
+    }
+
+    /// Returns the most that this lifetime's grant may be, whatever becomes of what is pending.
+    fn at_most(&self, team: &TeamId) -> Tokens {
+        let stands = self.row(team).granted;
+        match self.proposed(team) {
+            Some(row) => stands.max(row.granted),
+            None => stands,
+        }
+    }
+
+    /// Returns what all other lifetimes may spend of a team's budget.
+    pub(crate) fn others(&self, team: &TeamId) -> Tokens {
+        self.other_rows(team).map(|row| row.granted).sum()
+    }
+
+    /// Returns what all other lifetimes are known to have spent; they may have spent more.
+    pub(crate) fn others_spent(&self, team: &TeamId) -> Tokens {
+        self.other_rows(team).map(|row| row.spent).sum()
+    }
+
+    /// Returns what is granted to no one.
+    pub(crate) fn undrawn(&self, team: &TeamId, prepaid: Tokens) -> Tokens {
+        let held = self.others(team).saturating_add(self.at_most(team));
+        prepaid.saturating_sub(held)
+    }
+
+    /// Returns this lifetime's grant as it stands in the log.
+    pub(crate) fn row(&self, team: &TeamId) -> GrantRow {
+        let mine = (self.vm.clone(), self.me);
+        let entry = self.grants.get(team).and_then(|grants| grants.get(&mine));
+        entry.map_or_else(GrantRow::default, |entry| entry.row)
+    }
+
+    fn proposed(&self, team: &TeamId) -> Option<GrantRow> {
+        let pending = self.pending.as_ref()?;
+        let record = pending.records.iter().find(|(key, _)| key.team == *team);
+        record.map(|(_, row)| *row)
+    }
+
+    fn other_rows(&self, team: &TeamId) -> impl Iterator<Item = GrantRow> {
+        let grants = self.grants.get(team).into_iter().flatten();
+        grants
+            .filter(|((_, router), _)| *router != self.me)
+            .map(|(_, entry)| entry.row)
+    }
+
+    fn key(&self, team: TeamId) -> GrantKey {
+        GrantKey {
+            vm: self.vm.clone(),
+            router: self.me,
+            team,
+        }
+    }
+}
--- /dev/null
+++ b/src/escrow/mod.rs
@@ -0,0 +1,18 @@
+//! Escrow: what each router may spend of each team's budget, agreed on by conditional writes to a compacted log.
+//!
+//! A router's grant is the most that one lifetime of its process may ever spend of a budget. Grants are records in one
+//! partition, the newest record of each key being kept for ever; a grant is written on the condition that the partition
+//! ends where the writer has read to. So each writer has seen all other grants, and those in the log never add up to
+//! more than the budget. Nothing is safe because of a clock, a leader or a peer.
+
+mod book;
+mod record;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use book::Book;
+pub(crate) use book::Change;
+pub(crate) use book::Proposal;
+pub(crate) use record::GrantKey;
+pub(crate) use record::GrantRow;
+pub(crate) use record::RecordError;
--- /dev/null
+++ b/src/escrow/record.rs
@@ -0,0 +1,92 @@
+//! The records of grants.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::ids::Incarnation;
+use crate::ids::TeamId;
+use crate::ids::VmId;
+use crate::tokens::Tokens;
+
+/// Separates the parts of a key; names have no control characters.
+const SEPARATOR: char = '\t';
+
+/// Tells why a record is none of a grant.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub(crate) enum RecordError {
+    /// Its key has not three parts that are names.
+    #[error("the key {0:?} is not a VM, a lifetime and a team")]
+    Key(String),
+    /// Its value can't be decoded.
+    #[error("the value can't be decoded: {0}")]
+    Value(String),
+}
+
+/// Whose grant it is and of which budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct GrantKey {
+    /// The router's VM.
+    pub(crate) vm: VmId,
+    /// The lifetime of its process.
+    pub(crate) router: Incarnation,
+    /// The budget's team.
+    pub(crate) team: TeamId,
+}
+
+impl fmt::Display for GrantKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { vm, router, team } = self;
+        write!(f, "{vm}{SEPARATOR}{router}{SEPARATOR}{team}")
+    }
+}
+
+impl FromStr for GrantKey {
+    type Err = RecordError;
+
+    fn from_str(text: &str) -> Result<Self, RecordError> {
+        let parts: Vec<_> = text.split(SEPARATOR).collect();
+        let key = match parts[..] {
+            [vm, router, team] => vm
+                .parse()
+                .ok()
+                .zip(router.parse().ok())
+                .zip(team.parse().ok()),
+            _ => None,
+        };
+        let ((vm, router), team) = key.ok_or_else(|| RecordError::Key(text.to_owned()))?;
+        Ok(Self { vm, router, team })
+    }
+}
+
+/// A grant.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct GrantRow {
+    /// The most that the lifetime may ever spend of the budget.
+    pub(crate) granted: Tokens,
+    /// What it had spent when it wrote this; it may have spent more since, up to the grant.
+    pub(crate) spent: Tokens,
+}
+
+impl GrantRow {
+    /// Returns it as a record's value.
+    ///
+    /// # Panics
+    ///
+    /// Never: two numbers can always be encoded.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("two numbers can be encoded")
+    }
+
+    /// Reads it from a record's value.
+    ///
+    /// # Errors
+    ///
+    /// When the value is no grant.
+    pub(crate) fn decode(value: &[u8]) -> Result<Self, RecordError> {
+        postcard::from_bytes(value).map_err(|error| RecordError::Value(error.to_string()))
+    }
+}
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -140,7 +140,12 @@
         }
     }
 
-    async fn whole(
+    /// Sends a request and reads all of its answer.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer came within the limit.
+    pub(crate) async fn whole(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,193 @@
+//! The platform's configuration, translated into a route table.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::config::Intake;
+use crate::config::PathRoute;
+use crate::config::Payer;
+use crate::config::Repeat;
+use crate::config::RouteTable;
+use crate::config::TablePool;
+use crate::field;
+use crate::field::FieldError;
+use crate::ids::NameError;
+use crate::key_hash::KeyHash;
+use crate::tokens::Tokens;
+
+/// The key under which the newest configuration stands.
+pub(crate) const KEY: &str = "config";
+
+#[derive(Deserialize)]
+struct Wire {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: WireKind,
+    timeout_ms: f64,
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    /// The only service, where there is no split.
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<WireShare>,
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireKind {
+    Idempotent,
+    NonIdempotent,
+    Streaming,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: String,
+    max_connections: u32,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    /// How many tokens an event of a stream holds at most.
+    stride: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTenant {
+    name: String,
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: u8,
+    prepaid: Option<f64>,
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+///
+/// With the field that is wrong, or the name that is none.
+pub(crate) fn decode(text: &[u8]) -> Result<RouteTable, FieldError> {
+    let wire: Wire = field::read_json(text)?;
+    let intake = Intake {
+        head_bytes: wire.limits.max_header_bytes,
+        body_bytes: wire.limits.max_body_bytes,
+        head_time: Duration::from_millis(wire.limits.header_timeout_ms),
+        idle_time: Duration::from_millis(wire.limits.idle_timeout_ms),
+    };
+    let routes = wire
+        .routes
+        .into_iter()
+        .map(route)
+        .collect::<Result<_, _>>()?;
+    let pools = wire
+        .services
+        .into_iter()
+        .map(pool)
+        .collect::<Result<_, _>>()?;
+    let payers = wire
+        .tenants
+        .into_iter()
+        .map(payer)
+        .collect::<Result<_, _>>()?;
+    Ok(RouteTable::new(wire.version, intake, routes, pools, payers))
+}
+
+fn route(wire: WireRoute) -> Result<PathRoute, FieldError> {
+    let bad = |error: NameError| named("routes", &wire.name, &error);
+    let mut split = Vec::new();
+    for share in &wire.traffic_split {
+        split.push((share.service.parse().map_err(bad)?, share.weight));
+    }
+    if let Some(service) = &wire.service {
+        split.push((service.parse().map_err(bad)?, 1));
+    }
+    if split.is_empty() {
+        return Err(FieldError::new(
+            format!("routes/{}", wire.name),
+            "no service",
+            "at least one",
+        ));
+    }
+    let stream = matches!(wire.kind, WireKind::Streaming);
+    Ok(PathRoute {
+        name: wire.name.parse().map_err(bad)?,
+        repeat: match wire.kind {
+            WireKind::Idempotent => Repeat::Whole,
+            WireKind::Streaming if wire.resumable => Repeat::Resume,
+            WireKind::Streaming | WireKind::NonIdempotent => Repeat::Never,
+        },
+        stream,
+        host: wire.host,
+        prefix: wire.path_prefix,
+        timeout: Duration::from_secs_f64(wire.timeout_ms.max(0.0) / 1000.0),
+        objective: Duration::from_secs_f64(wire.target_latency_ms.max(0.0) / 1000.0),
+        priority: wire.priority,
+        split,
+        attempts: wire.max_attempts.max(1),
+        public: wire.public,
+    })
+}
+
+fn pool(wire: WireService) -> Result<TablePool, FieldError> {
+    let name = wire.name.parse();
+    Ok(TablePool {
+        name: name.map_err(|error| named("services", &wire.name, &error))?,
+        connections: wire.max_connections,
+        slots: wire.engine.as_ref().map(|engine| engine.slots),
+        stride: wire.engine.map_or(1, |engine| engine.stride.max(1)),
+    })
+}
+
+fn payer(wire: WireTenant) -> Result<Payer, FieldError> {
+    let bad = |error: NameError| named("tenants", &wire.name, &error);
+    Ok(Payer {
+        account: wire.name.parse().map_err(bad)?,
+        team: wire.name.parse().map_err(bad)?,
+        keys: wire.api_keys.iter().map(|key| KeyHash::of(key)).collect(),
+        priority: wire.priority,
+        // A part of a token can't be spent.
+        prepaid: wire.prepaid.map(|prepaid| Tokens(prepaid.max(0.0) as u64)),
+    })
+}
+
+fn named(list: &str, name: &str, error: &NameError) -> FieldError {
+    FieldError::new(format!("{list}/{name}"), error.to_string(), "a name")
+}
--- /dev/null
+++ b/src/platform/grants.rs
@@ -0,0 +1,125 @@
+//! Grants in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::warn;
+
+use crate::edge::desk::Desk;
+use crate::edge::driver::GrantLog;
+use crate::escrow::GrantKey;
+use crate::escrow::GrantRow;
+use crate::escrow::Proposal;
+use crate::escrow::RecordError;
+use crate::ids::Offset;
+use crate::platform::record::Keyed;
+use crate::platform::start::Listing;
+use crate::platform::store::Append;
+use crate::platform::store::ReadError;
+use crate::platform::store::Store;
+use crate::router::Event;
+use crate::router::GrantEvent;
+
+/// The topic that holds them.
+const TOPIC: &str = "keyed.grants";
+
+/// Reads and writes grants.
+pub(crate) struct Grants {
+    pub(crate) store: Store,
+    pub(crate) desk: Arc<Desk>,
+    /// This router's own entry, which is taken back when it leaves.
+    pub(crate) listing: Listing,
+}
+
+impl GrantLog for Grants {
+    fn propose(&self, proposal: Proposal) {
+        let store = self.store.clone();
+        let desk = self.desk.clone();
+        tokio::spawn(async move {
+            let event = propose(&store, &proposal).await;
+            desk.tell(Event::Grants(event));
+        });
+    }
+
+    fn read(&self, from: Option<Offset>) {
+        let store = self.store.clone();
+        let desk = self.desk.clone();
+        tokio::spawn(async move {
+            let event = match from {
+                Some(from) => read(&store, from).await,
+                None => newest(&store).await,
+            };
+            let event = event.unwrap_or_else(|error| match error {
+                ReadError::Gone => GrantEvent::Gone,
+                error => {
+                    warn!(event = "grants-unread", %error);
+                    GrantEvent::Unread
+                }
+            });
+            desk.tell(Event::Grants(event));
+        });
+    }
+
+    fn leave(&self) {
+        self.listing.leave();
+    }
+}
+
+async fn propose(store: &Store, proposal: &Proposal) -> GrantEvent {
+    let records: Vec<_> = proposal
+        .records
+        .iter()
+        .map(|(key, row)| Keyed {
+            key: key.to_string(),
+            value: Some(row.encode()),
+        })
+        .collect();
+    let at = proposal.at;
+    match store.append(TOPIC, &records, Some(at.0)).await {
+        Append::Landed => GrantEvent::Landed(at),
+        Append::Moved => GrantEvent::Moved,
+        Append::Refused => GrantEvent::Refused(at),
+        Append::Lost => GrantEvent::Lost(at),
+    }
+}
+
+async fn read(store: &Store, from: Offset) -> Result<GrantEvent, ReadError> {
+    let mut next = from.0;
+    let mut rows = Vec::new();
+    loop {
+        let page = store.read(TOPIC, next, Duration::ZERO).await?;
+        for record in &page.records {
+            let record = Keyed::decode(record)?;
+            let value = record.value.unwrap_or_default();
+            rows.extend(row(next, &record.key, &value));
+            next += 1;
+        }
+        if next >= page.end || page.records.is_empty() {
+            let end = Offset(next);
+            return Ok(GrantEvent::Read { rows, end });
+        }
+    }
+}
+
+async fn newest(store: &Store) -> Result<GrantEvent, ReadError> {
+    let table = store.newest(TOPIC).await?;
+    let rows = table.rows.iter();
+    Ok(GrantEvent::Read {
+        rows: rows
+            .filter_map(|r| row(r.offset, &r.key, &r.value))
+            .collect(),
+        end: Offset(table.end),
+    })
+}
+
+/// Reads one grant. One that can't be read is a fault of the product itself: nobody else writes here.
+fn row(offset: u64, key: &str, value: &[u8]) -> Option<(Offset, GrantKey, GrantRow)> {
+    let read = || -> Result<_, RecordError> { Ok((key.parse()?, GrantRow::decode(value)?)) };
+    match read() {
+        Ok((key, row)) => Some((Offset(offset), key, row)),
+        Err(error) => {
+            warn!(event = "grant-unreadable", offset, %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/heads.rs
@@ -0,0 +1,220 @@
+//! The headers of callers' requests and of endpoints' answers.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HOST;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::header::TE;
+use hyper::header::TRAILER;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+use hyper::http::request::Parts;
+
+use crate::edge::relay::Ask;
+use crate::edge::relay::Dialect;
+use crate::edge::relay::Verdict;
+use crate::router::Problem;
+use crate::router::ProblemKind;
+use crate::router::Ran;
+use crate::router::Relay;
+use crate::router::Run;
+use crate::router::Secret;
+use crate::tokens::Tokens;
+
+/// The caller's name for one attempt, which the endpoint repeats.
+const NAME: &str = "request-id";
+
+/// How many milliseconds the sender will wait.
+const DEADLINE: &str = "deadline-ms";
+
+/// The tokens of the prompt and the most of the answer.
+const COUNTS: &str = "token-counts";
+
+/// The parts of the prompt, the last of which is the request's own.
+const PARTS: &str = "prompt-prefix";
+
+/// The endpoint that is meant: any other one at its address does not run the request.
+const ENDPOINT: &str = "expect-instance";
+
+/// Whose request it is; for the router alone to set.
+const ACCOUNT: &str = "tenant";
+
+/// Stands in answers to requests that were not run.
+const NOT_RUN: &str = "not-executed";
+
+/// The event after which a stream goes on.
+const LAST_EVENT: &str = "last-event-id";
+
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// What concerns one connection alone.
+const HOP: [HeaderName; 6] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// What is the router's alone to say to an endpoint, so that a caller's word for it goes no further.
+const OURS: [&str; 11] = [
+    ACCOUNT,
+    ENDPOINT,
+    DEADLINE,
+    "hold",
+    "pin-ms",
+    "kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "request-urgency",
+    "expect-version",
+    "proxy-connection",
+];
+
+/// The platform's headers.
+pub(crate) struct Heads;
+
+impl Dialect for Heads {
+    fn read(&self, parts: &Parts) -> Result<Ask, Problem> {
+        let headers = &parts.headers;
+        let name = text(headers, NAME).ok_or_else(|| malformed("the request has no name"))?;
+        let host =
+            text(headers, HOST.as_str()).ok_or_else(|| malformed("the request has no host"))?;
+        let (input, output) = counts(headers)?;
+        let bearer = text(headers, AUTHORIZATION.as_str());
+        let bearer = bearer
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        let patience = text(headers, DEADLINE).and_then(|ms| ms.parse().ok());
+        let mut passed = headers.clone();
+        self.strip(&mut passed);
+        passed.remove(AUTHORIZATION);
+        for name in OURS {
+            passed.remove(name);
+        }
+        Ok(Ask {
+            relay: Relay {
+                host: host.to_owned(),
+                path: parts.uri.path().to_owned(),
+                input,
+                output,
+                shared: shared(headers),
+            },
+            bearer: Secret(bearer.to_owned()),
+            patience: patience.map(Duration::from_millis),
+            name: name.to_owned(),
+            method: parts.method.clone(),
+            uri: parts.uri.clone(),
+            headers: passed,
+        })
+    }
+
+    fn head(&self, ask: &Ask, run: &Run, left: Duration, last: Option<&str>) -> HeaderMap {
+        let mut headers = ask.headers.clone();
+        let account = run.relay.as_ref().and_then(|relay| relay.account.as_ref());
+        let account = account.map(|account| account.as_str().to_owned());
+        let set = [
+            (DEADLINE, Some(left.as_millis().to_string())),
+            (ENDPOINT, Some(run.endpoint.to_string())),
+            (ACCOUNT, account),
+            (LAST_EVENT, last.map(str::to_owned)),
+        ];
+        for (name, value) in set {
+            // Names are printable, so that each of them can stand in a header.
+            if let Some(value) = value.and_then(|value| HeaderValue::from_str(&value).ok()) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+        headers
+    }
+
+    fn verdict(&self, ask: &Ask, answer: &Response<Incoming>) -> Verdict {
+        let headers = answer.headers();
+        let status = answer.status();
+        let named = text(headers, NAME);
+        if named.is_some_and(|name| name != ask.name) {
+            return Verdict::Foreign;
+        }
+        if status.as_u16() == 421 {
+            return Verdict::Moved;
+        }
+        if headers.contains_key(NOT_RUN) {
+            let retry = text(headers, RETRY_AFTER.as_str());
+            let retry = retry
+                .and_then(|s| s.parse().ok())
+                .map(Duration::from_secs_f64);
+            return Verdict::NotRun(retry);
+        }
+        match named {
+            None => Verdict::Foreign,
+            Some(_) if status.is_server_error() => Verdict::Failed,
+            Some(_) => Verdict::Answer,
+        }
+    }
+
+    fn keep_alive(&self, headers: &HeaderMap) -> Option<Option<Duration>> {
+        let connection = text(headers, CONNECTION.as_str()).unwrap_or_default();
+        if connection.eq_ignore_ascii_case("close") {
+            return None;
+        }
+        let idle = text(headers, KEEP_ALIVE).unwrap_or_default();
+        let idle = idle
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="));
+        Some(
+            idle.and_then(|idle| idle.parse().ok())
+                .map(Duration::from_secs),
+        )
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        let listed = text(headers, CONNECTION.as_str()).unwrap_or_default();
+        let listed: Vec<_> = listed
+            .split(',')
+            .map(|name| name.trim().to_ascii_lowercase())
+            .collect();
+        for name in listed.iter().filter(|name| !name.is_empty()) {
+            headers.remove(name.as_str());
+        }
+        for name in HOP {
+            headers.remove(name);
+        }
+        headers.remove(KEEP_ALIVE);
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn malformed(detail: &str) -> Problem {
+    Problem::new(ProblemKind::Malformed, Ran::No, detail)
+}
+
+/// Reads how many tokens a prompt has and an answer may have; a plain service's request says nothing of them.
+fn counts(headers: &HeaderMap) -> Result<(Tokens, Tokens), Problem> {
+    let Some(counts) = text(headers, COUNTS) else {
+        return Ok((Tokens::ZERO, Tokens::ZERO));
+    };
+    let pair = counts.split_once(',');
+    let read = pair.and_then(|(input, output)| {
+        Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
+    });
+    read.ok_or_else(|| malformed("the counts of tokens can't be read"))
+}
+
+/// Returns the last part of the prompt that other requests share: the one before the request's own.
+fn shared(headers: &HeaderMap) -> Option<u64> {
+    let mut parts = text(headers, PARTS)?.rsplit(',').skip(1);
+    let (id, _tokens) = parts.next()?.trim().split_once(':')?;
+    u64::from_str_radix(id, 16).ok()
+}
--- /dev/null
+++ b/src/platform/start.rs
@@ -0,0 +1,273 @@
+//! A router on the platform: its sockets, and the tasks round its core.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tracing::info;
+use tracing::warn;
+
+use crate::clock::Clock;
+use crate::edge::Stopped;
+use crate::edge::clock::SystemClock;
+use crate::edge::desk::Desk;
+use crate::edge::driver::Driver;
+use crate::edge::driver::Storage;
+use crate::edge::driver::bind;
+use crate::edge::http;
+use crate::edge::metrics::Metrics;
+use crate::edge::peers;
+use crate::edge::peers::Caller;
+use crate::edge::probe::Prober;
+use crate::edge::relay;
+use crate::edge::relay::Relays;
+use crate::edge::relay::Upstream;
+use crate::labels::Labels;
+use crate::platform::config;
+use crate::platform::entry;
+use crate::platform::follow::News;
+use crate::platform::follow::follow;
+use crate::platform::grants::Grants;
+use crate::platform::heads::Heads;
+use crate::platform::record::Keyed;
+use crate::platform::registry::Registry;
+use crate::platform::store::Append;
+use crate::platform::store::Store;
+use crate::router::Accounting;
+use crate::router::Core;
+use crate::router::Event;
+use crate::router::GrantTuning;
+use crate::router::Pace;
+use crate::router::Tuning;
+use crate::settings::EndMarker;
+use crate::settings::RequestLimits;
+use crate::settings::SiteSettings;
+use crate::vms::VmEntry;
+use crate::vms::VmState;
+
+/// The topics that the operator and the servers write, and the routers' own.
+const OPERATOR: &str = "keyed.op";
+const SERVERS: &str = "keyed.servers";
+const ROUTERS: &str = "keyed.routers";
+
+/// The rest between two reads of the configuration: it is to be in force within a second or two.
+const CONFIG_REST: Duration = Duration::from_millis(100);
+
+/// The rest between two reads of the lists: each server writes once a second, and what changes may be known a quarter of a
+/// second late.
+const LIST_REST: Duration = Duration::from_millis(250);
+
+/// The rest before an entry is written again that the store did not take.
+const WRITE_REST: Duration = Duration::from_millis(250);
+
+/// How often idle connections are looked over.
+const SWEEP: Duration = Duration::from_millis(1000);
+
+/// How many times `keep_ms` a caller may keep an address, with a margin.
+const KEPT: f64 = 2.75;
+
+/// How long before the end of the grace time a planned stop ends by itself.
+const BEFORE_GRACE: Duration = Duration::from_millis(300);
+
+/// How often routers tell each other that they live.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Runs a router on the platform until it is told to stop.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn serve_site(settings: SiteSettings) -> io::Result<Stopped> {
+    let front = bind(settings.front)?;
+    let ready = bind(settings.ready)?;
+    let directory = bind(settings.directory)?;
+    let routers = bind(settings.peer_listen)?;
+    let admin = bind(settings.admin)?;
+    info!(event = "listening", vm = %settings.vm, front = %settings.front);
+    let (sender, events) = mpsc::unbounded_channel();
+    let mut seeds = rand::rng();
+    let origin = format!("{}-{:08x}", settings.vm, seeds.next_u32());
+    let limits = RequestLimits {
+        body_bytes: 16 << 20,
+        ..RequestLimits::default()
+    };
+    let desk = Arc::new(Desk::new(limits, None, origin, Metrics::default(), sender));
+    let store = Store::new(settings.store);
+    let listing = Listing::begin(&settings, store.clone());
+    follow_store(&store, &desk);
+    tokio::spawn(http::serve(admin, desk.clone()));
+    tokio::spawn(peers::serve(routers, desk.clone()));
+    let asked = desk.clone();
+    tokio::spawn(relay::accept(ready, move |request| {
+        entry::ready(asked.clone(), request)
+    }));
+    let asked = desk.clone();
+    let keep = settings.keep_ms.duration();
+    tokio::spawn(relay::accept(directory, move |request| {
+        entry::resolve(asked.clone(), keep, request)
+    }));
+    serve_front(front, &desk);
+    let clock = SystemClock;
+    let core = Core::new(clock.now(), tuning(&settings), seeds.next_u64());
+    let driver = Driver {
+        clock,
+        core,
+        storage: Storage::Grants(Box::new(Grants {
+            store,
+            desk: desk.clone(),
+            listing,
+        })),
+        peers: Caller::new(desk.clone()),
+        prober: Prober::new(desk.clone()),
+        desk,
+    };
+    driver.run(events).await
+}
+
+fn serve_front(listener: tokio::net::TcpListener, desk: &Arc<Desk>) {
+    let relays = Arc::new(Relays {
+        desk: desk.clone(),
+        upstream: Upstream::default(),
+        dialect: Box::new(Heads),
+    });
+    let sweeping = relays.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(SWEEP).await;
+            sweeping.upstream.sweep();
+        }
+    });
+    tokio::spawn(relay::accept(listener, move |request| {
+        relay::serve(relays.clone(), request)
+    }));
+}
+
+fn follow_store(store: &Store, desk: &Arc<Desk>) {
+    let told = desk.clone();
+    tokio::spawn(follow(store.clone(), OPERATOR, CONFIG_REST, move |news| {
+        take_config(&told, news);
+    }));
+    let registry = Arc::new(Registry::new(desk.clone()));
+    let told = registry.clone();
+    tokio::spawn(follow(store.clone(), SERVERS, LIST_REST, move |news| {
+        told.servers(news);
+    }));
+    tokio::spawn(follow(store.clone(), ROUTERS, LIST_REST, move |news| {
+        registry.routers(news);
+    }));
+}
+
+/// Tells the core of the newest configuration; one that can't be read leaves the last one in force.
+fn take_config(desk: &Desk, news: News) {
+    let newest = match news {
+        News::All(rows) => rows
+            .into_iter()
+            .find(|(key, _)| key == config::KEY)
+            .map(|(_, value)| value),
+        News::Some(records) => records
+            .into_iter()
+            .rfind(|record| record.key == config::KEY)
+            .and_then(|record| record.value),
+    };
+    match newest.map(|text| config::decode(&text)) {
+        Some(Ok(table)) => desk.tell(Event::Table(Arc::new(table))),
+        Some(Err(error)) => warn!(event = "config-unreadable", %error),
+        None => {}
+    }
+}
+
+fn tuning(settings: &SiteSettings) -> Tuning {
+    let window = settings.retry_window_ms.duration().as_secs_f64();
+    let limits = RequestLimits::default();
+    Tuning {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: settings.front.to_string(),
+        lean: settings.lean,
+        pace: Pace {
+            interval: Duration::from_millis(25),
+            timeout: Duration::from_secs(1),
+        },
+        outage: Duration::from_secs(1),
+        marker: EndMarker::default(),
+        heartbeat: HEARTBEAT,
+        silence: Duration::from_secs(4),
+        patience: limits.deadline_ms.duration(),
+        queue: limits.queue,
+        retention: Duration::from_secs(3600),
+        wait: limits.queue_ms.duration(),
+        keep: settings.keep_ms.duration(),
+        parted: Duration::from_secs(3600),
+        drain: settings.grace_ms.duration().saturating_sub(BEFORE_GRACE),
+        accounting: Accounting::Grants(GrantTuning {
+            linger: settings.keep_ms.duration().mul_f64(KEPT),
+            retries: settings.retry_ratio,
+            spare: settings.retry_spare / window,
+        }),
+    }
+}
+
+/// This router's own entry in the store.
+pub(crate) struct Listing {
+    leaving: watch::Sender<bool>,
+}
+
+impl Listing {
+    /// Lists the router, and keeps at it until the store takes the entry.
+    fn begin(settings: &SiteSettings, store: Store) -> Self {
+        let (leaving, left) = watch::channel(false);
+        let mut labels = Labels::default();
+        labels.set("role", "router");
+        labels.set("peer", &settings.peer_listen.to_string());
+        let entry = VmEntry {
+            vm: settings.vm.clone(),
+            address: settings.front,
+            domain: settings.domain.clone(),
+            labels,
+            state: VmState::Live,
+        };
+        tokio::spawn(keep_listed(entry, store, left));
+        Self { leaving }
+    }
+
+    /// Takes the entry back.
+    pub(crate) fn leave(&self) {
+        self.leaving.send_replace(true);
+    }
+}
+
+async fn keep_listed(entry: VmEntry, store: Store, mut left: watch::Receiver<bool>) {
+    let value = serde_json::to_vec(&entry).expect("an entry can be written");
+    write(&store, &entry, Some(value), &mut left).await;
+    if left.wait_for(|left| *left).await.is_ok() {
+        write(&store, &entry, None, &mut left).await;
+    }
+}
+
+/// Writes an entry, or drops it, until the store says that it has.
+async fn write(
+    store: &Store,
+    entry: &VmEntry,
+    value: Option<Vec<u8>>,
+    left: &mut watch::Receiver<bool>,
+) {
+    let record = Keyed {
+        key: entry.vm.to_string(),
+        value,
+    };
+    let listing = record.value.is_some();
+    while !(listing && *left.borrow()) {
+        match store
+            .append(ROUTERS, std::slice::from_ref(&record), None)
+            .await
+        {
+            Append::Landed => return,
+            append => warn!(event = "unlisted", vm = %entry.vm, ?append),
+        }
+        sleep(WRITE_REST).await;
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,203 @@
+//! The client of the metadata store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::http_client::Answer;
+use crate::http_client::HttpClient;
+use crate::http_client::HttpError;
+use crate::platform::record::Keyed;
+use crate::platform::record::Page;
+use crate::platform::record::Truncated;
+
+/// How long a call may take beside what it is held open: the store answers in 4 ms, and a slow one in a quarter of a
+/// second.
+const CALL: Duration = Duration::from_millis(800);
+
+/// Why a read brought nothing.
+#[derive(Debug, Error)]
+pub(crate) enum ReadError {
+    /// The records that were asked for are deleted.
+    #[error("the records are deleted")]
+    Gone,
+    /// The store refused.
+    #[error("the store answered {0}")]
+    Refused(u16),
+    /// There was no answer.
+    #[error(transparent)]
+    Call(#[from] HttpError),
+    /// The answer can't be read.
+    #[error("the answer can't be read: {0}")]
+    Malformed(String),
+}
+
+impl From<Truncated> for ReadError {
+    fn from(error: Truncated) -> Self {
+        Self::Malformed(error.to_string())
+    }
+}
+
+/// What came of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Append {
+    /// It stands.
+    Landed,
+    /// The partition does not end where the condition says.
+    Moved,
+    /// Nothing was done.
+    Refused,
+    /// Nobody knows.
+    Lost,
+}
+
+/// The newest record of a key.
+#[derive(Clone, Debug)]
+pub(crate) struct Newest {
+    pub(crate) key: String,
+    pub(crate) value: Vec<u8>,
+    pub(crate) offset: u64,
+}
+
+/// The newest records of a topic, and the offset from which to follow it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Table {
+    pub(crate) rows: Vec<Newest>,
+    pub(crate) end: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct NewestPage {
+    items: Vec<NewestItem>,
+    has_more: bool,
+    end: u64,
+}
+
+#[derive(Deserialize)]
+struct NewestItem {
+    key: String,
+    /// Base64.
+    value: String,
+    offset: u64,
+}
+
+/// A client of the store.
+#[derive(Clone, Debug)]
+pub(crate) struct Store {
+    http: HttpClient,
+    address: SocketAddr,
+}
+
+impl Store {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::new(None),
+            address,
+        }
+    }
+
+    /// Appends records to a topic's only partition, if it ends at an offset or whatever its end.
+    pub(crate) async fn append(&self, topic: &str, records: &[Keyed], at: Option<u64>) -> Append {
+        let mut body = Vec::new();
+        records.iter().for_each(|record| record.encode(&mut body));
+        let condition = at.map(|at| format!("&at={at}")).unwrap_or_default();
+        let path = format!("/api/log-append?topic={topic}&part=0{condition}");
+        match self.call("POST", &path, Bytes::from(body), CALL).await {
+            Ok(answer) => match answer.status.as_u16() {
+                200 => Append::Landed,
+                412 => Append::Moved,
+                429 | 503 => Append::Refused,
+                status => {
+                    tracing::warn!(event = "append-refused", topic, status);
+                    Append::Refused
+                }
+            },
+            Err(HttpError::Connect(_) | HttpError::Request(_)) => Append::Refused,
+            Err(HttpError::Lost(_) | HttpError::Timeout(_)) => Append::Lost,
+        }
+    }
+
+    /// Reads the records from an offset on, waiting for the first one up to a time.
+    pub(crate) async fn read(
+        &self,
+        topic: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Page, ReadError> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/api/log-read?topic={topic}&part=0&from={from}&waitMs={wait_ms}");
+        let answer = self.call("GET", &path, Bytes::new(), CALL + wait).await?;
+        match answer.status.as_u16() {
+            200 => Ok(Page::decode(&answer.body)?),
+            410 => Err(ReadError::Gone),
+            status => Err(ReadError::Refused(status)),
+        }
+    }
+
+    /// Reads the newest record of each key. The pages are of different moments; what changed meanwhile is read again by
+    /// who follows from the first one's end.
+    pub(crate) async fn newest(&self, topic: &str) -> Result<Table, ReadError> {
+        let mut table = Table::default();
+        let mut after = None;
+        loop {
+            let page = self.newest_page(topic, after.as_deref()).await?;
+            if after.is_none() {
+                table.end = page.end;
+            }
+            for item in page.items {
+                let value = BASE64_STANDARD.decode(&item.value);
+                let value = value.map_err(|error| ReadError::Malformed(error.to_string()))?;
+                after = Some(item.key.clone());
+                table.rows.push(Newest {
+                    key: item.key,
+                    value,
+                    offset: item.offset,
+                });
+            }
+            if !page.has_more {
+                return Ok(table);
+            }
+        }
+    }
+
+    async fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<NewestPage, ReadError> {
+        let after = after.map(|key| format!("&after={}", escape(key)));
+        let after = after.unwrap_or_default();
+        let path = format!("/api/log-newest?topic={topic}&part=0{after}");
+        let answer = self.call("GET", &path, Bytes::new(), CALL).await?;
+        match answer.status.as_u16() {
+            200 => serde_json::from_slice(&answer.body)
+                .map_err(|error| ReadError::Malformed(error.to_string())),
+            status => Err(ReadError::Refused(status)),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Answer, HttpError> {
+        let url = format!("http://{}{path}", self.address);
+        let request = self.http.request(method, &url).body(Full::new(body))?;
+        self.http.whole(request, limit).await
+    }
+}
+
+/// Writes a key so that it may stand in a query.
+fn escape(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let pieces = text.bytes().map(|byte| match plain(byte) {
+        true => char::from(byte).to_string(),
+        false => format!("%{byte:02X}"),
+    });
+    pieces.collect()
+}
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -38,6 +38,10 @@
                 team,
                 amount,
             } => self.top_up(id, name, team, amount),
+            AdminRequest::Directory(domain) => {
+                let addresses = self.directory(now, &domain);
+                self.answer(id, 200, json!({"addresses": addresses}));
+            }
             AdminRequest::Drain => {
                 self.drain(now);
                 self.answer(id, 202, json!({"draining": true}));
@@ -165,6 +169,8 @@
             "routers": routers,
             "pools": pools,
             "holdings": holdings,
+            "grants": self.funds.dump(now),
+            "table_version": self.table.as_ref().map(|table| table.version),
             "teams": self.teams()["teams"],
         })
     }
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -62,6 +62,9 @@
 
     /// Decides on a request by what its caller says and the configuration.
     fn admit(&mut self, now: Instant, arrival: &Arrival) -> Result<Request, Box<Problem>> {
+        if let Work::Relay(relay) = &arrival.work {
+            return self.admit_relay(now, arrival, relay);
+        }
         if !self.serving() || self.is_stale(now) {
             return Err(self.not_serving());
         }
@@ -85,6 +88,9 @@
             self.refuse(now, id, ProblemKind::Quarantined, detail);
             return;
         }
+        if request.relay.is_some() {
+            return self.fund(now, id);
+        }
         match self.enter_account(now, &request.account().clone()) {
             Ok(()) => {
                 self.requests[&id].entered = true;
@@ -162,6 +168,14 @@
                 return Err(unproved(ProblemKind::NoRoute, &detail));
             }
         };
+        let Some(key) = &arrival.key else {
+            let detail = "the header Idempotency-Key is missing; choose a key for each request";
+            return Err(Box::new(Problem::new(
+                ProblemKind::Malformed,
+                Ran::No,
+                detail,
+            )));
+        };
         let bearer = self
             .config
             .team(&route.team)
@@ -174,7 +188,7 @@
         Ok(Request {
             key: RequestKey {
                 account,
-                key: arrival.key.clone(),
+                key: key.clone(),
             },
             attempt: arrival.attempt,
             fingerprint: arrival.request,
@@ -196,6 +210,7 @@
             dispatched: false,
             stake: Stake::None,
             entered: false,
+            relay: None,
         })
     }
 
@@ -295,11 +310,11 @@
     }
 
     /// Returns the last offset folded.
-    fn seen(&self) -> crate::ids::Offset {
+    pub(crate) fn seen(&self) -> crate::ids::Offset {
         crate::ids::Offset(self.ledger.next().0.saturating_sub(1))
     }
 
-    fn not_serving(&mut self) -> Box<Problem> {
+    pub(crate) fn not_serving(&mut self) -> Box<Problem> {
         let instead = self.other_address();
         let problem = unproved(
             ProblemKind::NotServing,
@@ -366,6 +381,7 @@
             labels.0.shift_remove("model");
             labels.set("service", service);
         }
+        Work::Relay(_) => {}
     }
     labels
 }
--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -30,6 +30,10 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        // No other router has a request without a key, so that there is nobody to claim it from.
+        if request.relay.is_some() {
+            return self.dispatch(now, id, endpoint);
+        }
         let record = Record::Claim(Claim {
             key: request.key.clone(),
             team: request.team.clone(),
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -1,5 +1,6 @@
 //! The core of a router: its state, and the way from an event to what answers it.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::config::Config;
+use crate::config::RouteTable;
 use crate::decide::AccountLimit;
 use crate::decide::HoldingPolicy;
 use crate::decide::Lean;
@@ -33,6 +35,7 @@
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
 use crate::router::event::Event;
+use crate::router::funds::Funds;
 use crate::router::members::Members;
 use crate::router::orders::Orders;
 use crate::router::outage::Outage;
@@ -77,6 +80,28 @@
     pub(crate) parted: Duration,
     /// How long a planned stop waits for the requests in progress.
     pub(crate) drain: Duration,
+    /// How budgets are kept.
+    pub(crate) accounting: Accounting,
+}
+
+/// How budgets are kept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Accounting {
+    /// By the ledger: claims and bills under the callers' keys.
+    Ledger,
+    /// By grants to each router, written on a condition to a log that keeps the newest of each.
+    Grants(GrantTuning),
+}
+
+/// What a router that lives by grants is told at its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct GrantTuning {
+    /// How long a planned stop goes on serving though nothing is in progress: callers keep addresses that long.
+    pub(crate) linger: Duration,
+    /// Runs beyond the first that all routers together may make for each request.
+    pub(crate) retries: f64,
+    /// Runs beyond that which all routers together may make a second.
+    pub(crate) spare: f64,
 }
 
 /// What a router does with new requests.
@@ -162,6 +187,10 @@
     pub(crate) config_stream: ConfigStream,
     pub(crate) quarantine: Quarantine,
     pub(crate) orders: Orders,
+    /// The configuration, where a platform hands it over whole.
+    pub(crate) table: Option<Arc<RouteTable>>,
+    /// What may be spent, where budgets are kept by grants.
+    pub(crate) funds: Funds,
 }
 
 /// How long a router leaves checkpoints to others at its start, once to thrice: in a fleet that starts together all would
@@ -235,6 +264,8 @@
             config_stream: ConfigStream::default(),
             quarantine: Quarantine::new(),
             orders: Orders::default(),
+            table: None,
+            funds: Funds::new(now, tuning.vm.clone(), me, tuning.lean),
             tuning,
             rng,
         }
@@ -274,6 +305,8 @@
             Event::Load(vm, load) => self.endpoint_load(now, &vm, &load),
             Event::Cache(vm, events) => self.endpoint_cache(&vm, &events),
             Event::Admin(id, request) => self.admin(now, id, request),
+            Event::Table(table) => self.take_table(now, table),
+            Event::Grants(event) => self.grants(now, event),
             Event::Drain => self.drain(now),
             Event::Paused => self.paused(now),
             Event::Tick => self.tick(now),
@@ -322,6 +355,10 @@
 
     /// Sends off what has gathered.
     fn flush(&mut self, now: Instant) {
+        if let Accounting::Grants(_) = self.tuning.accounting {
+            self.step_funds(now);
+            return;
+        }
         if self.phase == Phase::CatchingUp {
             return;
         }
@@ -335,6 +372,22 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        match self.tuning.accounting {
+            Accounting::Ledger => self.tick_ledger(now),
+            Accounting::Grants(tuning) => self.tick_grants(now, tuning),
+        }
+    }
+
+    /// Does what time asks for where budgets are kept by grants.
+    fn tick_grants(&mut self, now: Instant, tuning: GrantTuning) {
+        self.expire_requests(now);
+        self.beat(now);
+        self.tick_pools(now);
+        self.go_on_leaving(now, tuning.linger);
+    }
+
+    /// Does what time asks for where budgets are kept by the ledger.
+    fn tick_ledger(&mut self, now: Instant) {
         self.catch_up(now);
         self.expire_requests(now);
         self.recheck_contended(now);
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -1,10 +1,13 @@
 //! What a router does.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 
 use crate::config::Snapshot;
+use crate::escrow::Proposal;
+use crate::ids::AccountId;
 use crate::ids::Incarnation;
 use crate::ids::ModelId;
 use crate::ids::Offset;
@@ -54,6 +57,10 @@
     AppendConfig(Vec<u8>),
     /// Writes a checkpoint as of an offset, in these parts.
     Checkpoint(Offset, Vec<Vec<u8>>),
+    /// Appends grants on a condition.
+    ProposeGrants(Proposal),
+    /// Reads grants from an offset on, or the newest of each key.
+    ReadGrants(Option<Offset>),
     /// Gives an endpoint an order.
     Order(Order),
     /// Asks an endpoint for its load and its cache events.
@@ -106,6 +113,21 @@
     pub(crate) claim_wait: Duration,
     /// Whether a run whose answer breaks off may be begun again.
     pub(crate) idempotent: bool,
+    /// What a request that is passed on as it came needs besides.
+    pub(crate) relay: Option<RelayRun>,
+}
+
+/// What a run of a request that is passed on as it came needs besides.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RelayRun {
+    /// The client account, if the request has one.
+    pub(crate) account: Option<AccountId>,
+    /// When its answer must be there.
+    pub(crate) deadline: Instant,
+    /// The most tokens that one event of its stream holds.
+    pub(crate) stride: u64,
+    /// Whether another endpoint may go on where the answer breaks off.
+    pub(crate) resumable: bool,
 }
 
 /// An answer that the ledger keeps.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -1,11 +1,16 @@
 //! What happens to a router.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::decide::CacheEvent;
+use crate::escrow::GrantKey;
+use crate::escrow::GrantRow;
 use crate::ids::Attempt;
+use crate::ids::DomainId;
 use crate::ids::Fingerprint;
 use crate::ids::IdempotencyKey;
 use crate::ids::Incarnation;
@@ -89,6 +94,10 @@
     Cache(VmId, Vec<CacheEvent>),
     /// An operator asks for something.
     Admin(AdminId, AdminRequest),
+    /// A whole configuration from a platform that hands it over at once.
+    Table(Arc<RouteTable>),
+    /// Something happened at the log that keeps grants.
+    Grants(GrantEvent),
     /// A planned stop begins.
     Drain,
     /// The process was stopped for a while, and goes on.
@@ -134,6 +143,8 @@
     },
     /// To stop in order.
     Drain,
+    /// Which routers' addresses a caller in a failure domain may use.
+    Directory(DomainId),
 }
 
 /// A caller's request.
@@ -143,8 +154,8 @@
     pub(crate) id: RequestId,
     /// The bearer key that came with it.
     pub(crate) bearer: Secret,
-    /// The caller's key for it.
-    pub(crate) key: IdempotencyKey,
+    /// The caller's key for it; without one it is this request alone, and ends with its connection.
+    pub(crate) key: Option<IdempotencyKey>,
     /// The caller's count of its tries.
     pub(crate) attempt: Attempt,
     /// The labels that the caller attached.
@@ -190,6 +201,47 @@
         /// The HTTP method.
         method: String,
     },
+    /// A request that is passed on as it came.
+    Relay(Relay),
+}
+
+/// What the router needs to know of a request that is passed on as it came.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Relay {
+    /// The host that was asked.
+    pub(crate) host: String,
+    /// The path, without its query.
+    pub(crate) path: String,
+    /// The tokens of its prompt; none for a plain service.
+    pub(crate) input: Tokens,
+    /// The most tokens that its answer may have.
+    pub(crate) output: Tokens,
+    /// The last part of its prompt that other requests share.
+    pub(crate) shared: Option<u64>,
+}
+
+/// What happens at the log that keeps grants.
+#[derive(Clone, Debug)]
+pub(crate) enum GrantEvent {
+    /// Records were read: all that follow what was asked for, up to an end.
+    Read {
+        /// The records.
+        rows: Vec<(Offset, GrantKey, GrantRow)>,
+        /// The offset that follows the last one.
+        end: Offset,
+    },
+    /// The log no longer has the records that were asked for.
+    Gone,
+    /// A read was not answered.
+    Unread,
+    /// A proposal stands.
+    Landed(Offset),
+    /// The partition does not end where the proposal says.
+    Moved,
+    /// The log did nothing about a proposal.
+    Refused(Offset),
+    /// Nobody knows what became of a proposal.
+    Lost(Offset),
 }
 
 /// What a run used.
--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -52,6 +52,9 @@
             return;
         };
         request.state = State::Funding { short: None };
+        if request.relay.is_some() {
+            return self.fund_relay(now, id);
+        }
         let team = request.team.clone();
         let reserve = request.reserve;
         self.note_demand(now, &team, reserve);
--- /dev/null
+++ b/src/router/grants.rs
@@ -0,0 +1,153 @@
+//! A router that lives by grants: its way into service and out of it, and the requests that wait for budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tracing::info;
+use tracing::warn;
+
+use crate::config::RouteTable;
+use crate::ids::DomainId;
+use crate::ids::RequestId;
+use crate::router::core::Core;
+use crate::router::core::Phase;
+use crate::router::effect::Effect;
+use crate::router::event::GrantEvent;
+use crate::router::funds::Unfunded;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::Stake;
+
+/// When a caller may come back whose budget others hold: they give back what lies idle at their next review.
+const HELD_RETRY: Duration = Duration::from_millis(1000);
+
+/// When a caller may come back while the log can't be asked: outages of it last seconds, and callers honour no more than
+/// a third of their time.
+const AWAY_RETRY: Duration = Duration::from_millis(1500);
+
+impl Core {
+    /// Takes over a configuration. An older one than that in force changes nothing.
+    pub(crate) fn take_table(&mut self, now: Instant, table: Arc<RouteTable>) {
+        let old = self.table.as_ref().map(|table| table.version);
+        if old.is_some_and(|old| old >= table.version) {
+            return;
+        }
+        info!(
+            event = "config-in-force",
+            version = table.version,
+            old,
+            routes = table.count()
+        );
+        self.funds.prepaid(now, &table);
+        self.table = Some(table);
+        self.rebuild_pools(now);
+        self.open_with_grants();
+    }
+
+    /// Takes in what happened at the log that keeps grants.
+    pub(crate) fn grants(&mut self, now: Instant, event: GrantEvent) {
+        self.funds.took(now, event);
+        self.open_with_grants();
+    }
+
+    /// Begins to serve once the configuration, the endpoints and the grants are known.
+    pub(crate) fn open_with_grants(&mut self) {
+        let ready = self.table.is_some() && self.funds.known() && !self.members.vms.vms.is_empty();
+        if self.phase == Phase::CatchingUp && ready {
+            self.phase = Phase::Serving;
+            info!(event = "serving", vm = %self.tuning.vm, incarnation = %self.me);
+        }
+    }
+
+    /// Reserves what a request can cost, or has it wait for a grant.
+    pub(crate) fn fund_relay(&mut self, now: Instant, id: RequestId) {
+        let request = &mut self.requests[&id];
+        let team = request.team.clone();
+        let amount = request.reserve;
+        if self.funds.reserve(&team, amount) {
+            request.stake = Stake::Funded;
+            self.enqueue(now, id);
+        } else {
+            self.funds.wait(now, &team, id, amount);
+        }
+    }
+
+    /// Sends on the requests that have their budget now, refuses those that can't have it, and asks the log for more.
+    pub(crate) fn step_funds(&mut self, now: Instant) {
+        for id in self.funds.funded() {
+            self.requests[&id].stake = Stake::Funded;
+            self.enqueue(now, id);
+        }
+        for (id, why) in self.funds.unfunded(now) {
+            self.refuse_unfunded(now, id, why);
+        }
+        let routers = self.members.serving_vms(&self.tuning.vm).len();
+        let call = self.funds.step(now, routers);
+        self.effects.extend(call);
+    }
+
+    fn refuse_unfunded(&mut self, now: Instant, id: RequestId, why: Unfunded) {
+        let request = &self.requests[&id];
+        let (team, amount) = (&request.team, request.reserve);
+        let problem = match why {
+            Unfunded::Spent => {
+                let detail = format!("the team {team} has not {amount} tokens left for it");
+                Problem::new(ProblemKind::BudgetSpent, Ran::No, &detail)
+            }
+            Unfunded::Held => {
+                let detail = format!("other routers hold what is left of the budget of {team}");
+                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(HELD_RETRY)
+            }
+            Unfunded::Away => {
+                let detail =
+                    "the log can't be reached, and this router holds too little of the budget";
+                Problem::new(ProblemKind::LogOutage, Ran::No, detail).retry_in(AWAY_RETRY)
+            }
+        };
+        self.refuse_with(now, id, problem);
+    }
+
+    /// Returns the addresses that a caller in a failure domain may use: those of routers that live and stay.
+    pub(crate) fn directory(&self, now: Instant, domain: &DomainId) -> Vec<String> {
+        let mut peers = self.members.advisable(now);
+        peers.retain(|peer| !peer.leaving && self.members.silence(now, &peer.vm).is_none());
+        let mut addresses: Vec<_> = peers
+            .into_iter()
+            .map(|peer| (peer.domain, peer.address))
+            .collect();
+        if self.serving() {
+            addresses.push((self.tuning.domain.clone(), self.tuning.address.clone()));
+        }
+        addresses.sort_by_key(|(at, _)| at != domain);
+        addresses.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Ends a planned stop: nothing is in progress, no caller still keeps the address, and what was not spent went back.
+    pub(crate) fn go_on_leaving(&mut self, now: Instant, linger: Duration) {
+        let Phase::Draining { since, closing } = self.phase else {
+            return;
+        };
+        if now >= since + self.tuning.drain {
+            let cut = !self.requests.is_empty();
+            if cut {
+                warn!(event = "drain-limit", requests = self.requests.len());
+            }
+            self.effects.push(Effect::Exit { cut });
+            return;
+        }
+        if !self.requests.is_empty() || now < since + linger {
+            return;
+        }
+        if !closing {
+            self.phase = Phase::Draining {
+                since,
+                closing: true,
+            };
+            self.funds.leave();
+        } else if self.funds.left_all() {
+            self.effects.push(Effect::Exit { cut: false });
+        }
+    }
+}
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -14,6 +14,7 @@
 use crate::ledger::Record;
 use crate::ledger::decode;
 use crate::router::closing::Closing;
+use crate::router::core::Accounting;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
 use crate::router::effect::Peer;
@@ -214,7 +215,7 @@
     }
 
     /// Returns the routers heard of lately that take requests and stay.
-    fn advisable(&self, now: Instant) -> Vec<decide::Peer> {
+    pub(crate) fn advisable(&self, now: Instant) -> Vec<decide::Peer> {
         self.heard
             .values()
             .filter(|(at, beat)| now < *at + FRESH && beat.serving)
@@ -247,6 +248,9 @@
         }
         self.members.vms = list;
         self.rebuild_pools(now);
+        if let Accounting::Grants(_) = self.tuning.accounting {
+            self.open_with_grants();
+        }
     }
 
     /// Takes in a peer's word.
@@ -307,6 +311,9 @@
         let peers = self.members.peers(&self.tuning.vm);
         self.effects.push(Effect::Beat(self.heartbeat(), peers));
         // A router parted from its peers, but not from the log, would be closed for its silence.
+        if let Accounting::Grants(_) = self.tuning.accounting {
+            return;
+        }
         let quiet = now >= self.members.shown + KEEP_ALIVE;
         if self.serving() && quiet && self.members.any_unheard(now) {
             self.members.shown = now;
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -70,6 +70,7 @@
                 domain: site.domain,
                 excluded,
                 usage,
+                home: request.relay.as_ref().and_then(|terms| terms.shared),
             };
             self.chooser
                 .choose(now, &wish, &self.index, &self.health, rng)
@@ -102,7 +103,7 @@
 fn model(request: &Request) -> Option<&ModelId> {
     match &request.work {
         Work::Completion { model, .. } => Some(model),
-        Work::Call { .. } => None,
+        Work::Call { .. } | Work::Relay(_) => None,
     }
 }
 
@@ -110,6 +111,6 @@
 pub(crate) fn blocks(request: &Request) -> Vec<BlockHash> {
     match &request.work {
         Work::Completion { blocks, .. } => blocks.iter().map(|b| BlockHash(*b)).collect(),
-        Work::Call { .. } => Vec::new(),
+        Work::Call { .. } | Work::Relay(_) => Vec::new(),
     }
 }
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -31,6 +31,7 @@
 use crate::router::picker::Picker;
 use crate::router::picker::Site;
 use crate::router::picker::blocks;
+use crate::router::relay::table_pools;
 use crate::router::request::State;
 use crate::vms::VmEntry;
 use crate::vms::VmState;
@@ -38,6 +39,9 @@
 /// How often an endpoint is asked for its load and its cache's events.
 const PROBE: Duration = Duration::from_secs(1);
 
+/// The label that says how many requests an endpoint runs at once.
+const SLOTS: &str = "slots";
+
 /// A pool's endpoints and its queue.
 pub(crate) struct Pool {
     pub(crate) picker: Picker,
@@ -64,7 +68,7 @@
     }
 
     /// Brings the endpoints in line with the configuration and the VM list.
-    fn refresh(&mut self, now: Instant, spec: &PoolSpec, vms: &[VmEntry]) {
+    fn refresh(&mut self, now: Instant, spec: &PoolSpec, vms: &[VmEntry], fixed: bool) {
         let models: &[ModelId] = match &spec.kind {
             PoolKind::Engine { models, .. } => models,
             PoolKind::Service { .. } => &[],
@@ -87,9 +91,12 @@
         }
         for entry in listed {
             let vm = &entry.vm;
-            self.picker
-                .chooser
-                .put(vm, &entry.domain, models, spec.concurrency);
+            let slots = entry.labels.get(SLOTS).and_then(|slots| slots.parse().ok());
+            let limit = slots.unwrap_or(spec.concurrency);
+            self.picker.chooser.put(vm, &entry.domain, models, limit);
+            if fixed {
+                self.picker.chooser.fix(vm);
+            }
             self.picker
                 .chooser
                 .leave(vm, entry.state == VmState::Leaving);
@@ -106,7 +113,9 @@
             .config
             .pools()
             .map(|(id, spec)| (id, spec.clone()))
+            .chain(self.table.iter().flat_map(|table| table_pools(table)))
             .collect();
+        let fixed = self.table.is_some();
         self.pools
             .retain(|id, _| specs.iter().any(|(kept, _)| kept == id));
         for (id, spec) in specs {
@@ -115,7 +124,7 @@
             let pool = self.pools.entry(id).or_insert_with(|| {
                 Pool::new(&tuning.vm, tuning.queue, ChaCha8Rng::seed_from_u64(seed))
             });
-            pool.refresh(now, &spec, &self.members.vms.vms);
+            pool.refresh(now, &spec, &self.members.vms.vms, fixed);
         }
         self.pump_all(now);
     }
--- a/src/router/refuse.rs
+++ b/src/router/refuse.rs
@@ -83,10 +83,34 @@
         }
     }
 
+    /// Changes a refusal of a request without a key that may have run: its status must not promise that it did not.
+    fn keep_promises(&self, id: RequestId, problem: Problem) -> Problem {
+        let keyless = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| request.relay.is_some());
+        if keyless
+            && problem.ran != Ran::No
+            && matches!(problem.kind.status(), 408 | 421 | 429 | 503)
+        {
+            return Problem {
+                kind: ProblemKind::EndpointFailed,
+                ..problem
+            };
+        }
+        problem
+    }
+
     fn proof(&mut self, now: Instant, id: RequestId) -> Proof {
         let Some(request) = self.requests.get(&id) else {
             return Proof::None;
         };
+        if let Some(terms) = &request.relay {
+            return match terms.runs {
+                0 => Proof::Known,
+                _ => Proof::None,
+            };
+        }
         let elsewhere = self
             .active
             .get(&request.key)
@@ -166,6 +190,7 @@
 
     /// Sends a refusal as it stands; what the ledger still has of the request is brought to its end behind it.
     pub(crate) fn send_refusal(&mut self, now: Instant, id: RequestId, problem: Problem) {
+        let problem = self.keep_promises(id, problem);
         info!(event = "refused", request = %id, kind = %problem.kind, ran = %problem.ran);
         self.effects.push(Effect::Refuse(id, Box::new(problem)));
         self.abandon(now, id);
--- /dev/null
+++ b/src/router/relay.rs
@@ -0,0 +1,251 @@
+//! Requests that are passed on as they came: without a key of the caller's, each is one attempt and ends with its
+//! connection.
+
+use std::time::Instant;
+
+use rand::RngExt;
+use tracing::info;
+
+use crate::config::PathRoute;
+use crate::config::Repeat;
+use crate::config::RouteTable;
+use crate::ids::AccountId;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::ids::RequestKey;
+use crate::ids::TeamId;
+use crate::ledger::Bearer;
+use crate::router::core::Core;
+use crate::router::core::Phase;
+use crate::router::effect::Effect;
+use crate::router::effect::RelayRun;
+use crate::router::event::Arrival;
+use crate::router::event::Relay;
+use crate::router::event::RunEnd;
+use crate::router::event::Usage;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::Request;
+use crate::router::request::Stake;
+use crate::router::request::State;
+use crate::router::request::Terms;
+use crate::router::run::FAILED_RETRY;
+use crate::tokens::Tokens;
+
+/// Names the account and the team of requests that need no bearer key; no budget is kept for it.
+const PUBLIC: &str = "public";
+
+impl Core {
+    /// Decides on a request that is to be passed on as it came.
+    pub(crate) fn admit_relay(
+        &mut self,
+        now: Instant,
+        arrival: &Arrival,
+        relay: &Relay,
+    ) -> Result<Request, Box<Problem>> {
+        // Callers keep an address for seconds after the router began to leave, and are served that long.
+        let takes = matches!(self.phase, Phase::Serving | Phase::Draining { .. });
+        let Some(table) = self.table.clone().filter(|_| takes) else {
+            return Err(self.not_serving());
+        };
+        let Some(route) = table.route(&relay.host, &relay.path) else {
+            let detail = format!("no route for {}{}", relay.host, relay.path);
+            return Err(Box::new(Problem::new(
+                ProblemKind::NoRoute,
+                Ran::No,
+                &detail,
+            )));
+        };
+        let payer = table.payer(&arrival.bearer.0);
+        if payer.is_none() && !route.public && table.payers().next().is_some() {
+            let detail = "the bearer key is none that is in force";
+            return Err(Box::new(Problem::new(
+                ProblemKind::Unauthorized,
+                Ran::No,
+                detail,
+            )));
+        }
+        let payer = payer.filter(|_| !route.public);
+        let account = payer.map(|payer| payer.account.clone());
+        let team = payer.map_or_else(public_team, |payer| payer.team.clone());
+        let pool = self.draw_pool(route);
+        let stride = table.pool(&pool).map_or(1, |pool| pool.stride);
+        let wait = arrival
+            .patience
+            .unwrap_or(self.tuning.patience)
+            .min(route.timeout);
+        let owner = account.clone().unwrap_or_else(public_account);
+        Ok(Request {
+            key: RequestKey {
+                account: owner,
+                key: own_key(arrival.id),
+            },
+            attempt: arrival.attempt,
+            fingerprint: arrival.request,
+            seen: self.seen(),
+            team,
+            pool,
+            bearer: Bearer::Team,
+            idempotent: route.repeat != Repeat::Never,
+            reserve: relay.input.saturating_add(relay.output),
+            limit: relay.output,
+            priority: payer.map_or(route.priority, |payer| payer.priority.max(route.priority)),
+            work: arrival.work.clone(),
+            arrived: now,
+            claimed: None,
+            deadline: now + wait,
+            state: State::Funding { short: None },
+            tried: Vec::new(),
+            wasted: Tokens::ZERO,
+            dispatched: false,
+            stake: Stake::None,
+            entered: false,
+            relay: Some(Terms {
+                account,
+                repeat: route.repeat,
+                attempts: route.attempts,
+                runs: 0,
+                input: relay.input,
+                used: Tokens::ZERO,
+                stride,
+                shared: relay.shared,
+                stopped: false,
+            }),
+        })
+    }
+
+    /// Draws one of a route's pools by weight.
+    fn draw_pool(&mut self, route: &PathRoute) -> PoolId {
+        let total: u32 = route.split.iter().map(|(_, weight)| weight).sum();
+        let mut at = self.rng.random_range(0..total.max(1));
+        for (pool, weight) in &route.split {
+            if at < *weight {
+                return pool.clone();
+            }
+            at -= weight;
+        }
+        route.split[0].0.clone()
+    }
+
+    /// Takes the end of a run of a request that is passed on as it came.
+    pub(crate) fn relay_ended(&mut self, now: Instant, id: RequestId, end: RunEnd) {
+        let request = &mut self.requests[&id];
+        let repeat = match &mut request.relay {
+            Some(terms) => {
+                terms.count(&end);
+                terms.repeat
+            }
+            None => return,
+        };
+        let stopped = request.relay.as_ref().is_some_and(|terms| terms.stopped);
+        match end {
+            RunEnd::Whole { .. } | RunEnd::Answered { .. } | RunEnd::CallerGone { .. } => {
+                self.finish(now, id);
+            }
+            RunEnd::Unsent => self.finish(now, id),
+            _ if stopped => self.finish(now, id),
+            RunEnd::NotRun { retry } => {
+                if self.relay_elsewhere(now, id) {
+                    return;
+                }
+                let detail = "no endpoint took the request";
+                let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+                self.refuse_with(now, id, problem.retry_in(retry.unwrap_or(FAILED_RETRY)));
+            }
+            RunEnd::Broken { begun, .. } => {
+                let again = match repeat {
+                    Repeat::Never => false,
+                    Repeat::Whole => !begun,
+                    Repeat::Resume => true,
+                };
+                if again && self.relay_elsewhere(now, id) {
+                    return;
+                }
+                let detail = "the endpoint failed before the answer was whole";
+                let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, detail);
+                self.effects.push(Effect::Cut(id, Box::new(problem)));
+                self.finish(now, id);
+            }
+        }
+    }
+
+    /// Sends a request to another endpoint, where its route's attempts and the retry budget allow it.
+    fn relay_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
+        let spent = self.requests[&id]
+            .relay
+            .as_ref()
+            .is_some_and(|terms| terms.runs >= terms.attempts);
+        !spent && now < self.requests[&id].deadline && self.try_elsewhere(now, id)
+    }
+
+    /// Ends a request whose time is over while it runs; what it used is still to be told.
+    pub(crate) fn stop_relay(&mut self, id: RequestId) {
+        let Some(terms) = self.requests[&id]
+            .relay
+            .as_mut()
+            .filter(|terms| !terms.stopped)
+        else {
+            return;
+        };
+        terms.stopped = true;
+        info!(event = "deadline", request = %id);
+        let detail = "the request took longer than its route or its caller allows";
+        let problem = Problem::new(ProblemKind::Deadline, Ran::Unknown, detail);
+        self.effects.push(Effect::Cut(id, Box::new(problem)));
+    }
+}
+
+impl Request {
+    /// Returns what a run of it needs, where it is passed on as it came.
+    pub(crate) fn relay_run(&self) -> Option<RelayRun> {
+        self.relay.as_ref().map(|terms| RelayRun {
+            account: terms.account.clone(),
+            deadline: self.deadline,
+            stride: terms.stride,
+            resumable: terms.repeat == Repeat::Resume,
+        })
+    }
+}
+
+impl Terms {
+    /// Counts what a run used, and whether it may have run at all.
+    ///
+    /// The prompt counts once however many runs read it. Where nobody knows what a run made, nothing of it went to the
+    /// caller, and only the prompt may have been counted.
+    fn count(&mut self, end: &RunEnd) {
+        let answer = match end {
+            RunEnd::NotRun { .. } | RunEnd::Unsent => return,
+            RunEnd::Whole { usage } => usage.answer,
+            RunEnd::Broken { usage, .. } | RunEnd::CallerGone { usage } => {
+                usage.unwrap_or_default().answer
+            }
+            RunEnd::Answered { .. } => Usage::default().answer,
+        };
+        self.runs += 1;
+        if self.used == Tokens::ZERO {
+            self.used = self.input;
+        }
+        self.used = self.used.saturating_add(answer);
+    }
+}
+
+fn public_account() -> AccountId {
+    PUBLIC.parse().expect("it is a name")
+}
+
+fn public_team() -> TeamId {
+    PUBLIC.parse().expect("it is a name")
+}
+
+/// Returns a key that no other request has: a request without a caller's key is none but itself.
+fn own_key(id: RequestId) -> crate::ids::IdempotencyKey {
+    id.to_string().parse().expect("a number is a name")
+}
+
+/// Returns the specification of a table's pool for those parts that know pools of documents.
+pub(crate) fn table_pools(
+    table: &RouteTable,
+) -> impl Iterator<Item = (PoolId, crate::config::PoolSpec)> {
+    table.pools().map(|pool| (pool.name.clone(), pool.spec()))
+}
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use crate::config::Repeat;
 use crate::ids::AccountId;
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
@@ -48,6 +49,34 @@
     pub(crate) stake: Stake,
     /// Whether it counts against its account's limit.
     pub(crate) entered: bool,
+    /// The terms of a request that is passed on as it came.
+    pub(crate) relay: Option<Terms>,
+}
+
+/// The terms on which a request is passed on as it came.
+///
+/// Such a request has no key: only the router that has its connection can dispatch it, so that at most once needs no
+/// record in the log, and what it uses is counted in the router's own grant.
+#[derive(Clone, Debug)]
+pub(crate) struct Terms {
+    /// The client account, if the route asks for one.
+    pub(crate) account: Option<AccountId>,
+    /// What may be repeated.
+    pub(crate) repeat: Repeat,
+    /// How many endpoints it may run on.
+    pub(crate) attempts: u32,
+    /// How many endpoints it ran on, or may have run on.
+    pub(crate) runs: u32,
+    /// The tokens of its prompt.
+    pub(crate) input: Tokens,
+    /// What it used so far.
+    pub(crate) used: Tokens,
+    /// The most tokens in one event of its stream.
+    pub(crate) stride: u64,
+    /// The last part of its prompt that others share.
+    pub(crate) shared: Option<u64>,
+    /// Whether it was told to stop, so that only its use is still to come.
+    pub(crate) stopped: bool,
 }
 
 impl Request {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -29,7 +29,7 @@
 use crate::tokens::Tokens;
 
 /// When a caller whose endpoint failed may come back: the time that a failing endpoint takes to be ejected.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
+pub(crate) const FAILED_RETRY: Duration = Duration::from_secs(1);
 
 /// How long a request waits for budget that can't be drawn in a log outage: a short stutter of the log passes.
 const FUNDING_OUTAGE: Duration = Duration::from_secs(2);
@@ -61,6 +61,7 @@
             priority: request.priority,
             claim_wait: request.claimed.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
+            relay: request.relay_run(),
         };
         info!(event = "dispatch", request = %id, %endpoint);
         self.effects.push(Effect::Run(id, Box::new(run)));
@@ -84,8 +85,13 @@
             return;
         }
         let price = request.reserve;
+        let relay = request.relay.is_some();
         info!(event = "run-ended", request = %id, end = end_name(&end));
         self.leave_endpoint(now, id, &end);
+        if relay {
+            self.relay_ended(now, id, end);
+            return;
+        }
         match end {
             RunEnd::Whole { usage } => {
                 self.bill(id, usage.total(), Outcome::Whole, Then::Release);
@@ -177,7 +183,7 @@
     ///
     /// When many endpoints fail, each retry adds load where there is least room for it; without the budget, retries
     /// keep the rest down.
-    fn try_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
+    pub(crate) fn try_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
         let tries = self.requests[&id].tried.len();
         if tries >= MAX_RUNS || self.is_poison(id) || !self.retries.try_retry(now) {
             return false;
@@ -253,7 +259,7 @@
                 (used, Outcome::Cut)
             }
             // It goes on at the service, and its price is its price.
-            (Work::Call { .. }, _) => (request.reserve, Outcome::Cut),
+            (Work::Call { .. } | Work::Relay(_), _) => (request.reserve, Outcome::Cut),
         };
         self.bill(id, used, outcome, Then::Nothing);
     }
@@ -304,6 +310,10 @@
         };
         match request.state {
             State::Queued => self.unqueue(now, id),
+            State::Funding { .. } if request.relay.is_some() => {
+                let team = request.team.clone();
+                self.funds.forget(&team, id);
+            }
             State::Claiming { .. } => self.free_endpoint(now, id),
             _ => {}
         }
@@ -329,7 +339,12 @@
         };
         let took = now.saturating_duration_since(request.arrived);
         info!(event = "finished", request = %id, took_ms = took.as_millis());
-        if request.stake == Stake::Funded
+        if let Some(terms) = &request.relay {
+            if request.stake == Stake::Funded {
+                self.funds
+                    .settle(now, &request.team, request.reserve, terms.used);
+            }
+        } else if request.stake == Stake::Funded
             && let Some(purse) = self.purses.get_mut(&request.team)
         {
             purse.settle(request.reserve);
@@ -364,6 +379,7 @@
         let past = now >= request.deadline;
         let outage = self.in_outage(now);
         match &request.state {
+            State::Running { .. } if past => self.stop_relay(id),
             State::Contended if past => self.refuse_contended(now, id),
             State::Funding { .. } if past => {
                 let detail = "the wait for the team's budget outlasted the deadline";
--- a/src/router/tests/bench.rs
+++ b/src/router/tests/bench.rs
@@ -107,6 +107,7 @@
         keep: Duration::from_secs(30),
         parted: Duration::from_secs(3600),
         drain: Duration::from_secs(60),
+        accounting: crate::router::Accounting::Ledger,
     }
 }
 
@@ -269,7 +270,7 @@
         Arrival {
             id: self.id(),
             bearer: Secret("yard-key".to_owned()),
-            key: key.parse().expect("a name"),
+            key: Some(key.parse().expect("a name")),
             attempt: Attempt(attempt),
             labels: Labels::default(),
             work: Work::Completion {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod millis;
 mod modes;
 mod range;
+mod site;
 #[cfg(test)]
 mod tests;
 
@@ -20,3 +21,4 @@
 pub use millis::Millis;
 pub use modes::EndMarker;
 pub use modes::LogLevel;
+pub use site::SiteSettings;
--- /dev/null
+++ b/src/settings/site.rs
@@ -0,0 +1,97 @@
+//! The settings of a router whose configuration, endpoints and grants come from one metadata store.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::decide::Lean;
+use crate::field;
+use crate::ids::DomainId;
+use crate::ids::VmId;
+use crate::settings::error::SettingsError;
+use crate::settings::millis::Millis;
+use crate::settings::modes::LogLevel;
+use crate::settings::range::check_time;
+use crate::settings::range::wrong;
+
+/// The least time that a setting may name.
+const MIN_TIME: Millis = Millis(1);
+
+/// The settings of a router on a platform with a metadata store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SiteSettings {
+    /// The VM.
+    pub vm: VmId,
+    /// The failure domain of the VM.
+    pub domain: DomainId,
+    /// Where it listens for callers.
+    pub front: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub ready: SocketAddr,
+    /// Where it tells callers which routers' addresses to use.
+    pub directory: SocketAddr,
+    /// Where it listens for other routers.
+    pub peer_listen: SocketAddr,
+    /// Where it serves operators and metrics.
+    pub admin: SocketAddr,
+    /// The metadata store.
+    pub store: SocketAddr,
+    /// The least important events that are logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// Which measure the deployment weighs more.
+    #[serde(default)]
+    pub lean: Lean,
+    /// How long after the first signal a second one ends the process.
+    pub grace_ms: Millis,
+    /// How long a caller may keep an advised address.
+    pub keep_ms: Millis,
+    /// Runs beyond the first that all routers together may make for each request, of 1.
+    pub retry_ratio: f64,
+    /// Runs beyond that which all routers together may make in a window.
+    pub retry_spare: f64,
+    /// That window.
+    pub retry_window_ms: Millis,
+}
+
+impl SiteSettings {
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// With the first field that is wrong or unknown.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = field::read_json(text.as_bytes()).map_err(SettingsError)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        check_time("grace_ms", self.grace_ms, MIN_TIME)?;
+        check_time("keep_ms", self.keep_ms, MIN_TIME)?;
+        check_time("retry_window_ms", self.retry_window_ms, MIN_TIME)?;
+        check_part("retry_ratio", self.retry_ratio, 1.0)?;
+        check_part("retry_spare", self.retry_spare, 1e6)?;
+        let fields = [
+            ("front", self.front),
+            ("directory", self.directory),
+            ("peer_listen", self.peer_listen),
+        ];
+        for (path, address) in fields {
+            if address.ip().is_unspecified() {
+                let allowed = "an address that others can connect to";
+                return Err(wrong(path, address.to_string(), allowed));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_part(path: &str, value: f64, most: f64) -> Result<(), SettingsError> {
+    if (0.0..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(wrong(path, value.to_string(), format!("0 to {most}")))
+}
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -212,6 +212,7 @@
         domain: &domain,
         excluded: &excluded,
         usage: Usage::Heavy,
+        home: None,
     };
     chooser.leave(&vms[1], true);
     for _ in 0..4 {
@@ -241,6 +242,7 @@
         domain: &domain,
         excluded: &[],
         usage: Usage::Heavy,
+        home: None,
     };
     let choice = chooser
         .choose(now, &wish, &index, &ejector, &mut rng())
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -259,6 +259,7 @@
                 domain: &self.domain,
                 excluded: &jobs[*id].excluded,
                 usage,
+                home: None,
             };
             chosen = self
                 .chooser
