Lend budget between routers where the log gives none

Routers tell each other with each heartbeat what lies idle and how fast it is asked for, and lend by numbered questions. Grants follow each router's part of a team's demand.

--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -28,11 +28,13 @@
 use crate::router::Event;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
+use crate::router::LoanAsk;
 use crate::router::Problem;
 use crate::router::Replay;
 use crate::router::Run;
 use crate::router::RunEnd;
 use crate::settings::RequestLimits;
+use crate::tokens::Tokens;
 
 /// How often metrics that have gathered are sent; statsd servers commonly sum up over ten seconds.
 const METRICS: Duration = Duration::from_secs(1);
@@ -169,6 +171,12 @@
         answer.is_some_and(|(status, _)| status == 200)
     }
 
+    /// Asks the core for a loan to a peer.
+    pub(crate) async fn lend(&self, ask: LoanAsk) -> Option<Tokens> {
+        let (_, answer) = self.question(|id| Event::LoanAsked(id, ask)).await?;
+        serde_json::from_value(answer).ok()
+    }
+
     async fn question<F>(&self, event: F) -> Option<(u16, Value)>
     where
         F: FnOnce(AdminId) -> Event,
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -292,6 +292,9 @@
             Effect::Relay(snapshot, peer) => {
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
+            Effect::Borrow(ask, peer) => {
+                tokio::spawn(self.peers.clone().borrow(ask, peer));
+            }
             Effect::Order(order) => {
                 tokio::spawn(engine::order(self.desk.clone(), order));
             }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -27,15 +27,23 @@
 use crate::router::Event;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
+use crate::router::LoanAsk;
 use crate::router::Peer;
 use crate::router::Silence;
+use crate::tokens::Tokens;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
-const VERSION: u32 = 1;
+const VERSION: u32 = 2;
 
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
 
+/// How long a peer may take to answer a question for a loan: callers wait meanwhile.
+const LOAN: Duration = Duration::from_millis(100);
+
+/// How often it is asked. An answer that was lost has moved tokens, which a second question brings.
+const LOAN_TRIES: u32 = 2;
+
 /// How long it may take to give its ledger's state, 40 MB at the size designed for.
 const SNAPSHOT: Duration = Duration::from_secs(10);
 
@@ -65,6 +73,9 @@
     /// Takes a configuration, as JSON.
     async fn relay(version: u32, config: String) -> Result<(), Refused>;
 
+    /// Lends what is idle of a budget.
+    async fn lend(version: u32, ask: LoanAsk) -> Result<Tokens, Refused>;
+
     /// Returns the ledger's state.
     async fn ledger(version: u32) -> Result<Vec<u8>, Refused>;
 }
@@ -102,6 +113,11 @@
         Ok(())
     }
 
+    async fn lend(self, _: Context, version: u32, ask: LoanAsk) -> Result<Tokens, Refused> {
+        check(version)?;
+        self.0.lend(ask).await.ok_or(Refused::NotReady)
+    }
+
     async fn ledger(self, _: Context, version: u32) -> Result<Vec<u8>, Refused> {
         check(version)?;
         self.0.snapshot().await.ok_or(Refused::NotReady)
@@ -181,6 +197,25 @@
         }
     }
 
+    /// Asks a peer for a loan, once more where no answer came, and tells the core.
+    pub(crate) async fn borrow(self, ask: LoanAsk, peer: Peer) {
+        let mut amount = None;
+        for _ in 0..LOAN_TRIES {
+            let asked = ask.clone();
+            let call = |client: PeeringClient| async move {
+                client.lend(deadline(LOAN), VERSION, asked).await
+            };
+            match self.call(&peer.address, LOAN, call).await {
+                Ok(answer) => {
+                    amount = answer.ok();
+                    break;
+                }
+                Err(silence) => tracing::info!(event = "no-loan", vm = %peer.vm, ?silence),
+            }
+        }
+        self.desk.tell(Event::Lent(ask, amount));
+    }
+
     /// Sends a peer the configuration.
     pub(crate) async fn relay(self, snapshot: Box<Snapshot>, peer: Peer) {
         let Ok(config) = serde_json::to_string(&snapshot) else {
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -186,7 +186,7 @@
             closing: false,
         };
         let peers = self.members.peers(&self.tuning.vm);
-        self.effects.push(Effect::Beat(self.heartbeat(), peers));
+        self.effects.push(Effect::Beat(self.heartbeat(now), peers));
     }
 
     /// Says what an early end cuts off.
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -19,6 +19,7 @@
 use crate::router::event::AdminId;
 use crate::router::event::Heartbeat;
 use crate::router::event::KeptBatches;
+use crate::router::event::LoanAsk;
 use crate::router::problem::Problem;
 
 /// What the core wants the edge to do.
@@ -61,6 +62,8 @@
     ProposeGrants(Proposal),
     /// Reads grants from an offset on, or the newest of each key.
     ReadGrants(Option<Offset>),
+    /// Asks another router for a loan.
+    Borrow(LoanAsk, Peer),
     /// Gives an endpoint an order.
     Order(Order),
     /// Asks an endpoint for its load and its cache events.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -98,6 +98,10 @@
     Table(Arc<RouteTable>),
     /// Something happened at the log that keeps grants.
     Grants(GrantEvent),
+    /// Another router asks for a loan.
+    LoanAsked(AdminId, LoanAsk),
+    /// Another router answered a question for a loan, or did not.
+    Lent(LoanAsk, Option<Tokens>),
     /// A planned stop begins.
     Drain,
     /// The process was stopped for a while, and goes on.
@@ -322,6 +326,32 @@
     pub(crate) load: u32,
     /// The offset that follows its configuration, so that one that is behind asks for it.
     pub(crate) config: Offset,
+    /// Its budgets, where they are kept by grants.
+    pub(crate) purses: Vec<PurseWord>,
+}
+
+/// What a router says of one team's budget.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct PurseWord {
+    /// The team.
+    pub(crate) team: TeamId,
+    /// What lies idle there.
+    pub(crate) free: Tokens,
+    /// How fast it is asked for there, in tokens a second.
+    pub(crate) demand: u64,
+}
+
+/// A question for a loan.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct LoanAsk {
+    /// The lifetime that asks.
+    pub(crate) borrower: Incarnation,
+    /// The question's number there, by which it counts once.
+    pub(crate) number: u64,
+    /// Whose budget.
+    pub(crate) team: TeamId,
+    /// How much would help.
+    pub(crate) amount: Tokens,
 }
 
 /// Batches that a router could not append itself.
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -25,6 +25,10 @@
 use crate::router::demand::Demand;
 use crate::router::effect::Effect;
 use crate::router::event::GrantEvent;
+use crate::router::event::LoanAsk;
+use crate::router::event::PurseWord;
+use crate::router::loans::Lender;
+use crate::router::loans::Loans;
 use crate::tokens::Tokens;
 
 /// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a
@@ -44,6 +48,16 @@
 /// How old the router's word from the log may be to tell a caller that a budget is spent.
 const FRESH: Duration = Duration::from_millis(500);
 
+/// How long the log goes before other routers, where what a request needs is undrawn.
+const LOG_FIRST: Duration = Duration::from_millis(60);
+
+/// How much demand is borrowed ahead, so that not each request asks anew: a question costs a millisecond, and what is
+/// borrowed can't be given back.
+const AHEAD: Duration = Duration::from_secs(2);
+
+/// How much of its own demand a lender keeps.
+const KEPT: Duration = Duration::from_secs(3);
+
 /// The first rest after a call that failed; it doubles with each further one.
 const REST: Duration = Duration::from_millis(50);
 
@@ -70,7 +84,7 @@
 
 /// One team's budget, as far as this router spends it.
 #[derive(Debug)]
-struct Purse {
+struct Allowance {
     /// All that the team may ever use.
     prepaid: Tokens,
     /// Promised to requests in progress.
@@ -79,13 +93,14 @@
     spent: Tokens,
     waiting: VecDeque<Waiting>,
     demand: Demand,
+    loans: Loans,
 }
 
 /// What a router may spend.
 #[derive(Debug)]
 pub(crate) struct Funds {
     book: Book,
-    purses: IndexMap<TeamId, Purse>,
+    allowances: IndexMap<TeamId, Allowance>,
     policy: HoldingPolicy,
     /// Whether a call is on its way.
     busy: bool,
@@ -108,7 +123,7 @@
     pub(crate) fn new(now: Instant, vm: VmId, me: Incarnation, lean: Lean) -> Self {
         Self {
             book: Book::new(vm, me),
-            purses: IndexMap::new(),
+            allowances: IndexMap::new(),
             policy: HoldingPolicy::new(lean).covering(COVER),
             busy: false,
             behind: false,
@@ -126,11 +141,11 @@
             let Some(prepaid) = payer.prepaid else {
                 continue;
             };
-            let purse = self.purses.entry(payer.team.clone());
-            let purse = purse.or_insert_with(|| Purse::new(now));
-            if prepaid > purse.prepaid {
+            let allowance = self.allowances.entry(payer.team.clone());
+            let allowance = allowance.or_insert_with(|| Allowance::new(now));
+            if prepaid > allowance.prepaid {
                 info!(event = "prepaid", team = %payer.team, %prepaid);
-                purse.prepaid = prepaid;
+                allowance.prepaid = prepaid;
                 self.reviewed = None;
             }
         }
@@ -144,20 +159,20 @@
     /// Reserves what a request may cost; a team without a limit needs no reservation.
     pub(crate) fn reserve(&mut self, team: &TeamId, amount: Tokens) -> bool {
         let available = self.available(team);
-        let Some(purse) = self.purses.get_mut(team) else {
+        let Some(allowance) = self.allowances.get_mut(team) else {
             return true;
         };
         if available < amount {
             return false;
         }
-        purse.reserved += amount;
+        allowance.reserved += amount;
         true
     }
 
     /// Has a request wait for a grant.
     pub(crate) fn wait(&mut self, now: Instant, team: &TeamId, request: RequestId, amount: Tokens) {
-        if let Some(purse) = self.purses.get_mut(team) {
-            purse.waiting.push_back(Waiting {
+        if let Some(allowance) = self.allowances.get_mut(team) {
+            allowance.waiting.push_back(Waiting {
                 request,
                 amount,
                 since: now,
@@ -167,11 +182,11 @@
 
     /// Ends a reservation with what was used of it.
     pub(crate) fn settle(&mut self, now: Instant, team: &TeamId, reserved: Tokens, used: Tokens) {
-        if let Some(purse) = self.purses.get_mut(team) {
+        if let Some(allowance) = self.allowances.get_mut(team) {
             let used = used.min(reserved);
-            purse.reserved -= reserved;
-            purse.spent += used;
-            purse.demand.add(now, used);
+            allowance.reserved -= reserved;
+            allowance.spent += used;
+            allowance.demand.add(now, used);
         }
     }
 
@@ -182,12 +197,12 @@
         let mut funded = Vec::new();
         for team in teams {
             let mut available = self.available(&team);
-            let purse = &mut self.purses[&team];
-            purse.waiting.retain(|waiting| {
+            let allowance = &mut self.allowances[&team];
+            allowance.waiting.retain(|waiting| {
                 let covered = waiting.amount <= available;
                 if covered {
                     available -= waiting.amount;
-                    purse.reserved += waiting.amount;
+                    allowance.reserved += waiting.amount;
                     funded.push(waiting.request);
                 }
                 !covered
@@ -203,9 +218,13 @@
             let left = self.left(&team);
             let reach = self.reach(&team);
             let fresh = self.fresh;
+            let borrows = self.allowances[&team].loans.may_bring(now);
             let away = self.failures > 0 || self.book.end().is_none();
-            self.purses[&team].waiting.retain(|waiting| {
+            self.allowances[&team].waiting.retain(|waiting| {
                 let asked = fresh.is_some_and(|at| at + FRESH >= waiting.since);
+                if borrows {
+                    return true;
+                }
                 let why = match waiting.amount {
                     amount if asked && amount > left => Unfunded::Spent,
                     amount if asked && amount > reach => Unfunded::Held,
@@ -217,13 +236,32 @@
                 false
             });
         }
+        for (request, why) in &unfunded {
+            info!(event = "unfunded", %request, ?why, failures = self.failures);
+        }
         unfunded
     }
 
+    /// Logs what is known of a budget, the grounds for a refusal.
+    pub(crate) fn explain(&self, now: Instant, team: &TeamId, request: RequestId) {
+        let Some(allowance) = self.allowances.get(team) else {
+            return;
+        };
+        info!(
+            event = "budget", %request, %team, prepaid = %allowance.prepaid, granted = %self.book.granted(team),
+            reserved = %allowance.reserved, spent = %allowance.spent, elsewhere = %self.book.others(team),
+            spent_elsewhere = %self.book.others_spent(team),
+            undrawn = %self.book.undrawn(team, allowance.prepaid),
+            age_ms = self.fresh.map(|at| now.saturating_duration_since(at).as_millis() as u64),
+        );
+    }
+
     /// Takes a request out of those that wait.
     pub(crate) fn forget(&mut self, team: &TeamId, request: RequestId) {
-        if let Some(purse) = self.purses.get_mut(team) {
-            purse.waiting.retain(|waiting| waiting.request != request);
+        if let Some(allowance) = self.allowances.get_mut(team) {
+            allowance
+                .waiting
+                .retain(|waiting| waiting.request != request);
         }
     }
 
@@ -263,12 +301,20 @@
         }
     }
 
+    /// Returns whether there is anything to ask the log or other routers for.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        let waits = self.allowances.values().any(|a| !a.waiting.is_empty());
+        let reviews = self.reviewed.is_none_or(|at| now >= at + REVIEW);
+        let unsettled = self.behind || self.book.pending().is_some() || !self.known();
+        waits || !self.busy && now >= self.rest && (reviews || unsettled)
+    }
+
     /// Returns the next call to the log, if one is due.
-    pub(crate) fn step(&mut self, now: Instant, routers: usize) -> Option<Effect> {
+    pub(crate) fn step(&mut self, now: Instant, lenders: &[Lender]) -> Option<Effect> {
         if self.busy || now < self.rest {
             return None;
         }
-        let effect = self.next_call(now, routers)?;
+        let effect = self.next_call(now, lenders)?;
         self.busy = true;
         Some(effect)
     }
@@ -279,37 +325,100 @@
         self.reviewed = None;
     }
 
+    /// Asks other routers for what can't be had from the log now.
+    pub(crate) fn borrow(
+        &mut self,
+        now: Instant,
+        me: Incarnation,
+        lenders: &[Lender],
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for team in self.waiting_teams() {
+            let hopeful = self.failures == 0 && self.reach(&team) > self.available(&team);
+            let allowance = &mut self.allowances[&team];
+            let first = allowance
+                .waiting
+                .front()
+                .map_or(now, |waiting| waiting.since);
+            // The log gives what is undrawn within some milliseconds, where it answers at all.
+            if hopeful && now < first + LOG_FIRST {
+                continue;
+            }
+            let ahead = Tokens((allowance.demand.rate(now) * AHEAD.as_secs_f64()) as u64);
+            let wanted = allowance.wanted().saturating_add(ahead);
+            effects.extend(allowance.loans.ask(now, me, &team, wanted, lenders));
+        }
+        effects
+    }
+
+    /// Lends another router what it asks for, as far as it is idle here. The same question gets the same answer.
+    pub(crate) fn lend(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
+        let free = self.available(&ask.team);
+        let Some(allowance) = self.allowances.get_mut(&ask.team) else {
+            return Tokens::ZERO;
+        };
+        let keep = Tokens((allowance.demand.rate(now) * KEPT.as_secs_f64()) as u64);
+        let spare = free.saturating_sub(keep).max(Tokens(free.0 / 2));
+        let spare = match allowance.waiting.is_empty() {
+            true => spare,
+            false => Tokens::ZERO,
+        };
+        let lent = allowance.loans.lend(ask, spare);
+        info!(event = "lent", to = %ask.borrower, team = %ask.team, asked = %ask.amount, %lent, %free);
+        lent
+    }
+
+    /// Takes in what another router lent, or that it did not answer.
+    pub(crate) fn lent(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
+        info!(event = "borrowed", team = %ask.team, asked = %ask.amount, amount = ?amount.map(|a| a.0));
+        if let Some(allowance) = self.allowances.get_mut(&ask.team) {
+            allowance.loans.lent_here(now, ask, amount);
+        }
+    }
+
+    /// Returns what others should know of this router's budgets: what lies idle here, and how fast it is asked for.
+    pub(crate) fn words(&self, now: Instant) -> Vec<PurseWord> {
+        let words = self.allowances.iter().map(|(team, allowance)| PurseWord {
+            team: team.clone(),
+            free: self.available(team),
+            demand: allowance.demand.rate(now) as u64,
+        });
+        words
+            .filter(|word| word.free > Tokens::ZERO || word.demand > 0)
+            .collect()
+    }
+
     /// Returns whether all that is not in use was given back.
     pub(crate) fn left_all(&self) -> bool {
-        let teams = self.purses.keys();
-        let mut idle = teams.map(|team| self.available(team));
+        let teams = self.allowances.keys();
+        let mut idle = teams.map(|team| self.available(team).min(self.book.granted(team)));
         self.book.pending().is_none() && idle.all(|idle| idle == Tokens::ZERO)
     }
 
     /// Returns the budgets, for the state dump.
     pub(crate) fn dump(&self, now: Instant) -> Value {
-        let purses = self.purses.iter().map(|(team, purse)| {
+        let allowances = self.allowances.iter().map(|(team, allowance)| {
             json!({
                 "team": team,
-                "prepaid": purse.prepaid,
+                "prepaid": allowance.prepaid,
                 "granted_here": self.book.granted(team),
-                "reserved_here": purse.reserved,
-                "spent_here": purse.spent,
+                "reserved_here": allowance.reserved,
+                "spent_here": allowance.spent,
                 "granted_elsewhere": self.book.others(team),
                 "spent_elsewhere_at_least": self.book.others_spent(team),
-                "undrawn": self.book.undrawn(team, purse.prepaid),
-                "waiting": purse.waiting.len(),
+                "undrawn": self.book.undrawn(team, allowance.prepaid),
+                "waiting": allowance.waiting.len(),
             })
         });
         json!({
-            "teams": purses.collect::<Vec<_>>(),
+            "teams": allowances.collect::<Vec<_>>(),
             "log_word_age_ms": self.fresh.map(|at| now.saturating_duration_since(at).as_millis() as u64),
             "log_failures": self.failures,
             "pending": self.book.pending().is_some(),
         })
     }
 
-    fn next_call(&mut self, now: Instant, routers: usize) -> Option<Effect> {
+    fn next_call(&mut self, now: Instant, lenders: &[Lender]) -> Option<Effect> {
         let Some(end) = self.book.end() else {
             return Some(Effect::ReadGrants(None));
         };
@@ -325,9 +434,9 @@
             return None;
         }
         self.reviewed = Some(now);
-        let changes = self.changes(now, routers);
-        let purses = &self.purses;
-        let prepaid = |team: &TeamId| purses.get(team).map_or(Tokens::ZERO, |p| p.prepaid);
+        let changes = self.changes(now, lenders);
+        let allowances = &self.allowances;
+        let prepaid = |team: &TeamId| allowances.get(team).map_or(Tokens::ZERO, |p| p.prepaid);
         if let Some(proposal) = self.book.propose(changes, prepaid) {
             return Some(Effect::ProposeGrants(proposal));
         }
@@ -337,33 +446,34 @@
     }
 
     /// Returns the grants that the policy wants changed.
-    fn changes(&self, now: Instant, routers: usize) -> Vec<Change> {
-        let changes = self.purses.iter().filter_map(|(team, purse)| {
+    fn changes(&self, now: Instant, lenders: &[Lender]) -> Vec<Change> {
+        let changes = self.allowances.iter().filter_map(|(team, allowance)| {
             let free = self.available(team);
             let granted = self.book.granted(team);
             let share = Share {
                 free,
-                claimed: purse.reserved,
-                undrawn: self.book.undrawn(team, purse.prepaid),
-                routers,
-                demand: purse.demand.rate(now),
-                team: 0.0,
-                wanted: purse.wanted(),
+                claimed: allowance.reserved,
+                undrawn: self.book.undrawn(team, allowance.prepaid),
+                routers: lenders.len() + 1,
+                demand: allowance.demand.rate(now),
+                team: allowance.demand.rate(now)
+                    + lenders.iter().map(|l| l.demand(team)).sum::<f64>(),
+                wanted: allowance.wanted(),
                 reachable: true,
             };
             let granted = match self.policy.decide(&share) {
-                _ if self.leaving && free > Tokens::ZERO && purse.waiting.is_empty() => {
-                    granted - free
+                _ if self.leaving && free > Tokens::ZERO && allowance.waiting.is_empty() => {
+                    granted - free.min(granted)
                 }
                 Action::Draw(amount) => granted + amount,
-                Action::Return(amount) => granted - amount.min(free),
+                Action::Return(amount) => granted - amount.min(free).min(granted),
                 Action::None => return None,
             };
             Some(Change {
                 team: team.clone(),
                 row: GrantRow {
                     granted,
-                    spent: purse.spent,
+                    spent: allowance.spent,
                 },
             })
         });
@@ -394,36 +504,44 @@
     }
 
     fn waiting_teams(&self) -> Vec<TeamId> {
-        let waiting = self.purses.iter().filter(|(_, p)| !p.waiting.is_empty());
+        let waiting = self
+            .allowances
+            .iter()
+            .filter(|(_, p)| !p.waiting.is_empty());
         waiting.map(|(team, _)| team.clone()).collect()
     }
 
     /// Returns what can be reserved now.
     fn available(&self, team: &TeamId) -> Tokens {
         let granted = self.book.granted(team);
-        self.purses.get(team).map_or(Tokens::ZERO, |purse| {
-            granted.saturating_sub(purse.reserved.saturating_add(purse.spent))
+        self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
+            let mine = granted.saturating_add(allowance.loans.borrowed());
+            let gone = allowance.reserved.saturating_add(allowance.spent);
+            mine.saturating_sub(gone.saturating_add(allowance.loans.lent()))
         })
     }
 
     /// Returns the most that this router could reserve if it drew all that is undrawn.
     fn reach(&self, team: &TeamId) -> Tokens {
-        let prepaid = self.purses.get(team).map_or(Tokens::ZERO, |p| p.prepaid);
+        let prepaid = self
+            .allowances
+            .get(team)
+            .map_or(Tokens::ZERO, |p| p.prepaid);
         self.available(team)
             .saturating_add(self.book.undrawn(team, prepaid))
     }
 
     /// Returns the most that can be left of a team's budget, by all that is known to be used.
     fn left(&self, team: &TeamId) -> Tokens {
-        self.purses.get(team).map_or(Tokens::ZERO, |purse| {
-            let here = purse.spent.saturating_add(purse.reserved);
+        self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
+            let here = allowance.spent.saturating_add(allowance.reserved);
             let used = here.saturating_add(self.book.others_spent(team));
-            purse.prepaid.saturating_sub(used)
+            allowance.prepaid.saturating_sub(used)
         })
     }
 }
 
-impl Purse {
+impl Allowance {
     fn new(now: Instant) -> Self {
         Self {
             prepaid: Tokens::ZERO,
@@ -431,6 +549,7 @@
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
             demand: Demand::new(now, WINDOW),
+            loans: Loans::default(),
         }
     }
 
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::json;
 use tracing::info;
 use tracing::warn;
 
@@ -13,7 +14,9 @@
 use crate::router::core::Core;
 use crate::router::core::Phase;
 use crate::router::effect::Effect;
+use crate::router::event::AdminId;
 use crate::router::event::GrantEvent;
+use crate::router::event::LoanAsk;
 use crate::router::funds::Unfunded;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
@@ -83,14 +86,26 @@
         for (id, why) in self.funds.unfunded(now) {
             self.refuse_unfunded(now, id, why);
         }
-        let routers = self.members.serving_vms(&self.tuning.vm).len();
-        let call = self.funds.step(now, routers);
+        if !self.funds.is_due(now) {
+            return;
+        }
+        let lenders = self.members.lenders(now, &self.tuning.vm);
+        let call = self.funds.step(now, &lenders);
         self.effects.extend(call);
+        let loans = self.funds.borrow(now, self.me, &lenders);
+        self.effects.extend(loans);
+    }
+
+    /// Answers another router's question for a loan.
+    pub(crate) fn loan_asked(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) {
+        let amount = self.funds.lend(now, ask);
+        self.effects.push(Effect::Answer(id, 200, json!(amount)));
     }
 
     fn refuse_unfunded(&mut self, now: Instant, id: RequestId, why: Unfunded) {
         let request = &self.requests[&id];
         let (team, amount) = (&request.team, request.reserve);
+        self.funds.explain(now, team, id);
         let problem = match why {
             Unfunded::Spent => {
                 let detail = format!("the team {team} has not {amount} tokens left for it");
--- /dev/null
+++ b/src/router/loans.rs
@@ -0,0 +1,144 @@
+//! Loans of budget between routers.
+//!
+//! Answers a cut of all routers from the log, in which they still reach each other: a team's callers keep to one router,
+//! whose grant runs out while the others' lie idle. A loan moves tokens from one grant to another router without the log.
+//! Lender and borrower count it once by its number: an answer that is lost is asked for again under the same number, and
+//! what the borrower never hears of is lost to both, never spent twice.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::ids::Incarnation;
+use crate::ids::TeamId;
+use crate::router::effect::Effect;
+use crate::router::effect::Peer;
+use crate::router::event::LoanAsk;
+use crate::router::event::PurseWord;
+use crate::tokens::Tokens;
+
+/// How long a router that brought nothing is not asked again: its next heartbeat tells what it has by then.
+const DRY: Duration = Duration::from_millis(600);
+
+/// How many answers a lender remembers. A question is repeated within a second or never; at fifty questions a second that
+/// is many times enough.
+const REMEMBERED: usize = 1024;
+
+/// Another router, and what it last said of its budgets.
+#[derive(Clone, Debug)]
+pub(crate) struct Lender {
+    /// How to reach it.
+    pub(crate) peer: Peer,
+    /// What it last said.
+    pub(crate) words: Vec<PurseWord>,
+}
+
+impl Lender {
+    /// Returns how fast a team's budget is asked for there, in tokens a second.
+    pub(crate) fn demand(&self, team: &TeamId) -> f64 {
+        self.word(team).map_or(0.0, |word| word.demand as f64)
+    }
+
+    fn free(&self, team: &TeamId) -> Tokens {
+        self.word(team).map_or(Tokens::ZERO, |word| word.free)
+    }
+
+    fn word(&self, team: &TeamId) -> Option<&PurseWord> {
+        self.words.iter().find(|word| word.team == *team)
+    }
+}
+
+/// One team's loans to and from this router.
+#[derive(Debug, Default)]
+pub(crate) struct Loans {
+    lent: Tokens,
+    borrowed: Tokens,
+    /// What was answered to each question.
+    answers: IndexMap<(Incarnation, u64), Tokens>,
+    /// The question on its way, and whom it goes to.
+    asked: Option<(u64, Peer)>,
+    /// The number of the last question.
+    number: u64,
+    /// Who brought nothing, and when.
+    dry: IndexMap<String, Instant>,
+    /// When nobody was left to ask.
+    none: Option<Instant>,
+}
+
+impl Loans {
+    /// Returns all that was lent.
+    pub(crate) fn lent(&self) -> Tokens {
+        self.lent
+    }
+
+    /// Returns all that was borrowed.
+    pub(crate) fn borrowed(&self) -> Tokens {
+        self.borrowed
+    }
+
+    /// Returns whether a loan is on its way, or somebody is left to ask.
+    pub(crate) fn may_bring(&self, now: Instant) -> bool {
+        self.asked.is_some() || self.none.is_none_or(|at| now >= at + DRY)
+    }
+
+    /// Asks the router that has most, if none is asked already.
+    pub(crate) fn ask(
+        &mut self,
+        now: Instant,
+        me: Incarnation,
+        team: &TeamId,
+        wanted: Tokens,
+        lenders: &[Lender],
+    ) -> Option<Effect> {
+        if self.asked.is_some() {
+            return None;
+        }
+        self.dry.retain(|_, at| now < *at + DRY);
+        let idle = lenders
+            .iter()
+            .filter(|lender| !self.dry.contains_key(&lender.peer.address))
+            .filter(|lender| lender.free(team) > Tokens::ZERO);
+        let Some(lender) = idle.max_by_key(|lender| lender.free(team)) else {
+            self.none = Some(now);
+            return None;
+        };
+        self.none = None;
+        self.number += 1;
+        self.asked = Some((self.number, lender.peer.clone()));
+        let ask = LoanAsk {
+            borrower: me,
+            number: self.number,
+            team: team.clone(),
+            amount: wanted,
+        };
+        Some(Effect::Borrow(ask, lender.peer.clone()))
+    }
+
+    /// Takes in the answer to the question on its way; none came where there is no amount.
+    pub(crate) fn lent_here(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
+        let Some((_, peer)) = self.asked.take_if(|(number, _)| *number == ask.number) else {
+            return;
+        };
+        let amount = amount.unwrap_or(Tokens::ZERO);
+        self.borrowed += amount;
+        if amount < ask.amount {
+            self.dry.insert(peer.address, now);
+        }
+    }
+
+    /// Answers a question out of what is to spare; one that was answered before gets the same answer.
+    pub(crate) fn lend(&mut self, ask: &LoanAsk, spare: Tokens) -> Tokens {
+        let name = (ask.borrower, ask.number);
+        if let Some(answer) = self.answers.get(&name) {
+            return *answer;
+        }
+        let amount = ask.amount.min(spare);
+        self.lent += amount;
+        self.answers.insert(name, amount);
+        if self.answers.len() > REMEMBERED {
+            self.answers.shift_remove_index(0);
+        }
+        amount
+    }
+}
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -21,6 +21,7 @@
 use crate::router::event::Heartbeat;
 use crate::router::event::KeptBatches;
 use crate::router::event::Silence;
+use crate::router::loans::Lender;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 use crate::vms::VmState;
@@ -232,6 +233,22 @@
             .collect()
     }
 
+    /// Returns the routers heard of lately, and what they said of their budgets.
+    pub(crate) fn lenders(&self, now: Instant, me: &VmId) -> Vec<Lender> {
+        let fresh = |vm: &VmId| {
+            let (at, beat) = self.heard.get(vm)?;
+            (now < *at + FRESH).then_some(beat)
+        };
+        let peers = self.peers(me).into_iter();
+        peers
+            .filter_map(|peer| {
+                let beat = fresh(&peer.vm)?;
+                let words = beat.purses.clone();
+                Some(Lender { peer, words })
+            })
+            .collect()
+    }
+
     /// Returns whether some peer of the list did not answer of late.
     fn any_unheard(&self, now: Instant) -> bool {
         self.unheard
@@ -281,13 +298,17 @@
     }
 
     /// Returns this router's own word.
-    pub(crate) fn heartbeat(&self) -> Heartbeat {
+    pub(crate) fn heartbeat(&self, now: Instant) -> Heartbeat {
         Heartbeat {
             vm: self.tuning.vm.clone(),
             router: self.me,
             serving: self.serving(),
             load: self.load(),
             config: self.config.next(),
+            purses: match self.tuning.accounting {
+                Accounting::Grants(_) => self.funds.words(now),
+                Accounting::Ledger => Vec::new(),
+            },
         }
     }
 
@@ -309,7 +330,7 @@
         }
         self.members.beaten = Some(now);
         let peers = self.members.peers(&self.tuning.vm);
-        self.effects.push(Effect::Beat(self.heartbeat(), peers));
+        self.effects.push(Effect::Beat(self.heartbeat(now), peers));
         // A router parted from its peers, but not from the log, would be closed for its silence.
         if let Accounting::Grants(_) = self.tuning.accounting {
             return;
