Let grants cover ten seconds and at most three tenths of what is left

After a loss of power of all VMs the grants of the dead were lost to the teams: 40% of some budgets.

--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -98,19 +98,28 @@
 /// Decides how much of a team's budget a router draws, keeps and returns.
 #[derive(Clone, Copy, Debug)]
 pub struct HoldingPolicy {
-    lean: Lean,
+    held: f64,
     cover: Duration,
 }
 
 impl HoldingPolicy {
     /// Makes a policy that leans to one side.
     pub fn new(lean: Lean) -> Self {
-        Self { lean, cover: COVER }
+        let held = match lean {
+            Lean::Available => AVAILABLE_HELD,
+            Lean::Strict => STRICT_HELD,
+        };
+        Self { held, cover: COVER }
     }
 
-    /// Makes holdings cover another time of demand: the longest partition that is to be borne.
-    pub fn covering(self, cover: Duration) -> Self {
-        Self { cover, ..self }
+    /// Makes holdings cover another time of demand, the longest partition that is to be borne, and lets all routers
+    /// together hold at most so much for each token undrawn.
+    pub fn covering(self, cover: Duration, held: f64) -> Self {
+        Self {
+            cover,
+            held,
+            ..self
+        }
     }
 
     /// Decides what to do now.
@@ -142,7 +151,7 @@
 
     /// Returns the part of what is undrawn that a router may hold.
     fn fair(&self, share: &Share) -> Tokens {
-        Tokens((share.undrawn.0 as f64 * self.held() * share.part()) as u64)
+        Tokens((share.undrawn.0 as f64 * self.held * share.part()) as u64)
     }
 
     /// Returns how far to go of the way to a fair part.
@@ -150,14 +159,7 @@
     /// All routers see the same amount undrawn and act on it together. Going all the way, they draw it empty, see that it
     /// is, give all back, and so on with each append; a step of this size by each brings them there at once.
     fn step(&self, way: Tokens) -> Tokens {
-        Tokens((way.0 as f64 / (1.0 + self.held())).ceil() as u64)
-    }
-
-    fn held(&self) -> f64 {
-        match self.lean {
-            Lean::Strict => STRICT_HELD,
-            Lean::Available => AVAILABLE_HELD,
-        }
+        Tokens((way.0 as f64 / (1.0 + self.held)).ceil() as u64)
     }
 }
 
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -32,12 +32,20 @@
 use crate::tokens::Tokens;
 
 /// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a
-/// third more for demand that rises meanwhile.
-const COVER: Duration = Duration::from_secs(12);
+/// second more for what is reserved and not yet used.
+const COVER: Duration = Duration::from_secs(10);
+
+/// How much all routers together hold for each token undrawn. What they hold is lost to the team where all of them lose
+/// their power at once, and what they don't hold can't be spent in a cut: three tenths of what is left cover a cut of nine
+/// seconds until half a minute's demand is left, and from then on the loss shrinks with what is left.
+const HELD: f64 = 0.43;
 
 /// The time over which a team's demand is averaged: as long as the bursts that one team makes.
 const WINDOW: Duration = Duration::from_secs(5);
 
+/// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
+const LEAST_AGE: Duration = Duration::from_millis(1000);
+
 /// How often grants are brought to what the policy wants, though no request waits. A call costs as much as a
 /// hundredth of a request's worth; demand is averaged over five seconds.
 const REVIEW: Duration = Duration::from_millis(1000);
@@ -93,6 +101,8 @@
     spent: Tokens,
     waiting: VecDeque<Waiting>,
     demand: Demand,
+    /// When it was first used.
+    first: Option<Instant>,
     loans: Loans,
 }
 
@@ -124,7 +134,7 @@
         Self {
             book: Book::new(vm, me),
             allowances: IndexMap::new(),
-            policy: HoldingPolicy::new(lean).covering(COVER),
+            policy: HoldingPolicy::new(lean).covering(COVER, HELD),
             busy: false,
             behind: false,
             failures: 0,
@@ -186,6 +196,7 @@
             let used = used.min(reserved);
             allowance.reserved -= reserved;
             allowance.spent += used;
+            allowance.first.get_or_insert(now);
             allowance.demand.add(now, used);
         }
     }
@@ -344,7 +355,7 @@
             if hopeful && now < first + LOG_FIRST {
                 continue;
             }
-            let ahead = Tokens((allowance.demand.rate(now) * AHEAD.as_secs_f64()) as u64);
+            let ahead = Tokens((allowance.rate(now) * AHEAD.as_secs_f64()) as u64);
             let wanted = allowance.wanted().saturating_add(ahead);
             effects.extend(allowance.loans.ask(now, me, &team, wanted, lenders));
         }
@@ -357,7 +368,7 @@
         let Some(allowance) = self.allowances.get_mut(&ask.team) else {
             return Tokens::ZERO;
         };
-        let keep = Tokens((allowance.demand.rate(now) * KEPT.as_secs_f64()) as u64);
+        let keep = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
         let spare = free.saturating_sub(keep).max(Tokens(free.0 / 2));
         let spare = match allowance.waiting.is_empty() {
             true => spare,
@@ -381,7 +392,7 @@
         let words = self.allowances.iter().map(|(team, allowance)| PurseWord {
             team: team.clone(),
             free: self.available(team),
-            demand: allowance.demand.rate(now) as u64,
+            demand: allowance.rate(now) as u64,
         });
         words
             .filter(|word| word.free > Tokens::ZERO || word.demand > 0)
@@ -455,9 +466,8 @@
                 claimed: allowance.reserved,
                 undrawn: self.book.undrawn(team, allowance.prepaid),
                 routers: lenders.len() + 1,
-                demand: allowance.demand.rate(now),
-                team: allowance.demand.rate(now)
-                    + lenders.iter().map(|l| l.demand(team)).sum::<f64>(),
+                demand: allowance.rate(now),
+                team: allowance.rate(now) + lenders.iter().map(|l| l.demand(team)).sum::<f64>(),
                 wanted: allowance.wanted(),
                 reachable: true,
             };
@@ -549,10 +559,23 @@
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
             demand: Demand::new(now, WINDOW),
+            first: None,
             loans: Loans::default(),
         }
     }
 
+    /// Returns how fast the budget is asked for here, in tokens a second.
+    ///
+    /// An average that began with nothing a second ago has seen a fifth of the rate; without the correction, a cut in the
+    /// first seconds would find grants that are far too small.
+    fn rate(&self, now: Instant) -> f64 {
+        let age = self
+            .first
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let age = age.max(LEAST_AGE).as_secs_f64();
+        self.demand.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
+    }
+
     fn wanted(&self) -> Tokens {
         self.waiting.iter().map(|waiting| waiting.amount).sum()
     }
