--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -35,14 +35,29 @@
 /// second more for what is reserved and not yet used.
 const COVER: Duration = Duration::from_secs(10);
 
-/// How much all routers together hold for each token undrawn. What they hold is lost to the team where all of them lose
-/// their power at once, and what they don't hold can't be spent in a cut: three tenths of what is left cover a cut of nine
-/// seconds until half a minute's demand is left, and from then on the loss shrinks with what is left.
-const HELD: f64 = 0.43;
+/// The most that all routers together hold for each token undrawn, so that one router's burst does not take all.
+const HELD: f64 = 1.5;
+
+/// Below so much time until a budget runs out at the present demand, grants cover less than [`COVER`].
+///
+/// What is granted is lost to the team where all routers lose their power at once, and what is not granted can't be spent
+/// in a cut from the log. With much left the loss is not felt before the next top-up; with little left it is felt at once.
+/// The cover falls with the square of the time left: at ten seconds left, two seconds' worth is at stake.
+const PLENTY: Duration = Duration::from_secs(24);
+
+/// The least that a grant covers: a draw takes some ten milliseconds, and one a second is enough.
+const LEAST_COVER: Duration = Duration::from_millis(1000);
 
 /// The time over which a team's demand is averaged: as long as the bursts that one team makes.
 const WINDOW: Duration = Duration::from_secs(5);
 
+/// The part of a reservation that is thought to be used before any request is over: prompts are mostly longer than
+/// answers, and answers mostly shorter than allowed.
+const FIRST_PART: f64 = 0.8;
+
+/// The weight of the newest request in averages: some thirty requests, a second or two of a busy team.
+const PART_WEIGHT: f64 = 0.03;
+
 /// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
 const LEAST_AGE: Duration = Duration::from_millis(1000);
 
@@ -101,6 +116,9 @@
     spent: Tokens,
     waiting: VecDeque<Waiting>,
     demand: Demand,
+    /// The part of reservations that is used, and the mean reservation, of late.
+    part: f64,
+    size: f64,
     /// When it was first used.
     first: Option<Instant>,
     loans: Loans,
@@ -134,7 +152,7 @@
         Self {
             book: Book::new(vm, me),
             allowances: IndexMap::new(),
-            policy: HoldingPolicy::new(lean).covering(COVER, HELD),
+            policy: HoldingPolicy::new(lean),
             busy: false,
             behind: false,
             failures: 0,
@@ -167,11 +185,12 @@
     }
 
     /// Reserves what a request may cost; a team without a limit needs no reservation.
-    pub(crate) fn reserve(&mut self, team: &TeamId, amount: Tokens) -> bool {
+    pub(crate) fn reserve(&mut self, now: Instant, team: &TeamId, amount: Tokens) -> bool {
         let available = self.available(team);
         let Some(allowance) = self.allowances.get_mut(team) else {
             return true;
         };
+        allowance.expect(now, amount);
         if available < amount {
             return false;
         }
@@ -191,13 +210,12 @@
     }
 
     /// Ends a reservation with what was used of it.
-    pub(crate) fn settle(&mut self, now: Instant, team: &TeamId, reserved: Tokens, used: Tokens) {
+    pub(crate) fn settle(&mut self, team: &TeamId, reserved: Tokens, used: Tokens) {
         if let Some(allowance) = self.allowances.get_mut(team) {
             let used = used.min(reserved);
             allowance.reserved -= reserved;
             allowance.spent += used;
-            allowance.first.get_or_insert(now);
-            allowance.demand.add(now, used);
+            allowance.learn(reserved, used);
         }
     }
 
@@ -471,7 +489,14 @@
                 wanted: allowance.wanted(),
                 reachable: true,
             };
-            let granted = match self.policy.decide(&share) {
+            let cover = cover(
+                share.team,
+                free.saturating_add(share.undrawn),
+                lenders,
+                team,
+            );
+            let policy = self.policy.covering(cover, HELD);
+            let granted = match policy.decide(&share) {
                 _ if self.leaving && free > Tokens::ZERO && allowance.waiting.is_empty() => {
                     granted - free.min(granted)
                 }
@@ -551,6 +576,14 @@
     }
 }
 
+/// Returns how much of a team's demand grants are to cover, `here` being what this router holds idle and what is undrawn.
+fn cover(demand: f64, here: Tokens, lenders: &[Lender], team: &TeamId) -> Duration {
+    let elsewhere: Tokens = lenders.iter().map(|lender| lender.free(team)).sum();
+    let left = here.saturating_add(elsewhere).0 as f64 / demand.max(1.0);
+    let part = (left / PLENTY.as_secs_f64()).min(1.0);
+    COVER.mul_f64(part * part).max(LEAST_COVER)
+}
+
 impl Allowance {
     fn new(now: Instant) -> Self {
         Self {
@@ -559,6 +592,8 @@
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
             demand: Demand::new(now, WINDOW),
+            part: FIRST_PART,
+            size: 1.0,
             first: None,
             loans: Loans::default(),
         }
@@ -576,6 +611,23 @@
         self.demand.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
     }
 
+    /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
+    /// seconds would be missing in the first seconds of a demand.
+    fn expect(&mut self, now: Instant, amount: Tokens) {
+        self.first.get_or_insert(now);
+        let used = amount.0 as f64 * self.part;
+        self.demand.add(now, Tokens(used as u64));
+    }
+
+    /// Learns what part of its reservation a request used.
+    fn learn(&mut self, reserved: Tokens, used: Tokens) {
+        if reserved > Tokens::ZERO {
+            let weight = PART_WEIGHT * (reserved.0 as f64 / self.size).min(4.0);
+            self.part += (used.0 as f64 / reserved.0 as f64 - self.part) * weight;
+            self.size += (reserved.0 as f64 - self.size) * PART_WEIGHT;
+        }
+    }
+
     fn wanted(&self) -> Tokens {
         self.waiting.iter().map(|waiting| waiting.amount).sum()
     }
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -69,7 +69,7 @@
         let request = &mut self.requests[&id];
         let team = request.team.clone();
         let amount = request.reserve;
-        if self.funds.reserve(&team, amount) {
+        if self.funds.reserve(now, &team, amount) {
             request.stake = Stake::Funded;
             self.enqueue(now, id);
         } else {
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -40,7 +40,8 @@
         self.word(team).map_or(0.0, |word| word.demand as f64)
     }
 
-    fn free(&self, team: &TeamId) -> Tokens {
+    /// Returns what lies idle of a team's budget there.
+    pub(crate) fn free(&self, team: &TeamId) -> Tokens {
         self.word(team).map_or(Tokens::ZERO, |word| word.free)
     }
 
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -342,7 +342,7 @@
         if let Some(terms) = &request.relay {
             if request.stake == Stake::Funded {
                 self.funds
-                    .settle(now, &request.team, request.reserve, terms.used);
+                    .settle(&request.team, request.reserve, terms.used);
             }
         } else if request.stake == Stake::Funded
             && let Some(purse) = self.purses.get_mut(&request.team)
