--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -38,15 +38,19 @@
 /// The most that all routers together hold for each token undrawn, so that one router's burst does not take all.
 const HELD: f64 = 1.5;
 
-/// Below so much time until a budget runs out at the present demand, grants cover less than [`COVER`].
+/// With so much time or more until a budget runs out at the present demand, grants cover [`COVER`], and with
+/// [`SCARCE`] or less only [`LEAST_COVER`].
 ///
 /// What is granted is lost to the team where all routers lose their power at once, and what is not granted can't be spent
-/// in a cut from the log. With much left the loss is not felt before the next top-up; with little left it is felt at once.
-/// The cover falls with the square of the time left: at ten seconds left, two seconds' worth is at stake.
-const PLENTY: Duration = Duration::from_secs(24);
+/// in a cut from the log. With much left the loss is not felt before the next top-up; with little left, the team is
+/// refused what it paid for from then on.
+const PLENTY: Duration = Duration::from_secs(20);
+
+/// See [`PLENTY`].
+const SCARCE: Duration = Duration::from_secs(12);
 
 /// The least that a grant covers: a draw takes some ten milliseconds, and one a second is enough.
-const LEAST_COVER: Duration = Duration::from_millis(1000);
+const LEAST_COVER: Duration = Duration::from_millis(700);
 
 /// The time over which a team's demand is averaged: as long as the bursts that one team makes.
 const WINDOW: Duration = Duration::from_secs(5);
@@ -580,8 +584,9 @@
 fn cover(demand: f64, here: Tokens, lenders: &[Lender], team: &TeamId) -> Duration {
     let elsewhere: Tokens = lenders.iter().map(|lender| lender.free(team)).sum();
     let left = here.saturating_add(elsewhere).0 as f64 / demand.max(1.0);
-    let part = (left / PLENTY.as_secs_f64()).min(1.0);
-    COVER.mul_f64(part * part).max(LEAST_COVER)
+    let scarce = SCARCE.as_secs_f64();
+    let part = (left - scarce) / (PLENTY.as_secs_f64() - scarce);
+    COVER.mul_f64(part.clamp(0.0, 1.0)).max(LEAST_COVER)
 }
 
 impl Allowance {
