--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -26,6 +26,7 @@
 use crate::router::AdminId;
 use crate::router::AdminRequest;
 use crate::router::Event;
+use crate::router::Gift;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
 use crate::router::LoanAsk;
@@ -171,6 +172,12 @@
         answer.is_some_and(|(status, _)| status == 200)
     }
 
+    /// Asks the core to take what a peer hands over.
+    pub(crate) async fn given(&self, gift: Gift) -> bool {
+        let answer = self.question(|id| Event::Given(id, gift)).await;
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
     /// Asks the core for a loan to a peer.
     pub(crate) async fn lend(&self, ask: LoanAsk) -> Option<Tokens> {
         let (_, answer) = self.question(|id| Event::LoanAsked(id, ask)).await?;
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -292,6 +292,9 @@
             Effect::Relay(snapshot, peer) => {
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
+            Effect::Give(gift, peer) => {
+                tokio::spawn(self.peers.clone().give(gift, peer));
+            }
             Effect::Borrow(ask, peer) => {
                 tokio::spawn(self.peers.clone().borrow(ask, peer));
             }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -25,6 +25,7 @@
 use crate::edge::codec::Postcard;
 use crate::edge::desk::Desk;
 use crate::router::Event;
+use crate::router::Gift;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
 use crate::router::LoanAsk;
@@ -76,6 +77,9 @@
     /// Lends what is idle of a budget.
     async fn lend(version: u32, ask: LoanAsk) -> Result<Tokens, Refused>;
 
+    /// Takes what a router that stops hands over.
+    async fn give(version: u32, gift: Gift) -> Result<(), Refused>;
+
     /// Returns the ledger's state.
     async fn ledger(version: u32) -> Result<Vec<u8>, Refused>;
 }
@@ -118,6 +122,14 @@
         self.0.lend(ask).await.ok_or(Refused::NotReady)
     }
 
+    async fn give(self, _: Context, version: u32, gift: Gift) -> Result<(), Refused> {
+        check(version)?;
+        match self.0.given(gift).await {
+            true => Ok(()),
+            false => Err(Refused::NotReady),
+        }
+    }
+
     async fn ledger(self, _: Context, version: u32) -> Result<Vec<u8>, Refused> {
         check(version)?;
         self.0.snapshot().await.ok_or(Refused::NotReady)
@@ -197,6 +209,22 @@
         }
     }
 
+    /// Hands budget over to a peer, a few times where no answer comes, and tells the core.
+    pub(crate) async fn give(self, gift: Gift, peer: Peer) {
+        let mut taken = false;
+        for _ in 0..LOAN_TRIES {
+            let given = gift.clone();
+            let call = |client: PeeringClient| async move {
+                client.give(deadline(LOAN), VERSION, given).await
+            };
+            taken = matches!(self.call(&peer.address, LOAN, call).await, Ok(Ok(())));
+            if taken {
+                break;
+            }
+        }
+        self.desk.tell(Event::Taken(gift, taken));
+    }
+
     /// Asks a peer for a loan, once more where no answer came, and tells the core.
     pub(crate) async fn borrow(self, ask: LoanAsk, peer: Peer) {
         let mut amount = None;
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -17,6 +17,7 @@
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::router::event::AdminId;
+use crate::router::event::Gift;
 use crate::router::event::Heartbeat;
 use crate::router::event::KeptBatches;
 use crate::router::event::LoanAsk;
@@ -62,6 +63,8 @@
     ProposeGrants(Proposal),
     /// Reads grants from an offset on, or the newest of each key.
     ReadGrants(Option<Offset>),
+    /// Hands budget over to another router.
+    Give(Gift, Peer),
     /// Asks another router for a loan.
     Borrow(LoanAsk, Peer),
     /// Gives an endpoint an order.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -100,6 +100,10 @@
     Grants(GrantEvent),
     /// Another router asks for a loan.
     LoanAsked(AdminId, LoanAsk),
+    /// Another router hands over what it holds idle.
+    Given(AdminId, Gift),
+    /// Another router has what was handed over to it, or did not answer.
+    Taken(Gift, bool),
     /// Another router answered a question for a loan, or did not.
     Lent(LoanAsk, Option<Tokens>),
     /// A planned stop begins.
@@ -341,6 +345,19 @@
     pub(crate) demand: u64,
 }
 
+/// Budget that a router hands over because it stops.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct Gift {
+    /// The lifetime that stops.
+    pub(crate) giver: Incarnation,
+    /// The gift's number there, by which it counts once.
+    pub(crate) number: u64,
+    /// Whose budget.
+    pub(crate) team: TeamId,
+    /// How much.
+    pub(crate) amount: Tokens,
+}
+
 /// A question for a loan.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub(crate) struct LoanAsk {
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -24,6 +24,7 @@
 use crate::ids::VmId;
 use crate::router::demand::Demand;
 use crate::router::effect::Effect;
+use crate::router::event::Gift;
 use crate::router::event::GrantEvent;
 use crate::router::event::LoanAsk;
 use crate::router::event::PurseWord;
@@ -384,6 +385,41 @@
         effects
     }
 
+    /// Hands over to other routers what is idle here, where the log can't take it back.
+    ///
+    /// A planned stop in a cut from the log would else take ten seconds' worth of each team's budget with it.
+    pub(crate) fn hand_over(&mut self, me: Incarnation, lenders: &[Lender]) -> Vec<Effect> {
+        if !self.leaving || self.failures == 0 {
+            return Vec::new();
+        }
+        let teams: Vec<_> = self.allowances.keys().cloned().collect();
+        let mut effects = Vec::new();
+        for team in teams {
+            let idle = self.available(&team);
+            if idle > Tokens::ZERO {
+                let loans = &mut self.allowances[&team].loans;
+                effects.extend(loans.give(me, &team, idle, lenders));
+            }
+        }
+        effects
+    }
+
+    /// Takes in what another router hands over.
+    pub(crate) fn given(&mut self, gift: &Gift) {
+        info!(event = "given", from = %gift.giver, team = %gift.team, amount = %gift.amount);
+        if let Some(allowance) = self.allowances.get_mut(&gift.team) {
+            allowance.loans.take(gift);
+        }
+    }
+
+    /// Notes that another router has what was handed over to it, or that nobody knows.
+    pub(crate) fn taken(&mut self, gift: &Gift, taken: bool) {
+        info!(event = "handed-over", team = %gift.team, amount = %gift.amount, taken);
+        if let Some(allowance) = self.allowances.get_mut(&gift.team) {
+            allowance.loans.gave();
+        }
+    }
+
     /// Lends another router what it asks for, as far as it is idle here. The same question gets the same answer.
     pub(crate) fn lend(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
         let free = self.available(&ask.team);
@@ -425,7 +461,9 @@
     pub(crate) fn left_all(&self) -> bool {
         let teams = self.allowances.keys();
         let mut idle = teams.map(|team| self.available(team).min(self.book.granted(team)));
-        self.book.pending().is_none() && idle.all(|idle| idle == Tokens::ZERO)
+        let giving = self.allowances.values().any(|a| a.loans.is_giving());
+        let settled = self.book.pending().is_none() || self.failures > 0;
+        settled && !giving && idle.all(|idle| idle == Tokens::ZERO)
     }
 
     /// Returns the budgets, for the state dump.
@@ -461,6 +499,10 @@
         if let Some(pending) = self.book.pending() {
             return Some(Effect::ProposeGrants(pending.clone()));
         }
+        // What is given up to a log that does not answer could not be handed over.
+        if self.leaving && self.failures > 0 {
+            return None;
+        }
         let waiting = !self.waiting_teams().is_empty();
         let due = self.reviewed.is_none_or(|at| now >= at + REVIEW);
         if !waiting && !due {
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -15,6 +15,7 @@
 use crate::router::core::Phase;
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
+use crate::router::event::Gift;
 use crate::router::event::GrantEvent;
 use crate::router::event::LoanAsk;
 use crate::router::funds::Unfunded;
@@ -94,6 +95,17 @@
         self.effects.extend(call);
         let loans = self.funds.borrow(now, self.me, &lenders);
         self.effects.extend(loans);
+        let gifts = self.funds.hand_over(self.me, &lenders);
+        self.effects.extend(gifts);
+    }
+
+    /// Takes in what a router that stops hands over.
+    pub(crate) fn given(&mut self, id: AdminId, gift: &Gift) {
+        let status = if self.serving() { 200 } else { 503 };
+        if self.serving() {
+            self.funds.given(gift);
+        }
+        self.effects.push(Effect::Answer(id, status, json!(null)));
     }
 
     /// Answers another router's question for a loan.
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -14,6 +14,7 @@
 use crate::ids::TeamId;
 use crate::router::effect::Effect;
 use crate::router::effect::Peer;
+use crate::router::event::Gift;
 use crate::router::event::LoanAsk;
 use crate::router::event::PurseWord;
 use crate::tokens::Tokens;
@@ -57,6 +58,10 @@
     borrowed: Tokens,
     /// What was answered to each question.
     answers: IndexMap<(Incarnation, u64), Tokens>,
+    /// The gifts that were taken in, by their givers and numbers.
+    gifts: IndexMap<(Incarnation, u64), Tokens>,
+    /// Gifts on their way.
+    giving: u32,
     /// The question on its way, and whom it goes to.
     asked: Option<(u64, Peer)>,
     /// The number of the last question.
@@ -128,6 +133,50 @@
         }
     }
 
+    /// Hands an amount over to the router that asks for the budget most. It counts as lent from here on, whether the other
+    /// router hears of it or not.
+    pub(crate) fn give(
+        &mut self,
+        me: Incarnation,
+        team: &TeamId,
+        amount: Tokens,
+        lenders: &[Lender],
+    ) -> Option<Effect> {
+        let by_demand = |a: &&Lender, b: &&Lender| a.demand(team).total_cmp(&b.demand(team));
+        let heir = lenders.iter().max_by(by_demand)?;
+        self.lent += amount;
+        self.number += 1;
+        self.giving += 1;
+        let gift = Gift {
+            giver: me,
+            number: self.number,
+            team: team.clone(),
+            amount,
+        };
+        Some(Effect::Give(gift, heir.peer.clone()))
+    }
+
+    /// Returns whether gifts are on their way.
+    pub(crate) fn is_giving(&self) -> bool {
+        self.giving > 0
+    }
+
+    /// Notes that a gift arrived, or that nobody knows.
+    pub(crate) fn gave(&mut self) {
+        self.giving = self.giving.saturating_sub(1);
+    }
+
+    /// Takes a gift in, once.
+    pub(crate) fn take(&mut self, gift: &Gift) {
+        let name = (gift.giver, gift.number);
+        if self.gifts.insert(name, gift.amount).is_none() {
+            self.borrowed += gift.amount;
+        }
+        if self.gifts.len() > REMEMBERED {
+            self.gifts.shift_remove_index(0);
+        }
+    }
+
     /// Answers a question out of what is to spare; one that was answered before gets the same answer.
     pub(crate) fn lend(&mut self, ask: &LoanAsk, spare: Tokens) -> Tokens {
         let name = (ask.borrower, ask.number);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -50,6 +50,7 @@
 pub(crate) use event::EndpointLoad;
 pub(crate) use event::Entry;
 pub(crate) use event::Event;
+pub(crate) use event::Gift;
 pub(crate) use event::GrantEvent;
 pub(crate) use event::Heartbeat;
 pub(crate) use event::KeptBatches;
