--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -136,7 +136,7 @@
                 domain: &domain,
                 excluded: &[],
                 usage: Usage::Heavy,
-                home: None,
+                prompt: None,
             };
             let chosen =
                 fleet
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -22,6 +22,8 @@
 use crate::decide::hasher::FastHasher;
 use crate::decide::health::Ejector;
 use crate::decide::health::Health;
+use crate::decide::prefill::Prefill;
+use crate::decide::prefill::Prompt;
 use crate::decide::prefix::Match;
 use crate::decide::prefix::PrefixIndex;
 use crate::decide::recent::Usage;
@@ -59,17 +61,16 @@
 /// How many changes of the own count are remembered for each endpoint.
 const CHANGES: usize = 64;
 
-/// How many endpoints a shared part of prompts has as its homes, in order. With four, a part that half of the traffic asks
-/// for is still spread, and one that is asked for now and then stays with the first.
-const HOMES: usize = 4;
+/// How much more than its own time a prompt's unread tokens count: they delay all prompts that come after it. Without
+/// this a part that many ask for would be read by one engine after the other.
+const DELAYS: f64 = 2.0;
 
-/// How much more than the mean number of a router's requests a home may have, and how many more, before the next home is
-/// taken: a hot part then spreads to its next homes, while chance alone (a handful in progress at each) does not move
-/// requests away from where their part is cached.
-const HOME_LOAD: f64 = 1.5;
+/// What a request that an engine runs already adds to the time to the next one's first token: each step of a full batch
+/// takes a millisecond longer.
+const RUNNING: Duration = Duration::from_millis(1);
 
-/// See [`HOME_LOAD`].
-const HOME_MORE: f64 = 2.0;
+/// What another failure domain adds to that time.
+const FARTHER: Duration = Duration::from_millis(4);
 
 /// What an endpoint says of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,8 +96,8 @@
     pub excluded: &'a [VmId],
     /// How much of the endpoints its account had lately.
     pub usage: Usage,
-    /// The part of the prompt that it shares with others, where that is known by name: it goes where that part is kept.
-    pub home: Option<u64>,
+    /// The prompt, where it is known by the names of its parts.
+    pub prompt: Option<Prompt>,
 }
 
 /// The endpoint chosen.
@@ -119,6 +120,7 @@
     /// When it last reported.
     told: Option<Instant>,
     changes: VecDeque<(Instant, u32)>,
+    prefill: Prefill,
 }
 
 /// Chooses among the endpoints of one pool.
@@ -163,6 +165,7 @@
                 others: 0.0,
                 told: None,
                 changes: VecDeque::new(),
+                prefill: Prefill::default(),
             });
         endpoint.domain = domain.clone();
         endpoint.models = models.to_vec();
@@ -220,6 +223,33 @@
         }
     }
 
+    /// Counts a prompt that is sent to an endpoint; returns how many of its tokens are unread there, and when its first
+    /// token is expected.
+    pub fn send(&mut self, now: Instant, vm: &VmId, prompt: &Prompt) -> Option<(u64, Instant)> {
+        let homes = self.endpoints.keys();
+        let rank = |vm: &VmId| xxh3_64_with_seed(vm.as_str().as_bytes(), prompt.shared);
+        let home = homes
+            .max_by_key(|vm| rank(vm))
+            .is_some_and(|home| home == vm);
+        let prefill = &mut self.endpoints.get_mut(vm)?.prefill;
+        let unread = prefill.unread(now, prompt, home);
+        Some((unread, prefill.send(now, prompt.shared, unread)))
+    }
+
+    /// Counts a prompt that another router sent to an endpoint, of which so many tokens were unread.
+    pub fn told(&mut self, now: Instant, vm: &VmId, shared: u64, unread: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.prefill.send(now, shared, unread);
+        }
+    }
+
+    /// Learns from a first token.
+    pub fn came(&mut self, now: Instant, vm: &VmId, sent: Instant, expected: Instant, unread: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.prefill.came(now, sent, expected, unread);
+        }
+    }
+
     /// Returns all endpoints.
     pub fn vms(&self) -> impl Iterator<Item = &VmId> {
         self.endpoints.keys()
@@ -243,8 +273,8 @@
         R: Rng,
     {
         let usable = self.usable(now, wish, health);
-        if let Some(home) = wish.home {
-            return at_home(now, home, &usable);
+        if let Some(prompt) = &wish.prompt {
+            return soonest(now, prompt, wish.domain, &usable);
         }
         let cached = index.matches(wish.prefix);
         let found = |vm: &VmId| cached.iter().find(|m| m.endpoint == *vm);
@@ -302,33 +332,31 @@
     }
 }
 
-/// Chooses the first home of a shared part that is not loaded far beyond the mean, or else the least loaded endpoint.
+/// Chooses the engine where a prompt's first token is expected first.
 ///
-/// All routers rank the same endpoints alike without a word between them, so that a part is computed at few endpoints
-/// however many routers there are.
-fn at_home(now: Instant, home: u64, usable: &[(&VmId, &Endpoint)]) -> Option<Choice> {
-    let mean = usable.iter().map(|(_, e)| e.load(now)).sum::<f64>() / usable.len().max(1) as f64;
-    let mut ranked: Vec<_> = usable
-        .iter()
-        .map(|(vm, endpoint)| {
-            (
-                xxh3_64_with_seed(vm.as_str().as_bytes(), home),
-                *vm,
-                *endpoint,
-            )
-        })
-        .collect();
-    ranked.sort_by_key(|(rank, ..)| std::cmp::Reverse(*rank));
-    let homes = ranked.iter().take(HOMES);
-    let mut fits = homes.filter(|(.., e)| e.load(now) <= mean * HOME_LOAD + HOME_MORE);
-    let least = || {
-        ranked
-            .iter()
-            .min_by(|a, b| a.2.load(now).total_cmp(&b.2.load(now)))
-    };
-    let (_, vm, _) = fits.next().or_else(least)?;
+/// The first of all engines by a hash of the shared parts is thought to have read them: all routers take it for the home of
+/// these parts without a word between them, so that they are read at few engines however many routers there are.
+fn soonest(
+    now: Instant,
+    prompt: &Prompt,
+    domain: &DomainId,
+    usable: &[(&VmId, &Endpoint)],
+) -> Option<Choice> {
+    let rank = |vm: &VmId| xxh3_64_with_seed(vm.as_str().as_bytes(), prompt.shared);
+    let home = usable.iter().map(|(vm, _)| *vm).max_by_key(|vm| rank(vm))?;
+    let times = usable.iter().map(|(vm, endpoint)| {
+        let prefill = &endpoint.prefill;
+        let unread = prefill.unread(now, prompt, *vm == home);
+        let mut time = prefill.wait(now) + prefill.time(unread).mul_f64(DELAYS);
+        time += RUNNING * endpoint.own.active();
+        if endpoint.domain != *domain {
+            time += FARTHER;
+        }
+        (time, *vm)
+    });
+    let (_, vm) = times.min_by_key(|(time, vm)| (*time, std::cmp::Reverse(rank(vm))))?;
     Some(Choice {
-        endpoint: (*vm).clone(),
+        endpoint: vm.clone(),
         cached: 0,
     })
 }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -32,6 +32,7 @@
 use crate::edge::peers;
 use crate::edge::peers::Caller;
 use crate::edge::probe::Prober;
+use crate::edge::tell::Teller;
 use crate::edge::vms;
 use crate::escrow::Proposal;
 use crate::ids::Offset;
@@ -102,6 +103,7 @@
         },
         peers: Caller::new(desk.clone()),
         prober: Prober::new(desk.clone()),
+        teller: None,
         desk,
     };
     driver.run(events).await
@@ -189,6 +191,8 @@
     pub(crate) storage: Storage,
     pub(crate) peers: Caller,
     pub(crate) prober: Prober,
+    /// Tells other routers of long prompts, where that is of use.
+    pub(crate) teller: Option<Teller>,
     pub(crate) desk: Arc<Desk>,
 }
 
@@ -292,6 +296,11 @@
             Effect::Relay(snapshot, peer) => {
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
+            Effect::Tell(reading, peers) => {
+                if let Some(teller) = &self.teller {
+                    teller.tell(&reading, &peers);
+                }
+            }
             Effect::Give(gift, peer) => {
                 tokio::spawn(self.peers.clone().give(gift, peer));
             }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) mod relay;
 mod render;
 mod sse;
+pub(crate) mod tell;
 #[cfg(test)]
 mod tests;
 mod vms;
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Tells the core that the answer began.
+    pub(crate) fn started(&self) {
+        self.line.desk.tell(Event::Started(self.line.id));
+    }
+
     /// Tells the core how the run ended.
     pub(crate) fn end(&mut self, end: RunEnd) {
         self.run = None;
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -116,6 +116,9 @@
                 None => break,
             };
             let events = self.splitter.push(&bytes);
+            if self.events == 0 && events.count > 0 {
+                self.runner.started();
+            }
             self.events += events.count;
             if !events.bytes.is_empty() && !self.give(events.bytes).await {
                 return End::CallerGone;
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -17,7 +17,9 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 use hyper::http::request::Parts;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::decide::Prompt;
 use crate::edge::relay::Ask;
 use crate::edge::relay::Dialect;
 use crate::edge::relay::Verdict;
@@ -107,7 +109,7 @@
                 path: parts.uri.path().to_owned(),
                 input,
                 output,
-                shared: shared(headers),
+                prompt: prompt(headers, input.0),
             },
             bearer: Secret(bearer.to_owned()),
             patience: patience.map(Duration::from_millis),
@@ -212,9 +214,17 @@
     read.ok_or_else(|| malformed("the counts of tokens can't be read"))
 }
 
-/// Returns the last part of the prompt that other requests share: the one before the request's own.
-fn shared(headers: &HeaderMap) -> Option<u64> {
-    let mut parts = text(headers, PARTS)?.rsplit(',').skip(1);
-    let (id, _tokens) = parts.next()?.trim().split_once(':')?;
-    u64::from_str_radix(id, 16).ok()
+/// Reads the parts of a prompt: all but the last are shared with other requests.
+fn prompt(headers: &HeaderMap, input: u64) -> Option<Prompt> {
+    let parts: Vec<_> = text(headers, PARTS)?.split(',').collect();
+    let (_own, shared) = parts.split_last()?;
+    let mut prompt = Prompt::default();
+    for part in shared {
+        let (id, tokens) = part.trim().split_once(':')?;
+        let id = u64::from_str_radix(id, 16).ok()?;
+        prompt.shared = xxh3_64_with_seed(&id.to_le_bytes(), prompt.shared);
+        prompt.common += tokens.parse::<u64>().ok()?;
+    }
+    prompt.own = input.saturating_sub(prompt.common);
+    Some(prompt)
 }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -26,6 +26,7 @@
 use crate::edge::relay;
 use crate::edge::relay::Relays;
 use crate::edge::relay::Upstream;
+use crate::edge::tell::Teller;
 use crate::labels::Labels;
 use crate::platform::config;
 use crate::platform::entry;
@@ -87,6 +88,7 @@
     let directory = bind(settings.directory)?;
     let routers = bind(settings.peer_listen)?;
     let admin = bind(settings.admin)?;
+    let teller = Teller::bind(settings.peer_listen).await?;
     info!(event = "listening", vm = %settings.vm, front = %settings.front);
     let (sender, events) = mpsc::unbounded_channel();
     let mut seeds = rand::rng();
@@ -101,6 +103,7 @@
     follow_store(&store, &desk);
     tokio::spawn(http::serve(admin, desk.clone()));
     tokio::spawn(peers::serve(routers, desk.clone()));
+    tokio::spawn(teller.clone().listen(desk.clone()));
     let asked = desk.clone();
     tokio::spawn(relay::accept(ready, move |request| {
         entry::ready(asked.clone(), request)
@@ -123,6 +126,7 @@
         })),
         peers: Caller::new(desk.clone()),
         prober: Prober::new(desk.clone()),
+        teller: Some(teller),
         desk,
     };
     driver.run(events).await
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -307,6 +307,7 @@
             Event::Admin(id, request) => self.admin(now, id, request),
             Event::Table(table) => self.take_table(now, table),
             Event::Grants(event) => self.grants(now, event),
+            Event::Reads(reading) => self.reads(now, &reading),
             Event::Given(id, gift) => self.given(id, &gift),
             Event::Taken(gift, taken) => self.funds.taken(&gift, taken),
             Event::LoanAsked(id, ask) => self.loan_asked(now, id, &ask),
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -21,6 +21,7 @@
 use crate::router::event::Heartbeat;
 use crate::router::event::KeptBatches;
 use crate::router::event::LoanAsk;
+use crate::router::event::Reading;
 use crate::router::problem::Problem;
 
 /// What the core wants the edge to do.
@@ -63,6 +64,8 @@
     ProposeGrants(Proposal),
     /// Reads grants from an offset on, or the newest of each key.
     ReadGrants(Option<Offset>),
+    /// Tells the other routers of a long prompt; one that does not hear of it chooses a little worse.
+    Tell(Reading, Vec<Peer>),
     /// Hands budget over to another router.
     Give(Gift, Peer),
     /// Asks another router for a loan.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -7,6 +7,7 @@
 use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::decide::CacheEvent;
+use crate::decide::Prompt;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
 use crate::ids::Attempt;
@@ -100,6 +101,8 @@
     Grants(GrantEvent),
     /// Another router asks for a loan.
     LoanAsked(AdminId, LoanAsk),
+    /// Another router sent an endpoint a long prompt.
+    Reads(Reading),
     /// Another router hands over what it holds idle.
     Given(AdminId, Gift),
     /// Another router has what was handed over to it, or did not answer.
@@ -224,8 +227,8 @@
     pub(crate) input: Tokens,
     /// The most tokens that its answer may have.
     pub(crate) output: Tokens,
-    /// The last part of its prompt that other requests share.
-    pub(crate) shared: Option<u64>,
+    /// Its prompt, if it has one.
+    pub(crate) prompt: Option<Prompt>,
 }
 
 /// What happens at the log that keeps grants.
@@ -345,6 +348,17 @@
     pub(crate) demand: u64,
 }
 
+/// A prompt that a router sent to an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(crate) struct Reading {
+    /// The endpoint.
+    pub(crate) endpoint: VmId,
+    /// Names the parts that other requests share.
+    pub(crate) shared: u64,
+    /// How many of its tokens the endpoint has to read.
+    pub(crate) tokens: u64,
+}
+
 /// Budget that a router hands over because it stops.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Gift {
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -70,7 +70,7 @@
                 domain: site.domain,
                 excluded,
                 usage,
-                home: request.relay.as_ref().and_then(|terms| terms.shared),
+                prompt: request.relay.as_ref().and_then(|terms| terms.prompt),
             };
             self.chooser
                 .choose(now, &wish, &self.index, &self.health, rng)
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -205,6 +205,7 @@
             pool.picker.chooser.start(now, &choice.endpoint);
             pool.picker.index.learn(&choice.endpoint, &blocks);
         }
+        self.send_prompt(now, id, &choice.endpoint);
     }
 
     /// Takes a request off its endpoint, whose run ended.
--- /dev/null
+++ b/src/router/prefill.rs
@@ -0,0 +1,64 @@
+//! What endpoints have to read: told to the other routers, and learnt from first tokens.
+
+use std::time::Instant;
+
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::router::core::Core;
+use crate::router::effect::Effect;
+use crate::router::event::Reading;
+use crate::router::request::State;
+
+/// How many unread tokens of a prompt the other routers are told of: at 85 tokens a millisecond, what delays others by
+/// some 20 ms. Shorter prompts are many, and telling of each would cost more than it spares.
+const LONG: u64 = 1500;
+
+impl Core {
+    /// Counts a request's prompt at the endpoint that was chosen for it, and tells the other routers of a long one.
+    pub(crate) fn send_prompt(&mut self, now: Instant, id: RequestId, endpoint: &VmId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(terms) = request.relay.as_mut() else {
+            return;
+        };
+        let Some((prompt, pool)) = terms.prompt.zip(self.pools.get_mut(&request.pool)) else {
+            return;
+        };
+        terms.expected = pool.picker.chooser.send(now, endpoint, &prompt);
+        let Some((tokens, _)) = terms.expected.filter(|(tokens, _)| *tokens >= LONG) else {
+            return;
+        };
+        let reading = Reading {
+            endpoint: endpoint.clone(),
+            shared: prompt.shared,
+            tokens,
+        };
+        let peers = self.members.peers(&self.tuning.vm);
+        self.effects.push(Effect::Tell(reading, peers));
+    }
+
+    /// Learns from a request's first token.
+    pub(crate) fn prompt_read(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let expected = request.relay.as_ref().and_then(|terms| terms.expected);
+        if let State::Running {
+            endpoint, since, ..
+        } = &request.state
+            && let Some((tokens, at)) = expected
+            && let Some(pool) = self.pools.get_mut(&request.pool)
+        {
+            pool.picker.chooser.came(now, endpoint, *since, at, tokens);
+        }
+    }
+
+    /// Counts a prompt that another router sent to an endpoint.
+    pub(crate) fn reads(&mut self, now: Instant, reading: &Reading) {
+        for pool in self.pools.values_mut() {
+            let chooser = &mut pool.picker.chooser;
+            chooser.told(now, &reading.endpoint, reading.shared, reading.tokens);
+        }
+    }
+}
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -109,7 +109,8 @@
                 input: relay.input,
                 used: Tokens::ZERO,
                 stride,
-                shared: relay.shared,
+                prompt: relay.prompt,
+                expected: None,
                 stopped: false,
             }),
         })
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use crate::config::Repeat;
+use crate::decide::Prompt;
 use crate::ids::AccountId;
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
@@ -73,8 +74,10 @@
     pub(crate) used: Tokens,
     /// The most tokens in one event of its stream.
     pub(crate) stride: u64,
-    /// The last part of its prompt that others share.
-    pub(crate) shared: Option<u64>,
+    /// Its prompt, if it has one.
+    pub(crate) prompt: Option<Prompt>,
+    /// How many tokens of it the endpoint has to read, and when its first token is expected.
+    pub(crate) expected: Option<(u64, Instant)>,
     /// Whether it was told to stop, so that only its use is still to come.
     pub(crate) stopped: bool,
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -70,9 +70,17 @@
     /// Takes note of the first token.
     pub(crate) fn started(&mut self, now: Instant, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id)
-            && let State::Running { first, .. } = &mut request.state
+            && let State::Running {
+                first,
+                since,
+                endpoint,
+            } = &mut request.state
         {
+            if first.is_none() {
+                info!(event = "first", request = %id, %endpoint, took_ms = (now - *since).as_millis());
+            }
             first.get_or_insert(now);
+            self.prompt_read(now, id);
         }
     }
 
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -212,7 +212,7 @@
         domain: &domain,
         excluded: &excluded,
         usage: Usage::Heavy,
-        home: None,
+        prompt: None,
     };
     chooser.leave(&vms[1], true);
     for _ in 0..4 {
@@ -242,7 +242,7 @@
         domain: &domain,
         excluded: &[],
         usage: Usage::Heavy,
-        home: None,
+        prompt: None,
     };
     let choice = chooser
         .choose(now, &wish, &index, &ejector, &mut rng())
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -259,7 +259,7 @@
                 domain: &self.domain,
                 excluded: &jobs[*id].excluded,
                 usage,
-                home: None,
+                prompt: None,
             };
             chosen = self
                 .chooser
