--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -61,9 +61,9 @@
 /// How many changes of the own count are remembered for each endpoint.
 const CHANGES: usize = 64;
 
-/// How much more than its own time a prompt's unread tokens count: they delay all prompts that come after it. Without
-/// this a part that many ask for would be read by one engine after the other.
-const DELAYS: f64 = 2.0;
+/// How much more than its own time a shared part counts where it would be read again: that delays all prompts that come
+/// after it, and pushes another part out. Without this a part that many ask for is read by one engine after the other.
+const AGAIN: f64 = 6.0;
 
 /// What a request that an engine runs already adds to the time to the next one's first token: each step of a full batch
 /// takes a millisecond longer.
@@ -347,7 +347,8 @@
     let times = usable.iter().map(|(vm, endpoint)| {
         let prefill = &endpoint.prefill;
         let unread = prefill.unread(now, prompt, *vm == home);
-        let mut time = prefill.wait(now) + prefill.time(unread).mul_f64(DELAYS);
+        let again = prefill.time(unread - prompt.own).mul_f64(AGAIN);
+        let mut time = prefill.wait(now) + prefill.time(prompt.own) + again;
         time += RUNNING * endpoint.own.active();
         if endpoint.domain != *domain {
             time += FARTHER;
