Leave an endpoint that says nothing where another may run the request

A request to a hanging endpoint waited for its caller's deadline. After two and a half times its objective it goes to another endpoint, within the retry budget; an endpoint that is silent that long counts as failing. An endpoint's own failure is handed on where no other does better.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -52,6 +52,12 @@
         self.left = (self.left + SHARE).min(self.most());
     }
 
+    /// Returns whether a retry is left, without taking it.
+    pub fn has_retry(&mut self, now: Instant) -> bool {
+        self.pass(now);
+        self.left >= 1.0
+    }
+
     /// Takes one retry out of the budget and tells whether there was one.
     pub fn try_retry(&mut self, now: Instant) -> bool {
         self.pass(now);
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -51,6 +51,8 @@
     Run(Box<Run>),
     /// To let the end of the answer go out.
     Release,
+    /// To leave the endpoint, which says nothing, if its answer has not begun.
+    Leave,
     /// To break the answer off, or to refuse the request if nothing went out yet.
     Cut(Box<Problem>),
 }
@@ -148,7 +150,7 @@
             Command::Run(run) => self.metrics.claim_wait(run.claim_wait),
             Command::Release => self.metrics.whole(),
             Command::Cut(_) => self.metrics.cut(),
-            Command::Replay(_) => {}
+            Command::Replay(_) | Command::Leave => {}
         }
     }
 
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -281,6 +281,7 @@
             Effect::Replay(id, replay) => self.desk.command(id, Command::Replay(replay)),
             Effect::Run(id, run) => self.desk.command(id, Command::Run(run)),
             Effect::Release(id) => self.desk.command(id, Command::Release),
+            Effect::Leave(id) => self.desk.command(id, Command::Leave),
             Effect::Cut(id, problem) => self.desk.command(id, Command::Cut(problem)),
             Effect::Beat(beat, peers) => {
                 self.desk.set_beat(beat.clone());
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -109,6 +109,8 @@
     ask: Ask,
     body: Bytes,
     run: Option<Run>,
+    /// An endpoint's own failure, which the caller gets where no other endpoint does better.
+    failure: Option<Reply>,
 }
 
 impl Runner {
@@ -120,7 +122,10 @@
         };
         let sent = tokio::select! {
             sent = relays.upstream.send(target, request) => sent,
-            command = self.line.next() => return Sent::Stopped(command),
+            command = self.line.next() => return match command {
+                Some(Command::Leave) => Sent::Over(broken(None, false)),
+                command => Sent::Stopped(command),
+            },
         };
         let (connection, answer) = match sent {
             Ok(sent) => sent,
@@ -139,7 +144,8 @@
         };
         match relays.dialect.verdict(&self.ask, &answer) {
             Verdict::Answer => Sent::Answer(Box::new(kept), Box::new(answer)),
-            Verdict::Failed if run.idempotent && self.may_repeat(&answer) => {
+            Verdict::Failed if run.idempotent && last.is_none() => {
+                self.failure = failure(relays, kept, answer).await;
                 Sent::Over(broken(None, false))
             }
             Verdict::Failed => Sent::Answer(Box::new(kept), Box::new(answer)),
@@ -169,12 +175,6 @@
         relay.map_or(1, |relay| relay.stride)
     }
 
-    /// Returns whether an endpoint's own failure is tried again elsewhere, rather than handed to the caller: not a stream's,
-    /// which says what is wrong with the request.
-    fn may_repeat(&self, answer: &Response<Incoming>) -> bool {
-        answer.status().is_server_error()
-    }
-
     fn request(
         &self,
         relays: &Relays,
@@ -202,6 +202,16 @@
     }
 }
 
+/// Reads an endpoint's own failure whole; nothing where it breaks off.
+async fn failure(relays: &Relays, kept: Kept, answer: Response<Incoming>) -> Option<Reply> {
+    let (mut parts, body) = answer.into_parts();
+    let body = Limited::new(body, MAX_ANSWER).collect().await.ok()?;
+    relays.keep(kept);
+    relays.dialect.strip(&mut parts.headers);
+    let body = Full::new(body.to_bytes()).map_err(|never| match never {});
+    Some(Response::from_parts(parts, body.boxed()))
+}
+
 fn broken(usage: Option<Usage>, begun: bool) -> RunEnd {
     RunEnd::Broken {
         usage,
@@ -249,6 +259,7 @@
         ask,
         body,
         run: None,
+        failure: None,
     })
 }
 
@@ -336,6 +347,10 @@
     let gathered = tokio::select! {
         gathered = Limited::new(body, MAX_ANSWER).collect() => gathered,
         command = runner.line.next() => {
+            if let Some(Command::Leave) = command {
+                runner.end(broken(None, false));
+                return None;
+            }
             runner.end(RunEnd::CallerGone { usage: None });
             return Some(refuse(runner, command));
         }
@@ -359,8 +374,14 @@
 /// Answers with the core's refusal.
 fn refuse(runner: &mut Runner, command: Option<Command>) -> Reply {
     runner.line.over = true;
-    match command {
-        Some(Command::Refuse(problem) | Command::Cut(problem)) => front::problem(&problem),
+    match (command, runner.failure.take()) {
+        // What an endpoint said goes before what the router makes of it, where the request did run.
+        (Some(Command::Cut(problem)), Some(failure))
+            if problem.kind == ProblemKind::EndpointFailed =>
+        {
+            failure
+        }
+        (Some(Command::Refuse(problem) | Command::Cut(problem)), _) => front::problem(&problem),
         _ => {
             let detail = "this router stopped";
             let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, detail);
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -386,6 +386,7 @@
     /// Does what time asks for where budgets are kept by grants.
     fn tick_grants(&mut self, now: Instant, tuning: GrantTuning) {
         self.expire_requests(now);
+        self.leave_silent(now);
         self.beat(now);
         self.tick_pools(now);
         self.go_on_leaving(now, tuning.linger);
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -35,6 +35,8 @@
     Run(RequestId, Box<Run>),
     /// Lets the end of an answer go out.
     Release(RequestId),
+    /// Leaves the endpoint that runs a request and says nothing.
+    Leave(RequestId),
     /// Ends an answer so that the caller knows that it is not whole; one that has not begun ends as this refusal.
     Cut(RequestId, Box<Problem>),
     /// Appends a batch to the ledger.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -211,6 +211,7 @@
     /// Takes a request off its endpoint, whose run ended.
     pub(crate) fn leave_endpoint(&mut self, now: Instant, id: RequestId, end: &RunEnd) {
         let request = &mut self.requests[&id];
+        let silent = request.is_silent(now);
         let State::Running {
             endpoint,
             since,
@@ -230,6 +231,8 @@
             RunEnd::NotRun { .. } | RunEnd::Broken { .. } => {
                 (Sample::Other, Some(Evidence::Failed))
             }
+            // A caller that gave up on an endpoint's silence tells of the endpoint, one that left early does not.
+            RunEnd::CallerGone { .. } if silent => (Sample::Other, Some(Evidence::Failed)),
             RunEnd::CallerGone { .. } | RunEnd::Unsent => (Sample::Other, None),
         };
         if matches!(end, RunEnd::NotRun { .. } | RunEnd::Broken { .. }) {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -33,6 +33,10 @@
 use crate::router::run::FAILED_RETRY;
 use crate::tokens::Tokens;
 
+/// How many times its objective an endpoint may be silent about a request. Few answers that come at all take longer than
+/// twice theirs, and with three times there is still time for another endpoint within the caller's patience.
+const SILENT: f64 = 2.5;
+
 /// Names the account and the team of requests that need no bearer key; no budget is kept for it.
 const PUBLIC: &str = "public";
 
@@ -109,9 +113,11 @@
                 input: relay.input,
                 used: Tokens::ZERO,
                 stride,
+                objective: route.objective,
                 prompt: relay.prompt,
                 expected: None,
                 stopped: false,
+                left: false,
             }),
         })
     }
@@ -180,6 +186,22 @@
         !spent && now < self.requests[&id].deadline && self.try_elsewhere(now, id)
     }
 
+    /// Leaves the endpoints that have said nothing about requests that another one may run as well.
+    pub(crate) fn leave_silent(&mut self, now: Instant) {
+        let silent = self.requests.iter().filter(|(_, r)| r.may_leave(now));
+        let silent: Vec<_> = silent.map(|(id, _)| *id).collect();
+        for id in silent {
+            if !self.retries.has_retry(now) {
+                return;
+            }
+            if let Some(terms) = self.requests[&id].relay.as_mut() {
+                terms.left = true;
+            }
+            info!(event = "silent", request = %id);
+            self.effects.push(Effect::Leave(id));
+        }
+    }
+
     /// Ends a request whose time is over while it runs; what it used is still to be told.
     pub(crate) fn stop_relay(&mut self, id: RequestId) {
         let Some(terms) = self.requests[&id]
@@ -198,6 +220,32 @@
 }
 
 impl Request {
+    /// Returns whether its endpoint has said nothing for so long that another one is likely to be sooner.
+    fn may_leave(&self, now: Instant) -> bool {
+        let Some(terms) = &self.relay else {
+            return false;
+        };
+        let again = terms.repeat != Repeat::Never && terms.runs + 1 < terms.attempts;
+        again && !terms.left && !terms.stopped && self.is_silent(now)
+    }
+
+    /// Returns whether it runs, and nothing came for much longer than its answer should take.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let limit = self
+            .relay
+            .as_ref()
+            .map(|terms| terms.objective.mul_f64(SILENT));
+        match (&self.state, limit) {
+            (
+                State::Running {
+                    since, first: None, ..
+                },
+                Some(limit),
+            ) => now >= *since + limit,
+            _ => false,
+        }
+    }
+
     /// Returns what a run of it needs, where it is passed on as it came.
     pub(crate) fn relay_run(&self) -> Option<RelayRun> {
         self.relay.as_ref().map(|terms| RelayRun {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -1,5 +1,6 @@
 //! A request in progress at this router.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::config::Repeat;
@@ -74,10 +75,14 @@
     pub(crate) used: Tokens,
     /// The most tokens in one event of its stream.
     pub(crate) stride: u64,
+    /// Within which time an answer, or its first event, is on time.
+    pub(crate) objective: Duration,
     /// Its prompt, if it has one.
     pub(crate) prompt: Option<Prompt>,
     /// How many tokens of it the endpoint has to read, and when its first token is expected.
     pub(crate) expected: Option<(u64, Instant)>,
+    /// Whether an endpoint was left for its silence.
+    pub(crate) left: bool,
     /// Whether it was told to stop, so that only its use is still to come.
     pub(crate) stopped: bool,
 }
