Ask whether the log answers before a stop gives budget up to it, and send late arrivals elsewhere

A stop in a cut proposed to give all back, the answer was lost, and nothing was left to hand over: a test of the handing over showed it.

--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -68,8 +68,8 @@
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(1000);
 
-/// How many times `keep_ms` a caller may keep an address, with a margin.
-const KEPT: f64 = 2.75;
+/// How many times `keep_ms` a caller may keep an address.
+const KEPT: f64 = 3.0;
 
 /// How long before the end of the grace time a planned stop ends by itself.
 const BEFORE_GRACE: Duration = Duration::from_millis(300);
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -330,7 +330,8 @@
     pub(crate) fn is_due(&self, now: Instant) -> bool {
         let waits = self.allowances.values().any(|a| !a.waiting.is_empty());
         let reviews = self.reviewed.is_none_or(|at| now >= at + REVIEW);
-        let unsettled = self.behind || self.book.pending().is_some() || !self.known();
+        let unsettled =
+            self.behind || self.leaving || self.book.pending().is_some() || !self.known();
         waits || !self.busy && now >= self.rest && (reviews || unsettled)
     }
 
@@ -494,6 +495,11 @@
         if self.leaving && self.failures > 0 {
             return None;
         }
+        // Whether the log answers is found out before anything is given up to it.
+        let stale = self.fresh.is_none_or(|at| now >= at + FRESH);
+        if self.leaving && stale {
+            return Some(Effect::ReadGrants(Some(end)));
+        }
         let waiting = !self.waiting_teams().is_empty();
         let due = self.reviewed.is_none_or(|at| now >= at + REVIEW);
         if !waiting && !due {
@@ -507,7 +513,6 @@
             return Some(Effect::ProposeGrants(proposal));
         }
         // What others gave back since may cover those that wait.
-        let stale = self.fresh.is_none_or(|at| now >= at + FRESH);
         (waiting && stale).then_some(Effect::ReadGrants(Some(end)))
     }
 
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -15,6 +15,7 @@
 use crate::ids::RequestKey;
 use crate::ids::TeamId;
 use crate::ledger::Bearer;
+use crate::router::core::Accounting;
 use crate::router::core::Core;
 use crate::router::core::Phase;
 use crate::router::effect::Effect;
@@ -48,8 +49,7 @@
         arrival: &Arrival,
         relay: &Relay,
     ) -> Result<Request, Box<Problem>> {
-        // Callers keep an address for seconds after the router began to leave, and are served that long.
-        let takes = matches!(self.phase, Phase::Serving | Phase::Draining { .. });
+        let takes = self.takes_relayed(now);
         let Some(table) = self.table.clone().filter(|_| takes) else {
             return Err(self.not_serving());
         };
@@ -122,6 +122,20 @@
         })
     }
 
+    /// Returns whether new requests are taken.
+    ///
+    /// Callers keep an address for seconds after the router began to leave, and are served that long. What came later would
+    /// be cut off by the end of the grace time, while at another router it is served whole.
+    fn takes_relayed(&self, now: Instant) -> bool {
+        match (self.phase, self.tuning.accounting) {
+            (Phase::Serving, _) => true,
+            (Phase::Draining { since, .. }, Accounting::Grants(tuning)) => {
+                now < since + tuning.linger
+            }
+            _ => false,
+        }
+    }
+
     /// Draws one of a route's pools by weight.
     fn draw_pool(&mut self, route: &PathRoute) -> PoolId {
         let total: u32 = route.split.iter().map(|(_, weight)| weight).sum();
--- /dev/null
+++ b/src/router/tests/grants.rs
@@ -0,0 +1,252 @@
+//! Requests without a key, and the budgets that they are paid from.
+
+use crate::ids::Incarnation;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Gift;
+use crate::router::LoanAsk;
+use crate::router::ProblemKind;
+use crate::router::Ran;
+use crate::router::RunEnd;
+use crate::router::Usage;
+use crate::router::tests::site::LINGER;
+use crate::router::tests::site::Log;
+use crate::router::tests::site::Site;
+use crate::router::tests::site::table;
+use crate::tokens::Tokens;
+
+fn whole(answer: u64) -> RunEnd {
+    RunEnd::Whole {
+        usage: Usage {
+            prompt: Tokens::ZERO,
+            answer: Tokens(answer),
+        },
+    }
+}
+
+fn broken(begun: bool) -> RunEnd {
+    RunEnd::Broken {
+        usage: None,
+        begun,
+        died: false,
+    }
+}
+
+/// Returns what the router says of its team's budget.
+fn budget(site: &Site, field: &str) -> u64 {
+    let dump = site.core.funds.dump(site.now);
+    dump["teams"][0][field].as_u64().expect("a number")
+}
+
+#[test]
+fn what_was_used_is_spent_and_the_rest_comes_back() {
+    let mut site = Site::start(10_000);
+    let id = site.ask("stream", 100, 50);
+    assert_eq!(site.runs(id).len(), 1);
+    assert_eq!(budget(&site, "reserved_here"), 150);
+    site.tell(Event::Ended(id, whole(21)));
+    assert_eq!(budget(&site, "reserved_here"), 0);
+    assert_eq!(budget(&site, "spent_here"), 121);
+}
+
+/// A team has used up its budget. Its caller is told so at once, and is served again after a top-up; it never gets more
+/// than was prepaid.
+#[test]
+fn a_spent_budget_is_said_at_once() {
+    let mut site = Site::start(1000);
+    let id = site.ask("stream", 900, 50);
+    site.tell(Event::Ended(id, whole(50)));
+    let id = site.ask("stream", 100, 50);
+    site.pass(40);
+    let problem = site.refusal(id).expect("it is refused");
+    assert_eq!(
+        (problem.kind, problem.ran),
+        (ProblemKind::BudgetSpent, Ran::No)
+    );
+    site.tell(Event::Table(table(2, 2000)));
+    let id = site.ask("stream", 100, 50);
+    site.pass(40);
+    assert_eq!(site.runs(id).len(), 1);
+    assert!(budget(&site, "granted_here") <= 2000);
+}
+
+/// All routers are cut off from the log, and a team's callers keep to one of them. Without a loan they would be refused
+/// though another router holds plenty of the team's budget.
+#[test]
+fn budget_is_borrowed_in_a_cut() {
+    let mut site = Site::start(1_000_000);
+    site.log = Log::Away;
+    site.hear_peer(500_000);
+    let id = site.ask("stream", 300_000, 50);
+    site.pass(1500);
+    site.hear_peer(500_000);
+    let ask = site.effects.iter().find_map(|effect| match effect {
+        Effect::Borrow(ask, _) => Some(ask.clone()),
+        _ => None,
+    });
+    let ask = ask.expect("it asks the other router");
+    assert!(site.refusal(id).is_none(), "it waits for the answer");
+    site.tell(Event::Lent(ask, Some(Tokens(300_000))));
+    site.pass(20);
+    assert_eq!(site.runs(id).len(), 1);
+}
+
+/// The same, and no other router has anything. The caller is not held: it is told that the request did not run, and when
+/// to come back.
+#[test]
+fn a_cut_without_lenders_is_said_at_once() {
+    let mut site = Site::start(1_000_000);
+    site.log = Log::Away;
+    site.pass(3000);
+    let id = site.ask("stream", 300_000, 50);
+    site.pass(500);
+    let problem = site.refusal(id).expect("it is refused");
+    assert_eq!(
+        (problem.kind, problem.ran),
+        (ProblemKind::LogOutage, Ran::No)
+    );
+    assert!(problem.retry.is_some());
+}
+
+/// The answer to a question for a loan is lost, and the question is sent again. Both routers count the loan once, or the
+/// team would be served more than it prepaid.
+#[test]
+fn a_loan_counts_once() {
+    let mut site = Site::start(1_000_000);
+    let id = site.ask("stream", 1000, 50);
+    site.tell(Event::Ended(id, whole(50)));
+    site.pass(3000);
+    let ask = LoanAsk {
+        borrower: Incarnation(99),
+        number: 1,
+        team: "loans".parse().expect("a name"),
+        amount: Tokens(100),
+    };
+    let first = site.core.funds.lend(site.now, &ask);
+    let again = site.core.funds.lend(site.now, &ask);
+    assert!(first > Tokens::ZERO);
+    assert_eq!(first, again);
+    let gift = Gift {
+        giver: Incarnation(99),
+        number: 2,
+        team: ask.team.clone(),
+        amount: Tokens(500),
+    };
+    let before = site.core.funds.words(site.now)[0].free;
+    site.core.funds.given(&gift);
+    site.core.funds.given(&gift);
+    let after = site.core.funds.words(site.now)[0].free;
+    assert_eq!(after - before, Tokens(500));
+}
+
+/// A service's connection breaks after a disbursement was sent. Nobody knows whether it took effect, so that the caller
+/// must not be told that it did not run, and it goes to no other endpoint.
+#[test]
+fn what_may_have_run_is_not_said_not_to_have() {
+    let mut site = Site::start(1000);
+    let id = site.ask("once", 0, 0);
+    site.tell(Event::Ended(id, broken(false)));
+    let problem = site.refusal(id).expect("it fails");
+    assert_eq!(problem.kind.status(), 502);
+    assert_eq!(site.runs(id).len(), 1);
+}
+
+/// An endpoint has no room and says that it did not run the request. Another one gets it, though it may run only once.
+#[test]
+fn what_did_not_run_goes_elsewhere() {
+    let mut site = Site::start(1000);
+    let id = site.ask("once", 0, 0);
+    site.tell(Event::Ended(id, RunEnd::NotRun { retry: None }));
+    let runs = site.runs(id);
+    assert_eq!(runs.len(), 2);
+    assert_ne!(runs[0].endpoint, runs[1].endpoint);
+}
+
+/// An endpoint dies in the middle of a stream. Another one goes on with it, but no more endpoints than the route allows.
+#[test]
+fn a_stream_goes_on_elsewhere() {
+    let mut site = Site::start(10_000);
+    let id = site.ask("stream", 100, 50);
+    site.tell(Event::Ended(id, broken(true)));
+    assert_eq!(site.runs(id).len(), 2);
+    site.tell(Event::Ended(id, broken(true)));
+    assert_eq!(site.runs(id).len(), 2);
+    let problem = site.refusal(id).expect("it is cut");
+    assert_eq!(problem.kind, ProblemKind::EndpointFailed);
+    assert_eq!(budget(&site, "spent_here"), 100, "its prompt counts once");
+}
+
+/// An endpoint takes a request and says nothing more. The caller has its answer from another one long before its time is
+/// over.
+#[test]
+fn a_silent_endpoint_is_left() {
+    let mut site = Site::start(1000);
+    let id = site.ask("again", 0, 0);
+    site.pass(600);
+    let left = |effect: &Effect| matches!(effect, Effect::Leave(of) if *of == id);
+    assert_eq!(site.effects.iter().filter(|e| left(e)).count(), 1);
+    site.tell(Event::Ended(id, broken(false)));
+    assert_eq!(site.runs(id).len(), 2);
+}
+
+/// A run takes longer than its route allows. The caller has its final answer at that time, once.
+#[test]
+fn the_routes_time_is_kept() {
+    let mut site = Site::start(1000);
+    let id = site.ask("once", 0, 0);
+    site.pass(2040);
+    let cuts = site
+        .effects
+        .iter()
+        .filter(|e| matches!(e, Effect::Cut(of, _) if *of == id));
+    assert_eq!(cuts.count(), 1);
+    assert_eq!(
+        site.refusal(id).map(|p| p.kind),
+        Some(ProblemKind::Deadline)
+    );
+}
+
+/// A router is told to stop while callers still keep its address. It serves them for as long as they may, and ends when
+/// nothing is in progress and what it did not spend went back.
+#[test]
+fn a_stop_serves_those_who_keep_the_address() {
+    let mut site = Site::start(10_000);
+    site.tell(Event::Drain);
+    site.pass(4000);
+    let id = site.ask("stream", 100, 50);
+    assert_eq!(site.runs(id).len(), 1);
+    site.pass(LINGER.as_millis() as u64 - 4000 + 40);
+    let exits = |site: &Site| {
+        site.effects
+            .iter()
+            .any(|e| matches!(e, Effect::Exit { .. }))
+    };
+    assert!(!exits(&site), "a request is in progress");
+    site.tell(Event::Ended(id, whole(10)));
+    site.pass(100);
+    assert!(exits(&site));
+    assert_eq!(budget(&site, "granted_here"), budget(&site, "spent_here"));
+}
+
+/// A router stops while it is cut off from the log. What it did not spend goes to another router, which would else refuse
+/// the team's callers.
+#[test]
+fn a_stop_in_a_cut_hands_budget_over() {
+    let mut site = Site::start(1_000_000);
+    let id = site.ask("stream", 1000, 50);
+    site.tell(Event::Ended(id, whole(50)));
+    site.pass(3000);
+    site.log = Log::Away;
+    site.pass(2000);
+    site.tell(Event::Drain);
+    for _ in 0..12 {
+        site.hear_peer(0);
+        site.pass(500);
+    }
+    println!("{}", site.core.funds.dump(site.now));
+    let given = site
+        .effects
+        .iter()
+        .any(|e| matches!(e, Effect::Give(gift, _) if gift.amount > Tokens::ZERO));
+    assert!(given);
+}
--- /dev/null
+++ b/src/router/tests/site.rs
@@ -0,0 +1,266 @@
+//! A router that lives by grants, with a log, peers and endpoints that answer as a test says.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::config::Intake;
+use crate::config::PathRoute;
+use crate::config::Payer;
+use crate::config::Repeat;
+use crate::config::RouteTable;
+use crate::config::TablePool;
+use crate::escrow::Proposal;
+use crate::ids::Attempt;
+use crate::ids::Fingerprint;
+use crate::ids::Incarnation;
+use crate::ids::Offset;
+use crate::ids::RequestId;
+use crate::key_hash::KeyHash;
+use crate::labels::Labels;
+use crate::router::Accounting;
+use crate::router::Arrival;
+use crate::router::Core;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::GrantEvent;
+use crate::router::GrantTuning;
+use crate::router::Heartbeat;
+use crate::router::Problem;
+use crate::router::Relay;
+use crate::router::Run;
+use crate::router::Secret;
+use crate::router::Work;
+use crate::router::event::PurseWord;
+use crate::router::tests::bench::tuning;
+use crate::tokens::Tokens;
+use crate::vms::VmEntry;
+use crate::vms::VmList;
+use crate::vms::VmState;
+
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(2000);
+pub(crate) const OBJECTIVE: Duration = Duration::from_millis(200);
+pub(crate) const LINGER: Duration = Duration::from_millis(5500);
+
+/// How the log answers a proposal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Log {
+    /// It carries it out.
+    Up,
+    /// Nothing comes back, and nothing was done.
+    Away,
+}
+
+pub(crate) struct Site {
+    pub(crate) core: Core,
+    pub(crate) now: Instant,
+    pub(crate) log: Log,
+    pub(crate) effects: Vec<Effect>,
+    end: u64,
+    next: u64,
+}
+
+fn name<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name")
+}
+
+/// A table with one route for each kind of repetition, and one payer.
+pub(crate) fn table(version: u64, prepaid: u64) -> Arc<RouteTable> {
+    let route = |prefix: &str, repeat, attempts| PathRoute {
+        name: name(prefix),
+        host: "maps.example".to_owned(),
+        prefix: format!("/{prefix}/"),
+        repeat,
+        stream: repeat == Repeat::Resume,
+        timeout: TIMEOUT,
+        objective: OBJECTIVE,
+        priority: 1,
+        split: vec![(name("pool"), 1)],
+        attempts,
+        public: false,
+    };
+    let intake = Intake {
+        head_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let routes = vec![
+        route("once", Repeat::Never, 1),
+        route("again", Repeat::Whole, 2),
+        route("stream", Repeat::Resume, 2),
+    ];
+    let pool = TablePool {
+        name: name("pool"),
+        connections: 100,
+        slots: Some(8),
+        stride: 7,
+    };
+    let payer = Payer {
+        account: name("loans"),
+        team: name("loans"),
+        keys: vec![KeyHash::of("key")],
+        priority: 0,
+        prepaid: Some(Tokens(prepaid)),
+    };
+    Arc::new(RouteTable::new(
+        version,
+        intake,
+        routes,
+        vec![pool],
+        vec![payer],
+    ))
+}
+
+fn entry(vm: &str, port: u16, role: &[(&str, &str)]) -> VmEntry {
+    let mut labels = Labels::default();
+    role.iter()
+        .for_each(|(name, value)| labels.set(name, value));
+    VmEntry {
+        vm: name(vm),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: name("domain-0"),
+        labels,
+        state: VmState::Live,
+    }
+}
+
+impl Site {
+    /// Brings up a router that serves; its team prepaid so much.
+    pub(crate) fn start(prepaid: u64) -> Self {
+        let mut tuning = tuning(0);
+        tuning.drain = Duration::from_millis(7700);
+        tuning.accounting = Accounting::Grants(GrantTuning {
+            linger: LINGER,
+            retries: 0.2,
+            spare: 5.0,
+        });
+        let now = Instant::now();
+        let mut site = Self {
+            core: Core::new(now, tuning, 7),
+            now,
+            log: Log::Up,
+            effects: Vec::new(),
+            end: 0,
+            next: 1,
+        };
+        site.tell(Event::Table(table(1, prepaid)));
+        site.tell(Event::VmList(VmList {
+            as_of: 1,
+            vms: vec![
+                entry("engine-0", 9100, &[("pool", "pool")]),
+                entry("engine-1", 9101, &[("pool", "pool")]),
+                entry(
+                    "router-1",
+                    8001,
+                    &[("role", "router"), ("peer", "127.0.0.1:8101")],
+                ),
+            ],
+        }));
+        site.pass(100);
+        site
+    }
+
+    /// Tells the core something, and answers what it asks the log.
+    pub(crate) fn tell(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for effect in self.core.handle(self.now, event) {
+                let answer = match &effect {
+                    Effect::ProposeGrants(proposal) => Some(self.propose(proposal)),
+                    Effect::ReadGrants(_) => Some(self.read()),
+                    _ => None,
+                };
+                events.extend(answer.map(Event::Grants));
+                self.effects.push(effect);
+            }
+        }
+    }
+
+    fn propose(&mut self, proposal: &Proposal) -> GrantEvent {
+        if self.log == Log::Away {
+            return GrantEvent::Lost(proposal.at);
+        }
+        self.end += proposal.records.len() as u64;
+        GrantEvent::Landed(proposal.at)
+    }
+
+    fn read(&self) -> GrantEvent {
+        match self.log {
+            Log::Away => GrantEvent::Unread,
+            Log::Up => GrantEvent::Read {
+                rows: Vec::new(),
+                end: Offset(self.end),
+            },
+        }
+    }
+
+    /// Lets so many milliseconds pass.
+    pub(crate) fn pass(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(20) {
+            self.now += Duration::from_millis(20);
+            self.tell(Event::Tick);
+        }
+    }
+
+    /// Sends a request for a route, whose prompt and answer have at most so many tokens.
+    pub(crate) fn ask(&mut self, route: &str, input: u64, output: u64) -> RequestId {
+        let id = RequestId(self.next);
+        self.next += 1;
+        self.tell(Event::Arrived(Box::new(Arrival {
+            id,
+            bearer: Secret("key".to_owned()),
+            key: None,
+            attempt: Attempt(1),
+            labels: Labels::default(),
+            work: Work::Relay(Relay {
+                host: "maps.example".to_owned(),
+                path: format!("/{route}/1"),
+                input: Tokens(input),
+                output: Tokens(output),
+                prompt: None,
+            }),
+            request: Fingerprint(id.0),
+            patience: None,
+            priority: None,
+        })));
+        id
+    }
+
+    /// Returns what another router says of itself: so much of the team's budget lies idle there.
+    pub(crate) fn hear_peer(&mut self, free: u64) {
+        self.tell(Event::Heard(Heartbeat {
+            vm: name("router-1"),
+            router: Incarnation(99),
+            serving: true,
+            load: 0,
+            config: Offset(0),
+            purses: vec![PurseWord {
+                team: name("loans"),
+                free: Tokens(free),
+                demand: 0,
+            }],
+        }));
+    }
+
+    /// Returns the runs of a request, in their order.
+    pub(crate) fn runs(&self, id: RequestId) -> Vec<&Run> {
+        let runs = self.effects.iter().filter_map(|effect| match effect {
+            Effect::Run(of, run) if *of == id => Some(&**run),
+            _ => None,
+        });
+        runs.collect()
+    }
+
+    /// Returns how a request was refused, or its answer broken off.
+    pub(crate) fn refusal(&self, id: RequestId) -> Option<&Problem> {
+        self.effects.iter().find_map(|effect| match effect {
+            Effect::Refuse(of, problem) | Effect::Cut(of, problem) if *of == id => Some(&**problem),
+            _ => None,
+        })
+    }
+}
