Write a site's logs from a thread of their own, and serve its metrics as text

Lines that a slow reader can't take are dropped and counted; /metrics of the operators' address has counters and latency histograms.

--- a/src/bin/jasmineridged.rs
+++ b/src/bin/jasmineridged.rs
@@ -21,6 +21,7 @@
 use jasmineridge::Stopped;
 use jasmineridge::demo_lines;
 use jasmineridge::init_logs;
+use jasmineridge::init_output_logs;
 use jasmineridge::serve;
 use jasmineridge::serve_site;
 use jasmineridge::start_demo;
@@ -73,7 +74,7 @@
                 println!("{}: the settings are good", path.display());
                 return Ok(ExitCode::SUCCESS);
             }
-            init_logs(settings.log_level);
+            let _logs = init_output_logs(settings.log_level);
             runtime.block_on(serve_site(settings))?
         }
         Some(path) => {
--- a/src/edge/admin.rs
+++ b/src/edge/admin.rs
@@ -36,6 +36,7 @@
     };
     let top_ups = Router::with_path("v1/admin/teams/{team}/top-ups");
     Router::new()
+        .push(Router::with_path("metrics").get(Shown(desk.clone())))
         .push(Router::with_path("v1/address").get(question(Ask::Address)))
         .push(Router::with_path("v1/status").get(question(Ask::Status)))
         .push(Router::with_path("v1/admin/teams").get(question(Ask::Teams)))
@@ -66,6 +67,29 @@
     amount: Tokens,
 }
 
+/// Serves `/metrics`, where metrics are gathered to be read.
+struct Shown(Arc<Desk>);
+
+#[async_trait]
+impl Handler for Shown {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.0.metrics.text() {
+            Some(text) => render::bytes(res, 200, "text/plain; version=0.0.4", text.into_bytes()),
+            None => render::json(
+                res,
+                404,
+                &json!({"detail": "metrics go out by statsd here"}),
+            ),
+        }
+    }
+}
+
 #[async_trait]
 impl Handler for Question {
     async fn handle(
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -160,13 +160,18 @@
 
     /// Tells the core that the answer began.
     pub(crate) fn started(&self) {
-        self.line.desk.tell(Event::Started(self.line.id));
+        let desk = &self.line.desk;
+        desk.metrics.first_byte(self.line.opened.elapsed());
+        desk.tell(Event::Started(self.line.id));
     }
 
     /// Tells the core how the run ended.
     pub(crate) fn end(&mut self, end: RunEnd) {
         self.run = None;
-        self.line.desk.tell(Event::Ended(self.line.id, end));
+        let desk = &self.line.desk;
+        desk.metrics.ended(end.name());
+        desk.metrics.took(self.line.opened.elapsed());
+        desk.tell(Event::Ended(self.line.id, end));
     }
 
     /// Returns the most tokens that one event holds.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,13 +1,18 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event, on standard error or, without ever waiting for it, standard output.
 
 use std::fmt;
 use std::fmt::Write;
+use std::sync::OnceLock;
 
 use tracing::Event;
 use tracing::Subscriber;
 use tracing::field::Field;
 use tracing::field::Visit;
 use tracing::level_filters::LevelFilter;
+use tracing_appender::non_blocking::ErrorCounter;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+use tracing_appender::non_blocking::WorkerGuard;
+use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::FmtContext;
 use tracing_subscriber::fmt::FormatEvent;
 use tracing_subscriber::fmt::FormatFields;
@@ -18,8 +23,51 @@
 
 use crate::settings::LogLevel;
 
-/// Begins to write logs; a second call changes nothing.
+/// How many lines may wait for a reader that is slow. Beyond that, lines are dropped and counted: some seconds' worth of a
+/// busy router.
+const WAITING: usize = 8192;
+
+/// Counts the lines that were dropped.
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Writes what still waits when it is dropped.
+#[must_use = "dropped at once, it takes the logs with it"]
+#[derive(Debug)]
+pub struct LogGuard(#[expect(dead_code, reason = "it is kept for what its drop does")] WorkerGuard);
+
+/// Begins to write logs to standard error; a second call changes nothing.
 pub fn init_logs(level: LogLevel) {
+    let _ = tracing_subscriber::fmt()
+        .with_env_filter(targets(level))
+        .with_writer(std::io::stderr)
+        .event_format(KeyValue)
+        .try_init();
+}
+
+/// Begins to write logs to standard output from a thread of their own; a second call changes nothing.
+///
+/// A reader that stops reading would else stop the loop, and every stream with it.
+pub fn init_output_logs(level: LogLevel) -> LogGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING)
+        .lossy(true)
+        .finish(std::io::stdout());
+    let _ = DROPPED.set(writer.error_counter());
+    let _ = tracing_subscriber::fmt()
+        .with_env_filter(targets(level))
+        .with_writer(writer)
+        .event_format(KeyValue)
+        .try_init();
+    LogGuard(guard)
+}
+
+/// Returns how many lines were dropped.
+pub(crate) fn dropped_lines() -> usize {
+    DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
+}
+
+/// Lets this package's lines of a level through. Other crates' lines are not ours to vouch for: some print what they send.
+fn targets(level: LogLevel) -> EnvFilter {
     let filter = match level {
         LogLevel::Error => LevelFilter::ERROR,
         LogLevel::Warn => LevelFilter::WARN,
@@ -27,13 +75,7 @@
         LogLevel::Debug => LevelFilter::DEBUG,
         LogLevel::Trace => LevelFilter::TRACE,
     };
-    // Other crates' lines are not ours to vouch for: some print what they send.
-    let targets = tracing_subscriber::EnvFilter::new(format!("off,jasmineridge={filter}"));
-    let _ = tracing_subscriber::fmt()
-        .with_env_filter(targets)
-        .with_writer(std::io::stderr)
-        .event_format(KeyValue)
-        .try_init();
+    EnvFilter::new(format!("off,jasmineridge={filter}"))
 }
 
 /// Writes an event as `time=.. level=.. key=value ..`.
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -28,6 +28,7 @@
 use crate::edge::relay::Upstream;
 use crate::edge::tell::Teller;
 use crate::labels::Labels;
+use crate::logs::dropped_lines;
 use crate::platform::config;
 use crate::platform::entry;
 use crate::platform::follow::News;
@@ -97,11 +98,12 @@
         body_bytes: 16 << 20,
         ..RequestLimits::default()
     };
-    let desk = Arc::new(Desk::new(limits, None, origin, Metrics::default(), sender));
+    let desk = Arc::new(Desk::new(limits, None, origin, Metrics::exposed()?, sender));
     let store = Store::new(settings.store);
     let listing = Listing::begin(&settings, store.clone());
     follow_store(&store, &desk);
     tokio::spawn(http::serve(admin, desk.clone()));
+    tokio::spawn(desk.clone().send_metrics());
     tokio::spawn(peers::serve(routers, desk.clone()));
     tokio::spawn(teller.clone().listen(desk.clone()));
     let asked = desk.clone();
@@ -140,9 +142,11 @@
     });
     let sweeping = relays.clone();
     tokio::spawn(async move {
+        let mut dropped = 0;
         loop {
             sleep(SWEEP).await;
             sweeping.upstream.sweep();
+            dropped = tell_dropped(&sweeping.desk, dropped);
         }
     });
     tokio::spawn(relay::accept(listener, move |request| {
@@ -150,6 +154,16 @@
     }));
 }
 
+/// Says how many log lines were dropped since the last time, and returns how many were in all.
+fn tell_dropped(desk: &Desk, before: usize) -> usize {
+    let now = dropped_lines();
+    if now > before {
+        desk.metrics.dropped(now - before);
+        warn!(event = "log-dropped", lines = now - before);
+    }
+    now
+}
+
 fn follow_store(store: &Store, desk: &Arc<Desk>) {
     let told = desk.clone();
     tokio::spawn(follow(store.clone(), OPERATOR, CONFIG_REST, move |news| {
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -309,6 +309,20 @@
     },
 }
 
+impl RunEnd {
+    /// Returns its name, for logs and metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Whole { .. } => "whole",
+            Self::Answered { .. } => "answered",
+            Self::NotRun { .. } => "not-run",
+            Self::Broken { .. } => "broken",
+            Self::CallerGone { .. } => "caller-gone",
+            Self::Unsent => "unsent",
+        }
+    }
+}
+
 /// A record of the log service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Entry {
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -32,9 +32,9 @@
 use crate::router::loans::Loans;
 use crate::tokens::Tokens;
 
-/// How much demand a grant covers: nearly the longest time that all routers were seen parted from the log at once (9 s).
+/// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a second more for what is reserved and not used.
 /// See [`HELD`] for what speaks against more.
-const COVER: Duration = Duration::from_secs(8);
+const COVER: Duration = Duration::from_secs(10);
 
 /// How much all routers together hold for each token undrawn.
 ///
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -94,7 +94,7 @@
         }
         let price = request.reserve;
         let relay = request.relay.is_some();
-        info!(event = "run-ended", request = %id, end = end_name(&end));
+        info!(event = "run-ended", request = %id, end = end.name());
         self.leave_endpoint(now, id, &end);
         if relay {
             self.relay_ended(now, id, end);
@@ -420,14 +420,3 @@
         self.send_refusal(now, id, problem.retry_in(FAILED_RETRY).go_to(at));
     }
 }
-
-fn end_name(end: &RunEnd) -> &'static str {
-    match end {
-        RunEnd::Whole { .. } => "whole",
-        RunEnd::Answered { .. } => "answered",
-        RunEnd::NotRun { .. } => "not-run",
-        RunEnd::Broken { .. } => "broken",
-        RunEnd::CallerGone { .. } => "caller-gone",
-        RunEnd::Unsent => "unsent",
-    }
-}
