Read the settings anew at SIGHUP

Times and limits are taken over while the router runs; settings that can't be read leave the last ones in force.

--- a/src/bin/jasmineridged.rs
+++ b/src/bin/jasmineridged.rs
@@ -75,7 +75,7 @@
                 return Ok(ExitCode::SUCCESS);
             }
             let _logs = init_output_logs(settings.log_level);
-            runtime.block_on(serve_site(settings))?
+            runtime.block_on(serve_site(settings, path.clone()))?
         }
         Some(path) => {
             let settings = read(path, Settings::parse)?;
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -1,10 +1,14 @@
 //! A router on the platform: its sockets, and the tasks round its core.
 
 use std::io;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -80,10 +84,12 @@
 
 /// Runs a router on the platform until it is told to stop.
 ///
+/// The settings were read from `path`, and are read there again at SIGHUP.
+///
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn serve_site(settings: SiteSettings) -> io::Result<Stopped> {
+pub async fn serve_site(settings: SiteSettings, path: PathBuf) -> io::Result<Stopped> {
     let front = bind(settings.front)?;
     let ready = bind(settings.ready)?;
     let directory = bind(settings.directory)?;
@@ -101,6 +107,9 @@
     let desk = Arc::new(Desk::new(limits, None, origin, Metrics::exposed()?, sender));
     let store = Store::new(settings.store);
     let listing = Listing::begin(&settings, store.clone());
+    // Without a handler the signal would end the process, and cut what it serves.
+    let changes = signal(SignalKind::hangup())?;
+    tokio::spawn(take_settings(changes, path, desk.clone()));
     follow_store(&store, &desk);
     tokio::spawn(http::serve(admin, desk.clone()));
     tokio::spawn(desk.clone().send_metrics());
@@ -154,6 +163,23 @@
     }));
 }
 
+/// Reads the settings anew at each signal, and tells the core what it may change while it runs. Settings that can't be read
+/// leave the last ones in force.
+async fn take_settings(mut changes: Signal, path: PathBuf, desk: Arc<Desk>) {
+    while changes.recv().await.is_some() {
+        let read = std::fs::read_to_string(&path).map_err(|error| error.to_string());
+        let read =
+            read.and_then(|text| SiteSettings::parse(&text).map_err(|error| error.to_string()));
+        match read {
+            Ok(settings) => {
+                info!(event = "reload", path = %path.display());
+                desk.tell(Event::Tuned(Box::new(tuning(&settings))));
+            }
+            Err(error) => warn!(event = "settings-unreadable", path = %path.display(), %error),
+        }
+    }
+}
+
 /// Says how many log lines were dropped since the last time, and returns how many were in all.
 fn tell_dropped(desk: &Desk, before: usize) -> usize {
     let now = dropped_lines();
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -312,6 +312,7 @@
             Event::Taken(gift, taken) => self.funds.taken(&gift, taken),
             Event::LoanAsked(id, ask) => self.loan_asked(now, id, &ask),
             Event::Lent(ask, amount) => self.funds.lent(now, &ask, amount),
+            Event::Tuned(tuning) => self.tune(*tuning),
             Event::Drain => self.drain(now),
             Event::Paused => self.paused(now),
             Event::Tick => self.tick(now),
@@ -352,6 +353,16 @@
         self.stale_until.is_some_and(|until| arrived < until)
     }
 
+    /// Takes over settings that may change while the router runs: times and limits, but not what others know it by.
+    fn tune(&mut self, tuning: Tuning) {
+        self.tuning = Tuning {
+            vm: self.tuning.vm.clone(),
+            domain: self.tuning.domain.clone(),
+            address: self.tuning.address.clone(),
+            ..tuning
+        };
+    }
+
     /// Begins to refuse what lay in the sockets while the process was stopped.
     fn paused(&mut self, now: Instant) {
         self.stale_until = Some(now + STALE);
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -24,6 +24,7 @@
 use crate::ids::VmId;
 use crate::labels::Labels;
 use crate::ledger::Ledger;
+use crate::router::core::Tuning;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
 
@@ -109,6 +110,8 @@
     Taken(Gift, bool),
     /// Another router answered a question for a loan, or did not.
     Lent(LoanAsk, Option<Tokens>),
+    /// The settings changed.
+    Tuned(Box<Tuning>),
     /// A planned stop begins.
     Drain,
     /// The process was stopped for a while, and goes on.
