Pass over heartbeats that come late, and test what comes from the platform

What fits is a heartbeat from before that reached the store after it: the list then said ready again until the next one. A test of that failed first. Another test found a bearer key in the message on a configuration that can't be read: fields named in camel case were not taken for keys. The placing of prompts has its test of long among short.

--- a/src/edge/relay/mod.rs
+++ b/src/edge/relay/mod.rs
@@ -5,6 +5,8 @@
 mod request;
 mod serve;
 mod stream;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 pub(crate) use front::Reply;
--- a/src/field.rs
+++ b/src/field.rs
@@ -80,7 +80,7 @@
 /// A key may stand where something else belongs, and messages end up in logs; so what stands in a key's field is not
 /// repeated.
 fn shown(path: &str, found: &str) -> String {
-    if path.contains("key") && found.starts_with("invalid") {
+    if path.to_ascii_lowercase().contains("key") && found.starts_with("invalid") {
         return "a value that is not shown".to_owned();
     }
     let found = found.strip_prefix("invalid type: ").unwrap_or(found);
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -24,6 +24,8 @@
     zone: String,
     slots: u32,
     state: ServerState,
+    /// The heartbeat's number.
+    sequence: u64,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -33,9 +35,36 @@
     Draining,
 }
 
+/// How many servers' numbers are remembered, those of servers that are gone among them: a late heartbeat comes within
+/// seconds, and a day has a few hundred replacements.
+const REMEMBERED: usize = 4096;
+
+/// The newest heartbeat of each server, by its number.
+///
+/// A heartbeat may reach the store after a later one. Taken at its word, an endpoint that has said that it leaves would be
+/// sent work again until its next heartbeat.
+#[derive(Default)]
+struct Sequences(IndexMap<String, u64>);
+
+impl Sequences {
+    /// Returns whether a heartbeat is newer than all before it, and remembers it.
+    fn advance(&mut self, server: &str, sequence: u64) -> bool {
+        let newest = self.0.get(server).is_none_or(|last| sequence >= *last);
+        if newest {
+            self.0.shift_remove(server);
+            self.0.insert(server.to_owned(), sequence);
+        }
+        if self.0.len() > REMEMBERED {
+            self.0.shift_remove_index(0);
+        }
+        newest
+    }
+}
+
 #[derive(Default)]
 struct Lists {
     version: u64,
+    sequences: Sequences,
     servers: IndexMap<String, VmEntry>,
     routers: IndexMap<String, VmEntry>,
     /// Whether both lists were read.
@@ -58,16 +87,19 @@
 
     /// Takes in news of the servers.
     pub(crate) fn servers(&self, news: News) {
-        let mut lists = lock(&self.lists);
-        let changed = take(&mut lists.servers, news, server) || !lists.known.0;
+        let mut guard = lock(&self.lists);
+        let lists = &mut *guard;
+        let sequences = &mut lists.sequences;
+        let mut read = |key: &str, value: &[u8]| server(sequences, key, value);
+        let changed = take(&mut lists.servers, news, &mut read) || !lists.known.0;
         lists.known.0 = true;
-        self.tell(&mut lists, changed);
+        self.tell(lists, changed);
     }
 
     /// Takes in news of the routers.
     pub(crate) fn routers(&self, news: News) {
         let mut lists = lock(&self.lists);
-        let changed = take(&mut lists.routers, news, router) || !lists.known.1;
+        let changed = take(&mut lists.routers, news, &mut router) || !lists.known.1;
         lists.known.1 = true;
         self.tell(&mut lists, changed);
     }
@@ -85,17 +117,30 @@
     }
 }
 
+/// What a record says.
+enum Said {
+    /// An entry.
+    Entry(VmEntry),
+    /// What was said before, and is known to be past.
+    Before,
+}
+
 /// Brings a list up to date, and returns whether it changed.
-fn take<F>(list: &mut IndexMap<String, VmEntry>, news: News, read: F) -> bool
+fn take<F>(list: &mut IndexMap<String, VmEntry>, news: News, read: &mut F) -> bool
 where
-    F: Fn(&str, &[u8]) -> Option<VmEntry>,
+    F: FnMut(&str, &[u8]) -> Option<Said>,
 {
     match news {
         News::All(rows) => {
             let rows = rows.into_iter();
-            let new: IndexMap<_, _> = rows
-                .filter_map(|(key, value)| Some((key.clone(), read(&key, &value)?)))
-                .collect();
+            let mut new = IndexMap::new();
+            for (key, value) in rows {
+                match read(&key, &value) {
+                    Some(Said::Entry(entry)) => drop(new.insert(key, entry)),
+                    Some(Said::Before) => new.extend(list.shift_remove_entry(&key)),
+                    None => {}
+                }
+            }
             let changed = new != *list;
             *list = new;
             changed
@@ -103,11 +148,12 @@
         News::Some(records) => {
             let mut changed = false;
             for record in records {
-                let entry = record
-                    .value
-                    .as_deref()
-                    .and_then(|value| read(&record.key, value));
-                changed |= put(list, record.key, entry);
+                let value = record.value.as_deref();
+                changed |= match value.and_then(|value| read(&record.key, value)) {
+                    Some(Said::Entry(entry)) => put(list, record.key, Some(entry)),
+                    Some(Said::Before) => false,
+                    None => put(list, record.key, None),
+                };
             }
             changed
         }
@@ -127,12 +173,20 @@
     true
 }
 
-fn server(key: &str, value: &[u8]) -> Option<VmEntry> {
+fn server(sequences: &mut Sequences, key: &str, value: &[u8]) -> Option<Said> {
     let server: Server = read(key, value)?;
+    if !sequences.advance(key, server.sequence) {
+        info!(
+            event = "late-heartbeat",
+            name = key,
+            sequence = server.sequence
+        );
+        return Some(Said::Before);
+    }
     let mut labels = crate::labels::Labels::default();
     labels.set("pool", &server.service);
     labels.set("slots", &server.slots.to_string());
-    Some(VmEntry {
+    Some(Said::Entry(VmEntry {
         vm: key.parse().ok()?,
         address: server.address,
         domain: server.zone.parse().ok()?,
@@ -141,12 +195,12 @@
             ServerState::Ready => VmState::Live,
             ServerState::Draining => VmState::Leaving,
         },
-    })
+    }))
 }
 
 /// Routers list themselves in the product's own form.
-fn router(key: &str, value: &[u8]) -> Option<VmEntry> {
-    read(key, value)
+fn router(key: &str, value: &[u8]) -> Option<Said> {
+    read(key, value).map(Said::Entry)
 }
 
 fn read<'a, T>(key: &str, value: &'a [u8]) -> Option<T>
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,176 @@
+//! What comes from the platform, good and bad.
 
+use std::sync::Arc;
+
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::config::Repeat;
+use crate::edge::desk::Desk;
+use crate::edge::metrics::Metrics;
+use crate::platform::config;
+use crate::platform::follow::News;
+use crate::platform::record::Keyed;
+use crate::platform::record::Page;
+use crate::platform::record::Truncated;
+use crate::platform::registry::Registry;
+use crate::router::Event;
+use crate::settings::RequestLimits;
+use crate::tokens::Tokens;
+use crate::vms::VmList;
+use crate::vms::VmState;
+
+fn keyed(key: &str, value: &[u8]) -> Keyed {
+    Keyed {
+        key: key.to_owned(),
+        value: (!value.is_empty()).then(|| value.to_vec()),
+    }
+}
+
+#[test]
+fn records_come_back() {
+    let mut bytes = [9_u64.to_be_bytes(), 2_u64.to_be_bytes()].concat();
+    let records = [keyed("a", b"1"), keyed("b", b"")];
+    records.iter().for_each(|record| record.encode(&mut bytes));
+    let page = Page::decode(&bytes).expect("it is whole");
+    assert_eq!(page.end, 9);
+    let back: Vec<_> = page
+        .records
+        .iter()
+        .map(|record| Keyed::decode(record))
+        .collect();
+    assert_eq!(back, records.map(Ok));
+}
+
+/// A connection breaks in the middle of an answer. What is there is not taken for all there is.
+#[test]
+fn a_page_that_is_cut_off_is_told() {
+    let mut bytes = [9_u64.to_be_bytes(), 2_u64.to_be_bytes()].concat();
+    keyed("a", b"1").encode(&mut bytes);
+    for length in 1..bytes.len() {
+        let cut = Page::decode(&bytes[..length]);
+        // Nothing but the head is a page without records.
+        assert_eq!(cut.is_err(), length != 16, "{length}");
+    }
+    assert_eq!(Keyed::decode(&[5, b'a']), Err(Truncated));
+}
+
+fn document() -> serde_json::Value {
+    json!({
+        "version": 7,
+        "routes": [
+            {"name": "r-1", "host": "Maps.example", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 12000,
+             "targetLatencyMs": 800, "priority": 1, "trafficSplit": [{"service": "s", "weight": 90}],
+             "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "gapTargetMs": 250},
+            {"name": "r-2", "host": "maps.example", "pathPrefix": "/a/b/", "kind": "non_idempotent",
+             "timeoutMs": 600, "targetLatencyMs": 100, "priority": 2, "service": "s", "maxAttempts": 1,
+             "public": false},
+        ],
+        "services": [{"name": "s", "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false,
+                      "engine": {"slots": 64, "stride": 7, "models": [{"name": "m"}]}}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "tenants": [{"name": "t", "apiKeys": ["secret"], "priority": 1, "prepaid": 4912792}],
+        "unknown": true,
+    })
+}
+
+#[test]
+fn a_configuration_is_read() {
+    let table = config::decode(document().to_string().as_bytes()).expect("it is good");
+    assert_eq!((table.version, table.count()), (7, 2));
+    let route = table
+        .route("MAPS.example", "/a/x")
+        .expect("the shorter prefix");
+    assert_eq!((route.name.as_str(), route.repeat), ("r-1", Repeat::Resume));
+    let route = table
+        .route("maps.example", "/a/b/x")
+        .expect("the longer prefix");
+    assert_eq!((route.name.as_str(), route.repeat), ("r-2", Repeat::Never));
+    assert!(table.route("maps.example", "/b/").is_none());
+    let payer = table.payer("secret").expect("a key that is in force");
+    assert_eq!(payer.prepaid, Some(Tokens(4_912_792)));
+    assert!(table.payer("other").is_none());
+}
+
+/// An operator's tool writes a configuration that can't be read. The message says which field is wrong and what stands
+/// there, and never shows a key.
+#[test]
+fn a_bad_configuration_says_where() {
+    let mut bad = document();
+    bad["routes"][1]["kind"] = json!("sometimes");
+    let error = config::decode(bad.to_string().as_bytes()).expect_err("it is bad");
+    assert_eq!(error.path, "routes[1].kind");
+    let mut bad = document();
+    bad["routes"][1]["service"] = json!(null);
+    let error = config::decode(bad.to_string().as_bytes()).expect_err("it is bad");
+    assert_eq!(
+        (error.path.as_str(), error.found.as_str()),
+        ("routes/r-2", "no service")
+    );
+    let mut bad = document();
+    bad["tenants"][0]["apiKeys"] = json!("secret");
+    let error = config::decode(bad.to_string().as_bytes()).expect_err("it is bad");
+    assert!(!error.to_string().contains("secret"), "{error}");
+    assert!(config::decode(b"{").is_err());
+}
+
+fn server(state: &str, sequence: u64) -> Vec<u8> {
+    json!({"service": "s", "address": "127.0.0.1:9100", "zone": "z", "version": "v1", "slots": 6, "state": state,
+           "coldRemainingMs": 0, "sequence": sequence})
+    .to_string()
+    .into_bytes()
+}
+
+fn lists(events: &mut mpsc::UnboundedReceiver<Event>) -> Vec<VmList> {
+    let mut lists = Vec::new();
+    while let Ok(event) = events.try_recv() {
+        if let Event::VmList(list) = event {
+            lists.push(list);
+        }
+    }
+    lists
+}
+
+/// An endpoint says that it leaves, and a heartbeat from before reaches the store after that. It must not be sent work
+/// again: the bound for that is two seconds, and its next heartbeat may be later.
+#[test]
+fn a_late_heartbeat_changes_nothing() {
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let limits = RequestLimits::default();
+    let desk = Desk::new(limits, None, "vm-1".to_owned(), Metrics::default(), sender);
+    let registry = Registry::new(Arc::new(desk));
+    registry.servers(News::All(vec![("i-1".to_owned(), server("ready", 4))]));
+    registry.servers(News::Some(vec![keyed("i-1", &server("draining", 6))]));
+    registry.servers(News::Some(vec![keyed("i-1", &server("ready", 5))]));
+    registry.servers(News::All(vec![("i-1".to_owned(), server("ready", 5))]));
+    let states: Vec<_> = lists(&mut events)
+        .iter()
+        .map(|list| list.vms[0].state)
+        .collect();
+    assert_eq!(states.first(), Some(&VmState::Live));
+    assert_eq!(states.last(), Some(&VmState::Leaving));
+    registry.servers(News::Some(vec![keyed("i-1", b"")]));
+    registry.servers(News::Some(vec![keyed("i-1", &server("ready", 5))]));
+    assert_eq!(
+        lists(&mut events).last().map(|list| list.vms.len()),
+        Some(0)
+    );
+}
+
+/// A record of an endpoint can't be read. The others stay known.
+#[test]
+fn an_unreadable_entry_is_passed_over() {
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let limits = RequestLimits::default();
+    let desk = Desk::new(limits, None, "vm-1".to_owned(), Metrics::default(), sender);
+    let registry = Registry::new(Arc::new(desk));
+    let rows = vec![
+        ("i-1".to_owned(), server("ready", 1)),
+        ("i-2".to_owned(), b"{".to_vec()),
+    ];
+    registry.servers(News::All(rows));
+    assert_eq!(
+        lists(&mut events).last().map(|list| list.vms.len()),
+        Some(1)
+    );
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod herd;
 mod load;
 mod poison;
+mod prefill;
 mod router;
 mod sim;
 
--- /dev/null
+++ b/tests/decisions/prefill.rs
@@ -0,0 +1,148 @@
+//! Long prompts among short ones, judged by what the callers of the short ones wait.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jasmineridge::Caps;
+use jasmineridge::Chooser;
+use jasmineridge::Ejector;
+use jasmineridge::PrefixIndex;
+use jasmineridge::Prompt;
+use jasmineridge::Sample;
+use jasmineridge::Usage;
+use jasmineridge::VmId;
+use jasmineridge::Wish;
+use rand::RngExt;
+
+use crate::ms;
+use crate::name;
+use crate::rng;
+use crate::start;
+
+const ENGINES: usize = 6;
+
+/// What an engine reads in a second.
+const SPEED: f64 = 85_000.0;
+
+/// Engines that read prompts one after another, and keep the parts that they read.
+struct Engines {
+    until: Vec<Instant>,
+    parts: Vec<Vec<u64>>,
+    read_again: u64,
+}
+
+impl Engines {
+    fn new(now: Instant) -> Self {
+        Self {
+            until: vec![now; ENGINES],
+            parts: vec![Vec::new(); ENGINES],
+            read_again: 0,
+        }
+    }
+
+    /// Returns when the first token of a prompt comes.
+    fn read(&mut self, now: Instant, at: usize, prompt: &Prompt) -> Instant {
+        let known = self.parts[at].contains(&prompt.shared);
+        let elsewhere = self
+            .parts
+            .iter()
+            .any(|parts| parts.contains(&prompt.shared));
+        let mut tokens = prompt.own;
+        if !known {
+            tokens += prompt.common;
+            self.parts[at].push(prompt.shared);
+        }
+        if !known && elsewhere {
+            self.read_again += prompt.common;
+        }
+        let time = Duration::from_secs_f64(tokens as f64 / SPEED);
+        self.until[at] = self.until[at].max(now) + time;
+        self.until[at]
+    }
+}
+
+/// How prompts are placed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Placed {
+    /// By the number of requests in progress.
+    ByCount,
+    /// By when the first token is expected.
+    ByTime,
+}
+
+/// Sends a second's prompts after another, one in five of them long, and returns the 95th percentile of the short ones'
+/// waits, and how many tokens of shared parts were read again.
+fn play(placed: Placed) -> (Duration, u64) {
+    let mut rng = rng();
+    let mut now = start();
+    let mut chooser = Chooser::new(&name("router-1"));
+    let mut health = Ejector::new(Caps::default());
+    let index = PrefixIndex::new();
+    let vms: Vec<VmId> = (0..ENGINES).map(|n| name(&format!("engine-{n}"))).collect();
+    for vm in &vms {
+        chooser.put(vm, &name("domain-0"), &[], 64);
+        chooser.fix(vm);
+        health.put(now, vm, &name("domain-0"));
+    }
+    let mut engines = Engines::new(now);
+    let mut running: Vec<(Instant, VmId)> = Vec::new();
+    let mut waits = Vec::new();
+    for _ in 0..4000 {
+        now += ms(rng.random_range(10..30));
+        let ended = running.extract_if(.., |(end, _)| *end <= now);
+        for (_, vm) in ended.collect::<Vec<_>>() {
+            chooser.end(now, &vm, Sample::Other);
+        }
+        let long = rng.random_bool(0.2);
+        let prompt = Prompt {
+            shared: rng.random_range(0..100),
+            common: if long { 5000 } else { 200 },
+            own: if long {
+                rng.random_range(1000..50_000)
+            } else {
+                600
+            },
+        };
+        let wish = Wish {
+            model: None,
+            prefix: &[],
+            domain: &name("domain-0"),
+            excluded: &[],
+            usage: Usage::Heavy,
+            prompt: (placed == Placed::ByTime).then_some(prompt),
+        };
+        let choice = chooser.choose(now, &wish, &index, &health, &mut rng);
+        let vm = choice.expect("all have room").endpoint;
+        let at = vms
+            .iter()
+            .position(|other| *other == vm)
+            .expect("one of them");
+        chooser.start(now, &vm);
+        let expected = chooser.send(now, &vm, &prompt);
+        let first = engines.read(now, at, &prompt);
+        if let Some((unread, expected)) = expected {
+            chooser.came(first, &vm, now, expected, unread);
+        }
+        running.push((first + ms(1000), vm));
+        if !long {
+            waits.push(first - now);
+        }
+    }
+    waits.sort();
+    (waits[waits.len() * 95 / 100], engines.read_again)
+}
+
+/// One prompt in five is long. Placed by the number of requests in progress, short prompts wait behind long ones for as long
+/// as those take to read; placed by when their first token is expected, nearly all of them find an engine that reads nothing
+/// long, and shared parts are read again no more often.
+#[test]
+fn short_prompts_do_not_wait_behind_long_ones() {
+    let (by_count, count_again) = play(Placed::ByCount);
+    let (by_time, time_again) = play(Placed::ByTime);
+    println!("by count {by_count:?}, {count_again} again; by time {by_time:?}, {time_again} again");
+    assert!(by_time * 3 < by_count, "{by_time:?} against {by_count:?}");
+    assert!(
+        time_again <= count_again,
+        "{time_again} against {count_again}"
+    );
+}
