Ask a lender again for the rest, and keep retries within the fleet's part

A lender that gave a part was left alone for 600 ms, while callers were refused and half of what it had lay idle. The settings' retry ratio and spare now bound the retries of all routers together.

--- a/src/decide/holding.rs
+++ b/src/decide/holding.rs
@@ -112,14 +112,10 @@
         Self { held, cover: COVER }
     }
 
-    /// Makes holdings cover another time of demand, the longest partition that is to be borne, and lets all routers
-    /// together hold at most so much for each token undrawn.
-    pub fn covering(self, cover: Duration, held: f64) -> Self {
-        Self {
-            cover,
-            held,
-            ..self
-        }
+    /// Makes a policy whose holdings cover another time of demand, the longest partition that is to be borne, and that
+    /// lets all routers together hold at most so much for each token undrawn.
+    pub fn covering(cover: Duration, held: f64) -> Self {
+        Self { cover, held }
     }
 
     /// Decides what to do now.
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -33,6 +33,8 @@
     left: f64,
     rate: f64,
     at: Instant,
+    share: f64,
+    floor: f64,
 }
 
 impl RetryBudget {
@@ -42,14 +44,23 @@
             left: FLOOR * WINDOW,
             rate: 0.0,
             at: now,
+            share: SHARE,
+            floor: FLOOR,
         }
     }
 
+    /// Allows so many retries for each first try, and so many a second whatever the traffic, from now on: a router's part of
+    /// what all of them may make together.
+    pub fn allow(&mut self, share: f64, floor: f64) {
+        self.share = share;
+        self.floor = floor;
+    }
+
     /// Counts a first try.
     pub fn request(&mut self, now: Instant) {
         self.pass(now);
         self.rate += 1.0 / WINDOW;
-        self.left = (self.left + SHARE).min(self.most());
+        self.left = (self.left + self.share).min(self.most());
     }
 
     /// Returns whether a retry is left, without taking it.
@@ -81,13 +92,13 @@
     }
 
     fn most(&self) -> f64 {
-        (FLOOR + self.rate * SHARE) * WINDOW
+        (self.floor + self.rate * self.share) * WINDOW
     }
 
     fn pass(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.rate *= (-passed / WINDOW).exp();
-        self.left = (self.left + passed * FLOOR).min(self.most());
+        self.left = (self.left + passed * self.floor).min(self.most());
     }
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -193,6 +193,9 @@
     pub(crate) funds: Funds,
 }
 
+/// What part of the retries that all routers may make together they take: routers that start or end are counted late.
+const RETRY_PART: f64 = 0.8;
+
 /// How long a router leaves checkpoints to others at its start, once to thrice: in a fleet that starts together all would
 /// find that there is none, and write one at once.
 const FIRST_CHECKPOINT: Duration = Duration::from_secs(10);
@@ -396,6 +399,10 @@
 
     /// Does what time asks for where budgets are kept by grants.
     fn tick_grants(&mut self, now: Instant, tuning: GrantTuning) {
+        // A budget that all routers share, of which each takes its part, with a margin for those that it does not know.
+        let routers = self.members.serving_vms(&self.tuning.vm).len() as f64;
+        let floor = tuning.spare * RETRY_PART / routers;
+        self.retries.allow(tuning.retries * RETRY_PART, floor);
         self.expire_requests(now);
         self.leave_silent(now);
         self.beat(now);
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -44,6 +44,9 @@
 /// calm days cost a quarter of their worth.
 const HELD: f64 = 0.33;
 
+/// The same, for a deployment that leans to availability.
+const AVAILABLE_HELD: f64 = 0.43;
+
 /// The time over which a team's demand is averaged: as long as the bursts that one team makes.
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -75,7 +78,7 @@
 const AHEAD: Duration = Duration::from_secs(2);
 
 /// How much of its own demand a lender keeps.
-const KEPT: Duration = Duration::from_secs(3);
+const KEPT: Duration = Duration::from_secs(1);
 
 /// The first rest after a call that failed; it doubles with each further one.
 const REST: Duration = Duration::from_millis(50);
@@ -148,7 +151,7 @@
         Self {
             book: Book::new(vm, me),
             allowances: IndexMap::new(),
-            policy: HoldingPolicy::new(lean).covering(COVER, HELD),
+            policy: HoldingPolicy::covering(COVER, held(lean)),
             busy: false,
             behind: false,
             failures: 0,
@@ -611,6 +614,13 @@
     }
 }
 
+fn held(lean: Lean) -> f64 {
+    match lean {
+        Lean::Strict => HELD,
+        Lean::Available => AVAILABLE_HELD,
+    }
+}
+
 impl Allowance {
     fn new(now: Instant) -> Self {
         Self {
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -22,6 +22,10 @@
 /// How long a router that brought nothing is not asked again: its next heartbeat tells what it has by then.
 const DRY: Duration = Duration::from_millis(600);
 
+/// A lender that gives less than this part of what was asked for is left alone for a while; one that gives more, though not
+/// all, may be asked for the rest.
+const ENOUGH: u64 = 8;
+
 /// How many answers a lender remembers. A question is repeated within a second or never; at fifty questions a second that
 /// is many times enough.
 const REMEMBERED: usize = 1024;
@@ -128,7 +132,7 @@
         };
         let amount = amount.unwrap_or(Tokens::ZERO);
         self.borrowed += amount;
-        if amount < ask.amount {
+        if amount.0 < ask.amount.0 / ENOUGH {
             self.dry.insert(peer.address, now);
         }
     }
