--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -49,8 +49,11 @@
         arrival: &Arrival,
         relay: &Relay,
     ) -> Result<Request, Box<Problem>> {
-        let takes = self.takes_relayed(now);
-        let Some(table) = self.table.clone().filter(|_| takes) else {
+        let Some(table) = self
+            .table
+            .clone()
+            .filter(|_| self.phase != Phase::CatchingUp)
+        else {
             return Err(self.not_serving());
         };
         let Some(route) = table.route(&relay.host, &relay.path) else {
@@ -79,6 +82,9 @@
             .patience
             .unwrap_or(self.tuning.patience)
             .min(route.timeout);
+        if !self.takes_until(now, now + wait) {
+            return Err(self.not_serving());
+        }
         let owner = account.clone().unwrap_or_else(public_account);
         Ok(Request {
             key: RequestKey {
@@ -122,15 +128,15 @@
         })
     }
 
-    /// Returns whether new requests are taken.
+    /// Returns whether a new request is taken that may last until a deadline.
     ///
-    /// Callers keep an address for seconds after the router began to leave, and are served that long. What came later would
-    /// be cut off by the end of the grace time, while at another router it is served whole.
-    fn takes_relayed(&self, now: Instant) -> bool {
+    /// Callers keep an address for seconds after the router began to leave, and are served that long. What comes later and
+    /// may outlast the grace time would be cut off by its end, while at another router it is served whole.
+    fn takes_until(&self, now: Instant, deadline: Instant) -> bool {
         match (self.phase, self.tuning.accounting) {
             (Phase::Serving, _) => true,
             (Phase::Draining { since, .. }, Accounting::Grants(tuning)) => {
-                now < since + tuning.linger
+                now < since + tuning.linger || deadline < since + self.tuning.drain
             }
             _ => false,
         }
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -215,6 +215,7 @@
     site.pass(4000);
     let id = site.ask("stream", 100, 50);
     assert_eq!(site.runs(id).len(), 1);
+    assert_eq!(site.refusal(id), None);
     site.pass(LINGER.as_millis() as u64 - 4000 + 40);
     let exits = |site: &Site| {
         site.effects
@@ -243,10 +244,37 @@
         site.hear_peer(0);
         site.pass(500);
     }
-    println!("{}", site.core.funds.dump(site.now));
     let given = site
         .effects
         .iter()
         .any(|e| matches!(e, Effect::Give(gift, _) if gift.amount > Tokens::ZERO));
     assert!(given);
 }
+
+/// A request comes to a router that is about to end. One that is over before that is served; one that may last longer would
+/// be cut off, and is told at once to go elsewhere.
+#[test]
+fn what_would_be_cut_off_goes_elsewhere() {
+    let mut site = Site::start(10_000);
+    let busy = site.ask("stream", 100, 50);
+    site.tell(Event::Drain);
+    site.pass(5600);
+    let short = site.ask("once", 0, 0);
+    assert_eq!(
+        site.runs(short).len(),
+        1,
+        "2.0 s fit into what is left of 7.7 s"
+    );
+    site.pass(200);
+    let long = site.ask("once", 0, 0);
+    let problem = site.refusal(long).expect("it is refused");
+    assert_eq!(
+        (problem.kind, problem.ran),
+        (ProblemKind::NotServing, Ran::No)
+    );
+    assert!(problem.retry.is_some());
+    assert!(
+        site.refusal(busy)
+            .is_some_and(|p| p.kind == ProblemKind::Deadline)
+    );
+}
