--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -145,7 +145,7 @@
         match relays.dialect.verdict(&self.ask, &answer) {
             Verdict::Answer => Sent::Answer(Box::new(kept), Box::new(answer)),
             Verdict::Failed if run.idempotent && last.is_none() => {
-                self.failure = failure(relays, kept, answer).await;
+                self.failure = gather(relays, kept, answer).await;
                 Sent::Over(broken(None, false))
             }
             Verdict::Failed => Sent::Answer(Box::new(kept), Box::new(answer)),
@@ -207,8 +207,8 @@
     }
 }
 
-/// Reads an endpoint's own failure whole; nothing where it breaks off.
-async fn failure(relays: &Relays, kept: Kept, answer: Response<Incoming>) -> Option<Reply> {
+/// Reads an answer that is no stream whole; nothing where it breaks off.
+async fn gather(relays: &Relays, kept: Kept, answer: Response<Incoming>) -> Option<Reply> {
     let (mut parts, body) = answer.into_parts();
     let body = Limited::new(body, MAX_ANSWER).collect().await.ok()?;
     relays.keep(kept);
@@ -217,7 +217,8 @@
     Some(Response::from_parts(parts, body.boxed()))
 }
 
-fn broken(usage: Option<Usage>, begun: bool) -> RunEnd {
+/// Returns the end of a run that broke off, of which so much went to the caller.
+pub(crate) fn broken(usage: Option<Usage>, begun: bool) -> RunEnd {
     RunEnd::Broken {
         usage,
         begun,
@@ -348,9 +349,8 @@
     kept: Kept,
     answer: Response<Incoming>,
 ) -> Option<Reply> {
-    let (mut parts, body) = answer.into_parts();
     let gathered = tokio::select! {
-        gathered = Limited::new(body, MAX_ANSWER).collect() => gathered,
+        gathered = gather(relays, kept, answer) => gathered,
         command = runner.line.next() => {
             if let Some(Command::Leave) = command {
                 runner.end(broken(None, false));
@@ -360,20 +360,17 @@
             return Some(refuse(runner, command));
         }
     };
-    let Ok(gathered) = gathered else {
+    let Some(reply) = gathered else {
         info!(event = "answer-broken", request = %runner.line.id);
         runner.end(broken(None, false));
         return None;
     };
-    relays.keep(kept);
-    relays.dialect.strip(&mut parts.headers);
     runner.end(RunEnd::Answered {
-        status: parts.status.as_u16(),
+        status: reply.status().as_u16(),
         body: None,
     });
     runner.line.over = true;
-    let body = Full::new(gathered.to_bytes()).map_err(|never| match never {});
-    Some(Response::from_parts(parts, body.boxed()))
+    Some(reply)
 }
 
 /// Answers with the core's refusal.
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -17,6 +17,7 @@
 use crate::edge::relay::serve::Relays;
 use crate::edge::relay::serve::Runner;
 use crate::edge::relay::serve::Sent;
+use crate::edge::relay::serve::broken;
 use crate::router::RunEnd;
 use crate::router::Usage;
 use crate::tokens::Tokens;
@@ -36,14 +37,6 @@
     Stopped,
 }
 
-fn broken(usage: Option<Usage>) -> RunEnd {
-    RunEnd::Broken {
-        usage,
-        begun: true,
-        died: false,
-    }
-}
-
 /// One stream.
 pub(crate) struct Pump {
     relays: Arc<Relays>,
@@ -137,7 +130,7 @@
 
     /// Goes on at another endpoint from the last whole event, if the core finds one.
     async fn go_on(&mut self, usage: Usage) -> Option<(Kept, Incoming)> {
-        let mut end = broken(Some(usage));
+        let mut end = broken(Some(usage), true);
         loop {
             self.events = 0;
             self.splitter.resume();
@@ -150,7 +143,7 @@
                 Sent::Answer(connection, answer) if answer.status().is_success() => {
                     return Some((*connection, answer.into_body()));
                 }
-                Sent::Answer(..) => broken(None),
+                Sent::Answer(..) => broken(None, true),
                 Sent::Over(end) => end,
                 Sent::Stopped(_) => {
                     self.runner.end(RunEnd::CallerGone { usage: None });
--- /dev/null
+++ b/src/router/allowance.rs
@@ -0,0 +1,104 @@
+//! One team's budget, as far as this router spends it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::ids::RequestId;
+use crate::router::demand::Demand;
+use crate::router::loans::Loans;
+use crate::tokens::Tokens;
+
+/// The time over which a team's demand is averaged: as long as the bursts that one team makes.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// The part of a reservation that is thought to be used before any request is over: prompts are mostly longer than
+/// answers, and answers mostly shorter than allowed.
+const FIRST_PART: f64 = 0.8;
+
+/// The weight of the newest request in averages: some thirty requests, a second or two of a busy team.
+const PART_WEIGHT: f64 = 0.03;
+
+/// A large request counts for so many in these averages at most.
+const LARGE: f64 = 4.0;
+
+/// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
+const LEAST_AGE: Duration = Duration::from_millis(1000);
+
+/// A request that waits for budget.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    pub(crate) request: RequestId,
+    pub(crate) amount: Tokens,
+    pub(crate) since: Instant,
+}
+
+/// One team's budget, as far as this router spends it.
+#[derive(Debug)]
+pub(crate) struct Allowance {
+    /// All that the team may ever use.
+    pub(crate) prepaid: Tokens,
+    /// Promised to requests in progress.
+    pub(crate) reserved: Tokens,
+    /// Used by requests that are over.
+    pub(crate) spent: Tokens,
+    pub(crate) waiting: VecDeque<Waiting>,
+    pub(crate) demand: Demand,
+    /// The part of reservations that is used, and the mean reservation, of late.
+    pub(crate) part: f64,
+    pub(crate) size: f64,
+    /// When it was first used.
+    pub(crate) first: Option<Instant>,
+    pub(crate) loans: Loans,
+}
+
+impl Allowance {
+    /// Makes one of which nothing is prepaid yet.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            prepaid: Tokens::ZERO,
+            reserved: Tokens::ZERO,
+            spent: Tokens::ZERO,
+            waiting: VecDeque::new(),
+            demand: Demand::new(now, WINDOW),
+            part: FIRST_PART,
+            size: 1.0,
+            first: None,
+            loans: Loans::default(),
+        }
+    }
+
+    /// Returns how fast the budget is asked for here, in tokens a second.
+    ///
+    /// An average that began with nothing a second ago has seen a fifth of the rate; without the correction, a cut in the
+    /// first seconds would find grants that are far too small.
+    pub(crate) fn rate(&self, now: Instant) -> f64 {
+        let age = self
+            .first
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let age = age.max(LEAST_AGE).as_secs_f64();
+        self.demand.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
+    }
+
+    /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
+    /// seconds would be missing in the first seconds of a demand.
+    pub(crate) fn expect(&mut self, now: Instant, amount: Tokens) {
+        self.first.get_or_insert(now);
+        let used = amount.0 as f64 * self.part;
+        self.demand.add(now, Tokens(used as u64));
+    }
+
+    /// Learns what part of its reservation a request used.
+    pub(crate) fn learn(&mut self, reserved: Tokens, used: Tokens) {
+        if reserved > Tokens::ZERO {
+            let weight = PART_WEIGHT * (reserved.0 as f64 / self.size).min(LARGE);
+            self.part += (used.0 as f64 / reserved.0 as f64 - self.part) * weight;
+            self.size += (reserved.0 as f64 - self.size) * PART_WEIGHT;
+        }
+    }
+
+    /// Returns what the requests that wait may cost together.
+    pub(crate) fn wanted(&self) -> Tokens {
+        self.waiting.iter().map(|waiting| waiting.amount).sum()
+    }
+}
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -1,6 +1,5 @@
 //! What a router may spend where budgets are kept by grants, and when it asks the log for more.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,14 +21,11 @@
 use crate::ids::RequestId;
 use crate::ids::TeamId;
 use crate::ids::VmId;
-use crate::router::demand::Demand;
+use crate::router::allowance::Allowance;
+use crate::router::allowance::Waiting;
 use crate::router::effect::Effect;
-use crate::router::event::Gift;
 use crate::router::event::GrantEvent;
-use crate::router::event::LoanAsk;
-use crate::router::event::PurseWord;
 use crate::router::loans::Lender;
-use crate::router::loans::Loans;
 use crate::tokens::Tokens;
 
 /// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a second more for what is reserved and not used.
@@ -47,19 +43,6 @@
 /// The same, for a deployment that leans to availability.
 const AVAILABLE_HELD: f64 = 0.43;
 
-/// The time over which a team's demand is averaged: as long as the bursts that one team makes.
-const WINDOW: Duration = Duration::from_secs(5);
-
-/// The part of a reservation that is thought to be used before any request is over: prompts are mostly longer than
-/// answers, and answers mostly shorter than allowed.
-const FIRST_PART: f64 = 0.8;
-
-/// The weight of the newest request in averages: some thirty requests, a second or two of a busy team.
-const PART_WEIGHT: f64 = 0.03;
-
-/// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
-const LEAST_AGE: Duration = Duration::from_millis(1000);
-
 /// How often grants are brought to what the policy wants, though no request waits. A call costs as much as a
 /// hundredth of a request's worth; demand is averaged over five seconds.
 const REVIEW: Duration = Duration::from_millis(1000);
@@ -70,16 +53,6 @@
 /// How old the router's word from the log may be to tell a caller that a budget is spent.
 const FRESH: Duration = Duration::from_millis(500);
 
-/// How long the log goes before other routers, where what a request needs is undrawn.
-const LOG_FIRST: Duration = Duration::from_millis(60);
-
-/// How much demand is borrowed ahead, so that not each request asks anew: a question costs a millisecond, and what is
-/// borrowed can't be given back.
-const AHEAD: Duration = Duration::from_secs(2);
-
-/// How much of its own demand a lender keeps.
-const KEPT: Duration = Duration::from_secs(1);
-
 /// The first rest after a call that failed; it doubles with each further one.
 const REST: Duration = Duration::from_millis(50);
 
@@ -97,44 +70,18 @@
     Away,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    request: RequestId,
-    amount: Tokens,
-    since: Instant,
-}
-
-/// One team's budget, as far as this router spends it.
-#[derive(Debug)]
-struct Allowance {
-    /// All that the team may ever use.
-    prepaid: Tokens,
-    /// Promised to requests in progress.
-    reserved: Tokens,
-    /// Used by requests that are over.
-    spent: Tokens,
-    waiting: VecDeque<Waiting>,
-    demand: Demand,
-    /// The part of reservations that is used, and the mean reservation, of late.
-    part: f64,
-    size: f64,
-    /// When it was first used.
-    first: Option<Instant>,
-    loans: Loans,
-}
-
 /// What a router may spend.
 #[derive(Debug)]
 pub(crate) struct Funds {
-    book: Book,
-    allowances: IndexMap<TeamId, Allowance>,
+    pub(super) book: Book,
+    pub(super) allowances: IndexMap<TeamId, Allowance>,
     policy: HoldingPolicy,
     /// Whether a call is on its way.
     busy: bool,
     /// Whether the partition is known to have moved on.
     behind: bool,
     /// How many calls in a row failed.
-    failures: u32,
+    pub(super) failures: u32,
     /// No call before this.
     rest: Instant,
     /// When the book was last known to be up to date.
@@ -142,7 +89,7 @@
     /// When grants were last brought to what the policy wants.
     reviewed: Option<Instant>,
     /// Whether all that is not in use goes back, since the router stops.
-    leaving: bool,
+    pub(super) leaving: bool,
 }
 
 impl Funds {
@@ -354,104 +301,6 @@
         self.reviewed = None;
     }
 
-    /// Asks other routers for what can't be had from the log now.
-    pub(crate) fn borrow(
-        &mut self,
-        now: Instant,
-        me: Incarnation,
-        lenders: &[Lender],
-    ) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        for team in self.waiting_teams() {
-            let hopeful = self.failures == 0 && self.reach(&team) > self.available(&team);
-            let allowance = &mut self.allowances[&team];
-            let first = allowance
-                .waiting
-                .front()
-                .map_or(now, |waiting| waiting.since);
-            // The log gives what is undrawn within some milliseconds, where it answers at all.
-            if hopeful && now < first + LOG_FIRST {
-                continue;
-            }
-            let ahead = Tokens((allowance.rate(now) * AHEAD.as_secs_f64()) as u64);
-            let wanted = allowance.wanted().saturating_add(ahead);
-            effects.extend(allowance.loans.ask(now, me, &team, wanted, lenders));
-        }
-        effects
-    }
-
-    /// Hands over to other routers what is idle here, where the log can't take it back.
-    ///
-    /// A planned stop in a cut from the log would else take ten seconds' worth of each team's budget with it.
-    pub(crate) fn hand_over(&mut self, me: Incarnation, lenders: &[Lender]) -> Vec<Effect> {
-        if !self.leaving || self.failures == 0 {
-            return Vec::new();
-        }
-        let teams: Vec<_> = self.allowances.keys().cloned().collect();
-        let mut effects = Vec::new();
-        for team in teams {
-            let idle = self.available(&team);
-            if idle > Tokens::ZERO {
-                let loans = &mut self.allowances[&team].loans;
-                effects.extend(loans.give(me, &team, idle, lenders));
-            }
-        }
-        effects
-    }
-
-    /// Takes in what another router hands over.
-    pub(crate) fn given(&mut self, gift: &Gift) {
-        info!(event = "given", from = %gift.giver, team = %gift.team, amount = %gift.amount);
-        if let Some(allowance) = self.allowances.get_mut(&gift.team) {
-            allowance.loans.take(gift);
-        }
-    }
-
-    /// Notes that another router has what was handed over to it, or that nobody knows.
-    pub(crate) fn taken(&mut self, gift: &Gift, taken: bool) {
-        info!(event = "handed-over", team = %gift.team, amount = %gift.amount, taken);
-        if let Some(allowance) = self.allowances.get_mut(&gift.team) {
-            allowance.loans.gave();
-        }
-    }
-
-    /// Lends another router what it asks for, as far as it is idle here. The same question gets the same answer.
-    pub(crate) fn lend(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
-        let free = self.available(&ask.team);
-        let Some(allowance) = self.allowances.get_mut(&ask.team) else {
-            return Tokens::ZERO;
-        };
-        let keep = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
-        let spare = free.saturating_sub(keep).max(Tokens(free.0 / 2));
-        let spare = match allowance.waiting.is_empty() {
-            true => spare,
-            false => Tokens::ZERO,
-        };
-        let lent = allowance.loans.lend(ask, spare);
-        info!(event = "lent", to = %ask.borrower, team = %ask.team, asked = %ask.amount, %lent, %free);
-        lent
-    }
-
-    /// Takes in what another router lent, or that it did not answer.
-    pub(crate) fn lent(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
-        info!(event = "borrowed", team = %ask.team, asked = %ask.amount, amount = ?amount.map(|a| a.0));
-        if let Some(allowance) = self.allowances.get_mut(&ask.team) {
-            allowance.loans.lent_here(now, ask, amount);
-        }
-    }
-
-    /// Returns what others should know of this router's budgets: what lies idle here, and how fast it is asked for.
-    pub(crate) fn words(&self, now: Instant) -> Vec<PurseWord> {
-        let words = self.allowances.iter().map(|(team, allowance)| PurseWord {
-            team: team.clone(),
-            free: self.available(team),
-            demand: allowance.rate(now) as u64,
-        });
-        words
-            .filter(|word| word.free > Tokens::ZERO || word.demand > 0)
-            .collect()
-    }
-
     /// Returns whether all that is not in use was given back.
     pub(crate) fn left_all(&self) -> bool {
         let teams = self.allowances.keys();
@@ -576,7 +425,8 @@
         self.failures += 1;
     }
 
-    fn waiting_teams(&self) -> Vec<TeamId> {
+    /// Returns the teams for whose budget requests wait.
+    pub(super) fn waiting_teams(&self) -> Vec<TeamId> {
         let waiting = self
             .allowances
             .iter()
@@ -585,7 +435,7 @@
     }
 
     /// Returns what can be reserved now.
-    fn available(&self, team: &TeamId) -> Tokens {
+    pub(super) fn available(&self, team: &TeamId) -> Tokens {
         let granted = self.book.granted(team);
         self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
             let mine = granted.saturating_add(allowance.loans.borrowed());
@@ -595,7 +445,7 @@
     }
 
     /// Returns the most that this router could reserve if it drew all that is undrawn.
-    fn reach(&self, team: &TeamId) -> Tokens {
+    pub(super) fn reach(&self, team: &TeamId) -> Tokens {
         let prepaid = self
             .allowances
             .get(team)
@@ -620,52 +470,3 @@
         Lean::Available => AVAILABLE_HELD,
     }
 }
-
-impl Allowance {
-    fn new(now: Instant) -> Self {
-        Self {
-            prepaid: Tokens::ZERO,
-            reserved: Tokens::ZERO,
-            spent: Tokens::ZERO,
-            waiting: VecDeque::new(),
-            demand: Demand::new(now, WINDOW),
-            part: FIRST_PART,
-            size: 1.0,
-            first: None,
-            loans: Loans::default(),
-        }
-    }
-
-    /// Returns how fast the budget is asked for here, in tokens a second.
-    ///
-    /// An average that began with nothing a second ago has seen a fifth of the rate; without the correction, a cut in the
-    /// first seconds would find grants that are far too small.
-    fn rate(&self, now: Instant) -> f64 {
-        let age = self
-            .first
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let age = age.max(LEAST_AGE).as_secs_f64();
-        self.demand.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
-    }
-
-    /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
-    /// seconds would be missing in the first seconds of a demand.
-    fn expect(&mut self, now: Instant, amount: Tokens) {
-        self.first.get_or_insert(now);
-        let used = amount.0 as f64 * self.part;
-        self.demand.add(now, Tokens(used as u64));
-    }
-
-    /// Learns what part of its reservation a request used.
-    fn learn(&mut self, reserved: Tokens, used: Tokens) {
-        if reserved > Tokens::ZERO {
-            let weight = PART_WEIGHT * (reserved.0 as f64 / self.size).min(4.0);
-            self.part += (used.0 as f64 / reserved.0 as f64 - self.part) * weight;
-            self.size += (reserved.0 as f64 - self.size) * PART_WEIGHT;
-        }
-    }
-
-    fn wanted(&self) -> Tokens {
-        self.waiting.iter().map(|waiting| waiting.amount).sum()
-    }
-}
--- /dev/null
+++ b/src/router/lending.rs
@@ -0,0 +1,125 @@
+//! Budget that moves between routers where the log can't be asked: loans, and what a router hands over that stops.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tracing::info;
+
+use crate::ids::Incarnation;
+use crate::router::effect::Effect;
+use crate::router::event::Gift;
+use crate::router::event::LoanAsk;
+use crate::router::event::PurseWord;
+use crate::router::funds::Funds;
+use crate::router::loans::Lender;
+use crate::tokens::Tokens;
+
+/// How long the log goes before other routers, where what a request needs is undrawn.
+const LOG_FIRST: Duration = Duration::from_millis(60);
+
+/// How much demand is borrowed ahead, so that not each request asks anew: a question costs a millisecond, and what is
+/// borrowed can't be given back.
+const AHEAD: Duration = Duration::from_secs(2);
+
+/// How much of its own demand a lender keeps.
+const KEPT: Duration = Duration::from_secs(1);
+
+impl Funds {
+    /// Asks other routers for what can't be had from the log now.
+    pub(crate) fn borrow(
+        &mut self,
+        now: Instant,
+        me: Incarnation,
+        lenders: &[Lender],
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for team in self.waiting_teams() {
+            let hopeful = self.failures == 0 && self.reach(&team) > self.available(&team);
+            let allowance = &mut self.allowances[&team];
+            let first = allowance
+                .waiting
+                .front()
+                .map_or(now, |waiting| waiting.since);
+            // The log gives what is undrawn within some milliseconds, where it answers at all.
+            if hopeful && now < first + LOG_FIRST {
+                continue;
+            }
+            let ahead = Tokens((allowance.rate(now) * AHEAD.as_secs_f64()) as u64);
+            let wanted = allowance.wanted().saturating_add(ahead);
+            effects.extend(allowance.loans.ask(now, me, &team, wanted, lenders));
+        }
+        effects
+    }
+
+    /// Hands over to other routers what is idle here, where the log can't take it back.
+    ///
+    /// A planned stop in a cut from the log would else take ten seconds' worth of each team's budget with it.
+    pub(crate) fn hand_over(&mut self, me: Incarnation, lenders: &[Lender]) -> Vec<Effect> {
+        if !self.leaving || self.failures == 0 {
+            return Vec::new();
+        }
+        let teams: Vec<_> = self.allowances.keys().cloned().collect();
+        let mut effects = Vec::new();
+        for team in teams {
+            let idle = self.available(&team);
+            if idle > Tokens::ZERO {
+                let loans = &mut self.allowances[&team].loans;
+                effects.extend(loans.give(me, &team, idle, lenders));
+            }
+        }
+        effects
+    }
+
+    /// Takes in what another router hands over.
+    pub(crate) fn given(&mut self, gift: &Gift) {
+        info!(event = "given", from = %gift.giver, team = %gift.team, amount = %gift.amount);
+        if let Some(allowance) = self.allowances.get_mut(&gift.team) {
+            allowance.loans.take(gift);
+        }
+    }
+
+    /// Notes that another router has what was handed over to it, or that nobody knows.
+    pub(crate) fn taken(&mut self, gift: &Gift, taken: bool) {
+        info!(event = "handed-over", team = %gift.team, amount = %gift.amount, taken);
+        if let Some(allowance) = self.allowances.get_mut(&gift.team) {
+            allowance.loans.gave();
+        }
+    }
+
+    /// Lends another router what it asks for, as far as it is idle here. The same question gets the same answer.
+    pub(crate) fn lend(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
+        let free = self.available(&ask.team);
+        let Some(allowance) = self.allowances.get_mut(&ask.team) else {
+            return Tokens::ZERO;
+        };
+        let keep = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
+        let spare = free.saturating_sub(keep).max(Tokens(free.0 / 2));
+        let spare = match allowance.waiting.is_empty() {
+            true => spare,
+            false => Tokens::ZERO,
+        };
+        let lent = allowance.loans.lend(ask, spare);
+        info!(event = "lent", to = %ask.borrower, team = %ask.team, asked = %ask.amount, %lent, %free);
+        lent
+    }
+
+    /// Takes in what another router lent, or that it did not answer.
+    pub(crate) fn lent(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
+        info!(event = "borrowed", team = %ask.team, asked = %ask.amount, amount = ?amount.map(|a| a.0));
+        if let Some(allowance) = self.allowances.get_mut(&ask.team) {
+            allowance.loans.lent_here(now, ask, amount);
+        }
+    }
+
+    /// Returns what others should know of this router's budgets: what lies idle here, and how fast it is asked for.
+    pub(crate) fn words(&self, now: Instant) -> Vec<PurseWord> {
+        let words = self.allowances.iter().map(|(team, allowance)| PurseWord {
+            team: team.clone(),
+            free: self.available(team),
+            demand: allowance.rate(now) as u64,
+        });
+        words
+            .filter(|word| word.free > Tokens::ZERO || word.demand > 0)
+            .collect()
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,6 +2,7 @@
 //! round it, in the module `edge`.
 
 mod admin;
+mod allowance;
 mod appender;
 mod arrive;
 mod checkpoint;
@@ -16,6 +17,7 @@
 mod funds;
 mod grants;
 mod isolation;
+mod lending;
 mod loans;
 mod members;
 mod orders;
