--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -28,16 +28,16 @@
 use crate::router::loans::Lender;
 use crate::tokens::Tokens;
 
-/// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a second more for what is reserved and not used.
-/// See [`HELD`] for what speaks against more.
+/// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a
+/// second more for what is reserved and not used. See [`HELD`] for what speaks against more.
 const COVER: Duration = Duration::from_secs(10);
 
 /// How much all routers together hold for each token undrawn.
 ///
 /// What is granted is lost to the team where all routers lose their power at once, and what is not granted can't be spent
-/// in a cut from the log. At 0.43 and ten seconds of cover two in eighty days with losses of power ended with budgets that
-/// nobody could spend and fewer than a quarter of the requests served; at 0.25 and six seconds none did, but the cuts of
-/// calm days cost a quarter of their worth.
+/// in a cut from the log. At 0.43 three of eighty drawn days ended with budgets that nobody could spend and fewer than a
+/// quarter of the requests served, at 0.33 one; at 0.25 and a cover of six seconds the cuts of a calm day cost a third of
+/// its worth.
 const HELD: f64 = 0.33;
 
 /// The same, for a deployment that leans to availability.
