Reckon a router's part of the retries when the list changes, not at each tick

Each tick gathered the names of all routers for a number that changes with the VM list and the settings alone. Taken out besides: a field of routes that nobody read, and one that told whether the routers were listed, on which nothing rested.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -41,8 +41,6 @@
     pub(crate) prefix: String,
     /// What may be repeated.
     pub(crate) repeat: Repeat,
-    /// Whether answers are streams of events.
-    pub(crate) stream: bool,
     /// How long a request may be kept waiting for its final answer.
     pub(crate) timeout: Duration,
     /// Within which time an answer, or a stream's first event, is on time.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -146,7 +146,6 @@
             "at least one",
         ));
     }
-    let stream = matches!(wire.kind, WireKind::Streaming);
     Ok(PathRoute {
         name: wire.name.parse().map_err(bad)?,
         repeat: match wire.kind {
@@ -154,7 +153,6 @@
             WireKind::Streaming if wire.resumable => Repeat::Resume,
             WireKind::Streaming | WireKind::NonIdempotent => Repeat::Never,
         },
-        stream,
         host: wire.host,
         prefix: wire.path_prefix,
         timeout: Duration::from_secs_f64(wire.timeout_ms.max(0.0) / 1000.0),
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -67,8 +67,8 @@
     sequences: Sequences,
     servers: IndexMap<String, VmEntry>,
     routers: IndexMap<String, VmEntry>,
-    /// Whether both lists were read.
-    known: (bool, bool),
+    /// Whether the servers were read.
+    known: bool,
 }
 
 /// Gathers both lists, and tells the core of each change.
@@ -91,21 +91,20 @@
         let lists = &mut *guard;
         let sequences = &mut lists.sequences;
         let mut read = |key: &str, value: &[u8]| server(sequences, key, value);
-        let changed = take(&mut lists.servers, news, &mut read) || !lists.known.0;
-        lists.known.0 = true;
+        let changed = take(&mut lists.servers, news, &mut read) || !lists.known;
+        lists.known = true;
         self.tell(lists, changed);
     }
 
     /// Takes in news of the routers.
     pub(crate) fn routers(&self, news: News) {
         let mut lists = lock(&self.lists);
-        let changed = take(&mut lists.routers, news, &mut router) || !lists.known.1;
-        lists.known.1 = true;
+        let changed = take(&mut lists.routers, news, &mut router);
         self.tell(&mut lists, changed);
     }
 
     fn tell(&self, lists: &mut Lists, changed: bool) {
-        if !changed || !lists.known.0 {
+        if !changed || !lists.known {
             return;
         }
         lists.version += 1;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -364,6 +364,16 @@
             address: self.tuning.address.clone(),
             ..tuning
         };
+        self.share_retries();
+    }
+
+    /// Takes this router's part of the retries that all routers may make together, where the settings bound them.
+    pub(crate) fn share_retries(&mut self) {
+        if let Accounting::Grants(tuning) = self.tuning.accounting {
+            let routers = self.members.serving_vms(&self.tuning.vm).len() as f64;
+            let floor = tuning.spare * RETRY_PART / routers;
+            self.retries.allow(tuning.retries * RETRY_PART, floor);
+        }
     }
 
     /// Begins to refuse what lay in the sockets while the process was stopped.
@@ -399,10 +409,6 @@
 
     /// Does what time asks for where budgets are kept by grants.
     fn tick_grants(&mut self, now: Instant, tuning: GrantTuning) {
-        // A budget that all routers share, of which each takes its part, with a margin for those that it does not know.
-        let routers = self.members.serving_vms(&self.tuning.vm).len() as f64;
-        let floor = tuning.spare * RETRY_PART / routers;
-        self.retries.allow(tuning.retries * RETRY_PART, floor);
         self.expire_requests(now);
         self.leave_silent(now);
         self.beat(now);
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -265,6 +265,7 @@
         }
         self.members.vms = list;
         self.rebuild_pools(now);
+        self.share_retries();
         if let Accounting::Grants(_) = self.tuning.accounting {
             self.open_with_grants();
         }
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -75,7 +75,6 @@
         host: "maps.example".to_owned(),
         prefix: format!("/{prefix}/"),
         repeat,
-        stream: repeat == Repeat::Resume,
         timeout: TIMEOUT,
         objective: OBJECTIVE,
         priority: 1,
