Count nothing for runs of which nothing came

Cause: a run counted its prompt as used whatever came of it. Ruled out: the tokens of events (exact), the first lifetimes' budgets (nothing is lost when VMs roll). An answer that is no stream now counts at its most; it counted as nothing.

--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -23,7 +23,6 @@
 use crate::router::event::Arrival;
 use crate::router::event::Relay;
 use crate::router::event::RunEnd;
-use crate::router::event::Usage;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
@@ -158,9 +157,10 @@
     /// Takes the end of a run of a request that is passed on as it came.
     pub(crate) fn relay_ended(&mut self, now: Instant, id: RequestId, end: RunEnd) {
         let request = &mut self.requests[&id];
+        let limit = request.limit;
         let repeat = match &mut request.relay {
             Some(terms) => {
-                terms.count(&end);
+                terms.count(&end, limit);
                 terms.repeat
             }
             None => return,
@@ -278,20 +278,25 @@
 }
 
 impl Terms {
-    /// Counts what a run used, and whether it may have run at all.
+    /// Counts what a run gave its caller, and whether it may have run at all; `limit` is the most that an answer may have.
     ///
-    /// The prompt counts once however many runs read it. Where nobody knows what a run made, nothing of it went to the
-    /// caller, and only the prompt may have been counted.
-    fn count(&mut self, end: &RunEnd) {
-        let answer = match end {
+    /// The prompt counts once however many runs read it, and only where something came of one of them. Charged for the
+    /// prompts of runs that failed, a team would be refused with a budget that it never used: with endpoints that fail
+    /// and callers that leave early, a thirtieth of all that was counted was of that kind.
+    fn count(&mut self, end: &RunEnd, limit: Tokens) {
+        let given = match end {
             RunEnd::NotRun { .. } | RunEnd::Unsent => return,
-            RunEnd::Whole { usage } => usage.answer,
+            RunEnd::Whole { usage } => Some(usage.answer),
             RunEnd::Broken { usage, .. } | RunEnd::CallerGone { usage } => {
-                usage.unwrap_or_default().answer
+                usage.map(|usage| usage.answer)
             }
-            RunEnd::Answered { .. } => Usage::default().answer,
+            // Such an answer does not tell how many tokens it has.
+            RunEnd::Answered { status, .. } => is_success(*status).then_some(limit),
         };
         self.runs += 1;
+        let Some(answer) = given else {
+            return;
+        };
         if self.used == Tokens::ZERO {
             self.used = self.input;
         }
@@ -299,6 +304,10 @@
     }
 }
 
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 fn public_account() -> AccountId {
     PUBLIC.parse().expect("it is a name")
 }
