--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -287,9 +287,10 @@
         let given = match end {
             RunEnd::NotRun { .. } | RunEnd::Unsent => return,
             RunEnd::Whole { usage } => Some(usage.answer),
-            RunEnd::Broken { usage, .. } | RunEnd::CallerGone { usage } => {
-                usage.map(|usage| usage.answer)
-            }
+            RunEnd::Broken { usage, begun, .. } => usage
+                .map(|usage| usage.answer)
+                .or(begun.then_some(Tokens::ZERO)),
+            RunEnd::CallerGone { usage } => usage.map(|usage| usage.answer),
             // Such an answer does not tell how many tokens it has.
             RunEnd::Answered { status, .. } => is_success(*status).then_some(limit),
         };
