Keep what is left of a budget for its most urgent requests

Cause: in a cut from the log, and after a loss of power of all routers, what can be spent lasts for a part of the demand. Paid in order, all kinds ran dry together: the most urgent, a tenth of the tokens and a quarter of the requests, with the rest. Tests: tests/decisions/ration.rs by the load, router/tests/grants.rs by the router; two fail without the decision.

--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide::Ration;
 use crate::ids::RequestId;
-use crate::router::demand::Demand;
 use crate::router::loans::Loans;
 use crate::tokens::Tokens;
 
@@ -43,7 +43,8 @@
     /// Used by requests that are over.
     pub(crate) spent: Tokens,
     pub(crate) waiting: VecDeque<Waiting>,
-    pub(crate) demand: Demand,
+    /// What it is asked for, by priority.
+    pub(crate) ration: Ration,
     /// The part of reservations that is used, and the mean reservation, of late.
     pub(crate) part: f64,
     pub(crate) size: f64,
@@ -54,13 +55,13 @@
 
 impl Allowance {
     /// Makes one of which nothing is prepaid yet.
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             prepaid: Tokens::ZERO,
             reserved: Tokens::ZERO,
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
-            demand: Demand::new(now, WINDOW),
+            ration: Ration::new(WINDOW),
             part: FIRST_PART,
             size: 1.0,
             first: None,
@@ -77,15 +78,15 @@
             .first
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let age = age.max(LEAST_AGE).as_secs_f64();
-        self.demand.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
+        self.ration.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
     }
 
     /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
     /// seconds would be missing in the first seconds of a demand.
-    pub(crate) fn expect(&mut self, now: Instant, amount: Tokens) {
+    pub(crate) fn expect(&mut self, now: Instant, priority: u8, amount: Tokens) {
         self.first.get_or_insert(now);
         let used = amount.0 as f64 * self.part;
-        self.demand.add(now, Tokens(used as u64));
+        self.ration.expect(now, priority, Tokens(used as u64));
     }
 
     /// Learns what part of its reservation a request used.
--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use crate::decide::Action;
+use crate::decide::Demand;
 use crate::decide::Share;
 use crate::ids::RequestId;
 use crate::ids::TeamId;
@@ -15,7 +16,6 @@
 use crate::ledger::Verdict;
 use crate::router::core::Core;
 use crate::router::core::Ticket;
-use crate::router::demand::Demand;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -26,11 +26,12 @@
 use crate::router::effect::Effect;
 use crate::router::event::GrantEvent;
 use crate::router::loans::Lender;
+use crate::router::rationing::Others;
 use crate::tokens::Tokens;
 
 /// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a
 /// second more for what is reserved and not used. See [`HELD`] for what speaks against more.
-const COVER: Duration = Duration::from_secs(10);
+pub(super) const COVER: Duration = Duration::from_secs(10);
 
 /// How much all routers together hold for each token undrawn.
 ///
@@ -66,10 +67,23 @@
     Spent,
     /// Other routers hold what is left.
     Held,
+    /// What is left is kept for more urgent requests.
+    Kept,
     /// The log can't be asked, and this router holds too little.
     Away,
 }
 
+/// What came of asking for a request's budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reserve {
+    /// It is reserved, or needs no budget.
+    Done,
+    /// This router holds too little.
+    Short,
+    /// What is left is kept for more urgent requests.
+    Kept,
+}
+
 /// What a router may spend.
 #[derive(Debug)]
 pub(crate) struct Funds {
@@ -82,6 +96,10 @@
     behind: bool,
     /// How many calls in a row failed.
     pub(super) failures: u32,
+    /// Since when the log has not answered.
+    pub(super) away: Option<Instant>,
+    /// What other routers say of their budgets.
+    pub(super) others: Others,
     /// No call before this.
     rest: Instant,
     /// When the book was last known to be up to date.
@@ -102,6 +120,8 @@
             busy: false,
             behind: false,
             failures: 0,
+            away: None,
+            others: Others::default(),
             rest: now,
             fresh: None,
             reviewed: None,
@@ -110,13 +130,13 @@
     }
 
     /// Takes over what the teams prepaid. A budget never shrinks, and a team that is gone keeps what it used.
-    pub(crate) fn prepaid(&mut self, now: Instant, table: &RouteTable) {
+    pub(crate) fn prepaid(&mut self, table: &RouteTable) {
         for payer in table.payers() {
             let Some(prepaid) = payer.prepaid else {
                 continue;
             };
             let allowance = self.allowances.entry(payer.team.clone());
-            let allowance = allowance.or_insert_with(|| Allowance::new(now));
+            let allowance = allowance.or_insert_with(Allowance::new);
             if prepaid > allowance.prepaid {
                 info!(event = "prepaid", team = %payer.team, %prepaid);
                 allowance.prepaid = prepaid;
@@ -131,17 +151,30 @@
     }
 
     /// Reserves what a request may cost; a team without a limit needs no reservation.
-    pub(crate) fn reserve(&mut self, now: Instant, team: &TeamId, amount: Tokens) -> bool {
+    pub(crate) fn reserve(
+        &mut self,
+        now: Instant,
+        team: &TeamId,
+        priority: u8,
+        amount: Tokens,
+    ) -> Reserve {
         let available = self.available(team);
+        let rest = self.remainder(now, team);
         let Some(allowance) = self.allowances.get_mut(team) else {
-            return true;
+            return Reserve::Done;
         };
-        allowance.expect(now, amount);
+        if amount == Tokens::ZERO {
+            return Reserve::Done;
+        }
+        allowance.expect(now, priority, amount);
+        if !allowance.ration.pays(now, &rest, priority, amount) {
+            return Reserve::Kept;
+        }
         if available < amount {
-            return false;
+            return Reserve::Short;
         }
         allowance.reserved += amount;
-        true
+        Reserve::Done
     }
 
     /// Has a request wait for a grant.
@@ -222,11 +255,13 @@
         let Some(allowance) = self.allowances.get(team) else {
             return;
         };
+        let rest = self.remainder(now, team);
         info!(
             event = "budget", %request, %team, prepaid = %allowance.prepaid, granted = %self.book.granted(team),
             reserved = %allowance.reserved, spent = %allowance.spent, elsewhere = %self.book.others(team),
             spent_elsewhere = %self.book.others_spent(team),
-            undrawn = %self.book.undrawn(team, allowance.prepaid),
+            undrawn = %self.book.undrawn(team, allowance.prepaid), in_reach = %rest.left,
+            demand = rest.demand as u64, lasts_ms = rest.lasts.as_millis() as u64,
             age_ms = self.fresh.map(|at| now.saturating_duration_since(at).as_millis() as u64),
         );
     }
@@ -263,6 +298,7 @@
             GrantEvent::Moved => {
                 self.behind = true;
                 self.failures = 0;
+                self.away = None;
             }
             GrantEvent::Refused(at) => {
                 self.book.refused(at);
@@ -413,6 +449,7 @@
             info!(event = "grants-reachable", failures = self.failures);
         }
         self.failures = 0;
+        self.away = None;
         self.fresh = Some(now);
     }
 
@@ -420,6 +457,7 @@
         if self.failures == 0 {
             warn!(event = "grants-unreachable");
         }
+        self.away.get_or_insert(now);
         let rest = REST.saturating_mul(1 << self.failures.min(8));
         self.rest = now + rest.min(LONGEST_REST);
         self.failures += 1;
@@ -455,7 +493,7 @@
     }
 
     /// Returns the most that can be left of a team's budget, by all that is known to be used.
-    fn left(&self, team: &TeamId) -> Tokens {
+    pub(super) fn left(&self, team: &TeamId) -> Tokens {
         self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
             let here = allowance.spent.saturating_add(allowance.reserved);
             let used = here.saturating_add(self.book.others_spent(team));
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -18,6 +18,7 @@
 use crate::router::event::Gift;
 use crate::router::event::GrantEvent;
 use crate::router::event::LoanAsk;
+use crate::router::funds::Reserve;
 use crate::router::funds::Unfunded;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
@@ -44,7 +45,7 @@
             old,
             routes = table.count()
         );
-        self.funds.prepaid(now, &table);
+        self.funds.prepaid(&table);
         self.table = Some(table);
         self.rebuild_pools(now);
         self.open_with_grants();
@@ -70,11 +71,14 @@
         let request = &mut self.requests[&id];
         let team = request.team.clone();
         let amount = request.reserve;
-        if self.funds.reserve(now, &team, amount) {
-            request.stake = Stake::Funded;
-            self.enqueue(now, id);
-        } else {
-            self.funds.wait(now, &team, id, amount);
+        let priority = request.relay.as_ref().map_or(0, |terms| terms.priority);
+        match self.funds.reserve(now, &team, priority, amount) {
+            Reserve::Done => {
+                request.stake = Stake::Funded;
+                self.enqueue(now, id);
+            }
+            Reserve::Short => self.funds.wait(now, &team, id, amount),
+            Reserve::Kept => self.refuse_unfunded(now, id, Unfunded::Kept),
         }
     }
 
@@ -87,10 +91,11 @@
         for (id, why) in self.funds.unfunded(now) {
             self.refuse_unfunded(now, id, why);
         }
-        if !self.funds.is_due(now) {
+        if !self.funds.is_due(now) && !self.funds.others.is_due(now) {
             return;
         }
         let lenders = self.members.lenders(now, &self.tuning.vm);
+        self.funds.others.hear(now, &lenders);
         let call = self.funds.step(now, &lenders);
         self.effects.extend(call);
         let loans = self.funds.borrow(now, self.me, &lenders);
@@ -127,6 +132,12 @@
                 let detail = format!("other routers hold what is left of the budget of {team}");
                 Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(HELD_RETRY)
             }
+            Unfunded::Kept => {
+                let detail = format!(
+                    "what is left of the budget of {team} is kept for more urgent requests"
+                );
+                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(HELD_RETRY)
+            }
             Unfunded::Away => {
                 let detail =
                     "the log can't be reached, and this router holds too little of the budget";
--- /dev/null
+++ b/src/router/rationing.rs
@@ -0,0 +1,97 @@
+//! What is left of each budget in this router's reach, and for how long it must last.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::decide::Remainder;
+use crate::ids::TeamId;
+use crate::router::funds::COVER;
+use crate::router::funds::Funds;
+use crate::router::loans::Lender;
+use crate::tokens::Tokens;
+
+/// How long the rest of a budget is to last for its most urgent requests where most of it is out of reach: as long as a loss
+/// of power of all routers is felt.
+const LAST: Duration = Duration::from_secs(10);
+
+/// More than this part of what was prepaid must be out of reach to be thought lost. What routers spent and have not yet
+/// written down looks the same, but is less.
+const LOST: u64 = 20;
+
+/// How long a cut from the log is thought to go on at least, however long it has been.
+const LEAST: Duration = Duration::from_secs(2);
+
+/// How often what other routers say of their budgets is added up. They say it twice a second.
+const LISTEN: Duration = Duration::from_millis(250);
+
+/// What the other routers say of one budget, added up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Elsewhere {
+    /// What lies idle there.
+    free: Tokens,
+    /// How fast it is asked for there, in tokens a second.
+    demand: f64,
+}
+
+/// What the other routers say of all budgets, and when it was last added up.
+#[derive(Debug, Default)]
+pub(super) struct Others {
+    teams: IndexMap<TeamId, Elsewhere>,
+    heard: Option<Instant>,
+}
+
+impl Others {
+    /// Returns whether it is time to add up what they say.
+    pub(super) fn is_due(&self, now: Instant) -> bool {
+        self.heard.is_none_or(|at| now >= at + LISTEN)
+    }
+
+    /// Adds up what they say.
+    pub(super) fn hear(&mut self, now: Instant, lenders: &[Lender]) {
+        self.heard = Some(now);
+        self.teams.clear();
+        for word in lenders.iter().flat_map(|lender| &lender.words) {
+            let sum = self.teams.entry(word.team.clone()).or_default();
+            sum.free += word.free;
+            sum.demand += word.demand as f64;
+        }
+    }
+}
+
+impl Funds {
+    /// Returns what is left of a team's budget in this router's reach, and for how long it must last.
+    pub(super) fn remainder(&self, now: Instant, team: &TeamId) -> Remainder {
+        let others = self.others.teams.get(team).copied().unwrap_or_default();
+        let here = match self.away {
+            Some(_) => self.available(team),
+            None => self.reach(team),
+        };
+        let left = here.saturating_add(others.free);
+        let rate = self.allowances.get(team).map_or(0.0, |a| a.rate(now));
+        Remainder {
+            left,
+            demand: rate + others.demand,
+            lasts: match self.away {
+                Some(since) => COVER
+                    .saturating_sub(now.saturating_duration_since(since))
+                    .max(LEAST),
+                None if self.is_mostly_lost(team, left) => LAST,
+                None => Duration::ZERO,
+            },
+        }
+    }
+
+    /// Returns whether more of a team's budget is out of reach than in it: dead routers may have spent it, and nobody can tell.
+    ///
+    /// A budget that is simply used up is used to its end, by whoever asks: kept back, its last part would serve nobody.
+    fn is_mostly_lost(&self, team: &TeamId, reach: Tokens) -> bool {
+        let prepaid = self
+            .allowances
+            .get(team)
+            .map_or(Tokens::ZERO, |a| a.prepaid);
+        let lost = self.left(team).saturating_sub(reach);
+        lost > reach && lost.0 > prepaid.0 / LOST
+    }
+}
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -113,6 +113,7 @@
             relay: Some(Terms {
                 account,
                 repeat: route.repeat,
+                priority: route.priority,
                 attempts: route.attempts,
                 runs: 0,
                 input: relay.input,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -65,6 +65,8 @@
     pub(crate) account: Option<AccountId>,
     /// What may be repeated.
     pub(crate) repeat: Repeat,
+    /// How urgent its route is among its team's, 0 (first) to 9 (last).
+    pub(crate) priority: u8,
     /// How many endpoints it may run on.
     pub(crate) attempts: u32,
     /// How many endpoints it ran on, or may have run on.
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -1,9 +1,14 @@
 //! Requests without a key, and the budgets that they are paid from.
 
+use crate::escrow::GrantKey;
+use crate::escrow::GrantRow;
 use crate::ids::Incarnation;
+use crate::ids::Offset;
+use crate::ids::RequestId;
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::Gift;
+use crate::router::GrantEvent;
 use crate::router::LoanAsk;
 use crate::router::ProblemKind;
 use crate::router::Ran;
@@ -157,6 +162,83 @@
     assert!(problem.retry.is_some());
 }
 
+/// Asks as many callers do: urgent requests of a hundred tokens and others of a thousand, ten of each in a second, which
+/// all end at once.
+fn ask_for(site: &mut Site, seconds: u64) -> (RequestId, RequestId) {
+    let mut last = None;
+    for _ in 0..seconds * 10 {
+        let urgent = site.ask("urgent", 93, 7);
+        site.tell(Event::Ended(urgent, whole(7)));
+        let other = site.ask("stream", 993, 7);
+        site.tell(Event::Ended(other, whole(7)));
+        site.pass(100);
+        last = Some((urgent, other));
+    }
+    last.expect("some were asked")
+}
+
+/// The log has not answered for a while, and what the router holds does not last until the end of the cut. The less urgent
+/// caller is told so at once, and the urgent one is served; paid in order, both would be refused a second later.
+#[test]
+fn what_is_left_in_a_cut_is_kept_for_the_urgent() {
+    let mut site = Site::start(200_000);
+    ask_for(&mut site, 4);
+    site.log = Log::Away;
+    ask_for(&mut site, 4);
+    let (urgent, other) = ask_for(&mut site, 1);
+    assert_eq!(site.runs(urgent).len(), 1);
+    let problem = site.refusal(other).expect("it is refused");
+    assert_eq!(
+        (problem.kind, problem.ran),
+        (ProblemKind::Overloaded, Ran::No)
+    );
+    assert!(problem.retry.is_some());
+}
+
+/// All routers lost their power, and most of a team's budget is what they might have spent. For hours no large request could
+/// be paid any more, and the small urgent ones would run dry with them.
+#[test]
+fn what_dead_routers_left_is_kept_for_the_urgent() {
+    let mut site = Site::start(100_000);
+    lose(&mut site, 90_000);
+    ask_for(&mut site, 2);
+    let (urgent, other) = ask_for(&mut site, 1);
+    assert_eq!(site.runs(urgent).len(), 1);
+    let problem = site.refusal(other).expect("it is refused");
+    assert_eq!(
+        (problem.kind, problem.ran),
+        (ProblemKind::Overloaded, Ran::No)
+    );
+}
+
+/// A team uses its budget up, and no other router has any of it. What is left goes to whoever asks, to the last request
+/// that it covers: kept back, it would serve nobody.
+#[test]
+fn a_budget_is_used_to_its_end() {
+    let mut site = Site::start(30_000);
+    ask_for(&mut site, 4);
+    assert!(budget(&site, "spent_here") > 29_000);
+}
+
+/// Has a router that died be granted so much of the budget.
+fn lose(site: &mut Site, granted: u64) {
+    let key = GrantKey {
+        vm: "router-9".parse().expect("a name"),
+        router: Incarnation(9),
+        team: "loans".parse().expect("a name"),
+    };
+    let row = GrantRow {
+        granted: Tokens(granted),
+        spent: Tokens::ZERO,
+    };
+    let at = Offset(site.end);
+    site.end += 1;
+    site.tell(Event::Grants(GrantEvent::Read {
+        rows: vec![(at, key, row)],
+        end: Offset(site.end),
+    }));
+}
+
 /// The answer to a question for a loan is lost, and the question is sent again. Both routers count the loan once, or the
 /// team would be served more than it prepaid.
 #[test]
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -56,7 +56,7 @@
     pub(crate) now: Instant,
     pub(crate) log: Log,
     pub(crate) effects: Vec<Effect>,
-    end: u64,
+    pub(crate) end: u64,
     next: u64,
 }
 
@@ -92,6 +92,10 @@
         route("once", Repeat::Never, 1),
         route("again", Repeat::Whole, 2),
         route("stream", Repeat::Resume, 2),
+        PathRoute {
+            priority: 0,
+            ..route("urgent", Repeat::Never, 1)
+        },
     ];
     let pool = TablePool {
         name: name("pool"),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod poison;
 mod prefill;
+mod ration;
 mod router;
 mod sim;
 
