Tell callers refused in a cut to come back when it should be over

Cause: a caller refused in a cut was told to come back after 1 or 1.5 s, was refused again by the same cut, and had no try left. Change: Retry-After is what is left of the longest cut seen, spread by a quarter.

--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
 use serde_json::json;
 use tracing::info;
 use tracing::warn;
@@ -28,9 +29,9 @@
 /// When a caller may come back whose budget others hold: they give back what lies idle at their next review.
 const HELD_RETRY: Duration = Duration::from_millis(1000);
 
-/// When a caller may come back while the log can't be asked: outages of it last seconds, and callers honour no more than
-/// a third of their time.
-const AWAY_RETRY: Duration = Duration::from_millis(1500);
+/// How far the times at which callers may come back after a cut are spread: they were refused over seconds, and together they
+/// would meet the endpoints in one moment.
+const SPREAD: f64 = 0.25;
 
 impl Core {
     /// Takes over a configuration. An older one than that in force changes nothing.
@@ -123,6 +124,9 @@
         let request = &self.requests[&id];
         let (team, amount) = (&request.team, request.reserve);
         self.funds.explain(now, team, id);
+        let retry = self.funds.cut_left(now).map_or(HELD_RETRY, |left| {
+            left.mul_f64(1.0 + self.rng.random_range(0.0..SPREAD))
+        });
         let problem = match why {
             Unfunded::Spent => {
                 let detail = format!("the team {team} has not {amount} tokens left for it");
@@ -130,18 +134,18 @@
             }
             Unfunded::Held => {
                 let detail = format!("other routers hold what is left of the budget of {team}");
-                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(HELD_RETRY)
+                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(retry)
             }
             Unfunded::Kept => {
                 let detail = format!(
                     "what is left of the budget of {team} is kept for more urgent requests"
                 );
-                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(HELD_RETRY)
+                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(retry)
             }
             Unfunded::Away => {
                 let detail =
                     "the log can't be reached, and this router holds too little of the budget";
-                Problem::new(ProblemKind::LogOutage, Ran::No, detail).retry_in(AWAY_RETRY)
+                Problem::new(ProblemKind::LogOutage, Ran::No, detail).retry_in(retry)
             }
         };
         self.refuse_with(now, id, problem);
--- a/src/router/rationing.rs
+++ b/src/router/rationing.rs
@@ -73,16 +73,20 @@
         Remainder {
             left,
             demand: rate + others.demand,
-            lasts: match self.away {
-                Some(since) => COVER
-                    .saturating_sub(now.saturating_duration_since(since))
-                    .max(LEAST),
+            lasts: match self.cut_left(now) {
+                Some(left) => left,
                 None if self.is_mostly_lost(team, left) => LAST,
                 None => Duration::ZERO,
             },
         }
     }
 
+    /// Returns how much longer the log may be out of reach, if it is.
+    pub(super) fn cut_left(&self, now: Instant) -> Option<Duration> {
+        let passed = now.saturating_duration_since(self.away?);
+        Some(COVER.saturating_sub(passed).max(LEAST))
+    }
+
     /// Returns whether more of a team's budget is out of reach than in it: dead routers may have spent it, and nobody can tell.
     ///
     /// A budget that is simply used up is used to its end, by whoever asks: kept back, its last part would serve nobody.
