Send callers to VMs by their size

Cause: callers pick an address at random, and all VMs were named alike, those with a link of 10 Mbit/s as often as those with 200. Now each is named as often as it is large, by the scarcer of processor and link, which its listing tells. Where all VMs are alike nothing changes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 //! [`Ejector::record`], [`PrefixIndex::served`] and [`Quarantine::complete`] take in how it went.
 
 mod advice;
+mod capacity;
 mod choose;
 mod concurrency;
 mod demand;
@@ -30,6 +31,8 @@
 pub use advice::Advice;
 pub use advice::Peer;
 pub use advice::advise;
+pub use capacity::Capacity;
+pub use capacity::draw_by_capacity;
 pub use choose::Choice;
 pub use choose::Chooser;
 pub use choose::Load;
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -44,9 +44,11 @@
 use crate::platform::store::Append;
 use crate::platform::store::Store;
 use crate::router::Accounting;
+use crate::router::CPU;
 use crate::router::Core;
 use crate::router::Event;
 use crate::router::GrantTuning;
+use crate::router::LINK;
 use crate::router::Pace;
 use crate::router::Tuning;
 use crate::settings::EndMarker;
@@ -267,6 +269,8 @@
         let mut labels = Labels::default();
         labels.set("role", "router");
         labels.set("peer", &settings.peer_listen.to_string());
+        labels.set(CPU, &(settings.cpu_share * 1000.0).round().to_string());
+        labels.set(LINK, &settings.link_mbps.ceil().to_string());
         let entry = VmEntry {
             vm: settings.vm.clone(),
             address: settings.front,
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -10,6 +10,7 @@
 use tracing::warn;
 
 use crate::config::RouteTable;
+use crate::decide;
 use crate::ids::DomainId;
 use crate::ids::RequestId;
 use crate::router::core::Core;
@@ -155,18 +156,21 @@
     }
 
     /// Returns the addresses that a caller in a failure domain may use: those of routers that live and stay.
-    pub(crate) fn directory(&self, now: Instant, domain: &DomainId) -> Vec<String> {
+    pub(crate) fn directory(&mut self, now: Instant, domain: &DomainId) -> Vec<String> {
         let mut peers = self.members.advisable(now);
         peers.retain(|peer| !peer.leaving && self.members.silence(now, &peer.vm).is_none());
+        let members = &self.members;
         let mut addresses: Vec<_> = peers
             .into_iter()
-            .map(|peer| (peer.domain, peer.address))
+            .map(|peer| (members.capacity(&peer.vm), (peer.domain, peer.address)))
             .collect();
         if self.serving() {
-            addresses.push((self.tuning.domain.clone(), self.tuning.address.clone()));
+            let own = (self.tuning.domain.clone(), self.tuning.address.clone());
+            addresses.push((members.capacity(&self.tuning.vm), own));
         }
-        addresses.sort_by_key(|(at, _)| at != domain);
-        addresses.into_iter().map(|(_, address)| address).collect()
+        addresses.sort_by_key(|(_, (at, _))| at != domain);
+        let drawn = decide::draw_by_capacity(addresses, &mut self.rng);
+        drawn.into_iter().map(|(_, address)| address).collect()
     }
 
     /// Ends a planned stop: nothing is in progress, no caller still keeps the address, and what was not spent went back.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::decide;
+use crate::decide::Capacity;
 use crate::ids::DomainId;
 use crate::ids::Incarnation;
 use crate::ids::RequestKey;
@@ -32,6 +33,12 @@
 /// The label that tells where a router listens for routers.
 const PEER: &str = "peer";
 
+/// The label that tells how much processor a router's VM has, in thousandths of a core.
+pub(crate) const CPU: &str = "cpu";
+
+/// The label that tells how fast its link is, in Mbit/s.
+pub(crate) const LINK: &str = "link";
+
 /// How many heartbeats in a row must find that nothing listens: one may meet a router that restarts.
 const REFUSALS: u32 = 2;
 
@@ -49,6 +56,9 @@
 /// How often a router that some peer cannot hear shows itself in the log.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
+/// What a VM that does not tell its size is thought to have of each.
+const UNSAID: u32 = 1;
+
 /// A peer's silence.
 #[derive(Clone, Copy, Debug)]
 struct Unheard {
@@ -195,6 +205,18 @@
         self.vms.vms.iter().find(|entry| entry.vm == *vm)
     }
 
+    /// Returns what a router's VM can carry, as it says.
+    pub(crate) fn capacity(&self, vm: &VmId) -> Capacity {
+        let label = |name| {
+            let entry = self.entry(vm)?;
+            entry.labels.get(name)?.parse().ok()
+        };
+        Capacity {
+            cpu: label(CPU).unwrap_or(UNSAID),
+            link: label(LINK).unwrap_or(UNSAID),
+        }
+    }
+
     /// Returns the failure domain of a VM.
     pub(crate) fn domain(&self, vm: &VmId) -> Option<&DomainId> {
         self.entry(vm).map(|entry| &entry.domain)
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -65,6 +65,8 @@
 pub(crate) use event::Silence;
 pub(crate) use event::Usage;
 pub(crate) use event::Work;
+pub(crate) use members::CPU;
+pub(crate) use members::LINK;
 pub use problem::Problem;
 pub use problem::ProblemKind;
 pub use problem::Ran;
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -38,6 +38,12 @@
     pub admin: SocketAddr,
     /// The metadata store.
     pub store: SocketAddr,
+    /// How much of a core the VM has.
+    #[serde(default = "whole")]
+    pub cpu_share: f64,
+    /// How fast the VM's link is, in Mbit/s.
+    #[serde(default = "whole")]
+    pub link_mbps: f64,
     /// The least important events that are logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -72,6 +78,8 @@
         check_time("grace_ms", self.grace_ms, MIN_TIME)?;
         check_time("keep_ms", self.keep_ms, MIN_TIME)?;
         check_time("retry_window_ms", self.retry_window_ms, MIN_TIME)?;
+        check_part("cpu_share", self.cpu_share, 1e6)?;
+        check_part("link_mbps", self.link_mbps, 1e6)?;
         check_part("retry_ratio", self.retry_ratio, 1.0)?;
         check_part("retry_spare", self.retry_spare, 1e6)?;
         let fields = [
@@ -89,6 +97,11 @@
     }
 }
 
+/// What a VM has that does not say: as much as all others that do not.
+fn whole() -> f64 {
+    1.0
+}
+
 fn check_part(path: &str, value: f64, most: f64) -> Result<(), SettingsError> {
     if (0.0..=most).contains(&value) {
         return Ok(());
--- /dev/null
+++ b/tests/decisions/capacity.rs
@@ -0,0 +1,54 @@
+//! Addresses of VMs of unequal size, judged by how callers spread over them.
+
+use jasmineridge::Capacity;
+use jasmineridge::draw_by_capacity;
+use rand::RngExt;
+
+use crate::rng;
+
+const LARGE: Capacity = Capacity {
+    cpu: 500,
+    link: 200,
+};
+
+const SMALL: Capacity = Capacity { cpu: 120, link: 10 };
+
+/// Returns how many of ten thousand callers, who pick one of the addresses told at random, go to each VM.
+fn callers(vms: &[Capacity]) -> Vec<u32> {
+    let mut rng = rng();
+    let mut counts = vec![0; vms.len()];
+    for _ in 0..10_000 {
+        let all = vms.iter().copied().zip(0..).collect();
+        let told: Vec<usize> = draw_by_capacity(all, &mut rng);
+        counts[told[rng.random_range(0..told.len())]] += 1;
+    }
+    counts
+}
+
+/// Seventy VMs with a twentieth of the link stand beside eight large ones. Told all addresses, nine callers in ten would
+/// press their prompts through the small links and be late; by size, a small one gets a small part.
+#[test]
+fn callers_spread_by_size() {
+    let vms = [vec![LARGE; 8], vec![SMALL; 72]].concat();
+    let counts = callers(&vms);
+    let large: u32 = counts[..8].iter().sum();
+    println!("{large} of 10000 to the large ones");
+    assert!((6000..8000).contains(&large), "{large}");
+    assert!(counts[8..].iter().all(|count| *count < 150));
+}
+
+/// All VMs are alike, and all are told.
+#[test]
+fn equal_vms_are_all_told() {
+    let all = (0..7).map(|n| (SMALL, n)).collect();
+    assert_eq!(draw_by_capacity(all, &mut rng()).len(), 7);
+}
+
+/// A single large VM stands among small ones. Told alone, its callers would have nowhere to go when it dies.
+#[test]
+fn an_answer_names_more_than_the_largest() {
+    let vms = [vec![LARGE], vec![SMALL; 5]].concat();
+    let all = vms.into_iter().zip(0..).collect();
+    let told: Vec<usize> = draw_by_capacity(all, &mut rng());
+    assert!(told.len() >= 3, "{told:?}");
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Decisions under load, judged one by one and then by what callers receive.
 
 mod budget;
+mod capacity;
 mod each;
 mod engine;
 mod herd;
