Leave all idle connections with the first call that is not answered

Cause: after a cut every pooled connection to the store is dead without a word, and calls took one after another, each for its whole time limit of up to 2.8 s. Change: a call without an answer lets go of the idle connections, so that the next one opens a new one. Test: http_client/tests.rs, which failed first. The two constants of the client's page had lost their comments to each other; they have them back.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,5 +1,8 @@
 //! A client for short HTTP calls with a time limit.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,11 +20,14 @@
 use hyper_util::rt::TokioExecutor;
 use thiserror::Error;
 
-/// The longest answer that is read, in bytes; one batch of a stream's records is well below it.
+#[cfg(test)]
+mod tests;
+
 /// How long a connection may take: between two VMs of one site it takes milliseconds, and a call that could not be sent
 /// may go elsewhere.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// The longest answer that is read, in bytes; one batch of a stream's records is well below it.
 const MAX_ANSWER: usize = 64 << 20;
 
 /// Why there is no answer.
@@ -57,10 +63,18 @@
     pub body: Bytes,
 }
 
+type Connections = Client<HttpConnector, Full<Bytes>>;
+
 /// A client that keeps connections open for the next call.
+///
+/// A cut of the network leaves all of them dead without a word. Tried one after another, each would cost the next call
+/// its whole time limit: a VM was parted for ten seconds longer than the network was. So a call that is not answered takes
+/// all idle connections with it, and the next one opens a new one.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    connections: Arc<Mutex<Connections>>,
+    /// How many idle connections are kept.
+    idle: usize,
     bearer: Option<String>,
 }
 
@@ -73,23 +87,31 @@
 impl HttpClient {
     /// Makes a client that sends a bearer key, if one is given, with each call.
     pub fn new(bearer: Option<String>) -> Self {
-        Self {
-            client: Client::builder(TokioExecutor::new()).build(connector()),
-            bearer,
-        }
+        Self::keeping(usize::MAX, bearer)
     }
 
     /// Makes a client that opens a connection for each call.
     pub(crate) fn without_reuse() -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(0)
-            .build(connector());
+        Self::keeping(0, None)
+    }
+
+    fn keeping(idle: usize, bearer: Option<String>) -> Self {
         Self {
-            client,
-            bearer: None,
+            connections: Arc::new(Mutex::new(connections(idle))),
+            idle,
+            bearer,
         }
     }
 
+    /// Lets go of all idle connections; calls in progress keep theirs.
+    fn start_anew(&self) {
+        let mut kept = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *kept = connections(self.idle);
+    }
+
     /// Gets a resource.
     ///
     /// # Errors
@@ -132,12 +154,21 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Incoming>, HttpError> {
-        match tokio::time::timeout(limit, self.client.request(request)).await {
-            Err(_) => Err(HttpError::Timeout(limit)),
-            Ok(Err(e)) if e.is_connect() => Err(HttpError::Connect(cause(&e))),
-            Ok(Err(e)) => Err(HttpError::Lost(cause(&e))),
-            Ok(Ok(answer)) => Ok(answer),
+        let connections = self
+            .connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let error = match tokio::time::timeout(limit, connections.request(request)).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(e)) if e.is_connect() => HttpError::Connect(cause(&e)),
+            Ok(Err(e)) => HttpError::Lost(cause(&e)),
+            Err(_) => HttpError::Timeout(limit),
+        };
+        if error.is_unknown() {
+            self.start_anew();
         }
+        Err(error)
     }
 
     /// Sends a request and reads all of its answer.
@@ -157,12 +188,22 @@
             let body = body.map_err(|e| HttpError::Lost(e.to_string()))?.to_bytes();
             Ok(Answer { status, body })
         };
-        tokio::time::timeout(limit, read)
-            .await
-            .unwrap_or(Err(HttpError::Timeout(limit)))
+        match tokio::time::timeout(limit, read).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.start_anew();
+                Err(HttpError::Timeout(limit))
+            }
+        }
     }
 }
 
+fn connections(idle: usize) -> Connections {
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(idle)
+        .build(connector())
+}
+
 fn connector() -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
