--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -68,7 +68,7 @@
 /// A client that keeps connections open for the next call.
 ///
 /// A cut of the network leaves all of them dead without a word. Tried one after another, each would cost the next call
-/// its whole time limit: a VM was parted for ten seconds longer than the network was. So a call that is not answered takes
+/// its whole time limit, and the caller would be parted for seconds longer than the network was. So a call that is not answered takes
 /// all idle connections with it, and the next one opens a new one.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -35,8 +35,8 @@
 ///
 /// What is granted is lost to the team where all routers lose their power at once, and what is not granted can't be spent
 /// in a cut from the log. At 0.25 and a cover of six seconds the cuts of a calm day cost a third of its worth. With what is
-/// left being rationed, 0.45 against 0.33 makes calm days better by 0.04 of their worth, and days with a loss of power
-/// no worse.
+/// left being rationed, 0.45 against 0.33 makes calm days better by 0.04 of their worth; of days with a loss of power some
+/// gain and some lose as much.
 const HELD: f64 = 0.45;
 
 /// The same, for a deployment that leans to availability: a third more, as where budgets are kept by the ledger. It was not
--- a/src/router/rationing.rs
+++ b/src/router/rationing.rs
@@ -38,8 +38,8 @@
 
 /// What the other routers say of all budgets, and when it was last gathered.
 ///
-/// Gathered for each event while a request waits, as it would be in a cut, it took most of a small VM's processor in a fleet
-/// of 64 routers and 24 teams.
+/// Gathered for each event while a request waits, as in a cut, it took two fifths of what a router used of its processor in a
+/// fleet of 64 routers and 24 teams.
 #[derive(Debug, Default)]
 pub(super) struct Others {
     lenders: Arc<[Lender]>,
