Tell the lives of an endpoint apart, and pass over entries of other writers

An endpoint may start again under its name: its counts begin anew, and nothing of its earlier life is known to it. Its first heartbeats were taken for late ones, so that it stayed as it was last listed, and what was known of its cache, load and health went on. Lives are told apart by when they began; what was known of the earlier one is forgotten. Entries whose zone or name can't be read were passed over without a line, and one bad value hid all newest records of a topic.

--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -10,7 +10,10 @@
 
 use crate::edge::desk::Desk;
 use crate::edge::desk::lock;
+use crate::ids::NameError;
+use crate::labels::Labels;
 use crate::platform::follow::News;
+use crate::router::BORN;
 use crate::router::Event;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
@@ -24,8 +27,10 @@
     zone: String,
     slots: u32,
     state: ServerState,
-    /// The heartbeat's number.
+    /// The heartbeat's number, which begins anew with each life of the server.
     sequence: u64,
+    /// When this life of the server began, as a Unix time in milliseconds; a server may come back under its name.
+    born: Option<u64>,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -39,20 +44,21 @@
 /// seconds, and a day has a few hundred replacements.
 const REMEMBERED: usize = 4096;
 
-/// The newest heartbeat of each server, by its number.
+/// The newest heartbeat of each server, by its life and its number in it.
 ///
 /// A heartbeat may reach the store after a later one. Taken at its word, an endpoint that has said that it leaves would be
 /// sent work again until its next heartbeat.
 #[derive(Default)]
-struct Sequences(IndexMap<String, u64>);
+struct Sequences(IndexMap<String, (Option<u64>, u64)>);
 
 impl Sequences {
     /// Returns whether a heartbeat is newer than all before it, and remembers it.
-    fn advance(&mut self, server: &str, sequence: u64) -> bool {
-        let newest = self.0.get(server).is_none_or(|last| sequence >= *last);
+    fn advance(&mut self, name: &str, server: &Server) -> bool {
+        let number = (server.born, server.sequence);
+        let newest = self.0.get(name).is_none_or(|last| number >= *last);
         if newest {
-            self.0.shift_remove(server);
-            self.0.insert(server.to_owned(), sequence);
+            self.0.shift_remove(name);
+            self.0.insert(name.to_owned(), number);
         }
         if self.0.len() > REMEMBERED {
             self.0.shift_remove_index(0);
@@ -174,27 +180,39 @@
 
 fn server(sequences: &mut Sequences, key: &str, value: &[u8]) -> Option<Said> {
     let server: Server = read(key, value)?;
-    if !sequences.advance(key, server.sequence) {
-        info!(
-            event = "late-heartbeat",
-            name = key,
-            sequence = server.sequence
-        );
+    let entry = match endpoint(key, &server) {
+        Ok(entry) => entry,
+        Err(error) => {
+            warn!(event = "entry-unreadable", name = key, %error);
+            return None;
+        }
+    };
+    if !sequences.advance(key, &server) {
+        let sequence = server.sequence;
+        info!(event = "late-heartbeat", name = key, sequence);
         return Some(Said::Before);
     }
-    let mut labels = crate::labels::Labels::default();
+    Some(Said::Entry(entry))
+}
+
+/// Returns a server as the product's own lists have it.
+fn endpoint(key: &str, server: &Server) -> Result<VmEntry, NameError> {
+    let mut labels = Labels::default();
     labels.set("pool", &server.service);
     labels.set("slots", &server.slots.to_string());
-    Some(Said::Entry(VmEntry {
-        vm: key.parse().ok()?,
+    if let Some(born) = server.born {
+        labels.set(BORN, &born.to_string());
+    }
+    Ok(VmEntry {
+        vm: key.parse()?,
         address: server.address,
-        domain: server.zone.parse().ok()?,
+        domain: server.zone.parse()?,
         labels,
         state: match server.state {
             ServerState::Ready => VmState::Live,
             ServerState::Draining => VmState::Leaving,
         },
-    }))
+    })
 }
 
 /// Routers list themselves in the product's own form.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use serde::Deserialize;
 use thiserror::Error;
+use tracing::warn;
 
 use crate::http_client::Answer;
 use crate::http_client::HttpClient;
@@ -115,7 +116,7 @@
                 412 => Append::Moved,
                 429 | 503 => Append::Refused,
                 status => {
-                    tracing::warn!(event = "append-refused", topic, status);
+                    warn!(event = "append-refused", topic, status);
                     Append::Refused
                 }
             },
@@ -152,14 +153,16 @@
                 table.end = page.end;
             }
             for item in page.items {
-                let value = BASE64_STANDARD.decode(&item.value);
-                let value = value.map_err(|error| ReadError::Malformed(error.to_string()))?;
                 after = Some(item.key.clone());
-                table.rows.push(Newest {
-                    key: item.key,
-                    value,
-                    offset: item.offset,
-                });
+                match BASE64_STANDARD.decode(&item.value) {
+                    Ok(value) => table.rows.push(Newest {
+                        key: item.key,
+                        value,
+                        offset: item.offset,
+                    }),
+                    // One bad value must not hide all the others of its topic.
+                    Err(error) => warn!(event = "record-unreadable", topic, key = item.key, %error),
+                }
             }
             if !page.has_more {
                 return Ok(table);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -135,10 +135,7 @@
 /// again: the bound for that is two seconds, and its next heartbeat may be later.
 #[test]
 fn a_late_heartbeat_changes_nothing() {
-    let (sender, mut events) = mpsc::unbounded_channel();
-    let limits = RequestLimits::default();
-    let desk = Desk::new(limits, None, "vm-1".to_owned(), Metrics::default(), sender);
-    let registry = Registry::new(Arc::new(desk));
+    let (registry, mut events) = registry();
     registry.servers(News::All(vec![("i-1".to_owned(), server("ready", 4))]));
     registry.servers(News::Some(vec![keyed("i-1", &server("draining", 6))]));
     registry.servers(News::Some(vec![keyed("i-1", &server("ready", 5))]));
@@ -160,10 +157,7 @@
 /// A record of an endpoint can't be read. The others stay known.
 #[test]
 fn an_unreadable_entry_is_passed_over() {
-    let (sender, mut events) = mpsc::unbounded_channel();
-    let limits = RequestLimits::default();
-    let desk = Desk::new(limits, None, "vm-1".to_owned(), Metrics::default(), sender);
-    let registry = Registry::new(Arc::new(desk));
+    let (registry, mut events) = registry();
     let rows = vec![
         ("i-1".to_owned(), server("ready", 1)),
         ("i-2".to_owned(), b"{".to_vec()),
@@ -174,3 +168,57 @@
         Some(1)
     );
 }
+
+fn registry() -> (Registry, mpsc::UnboundedReceiver<Event>) {
+    let (sender, events) = mpsc::unbounded_channel();
+    let limits = RequestLimits::default();
+    let desk = Desk::new(limits, None, "vm-1".to_owned(), Metrics::default(), sender);
+    (Registry::new(Arc::new(desk)), events)
+}
+
+/// Returns what an endpoint says that started at a time.
+fn born(at: u64, state: &str, sequence: u64) -> Vec<u8> {
+    let mut said: serde_json::Value =
+        serde_json::from_slice(&server(state, sequence)).expect("it is JSON");
+    said["born"] = json!(at);
+    said.to_string().into_bytes()
+}
+
+/// An endpoint crashes and starts again under the name that it had; its heartbeats are counted from the beginning. Taken for
+/// late ones, they would leave it as it last was, leaving and without work, for as long as it lives.
+#[test]
+fn an_endpoint_that_starts_again_counts_anew() {
+    let (registry, mut events) = registry();
+    let all = vec![("i-1".to_owned(), born(1000, "draining", 400))];
+    registry.servers(News::All(all));
+    registry.servers(News::Some(vec![keyed("i-1", &born(9000, "ready", 1))]));
+    let newest = lists(&mut events).pop().expect("a list");
+    assert_eq!(newest.vms[0].state, VmState::Live);
+    // A heartbeat of its earlier life comes late.
+    registry.servers(News::Some(vec![keyed("i-1", &born(1000, "draining", 401))]));
+    assert!(lists(&mut events).is_empty());
+}
+
+/// Something else writes where endpoints list themselves: fields are missing or of another type, a state is none that is
+/// known, the bytes are no text. Such an entry names no endpoint, and the others are used as before.
+#[test]
+fn entries_that_cannot_be_read_name_no_endpoint() {
+    let bad: [&[u8]; 6] = [
+        b"\xff\xfe",
+        b"{}",
+        br#"{"service": 7, "address": "127.0.0.1:1", "zone": "z", "slots": 1, "state": "ready", "sequence": 1}"#,
+        br#"{"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 1, "state": "resting", "sequence": 1}"#,
+        br#"{"service": "s", "address": "127.0.0.1:1", "zone": "", "slots": 1, "state": "ready", "sequence": 1}"#,
+        br#"{"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 1, "state": "ready", "sequence": 1, "born": "noon"}"#,
+    ];
+    for value in bad {
+        let (registry, mut events) = registry();
+        let rows = [("i-1", server("ready", 4)), ("i-2", value.to_vec())];
+        let rows = rows.map(|(key, value)| (key.to_owned(), value));
+        registry.servers(News::All(rows.to_vec()));
+        registry.servers(News::Some(vec![keyed("i-3", value)]));
+        let newest = lists(&mut events).pop().expect("a list");
+        let names: Vec<_> = newest.vms.iter().map(|vm| vm.vm.to_string()).collect();
+        assert_eq!(names, ["i-1"], "{}", String::from_utf8_lossy(value));
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -68,6 +68,7 @@
 pub(crate) use event::Work;
 pub(crate) use members::CPU;
 pub(crate) use members::LINK;
+pub(crate) use pool::BORN;
 pub use problem::Problem;
 pub use problem::ProblemKind;
 pub use problem::Ran;
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -42,12 +42,17 @@
 /// The label that says how many requests an endpoint runs at once.
 const SLOTS: &str = "slots";
 
+/// The label that tells an endpoint's lives apart, where it may come back under its name.
+pub(crate) const BORN: &str = "born";
+
 /// A pool's endpoints and its queue.
 pub(crate) struct Pool {
     pub(crate) picker: Picker,
     pub(crate) queue: FairQueue<RequestId>,
     pub(crate) places: IndexMap<RequestId, Place>,
     pub(crate) addresses: IndexMap<VmId, SocketAddr>,
+    /// When the life of each endpoint began, if it says so.
+    lives: IndexMap<VmId, Option<String>>,
     /// The models that each endpoint last said it has.
     pub(crate) loaded: IndexMap<VmId, Vec<ModelId>>,
     engines: bool,
@@ -61,6 +66,7 @@
             queue: FairQueue::new(length, rng),
             places: IndexMap::new(),
             addresses: IndexMap::new(),
+            lives: IndexMap::new(),
             loaded: IndexMap::new(),
             engines: false,
             probed: None,
@@ -85,9 +91,16 @@
             .cloned()
             .collect();
         for vm in gone {
-            self.addresses.shift_remove(&vm);
-            self.picker.chooser.remove(&vm);
-            self.picker.health.remove(&vm);
+            self.forget(&vm);
+        }
+        for entry in &listed {
+            let life = entry.labels.get(BORN).map(str::to_owned);
+            let known = self.lives.get(&entry.vm);
+            if known.is_some_and(|known| *known != life) {
+                info!(event = "reborn", endpoint = %entry.vm, life);
+                self.forget(&entry.vm);
+            }
+            self.lives.insert(entry.vm.clone(), life);
         }
         for entry in listed {
             let vm = &entry.vm;
@@ -106,6 +119,17 @@
     }
 }
 
+impl Pool {
+    /// Forgets an endpoint that is gone, or of which a new life knows nothing of what it had read and how it was.
+    fn forget(&mut self, vm: &VmId) {
+        self.addresses.shift_remove(vm);
+        self.lives.shift_remove(vm);
+        self.loaded.shift_remove(vm);
+        self.picker.chooser.remove(vm);
+        self.picker.health.remove(vm);
+    }
+}
+
 impl Core {
     /// Brings all pools in line with the configuration and the VM list.
     pub(crate) fn rebuild_pools(&mut self, now: Instant) {
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod purse;
 mod random;
+mod reborn;
 mod refused;
 mod reincarnated;
 mod scattered;
--- /dev/null
+++ b/src/router/tests/reborn.rs
@@ -0,0 +1,46 @@
+//! Endpoints that start again under the name that they had.
+
+use crate::router::BORN;
+use crate::router::Event;
+use crate::router::tests::site::Site;
+use crate::router::tests::site::entry;
+use crate::vms::VmList;
+
+fn endpoint(site: &Site, born: &str) -> Event {
+    let list = site.core.members.vms.clone();
+    let mut vms = list.vms;
+    let engine = entry("engine-0", 9100, &[("pool", "pool"), (BORN, born)]);
+    vms[0] = engine;
+    Event::VmList(VmList {
+        as_of: list.as_of + 1,
+        vms,
+    })
+}
+
+fn load(site: &Site) -> Option<u32> {
+    let pool = site.core.pools.values().next().expect("a pool");
+    let vm = "engine-0".parse().expect("a name");
+    pool.picker.chooser.load(site.now, &vm)
+}
+
+/// An endpoint crashes with requests on it and is back under its name before their connections are known to be dead. Counted
+/// against its new life, they would keep work from it, and it would be thought to have prompts that it never read.
+#[test]
+fn a_new_life_begins_with_nothing() {
+    let mut site = Site::start(1_000_000);
+    let first = endpoint(&site, "1000");
+    site.tell(first);
+    for _ in 0..8 {
+        site.ask("stream", 100, 50);
+    }
+    assert!(load(&site).is_some_and(|load| load > 0));
+    let same = endpoint(&site, "1000");
+    site.tell(same);
+    assert!(
+        load(&site).is_some_and(|load| load > 0),
+        "it is the same life"
+    );
+    let again = endpoint(&site, "9000");
+    site.tell(again);
+    assert_eq!(load(&site), Some(0));
+}
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -119,7 +119,7 @@
     ))
 }
 
-fn entry(vm: &str, port: u16, role: &[(&str, &str)]) -> VmEntry {
+pub(crate) fn entry(vm: &str, port: u16, role: &[(&str, &str)]) -> VmEntry {
     let mut labels = Labels::default();
     role.iter()
         .for_each(|(name, value)| labels.set(name, value));
