Keep at most a quarter of a window's retries

Kept are a quarter of a window's retries, so that with four fifths of what all may make together no window has more than all of it.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -17,9 +17,13 @@
 /// Retries allowed a second, whatever the traffic: a quiet router would have none otherwise.
 const FLOOR: f64 = 1.0;
 
-/// How long unused retries may be kept: a burst of failures is covered, an outage is not.
+/// The time over which requests are counted, and in which retries are bounded.
 const WINDOW: f64 = 10.0;
 
+/// How long unused retries may be kept, so that at most a quarter more are made in one window than it allows: a burst of
+/// failures is covered, an outage is not. Kept for a whole window, they came on top of all that it allows itself.
+const KEPT: f64 = WINDOW / 4.0;
+
 /// The wait before the first retry: longer than a lost connection takes to be noticed in a site (5 ms), far shorter
 /// than the time to the first token.
 const BASE: Duration = Duration::from_millis(25);
@@ -41,7 +45,7 @@
     /// Makes a budget that allows a few retries at first.
     pub fn new(now: Instant) -> Self {
         Self {
-            left: FLOOR * WINDOW,
+            left: FLOOR * KEPT,
             rate: 0.0,
             at: now,
             share: SHARE,
@@ -92,7 +96,7 @@
     }
 
     fn most(&self) -> f64 {
-        (self.floor + self.rate * self.share) * WINDOW
+        ((self.floor + self.rate * self.share) * KEPT).max(1.0)
     }
 
     fn pass(&mut self, now: Instant) {
--- a/tests/decisions/each.rs
+++ b/tests/decisions/each.rs
@@ -313,6 +313,24 @@
     assert!((0..100).all(|_| budget.backoff(3, &mut rng) < ms(100)));
 }
 
+/// All endpoints are well for half a minute and then fail together. The retries that were not needed before come on top of
+/// those that are allowed meanwhile; were they as many, endpoints would be sent twice what they may be in ten seconds.
+#[test]
+fn saved_retries_are_a_quarter_of_a_window() {
+    let mut now = start();
+    let mut budget = RetryBudget::new(now);
+    let mut retries = 0;
+    for at in 0..4000 {
+        now += ms(10);
+        budget.request(now);
+        while at >= 3000 && budget.try_retry(now) {
+            retries += 1;
+        }
+    }
+    // Ten seconds of a hundred requests each, a tenth of them, and one a second.
+    assert!((110..=140).contains(&retries), "{retries}");
+}
+
 /// A budget drains. A router draws while there is plenty, and gives back what would strand when little is left.
 #[test]
 fn holdings_follow_the_budget() {
