--- /dev/null
+++ b/src/decide/opening.rs
@@ -0,0 +1,47 @@
+//! How fast what a router holds of a budget opens for use while the log says nothing.
+//!
+//! Answers two patterns that pull apart: a cut from the log, in which routers live on what they hold, and the death of many
+//! routers at once, after which nobody knows what they had used. What might have been used is lost to the team; so the slower
+//! it opens, the less is stranded, and the sooner callers are refused in a cut. Opened at once, all that nine routers held was
+//! stranded when they lost their power: a tenth of all budgets and more. Spread over the time that a cut lasts, it is what
+//! the routers would have used in the second or two that they were down, and a cut is ridden all the same.
+
+use std::time::Duration;
+
+use crate::tokens::TokenRate;
+use crate::tokens::Tokens;
+
+/// How much demand may be used at once beyond what was in use when a promise was written. A request that needs more waits
+/// some milliseconds for the next promise; half a second of demand, and two requests, stranded a fourteenth of all budgets
+/// at a death of all routers.
+const ROOM: Duration = Duration::from_millis(100);
+
+/// How much faster than its demand a router promises to use its grants at most. In a cut, bursts beyond it are refused; where
+/// a router dies, each tenth more strands a tenth of a second of its demand for each second that it is down.
+const HASTE: f64 = 1.1;
+
+/// After how long in a cut all that is held may be used, whatever the demand was before: callers that move to this router,
+/// and others that borrow, bring their own.
+const OPENED: Duration = Duration::from_secs(40);
+
+/// What opens of a holding.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opening {
+    /// How much at once, beyond what is in use.
+    pub room: Tokens,
+    /// How much more each second.
+    pub rate: TokenRate,
+}
+
+/// Decides how a holding opens of which so much is not in use, with a demand in tokens a second, where a cut may last so
+/// long.
+pub fn opening(demand: f64, held: Tokens, cut: Duration) -> Opening {
+    let held = held.0 as f64;
+    let spread = held / cut.as_secs_f64();
+    let rate = (demand * HASTE).min(spread);
+    let rate = rate.max(held / OPENED.as_secs_f64());
+    Opening {
+        room: Tokens((demand * ROOM.as_secs_f64()) as u64),
+        rate: TokenRate(rate as u64),
+    }
+}
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -8,16 +8,12 @@
 use tracing::warn;
 
 use crate::config::RouteTable;
-use crate::decide::Action;
 use crate::decide::HoldingPolicy;
 use crate::decide::Lean;
 use crate::decide::Ration;
-use crate::decide::Share;
 use crate::escrow::Book;
-use crate::escrow::Change;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
-use crate::escrow::Pace;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::TeamId;
@@ -29,7 +25,7 @@
 use crate::router::event::GrantEvent;
 use crate::router::loans::Lender;
 use crate::router::rationing::Others;
-use crate::tokens::TokenRate;
+use crate::router::review::Stay;
 use crate::tokens::Tokens;
 
 /// How much demand a grant covers: the longest time that all routers were seen parted from the log at once (9 s), and a
@@ -37,7 +33,7 @@
 pub(super) const COVER: Duration = Duration::from_secs(10);
 
 /// How much all routers together hold for each token undrawn: two thirds of what is left can be spent in a cut from the log.
-/// What is held is not lost where a router dies: [`Pace`] says why. With 1 a calm day with two cuts of eight seconds has 0.02
+/// What is held is not lost where a router dies, since it opens slowly. With 1 a calm day with two cuts of eight seconds has 0.02
 /// of its worth less, with 4 the routers that run low find less undrawn.
 const HELD: f64 = 2.0;
 
@@ -45,36 +41,9 @@
 /// measured.
 const AVAILABLE_HELD: f64 = 2.7;
 
-/// How much demand may be used at once beyond what was in use when a promise was written. A request that needs more waits
-/// some milliseconds for the next promise; half a second of demand, and two requests, stranded a fourteenth of all budgets
-/// at a death of all routers.
-const ROOM: Duration = Duration::from_millis(100);
-
-/// How much faster than its demand a router promises to use its grants at most. In a cut, bursts beyond it are refused; where
-/// a router dies, each tenth more strands a tenth of a second of its demand for each second that it is down.
-const HASTE: f64 = 1.1;
-
-/// After how long in a cut all that is held may be used, whatever the demand was before: callers that move to this router,
-/// and others that borrow, bring their own.
-const OPENED: Duration = Duration::from_secs(40);
-
 /// For how long the demand of more urgent requests is kept open in a cut. What they use opens again sooner than they come.
 const KEPT_OPEN: Duration = Duration::from_millis(500);
 
-/// A promise is written anew at a review where the rate that it should allow has changed by more than this part.
-const RATE_CHANGE: f64 = 0.25;
-
-/// How much demand a router that is told to stop still holds: what its last callers ask for until they are told of others.
-const FADING_COVER: Duration = Duration::from_secs(2);
-
-/// How often grants are brought to what the policy wants and promises are written anew, though no request waits. What a
-/// router may use between two promises is stranded where it dies; a call costs as much as a hundredth of a request's worth.
-const REVIEW: Duration = Duration::from_millis(300);
-
-/// How often all routers together do so at most: each of a larger fleet does so less often. All write to one partition, each
-/// on the condition that no other did meanwhile, and who fails reads and writes again.
-const FLEET_REVIEW: Duration = Duration::from_millis(33);
-
 /// How long a request waits for a grant: a read and a write at a log that takes a hundred milliseconds each.
 const WAIT: Duration = Duration::from_millis(400);
 
@@ -111,23 +80,12 @@
     Kept,
 }
 
-/// Whether a router goes on, as far as its budgets are concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Stay {
-    /// It does.
-    Staying,
-    /// It was told to stop: callers still come, fewer and fewer, and what they don't need goes back.
-    Fading,
-    /// All that no request in progress needs goes back.
-    Leaving,
-}
-
 /// What a router may spend.
 #[derive(Debug)]
 pub(crate) struct Funds {
     pub(super) book: Book,
     pub(super) allowances: IndexMap<TeamId, Allowance>,
-    policy: HoldingPolicy,
+    pub(super) policy: HoldingPolicy,
     /// Whether a call is on its way.
     busy: bool,
     /// Whether the partition is known to have moved on.
@@ -143,9 +101,9 @@
     /// When the book was last known to be up to date.
     pub(super) fresh: Option<Instant>,
     /// When grants were last brought to what the policy wants.
-    reviewed: Option<Instant>,
+    pub(super) reviewed: Option<Instant>,
     pub(super) stay: Stay,
-    clock: BootClock,
+    pub(super) clock: BootClock,
 }
 
 impl Funds {
@@ -361,27 +319,6 @@
         Some(effect)
     }
 
-    /// Begins to give back what callers that still come won't need.
-    pub(crate) fn fade(&mut self) {
-        self.stay = Stay::Fading;
-        self.reviewed = None;
-    }
-
-    /// Begins to give back what no request in progress needs.
-    pub(crate) fn leave(&mut self) {
-        self.stay = Stay::Leaving;
-        self.reviewed = None;
-    }
-
-    /// Returns whether all that is not in use was given back.
-    pub(crate) fn left_all(&self) -> bool {
-        let teams = self.allowances.keys();
-        let mut idle = teams.map(|team| self.held(team).min(self.book.granted(team)));
-        let giving = self.allowances.values().any(|a| a.loans.is_giving());
-        let settled = self.book.pending().is_none() || self.failures > 0;
-        settled && !giving && idle.all(|idle| idle == Tokens::ZERO)
-    }
-
     fn next_call(&mut self, now: Instant, lenders: &[Lender]) -> Option<Effect> {
         let Some(end) = self.book.end() else {
             return Some(Effect::ReadGrants(None));
@@ -419,106 +356,6 @@
         (waiting && stale).then_some(Effect::ReadGrants(Some(end)))
     }
 
-    fn is_review_due(&self, now: Instant) -> bool {
-        let routers = u32::try_from(self.lenders().len() + 1).unwrap_or(u32::MAX);
-        let interval = FLEET_REVIEW.saturating_mul(routers).max(REVIEW);
-        self.reviewed.is_none_or(|at| now >= at + interval)
-    }
-
-    /// Returns the grants that the policy wants changed, and those whose promise is to be written anew: all that changed at a
-    /// review, and those that keep a request waiting.
-    fn changes(&self, now: Instant, due: bool, lenders: &[Lender]) -> Vec<Change> {
-        let changes = self.allowances.iter().filter_map(|(team, allowance)| {
-            let old = self.book.granted(team);
-            let granted = self.wanted_grant(now, team, allowance, lenders);
-            let promise = self.promise(now, team, allowance, granted);
-            let renewed = match due {
-                true => self.is_outdated(team, &promise),
-                false => allowance.wanted() > self.available(now, team),
-            };
-            let row = GrantRow {
-                granted,
-                spent: allowance.spent,
-                pace: Some(promise),
-            };
-            let covered = allowance.wanted() <= self.held(team);
-            let change = granted != old || renewed && (due || covered);
-            change.then(|| Change {
-                team: team.clone(),
-                row,
-            })
-        });
-        changes.collect()
-    }
-
-    /// Returns what a grant should be.
-    fn wanted_grant(
-        &self,
-        now: Instant,
-        team: &TeamId,
-        allowance: &Allowance,
-        lenders: &[Lender],
-    ) -> Tokens {
-        let granted = self.book.granted(team);
-        let free = self.held(team);
-        if self.stay != Stay::Staying && allowance.waiting.is_empty() {
-            let kept = self.kept_by_leaver(now, allowance);
-            return granted - free.saturating_sub(kept).min(granted);
-        }
-        let share = Share {
-            free,
-            claimed: allowance.reserved,
-            undrawn: self.book.undrawn(team, allowance.prepaid),
-            routers: lenders.len() + 1,
-            demand: allowance.rate(now),
-            team: allowance.rate(now) + lenders.iter().map(|l| l.demand(team)).sum::<f64>(),
-            wanted: allowance.wanted(),
-            reachable: true,
-        };
-        match self.policy.decide(&share) {
-            Action::Draw(amount) => granted + amount,
-            Action::Return(amount) => granted - amount.min(free).min(granted),
-            Action::None => granted,
-        }
-    }
-
-    /// Returns what a router that stops holds on to, beyond what is in use.
-    fn kept_by_leaver(&self, now: Instant, allowance: &Allowance) -> Tokens {
-        match self.stay {
-            Stay::Fading => Tokens((allowance.rate(now) * FADING_COVER.as_secs_f64()) as u64),
-            Stay::Staying | Stay::Leaving => Tokens::ZERO,
-        }
-    }
-
-    /// Returns the promise that goes with a grant.
-    fn promise(&self, now: Instant, team: &TeamId, allowance: &Allowance, granted: Tokens) -> Pace {
-        let demand = allowance.rate(now);
-        let drawn = granted.saturating_sub(self.book.granted(team));
-        let free = self.held(team).saturating_add(drawn).0 as f64;
-        // What is held is to last as long as a cut may.
-        let spread = free / COVER.as_secs_f64();
-        let rate = (demand * HASTE).min(spread);
-        let rate = rate.max(free / OPENED.as_secs_f64());
-        let room = demand * ROOM.as_secs_f64();
-        Pace {
-            made: self.clock.at(now),
-            used: allowance.in_use(),
-            room: allowance.wanted().saturating_add(Tokens(room as u64)),
-            rate: TokenRate(rate as u64),
-        }
-    }
-
-    /// Returns whether the promise that stands is no longer what it should be.
-    fn is_outdated(&self, team: &TeamId, new: &Pace) -> bool {
-        let row = self.book.row(team);
-        let Some(old) = row.pace else {
-            return row.granted > Tokens::ZERO;
-        };
-        let rate = old.rate.0.abs_diff(new.rate.0) as f64;
-        row.granted > new.used.min(old.used)
-            && (old.used != new.used || rate > old.rate.0 as f64 * RATE_CHANGE)
-    }
-
     /// Reads all anew: the log let go of records that were not read.
     fn gone(&mut self) {
         warn!(event = "grants-gone");
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -11,8 +11,8 @@
 use crate::router::event::LoanAsk;
 use crate::router::event::PurseWord;
 use crate::router::funds::Funds;
-use crate::router::funds::Stay;
 use crate::router::loans::Lender;
+use crate::router::review::Stay;
 use crate::tokens::Tokens;
 
 /// How long the log goes before other routers, where what a request needs is undrawn.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -32,6 +32,7 @@
 mod refuse;
 mod relay;
 mod request;
+mod review;
 mod run;
 mod statement;
 mod stream;
--- /dev/null
+++ b/src/router/review.rs
@@ -0,0 +1,161 @@
+//! Reviews: what each grant of this router should be, and what it promises.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::decide;
+use crate::decide::Action;
+use crate::decide::Share;
+use crate::escrow::Change;
+use crate::escrow::GrantRow;
+use crate::escrow::Pace;
+use crate::ids::TeamId;
+use crate::router::allowance::Allowance;
+use crate::router::funds::COVER;
+use crate::router::funds::Funds;
+use crate::router::loans::Lender;
+use crate::tokens::Tokens;
+
+/// A promise is written anew at a review where the rate that it should allow has changed by more than this part.
+const RATE_CHANGE: f64 = 0.25;
+
+/// How much demand a router that is told to stop still holds: what its last callers ask for until they are told of others.
+const FADING_COVER: Duration = Duration::from_secs(2);
+
+/// How often grants are brought to what the policy wants and promises are written anew, though no request waits. What a
+/// router may use between two promises is stranded where it dies; a call costs as much as a hundredth of a request's worth.
+const REVIEW: Duration = Duration::from_millis(300);
+
+/// How often all routers together do so at most: each of a larger fleet does so less often. All write to one partition, each
+/// on the condition that no other did meanwhile, and who fails reads and writes again.
+const FLEET_REVIEW: Duration = Duration::from_millis(33);
+
+/// Whether a router goes on, as far as its budgets are concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stay {
+    /// It does.
+    Staying,
+    /// It was told to stop: callers still come, fewer and fewer, and what they don't need goes back.
+    Fading,
+    /// All that no request in progress needs goes back.
+    Leaving,
+}
+
+impl Funds {
+    /// Begins to give back what callers that still come won't need.
+    pub(crate) fn fade(&mut self) {
+        self.stay = Stay::Fading;
+        self.reviewed = None;
+    }
+
+    /// Begins to give back what no request in progress needs.
+    pub(crate) fn leave(&mut self) {
+        self.stay = Stay::Leaving;
+        self.reviewed = None;
+    }
+
+    /// Returns whether all that is not in use was given back.
+    pub(crate) fn left_all(&self) -> bool {
+        let teams = self.allowances.keys();
+        let mut idle = teams.map(|team| self.held(team).min(self.book.granted(team)));
+        let giving = self.allowances.values().any(|a| a.loans.is_giving());
+        let settled = self.book.pending().is_none() || self.failures > 0;
+        settled && !giving && idle.all(|idle| idle == Tokens::ZERO)
+    }
+
+    /// Returns whether grants are to be looked over.
+    pub(super) fn is_review_due(&self, now: Instant) -> bool {
+        let routers = u32::try_from(self.lenders().len() + 1).unwrap_or(u32::MAX);
+        let interval = FLEET_REVIEW.saturating_mul(routers).max(REVIEW);
+        self.reviewed.is_none_or(|at| now >= at + interval)
+    }
+
+    /// Returns the grants that the policy wants changed, and those whose promise is to be written anew: all that changed at a
+    /// review, and those that keep a request waiting.
+    pub(super) fn changes(&self, now: Instant, due: bool, lenders: &[Lender]) -> Vec<Change> {
+        let changes = self.allowances.iter().filter_map(|(team, allowance)| {
+            let old = self.book.granted(team);
+            let granted = self.wanted_grant(now, team, allowance, lenders);
+            let promise = self.promise(now, team, allowance, granted);
+            let renewed = match due {
+                true => self.is_outdated(team, &promise),
+                false => allowance.wanted() > self.available(now, team),
+            };
+            let row = GrantRow {
+                granted,
+                spent: allowance.spent,
+                pace: Some(promise),
+            };
+            let covered = allowance.wanted() <= self.held(team);
+            let change = granted != old || renewed && (due || covered);
+            change.then(|| Change {
+                team: team.clone(),
+                row,
+            })
+        });
+        changes.collect()
+    }
+
+    /// Returns what a grant should be.
+    fn wanted_grant(
+        &self,
+        now: Instant,
+        team: &TeamId,
+        allowance: &Allowance,
+        lenders: &[Lender],
+    ) -> Tokens {
+        let granted = self.book.granted(team);
+        let free = self.held(team);
+        if self.stay != Stay::Staying && allowance.waiting.is_empty() {
+            let kept = self.kept_by_leaver(now, allowance);
+            return granted - free.saturating_sub(kept).min(granted);
+        }
+        let share = Share {
+            free,
+            claimed: allowance.reserved,
+            undrawn: self.book.undrawn(team, allowance.prepaid),
+            routers: lenders.len() + 1,
+            demand: allowance.rate(now),
+            team: allowance.rate(now) + lenders.iter().map(|l| l.demand(team)).sum::<f64>(),
+            wanted: allowance.wanted(),
+            reachable: true,
+        };
+        match self.policy.decide(&share) {
+            Action::Draw(amount) => granted + amount,
+            Action::Return(amount) => granted - amount.min(free).min(granted),
+            Action::None => granted,
+        }
+    }
+
+    /// Returns what a router that stops holds on to, beyond what is in use.
+    fn kept_by_leaver(&self, now: Instant, allowance: &Allowance) -> Tokens {
+        match self.stay {
+            Stay::Fading => Tokens((allowance.rate(now) * FADING_COVER.as_secs_f64()) as u64),
+            Stay::Staying | Stay::Leaving => Tokens::ZERO,
+        }
+    }
+
+    /// Returns the promise that goes with a grant.
+    fn promise(&self, now: Instant, team: &TeamId, allowance: &Allowance, granted: Tokens) -> Pace {
+        let drawn = granted.saturating_sub(self.book.granted(team));
+        let held = self.held(team).saturating_add(drawn);
+        let opening = decide::opening(allowance.rate(now), held, COVER);
+        Pace {
+            made: self.clock.at(now),
+            used: allowance.in_use(),
+            room: allowance.wanted().saturating_add(opening.room),
+            rate: opening.rate,
+        }
+    }
+
+    /// Returns whether the promise that stands is no longer what it should be.
+    fn is_outdated(&self, team: &TeamId, new: &Pace) -> bool {
+        let row = self.book.row(team);
+        let Some(old) = row.pace else {
+            return row.granted > Tokens::ZERO;
+        };
+        let rate = old.rate.0.abs_diff(new.rate.0) as f64;
+        row.granted > new.used.min(old.used)
+            && (old.used != new.used || rate > old.rate.0 as f64 * RATE_CHANGE)
+    }
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod herd;
 mod load;
+mod opening;
 mod poison;
 mod prefill;
 mod ration;
