--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -33,8 +33,8 @@
 pub(super) const COVER: Duration = Duration::from_secs(10);
 
 /// How much all routers together hold for each token undrawn: two thirds of what is left can be spent in a cut from the log.
-/// What is held is not lost where a router dies, since it opens slowly. With 1 a calm day with two cuts of eight seconds has 0.02
-/// of its worth less, with 4 the routers that run low find less undrawn.
+/// What is held is not lost where a router dies, since it opens slowly. With 1 a calm day with two cuts of eight seconds has
+/// 0.02 of its worth less, with 4 the routers that run low find less undrawn.
 const HELD: f64 = 2.0;
 
 /// The same, for a deployment that leans to availability: a third more, as where budgets are kept by the ledger. It was not
