Have a few routers keep the budgets of a large fleet, and the others borrow from them

With 195 routers and 40 teams each router is asked for a team once in nine seconds. Now sixteen routers, drawn by size from the list of VMs, keep all budgets, three of them each team's; the others borrow what a request needs and give back what it leaves over. Fleets of up to sixteen go on as before.

--- a/src/decide/capacity.rs
+++ b/src/decide/capacity.rs
@@ -21,8 +21,20 @@
 }
 
 impl Capacity {
+    /// Returns the largest processor and the largest link of several.
+    pub(crate) fn most<I>(of: I) -> Self
+    where
+        I: IntoIterator<Item = Self>,
+    {
+        let none = Self { cpu: 1, link: 1 };
+        of.into_iter().fold(none, |most, one| Self {
+            cpu: most.cpu.max(one.cpu),
+            link: most.link.max(one.link),
+        })
+    }
+
     /// Returns how large it is against the largest processor and link, up to 1.
-    fn part(self, most: Self) -> f64 {
+    pub(crate) fn part(self, most: Self) -> f64 {
         let cpu = f64::from(self.cpu) / f64::from(most.cpu.max(1));
         let link = f64::from(self.link) / f64::from(most.link.max(1));
         cpu.min(link)
@@ -34,10 +46,7 @@
 where
     R: Rng,
 {
-    let most = Capacity {
-        cpu: from.iter().map(|(of, _)| of.cpu).max().unwrap_or(1),
-        link: from.iter().map(|(of, _)| of.link).max().unwrap_or(1),
-    };
+    let most = Capacity::most(from.iter().map(|(of, _)| *of));
     let mut parts: Vec<_> = from.iter().map(|(of, _)| of.part(most)).collect();
     parts.sort_by(|a, b| b.total_cmp(a));
     // The largest few are always named.
--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -6,6 +6,8 @@
 
 use crate::decide::Ration;
 use crate::ids::RequestId;
+use crate::router::event::AdminId;
+use crate::router::event::LoanAsk;
 use crate::router::loans::Loans;
 use crate::tokens::Tokens;
 
@@ -25,10 +27,19 @@
 /// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
 const LEAST_AGE: Duration = Duration::from_millis(1000);
 
-/// A request that waits for budget.
+/// Who waits for budget.
+#[derive(Clone, Debug)]
+pub(crate) enum Waiter {
+    /// A request of this router's.
+    Request(RequestId),
+    /// Another router, for which this one keeps the budget.
+    Loan(AdminId, LoanAsk),
+}
+
+/// Something that waits for budget.
 #[derive(Debug)]
 pub(crate) struct Waiting {
-    pub(crate) request: RequestId,
+    pub(crate) who: Waiter,
     pub(crate) amount: Tokens,
     /// How urgent it is, 0 being first.
     pub(crate) priority: u8,
@@ -100,6 +111,12 @@
         }
     }
 
+    /// Returns how much of the grant is gone: spent here, or lent to others, which spend it without a word to the log.
+    pub(crate) fn gone(&self) -> Tokens {
+        let gone = self.spent.saturating_add(self.loans.lent());
+        gone.saturating_sub(self.loans.borrowed())
+    }
+
     /// Returns how much of the grant is in use: spent, reserved and lent, less what was borrowed.
     pub(crate) fn in_use(&self) -> Tokens {
         let gone = self.reserved.saturating_add(self.spent);
@@ -107,6 +124,12 @@
         gone.saturating_sub(self.loans.borrowed())
     }
 
+    /// Returns how urgent the most urgent one is that waits, 0 being first.
+    pub(crate) fn most_urgent(&self) -> u8 {
+        let waiting = self.waiting.iter().map(|waiting| waiting.priority);
+        waiting.min().unwrap_or(u8::MAX)
+    }
+
     /// Returns what the requests that wait may cost together.
     pub(crate) fn wanted(&self) -> Tokens {
         self.waiting.iter().map(|waiting| waiting.amount).sum()
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -400,6 +400,8 @@
     pub(crate) team: TeamId,
     /// How much would help.
     pub(crate) amount: Tokens,
+    /// How urgent the most urgent request is that needs it, 0 being first.
+    pub(crate) priority: u8,
 }
 
 /// Batches that a router could not append itself.
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -8,6 +8,7 @@
 use tracing::warn;
 
 use crate::config::RouteTable;
+use crate::decide::Candidate;
 use crate::decide::HoldingPolicy;
 use crate::decide::Lean;
 use crate::decide::Ration;
@@ -20,9 +21,12 @@
 use crate::ids::VmId;
 use crate::moment::BootClock;
 use crate::router::allowance::Allowance;
+use crate::router::allowance::Waiter;
 use crate::router::allowance::Waiting;
 use crate::router::effect::Effect;
+use crate::router::effect::Peer;
 use crate::router::event::GrantEvent;
+use crate::router::keeping::Keeping;
 use crate::router::rationing::Others;
 use crate::router::review::Stay;
 use crate::tokens::Tokens;
@@ -46,6 +50,14 @@
 /// How long a request waits for a grant: a read and a write at a log that takes a hundred milliseconds each.
 const WAIT: Duration = Duration::from_millis(400);
 
+/// How long another router's question for a loan waits: it is repeated once, and after a fifth of a second its sender has
+/// given up, so that what was lent later would be lost.
+const LOAN_WAIT: Duration = Duration::from_millis(150);
+
+/// What part of a budget may lie at routers that borrowed it and count as spent, though it will come back: a request a
+/// second at each of two hundred routers gives back a fiftieth. A caller is told that the budget is spent only beyond that.
+const IN_TRANSIT: u64 = 50;
+
 /// How old the router's word from the log may be to tell a caller that a budget is spent.
 const FRESH: Duration = Duration::from_millis(500);
 
@@ -103,6 +115,10 @@
     pub(super) reviewed: Option<Instant>,
     pub(super) stay: Stay,
     pub(super) clock: BootClock,
+    /// Who keeps budgets for others.
+    pub(super) keeping: Keeping,
+    /// When idle budget was last given back to those that keep it.
+    pub(super) gave_back: Option<Instant>,
 }
 
 impl Funds {
@@ -128,15 +144,25 @@
             reviewed: None,
             stay: Stay::Staying,
             clock,
+            keeping: Keeping::default(),
+            gave_back: None,
         }
     }
 
+    /// Takes over who the routers are, and with that who keeps budgets for others.
+    pub(crate) fn seat(&mut self, me: &VmId, routers: Vec<Candidate>, peers: &[Peer]) {
+        self.keeping.seat(me, routers, peers);
+    }
+
     /// Takes over what the teams prepaid. A budget never shrinks, and a team that is gone keeps what it used.
     pub(crate) fn prepaid(&mut self, table: &RouteTable) {
         for payer in table.payers() {
             let Some(prepaid) = payer.prepaid else {
                 continue;
             };
+            if !self.allowances.contains_key(&payer.team) {
+                self.keeping.add(&payer.team);
+            }
             let allowance = self.allowances.entry(payer.team.clone());
             let allowance = allowance.or_insert_with(Allowance::new);
             if prepaid > allowance.prepaid {
@@ -196,16 +222,20 @@
         }
     }
 
-    /// Reserves for the requests that wait and can be covered now, and returns them. A small one may pass a large one: the
-    /// large one is refused if it can't be had, not the small one.
-    pub(crate) fn funded(&mut self, now: Instant) -> Vec<RequestId> {
+    /// Reserves for those that wait and can be covered now, and returns them and what they get. A small one may pass a large
+    /// one: the large one is refused if it can't be had, not the small one.
+    pub(crate) fn funded(&mut self, now: Instant) -> Vec<(Waiter, Tokens)> {
         let mut funded = Vec::new();
         for team in self.waiting_teams() {
             let available = self.available(now, &team);
             let mut taken = Tokens::ZERO;
             let away = self.away.is_some();
             let Allowance {
-                waiting, ration, ..
+                waiting,
+                ration,
+                loans,
+                reserved,
+                ..
             } = &mut self.allowances[&team];
             waiting.retain(|waiting| {
                 let kept = kept_open(away, now, ration, waiting.priority);
@@ -214,16 +244,22 @@
                     return true;
                 }
                 taken += waiting.amount;
-                funded.push(waiting.request);
+                let amount = match &waiting.who {
+                    Waiter::Request(_) => {
+                        *reserved += waiting.amount;
+                        waiting.amount
+                    }
+                    Waiter::Loan(_, ask) => loans.lend(ask, waiting.amount),
+                };
+                funded.push((waiting.who.clone(), amount));
                 false
             });
-            self.allowances[&team].reserved += taken;
         }
         funded
     }
 
     /// Returns the requests that can't have their budget, or not in time, and why.
-    pub(crate) fn unfunded(&mut self, now: Instant) -> Vec<(RequestId, Unfunded)> {
+    pub(crate) fn unfunded(&mut self, now: Instant) -> Vec<(Waiter, Unfunded)> {
         let mut unfunded = Vec::new();
         for team in self.waiting_teams() {
             let left = self.left(&team);
@@ -234,6 +270,11 @@
             let away = self.failures > 0 || self.book.end().is_none();
             self.allowances[&team].waiting.retain(|waiting| {
                 let asked = fresh.is_some_and(|at| at + FRESH >= waiting.since);
+                let loan = matches!(waiting.who, Waiter::Loan(..));
+                if loan && now >= waiting.since + LOAN_WAIT {
+                    unfunded.push((waiting.who.clone(), Unfunded::Held));
+                    return false;
+                }
                 if borrows {
                     return true;
                 }
@@ -246,7 +287,7 @@
                     _ if now >= waiting.since + WAIT => Unfunded::Held,
                     _ => return true,
                 };
-                unfunded.push((waiting.request, why));
+                unfunded.push((waiting.who.clone(), why));
                 false
             });
         }
@@ -256,9 +297,8 @@
     /// Takes a request out of those that wait.
     pub(crate) fn forget(&mut self, team: &TeamId, request: RequestId) {
         if let Some(allowance) = self.allowances.get_mut(team) {
-            allowance
-                .waiting
-                .retain(|waiting| waiting.request != request);
+            let is_it = |who: &Waiter| matches!(who, Waiter::Request(id) if *id == request);
+            allowance.waiting.retain(|waiting| !is_it(&waiting.who));
         }
     }
 
@@ -338,7 +378,8 @@
         if leaves && stale {
             return Some(Effect::ReadGrants(Some(end)));
         }
-        let waiting = !self.waiting_teams().is_empty();
+        let waiting = self.waiting_teams();
+        let waiting = waiting.iter().any(|team| !self.is_kept(now, team));
         let due = self.is_review_due(now) || leaves;
         if !waiting && !due {
             return None;
@@ -410,7 +451,7 @@
     }
 
     /// Returns what a request of a priority can reserve now.
-    fn open_to(&self, now: Instant, team: &TeamId, priority: u8) -> Tokens {
+    pub(super) fn open_to(&self, now: Instant, team: &TeamId, priority: u8) -> Tokens {
         let away = self.away.is_some();
         let allowance = self.allowances.get(team);
         let kept = allowance.map(|a| kept_open(away, now, &a.ration, priority));
@@ -447,7 +488,14 @@
         self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
             let here = allowance.spent.saturating_add(allowance.reserved);
             let used = here.saturating_add(self.book.others_spent(team));
-            allowance.prepaid.saturating_sub(used)
+            let in_transit = match self.keeping.is_everyone() {
+                true => Tokens::ZERO,
+                false => Tokens(allowance.prepaid.0 / IN_TRANSIT),
+            };
+            allowance
+                .prepaid
+                .saturating_sub(used)
+                .saturating_add(in_transit)
         })
     }
 }
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -13,6 +13,7 @@
 use crate::decide;
 use crate::ids::DomainId;
 use crate::ids::RequestId;
+use crate::router::allowance::Waiter;
 use crate::router::allowance::Waiting;
 use crate::router::core::Core;
 use crate::router::core::Phase;
@@ -27,6 +28,7 @@
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
 use crate::router::request::Stake;
+use crate::tokens::Tokens;
 
 /// When a caller may come back whose budget others hold: they give back what lies idle at their next review.
 const HELD_RETRY: Duration = Duration::from_millis(1000);
@@ -84,7 +86,7 @@
             }
             Reserve::Short => {
                 let waiting = Waiting {
-                    request: id,
+                    who: Waiter::Request(id),
                     amount,
                     priority,
                     since: now,
@@ -97,12 +99,23 @@
 
     /// Sends on the requests that have their budget now, refuses those that can't have it, and asks the log for more.
     pub(crate) fn step_funds(&mut self, now: Instant) {
-        for id in self.funds.funded(now) {
-            self.requests[&id].stake = Stake::Funded;
-            self.enqueue(now, id);
+        for (who, amount) in self.funds.funded(now) {
+            match who {
+                Waiter::Request(id) => {
+                    self.requests[&id].stake = Stake::Funded;
+                    self.enqueue(now, id);
+                }
+                Waiter::Loan(id, _) => self.answer_loan(id, amount),
+            }
         }
-        for (id, why) in self.funds.unfunded(now) {
-            self.refuse_unfunded(now, id, why);
+        for (who, why) in self.funds.unfunded(now) {
+            match who {
+                Waiter::Request(id) => self.refuse_unfunded(now, id, why),
+                Waiter::Loan(id, ask) => {
+                    let amount = self.funds.lend_open(now, &ask);
+                    self.answer_loan(id, amount);
+                }
+            }
         }
         if self.funds.listens(now) {
             let words = self.members.budget_words(now);
@@ -115,6 +128,8 @@
         self.effects.extend(call);
         let loans = self.funds.borrow(now, self.me);
         self.effects.extend(loans);
+        let rests = self.funds.give_back(now, self.me);
+        self.effects.extend(rests);
         let gifts = self.funds.hand_over(now, self.me);
         self.effects.extend(gifts);
     }
@@ -130,7 +145,12 @@
 
     /// Answers another router's question for a loan.
     pub(crate) fn loan_asked(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) {
-        let amount = self.funds.lend(now, ask);
+        if let Some(amount) = self.funds.lend(now, id, ask) {
+            self.answer_loan(id, amount);
+        }
+    }
+
+    fn answer_loan(&mut self, id: AdminId, amount: Tokens) {
         self.effects.push(Effect::Answer(id, 200, json!(amount)));
     }
 
@@ -172,11 +192,16 @@
         let members = &self.members;
         let mut addresses: Vec<_> = peers
             .into_iter()
-            .map(|peer| (members.capacity(&peer.vm), (peer.domain, peer.address)))
+            .map(|peer| {
+                (
+                    members.roster.capacity(&peer.vm),
+                    (peer.domain, peer.address),
+                )
+            })
             .collect();
         if self.serving() {
             let own = (self.tuning.domain.clone(), self.tuning.address.clone());
-            addresses.push((members.capacity(&self.tuning.vm), own));
+            addresses.push((members.roster.capacity(&self.tuning.vm), own));
         }
         addresses.sort_by_key(|(_, (at, _))| at != domain);
         let drawn = decide::draw_by_capacity(addresses, &mut self.rng);
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -6,11 +6,16 @@
 use tracing::info;
 
 use crate::ids::Incarnation;
+use crate::ids::TeamId;
+use crate::router::allowance::Waiter;
+use crate::router::allowance::Waiting;
 use crate::router::effect::Effect;
+use crate::router::event::AdminId;
 use crate::router::event::Gift;
 use crate::router::event::LoanAsk;
 use crate::router::event::PurseWord;
 use crate::router::funds::Funds;
+use crate::router::loans::Wanted;
 use crate::router::review::Stay;
 use crate::tokens::Tokens;
 
@@ -24,12 +29,21 @@
 /// How much of its own demand a lender keeps.
 const KEPT: Duration = Duration::from_secs(1);
 
+/// How often a router looks for what it may give back to those that keep budgets: seldom enough that a caller's next request
+/// may find it, often enough that little lies idle at two hundred routers.
+const GIVE_BACK: Duration = Duration::from_millis(500);
+
 impl Funds {
     /// Asks other routers for what can't be had from the log now.
     pub(crate) fn borrow(&mut self, now: Instant, me: Incarnation) -> Vec<Effect> {
         let mut effects = Vec::new();
         for team in self.waiting_teams() {
             let hopeful = self.failures == 0 && self.reach(&team) > self.available(now, &team);
+            let keepers = self.keeping.keepers(&team);
+            if self.allowances[&team].loans.may_ask_keeper(now, keepers) {
+                effects.extend(self.borrow_kept(now, me, &team));
+                continue;
+            }
             let allowance = &mut self.allowances[&team];
             let first = allowance
                 .waiting
@@ -40,21 +54,70 @@
                 continue;
             }
             let ahead = Tokens((allowance.rate(now) * AHEAD.as_secs_f64()) as u64);
-            let wanted = allowance.wanted().saturating_add(ahead);
+            let wanted = Wanted {
+                amount: allowance.wanted().saturating_add(ahead),
+                priority: allowance.most_urgent(),
+            };
             let lenders = self.others.lenders(&team);
             effects.extend(allowance.loans.ask(now, me, &team, wanted, lenders));
         }
         effects
     }
 
+    /// Asks those that keep a team's budget for what its requests need.
+    fn borrow_kept(&mut self, now: Instant, me: Incarnation, team: &TeamId) -> Option<Effect> {
+        let held = self.available(now, team);
+        let allowance = &mut self.allowances[team];
+        let wanted = Wanted {
+            amount: allowance.wanted().saturating_sub(held),
+            priority: allowance.most_urgent(),
+        };
+        let keepers = self.keeping.keepers(team);
+        allowance.loans.ask_keeper(now, me, team, wanted, keepers)
+    }
+
+    /// Gives back to those that keep a budget what requests here left over of what was borrowed for them.
+    ///
+    /// Two hundred routers that each held on to the rest of one request would hold seconds of a team's demand.
+    pub(crate) fn give_back(&mut self, now: Instant, me: Incarnation) -> Vec<Effect> {
+        if self.gave_back.is_some_and(|at| now < at + GIVE_BACK) {
+            return Vec::new();
+        }
+        self.gave_back = Some(now);
+        let teams: Vec<_> = self.allowances.keys().cloned().collect();
+        let mut effects = Vec::new();
+        for team in teams {
+            let idle = self.available(now, &team);
+            let keepers = self.keeping.keepers(&team);
+            let allowance = &mut self.allowances[&team];
+            let kept = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
+            let borrowed = allowance.loans.borrowed() > allowance.loans.lent();
+            if borrowed && idle > kept && allowance.waiting.is_empty() {
+                effects.extend(allowance.loans.give_keeper(now, me, &team, idle, keepers));
+            }
+        }
+        effects
+    }
+
+    /// Returns whether others keep a team's budget for this router, and one of them may have some of it.
+    pub(super) fn is_kept(&self, now: Instant, team: &TeamId) -> bool {
+        let keepers = self.keeping.keepers(team);
+        let allowance = self.allowances.get(team);
+        allowance.is_some_and(|allowance| allowance.loans.may_ask_keeper(now, keepers))
+    }
+
     /// Hands over to other routers what is idle here, where the log can't take it back.
     ///
     /// A planned stop in a cut from the log would else take ten seconds' worth of each team's budget with it.
     pub(crate) fn hand_over(&mut self, now: Instant, me: Incarnation) -> Vec<Effect> {
-        if self.stay != Stay::Leaving || self.failures == 0 {
+        if self.stay != Stay::Leaving {
             return Vec::new();
         }
-        let teams: Vec<_> = self.allowances.keys().cloned().collect();
+        // What was borrowed can't go back to the log.
+        let parted = self.failures > 0;
+        let teams = self.allowances.keys();
+        let teams = teams.filter(|team| parted || !self.keeping.keepers(team).is_empty());
+        let teams: Vec<_> = teams.cloned().collect();
         let mut effects = Vec::new();
         for team in teams {
             let idle = self.available(now, &team);
@@ -83,8 +146,56 @@
         }
     }
 
-    /// Lends another router what it asks for, as far as it is idle here. The same question gets the same answer.
-    pub(crate) fn lend(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
+    /// Lends another router what it asks for; nothing is returned where the answer is to wait for more from the log. The same
+    /// question gets the same answer.
+    pub(crate) fn lend(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) -> Option<Tokens> {
+        match self.keeping.keeps_for_all(&ask.team) {
+            true => self.lend_kept(now, id, ask),
+            false => Some(self.lend_idle(now, ask)),
+        }
+    }
+
+    /// Lends out of a budget that this router keeps for others: their requests are served like its own.
+    fn lend_kept(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) -> Option<Tokens> {
+        let open = self.open_to(now, &ask.team, ask.priority);
+        let rest = self.remainder(now, &ask.team);
+        let away = self.failures > 0;
+        let Some(allowance) = self.allowances.get_mut(&ask.team) else {
+            return Some(Tokens::ZERO);
+        };
+        if let Some(answer) = allowance.loans.answered(ask) {
+            return Some(answer);
+        }
+        allowance.expect(now, ask.priority, ask.amount);
+        if !allowance.ration.pays(now, &rest, ask.priority, ask.amount) {
+            return Some(Tokens::ZERO);
+        }
+        let first = allowance.waiting.is_empty();
+        if away || first && open >= ask.amount {
+            return Some(self.lend_open(now, ask));
+        }
+        allowance.waiting.push_back(Waiting {
+            who: Waiter::Loan(id, ask.clone()),
+            amount: ask.amount,
+            priority: ask.priority,
+            since: now,
+        });
+        None
+    }
+
+    /// Lends as much of what is asked for as is open now; the rest may lie at another keeper.
+    pub(crate) fn lend_open(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
+        let open = self.open_to(now, &ask.team, ask.priority);
+        let Some(allowance) = self.allowances.get_mut(&ask.team) else {
+            return Tokens::ZERO;
+        };
+        let lent = allowance.loans.lend(ask, open);
+        info!(event = "lent", to = %ask.borrower, team = %ask.team, asked = %ask.amount, %lent, %open);
+        lent
+    }
+
+    /// Lends what is idle here of a budget that each router keeps for itself.
+    fn lend_idle(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
         let free = self.available(now, &ask.team);
         let Some(allowance) = self.allowances.get_mut(&ask.team) else {
             return Tokens::ZERO;
@@ -110,7 +221,9 @@
 
     /// Returns what others should know of this router's budgets: what lies idle here, and how fast it is asked for.
     pub(crate) fn words(&self, now: Instant) -> Vec<PurseWord> {
-        let words = self.allowances.iter().map(|(team, allowance)| PurseWord {
+        let kept = self.allowances.iter();
+        let kept = kept.filter(|(team, _)| self.keeping.keepers(team).is_empty());
+        let words = kept.map(|(team, allowance)| PurseWord {
             team: team.clone(),
             free: self.held(team),
             demand: allowance.rate(now) as u64,
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -21,6 +21,10 @@
 /// How long a router that brought nothing is not asked again: its next heartbeat tells what it has by then.
 const DRY: Duration = Duration::from_millis(600);
 
+/// How long one that did not answer is not asked again. Each question to it holds requests up for a fifth of a second, and
+/// a process that died is back after some seconds.
+const MUTE: Duration = Duration::from_secs(3);
+
 /// A lender that gives less than this part of what was asked for is left alone for a while; one that gives more, though not
 /// all, may be asked for the rest.
 const ENOUGH: u64 = 8;
@@ -40,6 +44,15 @@
     pub(crate) demand: u64,
 }
 
+/// What a router asks others for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted {
+    /// How much would help.
+    pub(crate) amount: Tokens,
+    /// How urgent the most urgent request is that needs it, 0 being first.
+    pub(crate) priority: u8,
+}
+
 /// One team's loans to and from this router.
 #[derive(Debug, Default)]
 pub(crate) struct Loans {
@@ -55,7 +68,7 @@
     asked: Option<(u64, Peer)>,
     /// The number of the last question.
     number: u64,
-    /// Who brought nothing, and when.
+    /// Who brought nothing, and until when nobody asks there.
     dry: IndexMap<String, Instant>,
     /// When nobody was left to ask.
     none: Option<Instant>,
@@ -83,13 +96,13 @@
         now: Instant,
         me: Incarnation,
         team: &TeamId,
-        wanted: Tokens,
+        wanted: Wanted,
         lenders: &[Lender],
     ) -> Option<Effect> {
         if self.asked.is_some() {
             return None;
         }
-        self.dry.retain(|_, at| now < *at + DRY);
+        self.dry.retain(|_, until| now < *until);
         let idle = lenders
             .iter()
             .filter(|lender| !self.dry.contains_key(&lender.peer.address))
@@ -98,16 +111,52 @@
             self.none = Some(now);
             return None;
         };
+        let peer = lender.peer.clone();
+        Some(self.ask_peer(me, team, wanted, peer))
+    }
+
+    /// Asks one of those that keep the budget, in turn, if none is asked already and some may have it.
+    pub(crate) fn ask_keeper(
+        &mut self,
+        now: Instant,
+        me: Incarnation,
+        team: &TeamId,
+        wanted: Wanted,
+        keepers: &[Peer],
+    ) -> Option<Effect> {
+        if self.asked.is_some() {
+            return None;
+        }
+        self.dry.retain(|_, until| now < *until);
+        let peer = self.next_keeper(now, keepers)?.clone();
+        Some(self.ask_peer(me, team, wanted, peer))
+    }
+
+    /// Returns whether a question to one of those that keep the budget is on its way, or can be asked.
+    pub(crate) fn may_ask_keeper(&self, now: Instant, keepers: &[Peer]) -> bool {
+        self.asked
+            .as_ref()
+            .is_some_and(|(_, peer)| keepers.contains(peer))
+            || keepers.iter().any(|peer| self.is_wet(now, peer))
+    }
+
+    fn ask_peer(&mut self, me: Incarnation, team: &TeamId, wanted: Wanted, peer: Peer) -> Effect {
         self.none = None;
         self.number += 1;
-        self.asked = Some((self.number, lender.peer.clone()));
+        self.asked = Some((self.number, peer.clone()));
         let ask = LoanAsk {
             borrower: me,
             number: self.number,
             team: team.clone(),
-            amount: wanted,
+            amount: wanted.amount,
+            priority: wanted.priority,
         };
-        Some(Effect::Borrow(ask, lender.peer.clone()))
+        Effect::Borrow(ask, peer)
+    }
+
+    /// Returns the answer that a question got before.
+    pub(crate) fn answered(&self, ask: &LoanAsk) -> Option<Tokens> {
+        self.answers.get(&(ask.borrower, ask.number)).copied()
     }
 
     /// Takes in the answer to the question on its way; none came where there is no amount.
@@ -115,10 +164,11 @@
         let Some((_, peer)) = self.asked.take_if(|(number, _)| *number == ask.number) else {
             return;
         };
+        let rest = if amount.is_some() { DRY } else { MUTE };
         let amount = amount.unwrap_or(Tokens::ZERO);
         self.borrowed += amount;
         if amount.0 < ask.amount.0 / ENOUGH {
-            self.dry.insert(peer.address, now);
+            self.dry.insert(peer.address, now + rest);
         }
     }
 
@@ -132,6 +182,23 @@
         heirs: &[Lender],
     ) -> Option<Effect> {
         let heir = heirs.iter().max_by_key(|lender| lender.demand)?;
+        Some(self.give_to(me, team, amount, heir.peer.clone()))
+    }
+
+    /// Hands an amount over to one of those that keep the budget, in turn, if one of them may be there.
+    pub(crate) fn give_keeper(
+        &mut self,
+        now: Instant,
+        me: Incarnation,
+        team: &TeamId,
+        amount: Tokens,
+        keepers: &[Peer],
+    ) -> Option<Effect> {
+        let peer = self.next_keeper(now, keepers)?.clone();
+        Some(self.give_to(me, team, amount, peer))
+    }
+
+    fn give_to(&mut self, me: Incarnation, team: &TeamId, amount: Tokens, peer: Peer) -> Effect {
         self.lent += amount;
         self.number += 1;
         self.giving += 1;
@@ -141,7 +208,20 @@
             team: team.clone(),
             amount,
         };
-        Some(Effect::Give(gift, heir.peer.clone()))
+        Effect::Give(gift, peer)
+    }
+
+    /// Returns the one of those that keep the budget whose turn it is, but for those that brought nothing of late.
+    fn next_keeper<'a>(&self, now: Instant, keepers: &'a [Peer]) -> Option<&'a Peer> {
+        let from = usize::try_from(self.number).unwrap_or(0) % keepers.len().max(1);
+        let mut turn = keepers.iter().cycle().skip(from).take(keepers.len());
+        turn.find(|peer| self.is_wet(now, peer))
+    }
+
+    fn is_wet(&self, now: Instant, peer: &Peer) -> bool {
+        self.dry
+            .get(&peer.address)
+            .is_none_or(|until| now >= *until)
     }
 
     /// Returns whether gifts are on their way.
@@ -167,10 +247,10 @@
 
     /// Answers a question out of what is to spare; one that was answered before gets the same answer.
     pub(crate) fn lend(&mut self, ask: &LoanAsk, spare: Tokens) -> Tokens {
-        let name = (ask.borrower, ask.number);
-        if let Some(answer) = self.answers.get(&name) {
-            return *answer;
+        if let Some(answer) = self.answered(ask) {
+            return answer;
         }
+        let name = (ask.borrower, ask.number);
         let amount = ask.amount.min(spare);
         self.lent += amount;
         self.answers.insert(name, amount);
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexMap;
 
 use crate::decide;
-use crate::decide::Capacity;
 use crate::ids::DomainId;
 use crate::ids::Incarnation;
 use crate::ids::RequestKey;
@@ -27,12 +26,6 @@
 use crate::vms::VmList;
 use crate::vms::VmState;
 
-/// The label that tells how much processor a router's VM has, in thousandths of a core.
-pub(crate) const CPU: &str = "cpu";
-
-/// The label that tells how fast its link is, in Mbit/s.
-pub(crate) const LINK: &str = "link";
-
 /// How many heartbeats in a row must find that nothing listens: one may meet a router that restarts.
 const REFUSALS: u32 = 2;
 
@@ -50,9 +43,6 @@
 /// How often a router that some peer cannot hear shows itself in the log.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
-/// What a VM that does not tell its size is thought to have of each.
-const UNSAID: u32 = 1;
-
 /// A peer's silence.
 #[derive(Clone, Copy, Debug)]
 struct Unheard {
@@ -195,18 +185,6 @@
         self.kept.len()
     }
 
-    /// Returns what a router's VM can carry, as it says.
-    pub(crate) fn capacity(&self, vm: &VmId) -> Capacity {
-        let label = |name| {
-            let entry = self.roster.entry(vm)?;
-            entry.labels.get(name)?.parse().ok()
-        };
-        Capacity {
-            cpu: label(CPU).unwrap_or(UNSAID),
-            link: label(LINK).unwrap_or(UNSAID),
-        }
-    }
-
     /// Returns the failure domain of a VM.
     pub(crate) fn domain(&self, vm: &VmId) -> Option<&DomainId> {
         self.roster.entry(vm).map(|entry| &entry.domain)
@@ -283,6 +261,7 @@
         if !self.members.roster.take(list) {
             return;
         }
+        self.seat_keepers();
         self.rebuild_pools(now);
         self.share_retries();
         if let Accounting::Grants(_) = self.tuning.accounting {
@@ -290,6 +269,13 @@
         }
     }
 
+    /// Takes over who keeps budgets, from the routers of the VM list.
+    fn seat_keepers(&mut self) {
+        let roster = &self.members.roster;
+        self.funds
+            .seat(&self.tuning.vm, roster.candidates(), &roster.peers());
+    }
+
     /// Takes in a peer's word.
     pub(crate) fn heard(&mut self, now: Instant, beat: Heartbeat) {
         self.members.signs.insert(beat.router, now);
--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -5,7 +5,9 @@
 
 use crate::decide;
 use crate::decide::Action;
+use crate::decide::KEEPERS;
 use crate::decide::Share;
+use crate::decide::TEAM_KEEPERS;
 use crate::escrow::Change;
 use crate::escrow::GrantRow;
 use crate::escrow::Pace;
@@ -64,14 +66,33 @@
 
     /// Returns whether grants are to be looked over.
     pub(super) fn is_review_due(&self, now: Instant) -> bool {
-        let routers = u32::try_from(self.others.routers() + 1).unwrap_or(u32::MAX);
-        let interval = FLEET_REVIEW.saturating_mul(routers).max(REVIEW);
+        let writers = u32::try_from(self.writers()).unwrap_or(u32::MAX);
+        let interval = FLEET_REVIEW.saturating_mul(writers).max(REVIEW);
         self.reviewed.is_none_or(|at| now >= at + interval)
     }
 
+    /// Returns how many routers write grants.
+    fn writers(&self) -> usize {
+        match self.keeping.is_everyone() {
+            true => self.others.routers() + 1,
+            false => KEEPERS,
+        }
+    }
+
+    /// Returns how many routers share a team's budget.
+    fn sharers(&self, team: &TeamId) -> usize {
+        match self.keeping.keeps_for_all(team) {
+            true => TEAM_KEEPERS,
+            false => self.others.routers() + 1,
+        }
+    }
+
     /// Returns the grants that the policy wants changed, and those whose promise is to be written anew: all that changed at a
     /// review, and those that keep a request waiting.
     pub(super) fn changes(&self, now: Instant, due: bool) -> Vec<Change> {
+        if !self.keeping.is_seated() {
+            return Vec::new();
+        }
         let changes = self.allowances.iter().filter_map(|(team, allowance)| {
             let old = self.book.granted(team);
             let granted = self.wanted_grant(now, team, allowance);
@@ -82,7 +103,7 @@
             };
             let row = GrantRow {
                 granted,
-                spent: allowance.spent,
+                spent: self.told_spent(allowance),
                 pace: Some(promise),
             };
             let covered = allowance.wanted() <= self.held(team);
@@ -95,10 +116,22 @@
         changes.collect()
     }
 
+    /// Returns how much of a grant others are told is spent. What a keeper lends is spent by routers that write nothing
+    /// themselves; where all keep, who borrows says so itself.
+    fn told_spent(&self, allowance: &Allowance) -> Tokens {
+        match self.keeping.is_everyone() {
+            true => allowance.spent,
+            false => allowance.gone(),
+        }
+    }
+
     /// Returns what a grant should be.
     fn wanted_grant(&self, now: Instant, team: &TeamId, allowance: &Allowance) -> Tokens {
         let granted = self.book.granted(team);
         let free = self.held(team);
+        if self.is_kept(now, team) {
+            return granted - free.min(granted);
+        }
         if self.stay != Stay::Staying && allowance.waiting.is_empty() {
             let kept = self.kept_by_leaver(now, allowance);
             return granted - free.saturating_sub(kept).min(granted);
@@ -107,7 +140,7 @@
             free,
             claimed: allowance.reserved,
             undrawn: self.book.undrawn(team, allowance.prepaid),
-            routers: self.others.routers() + 1,
+            routers: self.sharers(team),
             demand: allowance.rate(now),
             team: allowance.rate(now) + self.others.demand(team),
             wanted: allowance.wanted(),
--- a/src/router/roster.rs
+++ b/src/router/roster.rs
@@ -8,6 +8,8 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::Candidate;
+use crate::decide::Capacity;
 use crate::decide::FastHasher;
 use crate::ids::VmId;
 use crate::router::effect::Peer;
@@ -21,6 +23,15 @@
 /// The label that tells where a router listens for routers.
 const PEER: &str = "peer";
 
+/// The label that tells how much processor a router's VM has, in thousandths of a core.
+pub(crate) const CPU: &str = "cpu";
+
+/// The label that tells how fast its link is, in Mbit/s.
+pub(crate) const LINK: &str = "link";
+
+/// What a VM that does not tell its size is thought to have.
+const UNSAID: Capacity = Capacity { cpu: 1, link: 1 };
+
 /// The VM list as one router sees it.
 #[derive(Debug)]
 pub(crate) struct Roster {
@@ -74,6 +85,23 @@
         self.list.vms.get(*self.places.get(vm)?)
     }
 
+    /// Returns what a router's VM can carry, as it says.
+    pub(crate) fn capacity(&self, vm: &VmId) -> Capacity {
+        self.entry(vm).map_or(UNSAID, capacity)
+    }
+
+    /// Returns all routers that are listed as live, this one among them once it is.
+    pub(crate) fn candidates(&self) -> Vec<Candidate> {
+        let live = |entry: &&VmEntry| is_router(entry) && entry.state == VmState::Live;
+        let live = self.list.vms.iter().filter(live);
+        let candidates = live.map(|entry| Candidate {
+            vm: entry.vm.clone(),
+            domain: entry.domain.clone(),
+            capacity: capacity(entry),
+        });
+        candidates.collect()
+    }
+
     /// Returns how to reach all other routers.
     pub(crate) fn peers(&self) -> Arc<[Peer]> {
         self.peers.clone()
@@ -89,6 +117,14 @@
     entry.labels.get(ROLE) == Some("router")
 }
 
+fn capacity(entry: &VmEntry) -> Capacity {
+    let label = |name| entry.labels.get(name)?.parse().ok();
+    Capacity {
+        cpu: label(CPU).unwrap_or(UNSAID.cpu),
+        link: label(LINK).unwrap_or(UNSAID.link),
+    }
+}
+
 fn peer(entry: &VmEntry) -> Option<Peer> {
     Some(Peer {
         vm: entry.vm.clone(),
--- a/src/router/statement.rs
+++ b/src/router/statement.rs
@@ -38,6 +38,8 @@
                 "granted_here": self.book.granted(team),
                 "reserved_here": allowance.reserved,
                 "spent_here": allowance.spent,
+                "lent": allowance.loans.lent(),
+                "borrowed": allowance.loans.borrowed(),
                 "granted_elsewhere": self.book.others(team),
                 "spent_elsewhere_at_least": self.book.others_spent(team),
                 "undrawn": self.book.undrawn(team, allowance.prepaid),
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -5,6 +5,7 @@
 use crate::ids::Incarnation;
 use crate::ids::Offset;
 use crate::ids::RequestId;
+use crate::router::AdminId;
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::Gift;
@@ -266,9 +267,14 @@
         number: 1,
         team: "loans".parse().expect("a name"),
         amount: Tokens(100),
+        priority: 0,
     };
-    let first = site.core.funds.lend(site.now, &ask);
-    let again = site.core.funds.lend(site.now, &ask);
+    let lend = |site: &mut Site| {
+        let lent = site.core.funds.lend(site.now, AdminId(1), &ask);
+        lent.expect("it is answered at once")
+    };
+    let first = lend(&mut site);
+    let again = lend(&mut site);
     assert!(first > Tokens::ZERO);
     assert_eq!(first, again);
     let gift = Gift {
--- /dev/null
+++ b/src/router/tests/keepers.rs
@@ -0,0 +1,182 @@
+//! Budgets that a few routers keep for a large fleet.
+
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::router::AdminId;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Gift;
+use crate::router::LoanAsk;
+use crate::router::Peer;
+use crate::router::RunEnd;
+use crate::router::Usage;
+use crate::router::tests::site::Log;
+use crate::router::tests::site::Site;
+use crate::router::tests::site::entry;
+use crate::tokens::Tokens;
+use crate::vms::VmEntry;
+
+/// How many other routers there are: more than a fleet in which all keep all budgets.
+const OTHERS: usize = 40;
+
+/// Lists two endpoints and many routers.
+fn fleet() -> Vec<VmEntry> {
+    let engines = ["engine-0", "engine-1"];
+    let engines = engines.map(|name| entry(name, 9100, &[("pool", "pool")]));
+    let routers = (0..OTHERS).map(|n| {
+        let peer = format!("127.0.0.1:{}", 20_000 + n);
+        let role = [("role", "router"), ("peer", peer.as_str())];
+        entry(&format!("peer-{n}"), 8001, &role)
+    });
+    engines.into_iter().chain(routers).collect()
+}
+
+/// Brings up a router for which others keep the budget.
+fn guest() -> Site {
+    let mut site = Site::start_among(1_000_000, fleet());
+    site.effects.clear();
+    site
+}
+
+/// Brings up a router that keeps the budget for others: it is by far the largest, and alone in its failure domain.
+fn keeper() -> Site {
+    let role = [
+        ("role", "router"),
+        ("peer", "127.0.0.1:8100"),
+        ("cpu", "1000"),
+    ];
+    let mut own = entry("router-0", 8000, &role);
+    own.domain = "domain-9".parse().expect("a name");
+    let vms = fleet().into_iter().chain([own]).collect();
+    let mut site = Site::start_among(1_000_000, vms);
+    site.effects.clear();
+    site
+}
+
+/// Returns the questions for loans, and whom they went to.
+fn asked(site: &Site) -> Vec<(LoanAsk, Peer)> {
+    let asked = site.effects.iter().filter_map(|effect| match effect {
+        Effect::Borrow(ask, peer) => Some((ask.clone(), peer.clone())),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Returns how often the log was asked to change grants.
+fn proposals(site: &Site) -> usize {
+    let proposals = site.effects.iter();
+    proposals
+        .filter(|effect| matches!(effect, Effect::ProposeGrants(_)))
+        .count()
+}
+
+fn is_run(site: &Site, id: RequestId) -> bool {
+    !site.runs(id).is_empty()
+}
+
+fn ask_keeper(site: &mut Site, number: u64, id: u64, amount: u64) {
+    let ask = LoanAsk {
+        borrower: Incarnation(99),
+        number,
+        team: "loans".parse().expect("a name"),
+        amount: Tokens(amount),
+        priority: 0,
+    };
+    site.tell(Event::LoanAsked(AdminId(id), ask));
+}
+
+/// Returns what a question for a loan was answered.
+fn lent(site: &Site, id: u64) -> Option<u64> {
+    site.effects.iter().find_map(|effect| match effect {
+        Effect::Answer(AdminId(of), _, body) if *of == id => body.as_u64(),
+        _ => None,
+    })
+}
+
+/// Two hundred routers are asked for forty teams' budgets. Were each to draw from the one partition what its next request
+/// needs, most of them would fail for the others' writes, and the first seconds of a day would pass in waiting.
+#[test]
+fn who_keeps_nothing_borrows_and_writes_nothing() {
+    let mut site = guest();
+    let id = site.ask("stream", 100, 50);
+    let (ask, _) = asked(&site).pop().expect("a keeper is asked at once");
+    assert_eq!(ask.amount, Tokens(150));
+    site.tell(Event::Lent(ask, Some(Tokens(150))));
+    assert!(is_run(&site, id));
+    assert_eq!(proposals(&site), 0);
+}
+
+/// The VM of a keeper lost its power. The next one is asked, and as long as all three are silent the log: a caller must not
+/// be refused while the team has budget.
+#[test]
+fn silent_keepers_are_passed_over() {
+    let mut site = guest();
+    let id = site.ask("stream", 100, 50);
+    let mut addresses = Vec::new();
+    for _ in 0..3 {
+        let (ask, peer) = asked(&site).pop().expect("one is asked");
+        addresses.push(peer.address);
+        site.tell(Event::Lent(ask, None));
+    }
+    addresses.dedup();
+    assert_eq!(addresses.len(), 3);
+    site.pass(100);
+    assert!(is_run(&site, id));
+    assert_eq!(proposals(&site), 1);
+}
+
+/// A request reserves the most that it may use, and uses less. What is left over at each of two hundred routers would be
+/// seconds of the team's demand that nobody else can use.
+#[test]
+fn what_is_left_over_goes_back_to_a_keeper() {
+    let mut site = guest();
+    let id = site.ask("stream", 100, 900);
+    let (ask, _) = asked(&site).pop().expect("a keeper is asked");
+    site.tell(Event::Lent(ask, Some(Tokens(1000))));
+    let usage = Usage {
+        prompt: Tokens::ZERO,
+        answer: Tokens(20),
+    };
+    site.tell(Event::Ended(id, RunEnd::Whole { usage }));
+    site.pass(15_000);
+    let gifts: Vec<&Gift> = site
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Give(gift, _) => Some(gift),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(gifts.len(), 1);
+    assert_eq!(gifts[0].amount, Tokens(880));
+}
+
+/// A keeper that holds too little draws it and answers then. The question comes a second time meanwhile, since its sender
+/// heard nothing: counted twice, the team would lose what was lent the second time.
+#[test]
+fn a_keeper_draws_for_others_and_lends_once() {
+    let mut site = keeper();
+    ask_keeper(&mut site, 1, 1, 5000);
+    ask_keeper(&mut site, 1, 2, 5000);
+    site.pass(100);
+    assert_eq!(lent(&site, 1), Some(5000));
+    assert_eq!(lent(&site, 2), Some(5000));
+    let dump = site.core.funds.dump(site.now);
+    assert_eq!(dump["teams"][0]["lent"], 5000, "{dump}");
+}
+
+/// All routers are parted from the log. A keeper that can't draw lends what it can before who asks has given up: the rest may
+/// lie at another keeper, and a caller waits.
+#[test]
+fn a_keeper_without_the_log_lends_what_it_can() {
+    let mut site = keeper();
+    ask_keeper(&mut site, 1, 1, 5000);
+    site.pass(3000);
+    site.log = Log::Away;
+    site.pass(2000);
+    ask_keeper(&mut site, 2, 2, 900_000);
+    site.pass(160);
+    let answer = lent(&site, 2);
+    let part = answer.is_some_and(|lent| 0 < lent && lent < 900_000);
+    assert!(part, "{answer:?}");
+}
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -13,6 +13,7 @@
 mod heartbeats;
 mod hung_up;
 mod isolated;
+mod keepers;
 mod outage;
 mod pace;
 mod purse;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -135,6 +135,17 @@
 impl Site {
     /// Brings up a router that serves; its team prepaid so much.
     pub(crate) fn start(prepaid: u64) -> Self {
+        let role = [("role", "router"), ("peer", "127.0.0.1:8101")];
+        let vms = vec![
+            entry("engine-0", 9100, &[("pool", "pool")]),
+            entry("engine-1", 9101, &[("pool", "pool")]),
+            entry("router-1", 8001, &role),
+        ];
+        Self::start_among(prepaid, vms)
+    }
+
+    /// Brings up a router that serves among these VMs; its team prepaid so much.
+    pub(crate) fn start_among(prepaid: u64, vms: Vec<VmEntry>) -> Self {
         let mut tuning = tuning(0);
         tuning.drain = Duration::from_millis(7700);
         tuning.accounting = Accounting::Grants(GrantTuning {
@@ -152,18 +163,7 @@
             next: 1,
         };
         site.tell(Event::Table(table(1, prepaid)));
-        site.tell(Event::VmList(VmList {
-            as_of: 1,
-            vms: vec![
-                entry("engine-0", 9100, &[("pool", "pool")]),
-                entry("engine-1", 9101, &[("pool", "pool")]),
-                entry(
-                    "router-1",
-                    8001,
-                    &[("role", "router"), ("peer", "127.0.0.1:8101")],
-                ),
-            ],
-        }));
+        site.tell(Event::VmList(VmList { as_of: 1, vms }));
         site.pass(100);
         site
     }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod herd;
 mod homes;
+mod keepers;
 mod load;
 mod opening;
 mod poison;
