Ask a keeper that did not answer no more until it is heard of, whatever the team

A VM that lost its power for good stays in the list. Each team's first question to it would hold a request up for a fifth of a second again and again: with three keepers a third of the requests of its teams. The silence is now known to the router, not to the team. The test of silent keepers asks once more after four seconds (with the rest of a dry keeper alone it would ask three again).

--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -154,6 +154,11 @@
         self.keeping.seat(me, routers, peers);
     }
 
+    /// Takes note of another router's sign of life.
+    pub(crate) fn heard(&mut self, vm: &VmId) {
+        self.keeping.heard(vm);
+    }
+
     /// Takes over what the teams prepaid. A budget never shrinks, and a team that is gone keeps what it used.
     pub(crate) fn prepaid(&mut self, table: &RouteTable) {
         for payer in table.payers() {
--- a/src/router/keeping.rs
+++ b/src/router/keeping.rs
@@ -1,5 +1,8 @@
 //! Which budgets others keep for this router, and whom it asks for them.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use indexmap::IndexMap;
 
 use crate::decide::Candidate;
@@ -8,6 +11,10 @@
 use crate::ids::VmId;
 use crate::router::effect::Peer;
 
+/// How long a keeper that did not answer is not asked again, unless it is heard of. Each question to it holds requests up for
+/// a fifth of a second; a process that died is back after some seconds, and a VM that is gone for good stays listed.
+const MUTE: Duration = Duration::from_secs(8);
+
 /// Who keeps which budgets, as this router sees it.
 #[derive(Debug, Default)]
 pub(super) struct Keeping {
@@ -16,6 +23,8 @@
     me: Option<VmId>,
     /// The keepers of each team that this router does not keep.
     elsewhere: IndexMap<TeamId, Vec<Peer>>,
+    /// Who did not answer, and until when it is not asked again.
+    mute: IndexMap<VmId, Instant>,
 }
 
 impl Keeping {
@@ -50,6 +59,23 @@
         self.elsewhere.get(team).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns those that keep a team's budget for this router and are thought to answer.
+    pub(super) fn answering(&self, now: Instant, team: &TeamId) -> Vec<Peer> {
+        let mute = |peer: &&Peer| self.mute.get(&peer.vm).is_some_and(|until| now < *until);
+        let keepers = self.keepers(team).iter();
+        keepers.filter(|peer| !mute(peer)).cloned().collect()
+    }
+
+    /// Takes note that a router did not answer, whatever budget it was asked for.
+    pub(super) fn silent(&mut self, now: Instant, peer: &Peer) {
+        self.mute.insert(peer.vm.clone(), now + MUTE);
+    }
+
+    /// Takes note of a sign of life.
+    pub(super) fn heard(&mut self, vm: &VmId) {
+        self.mute.swap_remove(vm);
+    }
+
     /// Returns whether this router is one of the few that keep a team's budget for all.
     pub(super) fn keeps_for_all(&self, team: &TeamId) -> bool {
         !self.keepers.is_everyone() && self.keepers(team).is_empty()
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -39,8 +39,7 @@
         let mut effects = Vec::new();
         for team in self.waiting_teams() {
             let hopeful = self.failures == 0 && self.reach(&team) > self.available(now, &team);
-            let keepers = self.keeping.keepers(&team);
-            if self.allowances[&team].loans.may_ask_keeper(now, keepers) {
+            if self.is_kept(now, &team) {
                 effects.extend(self.borrow_kept(now, me, &team));
                 continue;
             }
@@ -72,8 +71,8 @@
             amount: allowance.wanted().saturating_sub(held),
             priority: allowance.most_urgent(),
         };
-        let keepers = self.keeping.keepers(team);
-        allowance.loans.ask_keeper(now, me, team, wanted, keepers)
+        let keepers = self.keeping.answering(now, team);
+        allowance.loans.ask_keeper(now, me, team, wanted, &keepers)
     }
 
     /// Gives back to those that keep a budget what requests here left over of what was borrowed for them.
@@ -88,12 +87,12 @@
         let mut effects = Vec::new();
         for team in teams {
             let idle = self.available(now, &team);
-            let keepers = self.keeping.keepers(&team);
+            let keepers = self.keeping.answering(now, &team);
             let allowance = &mut self.allowances[&team];
             let kept = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
             let borrowed = allowance.loans.borrowed() > allowance.loans.lent();
             if borrowed && idle > kept && allowance.waiting.is_empty() {
-                effects.extend(allowance.loans.give_keeper(now, me, &team, idle, keepers));
+                effects.extend(allowance.loans.give_keeper(now, me, &team, idle, &keepers));
             }
         }
         effects
@@ -101,9 +100,9 @@
 
     /// Returns whether others keep a team's budget for this router, and one of them may have some of it.
     pub(super) fn is_kept(&self, now: Instant, team: &TeamId) -> bool {
-        let keepers = self.keeping.keepers(team);
+        let keepers = self.keeping.answering(now, team);
         let allowance = self.allowances.get(team);
-        allowance.is_some_and(|allowance| allowance.loans.may_ask_keeper(now, keepers))
+        allowance.is_some_and(|allowance| allowance.loans.may_ask_keeper(now, &keepers))
     }
 
     /// Hands over to other routers what is idle here, where the log can't take it back.
@@ -215,7 +214,10 @@
     pub(crate) fn lent(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
         info!(event = "borrowed", team = %ask.team, asked = %ask.amount, amount = ?amount.map(|a| a.0));
         if let Some(allowance) = self.allowances.get_mut(&ask.team) {
-            allowance.loans.lent_here(now, ask, amount);
+            let asked = allowance.loans.lent_here(now, ask, amount);
+            if let Some(peer) = asked.filter(|_| amount.is_none()) {
+                self.keeping.silent(now, &peer);
+            }
         }
     }
 
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -21,10 +21,6 @@
 /// How long a router that brought nothing is not asked again: its next heartbeat tells what it has by then.
 const DRY: Duration = Duration::from_millis(600);
 
-/// How long one that did not answer is not asked again. Each question to it holds requests up for a fifth of a second, and
-/// a process that died is back after some seconds.
-const MUTE: Duration = Duration::from_secs(3);
-
 /// A lender that gives less than this part of what was asked for is left alone for a while; one that gives more, though not
 /// all, may be asked for the rest.
 const ENOUGH: u64 = 8;
@@ -159,17 +155,20 @@
         self.answers.get(&(ask.borrower, ask.number)).copied()
     }
 
-    /// Takes in the answer to the question on its way; none came where there is no amount.
-    pub(crate) fn lent_here(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
-        let Some((_, peer)) = self.asked.take_if(|(number, _)| *number == ask.number) else {
-            return;
-        };
-        let rest = if amount.is_some() { DRY } else { MUTE };
+    /// Takes in the answer to the question on its way, and returns who was asked; none came where there is no amount.
+    pub(crate) fn lent_here(
+        &mut self,
+        now: Instant,
+        ask: &LoanAsk,
+        amount: Option<Tokens>,
+    ) -> Option<Peer> {
+        let (_, peer) = self.asked.take_if(|(number, _)| *number == ask.number)?;
         let amount = amount.unwrap_or(Tokens::ZERO);
         self.borrowed += amount;
         if amount.0 < ask.amount.0 / ENOUGH {
-            self.dry.insert(peer.address, now + rest);
+            self.dry.insert(peer.address.clone(), now + DRY);
         }
+        Some(peer)
     }
 
     /// Hands an amount over to the router that asks for the budget most. It counts as lent from here on, whether the other
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -280,6 +280,7 @@
     pub(crate) fn heard(&mut self, now: Instant, beat: Heartbeat) {
         self.members.signs.insert(beat.router, now);
         self.members.unheard.swap_remove(&beat.vm);
+        self.funds.heard(&beat.vm);
         self.relay_config(now, &beat);
         let before = self.members.heard.insert(beat.vm.clone(), (now, beat));
         if before.is_none() {
--- a/src/router/tests/keepers.rs
+++ b/src/router/tests/keepers.rs
@@ -123,6 +123,10 @@
     site.pass(100);
     assert!(is_run(&site, id));
     assert_eq!(proposals(&site), 1);
+    // The next requests don't wait for the same silence.
+    site.pass(4000);
+    site.ask("stream", 1000, 500_000);
+    assert_eq!(asked(&site).len(), 3);
 }
 
 /// A request reserves the most that it may use, and uses less. What is left over at each of two hundred routers would be
