--- a/src/decide/keepers.rs
+++ b/src/decide/owners.rs
@@ -4,7 +4,7 @@
 //! budget once in ten seconds, and what it draws for that from the one log partition is a single request's worth. All
 //! routers then write on the condition that no other did, nearly all fail, and callers wait for budget that lies unused in
 //! thousands of small pieces. Here a few routers, drawn by their size, keep all budgets, three of them each team's; the
-//! others borrow from them by the request, which takes a millisecond or two. All routers reckon the same keepers from the
+//! others borrow from them by the request, which takes a millisecond or two. All routers reckon the same owners from the
 //! list of VMs, without a word between them, and one that is added or lost moves few teams.
 
 use std::cmp::Reverse;
@@ -19,11 +19,11 @@
 use crate::ids::VmId;
 
 /// Up to how many routers a fleet lets all of them keep all budgets, and how many keep them in a larger one: some thirty
-/// writes a second is what one partition takes on the condition of its end, and each keeper writes twice a second.
-pub(crate) const KEEPERS: usize = 16;
+/// writes a second is what one partition takes on the condition of its end, and each owner writes twice a second.
+pub(crate) const OWNERS: usize = 16;
 
-/// How many keepers a team has: while one restarts and another is cut off, the third lends.
-pub(crate) const TEAM_KEEPERS: usize = 3;
+/// How many owners a team has: while one restarts and another is cut off, the third lends.
+pub(crate) const TEAM_OWNERS: usize = 3;
 
 /// A router that may keep budgets.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,39 +38,39 @@
 
 /// The routers that keep budgets.
 #[derive(Clone, Debug, Default)]
-pub struct Keepers(Vec<Candidate>);
+pub struct Owners(Vec<Candidate>);
 
-impl Keepers {
+impl Owners {
     /// Draws them from all routers, each the more likely the larger it is; none where the fleet is so small that all keep.
     pub fn draw(mut routers: Vec<Candidate>) -> Self {
-        if routers.len() <= KEEPERS {
+        if routers.len() <= OWNERS {
             return Self::default();
         }
         let most = Capacity::most(routers.iter().map(|router| router.capacity));
         routers.sort_by_cached_key(|router| {
             let luck = fraction(xxh3_64(router.vm.as_str().as_bytes()));
             // The largest of such numbers is each one's as often as its weight says. Lending comes on top of what callers
-            // ask of a VM by its size, so that a VM of half the size is a keeper a quarter as often.
+            // ask of a VM by its size, so that a VM of half the size is an owner a quarter as often.
             let weight = router.capacity.part(most).powi(2);
             let order = weight.max(f64::MIN_POSITIVE) / -luck.ln();
             (Reverse(order.to_bits()), router.vm.clone())
         });
-        routers.truncate(KEEPERS);
+        routers.truncate(OWNERS);
         Self(routers)
     }
 
-    /// Returns a team's keepers, in different failure domains as far as possible; none where all routers keep.
+    /// Returns a team's owners, in different failure domains as far as possible; none where all routers keep.
     pub fn of(&self, team: &TeamId) -> Vec<&VmId> {
         let seed = xxh3_64(team.as_str().as_bytes());
-        let rank = |keeper: &Candidate| xxh3_64_with_seed(keeper.vm.as_str().as_bytes(), seed);
+        let rank = |owner: &Candidate| xxh3_64_with_seed(owner.vm.as_str().as_bytes(), seed);
         let mut ranked: Vec<_> = self.0.iter().collect();
-        ranked.sort_by_cached_key(|keeper| Reverse(rank(keeper)));
+        ranked.sort_by_cached_key(|owner| Reverse(rank(owner)));
         let mut domains = IndexSet::new();
         let (first, rest): (Vec<_>, Vec<_>) = ranked
             .into_iter()
-            .partition(|keeper| domains.insert(keeper.domain.clone()));
-        let chosen = first.into_iter().chain(rest).take(TEAM_KEEPERS);
-        chosen.map(|keeper| &keeper.vm).collect()
+            .partition(|owner| domains.insert(owner.domain.clone()));
+        let chosen = first.into_iter().chain(rest).take(TEAM_OWNERS);
+        chosen.map(|owner| &owner.vm).collect()
     }
 
     /// Returns whether all routers keep all budgets.
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -26,7 +26,7 @@
 use crate::router::effect::Effect;
 use crate::router::effect::Peer;
 use crate::router::event::GrantEvent;
-use crate::router::keeping::Keeping;
+use crate::router::ownership::Ownership;
 use crate::router::rationing::Others;
 use crate::router::review::Stay;
 use crate::tokens::Tokens;
@@ -116,7 +116,7 @@
     pub(super) stay: Stay,
     pub(super) clock: BootClock,
     /// Who keeps budgets for others.
-    pub(super) keeping: Keeping,
+    pub(super) ownership: Ownership,
     /// When idle budget was last given back to those that keep it.
     pub(super) gave_back: Option<Instant>,
 }
@@ -144,19 +144,19 @@
             reviewed: None,
             stay: Stay::Staying,
             clock,
-            keeping: Keeping::default(),
+            ownership: Ownership::default(),
             gave_back: None,
         }
     }
 
     /// Takes over who the routers are, and with that who keeps budgets for others.
-    pub(crate) fn seat(&mut self, me: &VmId, routers: Vec<Candidate>, peers: &[Peer]) {
-        self.keeping.seat(me, routers, peers);
+    pub(crate) fn take_routers(&mut self, me: &VmId, routers: Vec<Candidate>, peers: &[Peer]) {
+        self.ownership.take_routers(me, routers, peers);
     }
 
     /// Takes note of another router's sign of life.
     pub(crate) fn heard(&mut self, vm: &VmId) {
-        self.keeping.heard(vm);
+        self.ownership.heard(vm);
     }
 
     /// Takes over what the teams prepaid. A budget never shrinks, and a team that is gone keeps what it used.
@@ -166,7 +166,7 @@
                 continue;
             };
             if !self.allowances.contains_key(&payer.team) {
-                self.keeping.add(&payer.team);
+                self.ownership.add(&payer.team);
             }
             let allowance = self.allowances.entry(payer.team.clone());
             let allowance = allowance.or_insert_with(Allowance::new);
@@ -384,7 +384,9 @@
             return Some(Effect::ReadGrants(Some(end)));
         }
         let waiting = self.waiting_teams();
-        let waiting = waiting.iter().any(|team| !self.is_kept(now, team));
+        let waiting = waiting
+            .iter()
+            .any(|team| !self.is_owned_elsewhere(now, team));
         let due = self.is_review_due(now) || leaves;
         if !waiting && !due {
             return None;
@@ -493,7 +495,7 @@
         self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
             let here = allowance.spent.saturating_add(allowance.reserved);
             let used = here.saturating_add(self.book.others_spent(team));
-            let in_transit = match self.keeping.is_everyone() {
+            let in_transit = match self.ownership.is_everyone() {
                 true => Tokens::ZERO,
                 false => Tokens(allowance.prepaid.0 / IN_TRANSIT),
             };
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -39,8 +39,8 @@
         let mut effects = Vec::new();
         for team in self.waiting_teams() {
             let hopeful = self.failures == 0 && self.reach(&team) > self.available(now, &team);
-            if self.is_kept(now, &team) {
-                effects.extend(self.borrow_kept(now, me, &team));
+            if self.is_owned_elsewhere(now, &team) {
+                effects.extend(self.borrow_owned(now, me, &team));
                 continue;
             }
             let allowance = &mut self.allowances[&team];
@@ -64,15 +64,15 @@
     }
 
     /// Asks those that keep a team's budget for what its requests need.
-    fn borrow_kept(&mut self, now: Instant, me: Incarnation, team: &TeamId) -> Option<Effect> {
+    fn borrow_owned(&mut self, now: Instant, me: Incarnation, team: &TeamId) -> Option<Effect> {
         let held = self.available(now, team);
         let allowance = &mut self.allowances[team];
         let wanted = Wanted {
             amount: allowance.wanted().saturating_sub(held),
             priority: allowance.most_urgent(),
         };
-        let keepers = self.keeping.answering(now, team);
-        allowance.loans.ask_keeper(now, me, team, wanted, &keepers)
+        let owners = self.ownership.answering(now, team);
+        allowance.loans.ask_owner(now, me, team, wanted, &owners)
     }
 
     /// Gives back to those that keep a budget what requests here left over of what was borrowed for them.
@@ -87,22 +87,22 @@
         let mut effects = Vec::new();
         for team in teams {
             let idle = self.available(now, &team);
-            let keepers = self.keeping.answering(now, &team);
+            let owners = self.ownership.answering(now, &team);
             let allowance = &mut self.allowances[&team];
             let kept = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
             let borrowed = allowance.loans.borrowed() > allowance.loans.lent();
             if borrowed && idle > kept && allowance.waiting.is_empty() {
-                effects.extend(allowance.loans.give_keeper(now, me, &team, idle, &keepers));
+                effects.extend(allowance.loans.give_owner(now, me, &team, idle, &owners));
             }
         }
         effects
     }
 
     /// Returns whether others keep a team's budget for this router, and one of them may have some of it.
-    pub(super) fn is_kept(&self, now: Instant, team: &TeamId) -> bool {
-        let keepers = self.keeping.answering(now, team);
+    pub(super) fn is_owned_elsewhere(&self, now: Instant, team: &TeamId) -> bool {
+        let owners = self.ownership.answering(now, team);
         let allowance = self.allowances.get(team);
-        allowance.is_some_and(|allowance| allowance.loans.may_ask_keeper(now, &keepers))
+        allowance.is_some_and(|allowance| allowance.loans.may_ask_owner(now, &owners))
     }
 
     /// Hands over to other routers what is idle here, where the log can't take it back.
@@ -115,7 +115,7 @@
         // What was borrowed can't go back to the log.
         let parted = self.failures > 0;
         let teams = self.allowances.keys();
-        let teams = teams.filter(|team| parted || !self.keeping.keepers(team).is_empty());
+        let teams = teams.filter(|team| parted || !self.ownership.owners(team).is_empty());
         let teams: Vec<_> = teams.cloned().collect();
         let mut effects = Vec::new();
         for team in teams {
@@ -148,14 +148,14 @@
     /// Lends another router what it asks for; nothing is returned where the answer is to wait for more from the log. The same
     /// question gets the same answer.
     pub(crate) fn lend(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) -> Option<Tokens> {
-        match self.keeping.keeps_for_all(&ask.team) {
-            true => self.lend_kept(now, id, ask),
+        match self.ownership.owns_for_all(&ask.team) {
+            true => self.lend_owned(now, id, ask),
             false => Some(self.lend_idle(now, ask)),
         }
     }
 
     /// Lends out of a budget that this router keeps for others: their requests are served like its own.
-    fn lend_kept(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) -> Option<Tokens> {
+    fn lend_owned(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) -> Option<Tokens> {
         let open = self.open_to(now, &ask.team, ask.priority);
         let rest = self.remainder(now, &ask.team);
         let away = self.failures > 0;
@@ -182,7 +182,7 @@
         None
     }
 
-    /// Lends as much of what is asked for as is open now; the rest may lie at another keeper.
+    /// Lends as much of what is asked for as is open now; the rest may lie at another owner.
     pub(crate) fn lend_open(&mut self, now: Instant, ask: &LoanAsk) -> Tokens {
         let open = self.open_to(now, &ask.team, ask.priority);
         let Some(allowance) = self.allowances.get_mut(&ask.team) else {
@@ -216,7 +216,7 @@
         if let Some(allowance) = self.allowances.get_mut(&ask.team) {
             let asked = allowance.loans.lent_here(now, ask, amount);
             if let Some(peer) = asked.filter(|_| amount.is_none()) {
-                self.keeping.silent(now, &peer);
+                self.ownership.silent(now, &peer);
             }
         }
     }
@@ -224,7 +224,7 @@
     /// Returns what others should know of this router's budgets: what lies idle here, and how fast it is asked for.
     pub(crate) fn words(&self, now: Instant) -> Vec<PurseWord> {
         let kept = self.allowances.iter();
-        let kept = kept.filter(|(team, _)| self.keeping.keepers(team).is_empty());
+        let kept = kept.filter(|(team, _)| self.ownership.owners(team).is_empty());
         let words = kept.map(|(team, allowance)| PurseWord {
             team: team.clone(),
             free: self.held(team),
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -112,28 +112,28 @@
     }
 
     /// Asks one of those that keep the budget, in turn, if none is asked already and some may have it.
-    pub(crate) fn ask_keeper(
+    pub(crate) fn ask_owner(
         &mut self,
         now: Instant,
         me: Incarnation,
         team: &TeamId,
         wanted: Wanted,
-        keepers: &[Peer],
+        owners: &[Peer],
     ) -> Option<Effect> {
         if self.asked.is_some() {
             return None;
         }
         self.dry.retain(|_, until| now < *until);
-        let peer = self.next_keeper(now, keepers)?.clone();
+        let peer = self.next_owner(now, owners)?.clone();
         Some(self.ask_peer(me, team, wanted, peer))
     }
 
     /// Returns whether a question to one of those that keep the budget is on its way, or can be asked.
-    pub(crate) fn may_ask_keeper(&self, now: Instant, keepers: &[Peer]) -> bool {
+    pub(crate) fn may_ask_owner(&self, now: Instant, owners: &[Peer]) -> bool {
         self.asked
             .as_ref()
-            .is_some_and(|(_, peer)| keepers.contains(peer))
-            || keepers.iter().any(|peer| self.is_wet(now, peer))
+            .is_some_and(|(_, peer)| owners.contains(peer))
+            || owners.iter().any(|peer| self.may_have(now, peer))
     }
 
     fn ask_peer(&mut self, me: Incarnation, team: &TeamId, wanted: Wanted, peer: Peer) -> Effect {
@@ -185,15 +185,15 @@
     }
 
     /// Hands an amount over to one of those that keep the budget, in turn, if one of them may be there.
-    pub(crate) fn give_keeper(
+    pub(crate) fn give_owner(
         &mut self,
         now: Instant,
         me: Incarnation,
         team: &TeamId,
         amount: Tokens,
-        keepers: &[Peer],
+        owners: &[Peer],
     ) -> Option<Effect> {
-        let peer = self.next_keeper(now, keepers)?.clone();
+        let peer = self.next_owner(now, owners)?.clone();
         Some(self.give_to(me, team, amount, peer))
     }
 
@@ -211,13 +211,13 @@
     }
 
     /// Returns the one of those that keep the budget whose turn it is, but for those that brought nothing of late.
-    fn next_keeper<'a>(&self, now: Instant, keepers: &'a [Peer]) -> Option<&'a Peer> {
-        let from = usize::try_from(self.number).unwrap_or(0) % keepers.len().max(1);
-        let mut turn = keepers.iter().cycle().skip(from).take(keepers.len());
-        turn.find(|peer| self.is_wet(now, peer))
+    fn next_owner<'a>(&self, now: Instant, owners: &'a [Peer]) -> Option<&'a Peer> {
+        let from = usize::try_from(self.number).unwrap_or(0) % owners.len().max(1);
+        let mut turn = owners.iter().cycle().skip(from).take(owners.len());
+        turn.find(|peer| self.may_have(now, peer))
     }
 
-    fn is_wet(&self, now: Instant, peer: &Peer) -> bool {
+    fn may_have(&self, now: Instant, peer: &Peer) -> bool {
         self.dry
             .get(&peer.address)
             .is_none_or(|until| now >= *until)
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -261,7 +261,7 @@
         if !self.members.roster.take(list) {
             return;
         }
-        self.seat_keepers();
+        self.take_routers();
         self.rebuild_pools(now);
         self.share_retries();
         if let Accounting::Grants(_) = self.tuning.accounting {
@@ -270,10 +270,10 @@
     }
 
     /// Takes over who keeps budgets, from the routers of the VM list.
-    fn seat_keepers(&mut self) {
+    fn take_routers(&mut self) {
         let roster = &self.members.roster;
         self.funds
-            .seat(&self.tuning.vm, roster.candidates(), &roster.peers());
+            .take_routers(&self.tuning.vm, roster.candidates(), &roster.peers());
     }
 
     /// Takes in a peer's word.
--- a/src/router/keeping.rs
+++ b/src/router/ownership.rs
@@ -6,32 +6,32 @@
 use indexmap::IndexMap;
 
 use crate::decide::Candidate;
-use crate::decide::Keepers;
+use crate::decide::Owners;
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::router::effect::Peer;
 
-/// How long a keeper that did not answer is not asked again, unless it is heard of. Each question to it holds requests up for
+/// How long an owner that did not answer is not asked again, unless it is heard of. Each question to it holds requests up for
 /// a fifth of a second; a process that died is back after some seconds, and a VM that is gone for good stays listed.
 const MUTE: Duration = Duration::from_secs(8);
 
 /// Who keeps which budgets, as this router sees it.
 #[derive(Debug, Default)]
-pub(super) struct Keeping {
-    keepers: Keepers,
+pub(super) struct Ownership {
+    owners: Owners,
     peers: IndexMap<VmId, Peer>,
     me: Option<VmId>,
-    /// The keepers of each team that this router does not keep.
+    /// The owners of each team that this router does not keep.
     elsewhere: IndexMap<TeamId, Vec<Peer>>,
     /// Who did not answer, and until when it is not asked again.
     mute: IndexMap<VmId, Instant>,
 }
 
-impl Keeping {
+impl Ownership {
     /// Takes over who the routers are.
-    pub(super) fn seat(&mut self, me: &VmId, routers: Vec<Candidate>, peers: &[Peer]) {
+    pub(super) fn take_routers(&mut self, me: &VmId, routers: Vec<Candidate>, peers: &[Peer]) {
         self.me = Some(me.clone());
-        self.keepers = Keepers::draw(routers);
+        self.owners = Owners::draw(routers);
         let peers = peers.iter().map(|peer| (peer.vm.clone(), peer.clone()));
         self.peers = peers.collect();
         let teams: Vec<_> = self.elsewhere.keys().cloned().collect();
@@ -41,11 +41,11 @@
 
     /// Takes note of a team.
     pub(super) fn add(&mut self, team: &TeamId) {
-        let keepers = self.keepers.of(team);
-        let mine = self.me.as_ref().is_some_and(|me| keepers.contains(&me));
+        let owners = self.owners.of(team);
+        let mine = self.me.as_ref().is_some_and(|me| owners.contains(&me));
         let peers = match mine {
             true => Vec::new(),
-            false => keepers
+            false => owners
                 .iter()
                 .filter_map(|vm| self.peers.get(*vm))
                 .cloned()
@@ -55,15 +55,15 @@
     }
 
     /// Returns who keeps a team's budget for this router; nobody where it keeps it itself.
-    pub(super) fn keepers(&self, team: &TeamId) -> &[Peer] {
+    pub(super) fn owners(&self, team: &TeamId) -> &[Peer] {
         self.elsewhere.get(team).map_or(&[], Vec::as_slice)
     }
 
     /// Returns those that keep a team's budget for this router and are thought to answer.
     pub(super) fn answering(&self, now: Instant, team: &TeamId) -> Vec<Peer> {
         let mute = |peer: &&Peer| self.mute.get(&peer.vm).is_some_and(|until| now < *until);
-        let keepers = self.keepers(team).iter();
-        keepers.filter(|peer| !mute(peer)).cloned().collect()
+        let owners = self.owners(team).iter();
+        owners.filter(|peer| !mute(peer)).cloned().collect()
     }
 
     /// Takes note that a router did not answer, whatever budget it was asked for.
@@ -77,18 +77,18 @@
     }
 
     /// Returns whether this router is one of the few that keep a team's budget for all.
-    pub(super) fn keeps_for_all(&self, team: &TeamId) -> bool {
-        !self.keepers.is_everyone() && self.keepers(team).is_empty()
+    pub(super) fn owns_for_all(&self, team: &TeamId) -> bool {
+        !self.owners.is_everyone() && self.owners(team).is_empty()
     }
 
     /// Returns whether the routers are known. Before, each of a large fleet would take itself for the only one, and draw a good
     /// part of all budgets at its start.
-    pub(super) fn is_seated(&self) -> bool {
+    pub(super) fn knows_routers(&self) -> bool {
         self.me.is_some()
     }
 
     /// Returns whether all routers keep all budgets.
     pub(super) fn is_everyone(&self) -> bool {
-        self.keepers.is_everyone()
+        self.owners.is_everyone()
     }
 }
--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -5,9 +5,9 @@
 
 use crate::decide;
 use crate::decide::Action;
-use crate::decide::KEEPERS;
+use crate::decide::OWNERS;
 use crate::decide::Share;
-use crate::decide::TEAM_KEEPERS;
+use crate::decide::TEAM_OWNERS;
 use crate::escrow::Change;
 use crate::escrow::GrantRow;
 use crate::escrow::Pace;
@@ -73,16 +73,16 @@
 
     /// Returns how many routers write grants.
     fn writers(&self) -> usize {
-        match self.keeping.is_everyone() {
+        match self.ownership.is_everyone() {
             true => self.others.routers() + 1,
-            false => KEEPERS,
+            false => OWNERS,
         }
     }
 
     /// Returns how many routers share a team's budget.
     fn sharers(&self, team: &TeamId) -> usize {
-        match self.keeping.keeps_for_all(team) {
-            true => TEAM_KEEPERS,
+        match self.ownership.owns_for_all(team) {
+            true => TEAM_OWNERS,
             false => self.others.routers() + 1,
         }
     }
@@ -90,7 +90,7 @@
     /// Returns the grants that the policy wants changed, and those whose promise is to be written anew: all that changed at a
     /// review, and those that keep a request waiting.
     pub(super) fn changes(&self, now: Instant, due: bool) -> Vec<Change> {
-        if !self.keeping.is_seated() {
+        if !self.ownership.knows_routers() {
             return Vec::new();
         }
         let changes = self.allowances.iter().filter_map(|(team, allowance)| {
@@ -116,10 +116,10 @@
         changes.collect()
     }
 
-    /// Returns how much of a grant others are told is spent. What a keeper lends is spent by routers that write nothing
+    /// Returns how much of a grant others are told is spent. What an owner lends is spent by routers that write nothing
     /// themselves; where all keep, who borrows says so itself.
     fn told_spent(&self, allowance: &Allowance) -> Tokens {
-        match self.keeping.is_everyone() {
+        match self.ownership.is_everyone() {
             true => allowance.spent,
             false => allowance.gone(),
         }
@@ -129,7 +129,7 @@
     fn wanted_grant(&self, now: Instant, team: &TeamId, allowance: &Allowance) -> Tokens {
         let granted = self.book.granted(team);
         let free = self.held(team);
-        if self.is_kept(now, team) {
+        if self.is_owned_elsewhere(now, team) {
             return granted - free.min(granted);
         }
         if self.stay != Stay::Staying && allowance.waiting.is_empty() {
--- a/src/router/tests/keepers.rs
+++ b/src/router/tests/owners.rs
@@ -39,7 +39,7 @@
 }
 
 /// Brings up a router that keeps the budget for others: it is by far the largest, and alone in its failure domain.
-fn keeper() -> Site {
+fn owner() -> Site {
     let role = [
         ("role", "router"),
         ("peer", "127.0.0.1:8100"),
@@ -74,7 +74,7 @@
     !site.runs(id).is_empty()
 }
 
-fn ask_keeper(site: &mut Site, number: u64, id: u64, amount: u64) {
+fn ask_owner(site: &mut Site, number: u64, id: u64, amount: u64) {
     let ask = LoanAsk {
         borrower: Incarnation(99),
         number,
@@ -99,17 +99,17 @@
 fn who_keeps_nothing_borrows_and_writes_nothing() {
     let mut site = guest();
     let id = site.ask("stream", 100, 50);
-    let (ask, _) = asked(&site).pop().expect("a keeper is asked at once");
+    let (ask, _) = asked(&site).pop().expect("an owner is asked at once");
     assert_eq!(ask.amount, Tokens(150));
     site.tell(Event::Lent(ask, Some(Tokens(150))));
     assert!(is_run(&site, id));
     assert_eq!(proposals(&site), 0);
 }
 
-/// The VM of a keeper lost its power. The next one is asked, and as long as all three are silent the log: a caller must not
+/// The VM of an owner lost its power. The next one is asked, and as long as all three are silent the log: a caller must not
 /// be refused while the team has budget.
 #[test]
-fn silent_keepers_are_passed_over() {
+fn silent_owners_are_passed_over() {
     let mut site = guest();
     let id = site.ask("stream", 100, 50);
     let mut addresses = Vec::new();
@@ -132,10 +132,10 @@
 /// A request reserves the most that it may use, and uses less. What is left over at each of two hundred routers would be
 /// seconds of the team's demand that nobody else can use.
 #[test]
-fn what_is_left_over_goes_back_to_a_keeper() {
+fn what_is_left_over_goes_back_to_an_owner() {
     let mut site = guest();
     let id = site.ask("stream", 100, 900);
-    let (ask, _) = asked(&site).pop().expect("a keeper is asked");
+    let (ask, _) = asked(&site).pop().expect("an owner is asked");
     site.tell(Event::Lent(ask, Some(Tokens(1000))));
     let usage = Usage {
         prompt: Tokens::ZERO,
@@ -155,13 +155,13 @@
     assert_eq!(gifts[0].amount, Tokens(880));
 }
 
-/// A keeper that holds too little draws it and answers then. The question comes a second time meanwhile, since its sender
+/// An owner that holds too little draws it and answers then. The question comes a second time meanwhile, since its sender
 /// heard nothing: counted twice, the team would lose what was lent the second time.
 #[test]
-fn a_keeper_draws_for_others_and_lends_once() {
-    let mut site = keeper();
-    ask_keeper(&mut site, 1, 1, 5000);
-    ask_keeper(&mut site, 1, 2, 5000);
+fn an_owner_draws_for_others_and_lends_once() {
+    let mut site = owner();
+    ask_owner(&mut site, 1, 1, 5000);
+    ask_owner(&mut site, 1, 2, 5000);
     site.pass(100);
     assert_eq!(lent(&site, 1), Some(5000));
     assert_eq!(lent(&site, 2), Some(5000));
@@ -169,16 +169,16 @@
     assert_eq!(dump["teams"][0]["lent"], 5000, "{dump}");
 }
 
-/// All routers are parted from the log. A keeper that can't draw lends what it can before who asks has given up: the rest may
-/// lie at another keeper, and a caller waits.
+/// All routers are parted from the log. An owner that can't draw lends what it can before who asks has given up: the rest may
+/// lie at another owner, and a caller waits.
 #[test]
-fn a_keeper_without_the_log_lends_what_it_can() {
-    let mut site = keeper();
-    ask_keeper(&mut site, 1, 1, 5000);
+fn an_owner_without_the_log_lends_what_it_can() {
+    let mut site = owner();
+    ask_owner(&mut site, 1, 1, 5000);
     site.pass(3000);
     site.log = Log::Away;
     site.pass(2000);
-    ask_keeper(&mut site, 2, 2, 900_000);
+    ask_owner(&mut site, 2, 2, 900_000);
     site.pass(160);
     let answer = lent(&site, 2);
     let part = answer.is_some_and(|lent| 0 < lent && lent < 900_000);
--- a/tests/decisions/keepers.rs
+++ b/tests/decisions/owners.rs
@@ -2,7 +2,7 @@
 
 use jasmineridge::Candidate;
 use jasmineridge::Capacity;
-use jasmineridge::Keepers;
+use jasmineridge::Owners;
 use jasmineridge::TeamId;
 use jasmineridge::VmId;
 
@@ -30,20 +30,20 @@
     name(&format!("team-{at}"))
 }
 
-fn kept(keepers: &Keepers, at: usize) -> Vec<VmId> {
-    keepers.of(&team(at)).into_iter().cloned().collect()
+fn kept(owners: &Owners, at: usize) -> Vec<VmId> {
+    owners.of(&team(at)).into_iter().cloned().collect()
 }
 
 /// Two hundred routers that each draw what one request needs write eight hundred times a second to a partition that takes a
-/// hundred and fifty, and callers wait. Here sixteen routers write, the large ones first, and a team's three keepers stand in
+/// hundred and fifty, and callers wait. Here sixteen routers write, the large ones first, and a team's three owners stand in
 /// three failure domains, so that none of these takes its budget along.
 #[test]
-fn a_large_fleet_has_few_keepers() {
+fn a_large_fleet_has_few_owners() {
     let routers = fleet(200);
-    let keepers = Keepers::draw(routers.clone());
+    let owners = Owners::draw(routers.clone());
     let mut all = indexmap::IndexSet::new();
     for at in 0..TEAMS {
-        let vms = kept(&keepers, at);
+        let vms = kept(&owners, at);
         let of = |vm: &VmId| routers.iter().find(|router| router.vm == *vm);
         let domains = vms.iter().filter_map(of).map(|router| &router.domain);
         let domains: indexmap::IndexSet<_> = domains.collect();
@@ -56,25 +56,25 @@
         router.is_some_and(|router| router.capacity.cpu == 500)
     });
     let large = large.count();
-    println!("{} keepers, {large} of them large", all.len());
+    println!("{} owners, {large} of them large", all.len());
     assert!(all.len() <= 16);
     assert!(large * 2 > all.len(), "{large} large of {}", all.len());
 }
 
-/// Routers hear of a change in the list at different moments. As long as one is behind it asks keepers of before, so that
+/// Routers hear of a change in the list at different moments. As long as one is behind it asks owners of before, so that
 /// few may move; and in which order the list names the routers must not matter.
 #[test]
 fn a_router_that_goes_moves_few_teams() {
     let all = fleet(200);
     let mut turned = all.clone();
     turned.reverse();
-    let before = Keepers::draw(all.clone());
-    let again = Keepers::draw(turned);
+    let before = Owners::draw(all.clone());
+    let again = Owners::draw(turned);
     let mut moved = 0;
     for gone in 0..all.len() {
         let mut rest = all.clone();
         rest.remove(gone);
-        let after = Keepers::draw(rest);
+        let after = Owners::draw(rest);
         let moves = |at: &usize| kept(&before, *at) != kept(&after, *at);
         moved += (0..TEAMS).filter(moves).count();
     }
@@ -89,7 +89,7 @@
 /// In a small fleet each router keeps what its callers need: a cut between two routers then stops nobody.
 #[test]
 fn in_a_small_fleet_all_keep() {
-    let keepers = Keepers::draw(fleet(16));
-    assert!(keepers.is_everyone());
-    assert!(kept(&keepers, 0).is_empty());
+    let owners = Owners::draw(fleet(16));
+    assert!(owners.is_everyone());
+    assert!(kept(&owners, 0).is_empty());
 }
