--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -54,8 +54,9 @@
 /// given up, so that what was lent later would be lost.
 const LOAN_WAIT: Duration = Duration::from_millis(150);
 
-/// What part of a budget may lie at routers that borrowed it and count as spent, though it will come back: a request a
-/// second at each of two hundred routers gives back a fiftieth. A caller is told that the budget is spent only beyond that.
+/// What part of a budget may lie at routers that borrowed it and count as spent, though it will come back: five seconds'
+/// leftovers of requests that use four fifths of what they reserve, of a budget for a minute or so. A caller is told that
+/// the budget is spent only where this part would not cover it either.
 const IN_TRANSIT: u64 = 50;
 
 /// How old the router's word from the log may be to tell a caller that a budget is spent.
