--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -5,6 +5,17 @@
 
 use crate::tokens::Tokens;
 
+/// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
+const LEAST_AGE: Duration = Duration::from_secs(1);
+
+/// Returns which part of a rate, up to 1, an average over a window has seen that began with nothing at a time.
+///
+/// After a second of ten it is a tenth: taken at its word, the average would have a demand that just began for next to none.
+pub(crate) fn seen(now: Instant, first: Instant, window: Duration) -> f64 {
+    let age = now.saturating_duration_since(first).max(LEAST_AGE);
+    1.0 - (-age.as_secs_f64() / window.as_secs_f64()).exp()
+}
+
 /// A rate that forgets: an average over about `window`.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Demand {
--- a/src/decide/homes.rs
+++ b/src/decide/homes.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::decide::demand::Demand;
+use crate::decide::demand::seen;
 use crate::decide::hasher::FastHasher;
 use crate::decide::prefill::Prefill;
 use crate::decide::prefill::Prompt;
@@ -26,14 +27,11 @@
 /// differ by twice in the number of homes, and the part is read at as many more engines.
 const WINDOW: Duration = Duration::from_secs(10);
 
-/// The age that a demand is thought to have at least: of one request, nothing can be said of the rate. A demand that just
-/// began is known after this time, before its home is seconds behind.
-const LEAST_AGE: Duration = Duration::from_secs(1);
-
-/// What part of its time a home may spend on reading the prompts of one part: beyond that, they queue behind each other for long.
+/// What part of its time a home may spend on reading the prompts of one part: beyond that, they queue behind each other for
+/// long.
 const READING: f64 = 0.6;
 
-/// How many parts are counted. One that was asked for once is worth no more than its bytes: of the oldest, most are.
+/// How many parts are counted. Most are asked for once and have one home whether they are counted or not.
 const COUNTED: usize = 2048;
 
 /// Counts requests for shared parts, and tells how many homes each part needs.
@@ -58,12 +56,10 @@
         }
     }
 
-    /// Returns how many tokens they have a second, apart from the part. An average that began with nothing a second ago
-    /// has seen a tenth of it.
+    /// Returns how many tokens they have a second, apart from the part. A demand that just began is known within a second,
+    /// before its home is seconds behind.
     fn rate(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.first).max(LEAST_AGE);
-        let seen = 1.0 - (-age.as_secs_f64() / WINDOW.as_secs_f64()).exp();
-        self.demand.rate(now) / seen
+        self.demand.rate(now) / seen(now, self.first, WINDOW)
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -43,6 +43,7 @@
 pub use concurrency::EndpointLimit;
 pub use concurrency::Sample;
 pub(crate) use demand::Demand;
+pub(crate) use demand::seen;
 pub(crate) use hasher::FastHasher;
 pub use health::Caps;
 pub use health::Ejector;
--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide;
 use crate::decide::Ration;
 use crate::ids::RequestId;
 use crate::router::event::AdminId;
@@ -24,9 +25,6 @@
 /// A large request counts for so many in these averages at most.
 const LARGE: f64 = 4.0;
 
-/// The age that a demand is thought to have at least: of one request, nothing can be said of the rate.
-const LEAST_AGE: Duration = Duration::from_millis(1000);
-
 /// Who waits for budget.
 #[derive(Clone, Debug)]
 pub(crate) enum Waiter {
@@ -87,11 +85,8 @@
     /// An average that began with nothing a second ago has seen a fifth of the rate; without the correction, a cut in the
     /// first seconds would find grants that are far too small.
     pub(crate) fn rate(&self, now: Instant) -> f64 {
-        let age = self
-            .first
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let age = age.max(LEAST_AGE).as_secs_f64();
-        self.ration.rate(now) / (1.0 - (-age / WINDOW.as_secs_f64()).exp())
+        let first = self.first.unwrap_or(now);
+        self.ration.rate(now) / decide::seen(now, first, WINDOW)
     }
 
     /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
@@ -111,17 +106,26 @@
         }
     }
 
-    /// Returns how much of the grant is gone: spent here, or lent to others, which spend it without a word to the log.
+    /// Returns what was spent here, and lent to others, which spend it without a word to the log.
+    fn taken(&self) -> Tokens {
+        self.spent.saturating_add(self.loans.lent())
+    }
+
+    /// Returns how much of the grant is gone: taken, less what was borrowed.
     pub(crate) fn gone(&self) -> Tokens {
-        let gone = self.spent.saturating_add(self.loans.lent());
-        gone.saturating_sub(self.loans.borrowed())
+        self.taken().saturating_sub(self.loans.borrowed())
     }
 
-    /// Returns how much of the grant is in use: spent, reserved and lent, less what was borrowed.
+    /// Returns how much of the grant is in use: taken or reserved, less what was borrowed.
     pub(crate) fn in_use(&self) -> Tokens {
-        let gone = self.reserved.saturating_add(self.spent);
-        let gone = gone.saturating_add(self.loans.lent());
-        gone.saturating_sub(self.loans.borrowed())
+        let held = self.reserved.saturating_add(self.taken());
+        held.saturating_sub(self.loans.borrowed())
+    }
+
+    /// Returns what is left of a part of the grant, with what was borrowed.
+    pub(crate) fn free_of(&self, granted: Tokens) -> Tokens {
+        let mine = granted.saturating_add(self.loans.borrowed());
+        mine.saturating_sub(self.reserved.saturating_add(self.taken()))
     }
 
     /// Returns how urgent the most urgent one is that waits, 0 being first.
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -16,13 +16,10 @@
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
 use crate::ids::Incarnation;
-use crate::ids::RequestId;
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::moment::BootClock;
 use crate::router::allowance::Allowance;
-use crate::router::allowance::Waiter;
-use crate::router::allowance::Waiting;
 use crate::router::effect::Effect;
 use crate::router::effect::Peer;
 use crate::router::event::GrantEvent;
@@ -47,20 +44,13 @@
 /// For how long the demand of more urgent requests is kept open in a cut. What they use opens again sooner than they come.
 const KEPT_OPEN: Duration = Duration::from_millis(500);
 
-/// How long a request waits for a grant: a read and a write at a log that takes a hundred milliseconds each.
-const WAIT: Duration = Duration::from_millis(400);
-
-/// How long another router's question for a loan waits: it is repeated once, and after a fifth of a second its sender has
-/// given up, so that what was lent later would be lost.
-const LOAN_WAIT: Duration = Duration::from_millis(150);
-
 /// What part of a budget may lie at routers that borrowed it and count as spent, though it will come back: five seconds'
 /// leftovers of requests that use four fifths of what they reserve, of a budget for a minute or so. A caller is told that
 /// the budget is spent only where this part would not cover it either.
 const IN_TRANSIT: u64 = 50;
 
 /// How old the router's word from the log may be to tell a caller that a budget is spent.
-const FRESH: Duration = Duration::from_millis(500);
+pub(super) const FRESH: Duration = Duration::from_millis(500);
 
 /// The first rest after a call that failed; it doubles with each further one.
 const REST: Duration = Duration::from_millis(50);
@@ -68,19 +58,6 @@
 /// The longest rest: how late the end of an outage may be noticed.
 const LONGEST_REST: Duration = Duration::from_millis(800);
 
-/// Why a request that waited for its budget can't have it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Unfunded {
-    /// What is left of the budget does not cover it.
-    Spent,
-    /// Other routers hold what is left.
-    Held,
-    /// What is left is kept for more urgent requests.
-    Kept,
-    /// The log can't be asked, and this router holds too little.
-    Away,
-}
-
 /// What came of asking for a request's budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reserve {
@@ -214,13 +191,6 @@
         Reserve::Done
     }
 
-    /// Has a request wait for a grant.
-    pub(crate) fn wait(&mut self, team: &TeamId, waiting: Waiting) {
-        if let Some(allowance) = self.allowances.get_mut(team) {
-            allowance.waiting.push_back(waiting);
-        }
-    }
-
     /// Ends a reservation with what was used of it.
     pub(crate) fn settle(&mut self, team: &TeamId, reserved: Tokens, used: Tokens) {
         if let Some(allowance) = self.allowances.get_mut(team) {
@@ -231,86 +201,6 @@
         }
     }
 
-    /// Reserves for those that wait and can be covered now, and returns them and what they get. A small one may pass a large
-    /// one: the large one is refused if it can't be had, not the small one.
-    pub(crate) fn funded(&mut self, now: Instant) -> Vec<(Waiter, Tokens)> {
-        let mut funded = Vec::new();
-        for team in self.waiting_teams() {
-            let available = self.available(now, &team);
-            let mut taken = Tokens::ZERO;
-            let away = self.away.is_some();
-            let Allowance {
-                waiting,
-                ration,
-                loans,
-                reserved,
-                ..
-            } = &mut self.allowances[&team];
-            waiting.retain(|waiting| {
-                let kept = kept_open(away, now, ration, waiting.priority);
-                let needed = taken.saturating_add(waiting.amount).saturating_add(kept);
-                if needed > available {
-                    return true;
-                }
-                taken += waiting.amount;
-                let amount = match &waiting.who {
-                    Waiter::Request(_) => {
-                        *reserved += waiting.amount;
-                        waiting.amount
-                    }
-                    Waiter::Loan(_, ask) => loans.lend(ask, waiting.amount),
-                };
-                funded.push((waiting.who.clone(), amount));
-                false
-            });
-        }
-        funded
-    }
-
-    /// Returns the requests that can't have their budget, or not in time, and why.
-    pub(crate) fn unfunded(&mut self, now: Instant) -> Vec<(Waiter, Unfunded)> {
-        let mut unfunded = Vec::new();
-        for team in self.waiting_teams() {
-            let left = self.left(&team);
-            let reach = self.reach(&team);
-            let held = self.held(&team);
-            let fresh = self.fresh;
-            let borrows = self.allowances[&team].loans.may_bring(now);
-            let away = self.failures > 0 || self.book.end().is_none();
-            self.allowances[&team].waiting.retain(|waiting| {
-                let asked = fresh.is_some_and(|at| at + FRESH >= waiting.since);
-                let loan = matches!(waiting.who, Waiter::Loan(..));
-                if loan && now >= waiting.since + LOAN_WAIT {
-                    unfunded.push((waiting.who.clone(), Unfunded::Held));
-                    return false;
-                }
-                if borrows {
-                    return true;
-                }
-                let why = match waiting.amount {
-                    amount if asked && amount > left => Unfunded::Spent,
-                    amount if asked && amount > reach => Unfunded::Held,
-                    // What is held for it may be used within a moment.
-                    amount if amount <= held && now < waiting.since + WAIT => return true,
-                    _ if away => Unfunded::Away,
-                    _ if now >= waiting.since + WAIT => Unfunded::Held,
-                    _ => return true,
-                };
-                unfunded.push((waiting.who.clone(), why));
-                false
-            });
-        }
-        unfunded
-    }
-
-    /// Takes a request out of those that wait.
-    pub(crate) fn forget(&mut self, team: &TeamId, request: RequestId) {
-        if let Some(allowance) = self.allowances.get_mut(team) {
-            let is_it = |who: &Waiter| matches!(who, Waiter::Request(id) if *id == request);
-            allowance.waiting.retain(|waiting| !is_it(&waiting.who));
-        }
-    }
-
     /// Takes in what happened at the log.
     pub(crate) fn took(&mut self, now: Instant, event: GrantEvent) {
         self.busy = false;
@@ -447,15 +337,6 @@
         self.failures += 1;
     }
 
-    /// Returns the teams for whose budget requests wait.
-    pub(super) fn waiting_teams(&self) -> Vec<TeamId> {
-        let waiting = self
-            .allowances
-            .iter()
-            .filter(|(_, p)| !p.waiting.is_empty());
-        waiting.map(|(team, _)| team.clone()).collect()
-    }
-
     /// Returns what can be reserved now.
     pub(super) fn available(&self, now: Instant, team: &TeamId) -> Tokens {
         self.free_of(team, self.book.open(team, &self.clock.at(now)))
@@ -477,11 +358,8 @@
 
     /// Returns what is left of a part of a grant.
     fn free_of(&self, team: &TeamId, granted: Tokens) -> Tokens {
-        self.allowances.get(team).map_or(Tokens::ZERO, |allowance| {
-            let mine = granted.saturating_add(allowance.loans.borrowed());
-            let gone = allowance.reserved.saturating_add(allowance.spent);
-            mine.saturating_sub(gone.saturating_add(allowance.loans.lent()))
-        })
+        let allowance = self.allowances.get(team);
+        allowance.map_or(Tokens::ZERO, |allowance| allowance.free_of(granted))
     }
 
     /// Returns the most that this router could reserve if it drew all that is undrawn.
@@ -513,7 +391,7 @@
 
 /// Returns what more urgent requests than those of a priority find open. In touch with the log more is opened by the next
 /// promise; in a cut it opens slowly, and the less urgent would use up each bit of it.
-fn kept_open(away: bool, now: Instant, ration: &Ration, priority: u8) -> Tokens {
+pub(super) fn kept_open(away: bool, now: Instant, ration: &Ration, priority: u8) -> Tokens {
     match away {
         true => Tokens((ration.urgent(now, priority) * KEPT_OPEN.as_secs_f64()) as u64),
         false => Tokens::ZERO,
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -23,11 +23,11 @@
 use crate::router::event::GrantEvent;
 use crate::router::event::LoanAsk;
 use crate::router::funds::Reserve;
-use crate::router::funds::Unfunded;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
 use crate::router::request::Stake;
+use crate::router::waiting::Unfunded;
 use crate::tokens::Tokens;
 
 /// When a caller may come back whose budget others hold: they give back what lies idle at their next review.
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -98,10 +98,9 @@
         if self.asked.is_some() {
             return None;
         }
-        self.dry.retain(|_, until| now < *until);
         let idle = lenders
             .iter()
-            .filter(|lender| !self.dry.contains_key(&lender.peer.address))
+            .filter(|lender| self.may_have(now, &lender.peer))
             .filter(|lender| lender.free > Tokens::ZERO);
         let Some(lender) = idle.max_by_key(|lender| lender.free) else {
             self.none = Some(now);
@@ -123,7 +122,6 @@
         if self.asked.is_some() {
             return None;
         }
-        self.dry.retain(|_, until| now < *until);
         let peer = self.next_owner(now, owners)?.clone();
         Some(self.ask_peer(me, team, wanted, peer))
     }
@@ -165,6 +163,7 @@
         let (_, peer) = self.asked.take_if(|(number, _)| *number == ask.number)?;
         let amount = amount.unwrap_or(Tokens::ZERO);
         self.borrowed += amount;
+        self.dry.retain(|_, until| now < *until);
         if amount.0 < ask.amount.0 / ENOUGH {
             self.dry.insert(peer.address.clone(), now + DRY);
         }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -41,6 +41,7 @@
 mod stream;
 #[cfg(test)]
 mod tests;
+mod waiting;
 
 pub(crate) use appender::Pace;
 pub(crate) use core::Accounting;
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -50,12 +50,16 @@
         let teams: Vec<_> = self.allowances.keys().cloned().collect();
         let mut effects = Vec::new();
         for team in teams {
+            let allowance = &self.allowances[&team];
+            let borrowed = allowance.loans.borrowed() > allowance.loans.lent();
+            if !borrowed || !allowance.waiting.is_empty() {
+                continue;
+            }
+            let kept = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
             let idle = self.available(now, &team);
             let owners = self.ownership.answering(now, &team);
             let allowance = &mut self.allowances[&team];
-            let kept = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
-            let borrowed = allowance.loans.borrowed() > allowance.loans.lent();
-            if borrowed && idle > kept && allowance.waiting.is_empty() {
+            if idle > kept {
                 effects.extend(allowance.loans.give_owner(now, me, &team, idle, &owners));
             }
         }
--- a/src/router/statement.rs
+++ b/src/router/statement.rs
@@ -9,7 +9,7 @@
 use crate::ids::RequestId;
 use crate::ids::TeamId;
 use crate::router::funds::Funds;
-use crate::router::funds::Unfunded;
+use crate::router::waiting::Unfunded;
 
 impl Funds {
     /// Logs a refusal and what is known of the budget, its grounds.
