Say in the logs what a grant promises, and refuse for want of budget under a name of its own

A refusal for budget that lies elsewhere was logged and answered as overload, which hid that nothing was overloaded; it is budget-held now (503, not run, when to come back). The line granted says what a promise consists of, so that what a dead lifetime leaves can be split into what was in use, what could be used at once, and what opened for the time that passed.

--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -303,17 +303,34 @@
         self.book.restart();
     }
 
-    /// Logs the grants that stand from now on: who reads the logs sees from them where a budget lies.
+    /// Logs the grants that stand from now on: who reads the logs sees from them where a budget lies, and which part of a dead
+    /// lifetime's grant stays lost: what was in use, what could be used at once, and what opened for the time that passed.
     fn note_grants(&self, records: &[(GrantKey, GrantRow)]) {
         for (key, row) in records {
-            let GrantKey { vm, router, team } = key;
             match self.book.is_mine(key) {
-                true => info!(event = "granted", %team, granted = %row.granted, spent = %row.spent),
-                false => info!(event = "given-back", %team, of = %vm, %router, left = %row.granted),
+                true => self.note_granted(&key.team, row),
+                false => {
+                    let GrantKey { vm, router, team } = key;
+                    info!(event = "given-back", %team, of = %vm, %router, left = %row.granted);
+                }
             }
         }
     }
 
+    fn note_granted(&self, team: &TeamId, row: &GrantRow) {
+        let promised = row.pace.map(|pace| (pace.used, pace.room, pace.rate));
+        let (used, room, rate) = promised.unwrap_or_default();
+        let moved = self.allowances.get(team).map(|allowance| {
+            let loans = &allowance.loans;
+            (allowance.reserved, loans.lent(), loans.borrowed())
+        });
+        let (reserved, lent, borrowed) = moved.unwrap_or_default();
+        info!(
+            event = "granted", %team, granted = %row.granted, spent = %row.spent,
+            %used, %room, %rate, %reserved, %lent, %borrowed,
+        );
+    }
+
     fn answered(&mut self, now: Instant) {
         if self.failures > 0 {
             info!(event = "grants-reachable", failures = self.failures);
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -168,13 +168,13 @@
             }
             Unfunded::Held => {
                 let detail = format!("other routers hold what is left of the budget of {team}");
-                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(retry)
+                Problem::new(ProblemKind::BudgetHeld, Ran::No, &detail).retry_in(retry)
             }
             Unfunded::Kept => {
                 let detail = format!(
                     "what is left of the budget of {team} is kept for more urgent requests"
                 );
-                Problem::new(ProblemKind::Overloaded, Ran::No, &detail).retry_in(retry)
+                Problem::new(ProblemKind::BudgetHeld, Ran::No, &detail).retry_in(retry)
             }
             Unfunded::Away => {
                 let detail =
--- a/src/router/problem.rs
+++ b/src/router/problem.rs
@@ -53,6 +53,8 @@
     Overloaded,
     /// The team's budget does not cover the request.
     BudgetSpent,
+    /// The budget may cover the request, but this router can't have what is left of it now.
+    BudgetHeld,
     /// No endpoint could take the request.
     NoEndpoint,
     /// Endpoints keep dying of this request.
@@ -85,6 +87,7 @@
             Self::RateLimited => (429, "rate-limited", "The client account asks too often"),
             Self::Overloaded => (503, "overloaded", "All endpoints are busy"),
             Self::BudgetSpent => (402, "budget-spent", "The team's budget is spent"),
+            Self::BudgetHeld => (503, "budget-held", "The team's budget lies elsewhere"),
             Self::NoEndpoint => (503, "no-endpoint", "No endpoint can take the request"),
             Self::Quarantined => (422, "quarantined", "Endpoints fail over this request"),
             Self::NotServing => (503, "not-serving", "This router takes no new requests"),
