A test that shows what a loss of power of all routers strands, known to fail

Callers of a team that had prepaid enough are refused after the routers are back: 50,670 tokens, five seconds of the team's demand, count as used that nobody used, after 1.4 s without power. The aim in the test is the time without power and a second.

--- /dev/null
+++ b/src/router/fleet_clock.rs
@@ -0,0 +1,110 @@
+//! The times of day of a fleet's routers, as one of them hears of them.
+//!
+//! A VM's time of day may be wrong by seconds, and be set right while the VM has no power. To its next process less time has
+//! then passed than has, and it would give back budget that was used. An allowance for that strands seconds of each team's
+//! demand at each loss of power. Most clocks of a fleet are never wrong in the same direction at once; so routers tell each
+//! other theirs, and go by what most of them say.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::ids::VmId;
+use crate::moment::BootClock;
+use crate::moment::Reading;
+use crate::moment::Span;
+
+/// How many other routers' clocks must be known at least, and which part of them: one more than every second.
+const LEAST: usize = 2;
+const PART: usize = 2;
+
+/// Which part of the clocks is left out at either end of a span. Some VMs' clocks are set wrong, and those of VMs that were
+/// suspended fall behind; let in, each of them would widen all spans.
+const LEFT_OUT: usize = 4;
+
+/// How long a router's word of its clock holds. It may have another after a restart.
+const KEPT: Duration = Duration::from_secs(20);
+
+/// A VM's clock and those of the other routers.
+#[derive(Debug)]
+pub(crate) struct FleetClock {
+    own: BootClock,
+    /// What time of day other routers said it was, and when.
+    heard: IndexMap<VmId, (Instant, Duration)>,
+    /// How many other routers there are.
+    others: usize,
+    /// What the fleet's clocks read when this process started, once enough of them are known.
+    start: Option<Span>,
+}
+
+impl FleetClock {
+    /// Makes one that knows its own alone.
+    pub(crate) fn new(own: BootClock) -> Self {
+        Self {
+            own,
+            heard: IndexMap::new(),
+            others: 0,
+            start: None,
+        }
+    }
+
+    /// Takes over how many other routers there are.
+    pub(crate) fn expect(&mut self, others: usize) {
+        self.others = others;
+    }
+
+    /// Takes in what time of day it is at another router.
+    pub(crate) fn hear(&mut self, now: Instant, vm: &VmId, wall: Duration) {
+        self.heard.insert(vm.clone(), (now, wall));
+    }
+
+    /// Returns what the VM's own clock reads.
+    pub(crate) fn own(&self, now: Instant) -> Reading {
+        Reading {
+            own: self.own.at(now),
+            fleet: None,
+        }
+    }
+
+    /// Returns what all clocks read.
+    pub(crate) fn at(&self, now: Instant) -> Reading {
+        Reading {
+            fleet: self.span(now),
+            ..self.own(now)
+        }
+    }
+
+    /// Returns what the clocks read when this process started. What the fleet's read is fixed when it is first known: it
+    /// must not change with each router that is heard of later.
+    pub(crate) fn start(&mut self, now: Instant) -> Reading {
+        let own = self.own.start();
+        let passed = self.own.at(now).uptime.saturating_sub(own.uptime);
+        if self.start.is_none() {
+            self.start = self.span(now).map(|span| span.before(passed));
+        }
+        Reading {
+            own,
+            fleet: self.start,
+        }
+    }
+
+    fn span(&self, now: Instant) -> Option<Span> {
+        let heard = self.heard.values();
+        let clocks = heard.filter_map(|(at, wall)| {
+            let age = now.saturating_duration_since(*at);
+            (age < KEPT).then(|| *wall + age)
+        });
+        let mut clocks: Vec<_> = clocks.collect();
+        if clocks.len() < LEAST.max(self.others / PART + 1) {
+            return None;
+        }
+        clocks.push(self.own.at(now).wall);
+        clocks.sort_unstable();
+        let left_out = clocks.len() / LEFT_OUT;
+        Some(Span {
+            earliest: clocks[left_out],
+            latest: clocks[clocks.len() - 1 - left_out],
+        })
+    }
+}
--- a/src/router/tests/bench.rs
+++ b/src/router/tests/bench.rs
@@ -37,6 +37,7 @@
 use crate::router::Tuning;
 use crate::router::Usage;
 use crate::router::Work;
+use crate::router::tests::site::WALL;
 use crate::settings::EndMarker;
 use crate::tokens::Tokens;
 use crate::vms::VmEntry;
@@ -112,17 +113,17 @@
         parted: Duration::from_secs(3600),
         drain: Duration::from_secs(60),
         accounting: crate::router::Accounting::Ledger,
-        clock: boot_clock(1, Instant::now()),
+        clock: boot_clock(1, WALL, Instant::now()),
     }
 }
 
-/// Returns the clock of a VM's boot, an hour after which a process started.
-pub(crate) fn boot_clock(boot: u64, started: Instant) -> BootClock {
+/// Returns the clock of a VM's boot, an hour after which a process started, at a time of day.
+pub(crate) fn boot_clock(boot: u64, wall: Duration, started: Instant) -> BootClock {
     let start = Moment {
         host: HostId(1),
         boot: BootId(boot),
         uptime: Duration::from_secs(3600),
-        wall: Duration::from_secs(1_800_000_000),
+        wall,
     };
     BootClock::new(start, started)
 }
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -16,6 +16,7 @@
 mod outage;
 mod owners;
 mod pace;
+mod power_lost;
 mod purse;
 mod random;
 mod reborn;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -10,6 +10,8 @@
 use crate::config::Repeat;
 use crate::config::RouteTable;
 use crate::config::TablePool;
+use crate::escrow::GrantKey;
+use crate::escrow::GrantRow;
 use crate::escrow::Proposal;
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
@@ -18,6 +20,7 @@
 use crate::ids::RequestId;
 use crate::key_hash::KeyHash;
 use crate::labels::Labels;
+use crate::moment::BootClock;
 use crate::router::Accounting;
 use crate::router::Arrival;
 use crate::router::Core;
@@ -30,8 +33,10 @@
 use crate::router::Relay;
 use crate::router::Run;
 use crate::router::Secret;
+use crate::router::Tuning;
 use crate::router::Work;
 use crate::router::event::PurseWord;
+use crate::router::tests::bench::boot_clock;
 use crate::router::tests::bench::tuning;
 use crate::tokens::Tokens;
 use crate::vms::VmEntry;
@@ -40,6 +45,8 @@
 
 pub(crate) const TIMEOUT: Duration = Duration::from_millis(2000);
 pub(crate) const OBJECTIVE: Duration = Duration::from_millis(200);
+/// What time of day it is when a site starts, since the Unix epoch.
+pub(crate) const WALL: Duration = Duration::from_secs(1_800_000_000);
 pub(crate) const LINGER: Duration = Duration::from_millis(5500);
 
 /// How the log answers a proposal.
@@ -54,9 +61,12 @@
 pub(crate) struct Site {
     pub(crate) core: Core,
     pub(crate) now: Instant,
+    started: Instant,
     pub(crate) log: Log,
     pub(crate) effects: Vec<Effect>,
     pub(crate) end: u64,
+    /// What the log holds of this router.
+    rows: Vec<(Offset, GrantKey, GrantRow)>,
     next: u64,
 }
 
@@ -132,6 +142,19 @@
     }
 }
 
+fn site_tuning(clock: BootClock) -> Tuning {
+    Tuning {
+        drain: Duration::from_millis(7700),
+        accounting: Accounting::Grants(GrantTuning {
+            linger: LINGER,
+            retries: 0.2,
+            spare: 5.0,
+        }),
+        clock,
+        ..tuning(0)
+    }
+}
+
 impl Site {
     /// Brings up a router that serves; its team prepaid so much.
     pub(crate) fn start(prepaid: u64) -> Self {
@@ -146,20 +169,15 @@
 
     /// Brings up a router that serves among these VMs; its team prepaid so much.
     pub(crate) fn start_among(prepaid: u64, vms: Vec<VmEntry>) -> Self {
-        let mut tuning = tuning(0);
-        tuning.drain = Duration::from_millis(7700);
-        tuning.accounting = Accounting::Grants(GrantTuning {
-            linger: LINGER,
-            retries: 0.2,
-            spare: 5.0,
-        });
         let now = Instant::now();
         let mut site = Self {
-            core: Core::new(now, tuning, 7),
+            core: Core::new(now, site_tuning(boot_clock(1, WALL, now)), 7),
             now,
+            started: now,
             log: Log::Up,
             effects: Vec::new(),
             end: 0,
+            rows: Vec::new(),
             next: 1,
         };
         site.tell(Event::Table(table(1, prepaid)));
@@ -168,6 +186,23 @@
         site
     }
 
+    /// Has the router's VM lose its power and be back after a while: a process that knows nothing starts on it.
+    pub(crate) fn lose_power(&mut self, down: Duration) {
+        let list = self.core.members.roster.list().clone();
+        let table = self.core.table.clone().expect("a table");
+        self.now += down;
+        let started = self.now;
+        let clock = boot_clock(2, WALL + self.passed(), started);
+        self.core = Core::new(started, site_tuning(clock), 8);
+        self.tell(Event::Table(table));
+        self.tell(Event::VmList(list));
+    }
+
+    /// Returns how long ago the site was started.
+    fn passed(&self) -> Duration {
+        self.now - self.started
+    }
+
     /// Tells the core something, and answers what it asks the log.
     pub(crate) fn tell(&mut self, event: Event) {
         let mut events = vec![event];
@@ -188,7 +223,10 @@
         if self.log == Log::Away {
             return GrantEvent::Lost(proposal.at);
         }
-        self.end += proposal.records.len() as u64;
+        for (key, row) in &proposal.records {
+            self.rows.push((Offset(self.end), key.clone(), *row));
+            self.end += 1;
+        }
         GrantEvent::Landed(proposal.at)
     }
 
@@ -196,7 +234,7 @@
         match self.log {
             Log::Away => GrantEvent::Unread,
             Log::Up => GrantEvent::Read {
-                rows: Vec::new(),
+                rows: self.rows.clone(),
                 end: Offset(self.end),
             },
         }
@@ -234,6 +272,20 @@
         id
     }
 
+    /// Has so many other routers say that they live; each of their clocks is right.
+    pub(crate) fn hear_routers(&mut self, count: usize) {
+        for number in 0..count {
+            self.tell(Event::Heard(Heartbeat {
+                vm: name(&format!("router-{}", number + 1)),
+                router: Incarnation(100 + number as u64),
+                serving: true,
+                load: 0,
+                config: Offset(0),
+                purses: Vec::new(),
+            }));
+        }
+    }
+
     /// Has the list show so many other routers.
     pub(crate) fn list_routers(&mut self, count: usize) {
         let routers = (0..count).map(|n| {
