A test that shows promises grow old beside a team that waits for budget, known to fail

On large fleets some teams get nothing back after a loss of power: an owner's last promise about them was 12 s old, though the log answered for two seconds before the loss.

--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -25,3 +25,4 @@
 mod reincarnated;
 mod scattered;
 mod site;
+mod starved;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -61,12 +61,12 @@
 pub(crate) struct Site {
     pub(crate) core: Core,
     pub(crate) now: Instant,
-    started: Instant,
+    pub(crate) started: Instant,
     pub(crate) log: Log,
     pub(crate) effects: Vec<Effect>,
     pub(crate) end: u64,
     /// What the log holds of this router.
-    rows: Vec<(Offset, GrantKey, GrantRow)>,
+    pub(crate) rows: Vec<(Offset, GrantKey, GrantRow)>,
     next: u64,
 }
 
@@ -80,6 +80,22 @@
 
 /// A table with one route for each kind of repetition, and one payer.
 pub(crate) fn table(version: u64, prepaid: u64) -> Arc<RouteTable> {
+    table_of(version, vec![payer("loans", "key", prepaid)])
+}
+
+/// Returns a payer whose callers have a key.
+pub(crate) fn payer(team: &str, key: &str, prepaid: u64) -> Payer {
+    Payer {
+        account: name(team),
+        team: name(team),
+        keys: vec![KeyHash::of(key)],
+        priority: 0,
+        prepaid: Some(Tokens(prepaid)),
+    }
+}
+
+/// The same with other payers.
+pub(crate) fn table_of(version: u64, payers: Vec<Payer>) -> Arc<RouteTable> {
     let route = |prefix: &str, repeat, attempts| PathRoute {
         name: name(prefix),
         host: "maps.example".to_owned(),
@@ -113,20 +129,7 @@
         slots: Some(8),
         stride: 7,
     };
-    let payer = Payer {
-        account: name("loans"),
-        team: name("loans"),
-        keys: vec![KeyHash::of("key")],
-        priority: 0,
-        prepaid: Some(Tokens(prepaid)),
-    };
-    Arc::new(RouteTable::new(
-        version,
-        intake,
-        routes,
-        vec![pool],
-        vec![payer],
-    ))
+    Arc::new(RouteTable::new(version, intake, routes, vec![pool], payers))
 }
 
 pub(crate) fn entry(vm: &str, port: u16, role: &[(&str, &str)]) -> VmEntry {
@@ -257,11 +260,16 @@
 
     /// Sends a request for a route, whose prompt and answer have at most so many tokens.
     pub(crate) fn ask(&mut self, route: &str, input: u64, output: u64) -> RequestId {
+        self.ask_as("key", route, input, output)
+    }
+
+    /// The same for the payer whose key it is.
+    pub(crate) fn ask_as(&mut self, key: &str, route: &str, input: u64, output: u64) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
         self.tell(Event::Arrived(Box::new(Arrival {
             id,
-            bearer: Secret("key".to_owned()),
+            bearer: Secret(key.to_owned()),
             key: None,
             attempt: Attempt(1),
             labels: Labels::default(),
