Let only a review put the next review off

Why this holds: a call for a request that waits has no say in when a review is due. All loans are logged at one place now, those that waited too.

--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -293,7 +293,11 @@
             return None;
         }
         let changes = self.changes(now, due);
-        self.reviewed = Some(now);
+        // Only a review puts the next one off. Put off by each call for a request that waits, none would come while one team's
+        // callers wait, and the other teams' promises would grow old.
+        if due {
+            self.reviewed = Some(now);
+        }
         let start = self.clock.start(now);
         let allowances = &self.allowances;
         let prepaid = |team: &TeamId| allowances.get(team).map_or(Tokens::ZERO, |p| p.prepaid);
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -117,14 +117,12 @@
             true => spare,
             false => Tokens::ZERO,
         };
-        let lent = allowance.loans.lend(ask, spare);
-        info!(event = "lent", to = %ask.borrower, team = %ask.team, asked = %ask.amount, %lent, %free);
-        lent
+        allowance.loans.lend(ask, spare)
     }
 
     /// Takes in what another router lent, or that it did not answer.
     pub(crate) fn lent(&mut self, now: Instant, ask: &LoanAsk, amount: Option<Tokens>) {
-        info!(event = "borrowed", team = %ask.team, asked = %ask.amount, amount = ?amount.map(|a| a.0));
+        info!(event = "borrowed", number = ask.number, team = %ask.team, asked = %ask.amount, amount = ?amount.map(|a| a.0));
         if let Some(allowance) = self.allowances.get_mut(&ask.team) {
             let asked = allowance.loans.lent_here(now, ask, amount);
             if let Some(peer) = asked.filter(|_| amount.is_none()) {
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use tracing::info;
 
 use crate::ids::Incarnation;
 use crate::ids::TeamId;
@@ -250,6 +251,10 @@
         }
         let name = (ask.borrower, ask.number);
         let amount = ask.amount.min(spare);
+        info!(
+            event = "lent", to = %ask.borrower, number = ask.number, team = %ask.team, asked = %ask.amount,
+            lent = %amount, %spare,
+        );
         self.lent += amount;
         self.answers.insert(name, amount);
         if self.answers.len() > REMEMBERED {
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use tracing::info;
-
 use crate::ids::Incarnation;
 use crate::ids::TeamId;
 use crate::router::allowance::Waiter;
@@ -112,8 +110,6 @@
         let Some(allowance) = self.allowances.get_mut(&ask.team) else {
             return Tokens::ZERO;
         };
-        let lent = allowance.loans.lend(ask, open);
-        info!(event = "lent", to = %ask.borrower, team = %ask.team, asked = %ask.amount, %lent, %open);
-        lent
+        allowance.loans.lend(ask, open)
     }
 }
