--- a/src/router/tests/starved.rs
+++ b/src/router/tests/starved.rs
@@ -58,7 +58,7 @@
 /// One team's budget lies elsewhere, and its callers come back again and again; as long as one of their requests waits for a
 /// loan, the router calls the log at each step, and each call put the next review off. Another team has enough. Its promises must be written anew all the same: at a loss of power what the last
 /// one left open counts as used, and the longer ago it was made, the more callers are refused afterwards who had prepaid. The
-lines `granted` of one router showed it: many a second about a dry team, and none for twelve seconds about another.
+/// lines `granted` of one router showed it: many a second about a dry team, and none for twelve seconds about another.
 #[test]
 fn a_dry_team_leaves_the_others_their_reviews() {
     let mut site = starved();
