Ask again for loans whose answers were lost

What callers saw: on large fleets, refusals though the team's budget was not used up. Why this holds: the question keeps its number, and a lender gives the same question the same answer, so that a loan counts once however often it is asked for.

--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -128,6 +128,8 @@
         self.effects.extend(call);
         let loans = self.funds.borrow(now, self.me);
         self.effects.extend(loans);
+        let again = self.funds.ask_again(now);
+        self.effects.extend(again);
         let rests = self.funds.give_back(now, self.me);
         self.effects.extend(rests);
         let gifts = self.funds.hand_over(now, self.me);
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::Incarnation;
 use crate::router::effect::Effect;
+use crate::router::effect::Peer;
 use crate::router::event::AdminId;
 use crate::router::event::Gift;
 use crate::router::event::LoanAsk;
@@ -56,6 +57,16 @@
         effects
     }
 
+    /// Asks once more for the loans that brought no answer.
+    pub(crate) fn ask_again(&mut self, now: Instant) -> Vec<Effect> {
+        let ownership = &self.ownership;
+        let answers = |peer: &Peer| !ownership.is_mute(now, &peer.vm);
+        let allowances = self.allowances.values_mut();
+        allowances
+            .filter_map(|allowance| allowance.loans.ask_again(now, answers))
+            .collect()
+    }
+
     /// Hands over to other routers what is idle here, where the log can't take it back.
     ///
     /// A planned stop in a cut from the log would else take ten seconds' worth of each team's budget with it.
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -26,10 +26,16 @@
 /// all, may be asked for the rest.
 const ENOUGH: u64 = 8;
 
-/// How many answers a lender remembers. A question is repeated within a second or never; at fifty questions a second that
-/// is many times enough.
+/// How many answers a lender remembers. A question is repeated within [`FORGOTTEN`]; at fifty questions a second that is
+/// enough.
 const REMEMBERED: usize = 1024;
 
+/// How long after a question that brought no answer it is asked again: its lender is busy, or was cut off.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// How long after the first time it is given up: as long as routers were seen parted, and a while more.
+const FORGOTTEN: Duration = Duration::from_secs(15);
+
 /// Another router, and what it last said of one team's budget.
 #[derive(Clone, Debug)]
 pub(crate) struct Lender {
@@ -50,6 +56,15 @@
     pub(crate) priority: u8,
 }
 
+/// A question that brought no answer. It may have been answered, and what was lent then is lost to both.
+#[derive(Clone, Debug)]
+struct Unanswered {
+    ask: LoanAsk,
+    peer: Peer,
+    first: Instant,
+    last: Instant,
+}
+
 /// One team's loans to and from this router.
 #[derive(Debug, Default)]
 pub(crate) struct Loans {
@@ -63,6 +78,8 @@
     giving: u32,
     /// The question on its way, and whom it goes to.
     asked: Option<(u64, Peer)>,
+    /// The questions that brought no answer.
+    unanswered: Vec<Unanswered>,
     /// The number of the last question.
     number: u64,
     /// Who brought nothing, and until when nobody asks there.
@@ -161,7 +178,19 @@
         ask: &LoanAsk,
         amount: Option<Tokens>,
     ) -> Option<Peer> {
-        let (_, peer) = self.asked.take_if(|(number, _)| *number == ask.number)?;
+        let asked = self.asked.take_if(|(number, _)| *number == ask.number);
+        let Some((_, peer)) = asked else {
+            self.answered_late(ask, amount);
+            return None;
+        };
+        if amount.is_none() {
+            self.unanswered.push(Unanswered {
+                ask: ask.clone(),
+                peer: peer.clone(),
+                first: now,
+                last: now,
+            });
+        }
         let amount = amount.unwrap_or(Tokens::ZERO);
         self.borrowed += amount;
         self.dry.retain(|_, until| now < *until);
@@ -171,6 +200,31 @@
         Some(peer)
     }
 
+    /// Takes in the answer to a question that was asked again; none came where there is no amount.
+    fn answered_late(&mut self, ask: &LoanAsk, amount: Option<Tokens>) {
+        let Some(amount) = amount else {
+            return;
+        };
+        let waits = |open: &Unanswered| open.ask.number == ask.number;
+        if let Some(place) = self.unanswered.iter().position(waits) {
+            self.unanswered.swap_remove(place);
+            self.borrowed += amount;
+        }
+    }
+
+    /// Asks once more, under its old number, what brought no answer, if its lender is thought to answer now. That one gives the
+    /// answer that it gave before, and what was lent is not lost.
+    pub(crate) fn ask_again<F>(&mut self, now: Instant, answers: F) -> Option<Effect>
+    where
+        F: Fn(&Peer) -> bool,
+    {
+        self.unanswered.retain(|open| now < open.first + FORGOTTEN);
+        let mut open = self.unanswered.iter_mut();
+        let open = open.find(|open| now >= open.last + AGAIN && answers(&open.peer))?;
+        open.last = now;
+        Some(Effect::Borrow(open.ask.clone(), open.peer.clone()))
+    }
+
     /// Hands an amount over to the router that asks for the budget most. It counts as lent from here on, whether the other
     /// router hears of it or not.
     pub(crate) fn give(
--- a/src/router/ownership.rs
+++ b/src/router/ownership.rs
@@ -61,9 +61,16 @@
 
     /// Returns those that keep a team's budget for this router and are thought to answer.
     pub(super) fn answering(&self, now: Instant, team: &TeamId) -> Vec<Peer> {
-        let mute = |peer: &&Peer| self.mute.get(&peer.vm).is_some_and(|until| now < *until);
         let owners = self.owners(team).iter();
-        owners.filter(|peer| !mute(peer)).cloned().collect()
+        owners
+            .filter(|peer| !self.is_mute(now, &peer.vm))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns whether a router did not answer of late, and was not heard of since.
+    pub(super) fn is_mute(&self, now: Instant, vm: &VmId) -> bool {
+        self.mute.get(vm).is_some_and(|until| now < *until)
     }
 
     /// Takes note that a router did not answer, whatever budget it was asked for.
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -254,6 +254,41 @@
     }));
 }
 
+/// A lender counts what it lends when it is asked; its answer is lost, and so is the second one a moment later, as where its VM
+/// is busy or cut off. What was lent would be lost to the team: on large fleets, parts of budgets that callers had prepaid.
+/// Once the lender answers again the borrower learns what it was lent.
+#[test]
+fn what_was_lent_without_an_answer_is_asked_for_again() {
+    let mut site = Site::start(1_000_000);
+    site.log = Log::Away;
+    site.hear_peer(500_000);
+    site.ask("stream", 300_000, 50);
+    site.pass(1500);
+    site.hear_peer(500_000);
+    let first = borrowed(&site).pop().expect("it asks the other router");
+    site.tell(Event::Lent(first.clone(), None));
+    site.effects.clear();
+    site.pass(1500);
+    assert!(borrowed(&site).is_empty(), "it was not heard of yet");
+    site.hear_peer(0);
+    site.pass(1500);
+    let again = borrowed(&site);
+    let again = again.iter().find(|ask| ask.number == first.number);
+    assert_eq!(again, Some(&first));
+    site.tell(Event::Lent(first.clone(), Some(Tokens(300_000))));
+    site.tell(Event::Lent(first, Some(Tokens(300_000))));
+    assert_eq!(budget(&site, "borrowed"), 300_000, "it counts once");
+}
+
+/// Returns the questions for loans.
+fn borrowed(site: &Site) -> Vec<LoanAsk> {
+    let asked = site.effects.iter().filter_map(|effect| match effect {
+        Effect::Borrow(ask, _) => Some(ask.clone()),
+        _ => None,
+    });
+    asked.collect()
+}
+
 /// The answer to a question for a loan is lost, and the question is sent again. Both routers count the loan once, or the
 /// team would be served more than it prepaid.
 #[test]
