--- a/src/escrow/book.rs
+++ b/src/escrow/book.rs
@@ -9,7 +9,7 @@
 use crate::ids::Offset;
 use crate::ids::TeamId;
 use crate::ids::VmId;
-use crate::moment::Reading;
+use crate::moment::ClockReading;
 use crate::tokens::Tokens;
 
 /// One team's new grant to this router.
@@ -140,7 +140,7 @@
     pub(crate) fn propose<F>(
         &mut self,
         changes: Vec<Change>,
-        start: &Reading,
+        start: &ClockReading,
         prepaid: F,
     ) -> Option<Proposal>
     where
@@ -212,7 +212,7 @@
 
     /// Returns how much of what it was granted of a team's budget this lifetime may have in use at a moment, whatever becomes
     /// of what is pending.
-    pub(crate) fn open(&self, team: &TeamId, at: &Reading) -> Tokens {
+    pub(crate) fn open(&self, team: &TeamId, at: &ClockReading) -> Tokens {
         let stands = self.row(team).open(at);
         match self.proposed(team) {
             Some(row) => stands.min(row.open(at)),
@@ -225,7 +225,7 @@
     ///
     /// The lifetime that wrote such a grant is over, or this one would not run on its VM. An append of it that is still on
     /// its way takes effect before this one's, which then fails for its condition and is reckoned anew, or never.
-    fn untouched(&self, start: &Reading) -> Vec<(GrantKey, GrantRow)> {
+    fn untouched(&self, start: &ClockReading) -> Vec<(GrantKey, GrantRow)> {
         let mut untouched = Vec::new();
         for (team, router) in &self.earlier {
             let row = self.row_of(team, *router);
--- a/src/escrow/pace.rs
+++ b/src/escrow/pace.rs
@@ -12,8 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::moment::ClockReading;
 use crate::moment::Moment;
-use crate::moment::Reading;
 use crate::moment::Span;
 use crate::tokens::TokenRate;
 use crate::tokens::Tokens;
@@ -36,8 +36,8 @@
 
 impl Pace {
     /// Returns how much may be in use at a moment; nothing is known of moments before the promise, or after another boot.
-    pub(crate) fn open(&self, at: &Reading) -> Option<Tokens> {
-        let made = Reading {
+    pub(crate) fn open(&self, at: &ClockReading) -> Option<Tokens> {
+        let made = ClockReading {
             own: self.made,
             fleet: self.fleet,
             awaited: false,
--- a/src/escrow/record.rs
+++ b/src/escrow/record.rs
@@ -11,7 +11,7 @@
 use crate::ids::Incarnation;
 use crate::ids::TeamId;
 use crate::ids::VmId;
-use crate::moment::Reading;
+use crate::moment::ClockReading;
 use crate::tokens::Tokens;
 
 /// Separates the parts of a key; names have no control characters.
@@ -80,7 +80,7 @@
 
 impl GrantRow {
     /// Returns how much of it may be in use at a moment.
-    pub(crate) fn open(&self, at: &Reading) -> Tokens {
+    pub(crate) fn open(&self, at: &ClockReading) -> Tokens {
         let open = self.pace.and_then(|pace| pace.open(at));
         open.map_or(self.granted, |open| open.min(self.granted))
     }
--- a/src/escrow/tests/world.rs
+++ b/src/escrow/tests/world.rs
@@ -16,9 +16,9 @@
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::moment::BootId;
+use crate::moment::ClockReading;
 use crate::moment::HostId;
 use crate::moment::Moment;
-use crate::moment::Reading;
 use crate::moment::Span;
 use crate::tokens::TokenRate;
 use crate::tokens::Tokens;
@@ -101,7 +101,7 @@
     lent: u64,
     borrowed: u64,
     /// When the lifetime began.
-    start: Reading,
+    start: ClockReading,
 }
 
 #[derive(Clone, Debug)]
@@ -145,7 +145,7 @@
 }
 
 impl Router {
-    fn new(at: usize, life: u64, start: Reading) -> Self {
+    fn new(at: usize, life: u64, start: ClockReading) -> Self {
         Self {
             book: Book::new(vm(at), Incarnation(10 * at as u64 + life)),
             life,
@@ -206,10 +206,10 @@
     }
 
     /// Returns what the clocks of a VM and of its fleet read; most of those are right.
-    fn clocks(&self, at: usize, life: u64) -> Reading {
+    fn clocks(&self, at: usize, life: u64) -> ClockReading {
         let reading = Self::reading(at, life, self.time, self.power);
         match self.lacks(Rule::Fleet) {
-            true => Reading {
+            true => ClockReading {
                 fleet: None,
                 ..reading
             },
@@ -217,13 +217,13 @@
         }
     }
 
-    fn reading(at: usize, life: u64, time: u64, power: bool) -> Reading {
+    fn reading(at: usize, life: u64, time: u64, power: bool) -> ClockReading {
         let passed = since_epoch(time);
         let (boot, ahead) = match power {
             true => (life, (at == 0 && life == 0).then_some(AHEAD)),
             false => (0, None),
         };
-        Reading {
+        ClockReading {
             own: Moment {
                 host: HostId(at as u64),
                 boot: BootId(boot),
@@ -239,7 +239,7 @@
     }
 
     /// Returns what the clocks of a router's VM read now.
-    fn now(&self, at: usize) -> Reading {
+    fn now(&self, at: usize) -> ClockReading {
         self.clocks(at, self.routers[at].life)
     }
 
--- a/src/moment.rs
+++ b/src/moment.rs
@@ -72,7 +72,7 @@
 
 /// What the clocks of a VM read at a moment, and those of its fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Reading {
+pub(crate) struct ClockReading {
     /// The VM's own.
     pub(crate) own: Moment,
     /// The fleet's; nothing where too few of them were known.
@@ -81,7 +81,7 @@
     pub(crate) awaited: bool,
 }
 
-impl Reading {
+impl ClockReading {
     /// Returns how long after an earlier moment on the same VM this one is at most; nothing where that can't be said.
     ///
     /// Within one boot the steady clock tells. A loss of power takes it away and leaves the time of day, which may have been
--- a/src/router/fleet_clock.rs
+++ b/src/router/fleet_clock.rs
@@ -12,12 +12,11 @@
 
 use crate::ids::VmId;
 use crate::moment::BootClock;
-use crate::moment::Reading;
+use crate::moment::ClockReading;
 use crate::moment::Span;
 
-/// How many other routers' clocks must be known at least, and which part of them: one more than every second.
+/// How many other routers' clocks must be known at least. Of those that are listed it must be more than half.
 const LEAST: usize = 2;
-const PART: usize = 2;
 
 /// Which part of the clocks is left out at either end of a span. Some VMs' clocks are set wrong, and those of VMs that were
 /// suspended fall behind; let in, each of them would widen all spans.
@@ -71,8 +70,8 @@
     }
 
     /// Returns what the VM's own clock reads.
-    pub(crate) fn own(&self, now: Instant) -> Reading {
-        Reading {
+    pub(crate) fn own(&self, now: Instant) -> ClockReading {
+        ClockReading {
             own: self.own.at(now),
             fleet: None,
             awaited: false,
@@ -80,8 +79,8 @@
     }
 
     /// Returns what all clocks read.
-    pub(crate) fn at(&self, now: Instant) -> Reading {
-        Reading {
+    pub(crate) fn at(&self, now: Instant) -> ClockReading {
+        ClockReading {
             fleet: self.span(now),
             ..self.own(now)
         }
@@ -89,8 +88,8 @@
 
     /// Returns what the clocks read when this process started. What the fleet's read does not change with each router that is
     /// heard of later.
-    pub(crate) fn start(&self, now: Instant) -> Reading {
-        Reading {
+    pub(crate) fn start(&self, now: Instant) -> ClockReading {
+        ClockReading {
             own: self.own.start(),
             fleet: self.start,
             awaited: self.start.is_none() && self.passed(now) < AWAITED,
@@ -110,7 +109,7 @@
             (age < KEPT).then(|| *wall + age)
         });
         let mut clocks: Vec<_> = clocks.collect();
-        if clocks.len() < LEAST.max(self.others / PART + 1) {
+        if clocks.len() < LEAST.max(self.others / 2 + 1) {
             return None;
         }
         clocks.push(self.own.at(now).wall);
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -320,10 +320,7 @@
         for (key, row) in records {
             match self.book.is_mine(key) {
                 true => self.note_granted(&key.team, row),
-                false => {
-                    let GrantKey { vm, router, team } = key;
-                    info!(event = "given-back", %team, of = %vm, %router, left = %row.granted);
-                }
+                false => note_given_back(key, row),
             }
         }
     }
@@ -417,6 +414,11 @@
     }
 }
 
+fn note_given_back(key: &GrantKey, row: &GrantRow) {
+    let GrantKey { vm, router, team } = key;
+    info!(event = "given-back", %team, of = %vm, %router, left = %row.granted);
+}
+
 /// Returns what more urgent requests than those of a priority find open. In touch with the log more is opened by the next
 /// promise; in a cut it opens slowly, and the less urgent would use up each bit of it.
 pub(super) fn kept_open(away: bool, now: Instant, ration: &Ration, priority: u8) -> Tokens {
