Believe no clocks before the routers are listed

A beat of two routers before the list of a large fleet came would have told what its clocks read at the start, where more than half of them have to. The test fails without it.

--- a/src/router/fleet_clock.rs
+++ b/src/router/fleet_clock.rs
@@ -35,8 +35,8 @@
     own: BootClock,
     /// What time of day other routers said it was, and when.
     heard: IndexMap<VmId, (Instant, Duration)>,
-    /// How many other routers there are.
-    others: usize,
+    /// How many other routers there are; nothing before they are listed.
+    others: Option<usize>,
     /// What the fleet's clocks read when this process started, once enough of them are known.
     start: Option<Span>,
 }
@@ -47,14 +47,14 @@
         Self {
             own,
             heard: IndexMap::new(),
-            others: 0,
+            others: None,
             start: None,
         }
     }
 
     /// Takes over how many other routers there are.
     pub(crate) fn expect(&mut self, others: usize) {
-        self.others = others;
+        self.others = Some(others);
     }
 
     /// Takes in what time of day it is at another router; returns whether with that it is first known what the fleet's clocks
@@ -102,14 +102,16 @@
         self.own.at(now).uptime.saturating_sub(started)
     }
 
+    /// Returns what most clocks lie between. Before the other routers are listed nobody knows how many clocks are most of them.
     fn span(&self, now: Instant) -> Option<Span> {
+        let least = LEAST.max(self.others? / 2 + 1);
         let heard = self.heard.values();
         let clocks = heard.filter_map(|(at, wall)| {
             let age = now.saturating_duration_since(*at);
             (age < KEPT).then(|| *wall + age)
         });
         let mut clocks: Vec<_> = clocks.collect();
-        if clocks.len() < LEAST.max(self.others / 2 + 1) {
+        if clocks.len() < least {
             return None;
         }
         clocks.push(self.own.at(now).wall);
--- a/src/router/tests/fleet_clock.rs
+++ b/src/router/tests/fleet_clock.rs
@@ -59,6 +59,21 @@
     assert!(clock(now, &[0; 5]).at(now).fleet.is_some());
 }
 
+/// Two routers of a large fleet say what time it is before the list has come that shows how large it is. Theirs may be the wrong
+/// ones.
+#[test]
+fn no_clocks_are_enough_before_the_routers_are_listed() {
+    let now = Instant::now();
+    let mut clock = FleetClock::new(boot_clock(1, WALL, now));
+    for vm in ["router-1", "router-2"] {
+        let vm = vm.parse().expect("a name");
+        assert!(!clock.hear(now, &vm, WALL));
+    }
+    assert_eq!(clock.start(now).fleet, None);
+    clock.expect(OTHERS);
+    assert_eq!(clock.at(now).fleet, None);
+}
+
 /// What the clocks read at the start stays, whoever is heard of later: what was given back by it may be drawn already.
 #[test]
 fn the_start_is_told_once() {
