--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -88,11 +88,8 @@
         }
     }
 
-    /// Returns the grants that the policy wants changed, and those whose promise is to be written anew: all of them at a
-    /// review, and else those that let a request that waits go on.
-    ///
-    /// What nobody waits for is given back at reviews alone. It goes back in steps, and each step would be written at once, where
-    /// another team's requests wait all the time: the partition would be kept busy, and other routers not get through to it.
+    /// Returns the grants that the policy wants changed, and those whose promise is to be written anew: all that changed at a
+    /// review, and those that keep a request waiting.
     pub(super) fn changes(&self, now: Instant, due: bool) -> Vec<Change> {
         if !self.ownership.knows_routers() {
             return Vec::new();
@@ -109,16 +106,17 @@
                 rate: opening.rate,
                 fleet: made.fleet,
             };
+            let renewed = match due {
+                true => self.is_outdated(team, &promise),
+                false => allowance.wanted() > self.available(now, team),
+            };
             let row = GrantRow {
                 granted,
                 spent: self.told_spent(allowance),
                 pace: Some(promise),
             };
-            let change = match due {
-                true => granted != old || self.is_outdated(team, &promise),
-                false if allowance.waiting.is_empty() => granted > old,
-                false => granted != old || self.needs_opening(now, team, allowance),
-            };
+            let covered = allowance.wanted() <= self.held(team);
+            let change = granted != old || renewed && (due || covered);
             change.then(|| Change {
                 team: team.clone(),
                 row,
@@ -127,12 +125,6 @@
         changes.collect()
     }
 
-    /// Returns whether requests wait for budget that is held here and not open yet.
-    fn needs_opening(&self, now: Instant, team: &TeamId, allowance: &Allowance) -> bool {
-        let wanted = allowance.wanted();
-        wanted > self.available(now, team) && wanted <= self.held(team)
-    }
-
     /// Returns how much of a grant others are told is spent. What an owner lends is spent by routers that write nothing
     /// themselves; where all keep, who borrows says so itself.
     fn told_spent(&self, allowance: &Allowance) -> Tokens {
