Ask again for no more than was lent

A lender that a question never reached lent anew when it was asked again, what nobody needed any more. Asked for nothing more, it says what it lent.

--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -184,8 +184,13 @@
             return None;
         };
         if amount.is_none() {
+            // Nothing more is asked for: a lender that the question never reached would lend what nobody needs any more.
+            let ask = LoanAsk {
+                amount: Tokens::ZERO,
+                ..ask.clone()
+            };
             self.unanswered.push(Unanswered {
-                ask: ask.clone(),
+                ask,
                 peer: peer.clone(),
                 first: now,
                 last: now,
