One end of a whole run for the tests of a site

The change had written it again in two tests beside the one of the budgets; it stands with the site now. A comment is wrapped. No assertion changes.

--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -19,17 +19,9 @@
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::table;
+use crate::router::tests::site::whole;
 use crate::tokens::Tokens;
 
-fn whole(answer: u64) -> RunEnd {
-    RunEnd::Whole {
-        usage: Usage {
-            prompt: Tokens::ZERO,
-            answer: Tokens(answer),
-        },
-    }
-}
-
 fn broken(begun: bool) -> RunEnd {
     RunEnd::Broken {
         usage: None,
--- a/src/router/tests/power_lost.rs
+++ b/src/router/tests/power_lost.rs
@@ -3,12 +3,10 @@
 use std::time::Duration;
 
 use crate::router::Event;
-use crate::router::RunEnd;
-use crate::router::Usage;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::entry;
-use crate::tokens::Tokens;
+use crate::router::tests::site::whole;
 use crate::vms::VmEntry;
 
 /// How many other routers there are.
@@ -47,11 +45,7 @@
         let id = site.ask("stream", DEMAND / 10 - 7, 7);
         site.pass(20);
         if !site.runs(id).is_empty() {
-            let usage = Usage {
-                prompt: Tokens::ZERO,
-                answer: Tokens(7),
-            };
-            site.tell(Event::Ended(id, RunEnd::Whole { usage }));
+            site.tell(Event::Ended(id, whole(7)));
             used += DEMAND / 10;
         }
         site.pass(80);
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -32,8 +32,10 @@
 use crate::router::Problem;
 use crate::router::Relay;
 use crate::router::Run;
+use crate::router::RunEnd;
 use crate::router::Secret;
 use crate::router::Tuning;
+use crate::router::Usage;
 use crate::router::Work;
 use crate::router::event::PurseWord;
 use crate::router::tests::bench::boot_clock;
@@ -148,6 +150,15 @@
     }
 }
 
+/// Returns the end of a run whose answer came whole and has so many tokens.
+pub(crate) fn whole(answer: u64) -> RunEnd {
+    let usage = Usage {
+        prompt: Tokens::ZERO,
+        answer: Tokens(answer),
+    };
+    RunEnd::Whole { usage }
+}
+
 fn site_tuning(clock: BootClock) -> Tuning {
     Tuning {
         drain: Duration::from_millis(7700),
--- a/src/router/tests/starved.rs
+++ b/src/router/tests/starved.rs
@@ -9,12 +9,11 @@
 use crate::ids::TeamId;
 use crate::router::Event;
 use crate::router::GrantEvent;
-use crate::router::RunEnd;
-use crate::router::Usage;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::WALL;
 use crate::router::tests::site::payer;
 use crate::router::tests::site::table_of;
+use crate::router::tests::site::whole;
 use crate::tokens::Tokens;
 
 /// How old a promise may be: twice the time between two reviews.
@@ -73,14 +72,6 @@
     site.rows.iter().filter(|(_, key, _)| mine(key)).count()
 }
 
-fn whole(answer: u64) -> RunEnd {
-    let usage = Usage {
-        prompt: Tokens::ZERO,
-        answer: Tokens(answer),
-    };
-    RunEnd::Whole { usage }
-}
-
 /// Returns this router's newest grant of a team's budget in the log.
 fn newest(site: &Site, team: &str) -> GrantRow {
     let team: TeamId = team.parse().expect("a name");
@@ -91,9 +82,10 @@
 }
 
 /// One team's budget lies elsewhere, and its callers come back again and again; as long as one of their requests waits for a
-/// loan, the router calls the log at each step, and each call put the next review off. Another team has enough. Its promises must be written anew all the same: at a loss of power what the last
-/// one left open counts as used, and the longer ago it was made, the more callers are refused afterwards who had prepaid. The
-/// lines `granted` of one router showed it: many a second about a dry team, and none for twelve seconds about another.
+/// loan, the router calls the log at each step, and each call put the next review off. Another team has enough. Its promises
+/// must be written anew all the same: at a loss of power what the last one left open counts as used, and the longer ago it was
+/// made, the more callers are refused afterwards who had prepaid. The lines `granted` of one router showed it: many a second
+/// about a dry team, and none for twelve seconds about another.
 #[test]
 fn a_dry_team_leaves_the_others_their_reviews() {
     let mut site = starved(&["loans"]);
