Fetch a newer configuration from a peer, and deny nothing by an old one

Callers got 404 for a route that had been acknowledged 3 s before, from one VM of 64.

Cause: where budgets are kept by grants only the store brought a configuration. A router whose reads of the store stand in the queue of its own link, or that is parted from the store, went on with an old one for seconds and answered 401, 402 and 404 by it, though each heartbeat that it got came from a router that had the newer one.

Heartbeats now carry the configuration's version. A router that hears of a newer one asks its sender for it after a quarter of a second, one at a time. While it has heard of a newer one, or the store has not confirmed its own within the time of a held read, what it can't serve is refused with 503 and when to come back; what it can serve is served.

Version of the routers' messages: 5.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::config::document::PoolKind;
 use crate::config::document::PoolSpec;
 use crate::ids::AccountId;
 use crate::ids::DocName;
 use crate::ids::PoolId;
+use crate::ids::TableVersion;
 use crate::ids::TeamId;
 use crate::key_hash::KeyHash;
 use crate::labels::Selector;
@@ -20,7 +23,7 @@
 const DEFAULT_SLOTS: u32 = 4;
 
 /// What may be done again with a request of a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Repeat {
     /// Nothing: it may run once at most.
     Never,
@@ -31,7 +34,7 @@
 }
 
 /// Where requests of one host and path go, and on what terms.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PathRoute {
     /// Its name.
     pub(crate) name: DocName,
@@ -56,7 +59,7 @@
 }
 
 /// A pool of the table.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TablePool {
     /// Its name, which its endpoints carry as their label `pool`.
     pub(crate) name: PoolId,
@@ -86,7 +89,7 @@
 }
 
 /// A client account that pays from a budget of its own.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Payer {
     /// Its name; its team has the same.
     pub(crate) account: AccountId,
@@ -101,7 +104,7 @@
 }
 
 /// What a router takes from connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Intake {
     /// The largest head, in bytes.
     pub(crate) head_bytes: usize,
@@ -114,10 +117,10 @@
 }
 
 /// The whole configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RouteTable {
-    /// Its version, which only grows.
-    pub(crate) version: u64,
+    /// Its version.
+    pub(crate) version: TableVersion,
     /// Its limits on connections.
     pub(crate) intake: Intake,
     hosts: IndexMap<String, Vec<PathRoute>>,
@@ -129,7 +132,7 @@
 impl RouteTable {
     /// Puts a table together.
     pub(crate) fn new(
-        version: u64,
+        version: TableVersion,
         intake: Intake,
         routes: Vec<PathRoute>,
         pools: Vec<TablePool>,
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
+use crate::config::RouteTable;
 use crate::edge::engine;
 use crate::edge::metrics::Metrics;
 use crate::http_client::HttpClient;
@@ -75,6 +76,8 @@
     ledger_next: AtomicU64,
     /// What this router last said of itself, and when.
     beat: Mutex<Option<(Instant, Heartbeat)>>,
+    /// The configuration that peers may ask for.
+    table: Mutex<Option<Arc<RouteTable>>>,
     snapshots: Mutex<Vec<oneshot::Sender<Vec<u8>>>>,
     leaving: AtomicBool,
 }
@@ -104,6 +107,7 @@
             next: AtomicU64::new(1),
             ledger_next: AtomicU64::new(0),
             beat: Mutex::default(),
+            table: Mutex::default(),
             snapshots: Mutex::default(),
             leaving: AtomicBool::new(false),
         }
@@ -232,6 +236,15 @@
         *lock(&self.beat) = Some((now, beat));
     }
 
+    /// Returns the configuration, where a platform handed it over whole.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        lock(&self.table).clone()
+    }
+
+    pub(crate) fn set_table(&self, table: Arc<RouteTable>) {
+        *lock(&self.table) = Some(table);
+    }
+
     /// Returns the offset that follows the last record folded.
     pub(crate) fn ledger_next(&self) -> Offset {
         Offset(self.ledger_next.load(Ordering::Relaxed))
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -301,6 +301,10 @@
             Effect::Relay(snapshot, peer) => {
                 tokio::spawn(self.peers.clone().relay(snapshot, peer));
             }
+            Effect::OfferTable(table) => self.desk.set_table(table),
+            Effect::FetchTable(peer) => {
+                tokio::spawn(self.peers.clone().table(peer));
+            }
             Effect::Tell(reading, peers) => {
                 if let Some(teller) = &self.teller {
                     teller.tell(&reading, &peers);
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -20,8 +20,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
+use tracing::info;
 
 use crate::clock::Clock;
+use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::edge::clock::SystemClock;
 use crate::edge::codec::Postcard;
@@ -36,7 +38,7 @@
 use crate::tokens::Tokens;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
-const VERSION: u32 = 4;
+const VERSION: u32 = 5;
 
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
@@ -76,6 +78,9 @@
     /// Takes a configuration, as JSON.
     async fn relay(version: u32, config: String) -> Result<(), Refused>;
 
+    /// Returns the configuration that a platform handed over whole.
+    async fn table(version: u32) -> Result<RouteTable, Refused>;
+
     /// Lends what is idle of a budget.
     async fn lend(version: u32, ask: LoanAsk) -> Result<Tokens, Refused>;
 
@@ -119,6 +124,12 @@
         Ok(())
     }
 
+    async fn table(self, _: Context, version: u32) -> Result<RouteTable, Refused> {
+        check(version)?;
+        let table = self.0.table().ok_or(Refused::NotReady)?;
+        Ok(RouteTable::clone(&table))
+    }
+
     async fn lend(self, _: Context, version: u32, ask: LoanAsk) -> Result<Tokens, Refused> {
         check(version)?;
         self.0.lend(ask).await.ok_or(Refused::NotReady)
@@ -240,7 +251,7 @@
                     amount = answer.ok();
                     break;
                 }
-                Err(silence) => tracing::info!(event = "no-loan", vm = %peer.vm, ?silence),
+                Err(silence) => info!(event = "no-loan", vm = %peer.vm, ?silence),
             }
         }
         self.desk.tell(Event::Lent(ask, amount));
@@ -257,6 +268,17 @@
         let _ = self.call(&peer.address, CALL, call).await;
     }
 
+    /// Asks a peer for its configuration, and tells the core.
+    pub(crate) async fn table(self, peer: Peer) {
+        let call =
+            |client: PeeringClient| async move { client.table(deadline(CALL), VERSION).await };
+        match self.call(&peer.address, CALL, call).await {
+            Ok(Ok(table)) => self.desk.tell(Event::Table(Arc::new(table))),
+            Ok(Err(refused)) => info!(event = "no-config", vm = %peer.vm, ?refused),
+            Err(silence) => info!(event = "no-config", vm = %peer.vm, ?silence),
+        }
+    }
+
     /// Asks a peer for its ledger's state.
     pub(crate) async fn ledger(&self, peer: &Peer) -> Option<Vec<u8>> {
         let call =
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -205,6 +205,10 @@
     /// A configuration document's version: the offset after the record that made it, or 0 where there is none.
     Version
 );
+number!(
+    /// The version of a configuration that a platform hands over whole; versions only grow.
+    TableVersion
+);
 number!(
     /// A fingerprint of a request's method, path and body.
     Fingerprint
--- a/src/key_hash.rs
+++ b/src/key_hash.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::Deserialize;
+use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
 
@@ -13,7 +15,7 @@
 
 /// The SHA-256 of a bearer key. Configuration and settings hold it in place of the key, so that who reads them cannot
 /// call with it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeyHash([u8; DIGITS / 2]);
 
 impl KeyHash {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -161,6 +161,7 @@
 pub use ids::RequestId;
 pub use ids::RequestKey;
 pub use ids::Sequence;
+pub use ids::TableVersion;
 pub use ids::TeamId;
 pub use ids::TopUpId;
 pub use ids::Version;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -13,6 +13,7 @@
 use crate::field;
 use crate::field::FieldError;
 use crate::ids::NameError;
+use crate::ids::TableVersion;
 use crate::key_hash::KeyHash;
 use crate::tokens::Tokens;
 
@@ -127,7 +128,13 @@
         .into_iter()
         .map(payer)
         .collect::<Result<_, _>>()?;
-    Ok(RouteTable::new(wire.version, intake, routes, pools, payers))
+    Ok(RouteTable::new(
+        TableVersion(wire.version),
+        intake,
+        routes,
+        pools,
+        payers,
+    ))
 }
 
 fn route(wire: WireRoute) -> Result<PathRoute, FieldError> {
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -12,7 +12,7 @@
 
 /// How long the store may hold a read open. An answer that is lost without a word is noticed after this and the time of a
 /// call, so that it bounds how old the router's knowledge may grow unnoticed.
-const HOLD: Duration = Duration::from_millis(2000);
+pub(crate) const HOLD: Duration = Duration::from_millis(2000);
 
 /// How long to rest after a read that failed.
 const FAILED: Duration = Duration::from_millis(150);
@@ -22,7 +22,7 @@
 pub(crate) enum News {
     /// All keys that it has, and nothing else.
     All(Vec<(String, Vec<u8>)>),
-    /// Records that came since; without a value the key is dropped.
+    /// Records that came since, or none while the read was held open; without a value the key is dropped.
     Some(Vec<Keyed>),
 }
 
@@ -79,8 +79,6 @@
             Err(error) => warn!(event = "record-unreadable", topic, %error),
         }
     }
-    if !records.is_empty() {
-        tell(News::Some(records));
-    }
+    tell(News::Some(records));
     Ok(from + count)
 }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -37,6 +37,7 @@
 use crate::moment::BootClock;
 use crate::platform::config;
 use crate::platform::entry;
+use crate::platform::follow::HOLD;
 use crate::platform::follow::News;
 use crate::platform::follow::follow;
 use crate::platform::grants::Grants;
@@ -67,6 +68,9 @@
 /// The rest between two reads of the configuration: it is to be in force within a second or two.
 const CONFIG_REST: Duration = Duration::from_millis(100);
 
+/// How late the answer to a read of the configuration may come before the router takes its own for possibly old.
+const CONFIG_SLACK: Duration = Duration::from_millis(400);
+
 /// The rest between two reads of the lists: each server writes once a second, and what changes may be known a quarter of a
 /// second late.
 const LIST_REST: Duration = Duration::from_millis(250);
@@ -210,7 +214,8 @@
     }));
 }
 
-/// Tells the core of the newest configuration; one that can't be read leaves the last one in force.
+/// Tells the core of the newest configuration, or that there is none newer; one that can't be read leaves the last one in
+/// force.
 fn take_config(desk: &Desk, news: News) {
     let newest = match news {
         News::All(rows) => rows
@@ -224,9 +229,10 @@
     };
     match newest.map(|text| config::decode(&text)) {
         Some(Ok(table)) => desk.tell(Event::Table(Arc::new(table))),
-        Some(Err(error)) => warn!(event = "config-unreadable", %error),
+        Some(Err(error)) => return warn!(event = "config-unreadable", %error),
         None => {}
     }
+    desk.tell(Event::TableConfirmed);
 }
 
 fn tuning(settings: &SiteSettings, clock: BootClock) -> Tuning {
@@ -253,6 +259,7 @@
         parted: Duration::from_secs(3600),
         drain: settings.grace_ms.duration().saturating_sub(BEFORE_GRACE),
         accounting: Accounting::Grants(GrantTuning {
+            confirm: HOLD + CONFIG_REST + CONFIG_SLACK,
             linger: settings.keep_ms.duration().mul_f64(KEPT),
             retries: settings.retry_ratio,
             spare: settings.retry_spare / window,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -8,6 +8,7 @@
 use crate::config::Repeat;
 use crate::edge::desk::Desk;
 use crate::edge::metrics::Metrics;
+use crate::ids::TableVersion;
 use crate::platform::config;
 use crate::platform::follow::News;
 use crate::platform::record::Keyed;
@@ -77,7 +78,7 @@
 #[test]
 fn a_configuration_is_read() {
     let table = config::decode(document().to_string().as_bytes()).expect("it is good");
-    assert_eq!((table.version, table.count()), (7, 2));
+    assert_eq!((table.version, table.count()), (TableVersion(7), 2));
     let route = table
         .route("MAPS.example", "/a/x")
         .expect("the shorter prefix");
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -43,6 +43,7 @@
 use crate::router::pool::Pool;
 use crate::router::purse::Purse;
 use crate::router::request::Request;
+use crate::router::table_watch::TableWatch;
 use crate::settings::EndMarker;
 use crate::tokens::Tokens;
 
@@ -99,6 +100,8 @@
 /// What a router that lives by grants is told at its start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct GrantTuning {
+    /// How long the platform's word that there is no newer configuration holds.
+    pub(crate) confirm: Duration,
     /// How long a planned stop goes on serving though nothing is in progress: callers keep addresses that long.
     pub(crate) linger: Duration,
     /// Runs beyond the first that all routers together may make for each request.
@@ -192,6 +195,7 @@
     pub(crate) orders: Orders,
     /// The configuration, where a platform hands it over whole.
     pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) table_watch: TableWatch,
     /// What may be spent, where budgets are kept by grants.
     pub(crate) funds: Funds,
 }
@@ -271,6 +275,7 @@
             quarantine: Quarantine::new(),
             orders: Orders::default(),
             table: None,
+            table_watch: TableWatch::default(),
             funds: Funds::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -312,6 +317,7 @@
             Event::Cache(vm, events) => self.endpoint_cache(&vm, &events),
             Event::Admin(id, request) => self.admin(now, id, request),
             Event::Table(table) => self.take_table(now, table),
+            Event::TableConfirmed => self.table_watch.confirm(now),
             Event::Grants(event) => self.grants(now, event),
             Event::Reads(reading) => self.reads(now, &reading),
             Event::Given(id, gift) => self.given(id, &gift),
@@ -416,6 +422,7 @@
         self.expire_requests(now);
         self.leave_silent(now);
         self.beat(now);
+        self.fetch_table(now);
         self.tick_pools(now);
         self.go_on_leaving(now, tuning.linger);
     }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -6,6 +6,7 @@
 
 use serde_json::Value;
 
+use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::escrow::Proposal;
 use crate::ids::AccountId;
@@ -57,6 +58,10 @@
     Keep(KeptBatches, Vec<Peer>),
     /// Sends the configuration to a peer that is behind.
     Relay(Box<Snapshot>, Peer),
+    /// Has a configuration that was handed over whole ready for peers that are behind.
+    OfferTable(Arc<RouteTable>),
+    /// Asks a peer for such a configuration.
+    FetchTable(Peer),
     /// Gets a state of the ledger to start from.
     Fetch(Vec<Peer>),
     /// Appends a record to the configuration's stream.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -19,6 +19,7 @@
 use crate::ids::Offset;
 use crate::ids::RequestId;
 use crate::ids::Sequence;
+use crate::ids::TableVersion;
 use crate::ids::TeamId;
 use crate::ids::TopUpId;
 use crate::ids::VmId;
@@ -98,6 +99,8 @@
     Admin(AdminId, AdminRequest),
     /// A whole configuration from a platform that hands it over at once.
     Table(Arc<RouteTable>),
+    /// The platform has no newer configuration than what it handed over.
+    TableConfirmed,
     /// Something happened at the log that keeps grants.
     Grants(GrantEvent),
     /// Another router asks for a loan.
@@ -350,6 +353,8 @@
     pub(crate) load: u32,
     /// The offset that follows its configuration, so that one that is behind asks for it.
     pub(crate) config: Offset,
+    /// The version of its configuration, where a platform hands it over whole; 0 before that.
+    pub(crate) table: TableVersion,
     /// What time of day it is there, since the Unix epoch, by a clock that is not set while the process runs.
     pub(crate) clock: Duration,
     /// Its budgets, where they are kept by grants.
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -46,10 +46,12 @@
         }
         info!(
             event = "config-in-force",
-            version = table.version,
-            old,
+            version = %table.version,
+            old = old.map(|old| old.0),
             routes = table.count()
         );
+        self.table_watch.took(table.version);
+        self.effects.push(Effect::OfferTable(table.clone()));
         self.funds.prepaid(&table);
         self.table = Some(table);
         self.rebuild_pools(now);
@@ -157,6 +159,11 @@
     }
 
     fn refuse_unfunded(&mut self, now: Instant, id: RequestId, why: Unfunded) {
+        // A newer configuration may have raised the budget.
+        let why = match why {
+            Unfunded::Spent if self.may_be_behind(now) => Unfunded::Held,
+            why => why,
+        };
         let request = &self.requests[&id];
         let (team, amount) = (&request.team, request.reserve);
         self.funds.explain(now, team, id, why);
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -282,6 +282,7 @@
         self.members.unheard.swap_remove(&beat.vm);
         self.funds.heard(now, &beat);
         self.relay_config(now, &beat);
+        self.hear_table(now, &beat);
         let before = self.members.heard.insert(beat.vm.clone(), (now, beat));
         if before.is_none() {
             self.funds.listen();
@@ -315,6 +316,7 @@
             serving: self.serving(),
             load: self.load(),
             config: self.config.next(),
+            table: self.table_version(),
             clock: self.tuning.clock.at(now).wall,
             purses: match self.tuning.accounting {
                 Accounting::Grants(_) => self.funds.words(now),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -40,6 +40,7 @@
 mod run;
 mod statement;
 mod stream;
+mod table_watch;
 #[cfg(test)]
 mod tests;
 mod waiting;
--- a/src/router/problem.rs
+++ b/src/router/problem.rs
@@ -61,6 +61,8 @@
     Quarantined,
     /// This router is leaving, or has not joined yet.
     NotServing,
+    /// The configuration in force here does not allow the request, and a newer one may.
+    ConfigBehind,
     /// The log service does not answer, and this request needs it.
     LogOutage,
     /// Another attempt of the request is in progress.
@@ -91,6 +93,7 @@
             Self::NoEndpoint => (503, "no-endpoint", "No endpoint can take the request"),
             Self::Quarantined => (422, "quarantined", "Endpoints fail over this request"),
             Self::NotServing => (503, "not-serving", "This router takes no new requests"),
+            Self::ConfigBehind => (503, "config-behind", "The configuration may be old"),
             Self::LogOutage => (503, "log-outage", "The log service does not answer"),
             Self::InProgress => (409, "in-progress", "The request is in progress"),
             Self::OutcomeUnknown => (409, "outcome-unknown", "Nobody knows whether it ran"),
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -57,20 +57,12 @@
         };
         let Some(route) = table.route(&relay.host, &relay.path) else {
             let detail = format!("no route for {}{}", relay.host, relay.path);
-            return Err(Box::new(Problem::new(
-                ProblemKind::NoRoute,
-                Ran::No,
-                &detail,
-            )));
+            return Err(self.deny(now, ProblemKind::NoRoute, &detail));
         };
         let payer = table.payer(&arrival.bearer.0);
         if payer.is_none() && !route.public && table.payers().next().is_some() {
             let detail = "the bearer key is none that is in force";
-            return Err(Box::new(Problem::new(
-                ProblemKind::Unauthorized,
-                Ran::No,
-                detail,
-            )));
+            return Err(self.deny(now, ProblemKind::Unauthorized, detail));
         }
         let payer = payer.filter(|_| !route.public);
         let account = payer.map(|payer| payer.account.clone());
--- /dev/null
+++ b/src/router/table_watch.rs
@@ -0,0 +1,139 @@
+//! Whether the configuration in force here is the newest one, where a platform hands it over whole.
+//!
+//! A router whose calls to the store stand behind its callers' answers, or that is parted from the store, goes on with an
+//! old configuration. Its peers say in their heartbeats which one they have, so that it can ask one of them for it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tracing::info;
+
+use crate::ids::TableVersion;
+use crate::ids::VmId;
+use crate::router::core::Accounting;
+use crate::router::core::Core;
+use crate::router::effect::Effect;
+use crate::router::event::Heartbeat;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+
+/// How long the store may take to bring what a peer has already.
+const GRACE: Duration = Duration::from_millis(250);
+
+/// How long after a question to a peer the next one goes out: answers take a second at most.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// When a caller may come back that asked for what a newer configuration may allow.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// What a router knows of configurations newer than its own.
+#[derive(Debug, Default)]
+pub(crate) struct TableWatch {
+    /// When the store last said that there is no newer one.
+    confirmed: Option<Instant>,
+    newer: Option<Newer>,
+    /// When a peer was last asked.
+    asked: Option<Instant>,
+}
+
+/// A configuration that a peer has.
+#[derive(Debug)]
+struct Newer {
+    version: TableVersion,
+    /// Who has it.
+    vm: VmId,
+    /// When a newer one than that in force was first heard of.
+    since: Instant,
+}
+
+impl TableWatch {
+    /// Notes that the store has no newer configuration.
+    pub(crate) fn confirm(&mut self, now: Instant) {
+        self.confirmed = Some(now);
+    }
+
+    /// Notes which configuration a peer has.
+    fn hear(&mut self, now: Instant, own: TableVersion, beat: &Heartbeat) {
+        let known = self.newer.as_ref();
+        if beat.table <= own || known.is_some_and(|newer| beat.table < newer.version) {
+            return;
+        }
+        self.newer = Some(Newer {
+            version: beat.table,
+            vm: beat.vm.clone(),
+            since: known.map_or(now, |newer| newer.since),
+        });
+    }
+
+    /// Notes which configuration is in force.
+    pub(crate) fn took(&mut self, version: TableVersion) {
+        self.newer.take_if(|newer| newer.version <= version);
+        self.asked = None;
+    }
+
+    /// Returns whether there may be a newer configuration; `limit` is how long the store's last word holds.
+    fn may_be_behind(&self, now: Instant, limit: Duration) -> bool {
+        self.newer.is_some() || self.confirmed.is_none_or(|at| now > at + limit)
+    }
+
+    /// Returns who is to be asked for a newer configuration, if it is time for that.
+    fn next_asked(&mut self, now: Instant) -> Option<VmId> {
+        let newer = self.newer.as_ref()?;
+        if now < newer.since + GRACE || self.asked.is_some_and(|at| now < at + AGAIN) {
+            return None;
+        }
+        self.asked = Some(now);
+        Some(newer.vm.clone())
+    }
+}
+
+impl Core {
+    /// Returns the version of the configuration in force, 0 where there is none yet.
+    pub(crate) fn table_version(&self) -> TableVersion {
+        self.table
+            .as_ref()
+            .map_or_else(TableVersion::default, |table| table.version)
+    }
+
+    /// Takes note of a peer's configuration.
+    pub(crate) fn hear_table(&mut self, now: Instant, beat: &Heartbeat) {
+        let own = self.table_version();
+        self.table_watch.hear(now, own, beat);
+    }
+
+    /// Asks a peer for its configuration, where the store has not brought it.
+    pub(crate) fn fetch_table(&mut self, now: Instant) {
+        let Some(vm) = self.table_watch.next_asked(now) else {
+            return;
+        };
+        let peers = self.members.roster.peers();
+        let Some(peer) = peers.iter().find(|peer| peer.vm == vm) else {
+            return;
+        };
+        info!(event = "config-behind", own = %self.table_version(), from = %vm);
+        self.effects.push(Effect::FetchTable(peer.clone()));
+    }
+
+    /// Returns whether a newer configuration than that in force here may hold elsewhere.
+    pub(crate) fn may_be_behind(&self, now: Instant) -> bool {
+        match self.tuning.accounting {
+            Accounting::Grants(tuning) => self.table_watch.may_be_behind(now, tuning.confirm),
+            Accounting::Ledger => false,
+        }
+    }
+
+    /// Returns a refusal by the configuration, or one that promises less where a newer configuration may allow the request.
+    pub(crate) fn deny(&mut self, now: Instant, kind: ProblemKind, detail: &str) -> Box<Problem> {
+        if !self.may_be_behind(now) {
+            return Box::new(Problem::new(kind, Ran::No, detail));
+        }
+        let problem = Problem::new(
+            ProblemKind::ConfigBehind,
+            Ran::No,
+            "this router may not have the newest configuration yet",
+        );
+        let instead = self.other_address();
+        Box::new(problem.go_to(instead).retry_in(RETRY))
+    }
+}
--- /dev/null
+++ b/src/router/tests/behind.rs
@@ -0,0 +1,127 @@
+//! Routers whose configuration is older than that of the others.
+
+use std::time::Duration;
+
+use crate::ids::RequestId;
+use crate::ids::TableVersion;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Heartbeat;
+use crate::router::ProblemKind;
+use crate::router::Ran;
+use crate::router::tests::site::CONFIRM;
+use crate::router::tests::site::Log;
+use crate::router::tests::site::Site;
+use crate::router::tests::site::table;
+
+/// How long a router may go on with a configuration that its peers have replaced, if one of them answers.
+const CATCH_UP: Duration = Duration::from_millis(500);
+
+/// Returns a router that has configuration 1, and whose peer has another one.
+fn site_with_peer_at(version: u64) -> Site {
+    let mut site = Site::start(1000);
+    hear(&mut site, version);
+    site
+}
+
+fn hear(site: &mut Site, version: u64) {
+    let beat = Heartbeat {
+        table: TableVersion(version),
+        ..site.peer_beat(0)
+    };
+    site.tell(Event::Heard(beat));
+}
+
+/// Returns how many times a peer was asked for its configuration.
+fn fetches(site: &Site) -> usize {
+    let fetch = |effect: &&Effect| matches!(effect, Effect::FetchTable(_));
+    site.effects.iter().filter(fetch).count()
+}
+
+/// Returns how a request was refused, and whether its caller was told when to come back.
+fn refusal(site: &Site, id: RequestId) -> (ProblemKind, Ran, bool) {
+    let problem = site.refusal(id).expect("it is refused");
+    (problem.kind, problem.ran, problem.retry.is_some())
+}
+
+const BEHIND: (ProblemKind, Ran, bool) = (ProblemKind::ConfigBehind, Ran::No, true);
+
+/// Guards against a router that goes on with an old configuration because its calls to the store come late.
+#[test]
+fn a_newer_configuration_is_fetched_from_a_peer() {
+    let mut site = site_with_peer_at(2);
+    site.pass(CATCH_UP.as_millis() as u64);
+    assert_eq!(fetches(&site), 1);
+    site.tell(Event::Table(table(2, 1000)));
+    site.pass(5000);
+    assert_eq!(fetches(&site), 1);
+}
+
+/// Guards against every router asking its peers at each change, though the store brings it a moment later.
+#[test]
+fn a_configuration_that_the_store_brings_is_not_fetched() {
+    let mut site = site_with_peer_at(2);
+    site.pass(100);
+    site.tell(Event::Table(table(2, 1000)));
+    site.pass(2000);
+    assert_eq!(fetches(&site), 0);
+}
+
+/// Guards against waiting for ever for a peer that does not answer.
+#[test]
+fn a_lost_configuration_is_fetched_again() {
+    let mut site = site_with_peer_at(2);
+    site.pass(3000);
+    assert!(fetches(&site) > 1);
+}
+
+/// Guards against 404 for a route that a newer configuration has.
+#[test]
+fn an_unknown_route_is_not_denied_by_an_old_configuration() {
+    let mut site = site_with_peer_at(2);
+    let id = site.ask("added", 100, 50);
+    assert_eq!(refusal(&site, id), BEHIND);
+    site.tell(Event::Table(table(2, 1000)));
+    let id = site.ask("added", 100, 50);
+    assert_eq!(refusal(&site, id), (ProblemKind::NoRoute, Ran::No, false));
+}
+
+/// Guards against 401 for a key that a newer configuration has.
+#[test]
+fn an_unknown_key_is_not_denied_by_an_old_configuration() {
+    let mut site = site_with_peer_at(2);
+    let id = site.ask_as("added", "stream", 100, 50);
+    assert_eq!(refusal(&site, id), BEHIND);
+}
+
+/// Guards against 402 for a budget that a newer configuration has raised.
+#[test]
+fn a_spent_budget_is_not_denied_by_an_old_configuration() {
+    let mut site = site_with_peer_at(2);
+    let id = site.ask("stream", 900, 200);
+    site.pass(1000);
+    let expected = (ProblemKind::BudgetHeld, Ran::No, true);
+    assert_eq!(refusal(&site, id), expected);
+}
+
+/// Guards against 404 from a router that has not heard from the store for longer than a change may take.
+#[test]
+fn an_unknown_route_is_not_denied_without_word_from_the_store() {
+    let mut site = Site::start(1000);
+    site.log = Log::Away;
+    site.pass(CONFIRM.as_millis() as u64 + 100);
+    let id = site.ask("added", 100, 50);
+    assert_eq!(refusal(&site, id), BEHIND);
+    site.log = Log::Up;
+    site.pass(100);
+    let id = site.ask("added", 100, 50);
+    assert_eq!(refusal(&site, id), (ProblemKind::NoRoute, Ran::No, false));
+}
+
+/// Guards against refusing requests that the configuration at hand allows.
+#[test]
+fn known_routes_are_served_by_an_old_configuration() {
+    let mut site = site_with_peer_at(2);
+    let id = site.ask("stream", 100, 50);
+    assert_eq!(site.runs(id).len(), 1);
+}
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -5,6 +5,7 @@
     reason = "a test takes the moment at which it starts from the system"
 )]
 
+mod behind;
 mod bench;
 mod commit;
 mod contended;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -18,6 +18,7 @@
 use crate::ids::Incarnation;
 use crate::ids::Offset;
 use crate::ids::RequestId;
+use crate::ids::TableVersion;
 use crate::key_hash::KeyHash;
 use crate::labels::Labels;
 use crate::moment::BootClock;
@@ -52,6 +53,8 @@
 
 /// What time of day it is when a site starts, since the Unix epoch.
 pub(crate) const WALL: Duration = Duration::from_secs(1_800_000_000);
+/// How long the log's word that there is no newer configuration holds.
+pub(crate) const CONFIRM: Duration = Duration::from_millis(2500);
 pub(crate) const LINGER: Duration = Duration::from_millis(5500);
 
 /// How the log answers a proposal.
@@ -134,6 +137,7 @@
         slots: Some(8),
         stride: 7,
     };
+    let version = TableVersion(version);
     Arc::new(RouteTable::new(version, intake, routes, vec![pool], payers))
 }
 
@@ -163,6 +167,7 @@
     Tuning {
         drain: Duration::from_millis(7700),
         accounting: Accounting::Grants(GrantTuning {
+            confirm: CONFIRM,
             linger: LINGER,
             retries: 0.2,
             spare: 5.0,
@@ -271,6 +276,9 @@
     pub(crate) fn pass(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(20) {
             self.now += Duration::from_millis(20);
+            if self.log == Log::Up {
+                self.tell(Event::TableConfirmed);
+            }
             self.tell(Event::Tick);
         }
     }
@@ -313,6 +321,7 @@
                 serving: true,
                 load: 0,
                 config: Offset(0),
+                table: TableVersion(0),
                 clock: self.wall(),
                 purses: Vec::new(),
             }));
@@ -332,21 +341,28 @@
         }));
     }
 
-    /// Returns what another router says of itself: so much of the team's budget lies idle there.
+    /// Has another router say that so much of the team's budget lies idle there.
     pub(crate) fn hear_peer(&mut self, free: u64) {
-        self.tell(Event::Heard(Heartbeat {
+        let beat = self.peer_beat(free);
+        self.tell(Event::Heard(beat));
+    }
+
+    /// Returns what another router says of itself: so much of the team's budget lies idle there.
+    pub(crate) fn peer_beat(&self, free: u64) -> Heartbeat {
+        Heartbeat {
             vm: name("router-1"),
             router: Incarnation(99),
             serving: true,
             load: 0,
             config: Offset(0),
+            table: TableVersion(0),
             clock: self.wall(),
             purses: vec![PurseWord {
                 team: name("loans"),
                 free: Tokens(free),
                 demand: 0,
             }],
-        }));
+        }
     }
 
     /// Returns the runs of a request, in their order.
