Ask for what a waiting request lacks, and for no loan of nothing

Cause: borrow_owned asked for what waits less what can be reserved. In a cut, what can be reserved covers the request, and the request still waits, because something is kept open for more urgent ones. The answer 0 was not less than an eighth of 0, so the lender was asked again at once.

What is kept open now counts as lacking, so that a question is for what lets the request go on, and where nothing is lacking nobody is asked. Test nobody_is_asked_for_nothing: 50 questions for nothing before (as many as the test answers), none now.

--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -27,10 +27,13 @@
         me: Incarnation,
         team: &TeamId,
     ) -> Option<Effect> {
-        let held = self.available(now, team);
+        let missing = self.missing(now, team);
+        if missing == Tokens::ZERO {
+            return None;
+        }
         let allowance = &mut self.allowances[team];
         let wanted = Wanted {
-            amount: allowance.wanted().saturating_sub(held),
+            amount: missing,
             priority: allowance.most_urgent(),
         };
         let owners = self.ownership.answering(now, team);
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -6,13 +6,17 @@
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::Gift;
+use crate::router::Heartbeat;
 use crate::router::LoanAsk;
 use crate::router::Peer;
 use crate::router::RunEnd;
 use crate::router::Usage;
+use crate::router::event::PurseWord;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::entry;
+use crate::router::tests::site::payer;
+use crate::router::tests::site::table_of;
 use crate::tokens::Tokens;
 use crate::vms::VmEntry;
 
@@ -40,13 +44,18 @@
 
 /// Brings up a router that keeps the budget for others: it is by far the largest, and alone in its failure domain.
 fn owner() -> Site {
+    owner_in("domain-9")
+}
+
+/// Brings up a router that is large enough to keep some teams' budgets.
+fn owner_in(domain: &str) -> Site {
     let role = [
         ("role", "router"),
         ("peer", "127.0.0.1:8100"),
         ("cpu", "1000"),
     ];
     let mut own = entry("router-0", 8000, &role);
-    own.domain = "domain-9".parse().expect("a name");
+    own.domain = domain.parse().expect("a name");
     let vms = fleet().into_iter().chain([own]).collect();
     let mut site = Site::start_among(1_000_000, vms);
     site.effects.clear();
@@ -184,3 +193,68 @@
     let part = answer.is_some_and(|lent| 0 < lent && lent < 900_000);
     assert!(part, "{answer:?}");
 }
+
+/// Guards against a router that asks for loans of nothing, thousands a second, while a request waits behind what is kept for
+/// more urgent ones.
+#[test]
+fn nobody_is_asked_for_nothing() {
+    let mut site = owner_in("domain-0");
+    let [own, others] = share_with_others(&mut site);
+    site.ask_as(&own, "stream", 100, 50);
+    site.pass(1000);
+    site.log = Log::Away;
+    site.ask_as(&own, "stream", 900_000, 50);
+    site.pass(1000);
+    for _ in 0..10 {
+        site.ask_as(&others, "urgent", 1000, 500);
+        lend_what_is_asked(&mut site);
+        hear_owner(&mut site, &others);
+        site.pass(100);
+    }
+    let id = site.ask_as(&others, "stream", 100, 50);
+    lend_what_is_asked(&mut site);
+    site.pass(100);
+    let asked = asked(&site);
+    let nothing = asked.iter().filter(|(ask, _)| ask.amount == Tokens::ZERO);
+    assert_eq!(nothing.count(), 0);
+    assert!(is_run(&site, id));
+}
+
+/// Has a router serve many teams, and returns the key of one whose budget it keeps and of one whose budget others keep.
+fn share_with_others(site: &mut Site) -> [String; 2] {
+    let teams: Vec<_> = (0..40).map(|n| format!("team-{n}")).collect();
+    let payers = teams.iter().map(|team| payer(team, team, 1_000_000));
+    site.tell(Event::Table(table_of(2, payers.collect())));
+    let ownership = &site.core.funds.ownership;
+    let own = |name: &String| ownership.owns_for_all(&name.parse().expect("a name"));
+    let (mine, others): (Vec<_>, Vec<_>) = teams.into_iter().partition(own);
+    [mine, others].map(|teams| teams.first().expect("a team").clone())
+}
+
+/// Has another router say that plenty of a team's budget lies idle there.
+fn hear_owner(site: &mut Site, team: &str) {
+    let word = PurseWord {
+        team: team.parse().expect("a name"),
+        free: Tokens(500_000),
+        demand: 0,
+    };
+    let beat = Heartbeat {
+        vm: "peer-0".parse().expect("a name"),
+        purses: vec![word],
+        ..site.peer_beat(0)
+    };
+    site.tell(Event::Heard(beat));
+}
+
+/// Answers the newest question for a loan in full, and those that follow from that, up to a bound.
+fn lend_what_is_asked(site: &mut Site) {
+    let mut answered = asked(site).len().saturating_sub(1);
+    for _ in 0..50 {
+        let Some((ask, _)) = asked(site).get(answered).cloned() else {
+            return;
+        };
+        answered += 1;
+        let amount = ask.amount;
+        site.tell(Event::Lent(ask, Some(amount)));
+    }
+}
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -77,6 +77,21 @@
         funded
     }
 
+    /// Returns what those that wait for a team's budget lack: what they may cost together, and what must stay open for more
+    /// urgent ones, beyond what can be reserved now.
+    pub(super) fn missing(&self, now: Instant, team: &TeamId) -> Tokens {
+        let away = self.away.is_some();
+        let Allowance {
+            waiting, ration, ..
+        } = &self.allowances[team];
+        let kept = waiting
+            .iter()
+            .map(|waiting| kept_open(away, now, ration, waiting.priority));
+        let kept = kept.max().unwrap_or_default();
+        let wanted = self.allowances[team].wanted().saturating_add(kept);
+        wanted.saturating_sub(self.available(now, team))
+    }
+
     /// Returns the requests that can't have their budget, or not in time, and why.
     pub(crate) fn unfunded(&mut self, now: Instant) -> Vec<(Waiter, Unfunded)> {
         let mut unfunded = Vec::new();
