Borrow by the round trip on a VM that is late, and spare its link

Of 24 accounts seven keep to one VM.

Cause of the wait: the VM's link and processor are full, a question for a loan takes longer than the tenth of a second after which it is given up, the connection is made anew, and the next request waits for the next question. 363 questions, 211 tries without an answer in 27 s. Besides, each long prompt was told to 63 peers.

Heartbeats now tell how late a VM is (decide/round_trips.rs, by the shortest round trip, so that slow peers don't count). A question for a loan may take three of them, what is asked for covers the demand until the next answer, and a late VM tells nobody of its prompts. Tests: five of the measure, and budget_is_borrowed_ahead_where_answers_take_long, which failed before (1,000 asked for after 300 ms).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,7 @@
 mod ration;
 mod recent;
 mod retry;
+mod round_trips;
 
 pub use advice::Advice;
 pub use advice::Peer;
@@ -77,3 +78,4 @@
 pub use ration::Remainder;
 pub use recent::Usage;
 pub use retry::RetryBudget;
+pub use round_trips::RoundTrips;
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -306,7 +306,7 @@
                 tokio::spawn(self.peers.clone().table(peer));
             }
             Effect::Tell(reading, peers) => {
-                if let Some(teller) = &self.teller {
+                if let Some(teller) = self.teller.as_ref().filter(|_| !self.peers.is_late()) {
                     teller.tell(&reading, &peers);
                 }
             }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -25,9 +25,11 @@
 use crate::clock::Clock;
 use crate::config::RouteTable;
 use crate::config::Snapshot;
+use crate::decide::RoundTrips;
 use crate::edge::clock::SystemClock;
 use crate::edge::codec::Postcard;
 use crate::edge::desk::Desk;
+use crate::edge::desk::lock;
 use crate::router::Event;
 use crate::router::Gift;
 use crate::router::Heartbeat;
@@ -183,6 +185,7 @@
 pub(crate) struct Caller {
     desk: Arc<Desk>,
     clients: Arc<Mutex<IndexMap<String, PeeringClient>>>,
+    trips: Arc<std::sync::Mutex<RoundTrips>>,
 }
 
 impl Caller {
@@ -190,6 +193,7 @@
         Self {
             desk,
             clients: Arc::default(),
+            trips: Arc::default(),
         }
     }
 
@@ -197,7 +201,13 @@
     pub(crate) async fn beat(self, beat: Heartbeat, peer: Peer) {
         let call =
             |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
-        match self.call(&peer.address, CALL, call).await {
+        let asked = SystemClock.now();
+        let answer = self.call(&peer.address, CALL, call).await;
+        if !matches!(answer, Err(Silence::Refused | Silence::Unreachable)) {
+            let now = SystemClock.now();
+            lock(&self.trips).sample(now, now.saturating_duration_since(asked));
+        }
+        match answer {
             Ok(Ok(word)) => self.desk.tell(Event::Heard(word)),
             Ok(Err(_)) => self.desk.tell(Event::Unheard(peer.vm, Silence::Mute)),
             Err(silence) => self.desk.tell(Event::Unheard(peer.vm, silence)),
@@ -241,12 +251,14 @@
     /// Asks a peer for a loan, once more where no answer came, and tells the core.
     pub(crate) async fn borrow(self, ask: LoanAsk, peer: Peer) {
         let mut amount = None;
+        // On a VM that is late, a question given up too early would be asked again over a new connection.
+        let limit = lock(&self.trips).limit(LOAN);
         for _ in 0..LOAN_TRIES {
             let asked = ask.clone();
             let call = |client: PeeringClient| async move {
-                client.lend(deadline(LOAN), VERSION, asked).await
+                client.lend(deadline(limit), VERSION, asked).await
             };
-            match self.call(&peer.address, LOAN, call).await {
+            match self.call(&peer.address, limit, call).await {
                 Ok(answer) => {
                     amount = answer.ok();
                     break;
@@ -257,6 +269,11 @@
         self.desk.tell(Event::Lent(ask, amount));
     }
 
+    /// Returns whether all that this router does is late, so that it had better do without what is not needed.
+    pub(crate) fn is_late(&self) -> bool {
+        lock(&self.trips).is_late()
+    }
+
     /// Sends a peer the configuration.
     pub(crate) async fn relay(self, snapshot: Box<Snapshot>, peer: Peer) {
         let Ok(config) = serde_json::to_string(&snapshot) else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -127,6 +127,7 @@
 pub use decide::Refusal;
 pub use decide::Remainder;
 pub use decide::RetryBudget;
+pub use decide::RoundTrips;
 pub use decide::Sample;
 pub use decide::Share;
 pub use decide::Ticket;
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -56,6 +56,14 @@
     pub(crate) priority: u8,
 }
 
+/// A question on its way.
+#[derive(Clone, Debug)]
+struct Asked {
+    number: u64,
+    peer: Peer,
+    at: Instant,
+}
+
 /// A question that brought no answer. It may have been answered, and what was lent then is lost to both.
 #[derive(Clone, Debug)]
 struct Unanswered {
@@ -77,7 +85,9 @@
     /// Gifts on their way.
     giving: u32,
     /// The question on its way, and whom it goes to.
-    asked: Option<(u64, Peer)>,
+    asked: Option<Asked>,
+    /// How long the last one took that was answered.
+    took: Duration,
     /// The questions that brought no answer.
     unanswered: Vec<Unanswered>,
     /// The number of the last question.
@@ -125,7 +135,7 @@
             return None;
         };
         let peer = lender.peer.clone();
-        Some(self.ask_peer(me, team, wanted, peer))
+        Some(self.ask_peer(now, me, team, wanted, peer))
     }
 
     /// Asks one of those that keep the budget, in turn, if none is asked already and some may have it.
@@ -141,21 +151,37 @@
             return None;
         }
         let peer = self.next_owner(now, owners)?.clone();
-        Some(self.ask_peer(me, team, wanted, peer))
+        Some(self.ask_peer(now, me, team, wanted, peer))
     }
 
     /// Returns whether a question to one of those that keep the budget is on its way, or can be asked.
     pub(crate) fn may_ask_owner(&self, now: Instant, owners: &[Peer]) -> bool {
         self.asked
             .as_ref()
-            .is_some_and(|(_, peer)| owners.contains(peer))
+            .is_some_and(|asked| owners.contains(&asked.peer))
             || owners.iter().any(|peer| self.may_have(now, peer))
     }
 
-    fn ask_peer(&mut self, me: Incarnation, team: &TeamId, wanted: Wanted, peer: Peer) -> Effect {
+    /// Returns how long a question took that was answered of late.
+    pub(crate) fn took(&self) -> Duration {
+        self.took
+    }
+
+    fn ask_peer(
+        &mut self,
+        now: Instant,
+        me: Incarnation,
+        team: &TeamId,
+        wanted: Wanted,
+        peer: Peer,
+    ) -> Effect {
         self.none = None;
         self.number += 1;
-        self.asked = Some((self.number, peer.clone()));
+        self.asked = Some(Asked {
+            number: self.number,
+            peer: peer.clone(),
+            at: now,
+        });
         let ask = LoanAsk {
             borrower: me,
             number: self.number,
@@ -178,12 +204,14 @@
         ask: &LoanAsk,
         amount: Option<Tokens>,
     ) -> Option<Peer> {
-        let asked = self.asked.take_if(|(number, _)| *number == ask.number);
-        let Some((_, peer)) = asked else {
+        let asked = self.asked.take_if(|asked| asked.number == ask.number);
+        let Some(Asked { peer, at, .. }) = asked else {
             self.answered_late(ask, amount);
             return None;
         };
-        if amount.is_none() {
+        if amount.is_some() {
+            self.took = now.saturating_duration_since(at);
+        } else {
             // Nothing more is asked for: a lender that the question never reached would lend what nobody needs any more.
             let ask = LoanAsk {
                 amount: Tokens::ZERO,
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -19,6 +19,9 @@
 /// may find it, often enough that little lies idle at two hundred routers.
 const GIVE_BACK: Duration = Duration::from_millis(500);
 
+/// For how many times as long as the last question took, a team's demand is borrowed ahead.
+const AHEAD: u32 = 2;
+
 impl Funds {
     /// Asks those that keep a team's budget for what its requests need.
     pub(super) fn borrow_owned(
@@ -32,8 +35,10 @@
             return None;
         }
         let allowance = &mut self.allowances[team];
+        // Where answers take long, each further request would wait as long for the next one.
+        let ahead = allowance.rate(now) * (allowance.loans.took() * AHEAD).as_secs_f64();
         let wanted = Wanted {
-            amount: missing,
+            amount: missing.saturating_add(Tokens(ahead as u64)),
             priority: allowance.most_urgent(),
         };
         let owners = self.ownership.answering(now, team);
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -194,6 +194,27 @@
     assert!(part, "{answer:?}");
 }
 
+/// Returns how much a router asks for with its second question, for a request of 1,000 tokens, where the first was answered
+/// after some milliseconds.
+fn second_question(took: u64) -> u64 {
+    let mut site = guest();
+    site.ask("stream", 500, 500);
+    site.pass(took);
+    let (ask, _) = asked(&site).pop().expect("an owner is asked");
+    let amount = ask.amount;
+    site.tell(Event::Lent(ask, Some(amount)));
+    site.ask("stream", 500, 500);
+    let (ask, _) = asked(&site).pop().expect("an owner is asked");
+    ask.amount.0
+}
+
+/// Guards against a VM where each request waits for a loan of its own, though answers take hundreds of milliseconds there.
+#[test]
+fn budget_is_borrowed_ahead_where_answers_take_long() {
+    assert_eq!(second_question(0), 1000);
+    assert!(second_question(300) > 1300);
+}
+
 /// Guards against a router that asks for loans of nothing, thousands a second, while a request waits behind what is kept for
 /// more urgent ones.
 #[test]
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod poison;
 mod prefill;
 mod ration;
+mod round_trips;
 mod router;
 mod sim;
 
--- /dev/null
+++ b/tests/decisions/round_trips.rs
@@ -0,0 +1,61 @@
+//! A VM whose link or processor is late, and peers that are.
+
+use jasmineridge::RoundTrips;
+
+use crate::ms;
+use crate::start;
+
+/// How many peers answer each half second.
+const PEERS: usize = 12;
+
+/// Has most peers answer after a time, and one after another time.
+fn measure(most: u64, one: u64) -> RoundTrips {
+    let mut trips = RoundTrips::default();
+    for step in 0..10 {
+        let now = start() + ms(500 * step);
+        trips.sample(now, ms(one));
+        (1..PEERS).for_each(|_| trips.sample(now, ms(most)));
+    }
+    trips
+}
+
+/// Guards against not noticing a VM whose link is full.
+#[test]
+fn a_vm_to_which_all_answers_come_late_is_late() {
+    let trips = measure(400, 300);
+    assert!(trips.is_late());
+    assert!(trips.shortest() >= ms(300));
+}
+
+/// Guards against taking the delay of slow peers for the VM's own.
+#[test]
+fn slow_peers_do_not_make_a_vm_late() {
+    assert!(!measure(900, 5).is_late());
+}
+
+/// Guards against a VM that counts as late for ever after a burst.
+#[test]
+fn a_vm_is_not_late_any_more_after_a_burst() {
+    let mut trips = measure(900, 900);
+    let now = start() + ms(10_000);
+    (0..PEERS).for_each(|_| trips.sample(now, ms(5)));
+    assert!(!trips.is_late());
+}
+
+/// Guards against a verdict from one round trip.
+#[test]
+fn one_round_trip_tells_nothing() {
+    let mut trips = RoundTrips::default();
+    trips.sample(start(), ms(900));
+    assert!(!trips.is_late());
+}
+
+/// Guards against giving up questions that a late VM would have an answer to.
+#[test]
+fn a_late_vm_waits_longer_for_answers() {
+    let usual = ms(100);
+    assert_eq!(RoundTrips::default().limit(usual), usual);
+    assert_eq!(measure(5, 5).limit(usual), usual);
+    assert_eq!(measure(150, 150).limit(usual), ms(450));
+    assert_eq!(measure(900, 900).limit(usual), ms(600));
+}
