Give rests back at reviews, in one write, and nothing for a few tokens

What callers saw: on large fleets some routers could write nothing for seconds beside a team whose budget had run dry, and with a loss of power more of all teams' budgets was lost.

Cause: while a request waits for one team's budget, each look at the log also changed all other teams' grants by a further step, and where only a few tokens are left, the steps never end: a third of three tokens is drawn, and given back again (granted 20,003 and 20,004 in turn, as often as the log answers).

Between reviews nothing is given back now for which nobody waits here; a review gives back all steps of the policy in one write, short of one that a draw would follow; and less than a twentieth of a mean request is not worth a write.

--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -22,6 +22,10 @@
 /// The weight of the newest request in averages: some thirty requests, a second or two of a busy team.
 const PART_WEIGHT: f64 = 0.03;
 
+/// What part of a mean request is not worth a write. Steps of a few tokens go back and forth for ever, since a part of
+/// them can't be given back.
+const TRIFLE: f64 = 0.05;
+
 /// A large request counts for so many in these averages at most.
 const LARGE: f64 = 4.0;
 
@@ -106,6 +110,11 @@
         }
     }
 
+    /// Returns whether an amount is not worth a write: nobody waits for it here, and it helps no request elsewhere.
+    pub(crate) fn is_trifle(&self, amount: Tokens) -> bool {
+        self.waiting.is_empty() && (amount.0 as f64) < self.size * TRIFLE
+    }
+
     /// Returns what was spent here, and lent to others, which spend it without a word to the log.
     fn taken(&self) -> Tokens {
         self.spent.saturating_add(self.loans.lent())
--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -98,6 +98,10 @@
         let changes = self.allowances.iter().filter_map(|(team, allowance)| {
             let old = self.book.granted(team);
             let granted = self.wanted_grant(now, team, allowance);
+            // Were rests given back at each call for another team's request, the one partition would take little else.
+            if granted < old && !due && allowance.waiting.is_empty() {
+                return None;
+            }
             let opening = self.opening(now, team, allowance, granted);
             let promise = Pace {
                 made: made.own,
@@ -156,12 +160,38 @@
             reachable: true,
         };
         match self.policy.decide(&share) {
-            Action::Draw(amount) => granted + amount,
+            Action::Draw(amount) if !allowance.is_trifle(amount) => granted + amount,
+            Action::Return(_) if allowance.waiting.is_empty() => {
+                granted - self.given_back(allowance, share).min(granted)
+            }
             Action::Return(amount) => granted - amount.min(free).min(granted),
-            Action::None => granted,
+            Action::Draw(_) | Action::None => granted,
         }
     }
 
+    /// Returns all that the policy gives back, step after step, of a budget for which nobody waits here: one write for
+    /// all steps that are not followed by a draw.
+    fn given_back(&self, allowance: &Allowance, mut share: Share) -> Tokens {
+        let mut given = Tokens::ZERO;
+        while let Action::Return(amount) = self.policy.decide(&share) {
+            let amount = amount.min(share.free);
+            if allowance.is_trifle(amount) {
+                break;
+            }
+            let next = Share {
+                free: share.free - amount,
+                undrawn: share.undrawn.saturating_add(amount),
+                ..share
+            };
+            if let Action::Draw(_) = self.policy.decide(&next) {
+                break;
+            }
+            given += amount;
+            share = next;
+        }
+        given
+    }
+
     /// Returns what a router that stops holds on to, beyond what is in use.
     fn kept_by_leaver(&self, now: Instant, allowance: &Allowance) -> Tokens {
         match self.stay {
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -269,12 +269,11 @@
 
 /// Answers the newest question for a loan in full, and those that follow from that, up to a bound.
 fn lend_what_is_asked(site: &mut Site) {
-    let mut answered = asked(site).len().saturating_sub(1);
-    for _ in 0..50 {
-        let Some((ask, _)) = asked(site).get(answered).cloned() else {
+    let newest = asked(site).len().saturating_sub(1);
+    for at in newest..newest + 50 {
+        let Some((ask, _)) = asked(site).get(at).cloned() else {
             return;
         };
-        answered += 1;
         let amount = ask.amount;
         site.tell(Event::Lent(ask, Some(amount)));
     }
