--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 use tracing::info;
+use tracing::warn;
 
 use crate::clock::Clock;
 use crate::config::RouteTable;
@@ -160,9 +161,13 @@
 /// Serves peers for ever.
 pub(crate) async fn serve(listener: TcpListener, desk: Arc<Desk>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(CALL).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(event = "accept-failed", %error);
+                tokio::time::sleep(CALL).await;
+                continue;
+            }
         };
         let _ = stream.set_nodelay(true);
         let framed = codec_framed(stream);
@@ -204,8 +209,7 @@
         let asked = SystemClock.now();
         let answer = self.call(&peer.address, CALL, call).await;
         if !matches!(answer, Err(Silence::Refused | Silence::Unreachable)) {
-            let now = SystemClock.now();
-            lock(&self.trips).sample(now, now.saturating_duration_since(asked));
+            self.note_round_trip(asked);
         }
         match answer {
             Ok(Ok(word)) => self.desk.tell(Event::Heard(word)),
@@ -214,6 +218,22 @@
         }
     }
 
+    /// Takes note of how long a peer took that was asked at a time.
+    fn note_round_trip(&self, asked: Instant) {
+        let now = SystemClock.now();
+        let mut trips = lock(&self.trips);
+        let before = trips.is_late();
+        trips.sample(now, now.saturating_duration_since(asked));
+        let late = trips.is_late();
+        if late != before {
+            info!(
+                event = "vm-late",
+                late,
+                round_trip_ms = trips.shortest().as_millis()
+            );
+        }
+    }
+
     /// Leaves batches with a peer, and tells the core once the peer has them.
     pub(crate) async fn keep(self, batches: KeptBatches, peer: Peer) {
         let (router, last, records) = (batches.router, batches.last, batches.records);
@@ -228,7 +248,7 @@
                 records,
             }),
             Ok(Err(_)) => self.desk.tell(Event::Unkept(peer.vm)),
-            Err(_) => {}
+            Err(silence) => info!(event = "not-kept", vm = %peer.vm, ?silence),
         }
     }
 
@@ -276,13 +296,13 @@
 
     /// Sends a peer the configuration.
     pub(crate) async fn relay(self, snapshot: Box<Snapshot>, peer: Peer) {
-        let Ok(config) = serde_json::to_string(&snapshot) else {
-            return;
-        };
+        let config = serde_json::to_string(&snapshot).expect("a configuration can be written");
         let call = |client: PeeringClient| async move {
             client.relay(deadline(CALL), VERSION, config).await
         };
-        let _ = self.call(&peer.address, CALL, call).await;
+        if let Err(silence) = self.call(&peer.address, CALL, call).await {
+            info!(event = "not-relayed", vm = %peer.vm, ?silence);
+        }
     }
 
     /// Asks a peer for its configuration, and tells the core.
