Count no missing answer as a late one, and borrow no more ahead than is kept

Found by reading the change. In a cut from all peers each missing answer would have counted as a round trip of a second, and a question for a loan would have been waited for 1.2 s instead of a fifth of a second, before the next owner or the log is asked. And a second of demand is what a router keeps before it gives back: borrowed further ahead, it would go back at once.

--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -208,7 +208,8 @@
             |client: PeeringClient| async move { client.beat(deadline(CALL), VERSION, beat).await };
         let asked = SystemClock.now();
         let answer = self.call(&peer.address, CALL, call).await;
-        if !matches!(answer, Err(Silence::Refused | Silence::Unreachable)) {
+        // No answer at all tells of a cut rather than of a VM that is late.
+        if answer.is_ok() {
             self.note_round_trip(asked);
         }
         match answer {
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -19,7 +19,7 @@
 /// may find it, often enough that little lies idle at two hundred routers.
 const GIVE_BACK: Duration = Duration::from_millis(500);
 
-/// For how many times as long as the last question took, a team's demand is borrowed ahead.
+/// For how many times as long as the last question took, a team's demand is borrowed ahead, but for no longer than it is kept.
 const AHEAD: u32 = 2;
 
 impl Funds {
@@ -36,7 +36,8 @@
         }
         let allowance = &mut self.allowances[team];
         // Where answers take long, each further request would wait as long for the next one.
-        let ahead = allowance.rate(now) * (allowance.loans.took() * AHEAD).as_secs_f64();
+        let ahead = (allowance.loans.took() * AHEAD).min(KEPT);
+        let ahead = allowance.rate(now) * ahead.as_secs_f64();
         let wanted = Wanted {
             amount: missing.saturating_add(Tokens(ahead as u64)),
             priority: allowance.most_urgent(),
