--- a/src/router/tests/behind.rs
+++ b/src/router/tests/behind.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::config::RouteTable;
 use crate::ids::RequestId;
 use crate::ids::TableVersion;
 use crate::router::Effect;
@@ -125,3 +126,12 @@
     let id = site.ask("stream", 100, 50);
     assert_eq!(site.runs(id).len(), 1);
 }
+
+/// Guards against a configuration that peers can't read.
+#[test]
+fn a_configuration_can_be_sent_to_a_peer() {
+    let sent = table(2, 1000);
+    let bytes = postcard::to_stdvec(&*sent).expect("it can be written");
+    let read: RouteTable = postcard::from_bytes(&bytes).expect("it can be read");
+    assert_eq!(read, *sent);
+}
