--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod owners;
 mod poison;
 mod prefill;
+mod queue;
 mod ration;
 mod round_trips;
 mod router;
