Give rests back at once again in fleets where all routers write

In a small fleet the partition of grants is idle, and a rest that goes back at once is had by who waits a third of a second sooner.

So only where a few routers keep the budgets, and their writes are all that one partition takes, do rests wait for the review.

--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -72,6 +72,12 @@
         self.reviewed.is_none_or(|at| now >= at + interval)
     }
 
+    /// Returns whether the log has no writes to spare for rests. Where few routers write it has, and who waits elsewhere has
+    /// them sooner.
+    fn spares_log(&self) -> bool {
+        !self.ownership.is_everyone()
+    }
+
     /// Returns how many routers write grants.
     fn writers(&self) -> usize {
         match self.ownership.is_everyone() {
@@ -99,7 +105,7 @@
             let old = self.book.granted(team);
             let granted = self.wanted_grant(now, team, allowance);
             // Were rests given back at each call for another team's request, the one partition would take little else.
-            if granted < old && !due && allowance.waiting.is_empty() {
+            if granted < old && !due && allowance.waiting.is_empty() && self.spares_log() {
                 return None;
             }
             let opening = self.opening(now, team, allowance, granted);
@@ -161,11 +167,13 @@
         };
         match self.policy.decide(&share) {
             Action::Draw(amount) if !allowance.is_trifle(amount) => granted + amount,
-            Action::Return(_) if allowance.waiting.is_empty() => {
+            Action::Return(_) if allowance.waiting.is_empty() && self.spares_log() => {
                 granted - self.given_back(allowance, share).min(granted)
             }
-            Action::Return(amount) => granted - amount.min(free).min(granted),
-            Action::Draw(_) | Action::None => granted,
+            Action::Return(amount) if !allowance.is_trifle(amount) => {
+                granted - amount.min(free).min(granted)
+            }
+            Action::Draw(_) | Action::Return(_) | Action::None => granted,
         }
     }
 
