One look-up of a peer in the roster, and one of an allowance

Found by reading the change: fetch_table repeated relay_config's search of the peers, and missing looked the same allowance up twice. Behaviour as before.

--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -299,8 +299,7 @@
         if beat.config >= self.config.next() || recent {
             return;
         }
-        let peers = self.members.roster.peers();
-        let Some(peer) = peers.iter().find(|peer| peer.vm == beat.vm).cloned() else {
+        let Some(peer) = self.members.roster.peer(&beat.vm).cloned() else {
             return;
         };
         self.members.relayed.insert(beat.vm.clone(), now);
--- a/src/router/roster.rs
+++ b/src/router/roster.rs
@@ -107,6 +107,11 @@
         self.peers.clone()
     }
 
+    /// Returns how to reach one of them.
+    pub(crate) fn peer(&self, vm: &VmId) -> Option<&Peer> {
+        self.peers.iter().find(|peer| peer.vm == *vm)
+    }
+
     /// Returns the VMs of all other routers that are listed as live, and this one's.
     pub(crate) fn serving(&self) -> Arc<[VmId]> {
         self.serving.clone()
--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -107,8 +107,7 @@
         let Some(vm) = self.table_watch.next_asked(now) else {
             return;
         };
-        let peers = self.members.roster.peers();
-        let Some(peer) = peers.iter().find(|peer| peer.vm == vm) else {
+        let Some(peer) = self.members.roster.peer(&vm) else {
             return;
         };
         info!(event = "config-behind", own = %self.table_version(), from = %vm);
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -81,14 +81,11 @@
     /// urgent ones, beyond what can be reserved now.
     pub(super) fn missing(&self, now: Instant, team: &TeamId) -> Tokens {
         let away = self.away.is_some();
-        let Allowance {
-            waiting, ration, ..
-        } = &self.allowances[team];
-        let kept = waiting
-            .iter()
-            .map(|waiting| kept_open(away, now, ration, waiting.priority));
+        let allowance = &self.allowances[team];
+        let waiting = allowance.waiting.iter();
+        let kept = waiting.map(|one| kept_open(away, now, &allowance.ration, one.priority));
         let kept = kept.max().unwrap_or_default();
-        let wanted = self.allowances[team].wanted().saturating_add(kept);
+        let wanted = allowance.wanted().saturating_add(kept);
         wanted.saturating_sub(self.available(now, team))
     }
 
