Drain failure domains, and send cold endpoints no more than they bear

What callers saw: requests ran in a failure domain that the operator had emptied.

Cause: the operator's records were read for one key, the configuration. What entries and the configuration say of cold endpoints was not read either.

The core now knows which failure domains are drained, from the store or from any peer's heartbeat (the newer offset of the operator's records wins; messages are version 6). Choice, queue, retries and resumed streams keep out of them; a pool that has nothing else refuses at once, not run, with when to come back. A domain that is taken back is cold until its endpoints say otherwise. Cold endpoints are used for what warm ones have no room for, each by a few routers that rendezvous hash picks, each with a fixed number a second (src/decide/cold.rs): a share for each of 86 routers would be less than one request.

Not done: the word on cold in health answers, since the product asks no endpoint for its health on this platform (probes are dear); an endpoint that turns cold without a new entry is known to be by its next heartbeat, a second or two later.

Tests: src/router/tests/drained_domains.rs, tests/decisions/cold.rs (1, 6, 14, 86 and 300 routers, one with a fifth of all arrivals), src/platform/tests.rs. They are new with the change and did not compile before it.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -69,6 +69,10 @@
     pub(crate) slots: Option<u32>,
     /// The most tokens that one event of a stream holds.
     pub(crate) stride: u64,
+    /// How long an endpoint is cold that has just started; nothing where it is warm at once.
+    pub(crate) warmup: Duration,
+    /// How many requests a second a cold endpoint bears, from all routers together.
+    pub(crate) cold_rate: u32,
 }
 
 impl TablePool {
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::decide::cold::Cold;
 use crate::decide::concurrency::EndpointLimit;
 use crate::decide::concurrency::Sample;
 use crate::decide::hasher::FastHasher;
@@ -126,6 +127,8 @@
     told: Option<Instant>,
     changes: VecDeque<(Instant, u32)>,
     prefill: Prefill,
+    /// Set where it was cold of late.
+    cold: Option<Cold>,
 }
 
 /// Chooses among the endpoints of one pool.
@@ -178,6 +181,7 @@
                 told: None,
                 changes: VecDeque::new(),
                 prefill: Prefill::default(),
+                cold: None,
             });
         endpoint.domain = domain.clone();
         endpoint.models = models.to_vec();
@@ -205,6 +209,18 @@
         }
     }
 
+    /// Takes over until when an endpoint is cold, nothing where it is warm, and how many requests a second this router may
+    /// send it while it is.
+    pub fn cool(&mut self, vm: &VmId, until: Option<Instant>, share: u32) {
+        let Some(endpoint) = self.endpoints.get_mut(vm) else {
+            return;
+        };
+        match (&mut endpoint.cold, until) {
+            (Some(cold), Some(until)) => cold.change(until, share),
+            (cold, until) => *cold = until.map(|until| Cold::new(until, share)),
+        }
+    }
+
     /// Takes in an endpoint's load report, which counted this router's own requests of that time too.
     pub fn report(&mut self, now: Instant, vm: &VmId, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(vm) {
@@ -223,6 +239,9 @@
         self.endpoints.get_mut(vm).is_some_and(|endpoint| {
             let started = endpoint.own.try_acquire();
             endpoint.note(now);
+            if let Some(cold) = &mut endpoint.cold {
+                cold.send(now);
+            }
             started
         })
     }
@@ -367,14 +386,19 @@
             Some(_) => usize::MAX,
             None => SUBSET,
         };
-        ranked
+        let mut usable: Vec<_> = ranked
             .iter()
             .filter_map(|(_, vm)| Some((vm, self.endpoints.get(vm)?)))
             .filter(|(_, endpoint)| !endpoint.leaving)
             .take(subset)
             .filter(|(vm, endpoint)| endpoint.admits(now, health.health(now, vm), wish.usage))
             .filter(|(vm, _)| !wish.excluded.contains(vm))
-            .collect()
+            .collect();
+        // Cold endpoints are for what warm ones have no room for.
+        if usable.iter().any(|(_, endpoint)| !endpoint.is_cold(now)) {
+            usable.retain(|(_, endpoint)| !endpoint.is_cold(now));
+        }
+        usable
     }
 
     fn rank(&self, vm: &VmId) -> u64 {
@@ -424,8 +448,16 @@
         self.told.is_some_and(|at| now < at + STALE)
     }
 
+    fn is_cold(&self, now: Instant) -> bool {
+        self.cold.as_ref().is_some_and(|cold| cold.is_cold(now))
+    }
+
     /// Returns whether it takes one more; on trial, one at a time from this router.
     fn admits(&self, now: Instant, health: Health, usage: Usage) -> bool {
+        let cold = self.cold.as_ref().filter(|cold| cold.is_cold(now));
+        if cold.is_some_and(|cold| !cold.admits(now)) {
+            return false;
+        }
         match health {
             Health::Out => false,
             Health::Trial => self.own.active() == 0,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 mod advice;
 mod capacity;
 mod choose;
+mod cold;
 mod concurrency;
 mod demand;
 mod drain;
@@ -41,6 +42,7 @@
 pub use choose::Chooser;
 pub use choose::Load;
 pub use choose::Wish;
+pub use cold::cold_share;
 pub use concurrency::EndpointLimit;
 pub use concurrency::Sample;
 pub(crate) use demand::Demand;
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -41,7 +41,7 @@
 use crate::tokens::Tokens;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
-const VERSION: u32 = 5;
+const VERSION: u32 = 6;
 
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -134,6 +134,7 @@
 pub use decide::Usage;
 pub use decide::Wish;
 pub use decide::advise;
+pub use decide::cold_share;
 pub use decide::draw_by_capacity;
 pub use decide::opening;
 pub use decide::suspect_router;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -72,6 +72,12 @@
     name: String,
     max_connections: u32,
     engine: Option<WireEngine>,
+    /// How long an endpoint is cold after its start, in seconds.
+    #[serde(default)]
+    cold_start_s: f64,
+    /// How many requests a second a cold endpoint bears.
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -173,11 +179,21 @@
 
 fn pool(wire: WireService) -> Result<TablePool, FieldError> {
     let name = wire.name.parse();
+    let warmup = Duration::try_from_secs_f64(wire.cold_start_s);
+    let warmup = warmup.map_err(|_| {
+        FieldError::new(
+            format!("services/{}", wire.name),
+            wire.cold_start_s.to_string(),
+            "a time",
+        )
+    })?;
     Ok(TablePool {
         name: name.map_err(|error| named("services", &wire.name, &error))?,
         connections: wire.max_connections,
         slots: wire.engine.as_ref().map(|engine| engine.slots),
         stride: wire.engine.map_or(1, |engine| engine.stride.max(1)),
+        warmup,
+        cold_rate: wire.cold_per_s as u32,
     })
 }
 
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -26,10 +26,11 @@
     Some(Vec<Keyed>),
 }
 
-/// Follows a topic for ever. `rest` is the time between two reads, in which records gather to be read together.
+/// Follows a topic for ever, and tells what it brings with the offset that follows. `rest` is the time between two reads, in
+/// which records gather to be read together.
 pub(crate) async fn follow<F>(store: Store, topic: &'static str, rest: Duration, mut tell: F)
 where
-    F: FnMut(News) + Send,
+    F: FnMut(News, u64) + Send,
 {
     let mut reached = true;
     let mut from = None;
@@ -58,17 +59,17 @@
 
 async fn begin<F>(store: &Store, topic: &str, tell: &mut F) -> Result<u64, ReadError>
 where
-    F: FnMut(News),
+    F: FnMut(News, u64),
 {
     let table = store.newest(topic).await?;
     let rows = table.rows.into_iter().map(|row| (row.key, row.value));
-    tell(News::All(rows.collect()));
+    tell(News::All(rows.collect()), table.end);
     Ok(table.end)
 }
 
 async fn go_on<F>(store: &Store, topic: &str, from: u64, tell: &mut F) -> Result<u64, ReadError>
 where
-    F: FnMut(News),
+    F: FnMut(News, u64),
 {
     let page = store.read(topic, from, HOLD).await?;
     let count = page.records.len() as u64;
@@ -79,6 +80,7 @@
             Err(error) => warn!(event = "record-unreadable", topic, %error),
         }
     }
-    tell(News::Some(records));
-    Ok(from + count)
+    let next = from + count;
+    tell(News::Some(records), next);
+    Ok(next)
 }
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use serde::Deserialize;
@@ -21,12 +22,16 @@
 
 /// What a model server or a service's server says of itself.
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct Server {
     service: String,
     address: std::net::SocketAddr,
     zone: String,
     slots: u32,
     state: ServerState,
+    /// How much longer it is cold, in milliseconds.
+    #[serde(default)]
+    cold_remaining_ms: f64,
     /// The heartbeat's number, which begins anew with each life of the server.
     sequence: u64,
     /// When this life of the server began, as a Unix time in milliseconds; a server may come back under its name.
@@ -44,6 +49,9 @@
 /// seconds, and a day has a few hundred replacements.
 const REMEMBERED: usize = 4096;
 
+/// The longest that a server is believed to be cold, in one word of its own.
+const LONGEST_COLD: Duration = Duration::from_secs(120);
+
 /// The newest heartbeat of each server, by its life and its number in it.
 ///
 /// A heartbeat may reach the store after a later one. Taken at its word, an endpoint that has said that it leaves would be
@@ -96,10 +104,20 @@
         let mut guard = lock(&self.lists);
         let lists = &mut *guard;
         let sequences = &mut lists.sequences;
-        let mut read = |key: &str, value: &[u8]| server(sequences, key, value);
+        let mut cold = Vec::new();
+        let mut read = |key: &str, value: &[u8]| {
+            let (said, left) = server(sequences, key, value)?;
+            if let Said::Entry(entry) = &said {
+                cold.push((entry.vm.clone(), left));
+            }
+            Some(said)
+        };
         let changed = take(&mut lists.servers, news, &mut read) || !lists.known;
         lists.known = true;
         self.tell(lists, changed);
+        if lists.known && !cold.is_empty() {
+            self.desk.tell(Event::Cold(cold));
+        }
     }
 
     /// Takes in news of the routers.
@@ -178,7 +196,8 @@
     true
 }
 
-fn server(sequences: &mut Sequences, key: &str, value: &[u8]) -> Option<Said> {
+/// Reads what a server says of itself, and how much longer it is cold.
+fn server(sequences: &mut Sequences, key: &str, value: &[u8]) -> Option<(Said, Duration)> {
     let server: Server = read(key, value)?;
     let entry = match endpoint(key, &server) {
         Ok(entry) => entry,
@@ -190,9 +209,19 @@
     if !sequences.advance(key, &server) {
         let sequence = server.sequence;
         info!(event = "late-heartbeat", name = key, sequence);
-        return Some(Said::Before);
+        return Some((Said::Before, Duration::ZERO));
+    }
+    let left = cold_left(key, server.cold_remaining_ms);
+    Some((Said::Entry(entry), left))
+}
+
+/// Returns how much longer a server is cold. A time that can't be right is said, and costs nothing else.
+fn cold_left(key: &str, ms: f64) -> Duration {
+    let longest = LONGEST_COLD.as_secs_f64() * 1000.0;
+    if !(0.0..=longest).contains(&ms) {
+        warn!(event = "cold-time-bad", name = key, cold_ms = ms);
     }
-    Some(Said::Entry(entry))
+    Duration::from_secs_f64(ms.clamp(0.0, longest) / 1000.0)
 }
 
 /// Returns a server as the product's own lists have it.
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -35,13 +35,12 @@
 use crate::labels::Labels;
 use crate::logs::dropped_lines;
 use crate::moment::BootClock;
-use crate::platform::config;
 use crate::platform::entry;
 use crate::platform::follow::HOLD;
-use crate::platform::follow::News;
 use crate::platform::follow::follow;
 use crate::platform::grants::Grants;
 use crate::platform::heads::Heads;
+use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
 use crate::platform::registry::Registry;
 use crate::platform::store::Append;
@@ -200,41 +199,23 @@
 }
 
 fn follow_store(store: &Store, desk: &Arc<Desk>) {
-    let told = desk.clone();
-    tokio::spawn(follow(store.clone(), OPERATOR, CONFIG_REST, move |news| {
-        take_config(&told, news);
-    }));
+    let mut operator = Operator::new(desk.clone());
+    tokio::spawn(follow(
+        store.clone(),
+        OPERATOR,
+        CONFIG_REST,
+        move |news, next| operator.take(news, next),
+    ));
     let registry = Arc::new(Registry::new(desk.clone()));
     let told = registry.clone();
-    tokio::spawn(follow(store.clone(), SERVERS, LIST_REST, move |news| {
+    tokio::spawn(follow(store.clone(), SERVERS, LIST_REST, move |news, _| {
         told.servers(news);
     }));
-    tokio::spawn(follow(store.clone(), ROUTERS, LIST_REST, move |news| {
+    tokio::spawn(follow(store.clone(), ROUTERS, LIST_REST, move |news, _| {
         registry.routers(news);
     }));
 }
 
-/// Tells the core of the newest configuration, or that there is none newer; one that can't be read leaves the last one in
-/// force.
-fn take_config(desk: &Desk, news: News) {
-    let newest = match news {
-        News::All(rows) => rows
-            .into_iter()
-            .find(|(key, _)| key == config::KEY)
-            .map(|(_, value)| value),
-        News::Some(records) => records
-            .into_iter()
-            .rfind(|record| record.key == config::KEY)
-            .and_then(|record| record.value),
-    };
-    match newest.map(|text| config::decode(&text)) {
-        Some(Ok(table)) => desk.tell(Event::Table(Arc::new(table))),
-        Some(Err(error)) => return warn!(event = "config-unreadable", %error),
-        None => {}
-    }
-    desk.tell(Event::TableConfirmed);
-}
-
 fn tuning(settings: &SiteSettings, clock: BootClock) -> Tuning {
     let window = settings.retry_window_ms.duration().as_secs_f64();
     let limits = RequestLimits::default();
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -11,6 +11,7 @@
 use crate::ids::TableVersion;
 use crate::platform::config;
 use crate::platform::follow::News;
+use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
 use crate::platform::record::Page;
 use crate::platform::record::Truncated;
@@ -171,10 +172,15 @@
 }
 
 fn registry() -> (Registry, mpsc::UnboundedReceiver<Event>) {
+    let (desk, events) = desk();
+    (Registry::new(Arc::new(desk)), events)
+}
+
+fn desk() -> (Desk, mpsc::UnboundedReceiver<Event>) {
     let (sender, events) = mpsc::unbounded_channel();
     let limits = RequestLimits::default();
     let desk = Desk::new(limits, None, "vm-1".to_owned(), Metrics::default(), sender);
-    (Registry::new(Arc::new(desk)), events)
+    (desk, events)
 }
 
 /// Returns what an endpoint says that started at a time.
@@ -223,3 +229,58 @@
         assert_eq!(names, ["i-1"], "{}", String::from_utf8_lossy(value));
     }
 }
+
+/// Returns the drained failure domains that the core was last told of, and up to which offset.
+fn drained(events: &mut mpsc::UnboundedReceiver<Event>) -> (u64, Vec<String>) {
+    let mut last = None;
+    while let Ok(event) = events.try_recv() {
+        if let Event::DrainedDomains(drained) = event {
+            last = Some(drained);
+        }
+    }
+    let last = last.expect("they are told");
+    let names = last.domains.iter().map(ToString::to_string);
+    (last.as_of, names.collect())
+}
+
+/// Guards against a drained failure domain that is not known, or known for ever: in a whole read, in a single record, in its
+/// deletion, and after the store has forgotten its history.
+#[test]
+fn drained_domains_are_read() {
+    let (desk, mut events) = desk();
+    let mut operator = Operator::new(Arc::new(desk));
+    let key = |zone: &str| format!("evacuate/{zone}");
+    let rows = ["a", "", "b"].map(|zone| (key(zone), b"{}".to_vec()));
+    operator.take(News::All(rows.to_vec()), 7);
+    assert_eq!(drained(&mut events), (7, vec!["a".into(), "b".into()]));
+    operator.take(News::Some(vec![keyed(&key("c"), b"?")]), 8);
+    operator.take(News::Some(vec![keyed(&key("a"), b"")]), 9);
+    assert_eq!(drained(&mut events), (9, vec!["b".into(), "c".into()]));
+    operator.take(News::Some(vec![]), 9);
+    assert_eq!(drained(&mut events).1.len(), 2);
+    operator.take(News::All(vec![(key("c"), b"{}".to_vec())]), 12);
+    assert_eq!(drained(&mut events), (12, vec!["c".into()]));
+}
+
+/// Guards against a cold endpoint that is not known to be cold, and against a cold time that can't be right and hides its
+/// endpoint.
+#[test]
+fn cold_times_are_read() {
+    let (registry, mut events) = registry();
+    let rows = ["-5", "1500", "1e300"].map(|ms| {
+        let text = String::from_utf8(server("ready", 1)).expect("it is text");
+        let text = text.replace(
+            "\"coldRemainingMs\":0",
+            &format!("\"coldRemainingMs\":{ms}"),
+        );
+        (format!("i-{ms}"), text.into_bytes())
+    });
+    registry.servers(News::All(rows.to_vec()));
+    let mut words = Vec::new();
+    while let Ok(event) = events.try_recv() {
+        if let Event::Cold(cold) = event {
+            words.extend(cold.into_iter().map(|(_, left)| left.as_millis()));
+        }
+    }
+    assert_eq!(words, [0, 1500, 120_000]);
+}
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -32,7 +32,9 @@
 use crate::moment::BootClock;
 use crate::router::appender::Appender;
 use crate::router::appender::Pace;
+use crate::router::cold::ColdEndpoints;
 use crate::router::configure::ConfigStream;
+use crate::router::drained::DrainedDomains;
 use crate::router::effect::Effect;
 use crate::router::event::AdminId;
 use crate::router::event::Event;
@@ -196,6 +198,9 @@
     /// The configuration, where a platform hands it over whole.
     pub(crate) table: Option<Arc<RouteTable>>,
     pub(crate) table_watch: TableWatch,
+    /// Failure domains whose endpoints get nothing new.
+    pub(crate) drained: DrainedDomains,
+    pub(crate) cold: ColdEndpoints,
     /// What may be spent, where budgets are kept by grants.
     pub(crate) funds: Funds,
 }
@@ -276,6 +281,8 @@
             orders: Orders::default(),
             table: None,
             table_watch: TableWatch::default(),
+            drained: DrainedDomains::default(),
+            cold: ColdEndpoints::default(),
             funds: Funds::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -317,6 +324,8 @@
             Event::Cache(vm, events) => self.endpoint_cache(&vm, &events),
             Event::Admin(id, request) => self.admin(now, id, request),
             Event::Table(table) => self.take_table(now, table),
+            Event::DrainedDomains(drained) => self.take_drained(now, &drained),
+            Event::Cold(words) => self.endpoints_cold(now, &words),
             Event::TableConfirmed => self.table_watch.confirm(now),
             Event::Grants(event) => self.grants(now, event),
             Event::Reads(reading) => self.reads(now, &reading),
--- /dev/null
+++ b/src/router/drained.rs
@@ -0,0 +1,93 @@
+//! Failure domains that the operator drains: their endpoints get nothing new until they are taken back.
+//!
+//! A router that can't read the store hears of it from its peers' heartbeats, which carry the whole set and up to where in the
+//! operator's records it was read.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+use tracing::info;
+
+use crate::ids::DomainId;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::router::core::Core;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+
+/// When a caller may come back all of whose endpoints are in drained failure domains: operators drain for some seconds at
+/// least.
+const RETRY: Duration = Duration::from_secs(2);
+
+/// Which failure domains are drained.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct DrainedDomains {
+    /// Up to which offset the operator's records were read for it.
+    pub(crate) as_of: u64,
+    /// The failure domains.
+    pub(crate) domains: IndexSet<DomainId>,
+}
+
+impl Core {
+    /// Takes over which failure domains are drained, from the store or from a peer, unless it is older than what is known.
+    pub(crate) fn take_drained(&mut self, now: Instant, new: &DrainedDomains) {
+        if new.as_of <= self.drained.as_of {
+            return;
+        }
+        let old = std::mem::replace(&mut self.drained, new.clone());
+        if old.domains == new.domains {
+            return;
+        }
+        for domain in new.domains.difference(&old.domains) {
+            let endpoints = self.endpoints_in(domain);
+            info!(event = "domain-drained", %domain, endpoints, as_of = new.as_of);
+        }
+        for domain in old.domains.difference(&new.domains) {
+            info!(event = "domain-taken-back", %domain, as_of = new.as_of);
+            self.take_back(now, domain);
+        }
+        self.rebuild_pools(now);
+    }
+
+    /// Counts the endpoints of a failure domain.
+    fn endpoints_in(&self, domain: &DomainId) -> usize {
+        let pools = self.pools.values();
+        pools.map(|pool| pool.endpoints_in(domain).count()).sum()
+    }
+
+    /// Takes the endpoints of a failure domain for cold: they had no requests, and say otherwise soon if they are warm.
+    fn take_back(&mut self, now: Instant, domain: &DomainId) {
+        for (id, pool) in &self.pools {
+            let warmup = self.warmup(id);
+            for vm in pool.endpoints_in(domain) {
+                self.cold.taken_back(now, vm, warmup);
+            }
+        }
+    }
+
+    /// Refuses what waits for a pool all of whose endpoints are in drained failure domains.
+    pub(crate) fn refuse_drained(&mut self, now: Instant) {
+        let drained = self.pools.iter().filter(|(_, pool)| pool.is_drained());
+        let waiting = drained.flat_map(|(_, pool)| pool.places.keys());
+        let waiting: Vec<_> = waiting.copied().collect();
+        for id in waiting {
+            self.refuse_for_drain(now, id);
+        }
+    }
+
+    /// Returns whether all endpoints of a pool are in drained failure domains.
+    pub(crate) fn is_drained(&self, pool: &PoolId) -> bool {
+        self.pools.get(pool).is_some_and(|pool| pool.is_drained())
+    }
+
+    /// Refuses a request whose pool is drained.
+    pub(crate) fn refuse_for_drain(&mut self, now: Instant, id: RequestId) {
+        let detail = "the failure domains of all its endpoints are drained";
+        let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+        self.refuse_with(now, id, problem.retry_in(RETRY));
+    }
+}
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -26,6 +26,7 @@
 use crate::labels::Labels;
 use crate::ledger::Ledger;
 use crate::router::core::Tuning;
+use crate::router::drained::DrainedDomains;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
 
@@ -97,6 +98,10 @@
     Cache(VmId, Vec<CacheEvent>),
     /// An operator asks for something.
     Admin(AdminId, AdminRequest),
+    /// Which failure domains the operator drains.
+    DrainedDomains(DrainedDomains),
+    /// Endpoints say how much longer they are cold.
+    Cold(Vec<(VmId, Duration)>),
     /// A whole configuration from a platform that hands it over at once.
     Table(Arc<RouteTable>),
     /// The platform has no newer configuration than what it handed over.
@@ -355,6 +360,8 @@
     pub(crate) config: Offset,
     /// The version of its configuration, where a platform hands it over whole; 0 before that.
     pub(crate) table: TableVersion,
+    /// Which failure domains are drained, as far as it knows.
+    pub(crate) drained: DrainedDomains,
     /// What time of day it is there, since the Unix epoch, by a clock that is not set while the process runs.
     pub(crate) clock: Duration,
     /// Its budgets, where they are kept by grants.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -283,6 +283,7 @@
         self.funds.heard(now, &beat);
         self.relay_config(now, &beat);
         self.hear_table(now, &beat);
+        self.take_drained(now, &beat.drained);
         let before = self.members.heard.insert(beat.vm.clone(), (now, beat));
         if before.is_none() {
             self.funds.listen();
@@ -316,6 +317,7 @@
             load: self.load(),
             config: self.config.next(),
             table: self.table_version(),
+            drained: self.drained.clone(),
             clock: self.tuning.clock.at(now).wall,
             purses: match self.tuning.accounting {
                 Accounting::Grants(_) => self.funds.words(now),
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -20,11 +20,13 @@
 use crate::decide::Place;
 use crate::decide::Sample;
 use crate::decide::Usage;
+use crate::ids::DomainId;
 use crate::ids::ModelId;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::core::Core;
+use crate::router::drained::DrainedDomains;
 use crate::router::effect::Effect;
 use crate::router::event::EndpointLoad;
 use crate::router::event::RunEnd;
@@ -55,6 +57,10 @@
     lives: IndexMap<VmId, Option<String>>,
     /// The models that each endpoint last said it has.
     pub(crate) loaded: IndexMap<VmId, Vec<ModelId>>,
+    /// The failure domain of each endpoint.
+    domains: IndexMap<VmId, DomainId>,
+    /// Whether all endpoints are in drained failure domains.
+    drained: bool,
     engines: bool,
     probed: Option<Instant>,
 }
@@ -68,13 +74,22 @@
             addresses: IndexMap::new(),
             lives: IndexMap::new(),
             loaded: IndexMap::new(),
+            domains: IndexMap::new(),
+            drained: false,
             engines: false,
             probed: None,
         }
     }
 
     /// Brings the endpoints in line with the configuration and the VM list.
-    fn refresh(&mut self, now: Instant, spec: &PoolSpec, vms: &[VmEntry], fixed: bool) {
+    fn refresh(
+        &mut self,
+        now: Instant,
+        spec: &PoolSpec,
+        vms: &[VmEntry],
+        fixed: bool,
+        drained: &DrainedDomains,
+    ) {
         let models: &[ModelId] = match &spec.kind {
             PoolKind::Engine { models, .. } => models,
             PoolKind::Service { .. } => &[],
@@ -110,12 +125,27 @@
             if fixed {
                 self.picker.chooser.fix(vm);
             }
-            self.picker
-                .chooser
-                .leave(vm, entry.state == VmState::Leaving);
+            let leaving = entry.state == VmState::Leaving;
+            let leaving = leaving || drained.domains.contains(&entry.domain);
+            self.picker.chooser.leave(vm, leaving);
             self.picker.health.put(now, vm, &entry.domain);
             self.addresses.insert(vm.clone(), entry.address);
+            self.domains.insert(vm.clone(), entry.domain.clone());
         }
+        let mut domains = self.domains.values();
+        self.drained =
+            !self.domains.is_empty() && domains.all(|domain| drained.domains.contains(domain));
+    }
+
+    /// Returns whether all endpoints are in drained failure domains.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.drained
+    }
+
+    /// Returns the endpoints in a failure domain.
+    pub(crate) fn endpoints_in(&self, domain: &DomainId) -> impl Iterator<Item = &VmId> {
+        let domains = self.domains.iter();
+        domains.filter_map(move |(vm, of)| (of == domain).then_some(vm))
     }
 }
 
@@ -123,6 +153,7 @@
     /// Forgets an endpoint that is gone, or of which a new life knows nothing of what it had read and how it was.
     fn forget(&mut self, vm: &VmId) {
         self.addresses.shift_remove(vm);
+        self.domains.shift_remove(vm);
         self.lives.shift_remove(vm);
         self.loaded.shift_remove(vm);
         self.picker.chooser.remove(vm);
@@ -140,7 +171,7 @@
             .chain(self.table.iter().flat_map(|table| table_pools(table)))
             .collect();
         let fixed = self.table.is_some();
-        let routers = self.members.roster.serving().len();
+        let routers = self.members.roster.serving();
         self.pools
             .retain(|id, _| specs.iter().any(|(kept, _)| kept == id));
         for (id, spec) in specs {
@@ -149,9 +180,12 @@
             let pool = self.pools.entry(id).or_insert_with(|| {
                 Pool::new(&tuning.vm, tuning.queue, ChaCha8Rng::seed_from_u64(seed))
             });
-            pool.refresh(now, &spec, &self.members.roster.list().vms, fixed);
-            pool.picker.chooser.share(routers);
+            let vms = &self.members.roster.list().vms;
+            pool.refresh(now, &spec, vms, fixed, &self.drained);
+            pool.picker.chooser.share(routers.len());
         }
+        self.share_cold(now);
+        self.refuse_drained(now);
         self.pump_all(now);
     }
 
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -29,6 +29,9 @@
             deadline: request.deadline.min(now + self.tuning.wait),
         };
         let name = request.pool.clone();
+        if self.is_drained(&name) {
+            return self.refuse_for_drain(now, id);
+        }
         let Some(pool) = self.pools.get_mut(&name) else {
             self.refuse(now, id, ProblemKind::NoRoute, "the rule's pool is gone");
             return;
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -10,6 +10,7 @@
 mod commit;
 mod contended;
 mod drained;
+mod drained_domains;
 mod fleet_clock;
 mod grants;
 mod heartbeats;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -25,6 +25,7 @@
 use crate::router::Accounting;
 use crate::router::Arrival;
 use crate::router::Core;
+use crate::router::DrainedDomains;
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::GrantEvent;
@@ -53,6 +54,9 @@
 
 /// What time of day it is when a site starts, since the Unix epoch.
 pub(crate) const WALL: Duration = Duration::from_secs(1_800_000_000);
+/// How long an endpoint is cold, and how many requests a second it bears then.
+pub(crate) const WARMUP: Duration = Duration::from_secs(3);
+pub(crate) const COLD_RATE: u32 = 4;
 /// How long the log's word that there is no newer configuration holds.
 pub(crate) const CONFIRM: Duration = Duration::from_millis(2500);
 pub(crate) const LINGER: Duration = Duration::from_millis(5500);
@@ -136,6 +140,8 @@
         connections: 100,
         slots: Some(8),
         stride: 7,
+        warmup: WARMUP,
+        cold_rate: COLD_RATE,
     };
     let version = TableVersion(version);
     Arc::new(RouteTable::new(version, intake, routes, vec![pool], payers))
@@ -322,6 +328,7 @@
                 load: 0,
                 config: Offset(0),
                 table: TableVersion(0),
+                drained: DrainedDomains::default(),
                 clock: self.wall(),
                 purses: Vec::new(),
             }));
@@ -356,6 +363,7 @@
             load: 0,
             config: Offset(0),
             table: TableVersion(0),
+            drained: DrainedDomains::default(),
             clock: self.wall(),
             purses: vec![PurseWord {
                 team: name("loans"),
--- /dev/null
+++ b/tests/decisions/cold.rs
@@ -0,0 +1,193 @@
+//! Many routers before endpoints that are cold, judged by what each endpoint gets in a second.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jasmineridge::Caps;
+use jasmineridge::Chooser;
+use jasmineridge::Ejector;
+use jasmineridge::PrefixIndex;
+use jasmineridge::Prompt;
+use jasmineridge::Sample;
+use jasmineridge::Usage;
+use jasmineridge::VmId;
+use jasmineridge::Wish;
+use jasmineridge::cold_share;
+use rand::Rng;
+use rand::RngExt;
+
+use crate::ms;
+use crate::name;
+use crate::rng;
+use crate::start;
+
+/// What a cold endpoint bears a second.
+const RATE: u32 = 14;
+
+/// How long an endpoint is cold.
+const WARMUP: Duration = Duration::from_secs(3);
+
+/// How long a run takes.
+const RUN: Duration = Duration::from_millis(400);
+
+/// Routers that choose among the same endpoints without a word between them.
+struct Fleet {
+    routers: Vec<VmId>,
+    choosers: Vec<Chooser>,
+    health: Ejector,
+    /// When each run ends, at which router and endpoint.
+    runs: Vec<(Instant, usize, VmId)>,
+}
+
+impl Fleet {
+    /// Makes one before so many endpoints, which have so many slots.
+    fn new(now: Instant, routers: usize, endpoints: usize, slots: u32) -> Self {
+        let routers: Vec<VmId> = (0..routers).map(|n| name(&format!("vm-{n}"))).collect();
+        let mut health = Ejector::new(Caps::default());
+        let vms: Vec<_> = (0..endpoints).map(endpoint).collect();
+        for vm in &vms {
+            health.put(now, vm, &name("domain-0"));
+        }
+        let choosers = routers.iter().map(|router| {
+            let mut chooser = Chooser::new(router);
+            chooser.share(routers.len());
+            for vm in &vms {
+                chooser.put(vm, &name("domain-0"), &[], slots);
+                chooser.fix(vm);
+            }
+            chooser
+        });
+        Self {
+            choosers: choosers.collect(),
+            routers,
+            health,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Has endpoints be cold until a time, as all routers know.
+    fn cool(&mut self, until: Instant, endpoints: std::ops::Range<usize>) {
+        for vm in endpoints.map(endpoint) {
+            for (router, chooser) in self.routers.iter().zip(&mut self.choosers) {
+                let share = cold_share(RATE, &self.routers, router, &vm);
+                chooser.cool(&vm, Some(until), share);
+            }
+        }
+    }
+
+    /// Sends a request from a router, and returns where it goes.
+    fn send<R>(&mut self, now: Instant, router: usize, rng: &mut R) -> Option<VmId>
+    where
+        R: Rng,
+    {
+        for (_, at, vm) in self.runs.extract_if(.., |(end, ..)| *end <= now) {
+            self.choosers[at].end(now, &vm, Sample::Other);
+        }
+        let prompt = Prompt {
+            shared: rng.random_range(0..1000),
+            common: 2000,
+            own: 500,
+        };
+        let wish = Wish {
+            model: None,
+            prefix: &[],
+            domain: &name("domain-0"),
+            excluded: &[],
+            usage: Usage::Heavy,
+            prompt: Some(prompt),
+        };
+        let chooser = &mut self.choosers[router];
+        let index = PrefixIndex::new();
+        let choice = chooser.choose(now, &wish, &index, &self.health, rng)?;
+        chooser.start(now, &choice.endpoint);
+        chooser.send(now, &choice, &prompt);
+        self.runs.push((now + RUN, router, choice.endpoint.clone()));
+        Some(choice.endpoint)
+    }
+}
+
+fn endpoint(n: usize) -> VmId {
+    name(&format!("endpoint-{n}"))
+}
+
+/// Returns the most of some times that lie within one second.
+fn most_in_a_second(times: &[Instant]) -> usize {
+    let within = |from: &Instant| {
+        let second = Duration::from_secs(1);
+        let in_second = |at: &&Instant| **at >= *from && **at < *from + second;
+        times.iter().filter(in_second).count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+/// Has a failure domain come back cold to a fleet one of whose routers has a fifth of all arrivals, and returns how many
+/// requests the busiest cold endpoint gets in any second, and how many cold ones get in all.
+fn burst(routers: usize, warm: usize) -> (usize, usize) {
+    let mut rng = rng();
+    let mut now = start();
+    let cold = 20;
+    let mut fleet = Fleet::new(now, routers, cold + warm, 64);
+    let until = now + WARMUP;
+    fleet.cool(until, 0..cold);
+    let mut sent: Vec<Vec<Instant>> = vec![Vec::new(); cold];
+    while now + ms(1) < until {
+        now += ms(1);
+        let router = match rng.random_bool(0.2) {
+            true => 0,
+            false => rng.random_range(0..routers),
+        };
+        let Some(vm) = fleet.send(now, router, &mut rng) else {
+            continue;
+        };
+        if let Some(at) = (0..cold).find(|n| endpoint(*n) == vm) {
+            sent[at].push(now);
+        }
+    }
+    let busiest = sent.iter().map(|times| most_in_a_second(times)).max();
+    (
+        busiest.unwrap_or(0),
+        sent.iter().map(Vec::len).sum::<usize>(),
+    )
+}
+
+/// Guards against a failure domain that comes back cold and crashes under what all routers send it at once.
+#[test]
+fn cold_endpoints_get_no_more_than_they_bear() {
+    for routers in [1, 6, 14, 86, 300] {
+        let (busiest, all) = burst(routers, 0);
+        assert!(busiest <= RATE as usize, "{routers} routers: {busiest}");
+        // What they bear is used: a single router of many is asked for more than its share, so that not all of it is.
+        let capacity = 20 * RATE as usize * WARMUP.as_secs() as usize;
+        assert!(all * 2 > capacity, "{routers} routers: {all} of {capacity}");
+    }
+}
+
+/// Guards against cold endpoints that are taken for the best ones because they are idle.
+#[test]
+fn warm_endpoints_go_first() {
+    assert_eq!(burst(86, 40).1, 0);
+}
+
+/// Guards against requests that are refused though cold endpoints would carry them: the warm ones are full.
+#[test]
+fn cold_endpoints_take_what_warm_ones_have_no_room_for() {
+    let mut rng = rng();
+    let now = start();
+    let mut fleet = Fleet::new(now, 4, 3, 1);
+    fleet.cool(now + WARMUP, 0..2);
+    let first = fleet.send(now, 0, &mut rng);
+    assert_eq!(first, Some(endpoint(2)));
+    assert!(fleet.send(now, 0, &mut rng).is_some());
+}
+
+/// Guards against an endpoint that is held to its cold rate for ever.
+#[test]
+fn an_endpoint_is_warm_after_its_time() {
+    let mut rng = rng();
+    let now = start();
+    let mut fleet = Fleet::new(now, 300, 1, 64);
+    fleet.cool(now + WARMUP, 0..1);
+    let later = now + WARMUP;
+    let served = (0..300).filter(|router| fleet.send(later, *router, &mut rng).is_some());
+    assert_eq!(served.count(), 300);
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod capacity;
+mod cold;
 mod each;
 mod engine;
 mod herd;
