Count as demand what borrowers' callers ask for, and answer a question once

What callers saw: refused for budgets that they had paid for.

Cause: an owner took each question for demand: repeated ones, those that go to the next owner, and those that owners ask on behalf of borrowers. A question that was repeated while the first waited was refused at once by the ration, and the first lent when nobody took its answer any more.

A question now tells all that its borrower's own callers have asked for so far; an owner counts what is new, a third of it as one of three (src/decide/borrowers.rs). Questions under one number share one place and one answer. An owner asks others for its own callers' requests alone, and nobody for more than is left. What a borrower's callers ask for is no longer counted twice in the fleet's demand.

Tests: tests/decisions/borrowers.rs; all_questions_under_one_number_get_one_answer and an_owner_borrows_for_its_own_callers_alone in src/router/tests/owners.rs.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 //! [`Ejector::record`], [`PrefixIndex::served`] and [`Quarantine::complete`] take in how it went.
 
 mod advice;
+mod borrowers;
 mod capacity;
 mod choose;
 mod cold;
@@ -36,6 +37,7 @@
 pub use advice::Advice;
 pub use advice::Peer;
 pub use advice::advise;
+pub use borrowers::Borrowers;
 pub use capacity::Capacity;
 pub use capacity::draw_by_capacity;
 pub use choose::Choice;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -98,6 +98,7 @@
 pub use decide::AccountLimit;
 pub use decide::Action;
 pub use decide::Advice;
+pub use decide::Borrowers;
 pub use decide::CacheEvent;
 pub use decide::Candidate;
 pub use decide::Capacity;
--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::decide;
+use crate::decide::Borrowers;
 use crate::decide::Ration;
 use crate::ids::RequestId;
 use crate::router::event::AdminId;
@@ -34,8 +35,8 @@
 pub(crate) enum Waiter {
     /// A request of this router's.
     Request(RequestId),
-    /// Another router, for which this one keeps the budget.
-    Loan(AdminId, LoanAsk),
+    /// Another router, for which this one keeps the budget, and all its questions under one number.
+    Loan(Vec<AdminId>, LoanAsk),
 }
 
 /// Something that waits for budget.
@@ -58,8 +59,13 @@
     /// Used by requests that are over.
     pub(crate) spent: Tokens,
     pub(crate) waiting: VecDeque<Waiting>,
-    /// What it is asked for, by priority.
+    /// What it is asked for, by priority, by callers here and at routers that borrow.
     pub(crate) ration: Ration,
+    /// What it is asked for by callers here.
+    own: Ration,
+    /// All that callers here have asked for so far.
+    pub(crate) asked: Tokens,
+    borrowers: Borrowers,
     /// The part of reservations that is used, and the mean reservation, of late.
     pub(crate) part: f64,
     pub(crate) size: f64,
@@ -77,6 +83,9 @@
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
             ration: Ration::new(WINDOW),
+            own: Ration::new(WINDOW),
+            asked: Tokens::ZERO,
+            borrowers: Borrowers::default(),
             part: FIRST_PART,
             size: 1.0,
             first: None,
@@ -84,7 +93,7 @@
         }
     }
 
-    /// Returns how fast the budget is asked for here, in tokens a second.
+    /// Returns how fast the budget is asked for here, by callers and by routers that borrow, in tokens a second.
     ///
     /// An average that began with nothing a second ago has seen a fifth of the rate; without the correction, a cut in the
     /// first seconds would find grants that are far too small.
@@ -93,12 +102,41 @@
         self.ration.rate(now) / decide::seen(now, first, WINDOW)
     }
 
+    /// Returns how fast callers here ask for it, in tokens a second.
+    pub(crate) fn own_rate(&self, now: Instant) -> f64 {
+        let first = self.first.unwrap_or(now);
+        self.own.rate(now) / decide::seen(now, first, WINDOW)
+    }
+
     /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
     /// seconds would be missing in the first seconds of a demand.
     pub(crate) fn expect(&mut self, now: Instant, priority: u8, amount: Tokens) {
         self.first.get_or_insert(now);
-        let used = amount.0 as f64 * self.part;
-        self.ration.expect(now, priority, Tokens(used as u64));
+        let used = Tokens((amount.0 as f64 * self.part) as u64);
+        self.ration.expect(now, priority, used);
+        self.own.expect(now, priority, used);
+        self.asked = self.asked.saturating_add(used);
+    }
+
+    /// Counts what a borrower's callers asked for since its last question, of which each of so many owners is asked a part.
+    pub(crate) fn expect_loan(&mut self, now: Instant, ask: &LoanAsk, owners: u64) {
+        self.first.get_or_insert(now);
+        let new = self.borrowers.ask(ask.borrower, ask.asked, ask.amount);
+        let part = Tokens(new.0 / owners.max(1));
+        self.ration.expect(now, ask.priority, part);
+    }
+
+    /// Adds a question to one under the same number that waits; returns whether there is one.
+    pub(crate) fn join_waiting(&mut self, id: AdminId, ask: &LoanAsk) -> bool {
+        for waiting in &mut self.waiting {
+            if let Waiter::Loan(ids, first) = &mut waiting.who
+                && (first.borrower, first.number) == (ask.borrower, ask.number)
+            {
+                ids.push(id);
+                return true;
+            }
+        }
+        false
     }
 
     /// Learns what part of its reservation a request used.
@@ -143,7 +181,14 @@
         waiting.min().unwrap_or(u8::MAX)
     }
 
-    /// Returns what the requests that wait may cost together.
+    /// Returns what the requests of callers here that wait may cost together.
+    pub(crate) fn own_wanted(&self) -> Tokens {
+        let own = |waiting: &&Waiting| matches!(waiting.who, Waiter::Request(_));
+        let own = self.waiting.iter().filter(own);
+        own.map(|waiting| waiting.amount).sum()
+    }
+
+    /// Returns what all that wait may cost together.
     pub(crate) fn wanted(&self) -> Tokens {
         self.waiting.iter().map(|waiting| waiting.amount).sum()
     }
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -414,6 +414,8 @@
     pub(crate) team: TeamId,
     /// How much would help.
     pub(crate) amount: Tokens,
+    /// All that the borrower's own callers have asked for so far: what its lenders take for demand, however often it asks.
+    pub(crate) asked: Tokens,
     /// How urgent the most urgent request is that needs it, 0 being first.
     pub(crate) priority: u8,
 }
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -410,6 +410,7 @@
                 .prepaid
                 .saturating_sub(used)
                 .saturating_add(in_transit)
+                .min(allowance.prepaid)
         })
     }
 }
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -107,15 +107,15 @@
                     self.requests[&id].stake = Stake::Funded;
                     self.enqueue(now, id);
                 }
-                Waiter::Loan(id, _) => self.answer_loan(id, amount),
+                Waiter::Loan(ids, _) => self.answer_loans(ids, amount),
             }
         }
         for (who, why) in self.funds.unfunded(now) {
             match who {
                 Waiter::Request(id) => self.refuse_unfunded(now, id, why),
-                Waiter::Loan(id, ask) => {
+                Waiter::Loan(ids, ask) => {
                     let amount = self.funds.lend_open(now, &ask);
-                    self.answer_loan(id, amount);
+                    self.answer_loans(ids, amount);
                 }
             }
         }
@@ -150,12 +150,15 @@
     /// Answers another router's question for a loan.
     pub(crate) fn loan_asked(&mut self, now: Instant, id: AdminId, ask: &LoanAsk) {
         if let Some(amount) = self.funds.lend(now, id, ask) {
-            self.answer_loan(id, amount);
+            self.answer_loans(vec![id], amount);
         }
     }
 
-    fn answer_loan(&mut self, id: AdminId, amount: Tokens) {
-        self.effects.push(Effect::Answer(id, 200, json!(amount)));
+    /// Gives one answer to all questions under one number: nobody knows which of them its sender still waits for.
+    fn answer_loans(&mut self, ids: Vec<AdminId>, amount: Tokens) {
+        let answers = ids.into_iter();
+        let answers = answers.map(|id| Effect::Answer(id, 200, json!(amount)));
+        self.effects.extend(answers);
     }
 
     fn refuse_unfunded(&mut self, now: Instant, id: RequestId, why: Unfunded) {
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -37,7 +37,12 @@
                 effects.extend(self.borrow_owned(now, me, &team));
                 continue;
             }
+            let left = self.left(&team);
             let allowance = &mut self.allowances[&team];
+            let needed = allowance.own_wanted();
+            if needed == Tokens::ZERO {
+                continue;
+            }
             let first = allowance
                 .waiting
                 .front()
@@ -46,9 +51,10 @@
             if hopeful && now < first + LOG_FIRST {
                 continue;
             }
-            let ahead = Tokens((allowance.rate(now) * AHEAD.as_secs_f64()) as u64);
+            let ahead = Tokens((allowance.own_rate(now) * AHEAD.as_secs_f64()) as u64);
             let wanted = Wanted {
-                amount: allowance.wanted().saturating_add(ahead),
+                amount: needed.saturating_add(ahead).min(left),
+                asked: allowance.asked,
                 priority: allowance.most_urgent(),
             };
             let lenders = self.others.lenders(&team);
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Wanted {
     /// How much would help.
     pub(crate) amount: Tokens,
+    /// All that this router's own callers have asked for so far.
+    pub(crate) asked: Tokens,
     /// How urgent the most urgent request is that needs it, 0 being first.
     pub(crate) priority: u8,
 }
@@ -187,6 +189,7 @@
             number: self.number,
             team: team.clone(),
             amount: wanted.amount,
+            asked: wanted.asked,
             priority: wanted.priority,
         };
         Effect::Borrow(ask, peer)
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::decide::TEAM_OWNERS;
 use crate::ids::Incarnation;
 use crate::ids::TeamId;
 use crate::router::allowance::Waiter;
@@ -34,12 +35,14 @@
         if missing == Tokens::ZERO {
             return None;
         }
+        let left = self.left(team);
         let allowance = &mut self.allowances[team];
         // Where answers take long, each further request would wait as long for the next one.
         let ahead = (allowance.loans.took() * AHEAD).min(KEPT);
-        let ahead = allowance.rate(now) * ahead.as_secs_f64();
+        let ahead = allowance.own_rate(now) * ahead.as_secs_f64();
         let wanted = Wanted {
-            amount: missing.saturating_add(Tokens(ahead as u64)),
+            amount: missing.saturating_add(Tokens(ahead as u64)).min(left),
+            asked: allowance.asked,
             priority: allowance.most_urgent(),
         };
         let owners = self.ownership.answering(now, team);
@@ -62,7 +65,7 @@
             if !borrowed || !allowance.waiting.is_empty() {
                 continue;
             }
-            let kept = Tokens((allowance.rate(now) * KEPT.as_secs_f64()) as u64);
+            let kept = Tokens((allowance.own_rate(now) * KEPT.as_secs_f64()) as u64);
             let idle = self.available(now, &team);
             let owners = self.ownership.answering(now, &team);
             let allowance = &mut self.allowances[&team];
@@ -96,7 +99,10 @@
         if let Some(answer) = allowance.loans.answered(ask) {
             return Some(answer);
         }
-        allowance.expect(now, ask.priority, ask.amount);
+        allowance.expect_loan(now, ask, TEAM_OWNERS as u64);
+        if allowance.join_waiting(id, ask) {
+            return None;
+        }
         if !allowance.ration.pays(now, &rest, ask.priority, ask.amount) {
             return Some(Tokens::ZERO);
         }
@@ -105,7 +111,7 @@
             return Some(self.lend_open(now, ask));
         }
         allowance.waiting.push_back(Waiting {
-            who: Waiter::Loan(id, ask.clone()),
+            who: Waiter::Loan(vec![id], ask.clone()),
             amount: ask.amount,
             priority: ask.priority,
             since: now,
--- a/src/router/rationing.rs
+++ b/src/router/rationing.rs
@@ -162,10 +162,9 @@
             None => self.reach(team),
         };
         let left = here.saturating_add(self.others.free(team));
-        let rate = self.allowances.get(team).map_or(0.0, |a| a.rate(now));
         Remainder {
             left,
-            demand: rate + self.others.demand(team),
+            demand: self.team_demand(now, team),
             lasts: match self.cut_left(now) {
                 Some(left) => left,
                 None if self.is_mostly_lost(team, left) => LAST,
@@ -174,6 +173,17 @@
         }
     }
 
+    /// Returns how fast a team's budget is asked for in the whole fleet, in tokens a second. Owners count what borrowers'
+    /// callers ask for.
+    fn team_demand(&self, now: Instant, team: &TeamId) -> f64 {
+        let here = self.allowances.get(team).map_or(0.0, |a| a.rate(now));
+        let others = self.others.demand(team);
+        match self.ownership.owners(team).is_empty() {
+            true => here + others,
+            false => here.max(others),
+        }
+    }
+
     /// Returns how much longer the log may be out of reach, if it is.
     pub(super) fn cut_left(&self, now: Instant) -> Option<Duration> {
         let passed = now.saturating_duration_since(self.away?);
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -299,6 +299,7 @@
         number: 1,
         team: "loans".parse().expect("a name"),
         amount: Tokens(100),
+        asked: Tokens(100),
         priority: 0,
     };
     let lend = |site: &mut Site| {
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -84,12 +84,18 @@
 }
 
 fn ask_owner(site: &mut Site, number: u64, id: u64, amount: u64) {
+    ask_owner_for(site, 0, number, id, amount);
+}
+
+/// The same for a request of a priority.
+fn ask_owner_for(site: &mut Site, priority: u8, number: u64, id: u64, amount: u64) {
     let ask = LoanAsk {
         borrower: Incarnation(99),
         number,
         team: "loans".parse().expect("a name"),
         amount: Tokens(amount),
-        priority: 0,
+        asked: Tokens(number * amount),
+        priority,
     };
     site.tell(Event::LoanAsked(AdminId(id), ask));
 }
@@ -194,6 +200,42 @@
     assert!(part, "{answer:?}");
 }
 
+/// Guards against a loan that its borrower never takes in: its question came twice, the second was refused while the first
+/// waited, and the first was lent with nobody left to take the answer.
+#[test]
+fn all_questions_under_one_number_get_one_answer() {
+    let mut site = owner();
+    for number in 1..=30 {
+        ask_owner(&mut site, number, number, 10_000);
+        site.pass(100);
+    }
+    site.log = Log::Away;
+    ask_owner_for(&mut site, 1, 100, 100, 300_000);
+    ask_owner_for(&mut site, 1, 100, 101, 300_000);
+    site.pass(200);
+    let answers = [100, 101].map(|id| lent(&site, id));
+    assert!(answers[0].is_some());
+    assert_eq!(answers[0], answers[1]);
+}
+
+/// Guards against owners that ask each other, in circles, for what borrowers asked them for.
+#[test]
+fn an_owner_borrows_for_its_own_callers_alone() {
+    let mut site = owner();
+    ask_owner(&mut site, 1, 1, 5000);
+    site.pass(1000);
+    hear_owner(&mut site, "loans");
+    site.log = Log::Away;
+    site.pass(1000);
+    ask_owner(&mut site, 2, 2, 900_000);
+    site.pass(140);
+    assert_eq!(asked(&site).len(), 0);
+    site.ask("urgent", 800_000, 50);
+    site.pass(100);
+    let (ask, _) = asked(&site).pop().expect("its own caller waits");
+    assert!(ask.amount <= Tokens(1_000_000), "{}", ask.amount);
+}
+
 /// Returns how much a router asks for with its second question, for a request of 1,000 tokens, where the first was answered
 /// after some milliseconds.
 fn second_question(took: u64) -> u64 {
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -85,7 +85,7 @@
         let waiting = allowance.waiting.iter();
         let kept = waiting.map(|one| kept_open(away, now, &allowance.ration, one.priority));
         let kept = kept.max().unwrap_or_default();
-        let wanted = allowance.wanted().saturating_add(kept);
+        let wanted = allowance.own_wanted().saturating_add(kept);
         wanted.saturating_sub(self.available(now, team))
     }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Decisions under load, judged one by one and then by what callers receive.
 
+mod borrowers;
 mod budget;
 mod capacity;
 mod cold;
