Write old promises anew, and ask a silent store sooner

A promise that has opened half a second's worth is written anew, if what it opened is worth a write. An append is given up after 0.5 s, the longest rest is 0.2 s, and an answer of the store to another call ends it.

Test: little_is_lost_of_a_budget_that_nobody_asks_for.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -22,6 +22,9 @@
 /// second.
 const CALL: Duration = Duration::from_millis(800);
 
+/// How long an append may take. While the answer to one is out, no promise can be written.
+const APPEND: Duration = Duration::from_millis(500);
+
 /// Why a read brought nothing.
 #[derive(Debug, Error)]
 pub(crate) enum ReadError {
@@ -110,7 +113,7 @@
         records.iter().for_each(|record| record.encode(&mut body));
         let condition = at.map(|at| format!("&at={at}")).unwrap_or_default();
         let path = format!("/api/log-append?topic={topic}&part=0{condition}");
-        match self.call("POST", &path, Bytes::from(body), CALL).await {
+        match self.call("POST", &path, Bytes::from(body), APPEND).await {
             Ok(answer) => match answer.status.as_u16() {
                 200 => Append::Landed,
                 412 => Append::Moved,
--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -27,6 +27,9 @@
 /// them can't be given back.
 const TRIFLE: f64 = 0.05;
 
+/// What part of a mean request is worth a write though nobody waits.
+const WORTH_WRITING: f64 = 0.25;
+
 /// A large request counts for so many in these averages at most.
 const LARGE: f64 = 4.0;
 
@@ -153,6 +156,11 @@
         self.waiting.is_empty() && (amount.0 as f64) < self.size * TRIFLE
     }
 
+    /// Returns whether an amount would be missed, were it lost.
+    pub(crate) fn is_worth_writing(&self, amount: Tokens) -> bool {
+        amount.0 as f64 >= self.size * WORTH_WRITING
+    }
+
     /// Returns what was spent here, and lent to others, which spend it without a word to the log.
     fn taken(&self) -> Tokens {
         self.spent.saturating_add(self.loans.lent())
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -326,7 +326,7 @@
             Event::Table(table) => self.take_table(now, table),
             Event::DrainedDomains(drained) => self.take_drained(now, &drained),
             Event::Cold(words) => self.endpoints_cold(now, &words),
-            Event::TableConfirmed => self.table_watch.confirm(now),
+            Event::TableConfirmed => self.table_confirmed(now),
             Event::Grants(event) => self.grants(now, event),
             Event::Reads(reading) => self.reads(now, &reading),
             Event::Given(id, gift) => self.given(id, &gift),
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -57,8 +57,9 @@
 /// The first rest after a call that failed; it doubles with each further one.
 const REST: Duration = Duration::from_millis(50);
 
-/// The longest rest: how late the end of an outage may be noticed.
-const LONGEST_REST: Duration = Duration::from_millis(800);
+/// The longest rest: how late the end of an outage may be noticed. Until then no promise is written, and what has opened
+/// meanwhile is stranded if the routers die.
+const LONGEST_REST: Duration = Duration::from_millis(200);
 
 /// What came of asking for a request's budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -347,6 +348,11 @@
         self.fresh = Some(now);
     }
 
+    /// Notes that the store answered another call, so that the log is worth asking at once.
+    pub(crate) fn store_answered(&mut self, now: Instant) {
+        self.rest = self.rest.min(now);
+    }
+
     fn reached(&mut self) {
         self.failures = 0;
         self.away = None;
--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -21,6 +21,9 @@
 /// A promise is written anew at a review where the rate that it should allow has changed by more than this part.
 const RATE_CHANGE: f64 = 0.25;
 
+/// For how long a promise may have opened before it is written anew, though nothing was used.
+const OPENED: Duration = Duration::from_millis(500);
+
 /// How much demand a router that is told to stop still holds: what its last callers ask for until they are told of others.
 const FADING_COVER: Duration = Duration::from_secs(2);
 
@@ -117,7 +120,7 @@
                 fleet: made.fleet,
             };
             let renewed = match due {
-                true => self.is_outdated(team, &promise),
+                true => self.is_outdated(now, team, allowance, &promise),
                 false => allowance.wanted() > self.available(now, team),
             };
             let row = GrantRow {
@@ -222,13 +225,19 @@
     }
 
     /// Returns whether the promise that stands is no longer what it should be.
-    fn is_outdated(&self, team: &TeamId, new: &Pace) -> bool {
+    ///
+    /// One of a budget that nobody asks for opens all the same. Never written anew, it would strand all that had opened since
+    /// if the router died.
+    fn is_outdated(&self, now: Instant, team: &TeamId, allowance: &Allowance, new: &Pace) -> bool {
         let row = self.book.row(team);
         let Some(old) = row.pace else {
             return row.granted > Tokens::ZERO;
         };
         let rate = old.rate.0.abs_diff(new.rate.0) as f64;
-        row.granted > new.used.min(old.used)
-            && (old.used != new.used || rate > old.rate.0 as f64 * RATE_CHANGE)
+        let rate_changed = rate > old.rate.0 as f64 * RATE_CHANGE;
+        let open = self.book.open(team, &self.clock.own(now));
+        let opened = open.saturating_sub(new.used.saturating_add(new.room));
+        let old_enough = opened > new.rate.over(OPENED) && allowance.is_worth_writing(opened);
+        row.granted > new.used.min(old.used) && (old.used != new.used || rate_changed || old_enough)
     }
 }
--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -96,6 +96,12 @@
             .map_or_else(TableVersion::default, |table| table.version)
     }
 
+    /// Takes note that the store has no newer configuration.
+    pub(crate) fn table_confirmed(&mut self, now: Instant) {
+        self.table_watch.confirm(now);
+        self.funds.store_answered(now);
+    }
+
     /// Takes note of a peer's configuration.
     pub(crate) fn hear_table(&mut self, now: Instant, beat: &Heartbeat) {
         let own = self.table_version();
--- a/src/router/tests/power_lost.rs
+++ b/src/router/tests/power_lost.rs
@@ -113,3 +113,21 @@
     let least = DEMAND * (DOWN.as_millis() as u64 + 3000) / 1000;
     assert!(lost >= least, "{lost} of at least {least} tokens");
 }
+
+/// Guards against a promise that is never written anew because nobody asks for the budget: it opens all the same, and all that
+/// had opened was lost with the routers' power.
+#[test]
+fn little_is_lost_of_a_budget_that_nobody_asks_for() {
+    let mut site = Site::start_among(PREPAID, vms());
+    let used = serve(&mut site, 10);
+    for _ in 0..120 {
+        site.hear_routers(OTHERS);
+        site.pass(500);
+    }
+    site.lose_power(DOWN);
+    site.hear_routers(OTHERS);
+    site.pass(SETTLED);
+    let lost = thought_used(&site) - used;
+    let most = DEMAND * (DOWN.as_millis() as u64 + 1000) / 1000;
+    assert!(lost <= most, "{lost} of at most {most} tokens");
+}
