Tell callers to come back later where no tokens are expected

A caller whose budget lies with dead routers was told to come back in a second, and refused again: what they can't have used is given back within some seconds, or not at all. It is told ten seconds now, or the end of the cut; one second where routers in reach have the amount.

--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -33,6 +33,10 @@
 /// When a caller may come back whose budget others hold: they give back what lies idle at their next review.
 const HELD_RETRY: Duration = Duration::from_millis(1000);
 
+/// When a caller may come back whose budget lies, as far as anyone in reach knows, with routers that died: what they can't have
+/// used is given back when they start again, within some seconds, or not at all.
+const LOST_RETRY: Duration = Duration::from_secs(10);
+
 /// How far the times at which callers may come back after a cut are spread: they were refused over seconds, and together they
 /// would meet the endpoints in one moment.
 const SPREAD: f64 = 0.25;
@@ -170,9 +174,12 @@
         let request = &self.requests[&id];
         let (team, amount) = (&request.team, request.reserve);
         self.funds.explain(now, team, id, why);
-        let retry = self.funds.cut_left(now).map_or(HELD_RETRY, |left| {
-            left.mul_f64(1.0 + self.rng.random_range(0.0..SPREAD))
-        });
+        let usual = match self.funds.is_in_reach(team, amount) && why != Unfunded::Kept {
+            true => HELD_RETRY,
+            false => LOST_RETRY,
+        };
+        let retry = self.funds.cut_left(now).unwrap_or(usual);
+        let retry = retry.mul_f64(1.0 + self.rng.random_range(0.0..SPREAD));
         let problem = match why {
             Unfunded::Spent => {
                 let detail = format!("the team {team} has not {amount} tokens left for it");
--- a/src/router/rationing.rs
+++ b/src/router/rationing.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// Returns whether routers in reach have an amount of a team's budget, or the log has it.
+    pub(crate) fn is_in_reach(&self, team: &TeamId, amount: Tokens) -> bool {
+        let reach = self.reach(team).saturating_add(self.others.free(team));
+        reach >= amount
+    }
+
     /// Returns how fast a team's budget is asked for in the whole fleet, in tokens a second. Owners count what borrowers'
     /// callers ask for.
     fn team_demand(&self, now: Instant, team: &TeamId) -> f64 {
