Ask for a loan once, and long enough for its lender's answer

Cause: an owner lets a question wait for the log for 150 ms, and its borrower gave it up after 100 ms, dropped the connection, asked again over a new one, and took the owner for silent for eight seconds (no-loan lines: 87 in those two seconds).

A question is given up after 200 ms and asked once; the core asks under its number again where no answer came, as before. A connection for it is waited for no longer than for the answer, where it was a second.

--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -46,11 +46,12 @@
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
 
-/// How long a peer may take to answer a question for a loan: callers wait meanwhile.
-const LOAN: Duration = Duration::from_millis(100);
+/// How long a peer may take to answer a question for a loan: longer than an owner of a budget lets one wait for the log, and no
+/// longer than callers can wait for the next owner.
+const LOAN: Duration = Duration::from_millis(200);
 
-/// How often it is asked. An answer that was lost has moved tokens, which a second question brings.
-const LOAN_TRIES: u32 = 2;
+/// How often a gift is offered.
+const GIFT_TRIES: u32 = 2;
 
 /// How long it may take to give its ledger's state, 40 MB at the size designed for.
 const SNAPSHOT: Duration = Duration::from_secs(10);
@@ -256,7 +257,7 @@
     /// Hands budget over to a peer, a few times where no answer comes, and tells the core.
     pub(crate) async fn give(self, gift: Gift, peer: Peer) {
         let mut taken = false;
-        for _ in 0..LOAN_TRIES {
+        for _ in 0..GIFT_TRIES {
             let given = gift.clone();
             let call = |client: PeeringClient| async move {
                 client.give(deadline(LOAN), VERSION, given).await
@@ -269,24 +270,21 @@
         self.desk.tell(Event::Taken(gift, taken));
     }
 
-    /// Asks a peer for a loan, once more where no answer came, and tells the core.
+    /// Asks a peer for a loan, and tells the core. The core asks again where no answer came.
     pub(crate) async fn borrow(self, ask: LoanAsk, peer: Peer) {
-        let mut amount = None;
         // On a VM that is late, a question given up too early would be asked again over a new connection.
         let limit = lock(&self.trips).limit(LOAN);
-        for _ in 0..LOAN_TRIES {
-            let asked = ask.clone();
-            let call = |client: PeeringClient| async move {
-                client.lend(deadline(limit), VERSION, asked).await
-            };
-            match self.call(&peer.address, limit, call).await {
-                Ok(answer) => {
-                    amount = answer.ok();
-                    break;
-                }
-                Err(silence) => info!(event = "no-loan", vm = %peer.vm, ?silence),
+        let asked = ask.clone();
+        let call = |client: PeeringClient| async move {
+            client.lend(deadline(limit), VERSION, asked).await
+        };
+        let amount = match self.call(&peer.address, limit, call).await {
+            Ok(answer) => answer.ok(),
+            Err(silence) => {
+                info!(event = "no-loan", vm = %peer.vm, ?silence);
+                None
             }
-        }
+        };
         self.desk.tell(Event::Lent(ask, amount));
     }
 
@@ -330,7 +328,7 @@
         F: FnOnce(PeeringClient) -> A,
         A: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
-        let client = self.client(address).await?;
+        let client = self.client(address, limit).await?;
         match timeout(limit, call(client)).await {
             Ok(Ok(answer)) => Ok(answer),
             _ => {
@@ -341,11 +339,11 @@
         }
     }
 
-    async fn client(&self, address: &str) -> Result<PeeringClient, Silence> {
+    async fn client(&self, address: &str, limit: Duration) -> Result<PeeringClient, Silence> {
         if let Some(client) = self.clients.lock().await.get(address) {
             return Ok(client.clone());
         }
-        let stream = match timeout(CALL, TcpStream::connect(address)).await {
+        let stream = match timeout(limit, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(Silence::Refused);
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -16,8 +16,8 @@
 /// How long a request waits for a grant: a read and a write at a log that takes a hundred milliseconds each.
 const WAIT: Duration = Duration::from_millis(400);
 
-/// How long another router's question for a loan waits: it is repeated once, and after a fifth of a second its sender has
-/// given up, so that what was lent later would be lost.
+/// How long another router's question for a loan waits: after a fifth of a second its sender has given up, and asks the next
+/// owner.
 const LOAN_WAIT: Duration = Duration::from_millis(150);
 
 /// Why a request that waited for its budget can't have it.
