--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -6,6 +6,7 @@
 
 use crate::decide;
 use crate::decide::Borrowers;
+use crate::decide::Demand;
 use crate::decide::Ration;
 use crate::ids::RequestId;
 use crate::router::event::AdminId;
@@ -66,6 +67,8 @@
     pub(crate) ration: Ration,
     /// What it is asked for by callers here.
     own: Ration,
+    /// What is promised and lent of it, whoever asked.
+    flow: Demand,
     /// All that callers here have asked for so far.
     pub(crate) asked: Tokens,
     borrowers: Borrowers,
@@ -79,7 +82,7 @@
 
 impl Allowance {
     /// Makes one of which nothing is prepaid yet.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(now: Instant) -> Self {
         Self {
             prepaid: Tokens::ZERO,
             reserved: Tokens::ZERO,
@@ -87,6 +90,7 @@
             waiting: VecDeque::new(),
             ration: Ration::new(WINDOW),
             own: Ration::new(WINDOW),
+            flow: Demand::new(now, WINDOW),
             asked: Tokens::ZERO,
             borrowers: Borrowers::default(),
             part: FIRST_PART,
@@ -105,6 +109,19 @@
         self.ration.rate(now) / decide::seen(now, first, WINDOW)
     }
 
+    /// Returns how fast it goes to those that ask for it, in tokens a second. Of a budget that runs low that is less than they
+    /// ask for: those that are refused come back and ask again.
+    pub(crate) fn flow_rate(&self, now: Instant) -> f64 {
+        let first = self.first.unwrap_or(now);
+        self.flow.rate(now) / decide::seen(now, first, WINDOW)
+    }
+
+    /// Counts what a request or a borrower was given.
+    pub(crate) fn gave(&mut self, now: Instant, amount: Tokens) {
+        let used = amount.0 as f64 * self.part;
+        self.flow.add(now, Tokens(used as u64));
+    }
+
     /// Returns how fast callers here ask for it, in tokens a second.
     pub(crate) fn own_rate(&self, now: Instant) -> f64 {
         let first = self.first.unwrap_or(now);
--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -149,7 +149,7 @@
     }
 
     /// Takes over what the teams prepaid. A budget never shrinks, and a team that is gone keeps what it used.
-    pub(crate) fn prepaid(&mut self, table: &RouteTable) {
+    pub(crate) fn prepaid(&mut self, now: Instant, table: &RouteTable) {
         for payer in table.payers() {
             let Some(prepaid) = payer.prepaid else {
                 continue;
@@ -158,7 +158,7 @@
                 self.ownership.add(&payer.team);
             }
             let allowance = self.allowances.entry(payer.team.clone());
-            let allowance = allowance.or_insert_with(Allowance::new);
+            let allowance = allowance.or_insert_with(|| Allowance::new(now));
             if prepaid > allowance.prepaid {
                 info!(event = "prepaid", team = %payer.team, %prepaid);
                 allowance.prepaid = prepaid;
@@ -196,6 +196,7 @@
             return Reserve::Short;
         }
         allowance.reserved += amount;
+        allowance.gave(now, amount);
         Reserve::Done
     }
 
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -56,7 +56,7 @@
         );
         self.table_watch.took(table.version);
         self.effects.push(Effect::OfferTable(table.clone()));
-        self.funds.prepaid(&table);
+        self.funds.prepaid(now, &table);
         self.table = Some(table);
         self.rebuild_pools(now);
         self.open_with_grants();
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -125,6 +125,11 @@
         let Some(allowance) = self.allowances.get_mut(&ask.team) else {
             return Tokens::ZERO;
         };
-        allowance.loans.lend(ask, open)
+        if let Some(answer) = allowance.loans.answered(ask) {
+            return answer;
+        }
+        let lent = allowance.loans.lend(ask, open);
+        allowance.gave(now, lent);
+        lent
     }
 }
--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -221,7 +221,8 @@
     ) -> Opening {
         let drawn = granted.saturating_sub(self.book.granted(team));
         let held = self.held(team).saturating_add(drawn);
-        decide::opening(allowance.rate(now), held, COVER)
+        let flow = allowance.flow_rate(now).min(allowance.rate(now));
+        decide::opening(flow, held, COVER)
     }
 
     /// Returns whether the promise that stands is no longer what it should be.
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -49,13 +49,15 @@
             let available = self.available(now, &team);
             let mut taken = Tokens::ZERO;
             let away = self.away.is_some();
+            let mut given = Vec::new();
+            let allowance = &mut self.allowances[&team];
             let Allowance {
                 waiting,
                 ration,
                 loans,
                 reserved,
                 ..
-            } = &mut self.allowances[&team];
+            } = allowance;
             waiting.retain(|waiting| {
                 let kept = kept_open(away, now, ration, waiting.priority);
                 let needed = taken.saturating_add(waiting.amount).saturating_add(kept);
@@ -70,9 +72,13 @@
                     }
                     Waiter::Loan(_, ask) => loans.lend(ask, waiting.amount),
                 };
+                given.push(amount);
                 funded.push((waiting.who.clone(), amount));
                 false
             });
+            given
+                .into_iter()
+                .for_each(|amount| allowance.gave(now, amount));
         }
         funded
     }
