Borrow before a budget runs out on a VM where loans take long

Loans were asked for when a request already waited. Where several requests come while a loan is on its way, the next one is asked for before the budget here runs out, as the least urgent of all.

Test: budget_is_borrowed_before_it_runs_out; it did not compile before, and was not run without the change.

--- a/src/router/funds.rs
+++ b/src/router/funds.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use tracing::info;
 use tracing::warn;
 
@@ -100,6 +101,8 @@
     pub(super) ownership: Ownership,
     /// When idle budget was last given back to those that keep it.
     pub(super) gave_back: Option<Instant>,
+    /// Teams of which too little is left here for the time that a loan takes.
+    pub(super) low: IndexSet<TeamId>,
 }
 
 impl Funds {
@@ -127,6 +130,7 @@
             clock: FleetClock::new(clock),
             ownership: Ownership::default(),
             gave_back: None,
+            low: IndexSet::new(),
         }
     }
 
@@ -197,6 +201,7 @@
         }
         allowance.reserved += amount;
         allowance.gave(now, amount);
+        self.note_low(now, team, available - amount);
         Reserve::Done
     }
 
@@ -253,7 +258,7 @@
         let reviews = self.is_review_due(now);
         let leaves = self.stay == Stay::Leaving;
         let unsettled = self.behind || leaves || self.book.pending().is_some() || !self.known();
-        waits || !self.busy && now >= self.rest && (reviews || unsettled)
+        waits || !self.low.is_empty() || !self.busy && now >= self.rest && (reviews || unsettled)
     }
 
     /// Returns the next call to the log, if one is due.
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -30,7 +30,7 @@
 impl Funds {
     /// Asks other routers for what can't be had from the log now.
     pub(crate) fn borrow(&mut self, now: Instant, me: Incarnation) -> Vec<Effect> {
-        let mut effects = Vec::new();
+        let mut effects = self.borrow_ahead(now, me);
         for team in self.waiting_teams() {
             let hopeful = self.failures == 0 && self.reach(&team) > self.available(now, &team);
             if self.is_owned_elsewhere(now, &team) {
--- a/src/router/owned.rs
+++ b/src/router/owned.rs
@@ -6,6 +6,7 @@
 use crate::decide::TEAM_OWNERS;
 use crate::ids::Incarnation;
 use crate::ids::TeamId;
+use crate::router::allowance::Allowance;
 use crate::router::allowance::Waiter;
 use crate::router::allowance::Waiting;
 use crate::router::effect::Effect;
@@ -23,6 +24,21 @@
 /// For how many times as long as the last question took, a team's demand is borrowed ahead, but for no longer than it is kept.
 const AHEAD: u32 = 2;
 
+/// The priority of a loan that no request waits for.
+const LEAST_URGENT: u8 = 9;
+
+impl Allowance {
+    /// Returns what callers here ask for while a loan is on its way, where it takes so long that several of them come.
+    fn loan_demand(&self, now: Instant) -> Tokens {
+        let time = (self.loans.took() * AHEAD).min(KEPT / 2);
+        let demand = self.own_rate(now) * time.as_secs_f64();
+        match demand > self.size {
+            true => Tokens(demand as u64),
+            false => Tokens::ZERO,
+        }
+    }
+}
+
 impl Funds {
     /// Asks those that keep a team's budget for what its requests need.
     pub(super) fn borrow_owned(
@@ -49,6 +65,40 @@
         allowance.loans.ask_owner(now, me, team, wanted, &owners)
     }
 
+    /// Takes note of a team of which so little is left here that it would run out before a loan comes.
+    pub(super) fn note_low(&mut self, now: Instant, team: &TeamId, rest: Tokens) {
+        let borrows = !self.ownership.owners(team).is_empty();
+        let allowance = &self.allowances[team];
+        if borrows && rest < allowance.loan_demand(now) && allowance.waiting.is_empty() {
+            self.low.insert(team.clone());
+        }
+    }
+
+    /// Asks those that keep budgets for what runs low here, before a request has to wait for it.
+    pub(super) fn borrow_ahead(&mut self, now: Instant, me: Incarnation) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for team in std::mem::take(&mut self.low) {
+            let left = self.left(&team);
+            let rest = self.available(now, &team);
+            let owners = self.ownership.answering(now, &team);
+            let allowance = &mut self.allowances[&team];
+            let aim = allowance
+                .loan_demand(now)
+                .saturating_add(allowance.loan_demand(now));
+            let amount = aim.saturating_sub(rest).min(left);
+            if amount == Tokens::ZERO || !allowance.waiting.is_empty() {
+                continue;
+            }
+            let wanted = Wanted {
+                amount,
+                asked: allowance.asked,
+                priority: LEAST_URGENT,
+            };
+            effects.extend(allowance.loans.ask_owner(now, me, &team, wanted, &owners));
+        }
+        effects
+    }
+
     /// Gives back to those that keep a budget what requests here left over of what was borrowed for them.
     ///
     /// Two hundred routers that each held on to the rest of one request would hold seconds of a team's demand.
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -17,6 +17,7 @@
 use crate::router::tests::site::entry;
 use crate::router::tests::site::payer;
 use crate::router::tests::site::table_of;
+use crate::router::tests::site::whole;
 use crate::tokens::Tokens;
 use crate::vms::VmEntry;
 
@@ -257,6 +258,33 @@
     assert!(second_question(300) > 1300);
 }
 
+/// Guards against a busy VM all of whose requests wait for loans: while one is on its way, more is used up than it brings.
+#[test]
+fn budget_is_borrowed_before_it_runs_out() {
+    let mut site = guest();
+    let mut answered = 0;
+    let mut waited = 0;
+    let mut open = Vec::new();
+    for turn in 0..200 {
+        let id = site.ask("stream", 500, 500);
+        waited += usize::from(turn >= 100 && !is_run(&site, id));
+        open.push(id);
+        for id in open.extract_if(.., |id| is_run(&site, *id)).collect::<Vec<_>>() {
+            site.tell(Event::Ended(id, whole(500)));
+        }
+        site.pass(20);
+        // Each question is answered after a fifth of a second.
+        if turn % 10 == 9 {
+            for (ask, _) in asked(&site).split_off(answered) {
+                answered += 1;
+                let amount = ask.amount;
+                site.tell(Event::Lent(ask, Some(amount)));
+            }
+        }
+    }
+    assert!(waited <= 10, "{waited} of 100 wait");
+}
+
 /// Guards against a router that asks for loans of nothing, thousands a second, while a request waits behind what is kept for
 /// more urgent ones.
 #[test]
