--- a/src/router/tests/drained_domains.rs
+++ b/src/router/tests/drained_domains.rs
@@ -153,3 +153,24 @@
     let ran = ids.iter().filter(|id| !site.runs(**id).is_empty()).count();
     assert_eq!(ran, ids.len());
 }
+
+/// Guards against words from the store and from peers that come in another order than they were written, and leave an older
+/// set in force.
+#[test]
+fn the_newest_word_stands_in_whatever_order_they_come() {
+    fn property(words: Vec<(u8, bool)>) -> bool {
+        let mut site = site();
+        let mut newest = (0, false);
+        for (as_of, drains) in words {
+            // What was read up to one offset is the same for all.
+            let drains = if as_of == newest.0 { newest.1 } else { drains };
+            let domains: &[usize] = if drains { &[0] } else { &[] };
+            drain(&mut site, u64::from(as_of), domains);
+            newest = newest.max((as_of, drains));
+        }
+        site.core.drained.domains.contains(&domain(0)) == newest.1
+    }
+    quickcheck::QuickCheck::new()
+        .tests(50)
+        .quickcheck(property as fn(Vec<(u8, bool)>) -> bool);
+}
--- a/tests/decisions/cold.rs
+++ b/tests/decisions/cold.rs
@@ -191,3 +191,23 @@
     let served = (0..300).filter(|router| fleet.send(later, *router, &mut rng).is_some());
     assert_eq!(served.count(), 300);
 }
+
+/// Guards against routers that know different parts of the fleet, as while VMs are added and lost, and together send a cold
+/// endpoint more than the half beyond its rate that it bears.
+#[test]
+fn routers_that_know_different_fleets_keep_to_the_rate() {
+    let mut rng = rng();
+    let routers: Vec<VmId> = (0..86).map(|n| name(&format!("vm-{n}"))).collect();
+    for n in 0..60 {
+        let vm = endpoint(n);
+        let shares = routers.iter().map(|router| {
+            let known = routers
+                .iter()
+                .filter(|other| *other == router || rng.random_bool(0.9));
+            let known: Vec<_> = known.cloned().collect();
+            cold_share(RATE, &known, router, &vm)
+        });
+        let all: u32 = shares.sum();
+        assert!(all <= RATE * 3 / 2, "{all} a second at {vm}");
+    }
+}
