--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -8,9 +8,7 @@
 //! of its parts may go to any: where its parts lie is reckoned, not learnt (see [`crate::decide::homes`]).
 
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::hash::BuildHasherDefault;
-use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
@@ -18,17 +16,13 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::decide::cold::Cold;
-use crate::decide::concurrency::EndpointLimit;
 use crate::decide::concurrency::Sample;
+use crate::decide::endpoint::Endpoint;
 use crate::decide::hasher::FastHasher;
 use crate::decide::health::Ejector;
-use crate::decide::health::Health;
 use crate::decide::homes;
 use crate::decide::homes::Homes;
-use crate::decide::prefill::Prefill;
 use crate::decide::prefill::Prompt;
-use crate::decide::prefix::Match;
 use crate::decide::prefix::PrefixIndex;
 use crate::decide::recent::Usage;
 use crate::ids::DomainId;
@@ -44,38 +38,6 @@
 /// them routers with the same reports agree too often.
 const DRAWN: usize = 6;
 
-/// The weight of the newest report in what others are thought to run. All routers get the same report; those that take it
-/// at its word go to the same endpoint until the next one.
-const NEWEST: f64 = 0.1;
-
-/// After so long a report counts no more. An endpoint that was full when its reports ceased would get nothing ever after,
-/// though it may be idle; its own answers tell how it is.
-const STALE: Duration = Duration::from_secs(10);
-
-/// How many blocks to compute count as much as a full endpoint. At 16 tokens a block and a prefill of 10,000 tokens a
-/// second these take 0.4 s, about what a full batch adds to the time to the first token.
-const FULL_BLOCKS: f64 = 256.0;
-
-/// What another failure domain counts, of a full endpoint: a millisecond or two on each token's way.
-const REMOTE: f64 = 0.05;
-
-/// How long ago a load report may have been measured for the correction by own requests to be exact.
-const HISTORY: Duration = Duration::from_secs(5);
-
-/// How many changes of the own count are remembered for each endpoint.
-const CHANGES: usize = 64;
-
-/// How much more than its own time a shared part counts where it would be read again: that delays all prompts that come
-/// after it, and pushes another part out. Without this a part that many ask for is read by one engine after the other.
-const AGAIN: f64 = 6.0;
-
-/// What a request that an engine runs already adds to the time to the next one's first token: each step of a full batch
-/// takes a millisecond longer.
-const RUNNING: Duration = Duration::from_millis(1);
-
-/// What another failure domain adds to that time.
-const FARTHER: Duration = Duration::from_millis(4);
-
 /// What an endpoint says of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -115,22 +77,6 @@
     pub home: bool,
 }
 
-#[derive(Debug)]
-struct Endpoint {
-    domain: DomainId,
-    models: Vec<ModelId>,
-    limit: u32,
-    leaving: bool,
-    own: EndpointLimit,
-    others: f64,
-    /// When it last reported.
-    told: Option<Instant>,
-    changes: VecDeque<(Instant, u32)>,
-    prefill: Prefill,
-    /// Set where it was cold of late.
-    cold: Option<Cold>,
-}
-
 /// Chooses among the endpoints of one pool.
 #[derive(Debug)]
 pub struct Chooser {
@@ -171,18 +117,7 @@
         let endpoint = self
             .endpoints
             .entry(vm.clone())
-            .or_insert_with(|| Endpoint {
-                domain: domain.clone(),
-                models: Vec::new(),
-                limit,
-                leaving: false,
-                own: EndpointLimit::new(limit),
-                others: 0.0,
-                told: None,
-                changes: VecDeque::new(),
-                prefill: Prefill::default(),
-                cold: None,
-            });
+            .or_insert_with(|| Endpoint::new(domain, limit));
         endpoint.domain = domain.clone();
         endpoint.models = models.to_vec();
         endpoint.limit = limit;
@@ -212,25 +147,15 @@
     /// Takes over until when an endpoint is cold, nothing where it is warm, and how many requests a second this router may
     /// send it while it is.
     pub fn cool(&mut self, vm: &VmId, until: Option<Instant>, share: u32) {
-        let Some(endpoint) = self.endpoints.get_mut(vm) else {
-            return;
-        };
-        match (&mut endpoint.cold, until) {
-            (Some(cold), Some(until)) => cold.change(until, share),
-            (cold, until) => *cold = until.map(|until| Cold::new(until, share)),
+        if let Some(endpoint) = self.endpoints.get_mut(vm) {
+            endpoint.cool(until, share);
         }
     }
 
     /// Takes in an endpoint's load report, which counted this router's own requests of that time too.
     pub fn report(&mut self, now: Instant, vm: &VmId, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(vm) {
-            let own = endpoint.own_at(load.measured);
-            let others = f64::from((load.running + load.waiting).saturating_sub(own));
-            let fresh = endpoint.is_fresh(now);
-            let weight = if fresh { NEWEST } else { 1.0 };
-            endpoint.others += (others - endpoint.others) * weight;
-            endpoint.told = Some(now);
-            endpoint.own.report(now, load);
+            endpoint.report(now, load);
         }
     }
 
@@ -419,98 +344,6 @@
     }
 }
 
-impl Endpoint {
-    /// Returns how long a prompt's first token is expected to take there.
-    fn first_token(
-        &self,
-        now: Instant,
-        prompt: &Prompt,
-        domain: &DomainId,
-        home: bool,
-    ) -> Duration {
-        let prefill = &self.prefill;
-        let unread = prefill.unread(now, prompt, home);
-        let again = prefill.time(unread - prompt.own).mul_f64(AGAIN);
-        let running = RUNNING * self.own.active();
-        let way = match self.domain == *domain {
-            true => Duration::ZERO,
-            false => FARTHER,
-        };
-        prefill.wait(now) + prefill.time(prompt.own) + again + running + way
-    }
-
-    fn load(&self, now: Instant) -> f64 {
-        let others = if self.is_fresh(now) { self.others } else { 0.0 };
-        others + f64::from(self.own.active())
-    }
-
-    fn is_fresh(&self, now: Instant) -> bool {
-        self.told.is_some_and(|at| now < at + STALE)
-    }
-
-    fn is_cold(&self, now: Instant) -> bool {
-        self.cold.as_ref().is_some_and(|cold| cold.is_cold(now))
-    }
-
-    /// Returns whether it takes one more; on trial, one at a time from this router.
-    fn admits(&self, now: Instant, health: Health, usage: Usage) -> bool {
-        let cold = self.cold.as_ref().filter(|cold| cold.is_cold(now));
-        if cold.is_some_and(|cold| !cold.admits(now)) {
-            return false;
-        }
-        match health {
-            Health::Out => false,
-            Health::Trial => self.own.active() == 0,
-            Health::In => {
-                self.load(now) < f64::from(self.limit)
-                    && (self.own.has_room() || usage == Usage::Light)
-            }
-        }
-    }
-
-    /// Returns how bad a choice it is, 1 being a full endpoint.
-    fn score(&self, now: Instant, wish: &Wish<'_>, found: Option<&Match>, slow: f64) -> f64 {
-        let load = (self.load(now) + 1.0) / f64::from(self.limit.max(1));
-        let cached = found.map_or(0.0, |m| m.blocks as f64 * m.trust);
-        let missing = (wish.prefix.len() as f64 - cached) / FULL_BLOCKS;
-        let remote = if self.domain == *wish.domain {
-            0.0
-        } else {
-            REMOTE
-        };
-        (load + missing) * slow + remote
-    }
-
-    fn note(&mut self, now: Instant) {
-        self.changes.push_back((now, self.own.active()));
-        let old = now.checked_sub(HISTORY);
-        while self.changes.len() > CHANGES
-            || self
-                .changes
-                .front()
-                .is_some_and(|(at, _)| old.is_some_and(|old| *at < old))
-        {
-            self.changes.pop_front();
-        }
-    }
-
-    /// Returns how many of this router's requests it had then.
-    fn own_at(&self, then: Instant) -> u32 {
-        self.changes
-            .iter()
-            .rev()
-            .find(|(at, _)| *at <= then)
-            .map_or_else(|| self.own_before(), |(_, own)| *own)
-    }
-
-    /// Returns the own count before the remembered changes, as far as it can be told.
-    fn own_before(&self) -> u32 {
-        self.changes
-            .front()
-            .map_or(self.own.active(), |(_, own)| *own)
-    }
-}
-
 /// Draws places below `len`, as many as are compared.
 fn draw<R>(len: usize, rng: &mut R) -> [usize; DRAWN]
 where
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 mod concurrency;
 mod demand;
 mod drain;
+mod endpoint;
 mod hasher;
 mod health;
 mod holding;
--- a/src/router/tests/power_lost.rs
+++ b/src/router/tests/power_lost.rs
@@ -53,6 +53,14 @@
     used
 }
 
+/// Has all routers lose their power, and returns how much more than was used counts as used afterwards.
+fn lost_with_power(site: &mut Site, used: u64) -> u64 {
+    site.lose_power(DOWN);
+    site.hear_routers(OTHERS);
+    site.pass(SETTLED);
+    thought_used(site) - used
+}
+
 /// Returns what the new process takes for used by the one before it.
 fn thought_used(site: &Site) -> u64 {
     let dump = site.core.funds.dump(site.now);
@@ -73,10 +81,7 @@
     let mut site = Site::start_among(PREPAID, vms());
     let used = serve(&mut site, 10);
     assert_eq!(used, 10 * DEMAND);
-    site.lose_power(DOWN);
-    site.hear_routers(OTHERS);
-    site.pass(SETTLED);
-    let lost = thought_used(&site) - used;
+    let lost = lost_with_power(&mut site, used);
     let most = DEMAND * (DOWN.as_millis() as u64 + 1000) / 1000;
     assert!(lost <= most, "{lost} of at most {most} tokens");
 }
@@ -124,10 +129,7 @@
         site.hear_routers(OTHERS);
         site.pass(500);
     }
-    site.lose_power(DOWN);
-    site.hear_routers(OTHERS);
-    site.pass(SETTLED);
-    let lost = thought_used(&site) - used;
+    let lost = lost_with_power(&mut site, used);
     let most = DEMAND * (DOWN.as_millis() as u64 + 1000) / 1000;
     assert!(lost <= most, "{lost} of at most {most} tokens");
 }
