One rate of what callers ask for, one correction of young averages, no copied names in a rank

Found in a last reading of the change: the demand of callers here was kept by priority though only its sum is read; three rates had the same correction; a condition on the lists held always; ranking routers before a cold endpoint copied each name. Behaviour as it was.

--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -71,11 +71,12 @@
         return rate / count.max(1);
     }
     let seed = xxh3_64_with_seed(endpoint.as_str().as_bytes(), 0);
-    let order = |vm: &VmId| {
-        let hash = xxh3_64_with_seed(vm.as_str().as_bytes(), seed);
-        (Reverse(hash), vm.clone())
-    };
-    let own = order(router);
-    let before = routers.iter().filter(|vm| order(vm) < own).count();
-    u32::from(before < rate as usize)
+    let own = order(seed, router);
+    let before = routers.iter().filter(|vm| order(seed, vm) < own);
+    u32::from(before.count() < rate as usize)
+}
+
+/// Returns where a router stands among those that may send to an endpoint; the least is first.
+fn order(seed: u64, vm: &VmId) -> (Reverse<u64>, &VmId) {
+    (Reverse(xxh3_64_with_seed(vm.as_str().as_bytes(), seed)), vm)
 }
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -115,7 +115,7 @@
         let changed = take(&mut lists.servers, news, &mut read) || !lists.known;
         lists.known = true;
         self.tell(lists, changed);
-        if lists.known && !cold.is_empty() {
+        if !cold.is_empty() {
             self.desk.tell(Event::Cold(cold));
         }
     }
--- a/src/router/allowance.rs
+++ b/src/router/allowance.rs
@@ -66,7 +66,7 @@
     /// What it is asked for, by priority, by callers here and at routers that borrow.
     pub(crate) ration: Ration,
     /// What it is asked for by callers here.
-    own: Ration,
+    own: Demand,
     /// What is promised and lent of it, whoever asked.
     flow: Demand,
     /// All that callers here have asked for so far.
@@ -89,7 +89,7 @@
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
             ration: Ration::new(WINDOW),
-            own: Ration::new(WINDOW),
+            own: Demand::new(now, WINDOW),
             flow: Demand::new(now, WINDOW),
             asked: Tokens::ZERO,
             borrowers: Borrowers::default(),
@@ -101,19 +101,23 @@
     }
 
     /// Returns how fast the budget is asked for here, by callers and by routers that borrow, in tokens a second.
+    pub(crate) fn rate(&self, now: Instant) -> f64 {
+        self.seen_whole(now, self.ration.rate(now))
+    }
+
+    /// Returns a rate as it would be had its average seen all of its window.
     ///
     /// An average that began with nothing a second ago has seen a fifth of the rate; without the correction, a cut in the
     /// first seconds would find grants that are far too small.
-    pub(crate) fn rate(&self, now: Instant) -> f64 {
+    fn seen_whole(&self, now: Instant, rate: f64) -> f64 {
         let first = self.first.unwrap_or(now);
-        self.ration.rate(now) / decide::seen(now, first, WINDOW)
+        rate / decide::seen(now, first, WINDOW)
     }
 
     /// Returns how fast it goes to those that ask for it, in tokens a second. Of a budget that runs low that is less than they
     /// ask for: those that are refused come back and ask again.
     pub(crate) fn flow_rate(&self, now: Instant) -> f64 {
-        let first = self.first.unwrap_or(now);
-        self.flow.rate(now) / decide::seen(now, first, WINDOW)
+        self.seen_whole(now, self.flow.rate(now))
     }
 
     /// Counts what a request or a borrower was given.
@@ -124,8 +128,7 @@
 
     /// Returns how fast callers here ask for it, in tokens a second.
     pub(crate) fn own_rate(&self, now: Instant) -> f64 {
-        let first = self.first.unwrap_or(now);
-        self.own.rate(now) / decide::seen(now, first, WINDOW)
+        self.seen_whole(now, self.own.rate(now))
     }
 
     /// Counts a request among the demand, as what requests of its size used of late. Counted when it ends, a stream of
@@ -134,7 +137,7 @@
         self.first.get_or_insert(now);
         let used = Tokens((amount.0 as f64 * self.part) as u64);
         self.ration.expect(now, priority, used);
-        self.own.expect(now, priority, used);
+        self.own.add(now, used);
         self.asked = self.asked.saturating_add(used);
     }
 
