Limit calls to the store by step, and leave connections only where one is dead

After the cut each call of that VM went over a link whose round trip was 0.6 to 0.9 s, and all limits ran from before the connection was asked for to the last byte of the answer. Reads of the configuration had their connection after 0.71 and 0.86 s, the head after 1.7 and 1.4 s, and 163,757 and 245,677 of 311,069 bytes when their 2.8 s were over; what had come was thrown away and asked for again from the same offset. Reads of the routers' list were held open 2 s after a connection that took 0.7 s. Four writes of grants in a row had 0.8 s, with connections after 0.58 to 0.78 s. Each of them took the idle connections of all others with it, so that the next call needed a new one again.

Ruled out: the store (other VMs in 0.4 s), dead connections (all were new), the processor (requests of callers were answered all the while).

Change: a connection, the head and each pause of the body have a limit each. A limit grows with the round trip that connections show. Only a call over an idle connection leaves the others: one over a new connection tells nothing of them. An error says how far the call had got.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 
 mod advice;
 mod borrowers;
+mod call_times;
 mod capacity;
 mod choose;
 mod cold;
@@ -39,6 +40,7 @@
 pub use advice::Peer;
 pub use advice::advise;
 pub use borrowers::Borrowers;
+pub use call_times::CallTimes;
 pub use capacity::Capacity;
 pub use capacity::draw_by_capacity;
 pub use choose::Choice;
--- a/src/http_client/tests.rs
+++ b/src/http_client/tests.rs
@@ -3,12 +3,15 @@
     reason = "the server of these tests is a socket"
 )]
 
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::future::join_all;
+use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -16,6 +19,9 @@
 
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
+use crate::http_client::Overdue;
+use crate::http_client::Patience;
+use crate::http_client::Reached;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
@@ -64,3 +70,91 @@
     let second = client.get(&url, LIMIT).await;
     assert!(second.is_ok(), "{second:?}");
 }
+
+/// How many bytes each piece of a long answer has, and how many pieces.
+const PIECE: usize = 100;
+const PIECES: usize = 6;
+
+/// Answers each connection's request in pieces, the next one after a pause.
+async fn serve_slowly(listener: TcpListener, pause: Duration) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut head = [0; 1024];
+        let _ = stream.read(&mut head).await;
+        let length = PIECE * PIECES;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes()).await;
+        for _ in 0..PIECES {
+            tokio::time::sleep(pause).await;
+            let _ = stream.write_all(&[b'x'; PIECE]).await;
+        }
+    }
+}
+
+/// Returns a patience for steps that may take so long each.
+fn steps(limit: Duration) -> Patience {
+    Patience::Steps {
+        connect: limit,
+        head: limit,
+        pause: limit,
+    }
+}
+
+async fn exchange(client: &HttpClient, url: &str, limit: Duration) -> Result<usize, HttpError> {
+    let request = client.request("GET", url).body(Full::default())?;
+    let outcome = client.exchange(request, steps(limit)).await;
+    outcome.answer.map(|answer| answer.body.len())
+}
+
+/// Guards against giving up an answer that is coming in over a slow link, to begin it anew for ever.
+#[tokio::test]
+async fn a_long_answer_over_a_slow_link_is_read_to_its_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let url = format!("http://{}/", listener.local_addr().expect("an address"));
+    tokio::spawn(serve_slowly(listener, LIMIT / 2));
+    let read = exchange(&HttpClient::default(), &url, LIMIT).await;
+    assert_eq!(read.expect("it comes whole"), PIECE * PIECES);
+}
+
+/// Guards against waiting for ever for an answer that stops in the middle.
+#[tokio::test]
+async fn an_answer_that_stops_in_the_middle_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let url = format!("http://{}/", listener.local_addr().expect("an address"));
+    tokio::spawn(serve_slowly(listener, LIMIT * 3));
+    let read = exchange(&HttpClient::default(), &url, LIMIT).await;
+    let expected = Overdue {
+        limit: LIMIT,
+        reached: Reached::Body(0),
+    };
+    assert!(matches!(read, Err(HttpError::Timeout(overdue)) if overdue == expected));
+}
+
+/// Guards against one call that is late taking the connections of all others with it, each of which then costs a round trip
+/// more.
+#[tokio::test]
+async fn an_unanswered_call_over_a_new_connection_leaves_the_others() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let url = format!("http://{}/", listener.local_addr().expect("an address"));
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mute = count.fetch_add(1, Ordering::Relaxed) == 1;
+            tokio::spawn(async move {
+                match mute {
+                    true => pending().await,
+                    false => serve(stream, Arc::default()).await,
+                }
+            });
+        }
+    });
+    let client = HttpClient::default();
+    let (kept, mute) = tokio::join!(client.get(&url, LIMIT), async {
+        tokio::time::sleep(WORK / 2).await;
+        client.get(&url, LIMIT).await
+    });
+    assert!(kept.is_ok() && mute.is_err(), "{kept:?} {mute:?}");
+    let next = client.get(&url, LIMIT).await;
+    assert!(next.is_ok(), "{next:?}");
+    assert_eq!(accepted.load(Ordering::Relaxed), 2);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -100,6 +100,7 @@
 pub use decide::Advice;
 pub use decide::Borrowers;
 pub use decide::CacheEvent;
+pub use decide::CallTimes;
 pub use decide::Candidate;
 pub use decide::Capacity;
 pub use decide::Caps;
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -71,7 +71,7 @@
 where
     F: FnMut(News, u64),
 {
-    let page = store.read(topic, from, HOLD).await?;
+    let page = store.read(topic, from, HOLD, None).await?;
     let count = page.records.len() as u64;
     let mut records = Vec::new();
     for record in &page.records {
--- a/src/platform/grants.rs
+++ b/src/platform/grants.rs
@@ -87,7 +87,7 @@
     let mut next = from.0;
     let mut rows = Vec::new();
     loop {
-        let page = store.read(TOPIC, next, Duration::ZERO).await?;
+        let page = store.read(TOPIC, next, Duration::ZERO, None).await?;
         for record in &page.records {
             let record = Keyed::decode(record)?;
             let value = record.value.unwrap_or_default();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,10 @@
 //! The client of the metadata store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -11,18 +14,24 @@
 use thiserror::Error;
 use tracing::warn;
 
+use crate::decide::CallTimes;
+use crate::edge::desk::lock;
 use crate::http_client::Answer;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
+use crate::http_client::Patience;
 use crate::platform::record::Keyed;
 use crate::platform::record::Page;
 use crate::platform::record::Truncated;
 
-/// How long a call may take beside what it is held open: the store answers in 4 ms, and a slow one in a quarter of a
-/// second.
+/// How long a connection may take to open.
+const CONNECT: Duration = Duration::from_millis(1000);
+
+/// How long an answer may take to begin, beside what it is held open, and how long it may pause: the store answers in 4 ms,
+/// and a slow one in a quarter of a second.
 const CALL: Duration = Duration::from_millis(800);
 
-/// How long an append may take. While the answer to one is out, no promise can be written.
+/// How long the answer to an append may take. While it is out, no promise can be written.
 const APPEND: Duration = Duration::from_millis(500);
 
 /// Why a read brought nothing.
@@ -97,6 +106,7 @@
 pub(crate) struct Store {
     http: HttpClient,
     address: SocketAddr,
+    times: Arc<Mutex<CallTimes>>,
 }
 
 impl Store {
@@ -104,6 +114,7 @@
         Self {
             http: HttpClient::new(None),
             address,
+            times: Arc::default(),
         }
     }
 
@@ -113,7 +124,11 @@
         records.iter().for_each(|record| record.encode(&mut body));
         let condition = at.map(|at| format!("&at={at}")).unwrap_or_default();
         let path = format!("/api/log-append?topic={topic}&part=0{condition}");
-        match self.call("POST", &path, Bytes::from(body), APPEND).await {
+        let times = Times {
+            held: Duration::ZERO,
+            usual: APPEND,
+        };
+        match self.call("POST", &path, Bytes::from(body), times).await {
             Ok(answer) => match answer.status.as_u16() {
                 200 => Append::Landed,
                 412 => Append::Moved,
@@ -128,16 +143,23 @@
         }
     }
 
-    /// Reads the records from an offset on, waiting for the first one up to a time.
+    /// Reads the records from an offset on, waiting for the first one up to a time; one page of them, of so many KiB if that
+    /// is said.
     pub(crate) async fn read(
         &self,
         topic: &str,
         from: u64,
         wait: Duration,
+        page_kb: Option<u32>,
     ) -> Result<Page, ReadError> {
         let wait_ms = wait.as_millis();
-        let path = format!("/api/log-read?topic={topic}&part=0&from={from}&waitMs={wait_ms}");
-        let answer = self.call("GET", &path, Bytes::new(), CALL + wait).await?;
+        let size = page_kb.map(|kb| format!("&maxKb={kb}")).unwrap_or_default();
+        let path = format!("/api/log-read?topic={topic}&part=0&from={from}&waitMs={wait_ms}{size}");
+        let times = Times {
+            held: wait,
+            usual: CALL,
+        };
+        let answer = self.call("GET", &path, Bytes::new(), times).await?;
         match answer.status.as_u16() {
             200 => Ok(Page::decode(&answer.body)?),
             410 => Err(ReadError::Gone),
@@ -177,7 +199,11 @@
         let after = after.map(|key| format!("&after={}", escape(key)));
         let after = after.unwrap_or_default();
         let path = format!("/api/log-newest?topic={topic}&part=0{after}");
-        let answer = self.call("GET", &path, Bytes::new(), CALL).await?;
+        let times = Times {
+            held: Duration::ZERO,
+            usual: CALL,
+        };
+        let answer = self.call("GET", &path, Bytes::new(), times).await?;
         match answer.status.as_u16() {
             200 => serde_json::from_slice(&answer.body)
                 .map_err(|error| ReadError::Malformed(error.to_string())),
@@ -190,14 +216,42 @@
         method: &str,
         path: &str,
         body: Bytes,
-        limit: Duration,
+        times: Times,
     ) -> Result<Answer, HttpError> {
         let url = format!("http://{}{path}", self.address);
         let request = self.http.request(method, &url).body(Full::new(body))?;
-        self.http.whole(request, limit).await
+        let patience = Patience::Steps {
+            connect: CONNECT,
+            head: times.held + self.limit(times.usual),
+            pause: self.limit(CALL),
+        };
+        let begun = Instant::now();
+        let outcome = self.http.exchange(request, patience).await;
+        let round = match &outcome.answer {
+            Ok(_) if times.held.is_zero() => outcome.connect.or_else(|| Some(begun.elapsed())),
+            _ => outcome.connect,
+        };
+        if let Some(round) = round {
+            lock(&self.times).sample(round);
+        }
+        outcome.answer
+    }
+
+    /// Returns how long an answer may take from here that comes within a usual time elsewhere.
+    fn limit(&self, usual: Duration) -> Duration {
+        lock(&self.times).limit(usual)
     }
 }
 
+/// How long a call takes.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    /// How long the store holds it open.
+    held: Duration,
+    /// How long the answer takes at most, beside that, over a calm link.
+    usual: Duration,
+}
+
 /// Writes a key so that it may stand in a query.
 fn escape(text: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod borrowers;
 mod budget;
+mod call_times;
 mod capacity;
 mod cold;
 mod each;
