Read the newest configuration alone, and know a page for a part

Seen: as before, 404 by a small VM for a route whose configuration had been acknowledged 5 s earlier.

Cause, the second half of it: a router that was out of touch asked for all configurations that it had missed, in one answer of 259 to 313 KB, of which only the last 62 KB count. Besides, a page that ends before the end of what is there counted as the store's word that there is nothing newer.

If that is not all, or after a read that failed, the newest record of each key is read, and nothing is confirmed before. What a batch says of the end goes with the moment for which it holds.

--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -8,6 +8,7 @@
 use crate::edge::desk::Desk;
 use crate::ids::DomainId;
 use crate::platform::config;
+use crate::platform::follow::Batch;
 use crate::platform::follow::News;
 use crate::platform::record::Keyed;
 use crate::router::DrainedDomains;
@@ -31,9 +32,9 @@
         }
     }
 
-    /// Takes in records up to an offset.
-    pub(crate) fn take(&mut self, news: News, next: u64) {
-        let records = match news {
+    /// Takes in what a read brought.
+    pub(crate) fn take(&mut self, batch: Batch) {
+        let records = match batch.news {
             News::All(rows) => {
                 self.drained.clear();
                 let rows = rows.into_iter();
@@ -50,10 +51,13 @@
         }
         // Before the configuration: the first one brings the router into service.
         self.desk.tell(Event::DrainedDomains(DrainedDomains {
-            as_of: next,
+            as_of: batch.next,
             domains: self.drained.clone(),
         }));
-        self.take_config(&records);
+        let readable = self.take_config(&records);
+        if readable && batch.current.is_some() {
+            self.desk.tell(Event::TableConfirmed);
+        }
     }
 
     /// Notes that a failure domain is drained, or that it is no longer.
@@ -71,16 +75,19 @@
         }
     }
 
-    /// Tells the core of the newest configuration, or that there is none newer; one that can't be read leaves the last one in
-    /// force.
-    fn take_config(&self, records: &[Keyed]) {
+    /// Tells the core of the newest configuration, if there is one, and returns whether it could be read; one that can't be
+    /// read leaves the last one in force.
+    fn take_config(&self, records: &[Keyed]) -> bool {
         let newest = records.iter().rfind(|record| record.key == config::KEY);
         let newest = newest.and_then(|record| record.value.as_ref());
         match newest.map(|text| config::decode(text)) {
             Some(Ok(table)) => self.desk.tell(Event::Table(Arc::new(table))),
-            Some(Err(error)) => return warn!(event = "config-unreadable", %error),
+            Some(Err(error)) => {
+                warn!(event = "config-unreadable", %error);
+                return false;
+            }
             None => {}
         }
-        self.desk.tell(Event::TableConfirmed);
+        true
     }
 }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -36,7 +36,8 @@
 use crate::logs::dropped_lines;
 use crate::moment::BootClock;
 use crate::platform::entry;
-use crate::platform::follow::HOLD;
+use crate::platform::follow::Topic;
+use crate::platform::follow::Wanted;
 use crate::platform::follow::follow;
 use crate::platform::grants::Grants;
 use crate::platform::heads::Heads;
@@ -67,6 +68,10 @@
 /// The rest between two reads of the configuration: it is to be in force within a second or two.
 const CONFIG_REST: Duration = Duration::from_millis(100);
 
+/// How long the store may hold a read open. An answer that is lost without a word is noticed after this and the time of a
+/// call, so that it bounds how old the router's knowledge may grow unnoticed.
+const HOLD: Duration = Duration::from_millis(2000);
+
 /// How late the answer to a read of the configuration may come before the router takes its own for possibly old.
 const CONFIG_SLACK: Duration = Duration::from_millis(400);
 
@@ -200,19 +205,28 @@
 
 fn follow_store(store: &Store, desk: &Arc<Desk>) {
     let mut operator = Operator::new(desk.clone());
-    tokio::spawn(follow(
-        store.clone(),
-        OPERATOR,
-        CONFIG_REST,
-        move |news, next| operator.take(news, next),
-    ));
+    let topic = Topic {
+        name: OPERATOR,
+        rest: CONFIG_REST,
+        hold: HOLD,
+        wanted: Wanted::Newest,
+    };
+    tokio::spawn(follow(store.clone(), topic, move |batch| {
+        operator.take(batch);
+    }));
     let registry = Arc::new(Registry::new(desk.clone()));
     let told = registry.clone();
-    tokio::spawn(follow(store.clone(), SERVERS, LIST_REST, move |news, _| {
-        told.servers(news);
+    let list = |name| Topic {
+        name,
+        rest: LIST_REST,
+        hold: HOLD,
+        wanted: Wanted::Each,
+    };
+    tokio::spawn(follow(store.clone(), list(SERVERS), move |batch| {
+        told.servers(batch.news);
     }));
-    tokio::spawn(follow(store.clone(), ROUTERS, LIST_REST, move |news, _| {
-        registry.routers(news);
+    tokio::spawn(follow(store.clone(), list(ROUTERS), move |batch| {
+        registry.routers(batch.news);
     }));
 }
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -10,6 +10,7 @@
 use crate::edge::metrics::Metrics;
 use crate::ids::TableVersion;
 use crate::platform::config;
+use crate::platform::follow::Batch;
 use crate::platform::follow::News;
 use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
@@ -230,6 +231,14 @@
     }
 }
 
+fn batch(news: News, next: u64) -> Batch {
+    Batch {
+        news,
+        next,
+        current: None,
+    }
+}
+
 /// Returns the drained failure domains that the core was last told of, and up to which offset.
 fn drained(events: &mut mpsc::UnboundedReceiver<Event>) -> (u64, Vec<String>) {
     let mut last = None;
@@ -251,14 +260,14 @@
     let mut operator = Operator::new(Arc::new(desk));
     let key = |zone: &str| format!("evacuate/{zone}");
     let rows = ["a", "", "b"].map(|zone| (key(zone), b"{}".to_vec()));
-    operator.take(News::All(rows.to_vec()), 7);
+    operator.take(batch(News::All(rows.to_vec()), 7));
     assert_eq!(drained(&mut events), (7, vec!["a".into(), "b".into()]));
-    operator.take(News::Some(vec![keyed(&key("c"), b"?")]), 8);
-    operator.take(News::Some(vec![keyed(&key("a"), b"")]), 9);
+    operator.take(batch(News::Some(vec![keyed(&key("c"), b"?")]), 8));
+    operator.take(batch(News::Some(vec![keyed(&key("a"), b"")]), 9));
     assert_eq!(drained(&mut events), (9, vec!["b".into(), "c".into()]));
-    operator.take(News::Some(vec![]), 9);
+    operator.take(batch(News::Some(vec![]), 9));
     assert_eq!(drained(&mut events).1.len(), 2);
-    operator.take(News::All(vec![(key("c"), b"{}".to_vec())]), 12);
+    operator.take(batch(News::All(vec![(key("c"), b"{}".to_vec())]), 12));
     assert_eq!(drained(&mut events), (12, vec!["c".into()]));
 }
 
