Date the store's word by when it was given, and let it hold as long as a change may take

Cause: that there is no newer configuration counted from when the answer arrived. An answer that stood two seconds behind callers' traffic, or in a process that was paused, was taken for the store's word of now, and the word held for 2.5 s on all deployments, though a change is to be in force within 2 s on some, 3 to 5 s on others. A router could deny by a configuration that was 5.3 s old.

Change: the word is dated by the read that brought it: by when it was sent, or by the end of the time for which it was held open if it brought nothing. It holds for the new setting `config_ms`, which the platform fills in: a newer configuration was acknowledged after the word, so until then nothing denied by the old one is late. A read of the configuration is held open for half of that time, so that one answer may come late; what a read brings is confirmed at once by another one.

--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -55,8 +55,8 @@
             domains: self.drained.clone(),
         }));
         let readable = self.take_config(&records);
-        if readable && batch.current.is_some() {
-            self.desk.tell(Event::TableConfirmed);
+        if let Some(at) = batch.current.filter(|_| readable) {
+            self.desk.tell(Event::TableConfirmed(at));
         }
     }
 
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -72,8 +72,9 @@
 /// call, so that it bounds how old the router's knowledge may grow unnoticed.
 const HOLD: Duration = Duration::from_millis(2000);
 
-/// How late the answer to a read of the configuration may come before the router takes its own for possibly old.
-const CONFIG_SLACK: Duration = Duration::from_millis(400);
+/// How many reads of the configuration that bring nothing are answered within the time that a change may take, so that one of
+/// them may come late.
+const CONFIG_READS: u32 = 2;
 
 /// The rest between two reads of the lists: each server writes once a second, and what changes may be known a quarter of a
 /// second late.
@@ -124,7 +125,7 @@
     // Without a handler the signal would end the process, and cut what it serves.
     let changes = signal(SignalKind::hangup())?;
     tokio::spawn(take_settings(changes, path, desk.clone(), boot));
-    follow_store(&store, &desk);
+    follow_store(&store, &desk, settings.config_ms.duration());
     tokio::spawn(http::serve(admin, desk.clone()));
     tokio::spawn(desk.clone().send_metrics());
     tokio::spawn(peers::serve(routers, desk.clone()));
@@ -203,12 +204,13 @@
     now
 }
 
-fn follow_store(store: &Store, desk: &Arc<Desk>) {
+/// Follows what the store has; a change of the configuration may take so long.
+fn follow_store(store: &Store, desk: &Arc<Desk>, config: Duration) {
     let mut operator = Operator::new(desk.clone());
     let topic = Topic {
         name: OPERATOR,
         rest: CONFIG_REST,
-        hold: HOLD,
+        hold: (config / CONFIG_READS).min(HOLD),
         wanted: Wanted::Newest,
     };
     tokio::spawn(follow(store.clone(), topic, move |batch| {
@@ -254,7 +256,7 @@
         parted: Duration::from_secs(3600),
         drain: settings.grace_ms.duration().saturating_sub(BEFORE_GRACE),
         accounting: Accounting::Grants(GrantTuning {
-            confirm: HOLD + CONFIG_REST + CONFIG_SLACK,
+            confirm: settings.config_ms.duration(),
             linger: settings.keep_ms.duration().mul_f64(KEPT),
             retries: settings.retry_ratio,
             spare: settings.retry_spare / window,
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -102,7 +102,7 @@
 /// What a router that lives by grants is told at its start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct GrantTuning {
-    /// How long the platform's word that there is no newer configuration holds.
+    /// How long the platform's word that there is no newer configuration holds: how late a change may be in force.
     pub(crate) confirm: Duration,
     /// How long a planned stop goes on serving though nothing is in progress: callers keep addresses that long.
     pub(crate) linger: Duration,
@@ -326,7 +326,7 @@
             Event::Table(table) => self.take_table(now, table),
             Event::DrainedDomains(drained) => self.take_drained(now, &drained),
             Event::Cold(words) => self.endpoints_cold(now, &words),
-            Event::TableConfirmed => self.table_confirmed(now),
+            Event::TableConfirmed(at) => self.table_confirmed(now, at),
             Event::Grants(event) => self.grants(now, event),
             Event::Reads(reading) => self.reads(now, &reading),
             Event::Given(id, gift) => self.given(id, &gift),
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::config::RouteTable;
 use crate::config::Snapshot;
@@ -104,8 +105,8 @@
     Cold(Vec<(VmId, Duration)>),
     /// A whole configuration from a platform that hands it over at once.
     Table(Arc<RouteTable>),
-    /// The platform has no newer configuration than what it handed over.
-    TableConfirmed,
+    /// The platform had no newer configuration at a moment than what it has handed over.
+    TableConfirmed(Instant),
     /// Something happened at the log that keeps grants.
     Grants(GrantEvent),
     /// Another router asks for a loan.
--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -30,7 +30,7 @@
 /// What a router knows of configurations newer than its own.
 #[derive(Debug, Default)]
 pub(crate) struct TableWatch {
-    /// When the store last said that there is no newer one.
+    /// When the store last had no newer one. Its answer may have come seconds later.
     confirmed: Option<Instant>,
     newer: Option<Newer>,
     /// When a peer was last asked.
@@ -48,9 +48,9 @@
 }
 
 impl TableWatch {
-    /// Notes that the store has no newer configuration.
-    pub(crate) fn confirm(&mut self, now: Instant) {
-        self.confirmed = Some(now);
+    /// Notes that the store had no newer configuration at a moment.
+    fn confirm(&mut self, at: Instant) {
+        self.confirmed = self.confirmed.max(Some(at));
     }
 
     /// Notes which configuration a peer has.
@@ -96,9 +96,9 @@
             .map_or_else(TableVersion::default, |table| table.version)
     }
 
-    /// Takes note that the store has no newer configuration.
-    pub(crate) fn table_confirmed(&mut self, now: Instant) {
-        self.table_watch.confirm(now);
+    /// Takes note that the store, which has just answered, had no newer configuration at a moment.
+    pub(crate) fn table_confirmed(&mut self, now: Instant, at: Instant) {
+        self.table_watch.confirm(at);
         self.funds.store_answered(now);
     }
 
--- a/src/router/tests/behind.rs
+++ b/src/router/tests/behind.rs
@@ -119,6 +119,18 @@
     assert_eq!(refusal(&site, id), (ProblemKind::NoRoute, Ran::No, false));
 }
 
+/// Guards against 404 by what the store said seconds ago, in an answer that was on its way for so long.
+#[test]
+fn an_unknown_route_is_not_denied_by_an_old_answer_of_the_store() {
+    let mut site = Site::start(1000);
+    site.log = Log::Away;
+    site.pass(CONFIRM.as_millis() as u64 + 100);
+    let old = site.now - CONFIRM - Duration::from_millis(20);
+    site.tell(Event::TableConfirmed(old));
+    let id = site.ask("added", 100, 50);
+    assert_eq!(refusal(&site, id), BEHIND);
+}
+
 /// Guards against refusing requests that the configuration at hand allows.
 #[test]
 fn known_routes_are_served_by_an_old_configuration() {
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -283,7 +283,7 @@
         for _ in 0..ms.div_ceil(20) {
             self.now += Duration::from_millis(20);
             if self.log == Log::Up {
-                self.tell(Event::TableConfirmed);
+                self.tell(Event::TableConfirmed(self.now));
             }
             self.tell(Event::Tick);
         }
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -54,6 +54,8 @@
     pub grace_ms: Millis,
     /// How long a caller may keep an advised address.
     pub keep_ms: Millis,
+    /// How late a change of the configuration may be in force.
+    pub config_ms: Millis,
     /// Runs beyond the first that all routers together may make for each request, of 1.
     pub retry_ratio: f64,
     /// Runs beyond that which all routers together may make in a window.
@@ -77,6 +79,7 @@
     fn check(&self) -> Result<(), SettingsError> {
         check_time("grace_ms", self.grace_ms, MIN_TIME)?;
         check_time("keep_ms", self.keep_ms, MIN_TIME)?;
+        check_time("config_ms", self.config_ms, MIN_TIME)?;
         check_time("retry_window_ms", self.retry_window_ms, MIN_TIME)?;
         check_part("cpu_share", self.cpu_share, 1e6)?;
         check_part("link_mbps", self.link_mbps, 1e6)?;
