Ask another peer at once for a configuration that one does not send

Cause: of the peers that have a newer configuration only the last one heard of was remembered. Where it had left the roster, refused or was out of reach, the next question went out a second later, to the same one if nobody else was heard of since, a third of the time that a change may take.

Change: all peers that have the newest one are remembered and asked in turn; one that can't be asked, or does not send, is passed over at once.

Test: a_configuration_that_one_peer_does_not_send_is_fetched_from_another fails on (nobody is asked)."

--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -310,8 +310,14 @@
             |client: PeeringClient| async move { client.table(deadline(CALL), VERSION).await };
         match self.call(&peer.address, CALL, call).await {
             Ok(Ok(table)) => self.desk.tell(Event::Table(Arc::new(table))),
-            Ok(Err(refused)) => info!(event = "no-config", vm = %peer.vm, ?refused),
-            Err(silence) => info!(event = "no-config", vm = %peer.vm, ?silence),
+            Ok(Err(refused)) => {
+                info!(event = "no-config", vm = %peer.vm, ?refused);
+                self.desk.tell(Event::TableUnsent(peer.vm));
+            }
+            Err(silence) => {
+                info!(event = "no-config", vm = %peer.vm, ?silence);
+                self.desk.tell(Event::TableUnsent(peer.vm));
+            }
         }
     }
 
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -326,6 +326,7 @@
             Event::Table(table) => self.take_table(now, table),
             Event::DrainedDomains(drained) => self.take_drained(now, &drained),
             Event::Cold(words) => self.endpoints_cold(now, &words),
+            Event::TableUnsent(vm) => self.table_unsent(now, &vm),
             Event::TableConfirmed(at) => self.table_confirmed(now, at),
             Event::Grants(event) => self.grants(now, event),
             Event::Reads(reading) => self.reads(now, &reading),
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -105,6 +105,8 @@
     Cold(Vec<(VmId, Duration)>),
     /// A whole configuration from a platform that hands it over at once.
     Table(Arc<RouteTable>),
+    /// A peer that was asked for its configuration did not send it.
+    TableUnsent(VmId),
     /// The platform had no newer configuration at a moment than what it has handed over.
     TableConfirmed(Instant),
     /// Something happened at the log that keeps grants.
--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexSet;
 use tracing::info;
 
 use crate::ids::TableVersion;
@@ -41,8 +42,8 @@
 #[derive(Debug)]
 struct Newer {
     version: TableVersion,
-    /// Who has it.
-    vm: VmId,
+    /// Who has it and did not fail to send it, the next one to be asked first.
+    vms: IndexSet<VmId>,
     /// When a newer one than that in force was first heard of.
     since: Instant,
 }
@@ -55,15 +56,21 @@
 
     /// Notes which configuration a peer has.
     fn hear(&mut self, now: Instant, own: TableVersion, beat: &Heartbeat) {
-        let known = self.newer.as_ref();
-        if beat.table <= own || known.is_some_and(|newer| beat.table < newer.version) {
+        if beat.table <= own {
             return;
         }
-        self.newer = Some(Newer {
+        let newer = self.newer.get_or_insert_with(|| Newer {
             version: beat.table,
-            vm: beat.vm.clone(),
-            since: known.map_or(now, |newer| newer.since),
+            vms: IndexSet::new(),
+            since: now,
         });
+        if beat.table > newer.version {
+            newer.version = beat.table;
+            newer.vms.clear();
+        }
+        if beat.table == newer.version {
+            newer.vms.insert(beat.vm.clone());
+        }
     }
 
     /// Notes which configuration is in force.
@@ -79,12 +86,23 @@
 
     /// Returns who is to be asked for a newer configuration, if it is time for that.
     fn next_asked(&mut self, now: Instant) -> Option<VmId> {
-        let newer = self.newer.as_ref()?;
+        let newer = self.newer.as_mut()?;
         if now < newer.since + GRACE || self.asked.is_some_and(|at| now < at + AGAIN) {
             return None;
         }
+        let vm = newer.vms.shift_remove_index(0)?;
+        // Asked again after all others that have it.
+        newer.vms.insert(vm.clone());
         self.asked = Some(now);
-        Some(newer.vm.clone())
+        Some(vm)
+    }
+
+    /// Notes that a peer can't be asked, or did not send what it has; another one may be asked at once.
+    fn failed(&mut self, vm: &VmId) {
+        if let Some(newer) = &mut self.newer {
+            newer.vms.shift_remove(vm);
+        }
+        self.asked = None;
     }
 }
 
@@ -110,14 +128,21 @@
 
     /// Asks a peer for its configuration, where the store has not brought it.
     pub(crate) fn fetch_table(&mut self, now: Instant) {
-        let Some(vm) = self.table_watch.next_asked(now) else {
-            return;
-        };
-        let Some(peer) = self.members.roster.peer(&vm) else {
+        while let Some(vm) = self.table_watch.next_asked(now) {
+            let Some(peer) = self.members.roster.peer(&vm) else {
+                self.table_watch.failed(&vm);
+                continue;
+            };
+            info!(event = "config-behind", own = %self.table_version(), from = %vm);
+            self.effects.push(Effect::FetchTable(peer.clone()));
             return;
-        };
-        info!(event = "config-behind", own = %self.table_version(), from = %vm);
-        self.effects.push(Effect::FetchTable(peer.clone()));
+        }
+    }
+
+    /// Takes note that a peer did not send its configuration.
+    pub(crate) fn table_unsent(&mut self, now: Instant, vm: &VmId) {
+        self.table_watch.failed(vm);
+        self.fetch_table(now);
     }
 
     /// Returns whether a newer configuration than that in force here may hold elsewhere.
--- a/src/router/tests/behind.rs
+++ b/src/router/tests/behind.rs
@@ -13,6 +13,7 @@
 use crate::router::tests::site::CONFIRM;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
+use crate::router::tests::site::entry;
 use crate::router::tests::site::table;
 
 /// How long a router may go on with a configuration that its peers have replaced, if one of them answers.
@@ -76,6 +77,29 @@
     assert!(fetches(&site) > 1);
 }
 
+/// Guards against waiting a second after a peer that refused, or can't be asked, though others have the configuration.
+#[test]
+fn a_configuration_that_one_peer_does_not_send_is_fetched_from_another() {
+    let vms = ["router-1", "router-2", "engine-0"].map(|vm| match vm {
+        "engine-0" => entry(vm, 9100, &[("pool", "pool")]),
+        _ => entry(vm, 8001, &[("role", "router"), ("peer", "127.0.0.1:8101")]),
+    });
+    let mut site = Site::start_among(1000, vms.to_vec());
+    for vm in ["router-1", "router-2", "gone"] {
+        let beat = Heartbeat {
+            vm: vm.parse().expect("a name"),
+            table: TableVersion(2),
+            ..site.peer_beat(0)
+        };
+        site.tell(Event::Heard(beat));
+    }
+    site.pass(CATCH_UP.as_millis() as u64);
+    assert_eq!(fetches(&site), 1);
+    let refused = "router-1".parse().expect("a name");
+    site.tell(Event::TableUnsent(refused));
+    assert_eq!(fetches(&site), 2);
+}
+
 /// Guards against 404 for a route that a newer configuration has.
 #[test]
 fn an_unknown_route_is_not_denied_by_an_old_configuration() {
