Log what a denial by configuration went by: the version, and the age of the store's word

Nothing told from a VM's log whether a 404 was one by a configuration that may be old; the traces of the 404s in the list of known failures had to be guessed from other lines. One line for each request that is denied or put off for it.

--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -84,6 +84,11 @@
         self.newer.is_some() || self.confirmed.is_none_or(|at| now > at + limit)
     }
 
+    /// Returns how long ago the store last had no newer one.
+    fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns who is to be asked for a newer configuration, if it is time for that.
     fn next_asked(&mut self, now: Instant) -> Option<VmId> {
         let newer = self.newer.as_mut()?;
@@ -155,7 +160,15 @@
 
     /// Returns a refusal by the configuration, or one that promises less where a newer configuration may allow the request.
     pub(crate) fn deny(&mut self, now: Instant, kind: ProblemKind, detail: &str) -> Box<Problem> {
-        if !self.may_be_behind(now) {
+        let behind = self.may_be_behind(now);
+        info!(
+            event = "not-in-config",
+            version = %self.table_version(),
+            age_ms = self.table_watch.age(now).map(|age| age.as_millis()),
+            behind,
+            ?kind,
+        );
+        if !behind {
             return Box::new(Problem::new(kind, Ran::No, detail));
         }
         let problem = Problem::new(
