Give back what nobody else asks for at reviews alone, in small fleets too

Seen: the known red test a_dry_team_has_little_written, 29 writes of at most 14. Where a team has run dry, its routers look at the log at each step, and each look gave back another third of what idle teams hold, which another router took before the next. The one partition of grants is kept busy by it.

Of the 29 writes 14 come at reviews, and the others between them, for a team of which no other router says that it is asked for.

Change: a rest goes back between reviews only where another router says in its heartbeats that the team is asked for there.

In large fleets nothing changes.

A new test guards the other side: a rest that others ask for goes back before the next review; it fails if all rests wait."

--- a/src/router/review.rs
+++ b/src/router/review.rs
@@ -81,6 +81,11 @@
         !self.ownership.is_everyone()
     }
 
+    /// Returns whether others may wait for what lies idle here of a team's budget.
+    fn is_missed_elsewhere(&self, team: &TeamId) -> bool {
+        !self.spares_log() && self.others.demand(team) > 0.0
+    }
+
     /// Returns how many routers write grants.
     fn writers(&self) -> usize {
         match self.ownership.is_everyone() {
@@ -108,7 +113,8 @@
             let old = self.book.granted(team);
             let granted = self.wanted_grant(now, team, allowance);
             // Were rests given back at each call for another team's request, the one partition would take little else.
-            if granted < old && !due && allowance.waiting.is_empty() && self.spares_log() {
+            let is_rest = granted < old && allowance.waiting.is_empty();
+            if is_rest && !due && !self.is_missed_elsewhere(team) {
                 return None;
             }
             let opening = self.opening(now, team, allowance, granted);
--- a/src/router/tests/starved.rs
+++ b/src/router/tests/starved.rs
@@ -9,6 +9,8 @@
 use crate::ids::TeamId;
 use crate::router::Event;
 use crate::router::GrantEvent;
+use crate::router::Heartbeat;
+use crate::router::event::PurseWord;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::WALL;
 use crate::router::tests::site::payer;
@@ -120,3 +122,24 @@
     let written = written(&site, "maps") - before;
     assert!(written <= most, "{written} of at most {most} writes");
 }
+
+/// Guards against callers elsewhere who wait a whole review for what lies idle here.
+#[test]
+fn a_rest_that_others_ask_for_goes_back_before_the_next_review() {
+    let mut site = starved(&["loans"]);
+    let before = newest(&site, "maps").granted;
+    let beat = Heartbeat {
+        purses: vec![PurseWord {
+            team: "maps".parse().expect("a name"),
+            free: Tokens::ZERO,
+            demand: 100_000,
+        }],
+        ..site.peer_beat(0)
+    };
+    site.tell(Event::Heard(beat));
+    site.pass(40);
+    site.ask("stream", 900_000, 7);
+    site.pass(40);
+    let left = newest(&site, "maps").granted;
+    assert!(left < before, "{left} of {before}");
+}
