--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -22,14 +22,23 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioExecutor;
-use thiserror::Error;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::http_client::call::Call;
+use crate::http_client::call::Step;
+
+mod call;
+mod error;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use call::Patience;
+pub use error::HttpError;
+pub use error::Overdue;
+pub use error::Reached;
+
 /// How long a connection may take: between two VMs of one site it takes milliseconds, and a call that could not be sent
 /// may go elsewhere.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -37,54 +46,6 @@
 /// The longest answer that is read, in bytes; one batch of a stream's records is well below it.
 const MAX_ANSWER: usize = 64 << 20;
 
-/// Why there is no answer.
-#[derive(Debug, Error)]
-pub enum HttpError {
-    /// The URL or a header cannot be written in a request.
-    #[error("no valid request: {0}")]
-    Request(#[from] hyper::http::Error),
-    /// No connection could be had, so that nothing was sent.
-    #[error("no connection: {0}")]
-    Connect(String),
-    /// The request may have taken effect, but its answer was lost.
-    #[error("the answer was lost: {0}")]
-    Lost(String),
-    /// As [`HttpError::Lost`]: no answer came in time.
-    #[error("no answer within {0}")]
-    Timeout(Overdue),
-}
-
-/// A call whose time was over, and how far it had got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("{limit:?}: {reached}")]
-pub struct Overdue {
-    /// How long the step that it was at may take.
-    pub limit: Duration,
-    /// The last step that was done.
-    pub reached: Reached,
-}
-
-/// How far a call got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Reached {
-    /// It had no connection yet.
-    #[error("not connected")]
-    Nothing,
-    /// It had a connection, and nothing came over it.
-    #[error("connected")]
-    Connection,
-    /// The answer's head was there, and so many bytes of its body.
-    #[error("{0} bytes came")]
-    Body(usize),
-}
-
-impl HttpError {
-    /// Returns whether the request may have taken effect.
-    pub fn is_unknown(&self) -> bool {
-        matches!(self, Self::Lost(_) | Self::Timeout(_))
-    }
-}
-
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -100,8 +61,8 @@
 ///
 /// A cut of the network leaves all of them dead without a word. Tried one after another, each would cost the next call
 /// its whole time limit, and the caller would be parted for seconds longer than the network was. So a call over an idle connection
-/// that is not answered takes all idle connections with it, and the next one opens a new one. A call over a new connection
-/// that is not answered tells nothing of the others.
+/// that is not answered, or one that gets no connection, takes all idle connections with it, and the next one opens a new
+/// one. A call over a new connection that is not answered tells nothing of the others.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     connections: Arc<Mutex<Connections>>,
@@ -289,69 +250,6 @@
     }
 }
 
-/// How long a call may take.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Patience {
-    /// So long in all.
-    Whole(Duration),
-    /// So long for each step. A long answer over a slow link comes to its end so, where a limit for the whole would throw
-    /// away what has come, and the next try would begin from nothing.
-    Steps {
-        /// Until there is a connection.
-        connect: Duration,
-        /// From then to the answer's head.
-        head: Duration,
-        /// From one piece of the body to the next.
-        pause: Duration,
-    },
-}
-
-/// A step of a call.
-#[derive(Clone, Copy, Debug)]
-enum Step {
-    Connect,
-    Head,
-    Body,
-}
-
-/// A call in progress.
-#[derive(Debug)]
-struct Call {
-    begun: Instant,
-    patience: Patience,
-}
-
-impl Call {
-    fn begin(patience: Patience) -> Self {
-        Self {
-            begun: Instant::now(),
-            patience,
-        }
-    }
-
-    /// Returns until when a step may last that begins now.
-    fn deadline(&self, step: Step) -> Instant {
-        match self.patience {
-            Patience::Whole(limit) => self.begun + limit,
-            Patience::Steps { .. } => Instant::now() + self.limit(step),
-        }
-    }
-
-    fn limit(&self, step: Step) -> Duration {
-        match (self.patience, step) {
-            (Patience::Whole(limit), _) => limit,
-            (Patience::Steps { connect, .. }, Step::Connect) => connect,
-            (Patience::Steps { head, .. }, Step::Head) => head,
-            (Patience::Steps { pause, .. }, Step::Body) => pause,
-        }
-    }
-
-    fn overdue(&self, step: Step, reached: Reached) -> HttpError {
-        let limit = self.limit(step);
-        HttpError::Timeout(Overdue { limit, reached })
-    }
-}
-
 /// What came of a call.
 #[derive(Debug)]
 pub(crate) struct Outcome<T> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -151,6 +151,8 @@
 pub use http_client::Answer;
 pub use http_client::HttpClient;
 pub use http_client::HttpError;
+pub use http_client::Overdue;
+pub use http_client::Reached;
 pub use ids::AccountId;
 pub use ids::Attempt;
 pub use ids::DocName;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -124,10 +124,7 @@
         records.iter().for_each(|record| record.encode(&mut body));
         let condition = at.map(|at| format!("&at={at}")).unwrap_or_default();
         let path = format!("/api/log-append?topic={topic}&part=0{condition}");
-        let times = Times {
-            held: Duration::ZERO,
-            usual: APPEND,
-        };
+        let times = Times::at_once(APPEND);
         match self.call("POST", &path, Bytes::from(body), times).await {
             Ok(answer) => match answer.status.as_u16() {
                 200 => Append::Landed,
@@ -199,10 +196,7 @@
         let after = after.map(|key| format!("&after={}", escape(key)));
         let after = after.unwrap_or_default();
         let path = format!("/api/log-newest?topic={topic}&part=0{after}");
-        let times = Times {
-            held: Duration::ZERO,
-            usual: CALL,
-        };
+        let times = Times::at_once(CALL);
         let answer = self.call("GET", &path, Bytes::new(), times).await?;
         match answer.status.as_u16() {
             200 => serde_json::from_slice(&answer.body)
@@ -252,6 +246,16 @@
     usual: Duration,
 }
 
+impl Times {
+    /// Returns those of a call that the store answers as soon as it can.
+    fn at_once(usual: Duration) -> Self {
+        Self {
+            held: Duration::ZERO,
+            usual,
+        }
+    }
+}
+
 /// Writes a key so that it may stand in a query.
 fn escape(text: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
