--- a/src/ledger/tests/mod.rs
+++ b/src/ledger/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The model check: every history within a bound, folded by the real fold.
 
+mod records;
 mod world;
 
 use world::Step;
--- a/src/ledger/tests/world.rs
+++ b/src/ledger/tests/world.rs
@@ -12,18 +12,20 @@
 use crate::explore::Model;
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
-use crate::ids::Incarnation;
 use crate::ids::Offset;
-use crate::ids::RequestKey;
-use crate::ids::Sequence;
 use crate::ids::TeamId;
-use crate::ledger::Batch;
 use crate::ledger::Bearer;
 use crate::ledger::Claim;
 use crate::ledger::Ledger;
 use crate::ledger::Outcome;
 use crate::ledger::Record;
 use crate::ledger::Verdict;
+use crate::ledger::tests::records::batch;
+use crate::ledger::tests::records::incarnation;
+use crate::ledger::tests::records::key;
+use crate::ledger::tests::records::open;
+use crate::ledger::tests::records::team;
+use crate::ledger::tests::records::topup;
 use crate::tokens::Tokens;
 
 /// Who closes routers and tops up.
@@ -478,45 +480,6 @@
     }
 }
 
-fn incarnation(router: usize) -> Incarnation {
-    Incarnation(router as u64 + 1)
-}
-
-fn batch(router: u64, sequence: u64, record: Record) -> Batch {
-    Batch {
-        router: Incarnation(router),
-        sequence: Sequence(sequence),
-        records: vec![record],
-    }
-}
-
-fn open(vm: u64) -> Record {
-    Record::Open {
-        vm: format!("vm-{vm}").parse().expect("a name"),
-        domain: "a".parse().expect("a name"),
-        address: String::new(),
-    }
-}
-
-fn topup(number: u64, of: u64, amount: u64) -> Record {
-    Record::TopUp {
-        id: format!("topup-{number}").parse().expect("a name"),
-        team: team(of),
-        amount: Tokens(amount),
-    }
-}
-
-fn team(number: u64) -> TeamId {
-    format!("team-{number}").parse().expect("a name")
-}
-
-fn key(number: u64) -> RequestKey {
-    RequestKey {
-        account: "a".parse().expect("a name"),
-        key: format!("key-{number}").parse().expect("a name"),
-    }
-}
-
 impl Model for World {
     type Step = Step;
 
