Read pages of the ledger with a limit for each step

Looked for elsewhere: the client of the log service had one limit for a whole page, as the client of the platform's store had. Over a link on which a page takes longer a router would ask for the same page for ever, and never catch up. Not seen by callers: the deployments keep budgets by grants.

Test: a_long_page_over_a_slow_link_is_read_to_its_end fails without the change (16 bytes had come when its time was over).

--- a/src/log_client.rs
+++ b/src/log_client.rs
@@ -5,6 +5,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::StatusCode;
 use serde::Deserialize;
 use thiserror::Error;
@@ -12,8 +13,12 @@
 use crate::http_client::Answer;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
+use crate::http_client::Patience;
 use crate::ids::Offset;
 
+#[cfg(test)]
+mod tests;
+
 /// Why a record was not appended, as far as is known.
 #[derive(Debug, Error)]
 pub enum AppendError {
@@ -139,7 +144,8 @@
     ///
     /// # Errors
     ///
-    /// When the records are gone or the service does not answer within `wait` and `limit`.
+    /// When the records are gone, when the service does not begin to answer within `wait` and `limit`, and when it pauses for
+    /// longer than `limit`.
     pub async fn read(
         &self,
         stream: &str,
@@ -152,7 +158,14 @@
         let base = &self.base;
         let url =
             format!("{base}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
-        let answer = self.http.get(&url, wait + limit).await?;
+        let request = self.http.request("GET", &url).body(Full::default());
+        let patience = Patience::Steps {
+            connect: limit,
+            head: wait + limit,
+            pause: limit,
+        };
+        let request = request.map_err(HttpError::from)?;
+        let answer = self.http.exchange(request, patience).await.answer?;
         match answer.status {
             StatusCode::OK => page(&answer),
             StatusCode::GONE => {
