Read the limit that an endpoint announces, and log when a router hears of it

Sight for LIMIT: nothing in the logs tells when a router was told, so that "nobody reads the header" can't be told from "each router takes the whole rate". The adapter decodes Server-Limit once, in answers of every status; what can't be read is logged and lifts nothing. The core keeps it by the life of the endpoint and logs each change (endpoint-limit). Nothing is decided by it yet.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 //! a request ended.
 
 mod advice;
+mod announcements;
 mod borrowers;
 mod call_times;
 mod capacity;
@@ -40,6 +41,9 @@
 pub use advice::Advice;
 pub use advice::Peer;
 pub use advice::advise;
+pub use announcements::AnnouncedLimit;
+pub use announcements::Announcement;
+pub use announcements::Announcements;
 pub use borrowers::BorrowerDemand;
 pub use call_times::CallTimes;
 pub use capacity::Capacity;
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -11,6 +11,7 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
@@ -22,6 +23,7 @@
 use tracing::info;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::decide::Announcement;
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
 use crate::edge::desk::Line;
@@ -64,6 +66,9 @@
     /// Reads the head of an endpoint's answer.
     fn verdict(&self, ask: &Ask, answer: &Response<Incoming>) -> Verdict;
 
+    /// Reads what an endpoint announces about itself in the head of an answer, whatever the status.
+    fn announcement(&self, status: StatusCode, headers: &HeaderMap) -> Announcement;
+
     /// Returns how long the endpoint keeps an idle connection open, if it says so; nothing at all where it closes it.
     fn keep_alive(&self, headers: &HeaderMap) -> Option<Option<Duration>>;
 
@@ -142,7 +147,15 @@
             idle: relays.dialect.keep_alive(answer.headers()),
             connection,
         };
-        match relays.dialect.verdict(&self.ask, &answer) {
+        let verdict = relays.dialect.verdict(&self.ask, &answer);
+        // Another endpoint that has taken over the address says nothing about this one.
+        if verdict != Verdict::Moved {
+            let announcement = relays
+                .dialect
+                .announcement(answer.status(), answer.headers());
+            self.announced(run.limited, announcement);
+        }
+        match verdict {
             Verdict::Answer => Sent::Answer(Box::new(kept), Box::new(answer)),
             Verdict::Failed if run.idempotent && last.is_none() => {
                 self.failure = gather(relays, kept, answer).await;
@@ -158,6 +171,14 @@
         }
     }
 
+    /// Tells the core what the endpoint announced, unless there is nothing that could change.
+    fn announced(&self, limited: bool, announcement: Announcement) {
+        if limited || announcement != Announcement::default() {
+            let event = Event::EndpointAnnounced(self.line.id, announcement);
+            self.line.desk.tell(event);
+        }
+    }
+
     /// Tells the core that the answer began.
     pub(crate) fn started(&self) {
         let desk = &self.line.desk;
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -4,6 +4,7 @@
 
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
@@ -17,8 +18,11 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 use hyper::http::request::Parts;
+use tracing::warn;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::decide::AnnouncedLimit;
+use crate::decide::Announcement;
 use crate::decide::Prompt;
 use crate::edge::relay::Ask;
 use crate::edge::relay::Dialect;
@@ -31,6 +35,9 @@
 use crate::router::Secret;
 use crate::tokens::Tokens;
 
+#[cfg(test)]
+mod tests;
+
 /// The caller's name for one attempt, which the endpoint repeats.
 const NAME: &str = "request-id";
 
@@ -57,6 +64,9 @@
 
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// The requests a second that an endpoint takes from all routers together.
+const LIMIT: &str = "server-limit";
+
 /// What concerns one connection alone.
 const HOP: [HeaderName; 6] = [
     CONNECTION,
@@ -163,6 +173,12 @@
         }
     }
 
+    fn announcement(&self, _status: StatusCode, headers: &HeaderMap) -> Announcement {
+        Announcement {
+            limit: limit(headers),
+        }
+    }
+
     fn keep_alive(&self, headers: &HeaderMap) -> Option<Option<Duration>> {
         let connection = text(headers, CONNECTION.as_str()).unwrap_or_default();
         if connection.eq_ignore_ascii_case("close") {
@@ -202,6 +218,21 @@
     Problem::new(ProblemKind::Malformed, Ran::No, detail)
 }
 
+/// Reads the limit that an endpoint announces.
+fn limit(headers: &HeaderMap) -> AnnouncedLimit {
+    let Some(value) = headers.get(LIMIT) else {
+        return AnnouncedLimit::None;
+    };
+    let rate = value.to_str().unwrap_or_default().trim().parse();
+    match rate {
+        Ok(rate) => AnnouncedLimit::Rate(rate),
+        Err(error) => {
+            warn!(event = "header-unreadable", header = LIMIT, ?value, %error);
+            AnnouncedLimit::Unreadable
+        }
+    }
+}
+
 /// Reads how many tokens a prompt has and an answer may have; a plain service's request says nothing of them.
 fn counts(headers: &HeaderMap) -> Result<(Tokens, Tokens), Problem> {
     let Some(counts) = text(headers, COUNTS) else {
--- /dev/null
+++ b/src/platform/heads/tests.rs
@@ -0,0 +1,50 @@
+//! What endpoints announce in the heads of their answers.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+
+use crate::decide::AnnouncedLimit;
+use crate::edge::relay::Dialect;
+use crate::platform::heads::Heads;
+
+fn limit(status: u16, value: &[u8]) -> AnnouncedLimit {
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_bytes(value).expect("bytes of a header");
+    headers.insert("server-limit", value);
+    let status = StatusCode::from_u16(status).expect("a status");
+    Heads.announcement(status, &headers).limit
+}
+
+/// Guards against a limit that is heard only in answers of some statuses.
+#[test]
+fn a_limit_is_read_in_answers_of_every_status() {
+    for status in [200, 404, 409, 421, 429, 500, 503] {
+        let AnnouncedLimit::Rate(rate) = limit(status, b" 3.1 ") else {
+            panic!("no limit with status {status}");
+        };
+        assert_eq!(rate.to_string(), "3.1");
+    }
+}
+
+/// Guards against a limit that garbage lifts, or that stops the router.
+#[test]
+fn a_limit_that_cannot_be_read_is_not_a_lifted_one() {
+    let garbage: [&[u8]; 10] = [
+        b"",
+        b"-1",
+        b"nan",
+        b"inf",
+        b"1e999",
+        b"3,1",
+        b"3.1, 2",
+        b"many",
+        b"0x10",
+        b"\xff\xfe",
+    ];
+    for value in garbage {
+        assert_eq!(limit(200, value), AnnouncedLimit::Unreadable, "{value:?}");
+    }
+    let silent = Heads.announcement(StatusCode::OK, &HeaderMap::new());
+    assert_eq!(silent.limit, AnnouncedLimit::None);
+}
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -13,6 +13,7 @@
 use crate::config::Config;
 use crate::config::RouteTable;
 use crate::decide::AccountLimit;
+use crate::decide::Announcements;
 use crate::decide::ConsistencyMode;
 use crate::decide::Demand;
 use crate::decide::HoldingPolicy;
@@ -197,6 +198,8 @@
     /// Failure domains whose endpoints receive no new requests.
     pub(crate) drained_domains: DrainedDomains,
     pub(crate) cold_endpoints: ColdEndpoints,
+    /// What endpoints announced about themselves.
+    pub(crate) announcements: Announcements,
     /// Budgets granted to this router, unless the ledger accounts for them.
     pub(crate) grant_budgets: GrantBudgets,
 }
@@ -283,6 +286,7 @@
             table_watch: TableWatch::default(),
             drained_domains: DrainedDomains::default(),
             cold_endpoints: ColdEndpoints::default(),
+            announcements: Announcements::default(),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -295,6 +299,9 @@
             Event::RequestArrived(arrival) => self.handle_arrival(now, *arrival),
             Event::CallerGone(id) => self.handle_disconnect(now, id),
             Event::AnswerStarted(id) => self.record_first_token(now, id),
+            Event::EndpointAnnounced(id, announcement) => {
+                self.handle_announcement(now, id, announcement)
+            }
             Event::RunEnded(id, end) => self.handle_run_end(now, id, end),
             Event::Appended {
                 router,
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -125,6 +125,8 @@
     pub(crate) claim_wait: Duration,
     /// Whether a run whose answer breaks off may be repeated.
     pub(crate) idempotent: bool,
+    /// Whether the endpoint has announced a limit, which an answer without one may lift.
+    pub(crate) limited: bool,
     /// Further data for a request that is relayed unchanged.
     pub(crate) relay: Option<RelayRun>,
 }
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -7,6 +7,7 @@
 
 use crate::config::RouteTable;
 use crate::config::Snapshot;
+use crate::decide::Announcement;
 use crate::decide::CacheEvent;
 use crate::decide::Prompt;
 use crate::escrow::GrantKey;
@@ -39,6 +40,8 @@
     CallerGone(RequestId),
     /// The first token of an answer, or its response header, arrived from the endpoint.
     AnswerStarted(RequestId),
+    /// The head of an answer announced something about the endpoint, or no longer does.
+    EndpointAnnounced(RequestId, Announcement),
     /// A run ended; all of the answer except its end marker was sent to the caller.
     RunEnded(RequestId, RunEnd),
     /// An append to the ledger was answered by the log service, or failed.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,6 +2,7 @@
 //! The module `edge` provides sockets, files and timers.
 
 mod admin;
+mod announced;
 mod appender;
 mod arrive;
 mod budget_status;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -61,6 +61,7 @@
             priority: request.priority,
             claim_wait: request.claimed_at.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
+            limited: self.announcements.limit(&endpoint).is_some(),
             relay: request.relay_run(),
         };
         info!(event = "dispatch", request = %id, %endpoint);
