Failing tests for LIMIT: a fleet of cores and endpoints that announce limits

Both fail on this code: the endpoints get what the choice by load gives them (244 requests in 4 s in place of 12 in the second).

--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -5,6 +5,7 @@
     reason = "a test reads its start time from the system clock"
 )]
 
+mod announced;
 mod cluster;
 mod commit_timing;
 mod concurrent_attempts;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -205,8 +205,23 @@
     pub(crate) fn start_with_clock_ahead(prepaid: u64, vms: Vec<VmEntry>, ahead: Duration) -> Self {
         let now = Instant::now();
         let clock = boot_clock(1, START_TIME + ahead, now);
+        Self::start_with_tuning(prepaid, vms, site_tuning(clock), now)
+    }
+
+    /// Starts one of the serving routers of a fleet; its VM is named `router-` and its number.
+    pub(crate) fn start_member(number: usize, prepaid: u64, vms: Vec<VmEntry>) -> Self {
+        let now = Instant::now();
+        let tuning = Tuning {
+            vm: name(&format!("router-{number}")),
+            heartbeat_interval: Duration::from_millis(500),
+            ..site_tuning(boot_clock(1, START_TIME, now))
+        };
+        Self::start_with_tuning(prepaid, vms, tuning, now)
+    }
+
+    fn start_with_tuning(prepaid: u64, vms: Vec<VmEntry>, tuning: Tuning, now: Instant) -> Self {
         let mut site = Self {
-            core: Core::new(now, site_tuning(clock), 7),
+            core: Core::new(now, tuning, 7),
             now,
             started: now,
             log: Log::Up,
