Keep to the limits that endpoints announce, the whole fleet together

Cause: nothing read the announcement. Endpoints were chosen by load and health, which show an endpoint that answers all it gets as a good one. Ruled out: that each router kept to the whole rate for itself (none read it), and that only retries passed by (none in those four seconds).

The choice of an endpoint leaves out those that this router may not send to now, for first tries, retries, resumed streams and queued requests alike. A limit ends only by an answer without it to a request that was sent after it was heard, or with that life of the endpoint; unheard for 30 s it is parted among other routers. Where all endpoints of a pool have limits, requests that would wait past their deadlines are refused at once, with when their turn would come.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -1,15 +1,34 @@
 //! What endpoints announce about themselves in their answers.
 //!
 //! Handles an endpoint in trouble that announces how many requests a second it takes from all routers together. The
-//! choice by load does not show this: the endpoint answers what it gets, and all routers go on sending to it.
+//! choice by load does not show this: the endpoint answers what it gets, and all routers go on sending to it. Routers
+//! exchange what they hear in their heartbeats, so that one that has not sent anything to the endpoint knows as well,
+//! and each keeps to its own part of the rate (see [`crate::decide::rate_share`]).
 
+use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
 
+use crate::decide::rate_share::ShareBucket;
+use crate::decide::rate_share::rate_share;
 use crate::ids::VmId;
 use crate::request_rate::RequestRate;
 
+/// How many announcements a heartbeat carries at most. More than that take turns.
+const MAX_ROWS: usize = 16;
+
+/// How long a limit may go unheard before other routers get the parts of it: those that have them may have no requests
+/// for the endpoint, and would never learn that it takes more again.
+const ROUND: Duration = Duration::from_secs(30);
+
+/// How long it is remembered that a limit was lifted, or what an endpoint announced that is no longer listed. Within
+/// this time all other routers have heard of it, and lists that the store could not provide are complete again.
+const MEMORY: Duration = Duration::from_secs(60);
+
 /// What the head of an endpoint's answer says about the rate that the endpoint takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum AnnouncedLimit {
@@ -29,23 +48,86 @@
     pub limit: AnnouncedLimit,
 }
 
-/// The limit that one life of an endpoint has announced.
+/// One life of an endpoint: endpoints may restart under the same name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLife {
+    /// The endpoint.
+    pub vm: VmId,
+    /// When this life began, as its entry in the VM list says, if it says so.
+    pub birth: Option<String>,
+}
+
+/// What a router knows of an endpoint's announcements, as it tells the other routers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AnnouncementRow {
+    /// The endpoint that announced it.
+    pub life: EndpointLife,
+    /// How long ago any router heard it.
+    pub age: Duration,
+    /// The rate that the endpoint takes; `None` if it lifted its limit.
+    pub limit: Option<RequestRate>,
+}
+
+/// How many requests a router may send to some endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Allowance {
+    tokens: f64,
+    per_second: f64,
+}
+
+impl Allowance {
+    /// Returns how long the last of `count` requests has to wait, or `None` if it is never sent.
+    pub fn wait(&self, count: usize) -> Option<Duration> {
+        let missing = count as f64 - self.tokens;
+        if missing <= 0.0 {
+            return Some(Duration::ZERO);
+        }
+        Duration::try_from_secs_f64(missing / self.per_second).ok()
+    }
+}
+
+/// What one life of an endpoint has announced.
 #[derive(Clone, Debug)]
 struct Announced {
-    /// When this life of the endpoint began, where endpoints restart under the same name.
     birth: Option<String>,
     limit: Option<RequestRate>,
-    /// When the last answer that carries the limit arrived.
+    /// When any router last heard it.
     heard: Instant,
+    bucket: ShareBucket,
+    /// The round of parts that the bucket belongs to.
+    round: u64,
 }
 
 /// The announcements of all endpoints that are in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Announcements {
+    router: VmId,
+    routers: Arc<[VmId]>,
     endpoints: IndexMap<VmId, Announced>,
+    /// Position of the first row of the next heartbeat.
+    next_row: usize,
 }
 
 impl Announcements {
+    /// Creates the state of a router that has heard nothing.
+    pub fn new(router: VmId) -> Self {
+        Self {
+            routers: Arc::new([router.clone()]),
+            router,
+            endpoints: IndexMap::new(),
+            next_row: 0,
+        }
+    }
+
+    /// Sets the routers that send requests to the endpoints, this one among them.
+    pub fn set_routers(&mut self, now: Instant, routers: Arc<[VmId]>) {
+        if self.routers == routers {
+            return;
+        }
+        self.routers = routers;
+        self.share_out(now, |_| true);
+    }
+
     /// Records what an endpoint announced in the answer to a request that was sent to it at `sent`. Returns whether its
     /// limit changed.
     ///
@@ -54,8 +136,7 @@
     pub fn record(
         &mut self,
         now: Instant,
-        vm: &VmId,
-        birth: Option<&str>,
+        life: &EndpointLife,
         sent: Instant,
         announcement: Announcement,
     ) -> bool {
@@ -64,24 +145,179 @@
             AnnouncedLimit::None => None,
             AnnouncedLimit::Rate(rate) => Some(rate),
         };
-        let known = self.endpoints.get(vm);
-        let known = known.filter(|known| known.birth.as_deref() == birth);
+        let known = self.known(life);
         let before = known.and_then(|known| known.limit);
         let crossed = known.is_some_and(|known| sent < known.heard);
         if limit.is_none() && (before.is_none() || crossed) {
             return false;
         }
-        let announced = Announced {
-            birth: birth.map(str::to_owned),
-            limit,
-            heard: now,
-        };
-        self.endpoints.insert(vm.clone(), announced);
+        self.put(now, life, limit, now);
         limit != before
     }
 
+    /// Takes over what another router knows, if it was heard later. Returns whether the endpoint's limit changed.
+    pub fn merge(&mut self, now: Instant, row: &AnnouncementRow) -> bool {
+        let Some(heard) = now.checked_sub(row.age) else {
+            return false;
+        };
+        let known = self.known(&row.life);
+        if known.map_or(row.limit.is_none(), |known| heard <= known.heard) {
+            return false;
+        }
+        let before = known.and_then(|known| known.limit);
+        self.put(now, &row.life, row.limit, heard);
+        row.limit != before
+    }
+
+    /// Returns what the next heartbeat tells the other routers.
+    pub fn rows(&self, now: Instant) -> Vec<AnnouncementRow> {
+        let all = self.endpoints.iter().cycle().skip(self.next_row);
+        let rows = all.take(self.endpoints.len().min(MAX_ROWS));
+        let rows = rows.map(|(vm, announced)| AnnouncementRow {
+            life: EndpointLife {
+                vm: vm.clone(),
+                birth: announced.birth.clone(),
+            },
+            age: now.saturating_duration_since(announced.heard),
+            limit: announced.limit,
+        });
+        rows.collect()
+    }
+
+    /// Moves on to the rows of the next heartbeat, and drops what is no longer needed; `birth` returns when the current
+    /// life of a listed endpoint began.
+    pub fn advance<F>(&mut self, now: Instant, birth: F)
+    where
+        F: Fn(&VmId) -> Option<Option<String>>,
+    {
+        self.endpoints.retain(|vm, announced| {
+            let old = now >= announced.heard + MEMORY;
+            match birth(vm) {
+                Some(birth) => birth == announced.birth && !(old && announced.limit.is_none()),
+                None => !old,
+            }
+        });
+        self.next_row = match self.endpoints.len() {
+            0 => 0,
+            count => (self.next_row + MAX_ROWS) % count,
+        };
+        self.share_out(now, |announced| announced.round != announced.round_at(now));
+    }
+
     /// Returns the limit that an endpoint announced and has not lifted since.
     pub fn limit(&self, vm: &VmId) -> Option<RequestRate> {
         self.endpoints.get(vm)?.limit
     }
+
+    /// Returns the endpoints to which this router may not send a request now.
+    pub fn closed(&self, now: Instant) -> Vec<VmId> {
+        let limited = self.endpoints.iter().filter(|(_, a)| a.limit.is_some());
+        let closed = limited.filter(|(_, announced)| !announced.bucket.admits(now));
+        closed.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Returns how many requests this router may send to some endpoints in all, if all of them have announced limits.
+    pub fn allowance<'a, I>(&self, now: Instant, endpoints: I) -> Option<Allowance>
+    where
+        I: IntoIterator<Item = &'a VmId>,
+    {
+        let mut allowance = None;
+        for vm in endpoints {
+            let announced = self.endpoints.get(vm);
+            let announced = announced.filter(|announced| announced.limit.is_some())?;
+            let sum = allowance.get_or_insert(Allowance::default());
+            sum.tokens += announced.bucket.tokens_at(now);
+            sum.per_second += announced.bucket.per_second();
+        }
+        allowance
+    }
+
+    /// Counts a request that is sent to an endpoint.
+    pub fn record_send(&mut self, now: Instant, vm: &VmId) {
+        if let Some(announced) = self.endpoints.get_mut(vm)
+            && announced.limit.is_some()
+        {
+            announced.bucket.record_send(now);
+        }
+    }
+
+    /// Divides the limits that `due` selects among the routers.
+    fn share_out<F>(&mut self, now: Instant, due: F)
+    where
+        F: Fn(&Announced) -> bool,
+    {
+        let fleet = Fleet {
+            router: &self.router,
+            routers: &self.routers,
+        };
+        let changed = self.endpoints.iter_mut();
+        for (vm, announced) in changed.filter(|(_, announced)| due(announced)) {
+            announced.share_out(now, vm, &fleet);
+        }
+    }
+
+    fn known(&self, life: &EndpointLife) -> Option<&Announced> {
+        let known = self.endpoints.get(&life.vm);
+        known.filter(|known| known.birth == life.birth)
+    }
+
+    fn put(
+        &mut self,
+        now: Instant,
+        life: &EndpointLife,
+        limit: Option<RequestRate>,
+        heard: Instant,
+    ) {
+        let fleet = Fleet {
+            router: &self.router,
+            routers: &self.routers,
+        };
+        let announced = self.endpoints.entry(life.vm.clone());
+        let announced = announced.or_insert_with(|| Announced::new(now, life));
+        if announced.birth != life.birth {
+            *announced = Announced::new(now, life);
+        }
+        announced.heard = heard;
+        if announced.limit != limit {
+            announced.set_limit(now, limit);
+            announced.share_out(now, &life.vm, &fleet);
+        }
+    }
+}
+
+/// The routers among which rates are divided, and this one of them.
+struct Fleet<'a> {
+    router: &'a VmId,
+    routers: &'a [VmId],
+}
+
+impl Announced {
+    fn new(now: Instant, life: &EndpointLife) -> Self {
+        Self {
+            birth: life.birth.clone(),
+            limit: None,
+            heard: now,
+            bucket: ShareBucket::new(now),
+            round: 0,
+        }
+    }
+
+    fn set_limit(&mut self, now: Instant, limit: Option<RequestRate>) {
+        if self.limit.is_none() {
+            self.bucket = ShareBucket::new(now);
+        }
+        self.limit = limit;
+    }
+
+    /// Computes this router's part of the rate.
+    fn share_out(&mut self, now: Instant, vm: &VmId, fleet: &Fleet<'_>) {
+        self.round = self.round_at(now);
+        let part = |rate| rate_share(rate, fleet.routers, fleet.router, vm, self.round);
+        self.bucket.set_share(now, self.limit.and_then(part));
+    }
+
+    /// Returns the round of parts that the limit is in at a time.
+    fn round_at(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.heard).as_secs() / ROUND.as_secs()
+    }
 }
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -223,6 +223,12 @@
         self.endpoints.keys()
     }
 
+    /// Returns the endpoints that are not leaving.
+    pub fn staying(&self) -> impl Iterator<Item = &VmId> {
+        let staying = self.endpoints.iter().filter(|(_, e)| !e.leaving);
+        staying.map(|(vm, _)| vm)
+    }
+
     /// Returns the estimated number of requests at an endpoint.
     pub fn load(&self, now: Instant, vm: &VmId) -> Option<u32> {
         self.endpoints.get(vm).map(|e| e.load(now) as u32)
--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -7,13 +7,11 @@
 //! large fleet would leave each less than one request, and a burst that reaches all routers would use all shares at
 //! once.
 
-use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
+use crate::decide::rendezvous::is_selected;
 use crate::ids::VmId;
 
 /// The period that an endpoint's rate refers to.
@@ -76,13 +74,6 @@
     if count <= rate {
         return rate / count.max(1);
     }
-    let seed = xxh3_64_with_seed(endpoint.as_str().as_bytes(), 0);
-    let own = rank(seed, router);
-    let before = routers.iter().filter(|vm| rank(seed, vm) < own);
-    u32::from(before.count() < rate as usize)
-}
-
-/// Returns a router's rank among those that may send to an endpoint, lowest first.
-fn rank(seed: u64, vm: &VmId) -> (Reverse<u64>, &VmId) {
-    (Reverse(xxh3_64_with_seed(vm.as_str().as_bytes(), seed)), vm)
+    let selected = is_selected(rate as usize, routers, router, endpoint, 0);
+    u32::from(selected)
 }
--- /dev/null
+++ b/src/decide/rendezvous.rs
@@ -0,0 +1,27 @@
+//! Selection of a few routers for an endpoint, which all routers compute alike.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::VmId;
+
+/// Returns whether a router is among the `count` routers that are selected for an endpoint by rendezvous hashing; each
+/// `round` selects others.
+pub(super) fn is_selected(
+    count: usize,
+    routers: &[VmId],
+    router: &VmId,
+    endpoint: &VmId,
+    round: u64,
+) -> bool {
+    let seed = xxh3_64_with_seed(endpoint.as_str().as_bytes(), round);
+    let own = rank(seed, router);
+    let before = routers.iter().filter(|vm| rank(seed, vm) < own);
+    before.count() < count
+}
+
+/// Returns a router's rank among those that may send to an endpoint, lowest first.
+fn rank(seed: u64, vm: &VmId) -> (Reverse<u64>, &VmId) {
+    (Reverse(xxh3_64_with_seed(vm.as_str().as_bytes(), seed)), vm)
+}
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -225,11 +225,13 @@
         beat.as_ref().is_some_and(|(_, beat)| beat.serving)
     }
 
-    /// Returns what this router last said of itself, with the time of day that it is now.
+    /// Returns what this router last said of itself, with the time of day and the ages that hold now.
     pub(crate) fn beat(&self, now: Instant) -> Option<Heartbeat> {
-        let (said, beat) = lock(&self.beat).clone()?;
-        let clock = beat.clock + now.saturating_duration_since(said);
-        Some(Heartbeat { clock, ..beat })
+        let (said, mut beat) = lock(&self.beat).clone()?;
+        let passed = now.saturating_duration_since(said);
+        beat.clock += passed;
+        beat.announced.iter_mut().for_each(|row| row.age += passed);
+        Some(beat)
     }
 
     pub(crate) fn set_beat(&self, now: Instant, beat: Heartbeat) {
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -1,15 +1,31 @@
-//! Applies what endpoints announce about themselves.
+//! Applies what endpoints announce about themselves, heard from them or from other routers.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
 use tracing::info;
 
 use crate::decide::Announcement;
+use crate::decide::AnnouncementRow;
+use crate::decide::EndpointLife;
+use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::core::Core;
 use crate::router::pool::BORN_LABEL;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
 use crate::router::request::State;
+use crate::router::vm_index::VmIndex;
+
+/// When a caller may return if this router has no part of the rate that the endpoints take: another router has one.
+const NO_SHARE_RETRY: Duration = Duration::from_secs(1);
+
+/// The upper bound of the random factor on the time in a refusal, so that callers refused together do not all return
+/// together.
+const RETRY_JITTER: f64 = 1.5;
 
 impl Core {
     /// Records what the endpoint that runs a request announced in the head of its answer.
@@ -23,23 +39,110 @@
             return;
         };
         let State::Running {
-            endpoint, since, ..
+            endpoint,
+            birth,
+            since,
+            ..
         } = &request.state
         else {
             return;
         };
-        let (vm, since) = (endpoint.clone(), *since);
-        let birth = self.endpoint_birth(&vm);
-        let announced = &mut self.announcements;
-        if announced.record(now, &vm, birth.as_deref(), since, announcement) {
-            let limit = announced.limit(&vm).map(tracing::field::display);
-            info!(event = "endpoint-limit", request = %id, endpoint = %vm, limit);
+        let since = *since;
+        let life = EndpointLife {
+            vm: endpoint.clone(),
+            birth: birth.clone(),
+        };
+        if !self.is_current(&life) {
+            return;
+        }
+        if self.announcements.record(now, &life, since, announcement) {
+            self.log_limit(&life.vm, &self.tuning.vm);
+            self.apply_announcements(now);
+        }
+    }
+
+    /// Takes over what another router heard of endpoints.
+    pub(crate) fn merge_announcements(
+        &mut self,
+        now: Instant,
+        from: &VmId,
+        rows: &[AnnouncementRow],
+    ) {
+        let mut changed = false;
+        for row in rows {
+            if self.is_current(&row.life) && self.announcements.merge(now, row) {
+                self.log_limit(&row.life.vm, from);
+                changed = true;
+            }
+        }
+        if changed {
+            self.apply_announcements(now);
         }
     }
 
-    /// Returns when an endpoint's current life began, if endpoints restart under the same name.
-    fn endpoint_birth(&self, vm: &VmId) -> Option<String> {
-        let entry = self.members.vm_index.entry(vm)?;
-        entry.labels.get(BORN_LABEL).map(str::to_owned)
+    /// Serves or refuses the waiting requests after a change.
+    fn apply_announcements(&mut self, now: Instant) {
+        self.serve_all_queues(now);
+        let pools: Vec<_> = self.pools.keys().cloned().collect();
+        for pool in pools {
+            self.refuse_limited_requests(now, &pool);
+        }
     }
+
+    /// Refuses those requests that wait for a pool, all of whose endpoints announced limits, and that would wait past
+    /// their deadlines.
+    pub(crate) fn refuse_limited_requests(&mut self, now: Instant, pool: &PoolId) {
+        let Some(pool) = self.pools.get(pool).filter(|pool| !pool.places.is_empty()) else {
+            return;
+        };
+        let endpoints = pool.picker.chooser.staying();
+        let Some(allowance) = self.announcements.allowance(now, endpoints) else {
+            return;
+        };
+        let mut late = Vec::new();
+        let mut kept = 0;
+        for id in pool.places.keys() {
+            let wait = allowance.wait(kept + 1);
+            let deadline = self.requests.get(id).map(|request| request.deadline);
+            if wait.is_none_or(|wait| deadline.is_none_or(|at| now + wait >= at)) {
+                late.push((*id, wait.unwrap_or(NO_SHARE_RETRY)));
+            } else {
+                kept += 1;
+            }
+        }
+        for (id, wait) in late {
+            let detail = "its endpoints announced that they take fewer requests";
+            let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+            let spread = self.rng.random_range(1.0..RETRY_JITTER);
+            self.refuse_with(now, id, problem.with_retry(wait.mul_f64(spread)));
+        }
+    }
+
+    /// Prepares the announcements for the next heartbeat.
+    pub(crate) fn advance_announcements(&mut self, now: Instant) {
+        let index = &self.members.vm_index;
+        self.announcements.advance(now, |vm| birth(index, vm));
+    }
+
+    /// Returns when the current life of a listed endpoint began, if its entry says so.
+    pub(crate) fn endpoint_birth(&self, vm: &VmId) -> Option<Option<String>> {
+        birth(&self.members.vm_index, vm)
+    }
+
+    /// Returns whether the VM list has this life of an endpoint, and not an earlier or later one.
+    fn is_current(&self, life: &EndpointLife) -> bool {
+        self.endpoint_birth(&life.vm)
+            .is_some_and(|birth| birth == life.birth)
+    }
+
+    fn log_limit(&self, endpoint: &VmId, from: &VmId) {
+        let limit = self.announcements.limit(endpoint);
+        let limit = limit.map(tracing::field::display);
+        info!(event = "endpoint-limit", %endpoint, limit, %from);
+    }
+}
+
+fn birth(index: &VmIndex, vm: &VmId) -> Option<Option<String>> {
+    let entry = index.entry(vm)?;
+    Some(entry.labels.get(BORN_LABEL).map(str::to_owned))
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -286,7 +286,7 @@
             table_watch: TableWatch::default(),
             drained_domains: DrainedDomains::default(),
             cold_endpoints: ColdEndpoints::default(),
-            announcements: Announcements::default(),
+            announcements: Announcements::new(tuning.vm.clone()),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -8,6 +8,7 @@
 use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::decide::Announcement;
+use crate::decide::AnnouncementRow;
 use crate::decide::CacheEvent;
 use crate::decide::Prompt;
 use crate::escrow::GrantKey;
@@ -343,7 +344,7 @@
 }
 
 /// State that routers exchange periodically.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Heartbeat {
     /// The sender's VM.
     pub(crate) vm: VmId,
@@ -362,6 +363,8 @@
     pub(crate) clock: Duration,
     /// Its budgets, if they are granted.
     pub(crate) purses: Vec<TeamBudget>,
+    /// What endpoints announced about themselves, some of it if it is much.
+    pub(crate) announced: Vec<AnnouncementRow>,
 }
 
 /// One team's budget at a router.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -267,6 +267,8 @@
             return;
         }
         self.update_routers();
+        let routers = self.members.vm_index.serving_vms();
+        self.announcements.set_routers(now, routers);
         self.rebuild_pools(now);
         self.update_retry_limit();
         if let Accounting::Grants(_) = self.tuning.accounting {
@@ -289,6 +291,7 @@
         self.send_config(now, &beat);
         self.note_peer_table(now, &beat);
         self.update_drained(now, &beat.drained);
+        self.merge_announcements(now, &beat.vm, &beat.announced);
         let before = self.members.heartbeats.insert(beat.vm.clone(), (now, beat));
         if before.is_none() {
             self.grant_budgets.request_refresh();
@@ -328,6 +331,7 @@
                 Accounting::Grants(_) => self.grant_budgets.budget_report(now),
                 Accounting::Ledger => Vec::new(),
             },
+            announced: self.announcements.rows(now),
         }
     }
 
@@ -354,6 +358,7 @@
             Accounting::Ledger => self.members.vm_index.peers().to_vec(),
         };
         self.members.heartbeat_sent = Some(now);
+        self.advance_announcements(now);
         self.effects
             .push(Effect::SendHeartbeat(self.heartbeat(now), peers));
         // A router that is partitioned from its peers, but not from the log, would otherwise be closed for its silence.
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -36,6 +36,8 @@
     pub(crate) domain: &'a DomainId,
     /// VMs of all routers.
     pub(crate) routers: &'a [VmId],
+    /// Endpoints that announced that they take no request from this router now.
+    pub(crate) closed: &'a [VmId],
 }
 
 impl Picker {
@@ -62,7 +64,8 @@
         R: Rng,
     {
         let blocks = prompt_blocks(request);
-        let forbidden = self.forbidden(request, quarantine, context);
+        let mut forbidden = self.forbidden(request, quarantine, context);
+        forbidden.extend_from_slice(context.closed);
         let avoided = quarantine.avoided_endpoints(request.fingerprint);
         let mut choose = |excluded: &[VmId]| {
             let criteria = Criteria {
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -212,6 +212,7 @@
             return None;
         }
         let routers = self.members.vm_index.serving_vms();
+        let closed = self.announcements.closed(now);
         let Self {
             pools,
             requests,
@@ -231,6 +232,7 @@
                 router: &tuning.vm,
                 domain: &tuning.domain,
                 routers: &routers,
+                closed: &closed,
             };
             chosen = picker.pick(now, request, usage, quarantine, &context, rng);
             chosen.is_some()
@@ -248,6 +250,7 @@
             router: &self.tuning.vm,
             domain: &self.tuning.domain,
             routers: &routers,
+            closed: &self.announcements.closed(now),
         };
         let choice = pool.picker.pick(
             now,
@@ -267,6 +270,7 @@
             return;
         };
         self.quarantine.start(request.fingerprint, &choice.endpoint);
+        self.announcements.record_send(now, &choice.endpoint);
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let blocks = prompt_blocks(request);
             pool.picker.chooser.start(now, &choice.endpoint);
@@ -283,6 +287,7 @@
             endpoint,
             since,
             first_token,
+            ..
         } = &request.state
         else {
             return;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -129,6 +129,8 @@
     Running {
         /// The endpoint that runs it.
         endpoint: VmId,
+        /// When that endpoint's life began, if its entry in the VM list says so.
+        birth: Option<String>,
         /// When it was dispatched.
         since: Instant,
         /// When its first token, or the head of its answer, arrived.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -45,10 +45,12 @@
             self.retry_or_refuse(now, id, None);
             return;
         };
+        let birth = self.endpoint_birth(&endpoint).flatten();
         let request = &mut self.requests[&id];
         request.dispatched = true;
         request.state = State::Running {
             endpoint: endpoint.clone(),
+            birth,
             since: now,
             first_token: None,
         };
@@ -75,6 +77,7 @@
                 first_token,
                 since,
                 endpoint,
+                ..
             } = &mut request.state
         {
             if first_token.is_none() {
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -7,15 +7,22 @@
 
 use crate::decide::AnnouncedLimit;
 use crate::decide::Announcement;
+use crate::decide::AnnouncementRow;
+use crate::decide::EndpointLife;
 use crate::ids::RequestId;
 use crate::ids::VmId;
+use crate::request_rate::RequestRate;
 use crate::router::Effect;
 use crate::router::Event;
+use crate::router::Heartbeat;
+use crate::router::ProblemKind;
+use crate::router::Ran;
 use crate::router::Run;
 use crate::router::RunEnd;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::entry;
 use crate::vms::VmEntry;
+use crate::vms::VmList;
 
 /// How long one step of the simulation takes.
 const STEP: Duration = Duration::from_millis(20);
@@ -210,6 +217,11 @@
     }
 }
 
+/// Returns the limit of an endpoint that a router knows.
+fn limit(site: &Site, number: usize) -> Option<RequestRate> {
+    site.core.announcements.limit(&endpoint(number))
+}
+
 /// Guards against routers that choose an endpoint by its load alone, or take its whole limit each for themselves.
 #[test]
 fn routers_together_keep_to_an_announced_limit() {
@@ -239,3 +251,131 @@
         assert!(most <= allowed(1.1), "{most} to {vm}");
     }
 }
+
+/// Guards against a limit that outlives the endpoint's trouble.
+#[test]
+fn a_lifted_limit_is_used_up_again() {
+    for rate in [3.1, 0.0] {
+        let mut fleet = Fleet::start(6, 2);
+        fleet.limits.insert(endpoint(0), rate);
+        fleet.run(20.0, 60.0);
+        fleet.limits.clear();
+        // The lowest rate that is assumed is one request in ten seconds.
+        fleet.run(45.0, 60.0);
+        let since = fleet.elapsed;
+        fleet.run(4.0, 60.0);
+        let received = fleet.received_since(&endpoint(0), since);
+        assert!(received > 60, "{received} after a limit of {rate}");
+        let known = fleet.sites.iter().filter(|site| limit(site, 0).is_some());
+        assert_eq!(known.count(), 0, "routers that still know a limit");
+    }
+}
+
+/// Guards against routers that have to be told by the endpoint itself, each with requests that are too many.
+#[test]
+fn a_limit_is_learned_from_other_routers() {
+    let mut fleet = Fleet::start(30, 2);
+    fleet.limits.insert(endpoint(0), 2.0);
+    let site = &mut fleet.sites[0];
+    let run = (0..20).find_map(|_| {
+        let id = site.send("again", 0, 0);
+        let runs = site.runs(id);
+        runs.last()
+            .is_some_and(|run| run.endpoint == endpoint(0))
+            .then_some(id)
+    });
+    let rate = 2.0.try_into().expect("a rate");
+    let limit_named = Announcement {
+        limit: AnnouncedLimit::Rate(rate),
+    };
+    let id = run.expect("one goes to the endpoint");
+    site.handle(Event::EndpointAnnounced(id, limit_named));
+    fleet.run(2.0, 0.0);
+    let known = fleet
+        .sites
+        .iter()
+        .filter(|site| limit(site, 0) == Some(rate));
+    assert_eq!(known.count(), 30);
+}
+
+/// Guards against requests that wait until their deadlines for endpoints that take too few.
+#[test]
+fn a_request_that_no_limit_leaves_room_for_is_refused_at_once() {
+    let mut fleet = Fleet::start(1, 2);
+    fleet.limits.insert(endpoint(0), 1.0);
+    fleet.limits.insert(endpoint(1), 0.5);
+    fleet.run(3.0, 60.0);
+    let site = &mut fleet.sites[0];
+    let ids: Vec<_> = (0..20).map(|_| site.send("again", 0, 0)).collect();
+    let waiting = ids.iter().filter(|id| site.refusal(**id).is_none());
+    // Both endpoints together take three requests within the timeout, and each may hold one more token.
+    assert!(waiting.count() <= 5);
+    for id in ids {
+        let Some(problem) = site.refusal(id) else {
+            continue;
+        };
+        let retry = problem.retry.expect("when to come back");
+        assert_eq!(
+            (problem.kind, problem.ran),
+            (ProblemKind::NoEndpoint, Ran::No)
+        );
+        assert!(
+            retry > Duration::ZERO && retry < Duration::from_secs(10),
+            "{retry:?}"
+        );
+    }
+}
+
+/// Guards against a restarted endpoint that is held to the limit of its former life.
+#[test]
+fn a_restarted_endpoint_is_not_limited_by_its_former_life() {
+    let list = |born: &str, as_of| {
+        let labels = [("pool", "pool"), ("born", born)];
+        let vms = vec![entry("engine-0", 9100, &labels)];
+        Event::VmList(VmList { as_of, vms })
+    };
+    let mut site = Site::start(1_000_000);
+    site.handle(list("1", 2));
+    let late = site.send("again", 0, 0);
+    let id = site.send("again", 0, 0);
+    let limited = Announcement {
+        limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+    };
+    site.handle(Event::EndpointAnnounced(id, limited));
+    assert!(limit(&site, 0).is_some());
+    site.handle(list("2", 3));
+    site.advance(200);
+    assert_eq!(limit(&site, 0), None);
+    // The answer to a request of the former life arrives late, and a peer has not heard of the restart yet.
+    site.handle(Event::EndpointAnnounced(late, limited));
+    let row = AnnouncementRow {
+        life: EndpointLife {
+            vm: endpoint(0),
+            birth: Some("1".to_owned()),
+        },
+        age: Duration::ZERO,
+        limit: Some(0.5.try_into().expect("a rate")),
+    };
+    let beat = Heartbeat {
+        announced: vec![row],
+        ..site.peer_heartbeat(0)
+    };
+    site.handle(Event::HeartbeatReceived(beat));
+    assert_eq!(limit(&site, 0), None);
+}
+
+/// Guards against a limit that is dropped because the answer to an earlier request arrives after it was announced.
+#[test]
+fn an_answer_that_was_overtaken_lifts_no_limit() {
+    let mut site = Site::start(1_000_000);
+    let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
+    let at_endpoint = |id: &RequestId| site.runs(*id)[0].endpoint == endpoint(0);
+    let ids: Vec<_> = ids.into_iter().filter(at_endpoint).collect();
+    let limited = Announcement {
+        limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+    };
+    site.advance(100);
+    site.handle(Event::EndpointAnnounced(ids[0], limited));
+    site.handle(Event::EndpointAnnounced(ids[1], Announcement::default()));
+    assert!(limit(&site, 0).is_some());
+}
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -347,6 +347,7 @@
                 drained: DrainedDomains::default(),
                 clock: self.wall_clock(),
                 purses: Vec::new(),
+                announced: Vec::new(),
             }));
         }
     }
@@ -386,6 +387,7 @@
                 free: Tokens(free),
                 demand: 0,
             }],
+            announced: Vec::new(),
         }
     }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -14,6 +14,7 @@
 mod prefill;
 mod priority_demand;
 mod queue;
+mod rate_share;
 mod release_limit;
 mod round_trips;
 mod router;
