Endure a Retry-After that is no time

An endpoint's answer with Not-Executed and a Retry-After that is negative, not a number or too large ended the task of the request by a panic, and its caller got no answer: the number was turned into a time unchecked. Both edges now read the header by one function; what can't be read is logged and counts as absent, and more than an hour counts as an hour.

--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -9,13 +9,13 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
-use hyper::header::RETRY_AFTER;
 use hyper::http::request::Builder;
 use serde::Deserialize;
 use serde_json::json;
 use tracing::warn;
 
 use crate::edge::desk::Desk;
+use crate::edge::retry_after::retry_after;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
 use crate::ids::RequestId;
@@ -110,12 +110,7 @@
 
 /// Reads an engine's refusal: one that is busy or has not the model did not run the request.
 pub(crate) fn refusal(answer: &Response<Incoming>) -> RunEnd {
-    let retry = answer
-        .headers()
-        .get(RETRY_AFTER)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.parse().ok())
-        .map(Duration::from_secs);
+    let retry = retry_after(answer.headers());
     match answer.status().as_u16() {
         400..=499 | 503 => RunEnd::NotRun { retry },
         _ => RunEnd::Failed {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -24,6 +24,7 @@
 mod pump;
 pub(crate) mod relay;
 mod render;
+pub(crate) mod retry_after;
 mod sse;
 pub(crate) mod tell;
 #[cfg(test)]
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -12,7 +12,6 @@
 use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use hyper::header::RETRY_AFTER;
 use hyper::header::TE;
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
@@ -27,6 +26,7 @@
 use crate::edge::relay::Ask;
 use crate::edge::relay::Dialect;
 use crate::edge::relay::Verdict;
+use crate::edge::retry_after::retry_after;
 use crate::router::Problem;
 use crate::router::ProblemKind;
 use crate::router::Ran;
@@ -160,11 +160,7 @@
             return Verdict::Moved;
         }
         if headers.contains_key(NOT_RUN) {
-            let retry = text(headers, RETRY_AFTER.as_str());
-            let retry = retry
-                .and_then(|s| s.parse().ok())
-                .map(Duration::from_secs_f64);
-            return Verdict::NotRun(retry);
+            return Verdict::NotRun(retry_after(headers));
         }
         match named {
             None => Verdict::Foreign,
