Endure an endless idle time in an endpoint's answer

A keep-alive time of 2^64 seconds, added to the clock when the connection is kept, ended the task of the request before its caller had the answer. It is cut short to an hour.

a_very_long_idle_time_is_cut_short failed before (18446744073709551615s).

--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -64,6 +64,9 @@
 
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// The longest time for which an idle connection is kept.
+const MAX_IDLE: Duration = Duration::from_secs(3600);
+
 /// The requests a second that an endpoint takes from all routers together.
 const LIMIT: &str = "server-limit";
 
@@ -184,10 +187,8 @@
         let idle = idle
             .split(',')
             .find_map(|part| part.trim().strip_prefix("timeout="));
-        Some(
-            idle.and_then(|idle| idle.parse().ok())
-                .map(Duration::from_secs),
-        )
+        let idle = idle.and_then(|idle| idle.parse().ok());
+        Some(idle.map(|secs| Duration::from_secs(secs).min(MAX_IDLE)))
     }
 
     fn strip(&self, headers: &mut HeaderMap) {
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -1,5 +1,7 @@
 //! What endpoints announce in the heads of their answers.
 
+use std::time::Duration;
+
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -48,3 +50,13 @@
     let silent = Heads.announcement(StatusCode::OK, &HeaderMap::new());
     assert_eq!(silent.limit, AnnouncedLimit::None);
 }
+
+/// Guards against an idle time so long that adding it to the clock stops the task of a request.
+#[test]
+fn a_very_long_idle_time_is_cut_short() {
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_static("timeout=18446744073709551615");
+    headers.insert("keep-alive", value);
+    let idle = Heads.keep_alive(&headers).flatten().expect("a time");
+    assert!(idle <= Duration::from_secs(3600), "{idle:?}");
+}
