Count the tokens of a prompt's parts without overflow

a_prompt_of_too_many_tokens_is_counted_as_the_most panicked before (attempt to add with overflow, in a test build).

--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -251,7 +251,8 @@
         let (id, tokens) = part.trim().split_once(':')?;
         let id = u64::from_str_radix(id, 16).ok()?;
         prompt.shared = xxh3_64_with_seed(&id.to_le_bytes(), prompt.shared);
-        prompt.shared_tokens += tokens.parse::<u64>().ok()?;
+        let tokens = tokens.parse().ok()?;
+        prompt.shared_tokens = prompt.shared_tokens.saturating_add(tokens);
     }
     prompt.own_tokens = input.saturating_sub(prompt.shared_tokens);
     Some(prompt)
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -9,6 +9,7 @@
 use crate::decide::AnnouncedLimit;
 use crate::edge::relay::Dialect;
 use crate::platform::heads::Heads;
+use crate::platform::heads::prompt;
 
 fn limit(status: u16, value: &[u8]) -> AnnouncedLimit {
     let mut headers = HeaderMap::new();
@@ -60,3 +61,14 @@
     let idle = Heads.keep_alive(&headers).flatten().expect("a time");
     assert!(idle <= Duration::from_secs(3600), "{idle:?}");
 }
+
+/// Guards against counts of tokens that overflow.
+#[test]
+fn a_prompt_of_too_many_tokens_is_counted_as_the_most() {
+    let most = u64::MAX;
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_str(&format!("1:{most},2:{most},3:5")).expect("a header");
+    headers.insert("prompt-prefix", value);
+    let prompt = prompt(&headers, 10).expect("a prompt");
+    assert_eq!((prompt.shared_tokens, prompt.own_tokens), (most, 0));
+}
