Read that an endpoint leaves from its answers, and log when a router hears of it

Decoded in answers of every status, kept by the life of the endpoint, told to the other routers by heartbeats, logged once (endpoint-leaving). Nothing is decided by it yet.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -46,6 +46,24 @@
 pub struct Announcement {
     /// The rate of requests that it takes.
     pub limit: AnnouncedLimit,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// What a router did not know before of an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Whether its limit is new, changed or lifted.
+    pub limit: bool,
+    /// Whether it turned out to be leaving.
+    pub leaving: bool,
+}
+
+impl Changes {
+    /// Returns whether there is any.
+    pub fn any(self) -> bool {
+        self.limit || self.leaving
+    }
 }
 
 /// One life of an endpoint: endpoints may restart under the same name.
@@ -64,8 +82,10 @@
     pub life: EndpointLife,
     /// How long ago any router heard it.
     pub age: Duration,
-    /// The rate that the endpoint takes; `None` if it lifted its limit.
+    /// The rate that the endpoint takes; `None` if it lifted its limit or had none.
     pub limit: Option<RequestRate>,
+    /// Whether the endpoint is leaving.
+    pub leaving: bool,
 }
 
 /// How many requests a router may send to some endpoints.
@@ -91,7 +111,8 @@
 struct Announced {
     birth: Option<String>,
     limit: Option<RequestRate>,
-    /// When any router last heard it.
+    leaving: bool,
+    /// When any router last heard about the limit.
     heard: Instant,
     bucket: ShareBucket,
     /// The round of parts that the bucket belongs to.
@@ -128,45 +149,51 @@
         self.share_out(now, |_| true);
     }
 
-    /// Records what an endpoint announced in the answer to a request that was sent to it at `sent`. Returns whether its
-    /// limit changed.
+    /// Records what an endpoint announced in the answer to a request that was sent to it at `sent`, and returns what is
+    /// new.
     ///
     /// Answers overtake each other, so that one without a limit lifts it only if its request was sent after the limit
-    /// had been heard.
+    /// had been heard. An endpoint that leaves does not come back in the same life.
     pub fn record(
         &mut self,
         now: Instant,
         life: &EndpointLife,
         sent: Instant,
         announcement: Announcement,
-    ) -> bool {
+    ) -> Changes {
+        let known = self.known(life);
+        let limited = known.is_some_and(|known| known.limit.is_some());
+        let overtaken = known.is_some_and(|known| sent < known.heard);
         let limit = match announcement.limit {
-            AnnouncedLimit::Unreadable => return false,
-            AnnouncedLimit::None => None,
-            AnnouncedLimit::Rate(rate) => Some(rate),
+            AnnouncedLimit::Rate(rate) => Some(Some(rate)),
+            AnnouncedLimit::None if limited && !overtaken => Some(None),
+            AnnouncedLimit::None | AnnouncedLimit::Unreadable => None,
         };
-        let known = self.known(life);
-        let before = known.and_then(|known| known.limit);
-        let crossed = known.is_some_and(|known| sent < known.heard);
-        if limit.is_none() && (before.is_none() || crossed) {
-            return false;
+        if limit.is_none() && !announcement.leaving {
+            return Changes::default();
         }
-        self.put(now, life, limit, now);
-        limit != before
+        self.put(
+            now,
+            life,
+            limit.map(|limit| (now, limit)),
+            announcement.leaving,
+        )
     }
 
-    /// Takes over what another router knows, if it was heard later. Returns whether the endpoint's limit changed.
-    pub fn merge(&mut self, now: Instant, row: &AnnouncementRow) -> bool {
+    /// Takes over what another router knows, as far as it was heard later, and returns what is new.
+    pub fn merge(&mut self, now: Instant, row: &AnnouncementRow) -> Changes {
         let Some(heard) = now.checked_sub(row.age) else {
-            return false;
+            return Changes::default();
         };
-        let known = self.known(&row.life);
-        if known.map_or(row.limit.is_none(), |known| heard <= known.heard) {
-            return false;
+        let newer = match self.known(&row.life) {
+            Some(known) => heard > known.heard,
+            None => row.limit.is_some(),
+        };
+        if !newer && !row.leaving {
+            return Changes::default();
         }
-        let before = known.and_then(|known| known.limit);
-        self.put(now, &row.life, row.limit, heard);
-        row.limit != before
+        let limit = newer.then_some((heard, row.limit));
+        self.put(now, &row.life, limit, row.leaving)
     }
 
     /// Returns what the next heartbeat tells the other routers.
@@ -180,6 +207,7 @@
             },
             age: now.saturating_duration_since(announced.heard),
             limit: announced.limit,
+            leaving: announced.leaving,
         });
         rows.collect()
     }
@@ -193,7 +221,7 @@
         self.endpoints.retain(|vm, announced| {
             let old = now >= announced.heard + MEMORY;
             match birth(vm) {
-                Some(birth) => birth == announced.birth && !(old && announced.limit.is_none()),
+                Some(birth) => birth == announced.birth && !(old && announced.is_over()),
                 None => !old,
             }
         });
@@ -209,6 +237,11 @@
         self.endpoints.get(vm)?.limit
     }
 
+    /// Returns whether an endpoint announced that it leaves.
+    pub fn is_leaving(&self, vm: &VmId) -> bool {
+        self.endpoints.get(vm).is_some_and(|a| a.leaving)
+    }
+
     /// Returns the endpoints to which this router may not send a request now.
     pub fn closed(&self, now: Instant) -> Vec<VmId> {
         let limited = self.endpoints.iter().filter(|(_, a)| a.limit.is_some());
@@ -261,13 +294,14 @@
         known.filter(|known| known.birth == life.birth)
     }
 
+    /// Stores a limit with the time when it was heard, and whether the endpoint is leaving.
     fn put(
         &mut self,
         now: Instant,
         life: &EndpointLife,
-        limit: Option<RequestRate>,
-        heard: Instant,
-    ) {
+        limit: Option<(Instant, Option<RequestRate>)>,
+        leaving: bool,
+    ) -> Changes {
         let fleet = Fleet {
             router: &self.router,
             routers: &self.routers,
@@ -277,11 +311,20 @@
         if announced.birth != life.birth {
             *announced = Announced::new(now, life);
         }
-        announced.heard = heard;
-        if announced.limit != limit {
-            announced.set_limit(now, limit);
-            announced.share_out(now, &life.vm, &fleet);
+        let mut changes = Changes {
+            limit: false,
+            leaving: leaving && !announced.leaving,
+        };
+        announced.leaving |= leaving;
+        if let Some((heard, limit)) = limit {
+            announced.heard = heard;
+            changes.limit = announced.limit != limit;
+            if changes.limit {
+                announced.set_limit(now, limit);
+                announced.share_out(now, &life.vm, &fleet);
+            }
         }
+        changes
     }
 }
 
@@ -296,12 +339,18 @@
         Self {
             birth: life.birth.clone(),
             limit: None,
+            leaving: false,
             heard: now,
             bucket: ShareBucket::new(now),
             round: 0,
         }
     }
 
+    /// Returns whether nothing of it is in force.
+    fn is_over(&self) -> bool {
+        self.limit.is_none() && !self.leaving
+    }
+
     fn set_limit(&mut self, now: Instant, limit: Option<RequestRate>) {
         if self.limit.is_none() {
             self.bucket = ShareBucket::new(now);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -48,6 +48,7 @@
 pub use announcements::Announcement;
 pub use announcements::AnnouncementRow;
 pub use announcements::Announcements;
+pub use announcements::Changes;
 pub use announcements::EndpointLife;
 pub use borrowers::BorrowerDemand;
 pub use call_times::CallTimes;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -109,6 +109,7 @@
 pub use decide::CallTimes;
 pub use decide::Candidate;
 pub use decide::Capacity;
+pub use decide::Changes;
 pub use decide::Choice;
 pub use decide::Chooser;
 pub use decide::ConsistencyMode;
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -70,6 +70,9 @@
 /// The requests a second that an endpoint takes from all routers together.
 const LIMIT: &str = "server-limit";
 
+/// Stands in the answers of an endpoint that is about to stop.
+const LEAVING: &str = "server-leaving";
+
 /// What concerns one connection alone.
 const HOP: [HeaderName; 6] = [
     CONNECTION,
@@ -175,6 +178,7 @@
     fn announcement(&self, _status: StatusCode, headers: &HeaderMap) -> Announcement {
         Announcement {
             limit: limit(headers),
+            leaving: leaving(headers),
         }
     }
 
@@ -230,6 +234,19 @@
     }
 }
 
+/// Reads whether an endpoint announces that it leaves.
+fn leaving(headers: &HeaderMap) -> bool {
+    match headers.get(LEAVING).map(HeaderValue::as_bytes) {
+        None | Some(b"0") => false,
+        Some(b"1") => true,
+        Some(_) => {
+            let value = headers.get(LEAVING);
+            warn!(event = "header-unreadable", header = LEAVING, ?value);
+            false
+        }
+    }
+}
+
 /// Reads how many tokens a prompt has and an answer may have; a plain service's request says nothing of them.
 fn counts(headers: &HeaderMap) -> Result<(Tokens, Tokens), Problem> {
     let Some(counts) = text(headers, COUNTS) else {
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -72,3 +72,26 @@
     let prompt = prompt(&headers, 10).expect("a prompt");
     assert_eq!((prompt.shared_tokens, prompt.own_tokens), (most, 0));
 }
+
+/// Guards against an announcement to leave that is heard only in answers of some statuses, or that garbage makes.
+#[test]
+fn an_endpoint_that_leaves_says_so_with_every_status() {
+    let leaving = |status: u16, value: &[u8]| {
+        let mut headers = HeaderMap::new();
+        let value = HeaderValue::from_bytes(value).expect("bytes of a header");
+        headers.insert("server-leaving", value);
+        let status = StatusCode::from_u16(status).expect("a status");
+        Heads.announcement(status, &headers).leaving
+    };
+    for status in [200, 404, 409, 429, 500, 503] {
+        assert!(leaving(status, b"1"), "{status}");
+    }
+    for value in [&b""[..], b"0", b"no", b"-1", b"11", b"\xff"] {
+        assert!(!leaving(200, value), "{value:?}");
+    }
+    assert!(
+        !Heads
+            .announcement(StatusCode::OK, &HeaderMap::new())
+            .leaving
+    );
+}
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -8,6 +8,7 @@
 
 use crate::decide::Announcement;
 use crate::decide::AnnouncementRow;
+use crate::decide::Changes;
 use crate::decide::EndpointLife;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
@@ -55,8 +56,9 @@
         if !self.is_current(&life) {
             return;
         }
-        if self.announcements.record(now, &life, since, announcement) {
-            self.log_limit(&life.vm, &self.tuning.vm);
+        let changes = self.announcements.record(now, &life, since, announcement);
+        self.log_changes(&life.vm, &self.tuning.vm, changes);
+        if changes.any() {
             self.apply_announcements(now);
         }
     }
@@ -70,10 +72,12 @@
     ) {
         let mut changed = false;
         for row in rows {
-            if self.is_current(&row.life) && self.announcements.merge(now, row) {
-                self.log_limit(&row.life.vm, from);
-                changed = true;
+            if !self.is_current(&row.life) {
+                continue;
             }
+            let changes = self.announcements.merge(now, row);
+            self.log_changes(&row.life.vm, from, changes);
+            changed |= changes.any();
         }
         if changed {
             self.apply_announcements(now);
@@ -129,16 +133,21 @@
         birth(&self.members.vm_index, vm)
     }
 
-    /// Returns whether the VM list has this life of an endpoint, and not an earlier or later one.
+    /// Returns whether the VM list has no other life of an endpoint. One that is not listed may be listed again.
     fn is_current(&self, life: &EndpointLife) -> bool {
         self.endpoint_birth(&life.vm)
-            .is_some_and(|birth| birth == life.birth)
+            .is_none_or(|birth| birth == life.birth)
     }
 
-    fn log_limit(&self, endpoint: &VmId, from: &VmId) {
-        let limit = self.announcements.limit(endpoint);
-        let limit = limit.map(tracing::field::display);
-        info!(event = "endpoint-limit", %endpoint, limit, %from);
+    fn log_changes(&self, endpoint: &VmId, from: &VmId, changes: Changes) {
+        if changes.limit {
+            let limit = self.announcements.limit(endpoint);
+            let limit = limit.map(tracing::field::display);
+            info!(event = "endpoint-limit", %endpoint, limit, %from);
+        }
+        if changes.leaving {
+            info!(event = "endpoint-leaving", %endpoint, %from);
+        }
     }
 }
 
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -61,6 +61,7 @@
     elapsed: Duration,
     manner: Manner,
     limits: IndexMap<VmId, f64>,
+    leaving: IndexSet<VmId>,
     answers: Vec<Answer>,
     /// When each router was first told of an endpoint's limit.
     told: IndexMap<(usize, VmId), Duration>,
@@ -94,6 +95,7 @@
             elapsed: Duration::ZERO,
             manner: Manner::Serve,
             limits: IndexMap::new(),
+            leaving: IndexSet::new(),
             answers: Vec::new(),
             told: IndexMap::new(),
             informed: IndexMap::new(),
@@ -144,9 +146,10 @@
             limit: limit.map_or(AnnouncedLimit::None, |rate| {
                 AnnouncedLimit::Rate(rate.try_into().expect("a rate"))
             }),
+            leaving: self.leaving.contains(vm),
         };
         let site = &mut self.sites[answer.site];
-        if limit.is_some() || answer.run.limited {
+        if answer.run.limited || announcement != Announcement::default() {
             site.handle(Event::EndpointAnnounced(answer.id, announcement));
         }
         if limit.is_some() {
@@ -287,6 +290,7 @@
     let rate = 2.0.try_into().expect("a rate");
     let limit_named = Announcement {
         limit: AnnouncedLimit::Rate(rate),
+        ..Announcement::default()
     };
     let id = run.expect("one goes to the endpoint");
     site.handle(Event::EndpointAnnounced(id, limit_named));
@@ -340,6 +344,7 @@
     let id = site.send("again", 0, 0);
     let limited = Announcement {
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+        ..Announcement::default()
     };
     site.handle(Event::EndpointAnnounced(id, limited));
     assert!(limit(&site, 0).is_some());
@@ -355,6 +360,7 @@
         },
         age: Duration::ZERO,
         limit: Some(0.5.try_into().expect("a rate")),
+        leaving: true,
     };
     let beat = Heartbeat {
         announced: vec![row],
@@ -362,6 +368,7 @@
     };
     site.handle(Event::HeartbeatReceived(beat));
     assert_eq!(limit(&site, 0), None);
+    assert!(!site.core.announcements.is_leaving(&endpoint(0)));
 }
 
 /// Guards against a limit that is dropped because the answer to an earlier request arrives after it was announced.
@@ -373,6 +380,7 @@
     let ids: Vec<_> = ids.into_iter().filter(at_endpoint).collect();
     let limited = Announcement {
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+        ..Announcement::default()
     };
     site.advance(100);
     site.handle(Event::EndpointAnnounced(ids[0], limited));
