--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -387,3 +387,42 @@
     site.handle(Event::EndpointAnnounced(ids[1], Announcement::default()));
     assert!(limit(&site, 0).is_some());
 }
+
+/// Guards against requests to an endpoint that announces that it leaves while the VM list cannot be read.
+#[test]
+fn an_endpoint_that_announces_that_it_leaves_gets_nothing_new() {
+    for routers in [1, 6, 60] {
+        let mut fleet = Fleet::start(routers, 3);
+        fleet.run(1.0, 60.0);
+        fleet.leaving.insert(endpoint(0));
+        // Time for a first answer, and for heartbeats to all routers.
+        fleet.run(3.0, 60.0);
+        let since = fleet.elapsed;
+        fleet.run(10.0, 60.0);
+        let received = fleet.received_since(&endpoint(0), since);
+        assert_eq!(received, 0, "with {routers} routers");
+    }
+}
+
+/// Guards against retries and resumed streams that go to an endpoint that announced that it leaves.
+#[test]
+fn a_retry_avoids_an_endpoint_that_announces_that_it_leaves() {
+    for route in ["again", "stream"] {
+        let mut site = Site::start(1_000_000);
+        let ids: Vec<_> = (0..4).map(|_| site.send(route, 0, 0)).collect();
+        let at = |site: &Site, id| site.runs(id).last().expect("a run").endpoint.clone();
+        let of = |site: &Site, n| {
+            let mut ids = ids.iter().copied();
+            ids.find(|id| at(site, *id) == endpoint(n))
+                .expect("a request")
+        };
+        let (leaver, other) = (of(&site, 0), of(&site, 1));
+        let leaving = Announcement {
+            leaving: true,
+            ..Announcement::default()
+        };
+        site.handle(Event::EndpointAnnounced(leaver, leaving));
+        site.handle(Event::RunEnded(other, RunEnd::NotRun { retry: None }));
+        assert_eq!(site.runs(other).len(), 1, "{route}");
+    }
+}
