Send nothing new to an endpoint that announces that it leaves

Cause: a router learned of it from the VM list alone, which no VM could read between 6.3 and 20.6 s; the word in the answers was not read. Ruled out: requests that had waited (all arrived after the announcement), and a choice that knew it (none did).

The announcement now counts like the list's entry, for the life of the endpoint and on all routers: heartbeats carry it. First tries, retries, resumed streams and queued requests go through the one choice that leaves it out. A restarted endpoint starts without it, from the moment its new entry is read; an answer or a heartbeat that tells of the former life changes nothing.

The test of the restarted endpoint now also asks that it gets the next request.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -3,7 +3,9 @@
 //! Handles an endpoint in trouble that announces how many requests a second it takes from all routers together. The
 //! choice by load does not show this: the endpoint answers what it gets, and all routers go on sending to it. Routers
 //! exchange what they hear in their heartbeats, so that one that has not sent anything to the endpoint knows as well,
-//! and each keeps to its own part of the rate (see [`crate::decide::rate_share`]).
+//! and each keeps to its own part of the rate (see [`crate::decide::rate_share`]). Likewise an endpoint that is about to
+//! stop announces that it leaves: its entry in the VM list may say so much later, when the store cannot be reached, and
+//! requests that are sent until then break off when it stops.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -212,9 +214,9 @@
         rows.collect()
     }
 
-    /// Moves on to the rows of the next heartbeat, and drops what is no longer needed; `birth` returns when the current
-    /// life of a listed endpoint began.
-    pub fn advance<F>(&mut self, now: Instant, birth: F)
+    /// Drops what former lives of endpoints announced, and what is no longer needed; `birth` returns when the current life
+    /// of a listed endpoint began.
+    pub fn prune<F>(&mut self, now: Instant, birth: F)
     where
         F: Fn(&VmId) -> Option<Option<String>>,
     {
@@ -225,6 +227,10 @@
                 None => !old,
             }
         });
+    }
+
+    /// Moves on to the rows of the next heartbeat, and to the next round of parts where it is due.
+    pub fn advance(&mut self, now: Instant) {
         self.next_row = match self.endpoints.len() {
             0 => 0,
             count => (self.next_row + MAX_ROWS) % count,
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -58,9 +58,7 @@
         }
         let changes = self.announcements.record(now, &life, since, announcement);
         self.log_changes(&life.vm, &self.tuning.vm, changes);
-        if changes.any() {
-            self.apply_announcements(now);
-        }
+        self.apply_announcements(now, changes);
     }
 
     /// Takes over what another router heard of endpoints.
@@ -70,22 +68,27 @@
         from: &VmId,
         rows: &[AnnouncementRow],
     ) {
-        let mut changed = false;
+        let mut all = Changes::default();
         for row in rows {
             if !self.is_current(&row.life) {
                 continue;
             }
             let changes = self.announcements.merge(now, row);
             self.log_changes(&row.life.vm, from, changes);
-            changed |= changes.any();
-        }
-        if changed {
-            self.apply_announcements(now);
+            all.limit |= changes.limit;
+            all.leaving |= changes.leaving;
         }
+        self.apply_announcements(now, all);
     }
 
-    /// Serves or refuses the waiting requests after a change.
-    fn apply_announcements(&mut self, now: Instant) {
+    /// Takes leaving endpoints out of the choice, and serves or refuses the waiting requests after a change.
+    fn apply_announcements(&mut self, now: Instant, changes: Changes) {
+        if changes.leaving {
+            self.rebuild_pools(now);
+        }
+        if !changes.any() {
+            return;
+        }
         self.serve_all_queues(now);
         let pools: Vec<_> = self.pools.keys().cloned().collect();
         for pool in pools {
@@ -124,8 +127,14 @@
 
     /// Prepares the announcements for the next heartbeat.
     pub(crate) fn advance_announcements(&mut self, now: Instant) {
+        self.prune_announcements(now);
+        self.announcements.advance(now);
+    }
+
+    /// Drops what former lives of endpoints announced.
+    pub(crate) fn prune_announcements(&mut self, now: Instant) {
         let index = &self.members.vm_index;
-        self.announcements.advance(now, |vm| birth(index, vm));
+        self.announcements.prune(now, |vm| birth(index, vm));
     }
 
     /// Returns when the current life of a listed endpoint began, if its entry says so.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -269,6 +269,7 @@
         self.update_routers();
         let routers = self.members.vm_index.serving_vms();
         self.announcements.set_routers(now, routers);
+        self.prune_announcements(now);
         self.rebuild_pools(now);
         self.update_retry_limit();
         if let Accounting::Grants(_) = self.tuning.accounting {
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -12,6 +12,7 @@
 
 use crate::config::PoolKind;
 use crate::config::PoolSpec;
+use crate::decide::Announcements;
 use crate::decide::CacheEvent;
 use crate::decide::Choice;
 use crate::decide::FairQueue;
@@ -89,6 +90,7 @@
         vms: &[VmEntry],
         fixed: bool,
         drained: &DrainedDomains,
+        announcements: &Announcements,
     ) {
         let models: &[ModelId] = match &spec.kind {
             PoolKind::Engine { models, .. } => models,
@@ -128,9 +130,9 @@
             if fixed {
                 self.picker.chooser.fix_limit(vm);
             }
-            let leaving = entry.state == VmState::Leaving;
-            let leaving = leaving || drained.domains.contains(&entry.domain);
-            self.picker.chooser.set_leaving(vm, leaving);
+            let leaving = entry.state == VmState::Leaving || announcements.is_leaving(vm);
+            let drained = drained.domains.contains(&entry.domain);
+            self.picker.chooser.set_leaving(vm, leaving || drained);
             self.picker.health.put(now, vm, &entry.domain);
             self.addresses.insert(vm.clone(), entry.address);
             self.domains.insert(vm.clone(), entry.domain.clone());
@@ -188,7 +190,8 @@
                 )
             });
             let vms = &self.members.vm_index.list().vms;
-            pool.refresh(now, &spec, vms, fixed, &self.drained_domains);
+            let announcements = &self.announcements;
+            pool.refresh(now, &spec, vms, fixed, &self.drained_domains, announcements);
             pool.picker.chooser.set_router_count(routers.len());
         }
         self.update_cold_shares(now);
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -330,9 +330,9 @@
     }
 }
 
-/// Guards against a restarted endpoint that is held to the limit of its former life.
+/// Guards against a restarted endpoint that gets nothing because of its former life.
 #[test]
-fn a_restarted_endpoint_is_not_limited_by_its_former_life() {
+fn a_restarted_endpoint_is_not_held_to_what_its_former_life_announced() {
     let list = |born: &str, as_of| {
         let labels = [("pool", "pool"), ("born", born)];
         let vms = vec![entry("engine-0", 9100, &labels)];
@@ -344,12 +344,13 @@
     let id = site.send("again", 0, 0);
     let limited = Announcement {
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
-        ..Announcement::default()
+        leaving: true,
     };
     site.handle(Event::EndpointAnnounced(id, limited));
     assert!(limit(&site, 0).is_some());
     site.handle(list("2", 3));
-    site.advance(200);
+    let next = site.send("again", 0, 0);
+    assert_eq!(site.runs(next).len(), 1);
     assert_eq!(limit(&site, 0), None);
     // The answer to a request of the former life arrives late, and a peer has not heard of the restart yet.
     site.handle(Event::EndpointAnnounced(late, limited));
