Read for how long endpoints ask for rest, and log it

Both edges read it out of answers with 503 and 429 (a call that may not be repeated among them) and tell the core, which logs it (endpoint-rests) and tells the other routers by heartbeats. Nothing is decided by it yet.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -50,6 +50,8 @@
     pub limit: AnnouncedLimit,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// For how long it wants nothing more from this router.
+    pub rest: Option<Duration>,
 }
 
 /// What a router did not know before of an endpoint.
@@ -59,12 +61,14 @@
     pub limit: bool,
     /// Whether it turned out to be leaving.
     pub leaving: bool,
+    /// Whether it wants a rest, or a longer one.
+    pub rest: bool,
 }
 
 impl Changes {
     /// Returns whether there is any.
     pub fn any(self) -> bool {
-        self.limit || self.leaving
+        self.limit || self.leaving || self.rest
     }
 }
 
@@ -88,6 +92,8 @@
     pub limit: Option<RequestRate>,
     /// Whether the endpoint is leaving.
     pub leaving: bool,
+    /// How much longer the endpoint wants nothing from the router that tells this.
+    pub rest: Duration,
 }
 
 /// How many requests a router may send to some endpoints.
@@ -114,6 +120,10 @@
     birth: Option<String>,
     limit: Option<RequestRate>,
     leaving: bool,
+    /// Until when it wants nothing from this router.
+    rest_until: Option<Instant>,
+    /// Until when it wants nothing from some other router.
+    others_until: Option<Instant>,
     /// When any router last heard about the limit.
     heard: Instant,
     bucket: ShareBucket,
@@ -171,15 +181,17 @@
             AnnouncedLimit::None if limited && !overtaken => Some(None),
             AnnouncedLimit::None | AnnouncedLimit::Unreadable => None,
         };
-        if limit.is_none() && !announcement.leaving {
+        let rest = announcement.rest.and_then(|rest| now.checked_add(rest));
+        if limit.is_none() && !announcement.leaving && rest.is_none() {
             return Changes::default();
         }
-        self.put(
-            now,
-            life,
-            limit.map(|limit| (now, limit)),
-            announcement.leaving,
-        )
+        let limit = limit.map(|limit| (now, limit));
+        let mut changes = self.put(now, life, limit, announcement.leaving);
+        if let Some(announced) = self.endpoints.get_mut(&life.vm) {
+            changes.rest = rest > announced.rest_until;
+            announced.rest_until = announced.rest_until.max(rest);
+        }
+        changes
     }
 
     /// Takes over what another router knows, as far as it was heard later, and returns what is new.
@@ -191,11 +203,16 @@
             Some(known) => heard > known.heard,
             None => row.limit.is_some(),
         };
-        if !newer && !row.leaving {
+        let rest = now.checked_add(row.rest).filter(|until| *until > now);
+        if !newer && !row.leaving && rest.is_none() {
             return Changes::default();
         }
         let limit = newer.then_some((heard, row.limit));
-        self.put(now, &row.life, limit, row.leaving)
+        let changes = self.put(now, &row.life, limit, row.leaving);
+        if let Some(announced) = self.endpoints.get_mut(&row.life.vm) {
+            announced.others_until = announced.others_until.max(rest);
+        }
+        changes
     }
 
     /// Returns what the next heartbeat tells the other routers.
@@ -210,6 +227,7 @@
             age: now.saturating_duration_since(announced.heard),
             limit: announced.limit,
             leaving: announced.leaving,
+            rest: announced.rest_left(now),
         });
         rows.collect()
     }
@@ -223,7 +241,7 @@
         self.endpoints.retain(|vm, announced| {
             let old = now >= announced.heard + MEMORY;
             match birth(vm) {
-                Some(birth) => birth == announced.birth && !(old && announced.is_over()),
+                Some(birth) => birth == announced.birth && !(old && announced.is_over(now)),
                 None => !old,
             }
         });
@@ -248,6 +266,12 @@
         self.endpoints.get(vm).is_some_and(|a| a.leaving)
     }
 
+    /// Returns how much longer an endpoint wants nothing from this router.
+    pub fn rest_left(&self, now: Instant, vm: &VmId) -> Duration {
+        let announced = self.endpoints.get(vm);
+        announced.map_or(Duration::ZERO, |announced| announced.rest_left(now))
+    }
+
     /// Returns the endpoints to which this router may not send a request now.
     pub fn closed(&self, now: Instant) -> Vec<VmId> {
         let limited = self.endpoints.iter().filter(|(_, a)| a.limit.is_some());
@@ -320,6 +344,7 @@
         let mut changes = Changes {
             limit: false,
             leaving: leaving && !announced.leaving,
+            rest: false,
         };
         announced.leaving |= leaving;
         if let Some((heard, limit)) = limit {
@@ -346,6 +371,8 @@
             birth: life.birth.clone(),
             limit: None,
             leaving: false,
+            rest_until: None,
+            others_until: None,
             heard: now,
             bucket: ShareBucket::new(now),
             round: 0,
@@ -353,8 +380,15 @@
     }
 
     /// Returns whether nothing of it is in force.
-    fn is_over(&self) -> bool {
-        self.limit.is_none() && !self.leaving
+    fn is_over(&self, now: Instant) -> bool {
+        let resting = self.rest_until.max(self.others_until);
+        self.limit.is_none() && !self.leaving && resting.is_none_or(|until| until <= now)
+    }
+
+    /// Returns how much longer it wants nothing from this router.
+    fn rest_left(&self, now: Instant) -> Duration {
+        let until = self.rest_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     fn set_limit(&mut self, now: Instant, limit: Option<RequestRate>) {
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -172,6 +172,7 @@
         true => engine::send(&desk.http, request).await?,
         false => engine::send(&desk.once, request).await?,
     };
+    engine::announce(desk, id, &answer);
     let status = answer.status().as_u16();
     // Of a call that may not be repeated, not even a 503 proves that it took no effect; the caller gets it as it is.
     if status == 503 && run.idempotent {
--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -126,7 +126,10 @@
     let request = engine::completion(desk, id, run, body.for_endpoint(run.limit));
     let answer = match engine::send(&desk.http, request).await {
         Ok(answer) if answer.status().is_success() => answer,
-        Ok(answer) => return Begun::Over(engine::refusal(&answer)),
+        Ok(answer) => {
+            engine::announce(desk, id, &answer);
+            return Begun::Over(engine::refusal(&answer));
+        }
         Err(end) => return Begun::Over(end),
     };
     match body.stream {
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -14,11 +14,14 @@
 use serde_json::json;
 use tracing::warn;
 
+use crate::decide::Announcement;
 use crate::edge::desk::Desk;
+use crate::edge::retry_after::rest;
 use crate::edge::retry_after::retry_after;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
 use crate::ids::RequestId;
+use crate::router::Event;
 use crate::router::Order;
 use crate::router::Run;
 use crate::router::RunEnd;
@@ -108,6 +111,17 @@
     }
 }
 
+/// Tells the core what an endpoint announces about itself in the head of its answer.
+pub(crate) fn announce(desk: &Desk, id: RequestId, answer: &Response<Incoming>) {
+    let announcement = Announcement {
+        rest: rest(answer.status(), answer.headers()),
+        ..Announcement::default()
+    };
+    if announcement != Announcement::default() {
+        desk.tell(Event::EndpointAnnounced(id, announcement));
+    }
+}
+
 /// Reads an engine's refusal: one that is busy or has not the model did not run the request.
 pub(crate) fn refusal(answer: &Response<Incoming>) -> RunEnd {
     let retry = retry_after(answer.headers());
--- a/src/edge/retry_after.rs
+++ b/src/edge/retry_after.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
 use tracing::warn;
 
@@ -25,3 +26,11 @@
     };
     Some(Duration::from_secs_f64(time))
 }
+
+/// Reads how long an endpoint that turns a request away wants nothing more from this router.
+pub(crate) fn rest(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => retry_after(headers),
+        _ => None,
+    }
+}
--- a/src/edge/retry_after/tests.rs
+++ b/src/edge/retry_after/tests.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 
+use crate::edge::retry_after::rest;
 use crate::edge::retry_after::retry_after;
 
 fn read(value: &[u8]) -> Option<Duration> {
@@ -46,3 +48,20 @@
     assert_eq!(read(b" 0.25"), Some(Duration::from_millis(250)));
     assert_eq!(read(b"3"), Some(Duration::from_secs(3)));
 }
+
+/// Guards against a rest that is read out of answers that turn nothing away.
+#[test]
+fn only_an_endpoint_that_turns_requests_away_asks_for_rest() {
+    let mut headers = HeaderMap::new();
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("3"));
+    for (status, expected) in [
+        (200, false),
+        (301, false),
+        (429, true),
+        (500, false),
+        (503, true),
+    ] {
+        let status = StatusCode::from_u16(status).expect("a status");
+        assert_eq!(rest(status, &headers).is_some(), expected, "{status}");
+    }
+}
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -26,6 +26,7 @@
 use crate::edge::relay::Ask;
 use crate::edge::relay::Dialect;
 use crate::edge::relay::Verdict;
+use crate::edge::retry_after::rest;
 use crate::edge::retry_after::retry_after;
 use crate::router::Problem;
 use crate::router::ProblemKind;
@@ -175,10 +176,11 @@
         }
     }
 
-    fn announcement(&self, _status: StatusCode, headers: &HeaderMap) -> Announcement {
+    fn announcement(&self, status: StatusCode, headers: &HeaderMap) -> Announcement {
         Announcement {
             limit: limit(headers),
             leaving: leaving(headers),
+            rest: rest(status, headers),
         }
     }
 
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -57,7 +57,7 @@
             return;
         }
         let changes = self.announcements.record(now, &life, since, announcement);
-        self.log_changes(&life.vm, &self.tuning.vm, changes);
+        self.log_changes(now, &life.vm, &self.tuning.vm, changes);
         self.apply_announcements(now, changes);
     }
 
@@ -74,7 +74,7 @@
                 continue;
             }
             let changes = self.announcements.merge(now, row);
-            self.log_changes(&row.life.vm, from, changes);
+            self.log_changes(now, &row.life.vm, from, changes);
             all.limit |= changes.limit;
             all.leaving |= changes.leaving;
         }
@@ -148,7 +148,7 @@
             .is_none_or(|birth| birth == life.birth)
     }
 
-    fn log_changes(&self, endpoint: &VmId, from: &VmId, changes: Changes) {
+    fn log_changes(&self, now: Instant, endpoint: &VmId, from: &VmId, changes: Changes) {
         if changes.limit {
             let limit = self.announcements.limit(endpoint);
             let limit = limit.map(tracing::field::display);
@@ -157,6 +157,10 @@
         if changes.leaving {
             info!(event = "endpoint-leaving", %endpoint, %from);
         }
+        if changes.rest {
+            let left_ms = self.announcements.rest_left(now, endpoint).as_millis();
+            info!(event = "endpoint-rests", %endpoint, left_ms);
+        }
     }
 }
 
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -62,9 +62,15 @@
     manner: Manner,
     limits: IndexMap<VmId, f64>,
     leaving: IndexSet<VmId>,
+    /// Endpoints that turn all requests away, and the rest that they ask for.
+    rests: IndexMap<VmId, Duration>,
     answers: Vec<Answer>,
     /// When each router was first told of an endpoint's limit.
     told: IndexMap<(usize, VmId), Duration>,
+    /// The times in which each router was asked to send nothing to an endpoint.
+    asked: IndexMap<(usize, VmId), Vec<(Duration, Duration)>>,
+    /// How many requests arrived in these times.
+    disturbed: usize,
     /// Requests to endpoints by routers that had been told of their limits.
     informed: IndexMap<VmId, Vec<Duration>>,
     /// All requests to each endpoint.
@@ -96,8 +102,11 @@
             manner: Manner::Serve,
             limits: IndexMap::new(),
             leaving: IndexSet::new(),
+            rests: IndexMap::new(),
             answers: Vec::new(),
             told: IndexMap::new(),
+            asked: IndexMap::new(),
+            disturbed: 0,
             informed: IndexMap::new(),
             received: IndexMap::new(),
         }
@@ -147,16 +156,25 @@
                 AnnouncedLimit::Rate(rate.try_into().expect("a rate"))
             }),
             leaving: self.leaving.contains(vm),
+            rest: self.rests.get(vm).copied(),
         };
         let site = &mut self.sites[answer.site];
         if answer.run.limited || announcement != Announcement::default() {
             site.handle(Event::EndpointAnnounced(answer.id, announcement));
         }
+        if let Some(rest) = announcement.rest {
+            let until = self.elapsed + rest;
+            let rests = self.asked.entry((answer.site, vm.clone())).or_default();
+            rests.push((self.elapsed + REACTION, until));
+        }
         if limit.is_some() {
             let told = self.told.entry((answer.site, vm.clone()));
             told.or_insert(self.elapsed);
         }
         let end = match self.manner {
+            _ if announcement.rest.is_some() => RunEnd::NotRun {
+                retry: announcement.rest,
+            },
             Manner::TurnAway if limit.is_none() => RunEnd::NotRun { retry: None },
             _ => RunEnd::Answered {
                 status: 200,
@@ -194,6 +212,10 @@
             let informed = self.informed.entry(vm.clone()).or_default();
             informed.push(self.elapsed);
         }
+        let asked = self.asked.get(&(site, vm.clone()));
+        let mut asked = asked.into_iter().flatten();
+        let now = self.elapsed;
+        self.disturbed += usize::from(asked.any(|(from, until)| (*from..*until).contains(&now)));
         self.received.entry(vm).or_default().push(self.elapsed);
         let due = self.elapsed + SERVICE_TIME;
         self.answers.push(Answer { due, site, id, run });
@@ -345,6 +367,7 @@
     let limited = Announcement {
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
         leaving: true,
+        rest: Some(Duration::from_secs(5)),
     };
     site.handle(Event::EndpointAnnounced(id, limited));
     assert!(limit(&site, 0).is_some());
@@ -362,6 +385,7 @@
         age: Duration::ZERO,
         limit: Some(0.5.try_into().expect("a rate")),
         leaving: true,
+        rest: Duration::from_secs(5),
     };
     let beat = Heartbeat {
         announced: vec![row],
