--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -451,3 +451,94 @@
         assert_eq!(site.runs(other).len(), 1, "{route}");
     }
 }
+
+/// Guards against requests to an endpoint that turned its router away and asked for rest.
+#[test]
+fn an_endpoint_that_asks_for_rest_gets_nothing_from_that_router() {
+    for routers in [1, 6, 60] {
+        let mut fleet = Fleet::start(routers, 5);
+        fleet.run(1.0, 60.0);
+        fleet.rests.insert(endpoint(0), Duration::from_secs(3));
+        fleet.rests.insert(endpoint(1), Duration::from_millis(1500));
+        fleet.run(12.0, 60.0);
+        assert_eq!(fleet.disturbed, 0, "with {routers} routers");
+        let asked = fleet.asked.values().map(Vec::len).sum::<usize>();
+        assert!(asked > 5, "endpoints are tried again after their rests");
+    }
+}
+
+/// Guards against requests that wait until their deadlines for endpoints that rest longer.
+#[test]
+fn a_request_whose_endpoints_all_rest_is_refused_at_once() {
+    let mut site = Site::start(1_000_000);
+    let resting = Announcement {
+        rest: Some(Duration::from_secs(3)),
+        ..Announcement::default()
+    };
+    let ids: Vec<_> = (0..4).map(|_| site.send("again", 0, 0)).collect();
+    for id in ids {
+        site.handle(Event::EndpointAnnounced(id, resting));
+    }
+    let id = site.send("again", 0, 0);
+    let problem = site.refusal(id).expect("it is refused");
+    assert_eq!(
+        (problem.kind, problem.ran),
+        (ProblemKind::NoEndpoint, Ran::No)
+    );
+    assert!(problem.retry.expect("when to come back") >= Duration::from_secs(3));
+    site.advance(3000);
+    let id = site.send("again", 0, 0);
+    assert_eq!(site.runs(id).len(), 1);
+}
+
+/// Guards against a rest that is shortened by a later answer, or that an answer to an earlier request ends.
+#[test]
+fn a_rest_lasts_as_long_as_it_was_asked_for() {
+    let mut site = Site::start(1_000_000);
+    let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
+    let at_endpoint = |id: &RequestId| site.runs(*id)[0].endpoint == endpoint(0);
+    let ids: Vec<_> = ids.into_iter().filter(at_endpoint).collect();
+    for secs in [3, 1] {
+        let announcement = Announcement {
+            rest: Some(Duration::from_secs(secs)),
+            ..Announcement::default()
+        };
+        site.handle(Event::EndpointAnnounced(ids[0], announcement));
+    }
+    site.handle(Event::EndpointAnnounced(ids[1], Announcement::default()));
+    site.advance(2900);
+    let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
+    assert!(
+        ids.iter()
+            .all(|id| site.runs(*id)[0].endpoint == endpoint(1))
+    );
+}
+
+/// Guards against routers that find out one by one that an endpoint turns requests away.
+#[test]
+fn other_routers_avoid_a_resting_endpoint_while_there_is_another() {
+    let mut site = Site::start(1_000_000);
+    let row = AnnouncementRow {
+        life: EndpointLife {
+            vm: endpoint(0),
+            birth: None,
+        },
+        age: Duration::ZERO,
+        limit: None,
+        leaving: false,
+        rest: Duration::from_secs(3),
+    };
+    let beat = Heartbeat {
+        announced: vec![row],
+        ..site.peer_heartbeat(0)
+    };
+    site.handle(Event::HeartbeatReceived(beat));
+    let mut at = || {
+        let id = site.send("again", 0, 0);
+        site.runs(id)[0].endpoint.clone()
+    };
+    // Each endpoint runs eight requests at once.
+    let ran: Vec<_> = (0..16).map(|_| at()).collect();
+    assert!(ran[..8].iter().all(|vm| *vm == endpoint(1)));
+    assert!(ran[8..].iter().all(|vm| *vm == endpoint(0)));
+}
