Leave endpoints alone for as long as they ask for rest

Cause: the rest reached the caller, as its Retry-After, and the one request, which went elsewhere; the choice for the next request did not know of it. It even counted for less than a refusal without a rest, which pauses an endpoint for a moment. Ruled out: that the header was not read (it was, by both edges, for the caller alone).

The router that was asked sends nothing for that time: not first tries, retries, resumed or queued requests, nor calls whose claim was on its way when the endpoint asked (checked again at dispatch). The longest rest counts, and no later answer ends it. Other routers, told by heartbeats, avoid the endpoint while there is another: it asked one router alone, and a whole fleet that stays away from every busy endpoint would refuse what others can serve. Where all endpoints of a pool rest or are limited, requests that would wait past their deadlines are refused at once, with when the first rest ends.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -6,6 +6,11 @@
 //! and each keeps to its own part of the rate (see [`crate::decide::rate_share`]). Likewise an endpoint that is about to
 //! stop announces that it leaves: its entry in the VM list may say so much later, when the store cannot be reached, and
 //! requests that are sent until then break off when it stops.
+//!
+//! An endpoint that turns a request away may ask the router for a time of rest. Without it the endpoint, idle as it
+//! looks, is chosen for the next request, which it turns away again, and each of them costs it work and a caller a
+//! retry. The router that was asked sends nothing for that time; the others, which it was not said to, avoid the
+//! endpoint while there is another.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -101,6 +106,8 @@
 pub struct Allowance {
     tokens: f64,
     per_second: f64,
+    /// How long until the first of them has rested.
+    rest: Option<Duration>,
 }
 
 impl Allowance {
@@ -110,7 +117,20 @@
         if missing <= 0.0 {
             return Some(Duration::ZERO);
         }
-        Duration::try_from_secs_f64(missing / self.per_second).ok()
+        let wait = Duration::try_from_secs_f64(missing / self.per_second).ok();
+        match (wait, self.rest) {
+            (Some(wait), Some(rest)) => Some(wait.min(rest)),
+            (wait, rest) => wait.or(rest),
+        }
+    }
+
+    fn add(&mut self, now: Instant, bucket: &ShareBucket) {
+        self.tokens += bucket.tokens_at(now);
+        self.per_second += bucket.per_second();
+    }
+
+    fn record_rest(&mut self, rest: Duration) {
+        self.rest = Some(self.rest.map_or(rest, |first| first.min(rest)));
     }
 }
 
@@ -272,25 +292,46 @@
         announced.map_or(Duration::ZERO, |announced| announced.rest_left(now))
     }
 
+    /// Returns whether an endpoint announced that it takes nothing more from this router, for good or for now. Its limit
+    /// does not count: a request that was chosen for the endpoint has its part of it.
+    pub fn turns_away(&self, now: Instant, vm: &VmId) -> bool {
+        self.is_leaving(vm) || !self.rest_left(now, vm).is_zero()
+    }
+
     /// Returns the endpoints to which this router may not send a request now.
     pub fn closed(&self, now: Instant) -> Vec<VmId> {
-        let limited = self.endpoints.iter().filter(|(_, a)| a.limit.is_some());
-        let closed = limited.filter(|(_, announced)| !announced.bucket.admits(now));
-        closed.map(|(vm, _)| vm.clone()).collect()
+        self.select(|announced| !announced.is_open(now))
+    }
+
+    /// Returns the endpoints that turned requests of other routers away, and that are to be used only if there is no
+    /// other.
+    pub fn avoided(&self, now: Instant) -> Vec<VmId> {
+        self.select(|announced| announced.others_until.is_some_and(|until| now < until))
     }
 
-    /// Returns how many requests this router may send to some endpoints in all, if all of them have announced limits.
+    fn select<F>(&self, selects: F) -> Vec<VmId>
+    where
+        F: Fn(&Announced) -> bool,
+    {
+        let selected = self.endpoints.iter().filter(|(_, a)| selects(a));
+        selected.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Returns how many requests this router may send to some endpoints in all, if all of them are limited or resting.
     pub fn allowance<'a, I>(&self, now: Instant, endpoints: I) -> Option<Allowance>
     where
         I: IntoIterator<Item = &'a VmId>,
     {
         let mut allowance = None;
         for vm in endpoints {
-            let announced = self.endpoints.get(vm);
-            let announced = announced.filter(|announced| announced.limit.is_some())?;
+            let announced = self.endpoints.get(vm)?;
+            let rest = announced.rest_left(now);
             let sum = allowance.get_or_insert(Allowance::default());
-            sum.tokens += announced.bucket.tokens_at(now);
-            sum.per_second += announced.bucket.per_second();
+            match announced.limit {
+                _ if !rest.is_zero() => sum.record_rest(rest),
+                Some(_) => sum.add(now, &announced.bucket),
+                None => return None,
+            }
         }
         allowance
     }
@@ -385,6 +426,12 @@
         self.limit.is_none() && !self.leaving && resting.is_none_or(|until| until <= now)
     }
 
+    /// Returns whether this router may send it a request now.
+    fn is_open(&self, now: Instant) -> bool {
+        let within = self.limit.is_none() || self.bucket.admits(now);
+        within && self.rest_left(now).is_zero()
+    }
+
     /// Returns how much longer it wants nothing from this router.
     fn rest_left(&self, now: Instant) -> Duration {
         let until = self.rest_until;
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -77,6 +77,7 @@
             self.log_changes(now, &row.life.vm, from, changes);
             all.limit |= changes.limit;
             all.leaving |= changes.leaving;
+            all.rest |= changes.rest;
         }
         self.apply_announcements(now, all);
     }
@@ -92,13 +93,13 @@
         self.serve_all_queues(now);
         let pools: Vec<_> = self.pools.keys().cloned().collect();
         for pool in pools {
-            self.refuse_limited_requests(now, &pool);
+            self.refuse_unservable(now, &pool);
         }
     }
 
-    /// Refuses those requests that wait for a pool, all of whose endpoints announced limits, and that would wait past
-    /// their deadlines.
-    pub(crate) fn refuse_limited_requests(&mut self, now: Instant, pool: &PoolId) {
+    /// Refuses those requests that would wait past their deadlines for a pool all of whose endpoints are limited or
+    /// resting.
+    pub(crate) fn refuse_unservable(&mut self, now: Instant, pool: &PoolId) {
         let Some(pool) = self.pools.get(pool).filter(|pool| !pool.places.is_empty()) else {
             return;
         };
@@ -118,7 +119,7 @@
             }
         }
         for (id, wait) in late {
-            let detail = "its endpoints announced that they take fewer requests";
+            let detail = "its endpoints announced that they take no more requests now";
             let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
             let spread = self.rng.random_range(1.0..RETRY_JITTER);
             self.refuse_with(now, id, problem.with_retry(wait.mul_f64(spread)));
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -38,6 +38,8 @@
     pub(crate) routers: &'a [VmId],
     /// Endpoints that announced that they take no request from this router now.
     pub(crate) closed: &'a [VmId],
+    /// Endpoints that turned requests of other routers away.
+    pub(crate) avoided: &'a [VmId],
 }
 
 impl Picker {
@@ -49,8 +51,8 @@
         }
     }
 
-    /// Picks an endpoint that is not forbidden. One that the quarantine advises against is picked only if no other is
-    /// available.
+    /// Picks an endpoint that is not forbidden. One that the quarantine or other routers advise against is picked only
+    /// if no other is available.
     pub(crate) fn pick<R>(
         &self,
         now: Instant,
@@ -66,7 +68,8 @@
         let blocks = prompt_blocks(request);
         let mut forbidden = self.forbidden(request, quarantine, context);
         forbidden.extend_from_slice(context.closed);
-        let avoided = quarantine.avoided_endpoints(request.fingerprint);
+        let mut avoided = quarantine.avoided_endpoints(request.fingerprint);
+        avoided.extend_from_slice(context.avoided);
         let mut choose = |excluded: &[VmId]| {
             let criteria = Criteria {
                 model: requested_model(request),
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -216,6 +216,7 @@
         }
         let routers = self.members.vm_index.serving_vms();
         let closed = self.announcements.closed(now);
+        let avoided = self.announcements.avoided(now);
         let Self {
             pools,
             requests,
@@ -236,6 +237,7 @@
                 domain: &tuning.domain,
                 routers: &routers,
                 closed: &closed,
+                avoided: &avoided,
             };
             chosen = picker.pick(now, request, usage, quarantine, &context, rng);
             chosen.is_some()
@@ -254,6 +256,7 @@
             domain: &self.tuning.domain,
             routers: &routers,
             closed: &self.announcements.closed(now),
+            avoided: &self.announcements.avoided(now),
         };
         let choice = pool.picker.pick(
             now,
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -40,7 +40,7 @@
             Ok(place) => {
                 pool.places.insert(id, place);
                 self.serve_queue(now, &name);
-                self.refuse_limited_requests(now, &name);
+                self.refuse_unservable(now, &name);
             }
             Err(full) => {
                 let detail = full.to_string();
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -40,7 +40,10 @@
 impl Core {
     /// Sends a request to its endpoint.
     pub(crate) fn dispatch(&mut self, now: Instant, id: RequestId, endpoint: VmId) {
-        let Some(address) = self.endpoint_address(&self.requests[&id].pool, &endpoint) else {
+        let address = self.endpoint_address(&self.requests[&id].pool, &endpoint);
+        // The endpoint may have announced that since it was chosen, while the claim was on its way.
+        let address = address.filter(|_| !self.announcements.turns_away(now, &endpoint));
+        let Some(address) = address else {
             self.free_endpoint(now, id);
             self.retry_or_refuse(now, id, None);
             return;
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -21,6 +21,7 @@
 use crate::router::RunEnd;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::entry;
+use crate::router::tests::site::whole;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 
@@ -495,9 +496,9 @@
 #[test]
 fn a_rest_lasts_as_long_as_it_was_asked_for() {
     let mut site = Site::start(1_000_000);
-    let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
-    let at_endpoint = |id: &RequestId| site.runs(*id)[0].endpoint == endpoint(0);
-    let ids: Vec<_> = ids.into_iter().filter(at_endpoint).collect();
+    let all: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
+    let at_endpoint = |id: &&RequestId| site.runs(**id)[0].endpoint == endpoint(0);
+    let ids: Vec<_> = all.iter().filter(at_endpoint).copied().collect();
     for secs in [3, 1] {
         let announcement = Announcement {
             rest: Some(Duration::from_secs(secs)),
@@ -506,6 +507,9 @@
         site.handle(Event::EndpointAnnounced(ids[0], announcement));
     }
     site.handle(Event::EndpointAnnounced(ids[1], Announcement::default()));
+    for id in all {
+        site.handle(Event::RunEnded(id, whole(0)));
+    }
     site.advance(2900);
     let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
     assert!(
