Believe no announcement of an answer to another request

Found while testing the relay's edge with a real connection: a late answer that belongs to an earlier request was told to the core as the endpoint's newest word, and could lift a limit that had been announced since.

answers_of_others_announce_nothing failed before; the two tests beside it, of answers of all statuses and of answers without a limit, are new with no change of their own.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -148,8 +148,9 @@
             connection,
         };
         let verdict = relays.dialect.verdict(&self.ask, &answer);
-        // Another endpoint that has taken over the address says nothing about this one.
-        if verdict != Verdict::Moved {
+        // Neither another endpoint that has taken over the address nor a late answer to an earlier request tells how this
+        // endpoint is now.
+        if !matches!(verdict, Verdict::Moved | Verdict::Foreign) {
             let announcement = relays
                 .dialect
                 .announcement(answer.status(), answer.headers());
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -1,15 +1,38 @@
-//! What endpoints announce in the heads of their answers.
+//! What endpoints announce in the heads of their answers, read and told to the core.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use anyhow::Context;
+use anyhow::Result;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 
 use crate::decide::AnnouncedLimit;
+use crate::decide::Announcement;
+use crate::edge::desk::Command;
+use crate::edge::desk::Desk;
+use crate::edge::metrics::Metrics;
 use crate::edge::relay::Dialect;
+use crate::edge::relay::Relays;
+use crate::edge::relay::Upstream;
+use crate::edge::relay::accept;
+use crate::edge::relay::serve;
+use crate::ids::RequestKey;
 use crate::platform::heads::Heads;
 use crate::platform::heads::prompt;
+use crate::router::Event;
+use crate::router::RelayRun;
+use crate::router::Run;
+use crate::settings::RequestLimits;
 
 fn limit(status: u16, value: &[u8]) -> AnnouncedLimit {
     let mut headers = HeaderMap::new();
@@ -95,3 +118,109 @@
             .leaving
     );
 }
+
+/// Answers one request with these headers, whatever it asks.
+async fn answer_once(listener: TcpListener, head: String) -> Result<()> {
+    let (mut connection, _) = listener.accept().await?;
+    let mut request = [0; 2048];
+    let _ = connection.read(&mut request).await?;
+    let answer = format!("HTTP/1.1 {head}content-length: 0\r\n\r\n");
+    connection.write_all(answer.as_bytes()).await?;
+    Ok(())
+}
+
+/// Returns a run at an endpoint that has announced a limit before, or not.
+fn run(address: SocketAddr, limited: bool) -> Result<Run> {
+    Ok(Run {
+        endpoint: "endpoint-0".parse()?,
+        address: address.to_string(),
+        key: RequestKey {
+            account: "loans".parse()?,
+            key: "1".parse()?,
+        },
+        team: "loans".parse()?,
+        limit: 0,
+        priority: 0,
+        claim_wait: Duration::ZERO,
+        idempotent: false,
+        limited,
+        relay: Some(RelayRun {
+            account: None,
+            deadline: Instant::now() + Duration::from_secs(5),
+            stride: 1,
+            resumable: false,
+        }),
+    })
+}
+
+/// Sends a request through the relay to an endpoint that answers with these headers, and returns what the core is told
+/// of the endpoint.
+async fn announced(head: &str, limited: bool) -> Result<Option<Announcement>> {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await?;
+    let address = endpoint.local_addr()?;
+    tokio::spawn(answer_once(endpoint, head.to_owned()));
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let limits = RequestLimits::default();
+    let desk = Desk::new(limits, None, "test".to_owned(), Metrics::new(None)?, sender);
+    let desk = Arc::new(desk);
+    let relays = Arc::new(Relays {
+        desk: desk.clone(),
+        upstream: Upstream::default(),
+        dialect: Box::new(Heads),
+    });
+    let front = TcpListener::bind("127.0.0.1:0").await?;
+    let mut caller = TcpStream::connect(front.local_addr()?).await?;
+    tokio::spawn(accept(front, move |request| serve(relays.clone(), request)));
+    let request = "GET /x HTTP/1.1\r\nhost: maps.example\r\nrequest-id: r1\r\n\r\n";
+    caller.write_all(request.as_bytes()).await?;
+    let mut announced = None;
+    loop {
+        match events.recv().await.context("the relay ended")? {
+            Event::RequestArrived(arrival) => {
+                desk.command(arrival.id, Command::Run(Box::new(run(address, limited)?)));
+            }
+            Event::EndpointAnnounced(_, announcement) => announced = Some(announcement),
+            Event::RunEnded(..) => return Ok(announced),
+            _ => {}
+        }
+    }
+}
+
+/// Guards against announcements that are heard only in answers that go to the caller.
+#[tokio::test]
+async fn announcements_are_heard_in_answers_of_every_status() -> Result<()> {
+    let names = "request-id: r1\r\nserver-limit: 3.1\r\nserver-leaving: 1\r\nretry-after: 2\r\n";
+    for status in ["200 OK", "404 Not Found", "500 Failed", "503 Full"] {
+        for ran in ["", "not-executed: 1\r\n"] {
+            let head = format!("{status}\r\n{names}{ran}");
+            let heard = announced(&head, false).await?.context("it is heard")?;
+            assert_eq!(heard.limit, AnnouncedLimit::Rate("3.1".parse()?), "{head}");
+            assert!(heard.leaving, "{head}");
+            let rest = status.starts_with("503").then_some(Duration::from_secs(2));
+            assert_eq!(heard.rest, rest, "{head}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a limit that stays for ever, since answers without one are not told.
+#[tokio::test]
+async fn an_answer_without_a_limit_is_told_where_one_is_known() -> Result<()> {
+    let head = "200 OK\r\nrequest-id: r1\r\n";
+    assert_eq!(announced(head, true).await?, Some(Announcement::default()));
+    assert_eq!(announced(head, false).await?, None);
+    Ok(())
+}
+
+/// Guards against an endpoint that is held to what another one announced, which has its address now, or to an answer that
+/// belongs to another request.
+#[tokio::test]
+async fn answers_of_others_announce_nothing() -> Result<()> {
+    let names = "server-limit: 0.1\r\nserver-leaving: 1\r\n";
+    let moved = format!("421 Moved\r\nrequest-id: r1\r\n{names}");
+    let foreign = format!("200 OK\r\nrequest-id: r2\r\n{names}");
+    for head in [moved, foreign] {
+        assert_eq!(announced(&head, true).await?, None, "{head}");
+    }
+    Ok(())
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -58,6 +58,8 @@
 pub(crate) use effect::Effect;
 pub(crate) use effect::Order;
 pub(crate) use effect::Peer;
+#[cfg(test)]
+pub(crate) use effect::RelayRun;
 pub(crate) use effect::Replay;
 pub(crate) use effect::Run;
 pub(crate) use event::AdminRequest;
