Play random fleets whose endpoints announce things, and show announcements in the state dump

The fixture of the fleets moves to a file of its own. A heartbeat carries at most 8 announcements in place of 16: with 24 heartbeats a second each way that is at most some 10 KB/s, and in the usual case nothing.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -26,7 +26,7 @@
 use crate::request_rate::RequestRate;
 
 /// How many announcements a heartbeat carries at most. More than that take turns.
-const MAX_ROWS: usize = 16;
+const MAX_ROWS: usize = 8;
 
 /// How long a limit may go unheard before other routers get the parts of it: those that have them may have no requests
 /// for the endpoint, and would never learn that it takes more again.
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -132,6 +132,9 @@
                             "address": address,
                             "load": pool.picker.chooser.load(now, vm),
                             "health": format!("{:?}", pool.picker.health.health(now, vm)).to_lowercase(),
+                            "limit": self.announcements.limit(vm),
+                            "leaving": self.announcements.is_leaving(vm),
+                            "rest_ms": self.announcements.rest_left(now, vm).as_millis(),
                         })
                     })
                     .collect();
--- /dev/null
+++ b/src/router/tests/fleet.rs
@@ -0,0 +1,293 @@
+//! Test fixture: a fleet of routers that exchange heartbeats, and endpoints that announce something about themselves.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::decide::AnnouncedLimit;
+use crate::decide::Announcement;
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Run;
+use crate::router::RunEnd;
+use crate::router::tests::site::Site;
+use crate::router::tests::site::entry;
+use crate::vms::VmEntry;
+
+/// How long one step of the simulation takes.
+const STEP: Duration = Duration::from_millis(20);
+/// How long an endpoint takes to answer.
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+/// How long a router may take to act on what it was told.
+const REACTION: Duration = Duration::from_millis(500);
+/// The window in which the requests to a limited endpoint are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Returns the most requests that an endpoint may get in a window from routers that know its limit.
+pub(crate) fn allowed(rate: f64) -> usize {
+    (1.5 * rate * WINDOW.as_secs_f64() + 5.0).ceil() as usize
+}
+
+/// How endpoints answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Manner {
+    /// They serve all requests.
+    Serve,
+    /// Those without a limit turn all requests away.
+    TurnAway,
+}
+
+/// A request on its way back to a router.
+struct Answer {
+    due: Duration,
+    site: usize,
+    id: RequestId,
+    run: Box<Run>,
+}
+
+/// A fleet of routers that exchange heartbeats, and endpoints that announce limits.
+pub(crate) struct Fleet {
+    pub(crate) sites: Vec<Site>,
+    pub(crate) elapsed: Duration,
+    pub(crate) manner: Manner,
+    pub(crate) limits: IndexMap<VmId, f64>,
+    pub(crate) leaving: IndexSet<VmId>,
+    /// Endpoints that turn all requests away, and the rest that they ask for.
+    pub(crate) rests: IndexMap<VmId, Duration>,
+    answers: Vec<Answer>,
+    /// Share of the heartbeats that are lost.
+    pub(crate) loss: f64,
+    rng: ChaCha8Rng,
+    /// When each router was first told that an endpoint leaves.
+    warned: IndexMap<(usize, VmId), Duration>,
+    /// When each router was first told of an endpoint's limit.
+    told: IndexMap<(usize, VmId), Duration>,
+    /// The times in which each router was asked to send nothing to an endpoint.
+    pub(crate) asked: IndexMap<(usize, VmId), Vec<(Duration, Duration)>>,
+    /// How many requests arrived in these times.
+    pub(crate) disturbed: usize,
+    /// How many requests arrived at endpoints from routers to which they had announced that they leave.
+    pub(crate) after_leaving: usize,
+    /// Requests to endpoints by routers that had been told of their limits.
+    informed: IndexMap<VmId, Vec<(usize, Duration)>>,
+    /// All requests to each endpoint.
+    received: IndexMap<VmId, Vec<Duration>>,
+}
+
+pub(crate) fn endpoint(n: usize) -> VmId {
+    format!("engine-{n}").parse().expect("a name")
+}
+
+pub(crate) fn vms(routers: usize, endpoints: usize) -> Vec<VmEntry> {
+    let engines = (0..endpoints).map(|n| entry(&format!("engine-{n}"), 9100, &[("pool", "pool")]));
+    let routers = (0..routers).map(|n| {
+        let peer = format!("127.0.0.1:{}", 20_000 + n);
+        let role = [("role", "router"), ("peer", peer.as_str())];
+        entry(&format!("router-{n}"), 8001, &role)
+    });
+    engines.chain(routers).collect()
+}
+
+impl Fleet {
+    pub(crate) fn start(routers: usize, endpoints: usize) -> Self {
+        let vms = vms(routers, endpoints);
+        Self {
+            sites: (0..routers)
+                .map(|n| Site::start_member(n, 1_000_000, vms.clone()))
+                .collect(),
+            elapsed: Duration::ZERO,
+            manner: Manner::Serve,
+            limits: IndexMap::new(),
+            leaving: IndexSet::new(),
+            rests: IndexMap::new(),
+            answers: Vec::new(),
+            loss: 0.0,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            warned: IndexMap::new(),
+            told: IndexMap::new(),
+            asked: IndexMap::new(),
+            disturbed: 0,
+            after_leaving: 0,
+            informed: IndexMap::new(),
+            received: IndexMap::new(),
+        }
+    }
+
+    /// Has all routers together receive `rate` requests a second for a time.
+    pub(crate) fn run(&mut self, secs: f64, rate: f64) {
+        let end = self.elapsed + Duration::from_secs_f64(secs);
+        let mut due = 0.0;
+        let mut next = 0;
+        while self.elapsed < end {
+            due += rate * STEP.as_secs_f64();
+            while due >= 1.0 {
+                due -= 1.0;
+                let site = next % self.sites.len();
+                self.sites[site].send("again", 0, 0);
+                next += 1;
+            }
+            self.step();
+        }
+    }
+
+    /// Restarts a router, which excuses what it sends until it is told anew.
+    pub(crate) fn restart(&mut self, site: usize) {
+        let vms = self.sites[site].core.members.vm_index.list().vms.clone();
+        self.sites[site] = Site::start_member(site, 1_000_000, vms);
+        self.answers.retain(|answer| answer.site != site);
+        self.told.retain(|(of, _), _| *of != site);
+        self.warned.retain(|(of, _), _| *of != site);
+        self.asked.retain(|(of, _), _| *of != site);
+        for times in self.informed.values_mut() {
+            times.retain(|(of, _)| *of != site);
+        }
+    }
+
+    /// Forgets what was counted of an endpoint, whose limit changes.
+    pub(crate) fn change_limit(&mut self, vm: &VmId, rate: Option<f64>) {
+        self.told.retain(|(_, of), _| of != vm);
+        self.informed.swap_remove(vm);
+        match rate {
+            Some(rate) => drop(self.limits.insert(vm.clone(), rate)),
+            None => drop(self.limits.swap_remove(vm)),
+        }
+    }
+
+    /// Returns the endpoints that got more than they announced, and how much.
+    pub(crate) fn overrun(&self) -> Vec<(VmId, f64, usize)> {
+        let counts = self.limits.iter().map(|(vm, rate)| {
+            let most = self.most_informed(vm);
+            (vm.clone(), *rate, most)
+        });
+        counts
+            .filter(|(_, rate, most)| *most > allowed(*rate))
+            .collect()
+    }
+
+    pub(crate) fn step(&mut self) {
+        self.elapsed += STEP;
+        for site in &mut self.sites {
+            site.advance(STEP.as_millis() as u64);
+        }
+        self.deliver_answers();
+        self.carry_out();
+    }
+
+    fn deliver_answers(&mut self) {
+        let now = self.elapsed;
+        let (due, later) = self.answers.drain(..).partition(|answer| answer.due <= now);
+        self.answers = later;
+        let due: Vec<Answer> = due;
+        for answer in due {
+            self.deliver(answer);
+        }
+    }
+
+    fn deliver(&mut self, answer: Answer) {
+        let vm = &answer.run.endpoint;
+        let limit = self.limits.get(vm).copied();
+        let announcement = Announcement {
+            limit: limit.map_or(AnnouncedLimit::None, |rate| {
+                AnnouncedLimit::Rate(rate.try_into().expect("a rate"))
+            }),
+            leaving: self.leaving.contains(vm),
+            rest: self.rests.get(vm).copied(),
+        };
+        let site = &mut self.sites[answer.site];
+        if answer.run.limited || announcement != Announcement::default() {
+            site.handle(Event::EndpointAnnounced(answer.id, announcement));
+        }
+        if let Some(rest) = announcement.rest {
+            let until = self.elapsed + rest;
+            let rests = self.asked.entry((answer.site, vm.clone())).or_default();
+            rests.push((self.elapsed + REACTION, until));
+        }
+        if announcement.leaving {
+            let warned = self.warned.entry((answer.site, vm.clone()));
+            warned.or_insert(self.elapsed);
+        }
+        if limit.is_some() {
+            let told = self.told.entry((answer.site, vm.clone()));
+            told.or_insert(self.elapsed);
+        }
+        let end = match self.manner {
+            _ if announcement.rest.is_some() => RunEnd::NotRun {
+                retry: announcement.rest,
+            },
+            Manner::TurnAway if limit.is_none() => RunEnd::NotRun { retry: None },
+            _ => RunEnd::Answered {
+                status: 200,
+                body: None,
+            },
+        };
+        site.handle(Event::RunEnded(answer.id, end));
+    }
+
+    /// Passes heartbeats on, and requests to endpoints.
+    fn carry_out(&mut self) {
+        let mut beats = Vec::new();
+        for site in 0..self.sites.len() {
+            for effect in std::mem::take(&mut self.sites[site].effects) {
+                match effect {
+                    Effect::Run(id, run) => self.receive(site, id, run),
+                    Effect::SendHeartbeat(beat, peers) => beats.push((beat, peers)),
+                    _ => {}
+                }
+            }
+        }
+        for (beat, peers) in beats {
+            for peer in peers {
+                if self.rng.random_bool(self.loss) {
+                    continue;
+                }
+                let number = peer.vm.as_str().strip_prefix("router-");
+                let number: usize = number.and_then(|n| n.parse().ok()).expect("a router");
+                self.sites[number].handle(Event::HeartbeatReceived(beat.clone()));
+            }
+        }
+    }
+
+    fn receive(&mut self, site: usize, id: RequestId, run: Box<Run>) {
+        let vm = run.endpoint.clone();
+        let told = self.told.get(&(site, vm.clone()));
+        if self.limits.contains_key(&vm) && told.is_some_and(|at| self.elapsed >= *at + REACTION) {
+            let informed = self.informed.entry(vm.clone()).or_default();
+            informed.push((site, self.elapsed));
+        }
+        let warned = self.warned.get(&(site, vm.clone()));
+        self.after_leaving += usize::from(warned.is_some_and(|at| self.elapsed >= *at + REACTION));
+        let asked = self.asked.get(&(site, vm.clone()));
+        let mut asked = asked.into_iter().flatten();
+        let now = self.elapsed;
+        self.disturbed += usize::from(asked.any(|(from, until)| (*from..*until).contains(&now)));
+        self.received.entry(vm).or_default().push(self.elapsed);
+        let due = self.elapsed + SERVICE_TIME;
+        self.answers.push(Answer { due, site, id, run });
+    }
+
+    /// Returns the most requests that an endpoint got in any window from routers that knew its limit.
+    pub(crate) fn most_informed(&self, vm: &VmId) -> usize {
+        let times = self.informed.get(vm).map_or(&[][..], Vec::as_slice);
+        let counts = times.iter().enumerate().map(|(first, (_, from))| {
+            let rest = times[first..].iter();
+            rest.take_while(|(_, at)| *at < *from + WINDOW).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    /// Returns how many requests an endpoint got since a time.
+    pub(crate) fn received_since(&self, vm: &VmId, since: Duration) -> usize {
+        let times = self.received.get(vm).map_or(&[][..], Vec::as_slice);
+        times.iter().filter(|at| **at >= since).count()
+    }
+
+    pub(crate) fn limited(&self) -> IndexSet<VmId> {
+        self.limits.keys().cloned().collect()
+    }
+}
