Tell peers of a limit only what was heard of one

Found by reading: a router that knew of a rest alone told its peers "no limit, heard just now", as if one had been lifted, and they dropped a limit that they had heard before. The next answer put it back, but unused parts of the rate were lost, and a router without an answer stayed without the limit. A row now tells of a limit and of its age only where one was heard; how old the whole row is counts from the endpoint's own last word, so that routers can't keep what they tell each other alive.

a_peer_that_knows_of_no_limit_lifts_none failed before. an_endpoint_that_is_gone_is_forgotten is new and held before too (heartbeats of that fixture go in step).

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -91,16 +91,36 @@
 pub struct AnnouncementRow {
     /// The endpoint that announced it.
     pub life: EndpointLife,
-    /// How long ago any router heard it.
+    /// How long ago any router last heard something from the endpoint itself.
     pub age: Duration,
-    /// The rate that the endpoint takes; `None` if it lifted its limit or had none.
-    pub limit: Option<RequestRate>,
+    /// Its limit, if any router has heard of one.
+    pub limit: Option<LimitRow>,
     /// Whether the endpoint is leaving.
     pub leaving: bool,
     /// How much longer the endpoint wants nothing from the router that tells this.
     pub rest: Duration,
 }
 
+impl AnnouncementRow {
+    /// Adjusts a row that is told some time after it was made.
+    pub fn grow_older(&mut self, passed: Duration) {
+        self.age = self.age.saturating_add(passed);
+        self.rest = self.rest.saturating_sub(passed);
+        if let Some(limit) = &mut self.limit {
+            limit.age = limit.age.saturating_add(passed);
+        }
+    }
+}
+
+/// What a router knows of an endpoint's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// How long ago any router last heard it.
+    pub age: Duration,
+    /// The rate; `None` if the limit was lifted.
+    pub rate: Option<RequestRate>,
+}
+
 /// How many requests a router may send to some endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Allowance {
@@ -134,18 +154,27 @@
     }
 }
 
+/// A limit of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct HeardLimit {
+    /// The rate; `None` if the limit was lifted.
+    rate: Option<RequestRate>,
+    /// When any router last heard it from the endpoint itself.
+    at: Instant,
+}
+
 /// What one life of an endpoint has announced.
 #[derive(Clone, Debug)]
 struct Announced {
     birth: Option<String>,
-    limit: Option<RequestRate>,
+    /// When any router last heard something from the endpoint itself.
+    heard: Instant,
+    limit: Option<HeardLimit>,
     leaving: bool,
     /// Until when it wants nothing from this router.
     rest_until: Option<Instant>,
     /// Until when it wants nothing from some other router.
     others_until: Option<Instant>,
-    /// When any router last heard about the limit.
-    heard: Instant,
     bucket: ShareBucket,
     /// The round of parts that the bucket belongs to.
     round: u64,
@@ -193,20 +222,20 @@
         sent: Instant,
         announcement: Announcement,
     ) -> Changes {
-        let known = self.known(life);
-        let limited = known.is_some_and(|known| known.limit.is_some());
-        let overtaken = known.is_some_and(|known| sent < known.heard);
-        let limit = match announcement.limit {
+        let known = self.known(life).and_then(|known| known.limit);
+        let limited = known.is_some_and(|known| known.rate.is_some());
+        let overtaken = known.is_some_and(|known| sent < known.at);
+        let rate = match announcement.limit {
             AnnouncedLimit::Rate(rate) => Some(Some(rate)),
             AnnouncedLimit::None if limited && !overtaken => Some(None),
             AnnouncedLimit::None | AnnouncedLimit::Unreadable => None,
         };
         let rest = announcement.rest.and_then(|rest| now.checked_add(rest));
-        if limit.is_none() && !announcement.leaving && rest.is_none() {
+        if rate.is_none() && !announcement.leaving && rest.is_none() {
             return Changes::default();
         }
-        let limit = limit.map(|limit| (now, limit));
-        let mut changes = self.put(now, life, limit, announcement.leaving);
+        let limit = rate.map(|rate| HeardLimit { rate, at: now });
+        let mut changes = self.put(now, life, now, limit, announcement.leaving);
         if let Some(announced) = self.endpoints.get_mut(&life.vm) {
             changes.rest = rest > announced.rest_until;
             announced.rest_until = announced.rest_until.max(rest);
@@ -219,16 +248,17 @@
         let Some(heard) = now.checked_sub(row.age) else {
             return Changes::default();
         };
-        let newer = match self.known(&row.life) {
-            Some(known) => heard > known.heard,
-            None => row.limit.is_some(),
-        };
+        let known = self.known(&row.life).and_then(|known| known.limit);
+        let limit = row.limit.and_then(|limit| {
+            let (at, rate) = (now.checked_sub(limit.age)?, limit.rate);
+            let newer = known.map_or(rate.is_some(), |known| at > known.at);
+            newer.then_some(HeardLimit { rate, at })
+        });
         let rest = now.checked_add(row.rest).filter(|until| *until > now);
-        if !newer && !row.leaving && rest.is_none() {
+        if limit.is_none() && !row.leaving && rest.is_none() {
             return Changes::default();
         }
-        let limit = newer.then_some((heard, row.limit));
-        let changes = self.put(now, &row.life, limit, row.leaving);
+        let changes = self.put(now, &row.life, heard, limit, row.leaving);
         if let Some(announced) = self.endpoints.get_mut(&row.life.vm) {
             announced.others_until = announced.others_until.max(rest);
         }
@@ -245,7 +275,10 @@
                 birth: announced.birth.clone(),
             },
             age: now.saturating_duration_since(announced.heard),
-            limit: announced.limit,
+            limit: announced.limit.map(|limit| LimitRow {
+                age: now.saturating_duration_since(limit.at),
+                rate: limit.rate,
+            }),
             leaving: announced.leaving,
             rest: announced.rest_left(now),
         });
@@ -278,7 +311,7 @@
 
     /// Returns the limit that an endpoint announced and has not lifted since.
     pub fn limit(&self, vm: &VmId) -> Option<RequestRate> {
-        self.endpoints.get(vm)?.limit
+        self.endpoints.get(vm)?.rate()
     }
 
     /// Returns whether an endpoint announced that it leaves.
@@ -327,7 +360,7 @@
             let announced = self.endpoints.get(vm)?;
             let rest = announced.rest_left(now);
             let sum = allowance.get_or_insert(Allowance::default());
-            match announced.limit {
+            match announced.rate() {
                 _ if !rest.is_zero() => sum.record_rest(rest),
                 Some(_) => sum.add(now, &announced.bucket),
                 None => return None,
@@ -339,7 +372,7 @@
     /// Counts a request that is sent to an endpoint.
     pub fn record_send(&mut self, now: Instant, vm: &VmId) {
         if let Some(announced) = self.endpoints.get_mut(vm)
-            && announced.limit.is_some()
+            && announced.rate().is_some()
         {
             announced.bucket.record_send(now);
         }
@@ -365,12 +398,13 @@
         known.filter(|known| known.birth == life.birth)
     }
 
-    /// Stores a limit with the time when it was heard, and whether the endpoint is leaving.
+    /// Stores a newer limit, and whether the endpoint is leaving, as heard from the endpoint at `heard`.
     fn put(
         &mut self,
         now: Instant,
         life: &EndpointLife,
-        limit: Option<(Instant, Option<RequestRate>)>,
+        heard: Instant,
+        limit: Option<HeardLimit>,
         leaving: bool,
     ) -> Changes {
         let fleet = Fleet {
@@ -378,23 +412,24 @@
             routers: &self.routers,
         };
         let announced = self.endpoints.entry(life.vm.clone());
-        let announced = announced.or_insert_with(|| Announced::new(now, life));
+        let announced = announced.or_insert_with(|| Announced::new(now, life, heard));
         if announced.birth != life.birth {
-            *announced = Announced::new(now, life);
+            *announced = Announced::new(now, life, heard);
         }
-        let mut changes = Changes {
-            limit: false,
+        announced.heard = announced.heard.max(heard);
+        let before = announced.rate();
+        let changes = Changes {
+            limit: limit.is_some_and(|limit| limit.rate != before),
             leaving: leaving && !announced.leaving,
             rest: false,
         };
         announced.leaving |= leaving;
-        if let Some((heard, limit)) = limit {
-            announced.heard = heard;
-            changes.limit = announced.limit != limit;
-            if changes.limit {
-                announced.set_limit(now, limit);
-                announced.share_out(now, &life.vm, &fleet);
+        announced.limit = limit.or(announced.limit);
+        if changes.limit {
+            if before.is_none() {
+                announced.bucket = ShareBucket::new(now);
             }
+            announced.share_out(now, &life.vm, &fleet);
         }
         changes
     }
@@ -407,28 +442,32 @@
 }
 
 impl Announced {
-    fn new(now: Instant, life: &EndpointLife) -> Self {
+    fn new(now: Instant, life: &EndpointLife, heard: Instant) -> Self {
         Self {
             birth: life.birth.clone(),
+            heard,
             limit: None,
             leaving: false,
             rest_until: None,
             others_until: None,
-            heard: now,
             bucket: ShareBucket::new(now),
             round: 0,
         }
     }
 
+    fn rate(&self) -> Option<RequestRate> {
+        self.limit?.rate
+    }
+
     /// Returns whether nothing of it is in force.
     fn is_over(&self, now: Instant) -> bool {
         let resting = self.rest_until.max(self.others_until);
-        self.limit.is_none() && !self.leaving && resting.is_none_or(|until| until <= now)
+        self.rate().is_none() && !self.leaving && resting.is_none_or(|until| until <= now)
     }
 
     /// Returns whether this router may send it a request now.
     fn is_open(&self, now: Instant) -> bool {
-        let within = self.limit.is_none() || self.bucket.admits(now);
+        let within = self.rate().is_none() || self.bucket.admits(now);
         within && self.rest_left(now).is_zero()
     }
 
@@ -438,22 +477,16 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    fn set_limit(&mut self, now: Instant, limit: Option<RequestRate>) {
-        if self.limit.is_none() {
-            self.bucket = ShareBucket::new(now);
-        }
-        self.limit = limit;
-    }
-
     /// Computes this router's part of the rate.
     fn share_out(&mut self, now: Instant, vm: &VmId, fleet: &Fleet<'_>) {
         self.round = self.round_at(now);
         let part = |rate| rate_share(rate, fleet.routers, fleet.router, vm, self.round);
-        self.bucket.set_share(now, self.limit.and_then(part));
+        self.bucket.set_share(now, self.rate().and_then(part));
     }
 
     /// Returns the round of parts that the limit is in at a time.
     fn round_at(&self, now: Instant) -> u64 {
-        now.saturating_duration_since(self.heard).as_secs() / ROUND.as_secs()
+        let heard = self.limit.map_or(now, |limit| limit.at);
+        now.saturating_duration_since(heard).as_secs() / ROUND.as_secs()
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -50,6 +50,7 @@
 pub use announcements::Announcements;
 pub use announcements::Changes;
 pub use announcements::EndpointLife;
+pub use announcements::LimitRow;
 pub use borrowers::BorrowerDemand;
 pub use call_times::CallTimes;
 pub use capacity::Capacity;
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -230,7 +230,9 @@
         let (said, mut beat) = lock(&self.beat).clone()?;
         let passed = now.saturating_duration_since(said);
         beat.clock += passed;
-        beat.announced.iter_mut().for_each(|row| row.age += passed);
+        beat.announced
+            .iter_mut()
+            .for_each(|row| row.grow_older(passed));
         Some(beat)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -123,6 +123,7 @@
 pub use decide::HoldingAction;
 pub use decide::HoldingPolicy;
 pub use decide::Isolation;
+pub use decide::LimitRow;
 pub use decide::Load;
 pub use decide::Match;
 pub use decide::Observation;
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -6,6 +6,7 @@
 use crate::decide::Announcement;
 use crate::decide::AnnouncementRow;
 use crate::decide::EndpointLife;
+use crate::decide::LimitRow;
 use crate::ids::RequestId;
 use crate::request_rate::RequestRate;
 use crate::router::Event;
@@ -163,7 +164,10 @@
             birth: Some("1".to_owned()),
         },
         age: Duration::ZERO,
-        limit: Some(0.5.try_into().expect("a rate")),
+        limit: Some(LimitRow {
+            age: Duration::ZERO,
+            rate: Some(0.5.try_into().expect("a rate")),
+        }),
         leaving: true,
         rest: Duration::from_secs(5),
     };
@@ -325,3 +329,55 @@
     assert!(ran[..8].iter().all(|vm| *vm == endpoint(1)));
     assert!(ran[8..].iter().all(|vm| *vm == endpoint(0)));
 }
+
+/// Guards against a router that lifts a limit, since a peer that never heard of it tells of something else.
+#[test]
+fn a_peer_that_knows_of_no_limit_lifts_none() {
+    let mut site = Site::start(1_000_000);
+    let id = (0..8).map(|_| site.send("again", 0, 0)).collect::<Vec<_>>();
+    let at_endpoint = |id: &&RequestId| site.runs(**id)[0].endpoint == endpoint(0);
+    let id = *id.iter().find(at_endpoint).expect("one goes there");
+    let limited = Announcement {
+        limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+        ..Announcement::default()
+    };
+    site.handle(Event::EndpointAnnounced(id, limited));
+    site.advance(1000);
+    let row = AnnouncementRow {
+        life: EndpointLife {
+            vm: endpoint(0),
+            birth: None,
+        },
+        age: Duration::ZERO,
+        limit: None,
+        leaving: false,
+        rest: Duration::from_secs(1),
+    };
+    let beat = Heartbeat {
+        announced: vec![row],
+        ..site.peer_heartbeat(0)
+    };
+    site.handle(Event::HeartbeatReceived(beat));
+    assert!(limit(&site, 0).is_some());
+}
+
+/// Guards against announcements of endpoints that are gone, which routers tell each other for ever.
+#[test]
+fn an_endpoint_that_is_gone_is_forgotten() {
+    let mut fleet = Fleet::start(3, 3);
+    fleet.leaving.insert(endpoint(0));
+    fleet.limits.insert(endpoint(0), 2.0);
+    fleet.run(3.0, 60.0);
+    for site in &mut fleet.sites {
+        let list = site.core.members.vm_index.list().clone();
+        let vms = list.vms.into_iter().filter(|entry| entry.vm != endpoint(0));
+        site.handle(Event::VmList(VmList {
+            as_of: list.as_of + 1,
+            vms: vms.collect(),
+        }));
+    }
+    fleet.run(70.0, 6.0);
+    let known =
+        |site: &&Site| limit(site, 0).is_some() || site.core.announcements.is_leaving(&endpoint(0));
+    assert_eq!(fleet.sites.iter().filter(known).count(), 0);
+}
