--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -14,6 +14,8 @@
 use crate::router::ProblemKind;
 use crate::router::Ran;
 use crate::router::RunEnd;
+use crate::router::request::State;
+use crate::router::tests::cluster::Cluster;
 use crate::router::tests::fleet::Fleet;
 use crate::router::tests::fleet::Manner;
 use crate::router::tests::fleet::allowed;
@@ -381,3 +383,34 @@
         |site: &&Site| limit(site, 0).is_some() || site.core.announcements.is_leaving(&endpoint(0));
     assert_eq!(fleet.sites.iter().filter(known).count(), 0);
 }
+
+/// Guards against a request that is sent to an endpoint that asked for rest while the claim was on its way to the log.
+#[test]
+fn a_claimed_request_is_not_sent_to_an_endpoint_that_asked_for_rest_meanwhile() {
+    let mut cluster = Cluster::start(1);
+    let mut keys = 0;
+    let mut chat = |cluster: &mut Cluster| {
+        keys += 1;
+        cluster.chat(&format!("key-{keys}"), 1)
+    };
+    let arrival = chat(&mut cluster);
+    let first = cluster.submit_and_dispatch(0, &arrival);
+    let resting = cluster.nodes[0].runs(first)[0].endpoint.clone();
+    let pending = loop {
+        let arrival = chat(&mut cluster);
+        let id = cluster.submit(0, &arrival);
+        match &cluster.nodes[0].core.requests[&id].state {
+            State::Claiming { endpoint } if *endpoint == resting => break id,
+            state => assert!(matches!(state, State::Claiming { .. }), "{state:?}"),
+        }
+    };
+    let announcement = Announcement {
+        rest: Some(Duration::from_secs(3)),
+        ..Announcement::default()
+    };
+    cluster.handle(0, Event::EndpointAnnounced(first, announcement));
+    cluster.advance(200);
+    let runs = cluster.nodes[0].runs(pending);
+    assert!(runs.iter().all(|run| run.endpoint != resting), "{runs:?}");
+    assert_eq!(runs.len(), 1, "it runs elsewhere");
+}
