--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -30,6 +30,36 @@
     site.core.announcements.limit(&endpoint(number))
 }
 
+/// Delivers a heartbeat of another router that tells of an endpoint.
+fn hear_from_peer(site: &mut Site, row: AnnouncementRow) {
+    let beat = Heartbeat {
+        announced: vec![row],
+        ..site.peer_heartbeat(0)
+    };
+    site.handle(Event::HeartbeatReceived(beat));
+}
+
+/// Returns what a router tells of the first endpoint that asked it for rest.
+fn resting_row(rest: Duration) -> AnnouncementRow {
+    AnnouncementRow {
+        life: EndpointLife {
+            vm: endpoint(0),
+            birth: None,
+        },
+        age: Duration::ZERO,
+        limit: None,
+        leaving: false,
+        rest,
+    }
+}
+
+/// Sends requests, and returns those that run at the first endpoint.
+fn send_to_first(site: &mut Site) -> Vec<RequestId> {
+    let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
+    let at_first = |id: &RequestId| site.runs(*id)[0].endpoint == endpoint(0);
+    ids.into_iter().filter(at_first).collect()
+}
+
 /// Guards against routers that choose an endpoint by its load alone, or take its whole limit each for themselves.
 #[test]
 fn routers_together_keep_to_an_announced_limit() {
@@ -173,11 +203,7 @@
         leaving: true,
         rest: Duration::from_secs(5),
     };
-    let beat = Heartbeat {
-        announced: vec![row],
-        ..site.peer_heartbeat(0)
-    };
-    site.handle(Event::HeartbeatReceived(beat));
+    hear_from_peer(&mut site, row);
     assert_eq!(limit(&site, 0), None);
     assert!(!site.core.announcements.is_leaving(&endpoint(0)));
 }
@@ -186,9 +212,7 @@
 #[test]
 fn an_answer_that_was_overtaken_lifts_no_limit() {
     let mut site = Site::start(1_000_000);
-    let ids: Vec<_> = (0..8).map(|_| site.send("again", 0, 0)).collect();
-    let at_endpoint = |id: &RequestId| site.runs(*id)[0].endpoint == endpoint(0);
-    let ids: Vec<_> = ids.into_iter().filter(at_endpoint).collect();
+    let ids = send_to_first(&mut site);
     let limited = Announcement {
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
         ..Announcement::default()
@@ -307,21 +331,8 @@
 #[test]
 fn other_routers_avoid_a_resting_endpoint_while_there_is_another() {
     let mut site = Site::start(1_000_000);
-    let row = AnnouncementRow {
-        life: EndpointLife {
-            vm: endpoint(0),
-            birth: None,
-        },
-        age: Duration::ZERO,
-        limit: None,
-        leaving: false,
-        rest: Duration::from_secs(3),
-    };
-    let beat = Heartbeat {
-        announced: vec![row],
-        ..site.peer_heartbeat(0)
-    };
-    site.handle(Event::HeartbeatReceived(beat));
+    let row = resting_row(Duration::from_secs(3));
+    hear_from_peer(&mut site, row);
     let mut at = || {
         let id = site.send("again", 0, 0);
         site.runs(id)[0].endpoint.clone()
@@ -336,30 +347,15 @@
 #[test]
 fn a_peer_that_knows_of_no_limit_lifts_none() {
     let mut site = Site::start(1_000_000);
-    let id = (0..8).map(|_| site.send("again", 0, 0)).collect::<Vec<_>>();
-    let at_endpoint = |id: &&RequestId| site.runs(**id)[0].endpoint == endpoint(0);
-    let id = *id.iter().find(at_endpoint).expect("one goes there");
+    let id = send_to_first(&mut site)[0];
     let limited = Announcement {
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
         ..Announcement::default()
     };
     site.handle(Event::EndpointAnnounced(id, limited));
     site.advance(1000);
-    let row = AnnouncementRow {
-        life: EndpointLife {
-            vm: endpoint(0),
-            birth: None,
-        },
-        age: Duration::ZERO,
-        limit: None,
-        leaving: false,
-        rest: Duration::from_secs(1),
-    };
-    let beat = Heartbeat {
-        announced: vec![row],
-        ..site.peer_heartbeat(0)
-    };
-    site.handle(Event::HeartbeatReceived(beat));
+    let row = resting_row(Duration::from_secs(1));
+    hear_from_peer(&mut site, row);
     assert!(limit(&site, 0).is_some());
 }
 
