Log and count retries by pool, and those that were not made

What is missing to tell the hypotheses apart: 'retry' lines name the pool, 'retry-refused' says that the budget did not allow one, metrics count both for each pool. No decision changes.

--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -284,6 +284,7 @@
             Effect::Refuse(id, problem) => self.desk.command(id, Command::Refuse(problem)),
             Effect::Replay(id, replay) => self.desk.command(id, Command::Replay(replay)),
             Effect::Run(id, run) => self.desk.command(id, Command::Run(run)),
+            Effect::CountRetry { pool, sent } => self.desk.metrics.retry(&pool, sent),
             Effect::FinishAnswer(id) => self.desk.command(id, Command::Release),
             Effect::Abandon(id) => self.desk.command(id, Command::Leave),
             Effect::Abort(id, problem) => self.desk.command(id, Command::Cut(problem)),
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -21,6 +21,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::ids::PoolId;
 use crate::router::ProblemKind;
 
 /// What each name begins with.
@@ -159,6 +160,12 @@
         self.count(&format!("run.{how}"), 1);
     }
 
+    /// Counts a retry at a pool, or one that the pool's retry budget did not allow.
+    pub(crate) fn retry(&self, pool: &PoolId, sent: bool) {
+        let outcome = if sent { "sent" } else { "refused" };
+        self.count(&format!("retry.{outcome}.{pool}"), 1);
+    }
+
     /// Tells how long a request took to its end.
     pub(crate) fn took(&self, took: Duration) {
         self.time("request", took);
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -13,6 +13,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ModelId;
 use crate::ids::Offset;
+use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::RequestKey;
 use crate::ids::Sequence;
@@ -34,6 +35,11 @@
     Replay(RequestId, Replay),
     /// Sends a request to an endpoint and relays the answer, except for its end.
     Run(RequestId, Box<Run>),
+    /// Counts a retry of a request to a pool, or one that the pool's retry budget did not allow.
+    CountRetry {
+        pool: PoolId,
+        sent: bool,
+    },
     /// Sends the end of an answer.
     FinishAnswer(RequestId),
     /// Drops the connection to the endpoint that runs a request, without an answer to the caller.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -207,13 +207,20 @@
     /// retries would keep the remaining endpoints overloaded.
     pub(crate) fn retry_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
         let attempts = self.requests[&id].failed_endpoints.len();
-        if attempts >= MAX_RUNS || self.is_poison(id) || !self.retry_budget.try_retry(now) {
+        if attempts >= MAX_RUNS || self.is_poison(id) {
+            return false;
+        }
+        let pool = self.requests[&id].pool.clone();
+        if !self.retry_budget.try_retry(now) {
+            info!(event = "retry-refused", request = %id, %pool);
+            self.effects.push(Effect::CountRetry { pool, sent: false });
             return false;
         }
         let Some(endpoint) = self.pick_endpoint(now, id) else {
             return false;
         };
-        info!(event = "retry", request = %id, %endpoint);
+        info!(event = "retry", request = %id, %endpoint, %pool);
+        self.effects.push(Effect::CountRetry { pool, sent: true });
         self.dispatch(now, id, endpoint);
         true
     }
