--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -10,16 +10,24 @@
 
 use crate::decide::AnnouncedLimit;
 use crate::decide::Announcement;
+use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::Run;
 use crate::router::RunEnd;
+use crate::router::tests::site::RETRY_RATIO;
+use crate::router::tests::site::RETRY_SPARE;
+use crate::router::tests::site::RETRY_WINDOW;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::entry;
 use crate::vms::VmEntry;
 
+/// How many endpoints the second pool has.
+const APPS: usize = 3;
+/// The share of requests that a refusing endpoint turns away.
+const REFUSED: f64 = 0.6;
 /// How long one step of the simulation takes.
 const STEP: Duration = Duration::from_millis(20);
 /// How long an endpoint takes to answer.
@@ -43,6 +51,45 @@
     TurnAway,
 }
 
+/// The requests for a pool, and the arrivals at its endpoints beyond the first of each request.
+#[derive(Debug, Default)]
+pub(crate) struct RetryCount {
+    pub(crate) requests: Vec<Duration>,
+    arrived: IndexSet<(usize, usize, RequestId)>,
+    pub(crate) retries: Vec<Duration>,
+}
+
+impl RetryCount {
+    fn record_arrival(&mut self, at: Duration, attempt: (usize, usize, RequestId)) {
+        if !self.arrived.insert(attempt) {
+            self.retries.push(at);
+        }
+    }
+
+    /// Returns the retries of a window and how many were allowed in it, if they were fewer.
+    ///
+    /// The requests are counted in the window, in the one before and in the one half a window before, whichever has
+    /// most.
+    pub(crate) fn excess(&self, ratio: f64, spare: f64, window: Duration) -> Option<(usize, f64)> {
+        let count = |times: &[Duration], from: Duration, length: Duration| {
+            let end = from + length;
+            times.partition_point(|at| *at < end) - times.partition_point(|at| *at < from)
+        };
+        self.retries.iter().find_map(|from| {
+            let before = [Duration::ZERO, window / 2, window];
+            let requests = before.iter().map(|earlier| {
+                // A window that begins before the start of the play has so much less of it.
+                let start = from.saturating_sub(*earlier);
+                let length = (*from + window).saturating_sub(*earlier) - start;
+                count(&self.requests, start, length)
+            });
+            let allowed = ratio * requests.max().unwrap_or(0) as f64 + spare;
+            let retries = count(&self.retries, *from, window);
+            (retries as f64 > allowed).then_some((retries, allowed))
+        })
+    }
+}
+
 /// A request on its way back to a router.
 struct Answer {
     due: Duration,
@@ -78,12 +125,31 @@
     informed: IndexMap<VmId, Vec<(usize, Duration)>>,
     /// All requests to each endpoint.
     received: IndexMap<VmId, Vec<Duration>>,
+    /// How many times each router was restarted.
+    lives: Vec<usize>,
+    /// The routes that callers ask for in turn.
+    pub(crate) routes: Vec<&'static str>,
+    /// Endpoints that turn most requests away.
+    pub(crate) refusing: IndexSet<VmId>,
+    /// Endpoints that never answer.
+    pub(crate) silent: IndexSet<VmId>,
+    /// Requests and arrivals at each pool.
+    pub(crate) retry_counts: IndexMap<PoolId, RetryCount>,
 }
 
 pub(crate) fn endpoint(n: usize) -> VmId {
     format!("engine-{n}").parse().expect("a name")
 }
 
+pub(crate) fn pool_name(text: &str) -> PoolId {
+    text.parse().expect("a name")
+}
+
+/// Returns the name of an endpoint of the second pool.
+pub(crate) fn app(n: usize) -> VmId {
+    format!("app-{n}").parse().expect("a name")
+}
+
 pub(crate) fn vms(routers: usize, endpoints: usize) -> Vec<VmEntry> {
     let engines = (0..endpoints).map(|n| entry(&format!("engine-{n}"), 9100, &[("pool", "pool")]));
     let routers = (0..routers).map(|n| {
@@ -91,7 +157,8 @@
         let role = [("role", "router"), ("peer", peer.as_str())];
         entry(&format!("router-{n}"), 8001, &role)
     });
-    engines.chain(routers).collect()
+    let apps = (0..APPS).map(|n| entry(&format!("app-{n}"), 9200, &[("pool", "app")]));
+    engines.chain(apps).chain(routers).collect()
 }
 
 impl Fleet {
@@ -116,6 +183,11 @@
             after_leaving: 0,
             informed: IndexMap::new(),
             received: IndexMap::new(),
+            lives: vec![0; routers],
+            routes: vec!["again"],
+            refusing: IndexSet::new(),
+            silent: IndexSet::new(),
+            retry_counts: IndexMap::new(),
         }
     }
 
@@ -129,18 +201,39 @@
             while due >= 1.0 {
                 due -= 1.0;
                 let site = next % self.sites.len();
-                self.sites[site].send("again", 0, 0);
+                self.send(site, self.routes[next % self.routes.len()]);
                 next += 1;
             }
             self.step();
         }
     }
 
+    /// Sends a request to a router, and counts it for the pool to which the router assigns it.
+    pub(crate) fn send(&mut self, site: usize, route: &str) -> RequestId {
+        let id = self.sites[site].send(route, 0, 0);
+        let request = self.sites[site].core.requests.get(&id);
+        let pool = request.map(|request| request.pool.clone());
+        let pool = pool.or_else(|| (route == "app").then(|| pool_name("app")));
+        let count = self
+            .retry_counts
+            .entry(pool.unwrap_or_else(|| pool_name("pool")));
+        count.or_default().requests.push(self.elapsed);
+        id
+    }
+
+    /// Returns the most that any pool got in a window beyond what it is allowed, if it is more.
+    pub(crate) fn excess_retries(&self) -> Option<(PoolId, usize, f64)> {
+        let excess = |count: &RetryCount| count.excess(RETRY_RATIO, RETRY_SPARE, RETRY_WINDOW);
+        let mut counts = self.retry_counts.iter();
+        counts.find_map(|(pool, count)| excess(count).map(|(got, of)| (pool.clone(), got, of)))
+    }
+
     /// Restarts a router, which excuses what it sends until it is told anew.
     pub(crate) fn restart(&mut self, site: usize) {
         let vms = self.sites[site].core.members.vm_index.list().vms.clone();
         self.sites[site] = Site::start_member(site, 1_000_000, vms);
         self.answers.retain(|answer| answer.site != site);
+        self.lives[site] += 1;
         self.told.retain(|(of, _), _| *of != site);
         self.warned.retain(|(of, _), _| *of != site);
         self.asked.retain(|(of, _), _| *of != site);
@@ -220,6 +313,9 @@
             _ if announcement.rest.is_some() => RunEnd::NotRun {
                 retry: announcement.rest,
             },
+            _ if self.refusing.contains(vm) && self.rng.random_bool(REFUSED) => {
+                RunEnd::NotRun { retry: None }
+            }
             Manner::TurnAway if limit.is_none() => RunEnd::NotRun { retry: None },
             _ => RunEnd::Answered {
                 status: 200,
@@ -266,6 +362,14 @@
         let mut asked = asked.into_iter().flatten();
         let now = self.elapsed;
         self.disturbed += usize::from(asked.any(|(from, until)| (*from..*until).contains(&now)));
+        let core = &self.sites[site].core;
+        if let Some(request) = core.requests.get(&id) {
+            let count = self.retry_counts.entry(request.pool.clone()).or_default();
+            count.record_arrival(self.elapsed, (site, self.lives[site], id));
+        }
+        if self.silent.contains(&vm) {
+            return;
+        }
         self.received.entry(vm).or_default().push(self.elapsed);
         let due = self.elapsed + SERVICE_TIME;
         self.answers.push(Answer { due, site, id, run });
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -28,6 +28,7 @@
 mod random_announcements;
 mod refused;
 mod reincarnated;
+mod retry_limits;
 mod site;
 mod stale_config;
 mod starved;
--- /dev/null
+++ b/src/router/tests/retry_limits.rs
@@ -0,0 +1,54 @@
+//! Retries of a fleet of routers, counted for each pool and window over all of them.
+
+use crate::router::tests::fleet::Fleet;
+use crate::router::tests::fleet::app;
+use crate::router::tests::fleet::endpoint;
+
+/// Starts a fleet that received `rate` requests a second for longer than a window; one in eight is for the second pool.
+fn busy_fleet(routers: usize, rate: f64) -> Fleet {
+    let mut fleet = Fleet::start(routers, 5);
+    fleet.routes = [["again"; 7].as_slice(), &["app"]].concat();
+    fleet.run(12.0, rate);
+    fleet
+}
+
+fn refuse_all(fleet: &mut Fleet) {
+    fleet.refusing = (0..5).map(endpoint).chain((0..3).map(app)).collect();
+}
+
+/// Guards against a service whose retries are paid for by the requests to another service.
+#[test]
+fn a_service_in_trouble_does_not_spend_the_retries_of_others() {
+    for routers in [1, 7, 76] {
+        let mut fleet = busy_fleet(routers, 400.0);
+        fleet.refusing = (0..3).map(app).collect();
+        fleet.run(15.0, 400.0);
+        assert_eq!(fleet.excess_retries(), None, "{routers} routers");
+    }
+}
+
+/// Guards against retries kept from a time with more requests than the window has in which they are sent.
+#[test]
+fn retries_stay_within_the_limit_when_requests_become_fewer() {
+    for routers in [1, 7, 76] {
+        let mut fleet = busy_fleet(routers, 400.0);
+        fleet.run(2.0, 1600.0);
+        refuse_all(&mut fleet);
+        fleet.run(12.0, 100.0);
+        assert_eq!(fleet.excess_retries(), None, "{routers} routers");
+    }
+}
+
+/// Guards against routers that each have retries of their own whenever they start.
+#[test]
+fn retries_stay_within_the_limit_when_routers_restart() {
+    for routers in [1, 7, 76] {
+        let mut fleet = busy_fleet(routers, 40.0);
+        refuse_all(&mut fleet);
+        for _ in 0..6 {
+            (0..routers).for_each(|site| fleet.restart(site));
+            fleet.run(1.5, 60.0);
+        }
+        assert_eq!(fleet.excess_retries(), None, "{routers} routers");
+    }
+}
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -62,6 +62,11 @@
 pub(crate) const CONFIRM: Duration = Duration::from_millis(2500);
 pub(crate) const LINGER: Duration = Duration::from_millis(5500);
 
+/// The retries allowed at each pool, in a window: a share of its requests, and more regardless of these.
+pub(crate) const RETRY_RATIO: f64 = 0.2;
+pub(crate) const RETRY_SPARE: f64 = 50.0;
+pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
 /// Whether the log is reachable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Log {
@@ -135,17 +140,26 @@
             priority: 0,
             ..route("urgent", RepeatPolicy::Never, 1)
         },
+        PathRoute {
+            split: vec![(name("app"), 1)],
+            ..route("app", RepeatPolicy::Whole, 2)
+        },
+        PathRoute {
+            split: vec![(name("pool"), 1), (name("app"), 1)],
+            ..route("split", RepeatPolicy::Whole, 2)
+        },
     ];
-    let pool = TablePool {
-        name: name("pool"),
+    let pool = |pool: &str| TablePool {
+        name: name(pool),
         connections: 100,
         slots: Some(8),
         stride: 7,
         warmup: WARMUP,
         cold_rate: COLD_RATE,
     };
+    let pools = vec![pool("pool"), pool("app")];
     let version = TableVersion(version);
-    Arc::new(RouteTable::new(version, intake, routes, vec![pool], payers))
+    Arc::new(RouteTable::new(version, intake, routes, pools, payers))
 }
 
 pub(crate) fn entry(vm: &str, port: u16, role: &[(&str, &str)]) -> VmEntry {
@@ -176,8 +190,8 @@
         accounting: Accounting::Grants(GrantTuning {
             config_max_age: CONFIRM,
             min_drain: LINGER,
-            retry_ratio: 0.2,
-            retries_per_sec: 5.0,
+            retry_ratio: RETRY_RATIO,
+            retries_per_sec: RETRY_SPARE / RETRY_WINDOW.as_secs_f64(),
         }),
         clock,
         ..tuning(0)
