Give each pool a retry budget of its own

Callers saw BUDGET broken: a service got more repeats than its own requests allow. A router had one budget, which earned from the arrivals of all services, those refused before a pool was chosen included, and was spent on whichever failed. Now a request counts for the pool that it is assigned to, and a retry is charged to that pool. One pool without retries no longer keeps other pools' requests at silent endpoints.

--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -45,10 +45,10 @@
 impl Core {
     /// Handles a caller's request.
     pub(crate) fn handle_arrival(&mut self, now: Instant, arrival: Arrival) {
-        self.retry_budget.record_request(now);
         let id = arrival.id;
         match self.admit(now, &arrival) {
             Ok(request) => {
+                self.retry_budget(now, &request.pool).record_request(now);
                 info!(
                     event = "request", request = %id, key = %request.key, attempt = %request.attempt,
                     team = %request.team, pool = %request.pool, reserve = %request.reserve,
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -171,7 +171,8 @@
     pub(crate) fleet_demand: IndexMap<TeamId, Demand>,
     pub(crate) account_limits: IndexMap<AccountId, AccountLimit>,
     pub(crate) pools: IndexMap<PoolId, Pool>,
-    pub(crate) retry_budget: RetryBudget,
+    /// Each pool has its own, so that requests to one do not pay for retries at another.
+    pub(crate) retry_budgets: IndexMap<PoolId, RetryBudget>,
     pub(crate) members: Members,
     pub(crate) effects: Vec<Effect>,
     pub(crate) outage: Outage,
@@ -263,7 +264,7 @@
             fleet_demand: IndexMap::new(),
             account_limits: IndexMap::new(),
             pools: IndexMap::new(),
-            retry_budget: RetryBudget::new(now),
+            retry_budgets: IndexMap::new(),
             members: Members::new(now, tuning.vm.clone()),
             effects: Vec::new(),
             outage: Outage::default(),
@@ -398,19 +399,41 @@
             clock: self.tuning.clock,
             ..tuning
         };
-        self.update_retry_limit();
+        self.update_retry_limits();
+    }
+
+    /// Returns a pool's retry budget.
+    pub(crate) fn retry_budget(&mut self, now: Instant, pool: &PoolId) -> &mut RetryBudget {
+        let limits = self.retry_limits();
+        let budget = self.retry_budgets.entry(pool.clone());
+        budget.or_insert_with(|| {
+            let mut budget = RetryBudget::new(now);
+            if let Some((ratio, min_rate)) = limits {
+                budget.set_limits(ratio, min_rate);
+            }
+            budget
+        })
     }
 
     /// Sets this router's share of the retries of all routers, where the settings limit them.
-    pub(crate) fn update_retry_limit(&mut self) {
-        if let Accounting::Grants(tuning) = self.tuning.accounting {
-            let routers = self.members.vm_index.serving_vms().len() as f64;
-            let floor = tuning.retries_per_sec * RETRY_SHARE / routers;
-            self.retry_budget
-                .set_limits(tuning.retry_ratio * RETRY_SHARE, floor);
+    pub(crate) fn update_retry_limits(&mut self) {
+        let Some((ratio, min_rate)) = self.retry_limits() else {
+            return;
+        };
+        for budget in self.retry_budgets.values_mut() {
+            budget.set_limits(ratio, min_rate);
         }
     }
 
+    fn retry_limits(&self) -> Option<(f64, f64)> {
+        let Accounting::Grants(tuning) = self.tuning.accounting else {
+            return None;
+        };
+        let routers = self.members.vm_index.serving_vms().len() as f64;
+        let floor = tuning.retries_per_sec * RETRY_SHARE / routers;
+        Some((tuning.retry_ratio * RETRY_SHARE, floor))
+    }
+
     /// Starts to refuse requests that were in the socket buffers while the process was suspended.
     fn handle_pause(&mut self, now: Instant) {
         self.stale_until = Some(now + STALE_PERIOD);
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -208,8 +208,9 @@
             .filter(|(_, r)| r.should_switch_endpoint(now));
         let silent: Vec<_> = silent.map(|(id, _)| *id).collect();
         for id in silent {
-            if !self.retry_budget.has_retry(now) {
-                return;
+            let pool = self.requests[&id].pool.clone();
+            if !self.retry_budget(now, &pool).has_retry(now) {
+                continue;
             }
             if let Some(terms) = self.requests[&id].relay.as_mut() {
                 terms.timed_out = true;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -211,7 +211,7 @@
             return false;
         }
         let pool = self.requests[&id].pool.clone();
-        if !self.retry_budget.try_retry(now) {
+        if !self.retry_budget(now, &pool).try_retry(now) {
             info!(event = "retry-refused", request = %id, %pool);
             self.effects.push(Effect::CountRetry { pool, sent: false });
             return false;
