--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -1,8 +1,12 @@
 //! Retries of a fleet of routers, counted for each pool and window over all of them.
 
+use crate::router::Event;
+use crate::router::RunEnd;
 use crate::router::tests::fleet::Fleet;
 use crate::router::tests::fleet::app;
 use crate::router::tests::fleet::endpoint;
+use crate::router::tests::fleet::pool_name;
+use crate::router::tests::site::Site;
 
 /// Starts a fleet that received `rate` requests a second for longer than a window; one in eight is for the second pool.
 fn busy_fleet(routers: usize, rate: f64) -> Fleet {
@@ -52,3 +56,24 @@
         assert_eq!(fleet.excess_retries(), None, "{routers} routers");
     }
 }
+
+/// Guards against retries that are charged although no endpoint is left to send them to.
+#[test]
+fn a_retry_that_finds_no_endpoint_costs_nothing() {
+    let mut site = Site::start(1000);
+    site.wait_for_retries();
+    let spare = |site: &Site| {
+        site.core.retry_budgets[&pool_name("pool")]
+            .clone()
+            .usage(site.now)
+            .spare
+    };
+    let before = spare(&site);
+    let id = site.send("again", 0, 0);
+    for _ in 0..2 {
+        site.handle(Event::RunEnded(id, RunEnd::NotRun { retry: None }));
+    }
+    assert_eq!(site.runs(id).len(), 2);
+    assert!(site.refusal(id).is_some());
+    assert_eq!(before - spare(&site), 1.0);
+}
