Abandon no more silent endpoints than there are retries

Callers whose endpoint was silent were answered 'failed' although it might still have answered: a router abandoned all silent endpoints as long as one retry was left, and most of the requests then found the budget spent. The retry is now taken when the endpoint is abandoned and kept for the request.

--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -116,6 +116,7 @@
                 expected_prefill: None,
                 stopped: false,
                 timed_out: false,
+                retry_reserved: false,
             }),
         })
     }
@@ -200,7 +201,7 @@
         !exhausted && now < self.requests[&id].deadline && self.retry_elsewhere(now, id)
     }
 
-    /// Gives up on endpoints that stay silent about requests that another endpoint may run.
+    /// Gives up on endpoints that stay silent about requests that another endpoint may run, as far as retries are left.
     pub(crate) fn leave_silent_endpoints(&mut self, now: Instant) {
         let silent = self
             .requests
@@ -209,11 +210,12 @@
         let silent: Vec<_> = silent.map(|(id, _)| *id).collect();
         for id in silent {
             let pool = self.requests[&id].pool.clone();
-            if !self.retry_budget(now, &pool).has_retry(now) {
+            if !self.retry_budget(now, &pool).try_retry(now) {
                 continue;
             }
             if let Some(terms) = self.requests[&id].relay.as_mut() {
                 terms.timed_out = true;
+                terms.retry_reserved = true;
             }
             info!(event = "silent", request = %id);
             self.effects.push(Effect::Abandon(id));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -85,6 +85,8 @@
     pub(crate) expected_prefill: Option<(u64, Instant)>,
     /// Whether a run was already abandoned because its endpoint sent nothing in time.
     pub(crate) timed_out: bool,
+    /// Whether a retry was already taken from its pool's budget.
+    pub(crate) retry_reserved: bool,
     /// Whether it was told to stop, so that only its usage is still to be reported.
     pub(crate) stopped: bool,
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -211,7 +211,9 @@
             return false;
         }
         let pool = self.requests[&id].pool.clone();
-        if !self.retry_budget(now, &pool).has_retry(now) {
+        let terms = self.requests[&id].relay.as_mut();
+        let reserved = terms.is_some_and(|terms| std::mem::take(&mut terms.retry_reserved));
+        if !reserved && !self.retry_budget(now, &pool).has_retry(now) {
             info!(event = "retry-refused", request = %id, %pool);
             self.effects.push(Effect::CountRetry { pool, sent: false });
             return false;
@@ -219,7 +221,9 @@
         let Some(endpoint) = self.pick_endpoint(now, id) else {
             return false;
         };
-        self.retry_budget(now, &pool).try_retry(now);
+        if !reserved {
+            self.retry_budget(now, &pool).try_retry(now);
+        }
         info!(event = "retry", request = %id, %endpoint, %pool);
         self.effects.push(Effect::CountRetry { pool, sent: true });
         self.dispatch(now, id, endpoint);
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -1,11 +1,13 @@
 //! Retries of a fleet of routers, counted for each pool and window over all of them.
 
+use crate::router::Effect;
 use crate::router::Event;
 use crate::router::RunEnd;
 use crate::router::tests::fleet::Fleet;
 use crate::router::tests::fleet::app;
 use crate::router::tests::fleet::endpoint;
 use crate::router::tests::fleet::pool_name;
+use crate::router::tests::fleet::vms;
 use crate::router::tests::site::Site;
 
 /// Starts a fleet that received `rate` requests a second for longer than a window; one in eight is for the second pool.
@@ -57,6 +59,30 @@
     }
 }
 
+/// Guards against requests that are taken from silent endpoints although no retry is left for them.
+#[test]
+fn no_more_silent_endpoints_are_abandoned_than_retries_are_available() {
+    let mut site = Site::start_with_vms(1000, vms(2, 12));
+    site.wait_for_retries();
+    let ids: Vec<_> = (0..10).map(|_| site.send("again", 0, 0)).collect();
+    site.advance(600);
+    let abandoned = site.effects.iter().filter_map(|effect| match effect {
+        Effect::Abandon(id) => Some(*id),
+        _ => None,
+    });
+    let abandoned: Vec<_> = abandoned.collect();
+    assert!(!abandoned.is_empty() && abandoned.len() < ids.len());
+    for id in abandoned {
+        let end = RunEnd::Failed {
+            usage: None,
+            answer_begun: false,
+            endpoint_died: false,
+        };
+        site.handle(Event::RunEnded(id, end));
+        assert_eq!(site.runs(id).len(), 2, "{id}");
+    }
+}
+
 /// Guards against retries that are charged although no endpoint is left to send them to.
 #[test]
 fn a_retry_that_finds_no_endpoint_costs_nothing() {
