--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -117,6 +117,7 @@
                 stopped: false,
                 timed_out: false,
                 retry_reserved: false,
+                retry_refused: false,
             }),
         })
     }
@@ -210,12 +211,18 @@
         let silent: Vec<_> = silent.map(|(id, _)| *id).collect();
         for id in silent {
             let pool = self.requests[&id].pool.clone();
-            if !self.retry_budget(now, &pool).try_retry(now) {
+            let available = self.retry_budget(now, &pool).try_retry(now);
+            let Some(terms) = self.requests[&id].relay.as_mut() else {
+                continue;
+            };
+            terms.timed_out |= available;
+            terms.retry_reserved |= available;
+            let refused_before = std::mem::replace(&mut terms.retry_refused, !available);
+            if !available {
+                if !refused_before {
+                    self.log_refused_retry(id, pool);
+                }
                 continue;
-            }
-            if let Some(terms) = self.requests[&id].relay.as_mut() {
-                terms.timed_out = true;
-                terms.retry_reserved = true;
             }
             info!(event = "silent", request = %id);
             self.effects.push(Effect::Abandon(id));
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -87,6 +87,8 @@
     pub(crate) timed_out: bool,
     /// Whether a retry was already taken from its pool's budget.
     pub(crate) retry_reserved: bool,
+    /// Whether its endpoint was silent while no retry was left.
+    pub(crate) retry_refused: bool,
     /// Whether it was told to stop, so that only its usage is still to be reported.
     pub(crate) stopped: bool,
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::ledger::Bearer;
@@ -214,8 +215,7 @@
         let terms = self.requests[&id].relay.as_mut();
         let reserved = terms.is_some_and(|terms| std::mem::take(&mut terms.retry_reserved));
         if !reserved && !self.retry_budget(now, &pool).has_retry(now) {
-            info!(event = "retry-refused", request = %id, %pool);
-            self.effects.push(Effect::CountRetry { pool, sent: false });
+            self.log_refused_retry(id, pool);
             return false;
         }
         let Some(endpoint) = self.pick_endpoint(now, id) else {
@@ -230,6 +230,12 @@
         true
     }
 
+    /// Logs and counts a retry that its pool's budget did not allow.
+    pub(crate) fn log_refused_retry(&mut self, id: RequestId, pool: PoolId) {
+        info!(event = "retry-refused", request = %id, %pool);
+        self.effects.push(Effect::CountRetry { pool, sent: false });
+    }
+
     /// Handles a run whose endpoint failed after it had received the request.
     fn handle_broken_run(
         &mut self,
