Count arrivals at real sockets: nothing is sent a second time that the core did not dispatch

The client of short calls and the relay's connections, each 20 times: a request whose kept connection breaks after it was read arrives once.

--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -1,8 +1,25 @@
-//! Streams, cut into whole events.
+//! Streams, cut into whole events, and connections to endpoints that break.
+
+#![expect(
+    clippy::disallowed_methods,
+    reason = "the endpoint of these tests is a socket"
+)]
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Request;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::edge::relay::events::EventSplitter;
+use crate::edge::relay::upstream::Target;
+use crate::edge::relay::upstream::Upstream;
+use crate::edge::relay::upstream::UpstreamError;
 
 /// An endpoint dies in the middle of an event. The caller has none of that half, and the number from which another endpoint
 /// goes on is that of the last whole one.
@@ -38,3 +55,39 @@
         assert_eq!((out.as_slice(), count), (&whole[..], 2), "{cut}");
     }
 }
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against a request that is sent again, without the core's decision, when the kept connection it was sent on
+/// breaks.
+#[tokio::test]
+async fn a_request_on_a_kept_connection_that_breaks_is_sent_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let target = Target {
+        address: listener.local_addr().expect("an address"),
+        endpoint: "engine-0".to_owned(),
+    };
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0; 1024];
+            for answer in [ANSWER, b""] {
+                if let Ok(1..) = stream.read(&mut head).await {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    let _ = stream.write_all(answer).await;
+                }
+            }
+        }
+    });
+    let upstream = Upstream::default();
+    for round in 1..=20 {
+        let sent = upstream.send(target.clone(), Request::default()).await;
+        let (connection, answer) = sent.expect("it is answered");
+        answer.into_body().collect().await.expect("it is whole");
+        upstream.keep(connection, None);
+        let sent = upstream.send(target.clone(), Request::default()).await;
+        assert_eq!(sent.err(), Some(UpstreamError::Broken));
+        assert_eq!(requests.load(Ordering::Relaxed), 2 * round);
+    }
+}
--- a/src/http_client/tests.rs
+++ b/src/http_client/tests.rs
@@ -158,3 +158,39 @@
     assert!(next.is_ok(), "{next:?}");
     assert_eq!(accepted.load(Ordering::Relaxed), 2);
 }
+
+/// Answers the first request on each connection, and closes the connection once it has read the second one. Counts the
+/// requests.
+async fn serve_one(mut stream: TcpStream, requests: Arc<AtomicUsize>) {
+    let mut head = [0; 1024];
+    if let Ok(1..) = stream.read(&mut head).await {
+        requests.fetch_add(1, Ordering::Relaxed);
+        let _ = stream.write_all(ANSWER).await;
+    }
+    if let Ok(1..) = stream.read(&mut head).await {
+        requests.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Guards against a client library that sends a request again by itself when the connection it was sent on breaks: no
+/// retry budget counts such a send.
+#[tokio::test]
+async fn a_request_on_a_connection_that_breaks_is_not_sent_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let url = format!("http://{}/", listener.local_addr().expect("an address"));
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_one(stream, count.clone()));
+        }
+    });
+    let client = HttpClient::default();
+    for round in 1..=20 {
+        let first = client.get(&url, LIMIT).await;
+        assert!(first.is_ok(), "{first:?}");
+        let second = client.get(&url, LIMIT).await;
+        assert!(matches!(second, Err(HttpError::Lost(_))), "{second:?}");
+        assert_eq!(requests.load(Ordering::Relaxed), 2 * round);
+    }
+}
--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -17,6 +17,7 @@
 mod program;
 mod refused;
 mod reply;
+mod retries;
 mod served;
 mod site;
 mod slow;
--- a/tests/path/site.rs
+++ b/tests/path/site.rs
@@ -237,7 +237,8 @@
         Ok(())
     }
 
-    async fn show(&self, vm: &str, address: &str, labels: Value) -> Result<()> {
+    /// Lists a VM.
+    pub(crate) async fn show(&self, vm: &str, address: &str, labels: Value) -> Result<()> {
         let body = json!({"vm": vm, "address": address, "domain": "domain-a", "labels": labels, "state": "live"});
         let path = format!("/v1/vms/{vm}");
         // What it answers has no body.
