--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -21,11 +21,12 @@
 use crate::router::tests::site::RETRY_SPARE;
 use crate::router::tests::site::RETRY_WINDOW;
 use crate::router::tests::site::Site;
+use crate::router::tests::site::broken_run;
 use crate::router::tests::site::entry;
 use crate::vms::VmEntry;
 
 /// How many endpoints the second pool has.
-const APPS: usize = 3;
+pub(crate) const APPS: usize = 3;
 /// The share of requests that a refusing endpoint turns away.
 const REFUSED: f64 = 0.6;
 /// How long one step of the simulation takes.
@@ -208,16 +209,21 @@
         }
     }
 
-    /// Sends a request to a router, and counts it for the pool to which the router assigns it.
+    /// Sends a request to a router, and counts it for the pool to which the router assigns it. One that was refused at
+    /// once counts for each pool of its route.
     pub(crate) fn send(&mut self, site: usize, route: &str) -> RequestId {
         let id = self.sites[site].send(route, 0, 0);
         let request = self.sites[site].core.requests.get(&id);
-        let pool = request.map(|request| request.pool.clone());
-        let pool = pool.or_else(|| (route == "app").then(|| pool_name("app")));
-        let count = self
-            .retry_counts
-            .entry(pool.unwrap_or_else(|| pool_name("pool")));
-        count.or_default().requests.push(self.elapsed);
+        let pools = match (request, route) {
+            (Some(request), _) => vec![request.pool.clone()],
+            (None, "app") => vec![pool_name("app")],
+            (None, "split") => vec![pool_name("pool"), pool_name("app")],
+            (None, _) => vec![pool_name("pool")],
+        };
+        for pool in pools {
+            let count = self.retry_counts.entry(pool).or_default();
+            count.requests.push(self.elapsed);
+        }
         id
     }
 
@@ -333,6 +339,9 @@
                 match effect {
                     Effect::Run(id, run) => self.receive(site, id, run),
                     Effect::SendHeartbeat(beat, peers) => beats.push((beat, peers)),
+                    Effect::Abandon(id) => {
+                        self.sites[site].handle(Event::RunEnded(id, broken_run(false)))
+                    }
                     _ => {}
                 }
             }
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -18,18 +18,11 @@
 use crate::router::tests::site::LINGER;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
+use crate::router::tests::site::broken_run;
 use crate::router::tests::site::table;
 use crate::router::tests::site::whole;
 use crate::tokens::Tokens;
 
-fn broken_run(answer_begun: bool) -> RunEnd {
-    RunEnd::Failed {
-        usage: None,
-        answer_begun,
-        endpoint_died: false,
-    }
-}
-
 /// Returns a field of the team's budget from the state dump.
 fn budget_field(site: &Site, field: &str) -> u64 {
     let dump = site.core.grant_budgets.dump(site.now);
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -26,6 +26,7 @@
 mod power_loss;
 mod random;
 mod random_announcements;
+mod random_retries;
 mod refused;
 mod reincarnated;
 mod retry_limits;
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -9,6 +9,7 @@
 use crate::router::tests::fleet::pool_name;
 use crate::router::tests::fleet::vms;
 use crate::router::tests::site::Site;
+use crate::router::tests::site::broken_run;
 
 /// Starts a fleet that received `rate` requests a second for longer than a window; one in eight is for the second pool.
 fn busy_fleet(routers: usize, rate: f64) -> Fleet {
@@ -73,12 +74,7 @@
     let abandoned: Vec<_> = abandoned.collect();
     assert!(!abandoned.is_empty() && abandoned.len() < ids.len());
     for id in abandoned {
-        let end = RunEnd::Failed {
-            usage: None,
-            answer_begun: false,
-            endpoint_died: false,
-        };
-        site.handle(Event::RunEnded(id, end));
+        site.handle(Event::RunEnded(id, broken_run(false)));
         assert_eq!(site.runs(id).len(), 2, "{id}");
     }
 }
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -185,6 +185,15 @@
     RunEnd::Completed { usage }
 }
 
+/// Returns the end of a run whose endpoint failed.
+pub(crate) fn broken_run(answer_begun: bool) -> RunEnd {
+    RunEnd::Failed {
+        usage: None,
+        answer_begun,
+        endpoint_died: false,
+    }
+}
+
 fn site_tuning(clock: BootClock) -> Tuning {
     Tuning {
         drain_timeout: Duration::from_millis(7700),
