--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -24,6 +24,7 @@
 use crate::router::tests::site::broken_run;
 use crate::router::tests::site::entry;
 use crate::vms::VmEntry;
+use crate::vms::VmList;
 
 /// How many endpoints the second pool has.
 pub(crate) const APPS: usize = 3;
@@ -112,6 +113,9 @@
     /// Endpoints that turn all requests away, and the rest that they ask for.
     pub(crate) rests: IndexMap<VmId, Duration>,
     answers: Vec<Answer>,
+    endpoints: usize,
+    /// The version of the last VM list.
+    lists: u64,
     /// Share of the heartbeats that are lost.
     pub(crate) loss: f64,
     rng: ChaCha8Rng,
@@ -180,6 +184,8 @@
             leaving: IndexSet::new(),
             rests: IndexMap::new(),
             answers: Vec::new(),
+            endpoints,
+            lists: 3,
             loss: 0.0,
             rng: ChaCha8Rng::seed_from_u64(1),
             warned: IndexMap::new(),
@@ -275,6 +281,18 @@
             .collect()
     }
 
+    /// Has one router read a VM list that lacks the last router, or a whole one.
+    pub(crate) fn change_list(&mut self, rng: &mut ChaCha8Rng) {
+        let routers = self.sites.len();
+        let known = routers - usize::from(rng.random_bool(0.5) && routers > 2);
+        let site = rng.random_range(0..routers);
+        self.lists += 1;
+        self.sites[site].handle(Event::VmList(VmList {
+            as_of: self.lists,
+            vms: vms(known, self.endpoints),
+        }));
+    }
+
     pub(crate) fn step(&mut self) {
         self.elapsed += STEP;
         for site in &mut self.sites {
--- a/src/router/tests/random_announcements.rs
+++ b/src/router/tests/random_announcements.rs
@@ -7,11 +7,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::router::Event;
 use crate::router::tests::fleet::Fleet;
 use crate::router::tests::fleet::endpoint;
-use crate::router::tests::fleet::vms;
-use crate::vms::VmList;
 
 const ENDPOINTS: usize = 6;
 /// How many spans of a second each fleet is run for.
@@ -22,7 +19,6 @@
     rng: ChaCha8Rng,
     /// Endpoints that leave, and when the last router has to know.
     leavers: Vec<(usize, Duration)>,
-    lists: u64,
 }
 
 impl Play {
@@ -35,7 +31,6 @@
             fleet,
             rng,
             leavers: Vec::new(),
-            lists: 3,
         }
     }
 
@@ -62,7 +57,7 @@
                 let site = self.rng.random_range(0..self.fleet.sites.len());
                 self.fleet.restart(site);
             }
-            _ => self.change_list(),
+            _ => self.fleet.change_list(&mut self.rng),
         }
         let rate = self.rng.random_range(5.0..120.0);
         self.fleet.run(1.0, rate);
@@ -70,18 +65,6 @@
         assert_eq!(self.fleet.disturbed, 0);
         assert_eq!(self.fleet.after_leaving, 0);
     }
-
-    /// Has one router read a list that lacks the last router, or a whole one.
-    fn change_list(&mut self) {
-        let routers = self.fleet.sites.len();
-        let known = routers - usize::from(self.rng.random_bool(0.5) && routers > 2);
-        let site = self.rng.random_range(0..routers);
-        self.lists += 1;
-        self.fleet.sites[site].handle(Event::VmList(VmList {
-            as_of: self.lists,
-            vms: vms(known, ENDPOINTS),
-        }));
-    }
 }
 
 fn play(seeds: std::ops::Range<u64>) {
--- a/src/router/tests/random_retries.rs
+++ b/src/router/tests/random_retries.rs
@@ -6,13 +6,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::router::Event;
 use crate::router::tests::fleet::APPS;
 use crate::router::tests::fleet::Fleet;
 use crate::router::tests::fleet::app;
 use crate::router::tests::fleet::endpoint;
-use crate::router::tests::fleet::vms;
-use crate::vms::VmList;
 
 const ENDPOINTS: usize = 12;
 /// How many spans of a second each fleet is run for.
@@ -23,7 +20,6 @@
     rng: ChaCha8Rng,
     /// Requests a second.
     rate: f64,
-    lists: u64,
 }
 
 impl Play {
@@ -34,7 +30,6 @@
             fleet: Fleet::start(routers, ENDPOINTS),
             rng,
             rate: 300.0,
-            lists: 3,
         }
     }
 
@@ -46,7 +41,7 @@
             3 => self.change_routes(),
             4 => self.rate = [0.0, 20.0, 100.0, 400.0][self.rng.random_range(0..4)],
             5 => self.restart_some(),
-            6 => self.change_list(),
+            6 => self.fleet.change_list(&mut self.rng),
             _ => {}
         }
         self.fleet.run(1.0, self.rate);
@@ -89,18 +84,6 @@
             }
         }
     }
-
-    /// Has one router read a list that lacks the last router, or a whole one.
-    fn change_list(&mut self) {
-        let routers = self.fleet.sites.len();
-        let known = routers - usize::from(self.rng.random_bool(0.5) && routers > 2);
-        let site = self.rng.random_range(0..routers);
-        self.lists += 1;
-        self.fleet.sites[site].handle(Event::VmList(VmList {
-            as_of: self.lists,
-            vms: vms(known, ENDPOINTS),
-        }));
-    }
 }
 
 fn play(seeds: std::ops::Range<u64>) {
