--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -34,40 +34,40 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use call::Patience;
+pub(crate) use call::TimeLimit;
 pub use error::HttpError;
 pub use error::Overdue;
 pub use error::Reached;
 
-/// How long a connection may take: between two VMs of one site it takes milliseconds, and a call that could not be sent
-/// may go elsewhere.
-const CONNECT: Duration = Duration::from_secs(1);
+/// The time limit for a connection. Between two VMs of one site it takes milliseconds, and a call that could not be sent
+/// may be sent elsewhere.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The longest answer that is read, in bytes; one batch of a stream's records is well below it.
-const MAX_ANSWER: usize = 64 << 20;
+/// The longest answer that is read, in bytes. A batch of a stream's records is far shorter.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
 
-/// A whole answer.
+/// A complete answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
-    /// Its status.
+    /// The status.
     pub status: StatusCode,
-    /// Its body.
+    /// The body.
     pub body: Bytes,
 }
 
 type Connections = Client<HttpConnector, Full<Bytes>>;
 
-/// A client that keeps connections open for the next call.
+/// A client that keeps connections open for later calls.
 ///
-/// A cut of the network leaves all of them dead without a word. Tried one after another, each would cost the next call
-/// its whole time limit, and the caller would be parted for seconds longer than the network was. So a call over an idle connection
-/// that is not answered, or one that gets no connection, takes all idle connections with it, and the next one opens a new
-/// one. A call over a new connection that is not answered tells nothing of the others.
+/// A network partition leaves all idle connections dead without a notice. If they were tried one after another, each
+/// would cost a call its whole time limit, and the caller would stay disconnected for seconds after the partition. A call
+/// that is not answered over an idle connection, or that gets no connection, therefore discards all idle connections. A
+/// call that is not answered over a new connection says nothing about the others.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     connections: Arc<Mutex<Connections>>,
-    /// How many idle connections are kept.
-    idle: usize,
+    /// The maximum number of idle connections to each host.
+    max_idle: usize,
     bearer: Option<String>,
 }
 
@@ -78,61 +78,61 @@
 }
 
 impl HttpClient {
-    /// Makes a client that sends a bearer key, if one is given, with each call.
+    /// Creates a client that sends a bearer key, if one is given, with each call.
     pub fn new(bearer: Option<String>) -> Self {
-        Self::keeping(usize::MAX, bearer)
+        Self::with_max_idle(usize::MAX, bearer)
     }
 
-    /// Makes a client that opens a connection for each call.
+    /// Creates a client that opens a new connection for each call.
     pub(crate) fn without_reuse() -> Self {
-        Self::keeping(0, None)
+        Self::with_max_idle(0, None)
     }
 
-    fn keeping(idle: usize, bearer: Option<String>) -> Self {
+    fn with_max_idle(max_idle: usize, bearer: Option<String>) -> Self {
         Self {
-            connections: Arc::new(Mutex::new(connections(idle))),
-            idle,
+            connections: Arc::new(Mutex::new(connections(max_idle))),
+            max_idle,
             bearer,
         }
     }
 
-    /// Lets go of all idle connections if one of them brought no answer; calls in progress keep theirs.
-    fn leave_dead<T>(&self, connect: Option<Duration>, answer: &Result<T, HttpError>) {
+    /// Discards all idle connections if a call over one of them was not answered. Calls in progress keep theirs.
+    fn discard_dead<T>(&self, connect: Option<Duration>, answer: &Result<T, HttpError>) {
         let unknown = answer.as_ref().is_err_and(HttpError::is_unknown);
         if connect.is_some() || !unknown {
             return;
         }
-        let mut kept = self
+        let mut current = self
             .connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        *kept = connections(self.idle);
+        *current = connections(self.max_idle);
     }
 
     /// Gets a resource.
     ///
     /// # Errors
     ///
-    /// When no whole answer came within the limit.
+    /// When the answer was not complete within the limit.
     pub async fn get(&self, url: &str, limit: Duration) -> Result<Answer, HttpError> {
         let request = self.request("GET", url).body(Full::default())?;
-        self.whole(request, limit).await
+        self.fetch(request, limit).await
     }
 
     /// Posts a body.
     ///
     /// # Errors
     ///
-    /// When no whole answer came within the limit.
+    /// When the answer was not complete within the limit.
     pub async fn post(&self, url: &str, body: Bytes, limit: Duration) -> Result<Answer, HttpError> {
         let request = self
             .request("POST", url)
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))?;
-        self.whole(request, limit).await
+        self.fetch(request, limit).await
     }
 
-    /// Begins a request.
+    /// Starts to build a request.
     pub fn request(&self, method: &str, url: &str) -> hyper::http::request::Builder {
         let request = Request::builder().method(method).uri(url);
         match &self.bearer {
@@ -141,48 +141,48 @@
         }
     }
 
-    /// Sends a request and returns its answer when the head is there; the body is still to be read.
+    /// Sends a request and returns its answer once the head is received; the body is still to be read.
     ///
     /// # Errors
     ///
-    /// When no head came within the limit.
+    /// When the head was not received within the limit.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Incoming>, HttpError> {
-        let call = Call::begin(Patience::Whole(limit));
+        let call = Call::start(TimeLimit::Total(limit));
         let Outcome { connect, answer } = self.head(request, &call).await;
-        self.leave_dead(connect, &answer);
+        self.discard_dead(connect, &answer);
         answer
     }
 
-    /// Sends a request and reads all of its answer.
+    /// Sends a request and reads its complete answer.
     ///
     /// # Errors
     ///
-    /// When no whole answer came within the limit.
-    pub(crate) async fn whole(
+    /// When the answer was not complete within the limit.
+    pub(crate) async fn fetch(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Answer, HttpError> {
-        self.exchange(request, Patience::Whole(limit)).await.answer
+        self.exchange(request, TimeLimit::Total(limit)).await.answer
     }
 
-    /// Sends a request and reads all of its answer, as patiently as is said.
+    /// Sends a request and reads its complete answer within the given time limits.
     pub(crate) async fn exchange(
         &self,
         request: Request<Full<Bytes>>,
-        patience: Patience,
+        limit: TimeLimit,
     ) -> Outcome<Answer> {
-        let call = Call::begin(patience);
+        let call = Call::start(limit);
         let Outcome { connect, answer } = self.head(request, &call).await;
         let answer = match answer {
             Ok(head) => self.body(head, &call).await,
             Err(error) => Err(error),
         };
-        self.leave_dead(connect, &answer);
+        self.discard_dead(connect, &answer);
         Outcome { connect, answer }
     }
 
@@ -199,12 +199,12 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
         let mut answer = pin!(connections.request(request));
-        // An idle connection is taken at once, and a new one never is there at once.
+        // An idle connection is available immediately, a new one never is.
         if let Poll::Ready(answer) = futures::poll!(answer.as_mut()) {
             return Outcome::of(answer.map_err(failure));
         }
         let idle = connection.connection_metadata().is_some();
-        let begun = Instant::now();
+        let started = Instant::now();
         let connected = async {
             connection.wait_for_connection_metadata().await;
         };
@@ -213,13 +213,13 @@
             answer = &mut answer => return Outcome::of(answer.map_err(failure)),
             () = connected => {}
             () = sleep_until(call.deadline(Step::Connect)) => {
-                return Outcome::of(Err(call.overdue(Step::Connect, Reached::Nothing)));
+                return Outcome::of(Err(call.timeout_error(Step::Connect, Reached::Nothing)));
             }
         }
-        let connect = (!idle).then(|| begun.elapsed());
+        let connect = (!idle).then(|| started.elapsed());
         let answer = match timeout_at(call.deadline(Step::Head), answer).await {
             Ok(answer) => answer.map_err(failure),
-            Err(_) => Err(call.overdue(Step::Head, Reached::Connection)),
+            Err(_) => Err(call.timeout_error(Step::Head, Reached::Connection)),
         };
         Outcome { connect, answer }
     }
@@ -227,11 +227,11 @@
     /// Reads the body of an answer.
     async fn body(&self, head: Response<Incoming>, call: &Call) -> Result<Answer, HttpError> {
         let status = head.status();
-        let mut frames = Limited::new(head.into_body(), MAX_ANSWER);
+        let mut frames = Limited::new(head.into_body(), MAX_ANSWER_BYTES);
         let mut body = BytesMut::new();
         loop {
             let Ok(frame) = timeout_at(call.deadline(Step::Body), frames.frame()).await else {
-                return Err(call.overdue(Step::Body, Reached::Body(body.len())));
+                return Err(call.timeout_error(Step::Body, Reached::Body(body.len())));
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -250,10 +250,10 @@
     }
 }
 
-/// What came of a call.
+/// The result of a call.
 #[derive(Debug)]
 pub(crate) struct Outcome<T> {
-    /// How long its connection took to open, if it did not take an idle one.
+    /// How long the connection took to open, unless an idle one was used.
     pub(crate) connect: Option<Duration>,
     pub(crate) answer: Result<T, HttpError>,
 }
@@ -283,11 +283,11 @@
 fn connector() -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT));
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector
 }
 
-/// Returns the innermost cause, which alone tells what happened.
+/// Returns the innermost cause; the outer ones add nothing.
 fn cause(error: &dyn std::error::Error) -> String {
     let mut inner = error;
     while let Some(source) = inner.source() {
--- a/src/http_client/call.rs
+++ b/src/http_client/call.rs
@@ -1,4 +1,4 @@
-//! How long a call and its steps may take.
+//! The time limits of a call and of its steps.
 
 use std::time::Duration;
 
@@ -8,24 +8,24 @@
 use crate::http_client::error::Overdue;
 use crate::http_client::error::Reached;
 
-/// How long a call may take.
+/// The time limits of a call.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Patience {
-    /// So long in all.
-    Whole(Duration),
-    /// So long for each step. A long answer over a slow link comes to its end so, where a limit for the whole would throw
-    /// away what has come, and the next try would begin from nothing.
+pub(crate) enum TimeLimit {
+    /// One limit for the whole call.
+    Total(Duration),
+    /// A limit for each step. A long answer over a slow link is read to its end; a limit for the whole call would discard
+    /// what was received, and the next attempt would start from the beginning.
     Steps {
-        /// Until there is a connection.
+        /// Until the connection is established.
         connect: Duration,
-        /// From then to the answer's head.
+        /// From there to the head of the answer.
         head: Duration,
-        /// From one piece of the body to the next.
+        /// Between two pieces of the body.
         pause: Duration,
     },
 }
 
-/// A step of a call.
+/// One step of a call.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Step {
     Connect,
@@ -36,39 +36,39 @@
 /// A call in progress.
 #[derive(Debug)]
 pub(super) struct Call {
-    begun: Instant,
-    patience: Patience,
+    started: Instant,
+    limit: TimeLimit,
 }
 
 impl Call {
-    /// Begins one.
-    pub(super) fn begin(patience: Patience) -> Self {
+    /// Starts the clock of a call.
+    pub(super) fn start(limit: TimeLimit) -> Self {
         Self {
-            begun: Instant::now(),
-            patience,
+            started: Instant::now(),
+            limit,
         }
     }
 
-    /// Returns until when a step may last that begins now.
+    /// Returns the deadline of a step that starts now.
     pub(super) fn deadline(&self, step: Step) -> Instant {
-        match self.patience {
-            Patience::Whole(limit) => self.begun + limit,
-            Patience::Steps { .. } => Instant::now() + self.limit(step),
+        match self.limit {
+            TimeLimit::Total(limit) => self.started + limit,
+            TimeLimit::Steps { .. } => Instant::now() + self.step_limit(step),
         }
     }
 
-    fn limit(&self, step: Step) -> Duration {
-        match (self.patience, step) {
-            (Patience::Whole(limit), _) => limit,
-            (Patience::Steps { connect, .. }, Step::Connect) => connect,
-            (Patience::Steps { head, .. }, Step::Head) => head,
-            (Patience::Steps { pause, .. }, Step::Body) => pause,
+    fn step_limit(&self, step: Step) -> Duration {
+        match (self.limit, step) {
+            (TimeLimit::Total(limit), _) => limit,
+            (TimeLimit::Steps { connect, .. }, Step::Connect) => connect,
+            (TimeLimit::Steps { head, .. }, Step::Head) => head,
+            (TimeLimit::Steps { pause, .. }, Step::Body) => pause,
         }
     }
 
-    /// Returns the error of a step that took too long.
-    pub(super) fn overdue(&self, step: Step, reached: Reached) -> HttpError {
-        let limit = self.limit(step);
+    /// Returns the error for a step that exceeded its limit.
+    pub(super) fn timeout_error(&self, step: Step, reached: Reached) -> HttpError {
+        let limit = self.step_limit(step);
         HttpError::Timeout(Overdue { limit, reached })
     }
 }
--- a/src/http_client/error.rs
+++ b/src/http_client/error.rs
@@ -1,46 +1,46 @@
-//! Why a call brought no answer, and how far it got.
+//! Errors of a call, and how far it got.
 
 use std::time::Duration;
 
 use thiserror::Error;
 
-/// Why there is no answer.
+/// Why a call has no answer.
 #[derive(Debug, Error)]
 pub enum HttpError {
-    /// The URL or a header cannot be written in a request.
+    /// The URL or a header is invalid.
     #[error("no valid request: {0}")]
     Request(#[from] hyper::http::Error),
-    /// No connection could be had, so that nothing was sent.
+    /// No connection was established, so nothing was sent.
     #[error("no connection: {0}")]
     Connect(String),
-    /// The request may have taken effect, but its answer was lost.
+    /// The connection broke before the answer was complete; the request may have taken effect.
     #[error("the answer was lost: {0}")]
     Lost(String),
-    /// As [`HttpError::Lost`]: no answer came in time.
+    /// The answer was not complete in time; the request may have taken effect.
     #[error("no answer within {0}")]
     Timeout(Overdue),
 }
 
-/// A call whose time was over, and how far it had got.
+/// A call that exceeded its time limit, and how far it got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("{limit:?}: {reached}")]
 pub struct Overdue {
-    /// How long the step that it was at may take.
+    /// The limit of the step that it was at.
     pub limit: Duration,
-    /// The last step that was done.
+    /// The last step that was completed.
     pub reached: Reached,
 }
 
-/// How far a call got.
+/// The progress of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Reached {
-    /// It had no connection yet.
+    /// No connection was established.
     #[error("not connected")]
     Nothing,
-    /// It had a connection, and nothing came over it.
+    /// A connection was established, and nothing was received.
     #[error("connected")]
     Connection,
-    /// The answer's head was there, and so many bytes of its body.
+    /// The head of the answer and this many bytes of its body were received.
     #[error("{0} bytes came")]
     Body(usize),
 }
--- a/src/http_client/tests.rs
+++ b/src/http_client/tests.rs
@@ -20,18 +20,18 @@
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
 use crate::http_client::Overdue;
-use crate::http_client::Patience;
 use crate::http_client::Reached;
+use crate::http_client::TimeLimit;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
-/// How long the server takes for an answer, so that calls made together have a connection each.
+/// How long the server takes for an answer, so that concurrent calls have a connection each.
 const WORK: Duration = Duration::from_millis(50);
 
-/// How long a call may take.
+/// The time limit of a call.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// Answers requests on a connection, until connections that were opened before a cut are dead.
+/// Answers requests on a connection until a partition leaves the connections opened before it dead.
 async fn serve(mut stream: TcpStream, dead: Arc<AtomicBool>) {
     let old = !dead.load(Ordering::Relaxed);
     let mut head = [0; 1024];
@@ -46,11 +46,10 @@
     }
 }
 
-/// A cut of the network leaves all connections dead, and nobody says so. When it is over, the first call finds out by its
-/// time limit. The next must not find another dead connection, and so on for as long as there are any: a router would be
-/// parted from its log for many seconds after the cut.
+/// Guards against a client that tries its idle connections one after another after a network partition left them all dead.
+/// Each would cost a call its time limit, and a router would be disconnected from its log for many seconds more.
 #[tokio::test]
-async fn one_unanswered_call_is_enough_to_leave_dead_connections() {
+async fn one_unanswered_call_discards_all_dead_connections() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let url = format!("http://{}/", listener.local_addr().expect("an address"));
     let dead = Arc::new(AtomicBool::new(false));
@@ -71,11 +70,11 @@
     assert!(second.is_ok(), "{second:?}");
 }
 
-/// How many bytes each piece of a long answer has, and how many pieces.
+/// The length in bytes of each piece of a long answer, and the number of pieces.
 const PIECE: usize = 100;
 const PIECES: usize = 6;
 
-/// Answers each connection's request in pieces, the next one after a pause.
+/// Answers the request of each connection in pieces, with a pause before each.
 async fn serve_slowly(listener: TcpListener, pause: Duration) {
     while let Ok((mut stream, _)) = listener.accept().await {
         let mut head = [0; 1024];
@@ -90,9 +89,9 @@
     }
 }
 
-/// Returns a patience for steps that may take so long each.
-fn steps(limit: Duration) -> Patience {
-    Patience::Steps {
+/// Returns time limits that allow `limit` for each step.
+fn steps(limit: Duration) -> TimeLimit {
+    TimeLimit::Steps {
         connect: limit,
         head: limit,
         pause: limit,
@@ -105,7 +104,7 @@
     outcome.answer.map(|answer| answer.body.len())
 }
 
-/// Guards against giving up an answer that is coming in over a slow link, to begin it anew for ever.
+/// Guards against an answer over a slow link that is given up and requested again without end.
 #[tokio::test]
 async fn a_long_answer_over_a_slow_link_is_read_to_its_end() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -115,7 +114,7 @@
     assert_eq!(read.expect("it comes whole"), PIECE * PIECES);
 }
 
-/// Guards against waiting for ever for an answer that stops in the middle.
+/// Guards against waiting without end for an answer that stops in the middle.
 #[tokio::test]
 async fn an_answer_that_stops_in_the_middle_is_given_up() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -129,10 +128,10 @@
     assert!(matches!(read, Err(HttpError::Timeout(overdue)) if overdue == expected));
 }
 
-/// Guards against one call that is late taking the connections of all others with it, each of which then costs a round trip
-/// more.
+/// Guards against one late call that discards the connections of all others, which then need another round trip to
+/// connect.
 #[tokio::test]
-async fn an_unanswered_call_over_a_new_connection_leaves_the_others() {
+async fn an_unanswered_call_over_a_new_connection_keeps_the_others() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let url = format!("http://{}/", listener.local_addr().expect("an address"));
     let accepted = Arc::new(AtomicUsize::new(0));
--- a/src/log_client.rs
+++ b/src/log_client.rs
@@ -13,38 +13,38 @@
 use crate::http_client::Answer;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
-use crate::http_client::Patience;
+use crate::http_client::TimeLimit;
 use crate::ids::Offset;
 
 #[cfg(test)]
 mod tests;
 
-/// Why a record was not appended, as far as is known.
+/// Why an append did not succeed.
 #[derive(Debug, Error)]
 pub enum AppendError {
-    /// It was not appended.
+    /// The record was not appended.
     #[error("not appended: {0}")]
     Not(String),
-    /// It may have been appended, or may yet be: the answer was lost.
+    /// The answer was lost; the record may have been appended, or may still be.
     #[error("perhaps appended: {0}")]
     Unknown(String),
 }
 
-/// Why nothing was read.
+/// Why a read did not succeed.
 #[derive(Debug, Error)]
 pub enum ReadError {
-    /// The log has let the record go.
+    /// The log no longer retains the record.
     #[error("record {from} is gone; the log keeps those from {first} on")]
     Gone {
-        /// The record that was asked for.
+        /// The requested record.
         from: Offset,
-        /// The first that is kept.
+        /// The first record that is retained.
         first: Offset,
     },
     /// The log service did not answer.
     #[error(transparent)]
     Http(#[from] HttpError),
-    /// The log service answered with an error, or with what cannot be read.
+    /// The log service answered with an error, or its answer could not be parsed.
     #[error("the log service answered: {0}")]
     Answer(String),
 }
@@ -52,22 +52,22 @@
 /// A record of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogRecord {
-    /// Its place.
+    /// Its offset in the stream.
     pub offset: Offset,
-    /// When it was appended, milliseconds of the log service's clock.
+    /// When it was appended, in milliseconds of the log service's clock.
     pub at: u64,
     /// Its content.
     pub data: Vec<u8>,
 }
 
-/// Some records of a stream, in order.
+/// A range of consecutive records of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogPage {
-    /// The first record that is kept.
+    /// The first record that the log retains.
     pub first: Offset,
     /// The offset that the next append will have.
     pub next: Offset,
-    /// The records.
+    /// The records, in order.
     pub records: Vec<LogRecord>,
 }
 
@@ -84,7 +84,7 @@
 }
 
 #[derive(Deserialize)]
-struct Kept {
+struct Retained {
     first: Offset,
 }
 
@@ -103,7 +103,7 @@
 }
 
 impl LogClient {
-    /// Makes a client of the service at `http://ip:port`.
+    /// Creates a client of the service at `http://ip:port`.
     pub fn new(http: HttpClient, base: &str) -> Self {
         Self {
             http,
@@ -115,7 +115,7 @@
     ///
     /// # Errors
     ///
-    /// When it was not appended, or when that is not known.
+    /// When the record was not appended, or when that is unknown.
     pub async fn append(
         &self,
         stream: &str,
@@ -132,7 +132,7 @@
             StatusCode::OK | StatusCode::CREATED => parse::<Appended>(&answer)
                 .map(|appended| appended.offset)
                 .map_err(AppendError::Unknown),
-            // The service says so before it takes a record; of other errors that is not known.
+            // These statuses are sent before the record is accepted. Other errors leave that open.
             status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
                 Err(AppendError::Not(describe(&answer)))
             }
@@ -140,12 +140,12 @@
         }
     }
 
-    /// Reads at most `max` records from an offset on, and waits for the first one at most `wait`.
+    /// Reads at most `max` records, starting at an offset, and waits up to `wait` for the first one.
     ///
     /// # Errors
     ///
-    /// When the records are gone, when the service does not begin to answer within `wait` and `limit`, and when it pauses for
-    /// longer than `limit`.
+    /// When the records are no longer retained, when the service does not start to answer within the sum of `wait` and
+    /// `limit`, or when it pauses for longer than `limit`.
     pub async fn read(
         &self,
         stream: &str,
@@ -159,18 +159,18 @@
         let url =
             format!("{base}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
         let request = self.http.request("GET", &url).body(Full::default());
-        let patience = Patience::Steps {
+        let steps = TimeLimit::Steps {
             connect: limit,
             head: wait + limit,
             pause: limit,
         };
         let request = request.map_err(HttpError::from)?;
-        let answer = self.http.exchange(request, patience).await.answer?;
+        let answer = self.http.exchange(request, steps).await.answer?;
         match answer.status {
             StatusCode::OK => page(&answer),
             StatusCode::GONE => {
-                let kept = parse::<Kept>(&answer).map_err(ReadError::Answer)?;
-                let first = kept.first;
+                let retained = parse::<Retained>(&answer).map_err(ReadError::Answer)?;
+                let first = retained.first;
                 Err(ReadError::Gone { from, first })
             }
             _ => Err(ReadError::Answer(describe(&answer))),
@@ -203,7 +203,7 @@
     serde_json::from_slice(&answer.body).map_err(|e| format!("{e} in {}", describe(answer)))
 }
 
-/// Returns an answer's status and the beginning of its body.
+/// Returns an answer's status and the start of its body.
 fn describe(answer: &Answer) -> String {
     const SHOWN: usize = 200;
     let shown = &answer.body[..answer.body.len().min(SHOWN)];
--- a/src/log_client/tests.rs
+++ b/src/log_client/tests.rs
@@ -13,11 +13,11 @@
 use crate::ids::Offset;
 use crate::log_client::LogClient;
 
-/// How long the service may pause.
+/// The longest pause of the service within an answer.
 const LIMIT: Duration = Duration::from_millis(400);
 
-/// Guards against a router that never catches up with its ledger over a slow link, since each page takes longer than any read
-/// may.
+/// Guards against a router that never catches up with its ledger because each page takes longer over a slow link than
+/// the time limit of a read.
 #[tokio::test]
 async fn a_long_page_over_a_slow_link_is_read_to_its_end() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,7 +19,7 @@
 use crate::http_client::Answer;
 use crate::http_client::HttpClient;
 use crate::http_client::HttpError;
-use crate::http_client::Patience;
+use crate::http_client::TimeLimit;
 use crate::platform::record::Keyed;
 use crate::platform::record::Page;
 use crate::platform::record::Truncated;
@@ -214,13 +214,13 @@
     ) -> Result<Answer, HttpError> {
         let url = format!("http://{}{path}", self.address);
         let request = self.http.request(method, &url).body(Full::new(body))?;
-        let patience = Patience::Steps {
+        let limit = TimeLimit::Steps {
             connect: CONNECT,
             head: times.held + self.limit(times.usual),
             pause: self.limit(CALL),
         };
         let begun = Instant::now();
-        let outcome = self.http.exchange(request, patience).await;
+        let outcome = self.http.exchange(request, limit).await;
         let round = match &outcome.answer {
             Ok(_) if times.held.is_zero() => outcome.connect.or_else(|| Some(begun.elapsed())),
             _ => outcome.connect,
