--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -17,7 +17,7 @@
 use crate::key_hash::KeyHash;
 use crate::tokens::Tokens;
 
-/// The key under which the newest configuration stands.
+/// The key of the newest configuration.
 pub(crate) const KEY: &str = "config";
 
 #[derive(Deserialize)]
@@ -41,7 +41,7 @@
     target_latency_ms: f64,
     #[serde(default)]
     priority: u8,
-    /// The only service, where there is no split.
+    /// The only service, unless the route is split.
     service: Option<String>,
     #[serde(default)]
     traffic_split: Vec<WireShare>,
@@ -75,7 +75,7 @@
     /// How long an endpoint is cold after its start, in seconds.
     #[serde(default)]
     cold_start_s: f64,
-    /// How many requests a second a cold endpoint bears.
+    /// How many requests per second a cold endpoint can handle.
     #[serde(default)]
     cold_per_s: f64,
 }
@@ -83,7 +83,7 @@
 #[derive(Deserialize)]
 struct WireEngine {
     slots: u32,
-    /// How many tokens an event of a stream holds at most.
+    /// The maximum number of tokens in one event of a stream.
     stride: u64,
 }
 
@@ -106,11 +106,11 @@
     prepaid: Option<f64>,
 }
 
-/// Reads a configuration.
+/// Decodes a configuration.
 ///
 /// # Errors
 ///
-/// With the field that is wrong, or the name that is none.
+/// Names the field that is invalid.
 pub(crate) fn decode(text: &[u8]) -> Result<RouteTable, FieldError> {
     let wire: Wire = field::read_json(text)?;
     let intake = ConnectionLimits {
@@ -144,13 +144,13 @@
 }
 
 fn route(wire: WireRoute) -> Result<PathRoute, FieldError> {
-    let bad = |error: NameError| named("routes", &wire.name, &error);
+    let invalid = |error: NameError| invalid_name("routes", &wire.name, &error);
     let mut split = Vec::new();
     for share in &wire.traffic_split {
-        split.push((share.service.parse().map_err(bad)?, share.weight));
+        split.push((share.service.parse().map_err(invalid)?, share.weight));
     }
     if let Some(service) = &wire.service {
-        split.push((service.parse().map_err(bad)?, 1));
+        split.push((service.parse().map_err(invalid)?, 1));
     }
     if split.is_empty() {
         return Err(FieldError::new(
@@ -160,7 +160,7 @@
         ));
     }
     Ok(PathRoute {
-        name: wire.name.parse().map_err(bad)?,
+        name: wire.name.parse().map_err(invalid)?,
         repeat: match wire.kind {
             WireKind::Idempotent => RepeatPolicy::Whole,
             WireKind::Streaming if wire.resumable => RepeatPolicy::Resume,
@@ -188,7 +188,7 @@
         )
     })?;
     Ok(TablePool {
-        name: name.map_err(|error| named("services", &wire.name, &error))?,
+        name: name.map_err(|error| invalid_name("services", &wire.name, &error))?,
         connections: wire.max_connections,
         slots: wire.engine.as_ref().map(|engine| engine.slots),
         stride: wire.engine.map_or(1, |engine| engine.stride.max(1)),
@@ -198,17 +198,17 @@
 }
 
 fn payer(wire: WireTenant) -> Result<Payer, FieldError> {
-    let bad = |error: NameError| named("tenants", &wire.name, &error);
+    let invalid = |error: NameError| invalid_name("tenants", &wire.name, &error);
     Ok(Payer {
-        account: wire.name.parse().map_err(bad)?,
-        team: wire.name.parse().map_err(bad)?,
+        account: wire.name.parse().map_err(invalid)?,
+        team: wire.name.parse().map_err(invalid)?,
         keys: wire.api_keys.iter().map(|key| KeyHash::of(key)).collect(),
         priority: wire.priority,
-        // A part of a token can't be spent.
+        // Fractions of a token can't be spent.
         prepaid: wire.prepaid.map(|prepaid| Tokens(prepaid.max(0.0) as u64)),
     })
 }
 
-fn named(list: &str, name: &str, error: &NameError) -> FieldError {
+fn invalid_name(list: &str, name: &str, error: &NameError) -> FieldError {
     FieldError::new(format!("{list}/{name}"), error.to_string(), "a name")
 }
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -1,4 +1,4 @@
-//! What the platform and callers ask a router about itself: whether it is ready, and whose address to use.
+//! Answers whether the router is ready, and which addresses callers may use.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,10 +17,10 @@
 
 const JSON: &str = "application/json";
 
-/// How many addresses an answer may have.
-const MOST: usize = 64;
+/// The maximum number of addresses in an answer.
+const MAX_ADDRESSES: usize = 64;
 
-/// Answers whether the router takes requests and stays.
+/// Answers whether the router accepts requests and is not about to stop.
 pub(crate) async fn ready(desk: Arc<Desk>, request: Request<Incoming>) -> Reply {
     if request.uri().path() != "/api/ready" {
         return plain(StatusCode::NOT_FOUND, JSON, Bytes::new());
@@ -33,7 +33,7 @@
     plain(status, JSON, Bytes::from_static(b"{}"))
 }
 
-/// Answers which addresses a caller may use.
+/// Answers with the addresses that a caller may use for `keep`.
 pub(crate) async fn resolve(desk: Arc<Desk>, keep: Duration, request: Request<Incoming>) -> Reply {
     let uri = request.uri();
     if uri.path() != "/api/resolve" {
@@ -56,7 +56,7 @@
     else {
         return plain(StatusCode::SERVICE_UNAVAILABLE, JSON, Bytes::new());
     };
-    addresses.truncate(MOST);
+    addresses.truncate(MAX_ADDRESSES);
     let answer = json!({"addresses": addresses, "ttlS": keep.as_secs_f64()});
     plain(StatusCode::OK, JSON, Bytes::from(answer.to_string()))
 }
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -1,4 +1,4 @@
-//! Following a topic: the newest record of each key, and then each record as it comes.
+//! Follows a topic: reads the newest record of each key, and then the records that are appended.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -17,150 +17,153 @@
 #[cfg(test)]
 mod tests;
 
-/// How long to rest after a read that failed.
-const FAILED: Duration = Duration::from_millis(150);
+/// The pause after a failed read.
+const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How often a read that fails again is logged.
-const TELL: Duration = Duration::from_secs(1);
+/// The interval at which repeated failures are logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How many KiB one read of a topic brings of which only the newest records count.
-const NEWEST_KB: u32 = 64;
+/// The page size, in KiB, for a topic of which only the newest records are needed.
+const NEWEST_PAGE_KB: u32 = 64;
 
-/// Which topic is followed, and how.
+/// A topic, and how it is followed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Topic {
     pub(crate) name: &'static str,
-    /// The time between two reads, in which records gather to be read together.
-    pub(crate) rest: Duration,
-    /// How long the store may hold a read open.
+    /// The pause between two reads. Records that are appended meanwhile are read together.
+    pub(crate) interval: Duration,
+    /// How long the store may hold a read open until there is a record.
     pub(crate) hold: Duration,
-    pub(crate) wanted: Wanted,
+    pub(crate) mode: ReadMode,
 }
 
 /// Which records are read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Wanted {
-    /// Each of them.
-    Each,
-    /// The newest of each key, as soon as there is one. Over a slow link those that came while the store was out of reach
-    /// take seconds, in which the newest one is not known.
+pub(crate) enum ReadMode {
+    /// All records.
+    All,
+    /// The newest of each key, as soon as possible. Over a slow link, reading all records that were appended while the
+    /// store was unreachable would take seconds, during which the newest one is not known.
     Newest,
 }
 
-/// What a topic brings.
+/// Records that were read from a topic.
 #[derive(Debug)]
-pub(crate) enum News {
-    /// All keys that it has, and nothing else.
+pub(crate) enum Update {
+    /// The newest records of all keys. Keys that are missing no longer exist.
     All(Vec<(String, Vec<u8>)>),
-    /// Records that came since, or none while the read was held open; without a value the key is dropped.
-    Some(Vec<Keyed>),
+    /// Records that were appended since the last read; none if the read was held open in vain. A record without a value
+    /// deletes its key.
+    Appended(Vec<Keyed>),
 }
 
-/// What one read brought.
+/// The result of one read.
 #[derive(Debug)]
 pub(crate) struct Batch {
-    pub(crate) news: News,
-    /// The offset that follows.
+    pub(crate) update: Update,
+    /// The offset of the next record.
     pub(crate) next: u64,
-    /// When there was nothing beyond that, if so: a moment that had come when the store answered. The answer itself may have
-    /// been on its way for seconds.
+    /// A time at which the topic had no further records, if it had none. It is not later than the store's answer, which
+    /// may have taken seconds to arrive.
     pub(crate) current: Option<Instant>,
 }
 
-/// Follows a topic for ever, and tells what it brings.
-pub(crate) async fn follow<F>(store: Store, topic: Topic, mut tell: F)
+/// Follows a topic without end, and delivers what is read.
+pub(crate) async fn follow<F>(store: Store, topic: Topic, mut deliver: F)
 where
     F: FnMut(Batch) + Send,
 {
     let mut log = ReadLog::new(topic.name);
-    let mut place = Place::Unknown;
+    let mut position = Position::Unknown;
     loop {
-        let read = match place {
-            Place::Unknown => begin(&store, topic, &mut tell).await,
-            Place::At { from, hold } => go_on(&store, topic, from, hold, &mut tell).await,
+        let read = match position {
+            Position::Unknown => read_all(&store, topic, &mut deliver).await,
+            Position::At { from, hold } => {
+                read_appended(&store, topic, from, hold, &mut deliver).await
+            }
         };
-        log.note(&read);
+        log.record(&read);
         match read {
             Ok(next) => {
-                place = next;
-                if place != Place::Unknown {
-                    sleep(topic.rest).await;
+                position = next;
+                if position != Position::Unknown {
+                    sleep(topic.interval).await;
                 }
             }
-            Err(ReadError::Gone) => place = Place::Unknown,
+            Err(ReadError::Gone) => position = Position::Unknown,
             Err(_) => {
-                if topic.wanted == Wanted::Newest {
-                    place = Place::Unknown;
+                if topic.mode == ReadMode::Newest {
+                    position = Position::Unknown;
                 }
-                sleep(FAILED).await;
+                sleep(RETRY_INTERVAL).await;
             }
         }
     }
 }
 
-/// Where to read on.
+/// Where the next read starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Place {
-    /// From an offset on, held open for so long.
+enum Position {
+    /// At an offset; the read is held open for up to `hold`.
     At { from: u64, hold: Duration },
-    /// All keys.
+    /// Unknown, so that the newest records of all keys are read.
     Unknown,
 }
 
-async fn begin<F>(store: &Store, topic: Topic, tell: &mut F) -> Result<Place, ReadError>
+async fn read_all<F>(store: &Store, topic: Topic, deliver: &mut F) -> Result<Position, ReadError>
 where
     F: FnMut(Batch),
 {
     let sent = SystemClock.now();
     let table = store.newest(topic.name).await?;
     let rows = table.rows.into_iter().map(|row| (row.key, row.value));
-    tell(Batch {
-        news: News::All(rows.collect()),
+    deliver(Batch {
+        update: Update::All(rows.collect()),
         next: table.end,
         current: Some(sent),
     });
-    Ok(Place::At {
+    Ok(Position::At {
         from: table.end,
         hold: topic.hold,
     })
 }
 
-async fn go_on<F>(
+async fn read_appended<F>(
     store: &Store,
     topic: Topic,
     from: u64,
     hold: Duration,
-    tell: &mut F,
-) -> Result<Place, ReadError>
+    deliver: &mut F,
+) -> Result<Position, ReadError>
 where
     F: FnMut(Batch),
 {
-    let newest = topic.wanted == Wanted::Newest;
+    let newest = topic.mode == ReadMode::Newest;
     let sent = SystemClock.now();
-    let size = newest.then_some(NEWEST_KB);
+    let size = newest.then_some(NEWEST_PAGE_KB);
     let page = store.read(topic.name, from, hold, size).await?;
     let next = from + page.records.len() as u64;
     let behind = next < page.end;
     if newest && behind {
-        return Ok(Place::Unknown);
+        return Ok(Position::Unknown);
     }
-    // A read that brings nothing was held open to its end; when one that brings something was answered is not known.
+    // A read without records was held open for the whole time. When a read with records was answered is not known.
     let empty = page.records.is_empty();
     let answered = match empty {
         true => SystemClock.now().min(sent + hold),
         false => sent,
     };
-    tell(Batch {
-        news: News::Some(records(topic.name, &page)),
+    deliver(Batch {
+        update: Update::Appended(records(topic.name, &page)),
         next,
         current: (!behind).then_some(answered),
     });
-    // What came may be seconds old, so whether it is the newest is asked at once.
+    // The records may have been on their way for seconds, so the next read checks at once whether there are newer ones.
     let hold = match newest && !empty {
         true => Duration::ZERO,
         false => topic.hold,
     };
-    Ok(Place::At { from: next, hold })
+    Ok(Position::At { from: next, hold })
 }
 
 fn records(topic: &str, page: &Page) -> Vec<Keyed> {
@@ -174,12 +177,12 @@
     records
 }
 
-/// Logs whether a topic can be read.
+/// Logs when a topic becomes unreachable or reachable.
 struct ReadLog {
     topic: &'static str,
-    /// Since when it cannot.
+    /// Since when it is unreachable.
     since: Option<Instant>,
-    told: Option<Instant>,
+    logged: Option<Instant>,
 }
 
 impl ReadLog {
@@ -187,11 +190,11 @@
         Self {
             topic,
             since: None,
-            told: None,
+            logged: None,
         }
     }
 
-    fn note<T>(&mut self, read: &Result<T, ReadError>) {
+    fn record<T>(&mut self, read: &Result<T, ReadError>) {
         let now = SystemClock.now();
         let topic = self.topic;
         match read {
@@ -200,12 +203,12 @@
                     let for_ms = (now - since).as_millis();
                     info!(event = "store-reachable", topic, for_ms);
                 }
-                self.told = None;
+                self.logged = None;
             }
             Err(error) => {
                 self.since.get_or_insert(now);
-                if self.told.is_none_or(|at| now >= at + TELL) {
-                    self.told = Some(now);
+                if self.logged.is_none_or(|at| now >= at + LOG_INTERVAL) {
+                    self.logged = Some(now);
                     warn!(event = "store-unreachable", topic, %error);
                 }
             }
--- a/src/platform/follow/tests.rs
+++ b/src/platform/follow/tests.rs
@@ -20,31 +20,31 @@
 use crate::clock::Clock;
 use crate::edge::clock::SystemClock;
 use crate::platform::follow::Batch;
-use crate::platform::follow::News;
+use crate::platform::follow::ReadMode;
 use crate::platform::follow::Topic;
-use crate::platform::follow::Wanted;
+use crate::platform::follow::Update;
 use crate::platform::follow::follow;
 use crate::platform::record::Keyed;
 use crate::platform::store::Store;
 
 const KEY: &str = "config";
-/// How long reads are held open.
+/// The time for which reads are held open.
 const HOLD: Duration = Duration::from_millis(300);
-/// How long a test waits for what must come.
+/// The time limit for an expected event.
 const PATIENCE: Duration = Duration::from_secs(8);
-/// What the link to the store lets through at once, and how often.
+/// How many bytes the link to the store passes at once, and how often.
 const PIECE: usize = 8 << 10;
 const PACE: Duration = Duration::from_millis(80);
 
-/// A store with one topic, each record of which replaces the one before.
+/// A store with one topic, in which each record replaces the one before.
 #[derive(Clone)]
 struct Records {
     size: usize,
-    /// How many there are.
+    /// The number of records.
     count: Arc<AtomicUsize>,
-    /// How many one page has at most.
+    /// The maximum number of records in a page.
     page: usize,
-    /// How late an answer comes.
+    /// The delay of an answer.
     late: Duration,
     slow: bool,
 }
@@ -64,7 +64,7 @@
         self.count.load(Ordering::Relaxed)
     }
 
-    /// Returns a record's value: its number, and as many bytes as all have.
+    /// Returns the value of a record: its number, padded to the common length.
     fn value(&self, number: usize) -> Vec<u8> {
         let mut value = number.to_string().into_bytes();
         value.resize(self.size, b' ');
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Returns the records from an offset on, when there are some or the read was held open to its end.
+    /// Returns the records from an offset on, once there are any or the read has been held open for the whole time.
     async fn page(&self, head: &str, from: usize) -> Vec<u8> {
         let hold = number(head, "waitMs").unwrap_or_default() as u64;
         let end = SystemClock.now() + Duration::from_millis(hold);
@@ -146,36 +146,36 @@
     digits.parse().ok()
 }
 
-fn topic(wanted: Wanted) -> Topic {
+fn topic(mode: ReadMode) -> Topic {
     Topic {
         name: "keyed.op",
-        rest: Duration::from_millis(50),
+        interval: Duration::from_millis(50),
         hold: HOLD,
-        wanted,
+        mode,
     }
 }
 
-/// Follows a store, and returns what it brings.
-async fn follow_records(records: &Records, wanted: Wanted) -> mpsc::UnboundedReceiver<Batch> {
+/// Follows the topic of a store, and returns the batches.
+async fn follow_records(records: &Records, mode: ReadMode) -> mpsc::UnboundedReceiver<Batch> {
     let store = records.clone().serve().await;
     let (sender, batches) = mpsc::unbounded_channel();
-    tokio::spawn(follow(store, topic(wanted), move |batch| {
+    tokio::spawn(follow(store, topic(mode), move |batch| {
         let _ = sender.send(batch);
     }));
     batches
 }
 
-/// Returns the newest record that a batch brings.
+/// Returns the newest record in a batch.
 fn value(batch: &Batch) -> Option<usize> {
-    let value = match &batch.news {
-        News::All(rows) => rows.last().map(|(_, value)| value.clone()),
-        News::Some(records) => records.last().and_then(|record| record.value.clone()),
+    let value = match &batch.update {
+        Update::All(rows) => rows.last().map(|(_, value)| value.clone()),
+        Update::Appended(records) => records.last().and_then(|record| record.value.clone()),
     };
     let text = String::from_utf8(value?).expect("it is text");
     Some(text.trim().parse().expect("it is a number"))
 }
 
-/// Waits until a record was brought, and returns the batch that says that it is the newest.
+/// Waits for a record, and returns the batch that confirms it as the newest.
 async fn reach(batches: &mut mpsc::UnboundedReceiver<Batch>, wanted: usize) -> Batch {
     let mut last = None;
     let reached = async {
@@ -190,15 +190,15 @@
     timeout(PATIENCE, reached).await.expect("it is reached")
 }
 
-/// Guards against a router that never gets the newest configuration over a slow link, since all those before it would come
-/// first and take longer than any read may.
+/// Guards against a router that never receives the newest configuration over a slow link, because all earlier ones would be
+/// read first and take longer than the time limit of a read.
 #[tokio::test]
 async fn the_newest_record_comes_over_a_slow_link() {
     let records = Records {
         slow: true,
         ..Records::new(1, 60 << 10)
     };
-    let mut batches = follow_records(&records, Wanted::Newest).await;
+    let mut batches = follow_records(&records, ReadMode::Newest).await;
     reach(&mut batches, 0).await;
     records.count.store(12, Ordering::Relaxed);
     let begun = Instant::now();
@@ -207,25 +207,25 @@
     assert!(begun.elapsed() < PACE * 80, "{:?}", begun.elapsed());
 }
 
-/// Guards against a first read of all keys that begins anew for ever, since it takes longer than any read may.
+/// Guards against a first read of all keys that is restarted without end, because it takes longer than the time limit.
 #[tokio::test]
 async fn all_keys_come_over_a_slow_link() {
     let records = Records {
         slow: true,
         ..Records::new(1, 200 << 10)
     };
-    let mut batches = follow_records(&records, Wanted::Each).await;
+    let mut batches = follow_records(&records, ReadMode::All).await;
     reach(&mut batches, 0).await;
 }
 
-/// Guards against taking the first part of what is there for all of it.
+/// Guards against the first page of records that is taken for all of them.
 #[tokio::test]
 async fn a_page_that_ends_before_the_end_does_not_bring_the_newest() {
     let records = Records {
         page: 1,
         ..Records::new(1, 100)
     };
-    let mut batches = follow_records(&records, Wanted::Each).await;
+    let mut batches = follow_records(&records, ReadMode::All).await;
     reach(&mut batches, 0).await;
     records.count.store(4, Ordering::Relaxed);
     let mut told = Vec::new();
@@ -238,24 +238,24 @@
     assert_eq!(told, before_last);
 }
 
-/// Guards against a record larger than a page, after which nothing would ever come.
+/// Guards against a record larger than a page, after which nothing more would be read.
 #[tokio::test]
 async fn a_record_larger_than_a_page_is_read() {
     let records = Records::new(1, 100 << 10);
-    let mut batches = follow_records(&records, Wanted::Newest).await;
+    let mut batches = follow_records(&records, ReadMode::Newest).await;
     reach(&mut batches, 0).await;
     records.count.store(2, Ordering::Relaxed);
     reach(&mut batches, 1).await;
 }
 
-/// Guards against taking an answer that was on its way for seconds for the store's word of now.
+/// Guards against an answer that was in transit for seconds and is taken for current.
 #[tokio::test]
 async fn what_was_the_newest_is_dated_before_its_answer() {
     let records = Records {
         late: HOLD,
         ..Records::new(1, 100)
     };
-    let mut batches = follow_records(&records, Wanted::Newest).await;
+    let mut batches = follow_records(&records, ReadMode::Newest).await;
     for _ in 0..4 {
         let batch = batches.recv().await.expect("it follows for ever");
         let current = batch.current.expect("it is the newest");
@@ -264,11 +264,11 @@
     }
 }
 
-/// Guards against a router that does not know for a whole held read whether the configuration that just came is the newest.
+/// Guards against a router that learns only after a whole held read whether the configuration it just read is the newest.
 #[tokio::test]
 async fn a_record_is_soon_known_to_be_the_newest() {
     let records = Records::new(1, 100);
-    let mut batches = follow_records(&records, Wanted::Newest).await;
+    let mut batches = follow_records(&records, ReadMode::Newest).await;
     reach(&mut batches, 0).await;
     records.count.store(2, Ordering::Relaxed);
     let begun = Instant::now();
--- a/src/platform/grants.rs
+++ b/src/platform/grants.rs
@@ -1,4 +1,4 @@
-//! Grants in the store.
+//! Reads and writes grants in the store.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,14 +20,14 @@
 use crate::router::Event;
 use crate::router::GrantEvent;
 
-/// The topic that holds them.
+/// The topic of the grants.
 const TOPIC: &str = "keyed.grants";
 
 /// Reads and writes grants.
 pub(crate) struct Grants {
     pub(crate) store: Store,
     pub(crate) desk: Arc<Desk>,
-    /// This router's own entry, which is taken back when it leaves.
+    /// This router's entry, which is removed when the router leaves.
     pub(crate) listing: Listing,
 }
 
@@ -112,7 +112,7 @@
     })
 }
 
-/// Reads one grant. One that can't be read is a fault of the product itself: nobody else writes here.
+/// Decodes one grant. One that can't be decoded indicates a fault of the router itself, since nobody else writes here.
 fn row(offset: u64, key: &str, value: &[u8]) -> Option<(Offset, GrantKey, GrantRow)> {
     let read = || -> Result<_, RecordError> { Ok((key.parse()?, GrantRow::decode(value)?)) };
     match read() {
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -1,4 +1,4 @@
-//! The headers of callers' requests and of endpoints' answers.
+//! Translates the headers of callers' requests and of endpoints' answers.
 
 use std::time::Duration;
 
@@ -39,43 +39,43 @@
 #[cfg(test)]
 mod tests;
 
-/// The caller's name for one attempt, which the endpoint repeats.
+/// The caller's id of one attempt, which the endpoint echoes.
 const NAME: &str = "request-id";
 
-/// How many milliseconds the sender will wait.
+/// How long the sender waits for the answer, in milliseconds.
 const DEADLINE: &str = "deadline-ms";
 
-/// The tokens of the prompt and the most of the answer.
+/// The number of prompt tokens and the maximum number of answer tokens.
 const COUNTS: &str = "token-counts";
 
-/// The parts of the prompt, the last of which is the request's own.
+/// The parts of the prompt. The last one belongs to the request alone.
 const PARTS: &str = "prompt-prefix";
 
-/// The endpoint that is meant: any other one at its address does not run the request.
+/// The endpoint that the request is for. Any other endpoint at the same address does not run it.
 const ENDPOINT: &str = "expect-instance";
 
-/// Whose request it is; for the router alone to set.
+/// The client account, set by the router alone.
 const ACCOUNT: &str = "tenant";
 
-/// Stands in answers to requests that were not run.
+/// Present in answers to requests that were not run.
 const NOT_RUN: &str = "not-executed";
 
-/// The event after which a stream goes on.
+/// The event after which a stream is resumed.
 const LAST_EVENT: &str = "last-event-id";
 
 const KEEP_ALIVE: &str = "keep-alive";
 
-/// The longest time for which an idle connection is kept.
+/// The longest time for which an idle connection is kept open.
 const MAX_IDLE: Duration = Duration::from_secs(3600);
 
-/// The requests a second that an endpoint takes from all routers together.
+/// The requests per second that an endpoint accepts from all routers together.
 const LIMIT: &str = "server-limit";
 
-/// Stands in the answers of an endpoint that is about to stop.
+/// Present in the answers of an endpoint that is about to stop.
 const LEAVING: &str = "server-leaving";
 
-/// What concerns one connection alone.
-const HOP: [HeaderName; 6] = [
+/// Headers that apply to one connection only.
+const HOP_HEADERS: [HeaderName; 6] = [
     CONNECTION,
     CONTENT_LENGTH,
     TE,
@@ -84,8 +84,8 @@
     UPGRADE,
 ];
 
-/// What is the router's alone to say to an endpoint, so that a caller's word for it goes no further.
-const OURS: [&str; 11] = [
+/// Headers that only the router may send to an endpoint. They are removed from callers' requests.
+const ROUTER_HEADERS: [&str; 11] = [
     ACCOUNT,
     ENDPOINT,
     DEADLINE,
@@ -117,7 +117,7 @@
         let mut passed = headers.clone();
         self.strip(&mut passed);
         passed.remove(AUTHORIZATION);
-        for name in OURS {
+        for name in ROUTER_HEADERS {
             passed.remove(name);
         }
         Ok(Ask {
@@ -148,7 +148,7 @@
             (LAST_EVENT, last.map(str::to_owned)),
         ];
         for (name, value) in set {
-            // Names are printable, so that each of them can stand in a header.
+            // Names are printable, so each of them is a valid header value.
             if let Some(value) = value.and_then(|value| HeaderValue::from_str(&value).ok()) {
                 headers.insert(HeaderName::from_static(name), value);
             }
@@ -206,7 +206,7 @@
         for name in listed.iter().filter(|name| !name.is_empty()) {
             headers.remove(name.as_str());
         }
-        for name in HOP {
+        for name in HOP_HEADERS {
             headers.remove(name);
         }
         headers.remove(KEEP_ALIVE);
@@ -236,7 +236,7 @@
     }
 }
 
-/// Reads whether an endpoint announces that it leaves.
+/// Returns whether an endpoint announces that it leaves.
 fn leaving(headers: &HeaderMap) -> bool {
     match headers.get(LEAVING).map(HeaderValue::as_bytes) {
         None | Some(b"0") => false,
@@ -249,7 +249,7 @@
     }
 }
 
-/// Reads how many tokens a prompt has and an answer may have; a plain service's request says nothing of them.
+/// Reads the number of prompt tokens and the maximum number of answer tokens. Requests to plain services have neither.
 fn counts(headers: &HeaderMap) -> Result<(Tokens, Tokens), Problem> {
     let Some(counts) = text(headers, COUNTS) else {
         return Ok((Tokens::ZERO, Tokens::ZERO));
@@ -261,7 +261,7 @@
     read.ok_or_else(|| malformed("the counts of tokens can't be read"))
 }
 
-/// Reads the parts of a prompt: all but the last are shared with other requests.
+/// Reads the parts of a prompt. All but the last are shared with other requests.
 fn prompt(headers: &HeaderMap, input: u64) -> Option<Prompt> {
     let parts: Vec<_> = text(headers, PARTS)?.split(',').collect();
     let (_own, shared) = parts.split_last()?;
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -42,7 +42,7 @@
     Heads.announcement(status, &headers).limit
 }
 
-/// Guards against a limit that is heard only in answers of some statuses.
+/// Guards against a limit that is read only in answers with some statuses.
 #[test]
 fn a_limit_is_read_in_answers_of_every_status() {
     for status in [200, 404, 409, 421, 429, 500, 503] {
@@ -53,7 +53,7 @@
     }
 }
 
-/// Guards against a limit that garbage lifts, or that stops the router.
+/// Guards against an invalid header that lifts a limit or stops the router.
 #[test]
 fn a_limit_that_cannot_be_read_is_not_a_lifted_one() {
     let garbage: [&[u8]; 10] = [
@@ -96,7 +96,7 @@
     assert_eq!((prompt.shared_tokens, prompt.own_tokens), (most, 0));
 }
 
-/// Guards against an announcement to leave that is heard only in answers of some statuses, or that garbage makes.
+/// Guards against an announcement to leave that is read only in answers with some statuses, or from an invalid header.
 #[test]
 fn an_endpoint_that_leaves_says_so_with_every_status() {
     let leaving = |status: u16, value: &[u8]| {
@@ -119,7 +119,7 @@
     );
 }
 
-/// Answers one request with these headers, whatever it asks.
+/// Answers any request with the given headers.
 async fn answer_once(listener: TcpListener, head: String) -> Result<()> {
     let (mut connection, _) = listener.accept().await?;
     let mut request = [0; 2048];
@@ -153,8 +153,8 @@
     })
 }
 
-/// Sends a request through the relay to an endpoint that answers with these headers, and returns what the core is told
-/// of the endpoint.
+/// Sends a request through the relay to an endpoint that answers with the given headers, and returns the announcements that
+/// the core receives.
 async fn announced(head: &str, limited: bool) -> Result<Option<Announcement>> {
     let endpoint = TcpListener::bind("127.0.0.1:0").await?;
     let address = endpoint.local_addr()?;
@@ -186,7 +186,7 @@
     }
 }
 
-/// Guards against announcements that are heard only in answers that go to the caller.
+/// Guards against announcements that are read only in answers that are passed to the caller.
 #[tokio::test]
 async fn announcements_are_heard_in_answers_of_every_status() -> Result<()> {
     let names = "request-id: r1\r\nserver-limit: 3.1\r\nserver-leaving: 1\r\nretry-after: 2\r\n";
@@ -203,7 +203,7 @@
     Ok(())
 }
 
-/// Guards against a limit that stays for ever, since answers without one are not told.
+/// Guards against a limit that is never lifted, because answers without one are not reported.
 #[tokio::test]
 async fn an_answer_without_a_limit_is_told_where_one_is_known() -> Result<()> {
     let head = "200 OK\r\nrequest-id: r1\r\n";
@@ -212,8 +212,8 @@
     Ok(())
 }
 
-/// Guards against an endpoint that is held to what another one announced, which has its address now, or to an answer that
-/// belongs to another request.
+/// Guards against an announcement that is attributed to the wrong endpoint: made by another one at the same address, or in an
+/// answer to another request.
 #[tokio::test]
 async fn answers_of_others_announce_nothing() -> Result<()> {
     let names = "server-limit: 0.1\r\nserver-leaving: 1\r\n";
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,6 @@
-//! The platform that the routers run on: its calls, records and headers, translated into the product's own types.
+//! The adapter to the platform: translates its calls, records and headers into the router's own types.
 //!
-//! Nothing is decided here, and nothing outside of this folder knows the platform's names.
+//! The adapter makes no decisions, and nothing outside of it uses the platform's names.
 
 #![expect(
     clippy::disallowed_methods,
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -1,4 +1,4 @@
-//! What the operator writes: the configuration, and which failure domains are drained.
+//! The operator's records: the configuration, and the failure domains that are drained.
 
 use std::sync::Arc;
 
@@ -9,13 +9,13 @@
 use crate::ids::DomainId;
 use crate::platform::config;
 use crate::platform::follow::Batch;
-use crate::platform::follow::News;
+use crate::platform::follow::Update;
 use crate::platform::record::Keyed;
 use crate::router::DrainedDomains;
 use crate::router::Event;
 
-/// How the keys begin whose rest names a failure domain that is to get nothing new.
-const DRAINED: &str = "evacuate/";
+/// The prefix of the keys that name a drained failure domain.
+const DRAINED_PREFIX: &str = "evacuate/";
 
 /// Translates the operator's records, and tells the core of each change.
 pub(crate) struct Operator {
@@ -24,7 +24,7 @@
 }
 
 impl Operator {
-    /// Makes one that has read nothing.
+    /// Creates a translator that has read nothing yet.
     pub(crate) fn new(desk: Arc<Desk>) -> Self {
         Self {
             desk,
@@ -32,10 +32,10 @@
         }
     }
 
-    /// Takes in what a read brought.
-    pub(crate) fn take(&mut self, batch: Batch) {
-        let records = match batch.news {
-            News::All(rows) => {
+    /// Applies the result of a read.
+    pub(crate) fn apply(&mut self, batch: Batch) {
+        let records = match batch.update {
+            Update::All(rows) => {
                 self.drained.clear();
                 let rows = rows.into_iter();
                 rows.map(|(key, value)| Keyed {
@@ -44,25 +44,25 @@
                 })
                 .collect()
             }
-            News::Some(records) => records,
+            Update::Appended(records) => records,
         };
         for record in &records {
-            self.take_drained(record);
+            self.apply_drained(record);
         }
-        // Before the configuration: the first one brings the router into service.
+        // Drained domains come first, because the router starts to serve with the first configuration.
         self.desk.tell(Event::DrainedDomains(DrainedDomains {
             as_of: batch.next,
             domains: self.drained.clone(),
         }));
-        let readable = self.take_config(&records);
+        let readable = self.apply_config(&records);
         if let Some(at) = batch.current.filter(|_| readable) {
             self.desk.tell(Event::TableConfirmed(at));
         }
     }
 
-    /// Notes that a failure domain is drained, or that it is no longer.
-    fn take_drained(&mut self, record: &Keyed) {
-        let Some(name) = record.key.strip_prefix(DRAINED) else {
+    /// Records that a failure domain is drained, or no longer is.
+    fn apply_drained(&mut self, record: &Keyed) {
+        let Some(name) = record.key.strip_prefix(DRAINED_PREFIX) else {
             return;
         };
         let domain: DomainId = match name.parse() {
@@ -75,9 +75,9 @@
         }
     }
 
-    /// Tells the core of the newest configuration, if there is one, and returns whether it could be read; one that can't be
-    /// read leaves the last one in force.
-    fn take_config(&self, records: &[Keyed]) -> bool {
+    /// Passes the newest configuration, if there is one, to the core, and returns whether it could be decoded. Otherwise the
+    /// last one stays in force.
+    fn apply_config(&self, records: &[Keyed]) -> bool {
         let newest = records.iter().rfind(|record| record.key == config::KEY);
         let newest = newest.and_then(|record| record.value.as_ref());
         match newest.map(|text| config::decode(text)) {
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -1,12 +1,14 @@
-//! Records, as they are framed on the wire.
+//! The framing of records on the wire.
 
 use thiserror::Error;
 
-/// How many bytes a length has before each record, and an offset in the head of a page.
+/// The size in bytes of the length in front of each record.
 const LENGTH: usize = 4;
+
+/// The size in bytes of an offset in the head of a page.
 const OFFSET: usize = 8;
 
-/// The bytes are cut off, or no records.
+/// The bytes end within a record, or are not records.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("the records are cut off")]
 pub(crate) struct Truncated;
@@ -14,13 +16,13 @@
 /// A page of a partition.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Page {
-    /// The offset that follows the partition's last record, which may lie beyond this page.
+    /// The offset after the partition's last record, which may be beyond this page.
     pub(crate) end: u64,
-    /// The records, the first of which has the offset that was asked for.
+    /// The records, starting at the requested offset.
     pub(crate) records: Vec<Vec<u8>>,
 }
 
-/// A record with a key; without a value, the key is dropped.
+/// A record with a key. A record without a value deletes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Keyed {
     pub(crate) key: String,
@@ -55,11 +57,11 @@
         })
     }
 
-    /// Adds it to a body, framed.
+    /// Appends the framed record to a body.
     ///
     /// # Panics
     ///
-    /// When the key has more than 255 bytes: names in it are checked to be shorter.
+    /// When the key is longer than 255 bytes. The names in keys are checked to be shorter.
     pub(crate) fn encode(&self, body: &mut Vec<u8>) {
         let value = self.value.as_deref().unwrap_or_default();
         let key = u8::try_from(self.key.len()).expect("a key has at most 255 bytes");
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -1,4 +1,4 @@
-//! Endpoints and routers, as the store lists them, as one VM list.
+//! Merges the lists of endpoints and routers in the store into one VM list.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,14 +13,14 @@
 use crate::edge::desk::lock;
 use crate::ids::NameError;
 use crate::labels::Labels;
-use crate::platform::follow::News;
+use crate::platform::follow::Update;
 use crate::router::BORN_LABEL;
 use crate::router::Event;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 use crate::vms::VmState;
 
-/// What a model server or a service's server says of itself.
+/// The entry of a model server or of a service's server.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Server {
@@ -29,12 +29,12 @@
     zone: String,
     slots: u32,
     state: ServerState,
-    /// How much longer it is cold, in milliseconds.
+    /// The remaining time for which it is cold, in milliseconds.
     #[serde(default)]
     cold_remaining_ms: f64,
-    /// The heartbeat's number, which begins anew with each life of the server.
+    /// The number of the heartbeat, which restarts with each life of the server.
     sequence: u64,
-    /// When this life of the server began, as a Unix time in milliseconds; a server may come back under its name.
+    /// When this life of the server began, as a Unix time in milliseconds. A server may return under the same name.
     born: Option<u64>,
 }
 
@@ -45,22 +45,22 @@
     Draining,
 }
 
-/// How many servers' numbers are remembered, those of servers that are gone among them: a late heartbeat comes within
-/// seconds, and a day has a few hundred replacements.
-const REMEMBERED: usize = 4096;
+/// How many servers' heartbeat numbers are remembered, including those of servers that are gone. A late heartbeat arrives
+/// within seconds, and a day has a few hundred replacements.
+const MAX_SEQUENCES: usize = 4096;
 
-/// The longest that a server is believed to be cold, in one word of its own.
-const LONGEST_COLD: Duration = Duration::from_secs(120);
+/// The longest remaining cold time that an entry may report.
+const MAX_COLD: Duration = Duration::from_secs(120);
 
-/// The newest heartbeat of each server, by its life and its number in it.
+/// The newest heartbeat of each server: its life and the number within it.
 ///
-/// A heartbeat may reach the store after a later one. Taken at its word, an endpoint that has said that it leaves would be
-/// sent work again until its next heartbeat.
+/// A heartbeat may reach the store after a later one. If it were applied, an endpoint that has announced that it leaves
+/// would receive requests again until its next heartbeat.
 #[derive(Default)]
 struct Sequences(IndexMap<String, (Option<u64>, u64)>);
 
 impl Sequences {
-    /// Returns whether a heartbeat is newer than all before it, and remembers it.
+    /// Returns whether a heartbeat is at least as new as all earlier ones, and records it.
     fn advance(&mut self, name: &str, server: &Server) -> bool {
         let number = (server.born, server.sequence);
         let newest = self.0.get(name).is_none_or(|last| number >= *last);
@@ -68,7 +68,7 @@
             self.0.shift_remove(name);
             self.0.insert(name.to_owned(), number);
         }
-        if self.0.len() > REMEMBERED {
+        if self.0.len() > MAX_SEQUENCES {
             self.0.shift_remove_index(0);
         }
         newest
@@ -81,11 +81,11 @@
     sequences: Sequences,
     servers: IndexMap<String, VmEntry>,
     routers: IndexMap<String, VmEntry>,
-    /// Whether the servers were read.
+    /// Whether the list of servers has been read.
     known: bool,
 }
 
-/// Gathers both lists, and tells the core of each change.
+/// Keeps both lists, and passes each change to the core.
 pub(crate) struct Registry {
     desk: Arc<Desk>,
     lists: Mutex<Lists>,
@@ -99,35 +99,35 @@
         }
     }
 
-    /// Takes in news of the servers.
-    pub(crate) fn servers(&self, news: News) {
+    /// Applies an update of the servers.
+    pub(crate) fn servers(&self, update: Update) {
         let mut guard = lock(&self.lists);
         let lists = &mut *guard;
         let sequences = &mut lists.sequences;
         let mut cold = Vec::new();
         let mut read = |key: &str, value: &[u8]| {
-            let (said, left) = server(sequences, key, value)?;
-            if let Said::Entry(entry) = &said {
+            let (reading, left) = server(sequences, key, value)?;
+            if let Reading::Entry(entry) = &reading {
                 cold.push((entry.vm.clone(), left));
             }
-            Some(said)
+            Some(reading)
         };
-        let changed = take(&mut lists.servers, news, &mut read) || !lists.known;
+        let changed = apply(&mut lists.servers, update, &mut read) || !lists.known;
         lists.known = true;
-        self.tell(lists, changed);
+        self.publish(lists, changed);
         if !cold.is_empty() {
             self.desk.tell(Event::ColdEndpoints(cold));
         }
     }
 
-    /// Takes in news of the routers.
-    pub(crate) fn routers(&self, news: News) {
+    /// Applies an update of the routers.
+    pub(crate) fn routers(&self, update: Update) {
         let mut lists = lock(&self.lists);
-        let changed = take(&mut lists.routers, news, &mut router);
-        self.tell(&mut lists, changed);
+        let changed = apply(&mut lists.routers, update, &mut router);
+        self.publish(&mut lists, changed);
     }
 
-    fn tell(&self, lists: &mut Lists, changed: bool) {
+    fn publish(&self, lists: &mut Lists, changed: bool) {
         if !changed || !lists.known {
             return;
         }
@@ -140,27 +140,27 @@
     }
 }
 
-/// What a record says.
-enum Said {
-    /// An entry.
+/// A record that was decoded.
+enum Reading {
+    /// A current entry.
     Entry(VmEntry),
-    /// What was said before, and is known to be past.
-    Before,
+    /// An entry that is older than one already applied.
+    Outdated,
 }
 
-/// Brings a list up to date, and returns whether it changed.
-fn take<F>(list: &mut IndexMap<String, VmEntry>, news: News, read: &mut F) -> bool
+/// Applies an update to a list, and returns whether the list changed.
+fn apply<F>(list: &mut IndexMap<String, VmEntry>, update: Update, read: &mut F) -> bool
 where
-    F: FnMut(&str, &[u8]) -> Option<Said>,
+    F: FnMut(&str, &[u8]) -> Option<Reading>,
 {
-    match news {
-        News::All(rows) => {
+    match update {
+        Update::All(rows) => {
             let rows = rows.into_iter();
             let mut new = IndexMap::new();
             for (key, value) in rows {
                 match read(&key, &value) {
-                    Some(Said::Entry(entry)) => drop(new.insert(key, entry)),
-                    Some(Said::Before) => new.extend(list.shift_remove_entry(&key)),
+                    Some(Reading::Entry(entry)) => drop(new.insert(key, entry)),
+                    Some(Reading::Outdated) => new.extend(list.shift_remove_entry(&key)),
                     None => {}
                 }
             }
@@ -168,13 +168,13 @@
             *list = new;
             changed
         }
-        News::Some(records) => {
+        Update::Appended(records) => {
             let mut changed = false;
             for record in records {
                 let value = record.value.as_deref();
                 changed |= match value.and_then(|value| read(&record.key, value)) {
-                    Some(Said::Entry(entry)) => put(list, record.key, Some(entry)),
-                    Some(Said::Before) => false,
+                    Some(Reading::Entry(entry)) => put(list, record.key, Some(entry)),
+                    Some(Reading::Outdated) => false,
                     None => put(list, record.key, None),
                 };
             }
@@ -196,8 +196,8 @@
     true
 }
 
-/// Reads what a server says of itself, and how much longer it is cold.
-fn server(sequences: &mut Sequences, key: &str, value: &[u8]) -> Option<(Said, Duration)> {
+/// Decodes the entry of a server, and returns it with the remaining time for which the server is cold.
+fn server(sequences: &mut Sequences, key: &str, value: &[u8]) -> Option<(Reading, Duration)> {
     let server: Server = read(key, value)?;
     let entry = match endpoint(key, &server) {
         Ok(entry) => entry,
@@ -209,22 +209,23 @@
     if !sequences.advance(key, &server) {
         let sequence = server.sequence;
         info!(event = "late-heartbeat", name = key, sequence);
-        return Some((Said::Before, Duration::ZERO));
+        return Some((Reading::Outdated, Duration::ZERO));
     }
     let left = cold_left(key, server.cold_remaining_ms);
-    Some((Said::Entry(entry), left))
+    Some((Reading::Entry(entry), left))
 }
 
-/// Returns how much longer a server is cold. A time that can't be right is said, and costs nothing else.
+/// Returns the remaining time for which a server is cold. An implausible time is logged and clamped; the rest of the entry
+/// stays valid.
 fn cold_left(key: &str, ms: f64) -> Duration {
-    let longest = LONGEST_COLD.as_secs_f64() * 1000.0;
-    if !(0.0..=longest).contains(&ms) {
+    let max_ms = MAX_COLD.as_secs_f64() * 1000.0;
+    if !(0.0..=max_ms).contains(&ms) {
         warn!(event = "cold-time-bad", name = key, cold_ms = ms);
     }
-    Duration::from_secs_f64(ms.clamp(0.0, longest) / 1000.0)
+    Duration::from_secs_f64(ms.clamp(0.0, max_ms) / 1000.0)
 }
 
-/// Returns a server as the product's own lists have it.
+/// Translates the entry of a server into a VM list entry.
 fn endpoint(key: &str, server: &Server) -> Result<VmEntry, NameError> {
     let mut labels = Labels::default();
     labels.set("pool", &server.service);
@@ -244,9 +245,9 @@
     })
 }
 
-/// Routers list themselves in the product's own form.
-fn router(key: &str, value: &[u8]) -> Option<Said> {
-    read(key, value).map(Said::Entry)
+/// Decodes the entry of a router, which is a VM list entry already.
+fn router(key: &str, value: &[u8]) -> Option<Reading> {
+    read(key, value).map(Reading::Entry)
 }
 
 fn read<'a, T>(key: &str, value: &'a [u8]) -> Option<T>
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -1,4 +1,4 @@
-//! A router on the platform: its sockets, and the tasks round its core.
+//! Starts a router on the platform: its sockets, and the tasks around its core.
 
 use std::io;
 use std::path::PathBuf;
@@ -37,8 +37,8 @@
 use crate::logs::dropped_lines;
 use crate::moment::BootClock;
 use crate::platform::entry;
+use crate::platform::follow::ReadMode;
 use crate::platform::follow::Topic;
-use crate::platform::follow::Wanted;
 use crate::platform::follow::follow;
 use crate::platform::grants::Grants;
 use crate::platform::heads::Heads;
@@ -61,42 +61,42 @@
 use crate::vms::VmEntry;
 use crate::vms::VmState;
 
-/// The topics that the operator and the servers write, and the routers' own.
+/// The topics of the operator, of the servers and of the routers.
 const OPERATOR: &str = "keyed.op";
 const SERVERS: &str = "keyed.servers";
 const ROUTERS: &str = "keyed.routers";
 
-/// The rest between two reads of the configuration: it is to be in force within a second or two.
-const CONFIG_REST: Duration = Duration::from_millis(100);
+/// The pause between two reads of the configuration, which has to be in force within a second or two.
+const CONFIG_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long the store may hold a read open. An answer that is lost without a word is noticed after this and the time of a
-/// call, so that it bounds how old the router's knowledge may grow unnoticed.
-const HOLD: Duration = Duration::from_millis(2000);
+/// How long the store may hold a read open. A lost answer is noticed after this and the time limit of a call, so this
+/// bounds the age that the router's knowledge may reach unnoticed.
+const MAX_HOLD: Duration = Duration::from_millis(2000);
 
-/// How many reads of the configuration that bring nothing are answered within the time that a change may take, so that one of
-/// them may come late.
+/// How many reads of an unchanged configuration are answered within the time that a change may take, so that one answer
+/// may be late.
 const CONFIG_READS: u32 = 2;
 
-/// The rest between two reads of the lists: each server writes once a second, and what changes may be known a quarter of a
+/// The pause between two reads of the lists. Each server writes once a second, and changes may be noticed a quarter of a
 /// second late.
-const LIST_REST: Duration = Duration::from_millis(250);
+const LIST_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The rest before an entry is written again that the store did not take.
-const WRITE_REST: Duration = Duration::from_millis(250);
+/// The pause before an entry that the store did not accept is written again.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How often idle connections are looked over.
-const SWEEP: Duration = Duration::from_millis(1000);
+/// The interval at which expired idle connections are closed.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// How many times `keep_ms` a caller may keep an address.
-const KEPT: f64 = 3.0;
+/// Callers may keep an address for this many times `keep_ms`.
+const KEEP_FACTOR: f64 = 3.0;
 
-/// How long before the end of the grace time a planned stop ends by itself.
-const BEFORE_GRACE: Duration = Duration::from_millis(300);
+/// How long before the end of the grace period a planned stop ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
-/// How often routers tell each other that they live.
-const HEARTBEAT: Duration = Duration::from_millis(500);
+/// The interval of the heartbeats between routers.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Runs a router on the platform until it is told to stop.
+/// Runs a router on the platform until it is stopped.
 ///
 /// The settings were read from `path`, and are read there again at SIGHUP.
 ///
@@ -123,9 +123,9 @@
     let desk = Arc::new(Desk::new(limits, None, origin, Metrics::exposed()?, sender));
     let store = Store::new(settings.store);
     let listing = Listing::begin(&settings, store.clone());
-    // Without a handler the signal would end the process, and cut what it serves.
+    // Without a handler, the signal would terminate the process and cut off its requests.
     let changes = signal(SignalKind::hangup())?;
-    tokio::spawn(take_settings(changes, path, desk.clone(), boot));
+    tokio::spawn(reload_settings(changes, path, desk.clone(), boot));
     follow_store(&store, &desk, settings.config_ms.duration());
     tokio::spawn(http::serve(admin, desk.clone()));
     tokio::spawn(desk.clone().send_metrics());
@@ -168,9 +168,9 @@
     tokio::spawn(async move {
         let mut dropped = 0;
         loop {
-            sleep(SWEEP).await;
+            sleep(SWEEP_INTERVAL).await;
             sweeping.upstream.sweep();
-            dropped = tell_dropped(&sweeping.desk, dropped);
+            dropped = report_dropped(&sweeping.desk, dropped);
         }
     });
     tokio::spawn(relay::accept(listener, move |request| {
@@ -178,9 +178,9 @@
     }));
 }
 
-/// Reads the settings anew at each signal, and tells the core what it may change while it runs. Settings that can't be read
-/// leave the last ones in force.
-async fn take_settings(mut changes: Signal, path: PathBuf, desk: Arc<Desk>, boot: BootClock) {
+/// Reads the settings again at each signal, and passes those that may change at run time to the core. If they can't be
+/// read, the last ones stay in force.
+async fn reload_settings(mut changes: Signal, path: PathBuf, desk: Arc<Desk>, boot: BootClock) {
     while changes.recv().await.is_some() {
         let read = std::fs::read_to_string(&path).map_err(|error| error.to_string());
         let read =
@@ -195,8 +195,8 @@
     }
 }
 
-/// Says how many log lines were dropped since the last time, and returns how many were in all.
-fn tell_dropped(desk: &Desk, before: usize) -> usize {
+/// Reports the log lines that were dropped since the last call, and returns the total.
+fn report_dropped(desk: &Desk, before: usize) -> usize {
     let now = dropped_lines();
     if now > before {
         desk.metrics.dropped(now - before);
@@ -205,31 +205,31 @@
     now
 }
 
-/// Follows what the store has; a change of the configuration may take so long.
+/// Follows the topics of the store. A change of the configuration may take up to `config`.
 fn follow_store(store: &Store, desk: &Arc<Desk>, config: Duration) {
     let mut operator = Operator::new(desk.clone());
     let topic = Topic {
         name: OPERATOR,
-        rest: CONFIG_REST,
-        hold: (config / CONFIG_READS).min(HOLD),
-        wanted: Wanted::Newest,
+        interval: CONFIG_INTERVAL,
+        hold: (config / CONFIG_READS).min(MAX_HOLD),
+        mode: ReadMode::Newest,
     };
     tokio::spawn(follow(store.clone(), topic, move |batch| {
-        operator.take(batch);
+        operator.apply(batch);
     }));
     let registry = Arc::new(Registry::new(desk.clone()));
-    let told = registry.clone();
+    let servers = registry.clone();
     let list = |name| Topic {
         name,
-        rest: LIST_REST,
-        hold: HOLD,
-        wanted: Wanted::Each,
+        interval: LIST_INTERVAL,
+        hold: MAX_HOLD,
+        mode: ReadMode::All,
     };
     tokio::spawn(follow(store.clone(), list(SERVERS), move |batch| {
-        told.servers(batch.news);
+        servers.servers(batch.update);
     }));
     tokio::spawn(follow(store.clone(), list(ROUTERS), move |batch| {
-        registry.routers(batch.news);
+        registry.routers(batch.update);
     }));
 }
 
@@ -246,7 +246,7 @@
         },
         outage_after: Duration::from_secs(1),
         end_marker: EndMarker::default(),
-        heartbeat_interval: HEARTBEAT,
+        heartbeat_interval: HEARTBEAT_INTERVAL,
         silence_timeout: Duration::from_secs(4),
         default_timeout: limits.deadline_ms.duration(),
         queue_limit: limits.queue,
@@ -254,10 +254,10 @@
         queue_timeout: limits.queue_ms.duration(),
         address_ttl: settings.keep_ms.duration(),
         partition_timeout: Duration::from_secs(3600),
-        drain_timeout: settings.grace_ms.duration().saturating_sub(BEFORE_GRACE),
+        drain_timeout: settings.grace_ms.duration().saturating_sub(GRACE_MARGIN),
         accounting: Accounting::Grants(GrantTuning {
             config_max_age: settings.config_ms.duration(),
-            min_drain: settings.keep_ms.duration().mul_f64(KEPT),
+            min_drain: settings.keep_ms.duration().mul_f64(KEEP_FACTOR),
             retries: RetryLimit::between_callers_and_endpoints(
                 settings.retry_ratio,
                 settings.retry_spare,
@@ -268,13 +268,13 @@
     }
 }
 
-/// This router's own entry in the store.
+/// This router's entry in the store.
 pub(crate) struct Listing {
     leaving: watch::Sender<bool>,
 }
 
 impl Listing {
-    /// Lists the router, and keeps at it until the store takes the entry.
+    /// Lists the router, and retries until the store accepts the entry.
     fn begin(settings: &SiteSettings, store: Store) -> Self {
         let (leaving, left) = watch::channel(false);
         let mut labels = Labels::default();
@@ -296,7 +296,7 @@
         Self { leaving }
     }
 
-    /// Takes the entry back.
+    /// Removes the entry.
     pub(crate) fn leave(&self) {
         self.leaving.send_replace(true);
     }
@@ -310,7 +310,7 @@
     }
 }
 
-/// Writes an entry, or drops it, until the store says that it has.
+/// Writes or deletes an entry, and retries until the store confirms it.
 async fn write(
     store: &Store,
     entry: &VmEntry,
@@ -330,6 +330,6 @@
             Append::Landed => return,
             append => warn!(event = "unlisted", vm = %entry.vm, ?append),
         }
-        sleep(WRITE_REST).await;
+        sleep(WRITE_INTERVAL).await;
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,29 +24,29 @@
 use crate::platform::record::Page;
 use crate::platform::record::Truncated;
 
-/// How long a connection may take to open.
-const CONNECT: Duration = Duration::from_millis(1000);
+/// The time limit for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// How long an answer may take to begin, beside what it is held open, and how long it may pause: the store answers in 4 ms,
-/// and a slow one in a quarter of a second.
-const CALL: Duration = Duration::from_millis(800);
+/// The time limit for the start of an answer, beyond the time for which it is held open, and for a pause within it. The
+/// store answers in 4 ms, and a slow one in a quarter of a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long the answer to an append may take. While it is out, no promise can be written.
-const APPEND: Duration = Duration::from_millis(500);
+/// The time limit for the answer to an append. No other grant can be written until it arrives.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Why a read brought nothing.
+/// Why a read failed.
 #[derive(Debug, Error)]
 pub(crate) enum ReadError {
-    /// The records that were asked for are deleted.
+    /// The requested records are deleted.
     #[error("the records are deleted")]
     Gone,
-    /// The store refused.
+    /// The store rejected the read with this status.
     #[error("the store answered {0}")]
     Refused(u16),
     /// There was no answer.
     #[error(transparent)]
     Call(#[from] HttpError),
-    /// The answer can't be read.
+    /// The answer can't be decoded.
     #[error("the answer can't be read: {0}")]
     Malformed(String),
 }
@@ -57,16 +57,16 @@
     }
 }
 
-/// What came of an append.
+/// The result of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Append {
-    /// It stands.
+    /// The records were appended.
     Landed,
-    /// The partition does not end where the condition says.
+    /// The partition does not end at the expected offset.
     Moved,
     /// Nothing was done.
     Refused,
-    /// Nobody knows.
+    /// The answer was lost; the records may have been appended.
     Lost,
 }
 
@@ -118,13 +118,13 @@
         }
     }
 
-    /// Appends records to a topic's only partition, if it ends at an offset or whatever its end.
+    /// Appends records to a topic's only partition, on the condition that it ends at the offset `at`, if one is given.
     pub(crate) async fn append(&self, topic: &str, records: &[Keyed], at: Option<u64>) -> Append {
         let mut body = Vec::new();
         records.iter().for_each(|record| record.encode(&mut body));
         let condition = at.map(|at| format!("&at={at}")).unwrap_or_default();
         let path = format!("/api/log-append?topic={topic}&part=0{condition}");
-        let times = Times::at_once(APPEND);
+        let times = Times::immediate(APPEND_TIMEOUT);
         match self.call("POST", &path, Bytes::from(body), times).await {
             Ok(answer) => match answer.status.as_u16() {
                 200 => Append::Landed,
@@ -140,8 +140,8 @@
         }
     }
 
-    /// Reads the records from an offset on, waiting for the first one up to a time; one page of them, of so many KiB if that
-    /// is said.
+    /// Reads one page of records, starting at an offset, and waits up to `wait` for the first one. A page has at most
+    /// `page_kb` KiB, if that is given.
     pub(crate) async fn read(
         &self,
         topic: &str,
@@ -154,7 +154,7 @@
         let path = format!("/api/log-read?topic={topic}&part=0&from={from}&waitMs={wait_ms}{size}");
         let times = Times {
             held: wait,
-            usual: CALL,
+            usual: CALL_TIMEOUT,
         };
         let answer = self.call("GET", &path, Bytes::new(), times).await?;
         match answer.status.as_u16() {
@@ -164,8 +164,8 @@
         }
     }
 
-    /// Reads the newest record of each key. The pages are of different moments; what changed meanwhile is read again by
-    /// who follows from the first one's end.
+    /// Reads the newest record of each key. The pages are not a snapshot: records that are appended in the meantime have
+    /// offsets from the first page's end on, where the caller continues to read.
     pub(crate) async fn newest(&self, topic: &str) -> Result<Table, ReadError> {
         let mut table = Table::default();
         let mut after = None;
@@ -182,7 +182,7 @@
                         value,
                         offset: item.offset,
                     }),
-                    // One bad value must not hide all the others of its topic.
+                    // One invalid value must not hide the others of its topic.
                     Err(error) => warn!(event = "record-unreadable", topic, key = item.key, %error),
                 }
             }
@@ -196,7 +196,7 @@
         let after = after.map(|key| format!("&after={}", escape(key)));
         let after = after.unwrap_or_default();
         let path = format!("/api/log-newest?topic={topic}&part=0{after}");
-        let times = Times::at_once(CALL);
+        let times = Times::immediate(CALL_TIMEOUT);
         let answer = self.call("GET", &path, Bytes::new(), times).await?;
         match answer.status.as_u16() {
             200 => serde_json::from_slice(&answer.body)
@@ -215,14 +215,14 @@
         let url = format!("http://{}{path}", self.address);
         let request = self.http.request(method, &url).body(Full::new(body))?;
         let limit = TimeLimit::Steps {
-            connect: CONNECT,
+            connect: CONNECT_TIMEOUT,
             head: times.held + self.limit(times.usual),
-            pause: self.limit(CALL),
+            pause: self.limit(CALL_TIMEOUT),
         };
-        let begun = Instant::now();
+        let started = Instant::now();
         let outcome = self.http.exchange(request, limit).await;
         let round = match &outcome.answer {
-            Ok(_) if times.held.is_zero() => outcome.connect.or_else(|| Some(begun.elapsed())),
+            Ok(_) if times.held.is_zero() => outcome.connect.or_else(|| Some(started.elapsed())),
             _ => outcome.connect,
         };
         if let Some(round) = round {
@@ -231,24 +231,24 @@
         outcome.answer
     }
 
-    /// Returns how long an answer may take from here that comes within a usual time elsewhere.
+    /// Returns the time limit over this router's link for an answer that usually takes at most `usual`.
     fn limit(&self, usual: Duration) -> Duration {
         lock(&self.times).timeout(usual)
     }
 }
 
-/// How long a call takes.
+/// The expected times of a call.
 #[derive(Clone, Copy, Debug)]
 struct Times {
-    /// How long the store holds it open.
+    /// How long the store may hold it open.
     held: Duration,
-    /// How long the answer takes at most, beside that, over a calm link.
+    /// The time limit for the answer beyond that, over a link without load.
     usual: Duration,
 }
 
 impl Times {
-    /// Returns those of a call that the store answers as soon as it can.
-    fn at_once(usual: Duration) -> Self {
+    /// Returns the times of a call that the store answers immediately.
+    fn immediate(usual: Duration) -> Self {
         Self {
             held: Duration::ZERO,
             usual,
@@ -256,7 +256,7 @@
     }
 }
 
-/// Writes a key so that it may stand in a query.
+/// Percent-encodes a key for a query.
 fn escape(text: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
     let pieces = text.bytes().map(|byte| match plain(byte) {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -11,7 +11,7 @@
 use crate::ids::TableVersion;
 use crate::platform::config;
 use crate::platform::follow::Batch;
-use crate::platform::follow::News;
+use crate::platform::follow::Update;
 use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
 use crate::platform::record::Page;
@@ -45,14 +45,14 @@
     assert_eq!(back, records.map(Ok));
 }
 
-/// A connection breaks in the middle of an answer. What is there is not taken for all there is.
+/// Guards against an answer that was cut off and is taken for complete.
 #[test]
 fn a_page_that_is_cut_off_is_told() {
     let mut bytes = [9_u64.to_be_bytes(), 2_u64.to_be_bytes()].concat();
     keyed("a", b"1").encode(&mut bytes);
     for length in 1..bytes.len() {
         let cut = Page::decode(&bytes[..length]);
-        // Nothing but the head is a page without records.
+        // The head alone is a page without records.
         assert_eq!(cut.is_err(), length != 16, "{length}");
     }
     assert_eq!(Keyed::decode(&[5, b'a']), Err(Truncated));
@@ -103,8 +103,8 @@
     assert!(table.payer_by_key("other").is_none());
 }
 
-/// An operator's tool writes a configuration that can't be read. The message says which field is wrong and what stands
-/// there, and never shows a key.
+/// Guards against an error message for an invalid configuration that does not name the field and its value, or that shows a
+/// key.
 #[test]
 fn a_bad_configuration_says_where() {
     let mut bad = document();
@@ -142,30 +142,30 @@
     lists
 }
 
-/// An endpoint says that it leaves, and a heartbeat from before reaches the store after that. It must not be sent work
-/// again: the bound for that is two seconds, and its next heartbeat may be later.
+/// Guards against requests to a leaving endpoint because an earlier heartbeat reached the store late. They have to stop
+/// within two seconds, and the next heartbeat may come later.
 #[test]
 fn a_late_heartbeat_changes_nothing() {
     let (registry, mut events) = registry();
-    registry.servers(News::All(vec![("i-1".to_owned(), server("ready", 4))]));
-    registry.servers(News::Some(vec![keyed("i-1", &server("draining", 6))]));
-    registry.servers(News::Some(vec![keyed("i-1", &server("ready", 5))]));
-    registry.servers(News::All(vec![("i-1".to_owned(), server("ready", 5))]));
+    registry.servers(Update::All(vec![("i-1".to_owned(), server("ready", 4))]));
+    registry.servers(Update::Appended(vec![keyed("i-1", &server("draining", 6))]));
+    registry.servers(Update::Appended(vec![keyed("i-1", &server("ready", 5))]));
+    registry.servers(Update::All(vec![("i-1".to_owned(), server("ready", 5))]));
     let states: Vec<_> = lists(&mut events)
         .iter()
         .map(|list| list.vms[0].state)
         .collect();
     assert_eq!(states.first(), Some(&VmState::Live));
     assert_eq!(states.last(), Some(&VmState::Leaving));
-    registry.servers(News::Some(vec![keyed("i-1", b"")]));
-    registry.servers(News::Some(vec![keyed("i-1", &server("ready", 5))]));
+    registry.servers(Update::Appended(vec![keyed("i-1", b"")]));
+    registry.servers(Update::Appended(vec![keyed("i-1", &server("ready", 5))]));
     assert_eq!(
         lists(&mut events).last().map(|list| list.vms.len()),
         Some(0)
     );
 }
 
-/// A record of an endpoint can't be read. The others stay known.
+/// Guards against one invalid record that hides all other endpoints.
 #[test]
 fn an_unreadable_entry_is_passed_over() {
     let (registry, mut events) = registry();
@@ -173,7 +173,7 @@
         ("i-1".to_owned(), server("ready", 1)),
         ("i-2".to_owned(), b"{".to_vec()),
     ];
-    registry.servers(News::All(rows));
+    registry.servers(Update::All(rows));
     assert_eq!(
         lists(&mut events).last().map(|list| list.vms.len()),
         Some(1)
@@ -192,7 +192,7 @@
     (desk, events)
 }
 
-/// Returns what an endpoint says that started at a time.
+/// Returns the entry of an endpoint that started at a given time.
 fn born(at: u64, state: &str, sequence: u64) -> Vec<u8> {
     let mut said: serde_json::Value =
         serde_json::from_slice(&server(state, sequence)).expect("it is JSON");
@@ -200,23 +200,29 @@
     said.to_string().into_bytes()
 }
 
-/// An endpoint crashes and starts again under the name that it had; its heartbeats are counted from the beginning. Taken for
-/// late ones, they would leave it as it last was, leaving and without work, for as long as it lives.
+/// Guards against an endpoint that restarts under its name and stays as it was in its former life, leaving and without
+/// requests, because its heartbeats are numbered from the beginning and taken for late ones.
 #[test]
 fn an_endpoint_that_starts_again_counts_anew() {
     let (registry, mut events) = registry();
     let all = vec![("i-1".to_owned(), born(1000, "draining", 400))];
-    registry.servers(News::All(all));
-    registry.servers(News::Some(vec![keyed("i-1", &born(9000, "ready", 1))]));
+    registry.servers(Update::All(all));
+    registry.servers(Update::Appended(vec![keyed(
+        "i-1",
+        &born(9000, "ready", 1),
+    )]));
     let newest = lists(&mut events).pop().expect("a list");
     assert_eq!(newest.vms[0].state, VmState::Live);
     // A heartbeat of its earlier life comes late.
-    registry.servers(News::Some(vec![keyed("i-1", &born(1000, "draining", 401))]));
+    registry.servers(Update::Appended(vec![keyed(
+        "i-1",
+        &born(1000, "draining", 401),
+    )]));
     assert!(lists(&mut events).is_empty());
 }
 
-/// Something else writes where endpoints list themselves: fields are missing or of another type, a state is none that is
-/// known, the bytes are no text. Such an entry names no endpoint, and the others are used as before.
+/// Guards against an invalid entry among those of endpoints, with missing or mistyped fields, an unknown state or bytes that
+/// are not text: it is no endpoint, and the others stay in use.
 #[test]
 fn entries_that_cannot_be_read_name_no_endpoint() {
     let bad: [&[u8]; 6] = [
@@ -231,23 +237,23 @@
         let (registry, mut events) = registry();
         let rows = [("i-1", server("ready", 4)), ("i-2", value.to_vec())];
         let rows = rows.map(|(key, value)| (key.to_owned(), value));
-        registry.servers(News::All(rows.to_vec()));
-        registry.servers(News::Some(vec![keyed("i-3", value)]));
+        registry.servers(Update::All(rows.to_vec()));
+        registry.servers(Update::Appended(vec![keyed("i-3", value)]));
         let newest = lists(&mut events).pop().expect("a list");
         let names: Vec<_> = newest.vms.iter().map(|vm| vm.vm.to_string()).collect();
         assert_eq!(names, ["i-1"], "{}", String::from_utf8_lossy(value));
     }
 }
 
-fn batch(news: News, next: u64) -> Batch {
+fn batch(update: Update, next: u64) -> Batch {
     Batch {
-        news,
+        update,
         next,
         current: None,
     }
 }
 
-/// Returns the drained failure domains that the core was last told of, and up to which offset.
+/// Returns the drained failure domains that the core was last sent, and their offset.
 fn drained(events: &mut mpsc::UnboundedReceiver<Event>) -> (u64, Vec<String>) {
     let mut last = None;
     while let Ok(event) = events.try_recv() {
@@ -260,27 +266,26 @@
     (last.as_of, names.collect())
 }
 
-/// Guards against a drained failure domain that is not known, or known for ever: in a whole read, in a single record, in its
-/// deletion, and after the store has forgotten its history.
+/// Guards against a drained failure domain that is missed, or stays drained: in a read of all keys, a single record, its
+/// deletion, and after the store has dropped its history.
 #[test]
 fn drained_domains_are_read() {
     let (desk, mut events) = desk();
     let mut operator = Operator::new(Arc::new(desk));
     let key = |zone: &str| format!("evacuate/{zone}");
     let rows = ["a", "", "b"].map(|zone| (key(zone), b"{}".to_vec()));
-    operator.take(batch(News::All(rows.to_vec()), 7));
+    operator.apply(batch(Update::All(rows.to_vec()), 7));
     assert_eq!(drained(&mut events), (7, vec!["a".into(), "b".into()]));
-    operator.take(batch(News::Some(vec![keyed(&key("c"), b"?")]), 8));
-    operator.take(batch(News::Some(vec![keyed(&key("a"), b"")]), 9));
+    operator.apply(batch(Update::Appended(vec![keyed(&key("c"), b"?")]), 8));
+    operator.apply(batch(Update::Appended(vec![keyed(&key("a"), b"")]), 9));
     assert_eq!(drained(&mut events), (9, vec!["b".into(), "c".into()]));
-    operator.take(batch(News::Some(vec![]), 9));
+    operator.apply(batch(Update::Appended(vec![]), 9));
     assert_eq!(drained(&mut events).1.len(), 2);
-    operator.take(batch(News::All(vec![(key("c"), b"{}".to_vec())]), 12));
+    operator.apply(batch(Update::All(vec![(key("c"), b"{}".to_vec())]), 12));
     assert_eq!(drained(&mut events), (12, vec!["c".into()]));
 }
 
-/// Guards against a cold endpoint that is not known to be cold, and against a cold time that can't be right and hides its
-/// endpoint.
+/// Guards against a cold endpoint that is taken for warm, and against an implausible cold time that hides its endpoint.
 #[test]
 fn cold_times_are_read() {
     let (registry, mut events) = registry();
@@ -292,7 +297,7 @@
         );
         (format!("i-{ms}"), text.into_bytes())
     });
-    registry.servers(News::All(rows.to_vec()));
+    registry.servers(Update::All(rows.to_vec()));
     let mut words = Vec::new();
     while let Ok(event) = events.try_recv() {
         if let Event::ColdEndpoints(cold) = event {
