--- a/src/settings/base_url.rs
+++ b/src/settings/base_url.rs
@@ -1,4 +1,4 @@
-//! Where a service of the platform is.
+//! The address of a service of the platform.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -8,14 +8,14 @@
 use serde::Serialize;
 use thiserror::Error;
 
-/// Tells why a text is no base URL.
+/// A text that is not a base URL.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error(
     "{0:?}, expected http://ip:port with an IP number (a host name is not looked up) and no path"
 )]
 pub struct BaseUrlError(String);
 
-/// The beginning of a service's URLs: `http://ip:port`.
+/// The common start of a service's URLs: `http://ip:port`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct BaseUrl(SocketAddr);
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -23,49 +23,49 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// The VM, as the VM list spells it.
+    /// The name of the VM in the VM list.
     pub vm: VmId,
     /// The failure domain of the VM.
     pub domain: DomainId,
-    /// Where it listens for callers and operators.
+    /// The address on which it listens for callers and operators.
     #[serde(deserialize_with = "address")]
     pub listen: SocketAddr,
-    /// Where callers reach it, if that is another address than `listen`.
+    /// The address at which callers reach it, if it differs from `listen`.
     #[serde(default, deserialize_with = "optional_address")]
     pub advertise: Option<SocketAddr>,
-    /// Where it listens for other routers.
+    /// The address on which it listens for other routers.
     #[serde(deserialize_with = "address")]
     pub peer_listen: SocketAddr,
-    /// The log service.
+    /// The URL of the log service.
     pub log: BaseUrl,
-    /// The VM list.
+    /// The URL of the VM list.
     pub vms: BaseUrl,
-    /// Where metrics go; without it none are sent.
+    /// The address to which metrics are sent. Without it, none are sent.
     #[serde(default, deserialize_with = "optional_address")]
     pub statsd: Option<SocketAddr>,
-    /// The least important events that are logged.
+    /// The lowest severity that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
-    /// Which measure the deployment weighs more.
+    /// Whether the deployment prefers consistency or availability.
     #[serde(default)]
     pub lean: ConsistencyMode,
-    /// The SHA-256 of the operators' key, in hex; without it orders are taken from this VM alone.
+    /// The SHA-256 of the operators' key, in hex. Without it, operators' requests are accepted from this VM only.
     #[serde(default)]
     pub admin_key_sha256: Option<String>,
-    /// What it takes from callers.
+    /// The limits on what callers may send.
     #[serde(default)]
     pub limits: RequestLimits,
-    /// How it keeps the ledger.
+    /// The settings of the ledger.
     #[serde(default)]
     pub ledger: LedgerSettings,
 }
 
 impl Settings {
-    /// Reads and checks settings.
+    /// Parses and checks settings.
     ///
     /// # Errors
     ///
-    /// With the first field that is wrong or unknown.
+    /// Names the first field that is invalid or unknown.
     ///
     /// # Examples
     ///
@@ -89,7 +89,7 @@
         self.admin_key_sha256.as_deref().and_then(KeyHash::parse)
     }
 
-    /// Returns where callers reach it.
+    /// Returns the address at which callers reach it.
     pub fn advertised(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.listen)
     }
@@ -101,7 +101,7 @@
         self.ledger.check()
     }
 
-    /// `0.0.0.0` is good to listen at, but nobody can connect to it: callers that were told it would reach themselves.
+    /// Rejects unspecified addresses where others have to connect: a caller that is sent `0.0.0.0` would reach itself.
     fn check_addresses(&self) -> Result<(), SettingsError> {
         if self.advertised().ip().is_unspecified() {
             let (path, address) = match self.advertise {
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -1,10 +1,10 @@
-//! What is wrong with settings.
+//! Errors in settings.
 
 use thiserror::Error;
 
 use crate::field::FieldError;
 
-/// Tells the first field that is wrong.
+/// The first field that is invalid.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("settings: {0}")]
 pub struct SettingsError(pub FieldError);
--- a/src/settings/ledger.rs
+++ b/src/settings/ledger.rs
@@ -1,4 +1,4 @@
-//! How a router keeps the ledger.
+//! The settings of the ledger.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -9,29 +9,29 @@
 use crate::settings::range::check_time;
 use crate::settings::range::wrong;
 
-/// How many heartbeats must at least be missed before a router is held to be silent: one is lost with any packet, and
-/// closing a router that lives costs the work that it has in progress.
+/// The minimum number of missed heartbeats after which a router counts as silent. A single one is lost with any packet,
+/// and closing a live router loses the requests that it has in progress.
 const MIN_MISSED: u64 = 3;
 
-/// How a router keeps the ledger. The grounds of each default stand in `docs/SETTINGS.md`.
+/// The settings of the ledger. `docs/SETTINGS.md` has the reasons for the defaults.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LedgerSettings {
-    /// How long records are gathered before they are appended together.
+    /// How long records are collected before they are appended together.
     pub commit_ms: Millis,
-    /// How long an append may take before its outcome is held to be unknown and it is repeated.
+    /// How long an append may take before its outcome counts as unknown and it is repeated.
     pub append_ms: Millis,
-    /// How often routers tell each other that they live.
+    /// The interval of the heartbeats between routers.
     pub heartbeat_ms: Millis,
-    /// How long a router that left the VM list must be silent before it is closed.
+    /// How long a router that is no longer in the VM list must be silent before it is closed.
     pub silence_ms: Millis,
-    /// How long no append may succeed before the log is held to be out.
+    /// How long no append may succeed before the log counts as unavailable.
     pub outage_ms: Millis,
-    /// How long a router that the VM list shows may be out of reach before it is closed.
+    /// How long a router in the VM list may be unreachable before it is closed.
     pub parted_ms: Millis,
-    /// How long the log keeps records.
+    /// How long the log retains records.
     pub retention_ms: Millis,
-    /// What happens to the end marker of a whole answer in an outage of the log.
+    /// What happens to the end marker of a complete answer during a log outage.
     pub end_marker: EndMarker,
 }
 
@@ -76,7 +76,7 @@
         ))
     }
 
-    /// An outage that begins while one append is still in time would begin with each slow append.
+    /// Rejects an outage limit below the time limit of an append: each slow append would count as an outage.
     fn check_outage(&self) -> Result<(), SettingsError> {
         if self.outage_ms >= self.append_ms {
             return Ok(());
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -1,4 +1,4 @@
-//! What a router takes from callers.
+//! Limits on what callers may send.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -8,10 +8,10 @@
 use crate::settings::range::check_count;
 use crate::settings::range::check_time;
 
-/// The least time that anything may take; below it a scheduler's ordinary delay looks like a fault.
+/// The shortest time limit that may be set. Below it, an ordinary delay of the scheduler looks like a fault.
 const MIN_TIME: Millis = Millis(10);
 
-/// What a router takes from callers. The grounds of each default stand in `docs/SETTINGS.md`.
+/// Limits on what callers may send. `docs/SETTINGS.md` has the reasons for the defaults.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RequestLimits {
@@ -23,19 +23,19 @@
     pub header_ms: Millis,
     /// How long a caller may take to send a body.
     pub body_ms: Millis,
-    /// How long a request may take in all, where the caller names no deadline.
+    /// How long a request may take in total, unless the caller sends a deadline.
     pub deadline_ms: Millis,
-    /// Open connections of callers.
+    /// The maximum number of open connections of callers.
     pub connections: usize,
-    /// Requests that wait for an endpoint.
+    /// The maximum number of requests that wait for an endpoint.
     pub queue: usize,
-    /// How long one may wait there.
+    /// How long a request may wait for an endpoint.
     pub queue_ms: Millis,
-    /// How long a caller may leave its answer unread.
+    /// How long a caller may stop reading its answer.
     pub stall_ms: Millis,
-    /// How long requests in progress may go on after a stop was asked for.
+    /// How long requests in progress may continue after a stop was requested.
     pub drain_ms: Millis,
-    /// How long a caller may keep an advised address.
+    /// How long a caller may use an advised address.
     pub address_ms: Millis,
 }
 
--- a/src/settings/millis.rs
+++ b/src/settings/millis.rs
@@ -14,7 +14,7 @@
 pub struct Millis(pub u64);
 
 impl Millis {
-    /// Returns it as the standard library's type.
+    /// Returns the time as a [`Duration`].
     pub fn duration(self) -> Duration {
         Duration::from_millis(self.0)
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,4 +1,4 @@
-//! The daemon's settings: one JSON file, checked before anything starts.
+//! The daemon's settings: one JSON file, which is checked before anything starts.
 
 mod base_url;
 mod daemon;
--- a/src/settings/modes.rs
+++ b/src/settings/modes.rs
@@ -1,34 +1,34 @@
-//! Choices in settings.
+//! Settings with a fixed set of values.
 
 use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
-/// What happens to the end marker of a whole answer while its bill cannot reach the log.
+/// What happens to the end marker of a complete answer while its bill cannot reach the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EndMarker {
-    /// It waits until the bill is in the log.
+    /// It is held back until the bill is in the log.
     Hold,
-    /// It goes out once routers in other failure domains keep the bill too.
+    /// It is sent once routers in other failure domains have stored the bill.
     #[default]
     Peers,
 }
 
-/// The least important events that are logged.
+/// The lowest severity that is logged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogLevel {
-    /// Faults that an operator must look at.
+    /// Faults that need an operator.
     Error,
-    /// What may become one.
+    /// Conditions that may become faults.
     Warn,
-    /// What began and ended.
+    /// Starts and ends of operations.
     #[default]
     Info,
-    /// Each step.
+    /// Individual steps.
     Debug,
-    /// All.
+    /// Everything.
     Trace,
 }
 
--- a/src/settings/range.rs
+++ b/src/settings/range.rs
@@ -1,10 +1,10 @@
-//! Numbers within bounds.
+//! Range checks.
 
 use crate::field::FieldError;
 use crate::settings::error::SettingsError;
 use crate::settings::millis::Millis;
 
-/// The longest time that a setting may name: an hour.
+/// The longest time that may be set: an hour.
 pub(crate) const MAX_TIME: Millis = Millis(60 * 60 * 1000);
 
 pub(crate) fn check_count(path: &str, value: u64, min: u64, max: u64) -> Result<(), SettingsError> {
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -15,61 +15,61 @@
 use crate::settings::range::check_time;
 use crate::settings::range::wrong;
 
-/// The least time that a setting may name.
+/// The shortest time that may be set.
 const MIN_TIME: Millis = Millis(1);
 
 /// The settings of a router on a platform with a metadata store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SiteSettings {
-    /// The VM.
+    /// The name of the VM.
     pub vm: VmId,
     /// The failure domain of the VM.
     pub domain: DomainId,
-    /// Where it listens for callers.
+    /// The address on which it listens for callers.
     pub front: SocketAddr,
-    /// Where it tells whether it is ready.
+    /// The address at which it answers whether it is ready.
     pub ready: SocketAddr,
-    /// Where it tells callers which routers' addresses to use.
+    /// The address at which it tells callers which routers to use.
     pub directory: SocketAddr,
-    /// Where it listens for other routers.
+    /// The address on which it listens for other routers.
     pub peer_listen: SocketAddr,
-    /// Where it serves operators and metrics.
+    /// The address at which it serves operators and metrics.
     pub admin: SocketAddr,
-    /// The metadata store.
+    /// The address of the metadata store.
     pub store: SocketAddr,
-    /// How much of a core the VM has.
+    /// The CPU share of the VM, in cores.
     #[serde(default = "whole")]
     pub cpu_share: f64,
-    /// How fast the VM's link is, in Mbit/s.
+    /// The bandwidth of the VM's network link, in Mbit/s.
     #[serde(default = "whole")]
     pub link_mbps: f64,
-    /// The least important events that are logged.
+    /// The lowest severity that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
-    /// Which measure the deployment weighs more.
+    /// Whether the deployment prefers consistency or availability.
     #[serde(default)]
     pub lean: ConsistencyMode,
     /// How long after the first signal a second one ends the process.
     pub grace_ms: Millis,
-    /// How long a caller may keep an advised address.
+    /// How long a caller may use an advised address.
     pub keep_ms: Millis,
-    /// How late a change of the configuration may be in force.
+    /// How long a change of the configuration may take to be in force.
     pub config_ms: Millis,
-    /// Runs beyond the first that all routers together may make for each request, of 1.
+    /// The retries that all routers together may send to a pool for each request to it, from 0 to 1.
     pub retry_ratio: f64,
-    /// Runs beyond that which all routers together may make in a window.
+    /// The retries that they may send to a pool in a window in addition.
     pub retry_spare: f64,
-    /// That window.
+    /// The length of the windows in each of which the limit holds.
     pub retry_window_ms: Millis,
 }
 
 impl SiteSettings {
-    /// Reads and checks settings.
+    /// Parses and checks settings.
     ///
     /// # Errors
     ///
-    /// With the first field that is wrong or unknown.
+    /// Names the first field that is invalid or unknown.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let settings: Self = field::read_json(text.as_bytes()).map_err(SettingsError)?;
         settings.check()?;
@@ -100,7 +100,7 @@
     }
 }
 
-/// What a VM has that does not say: as much as all others that do not.
+/// Returns the share assumed for a VM whose settings name none: all of these VMs count alike.
 fn whole() -> f64 {
     1.0
 }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -49,8 +49,8 @@
     assert_eq!(Settings::parse(&text), Ok(settings));
 }
 
-/// An operator writes a settings file with a mistake. The daemon does not start, and names the field, what stands
-/// there and what may stand there.
+/// Guards against a daemon that starts with an invalid settings file, or whose error does not name the field, its value and
+/// the allowed values.
 #[test]
 fn names_the_field_that_is_wrong() {
     let mistakes = [
