--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -139,6 +139,8 @@
     pub(crate) routes: Vec<&'static str>,
     /// Endpoints that turn most requests away.
     pub(crate) refusing: IndexSet<VmId>,
+    /// Endpoints whose answers break off after they began.
+    pub(crate) breaking: IndexSet<VmId>,
     /// Endpoints that never answer.
     pub(crate) silent: IndexSet<VmId>,
     /// Requests and arrivals at each pool.
@@ -198,6 +200,7 @@
             lives: vec![0; routers],
             routes: vec!["again"],
             refusing: IndexSet::new(),
+            breaking: IndexSet::new(),
             silent: IndexSet::new(),
             retry_counts: IndexMap::new(),
             retried_at: Vec::new(),
@@ -346,6 +349,7 @@
             _ if self.refusing.contains(vm) && self.rng.random_bool(REFUSED) => {
                 RunEnd::NotRun { retry: None }
             }
+            _ if self.breaking.contains(vm) => broken_run(true),
             Manner::TurnAway if limit.is_none() => RunEnd::NotRun { retry: None },
             _ => RunEnd::Answered {
                 status: 200,
--- a/src/router/tests/random_retries.rs
+++ b/src/router/tests/random_retries.rs
@@ -37,7 +37,7 @@
     fn step(&mut self) {
         match self.rng.random_range(0..8) {
             0..=1 => self.change_refusing(),
-            2 => self.change_silent(),
+            2 => self.change_failing(),
             3 => self.change_routes(),
             4 => self.rate = [0.0, 20.0, 100.0, 400.0][self.rng.random_range(0..4)],
             5 => self.restart_some(),
@@ -60,9 +60,12 @@
         };
     }
 
-    fn change_silent(&mut self) {
-        let count = [0, 1, 4][self.rng.random_range(0..3)];
-        self.fleet.silent = (0..count).map(endpoint).collect();
+    /// Has some endpoints never answer, and others break off their answers.
+    fn change_failing(&mut self) {
+        let silent = [0, 1, 4][self.rng.random_range(0..3)];
+        let breaking = [0, 2, 6][self.rng.random_range(0..3)];
+        self.fleet.silent = (0..silent).map(endpoint).collect();
+        self.fleet.breaking = (silent..silent + breaking).map(endpoint).collect();
     }
 
     /// Moves requests between the pools.
@@ -72,6 +75,7 @@
             vec!["app"],
             vec!["split"],
             vec!["again", "app", "stream", "again"],
+            vec!["stream"],
         ];
         self.fleet.routes = routes[self.rng.random_range(0..routes.len())].clone();
     }
