--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,13 +1,13 @@
-//! The clock, as the core sees it.
+//! The clock interface of the core.
 
 use std::time::Instant;
 use std::time::SystemTime;
 
-/// Tells the time; passed in wherever time is needed, so that a test decides what time it is.
+/// A source of time. It is passed in wherever time is needed, so that tests control it.
 pub trait Clock {
-    /// Returns a reading that never goes back.
+    /// Returns a monotonic reading.
     fn now(&self) -> Instant;
 
-    /// Returns the wall clock's time, for logs and for people; nothing is decided by it.
+    /// Returns the wall clock time, for logs only. No decision depends on it.
     fn wall(&self) -> SystemTime;
 }
--- a/src/explore.rs
+++ b/src/explore.rs
@@ -5,48 +5,48 @@
 use std::panic::AssertUnwindSafe;
 use std::panic::catch_unwind;
 
-/// Something whose states can be explored.
+/// A model whose states can be explored.
 pub(crate) trait Model: Sized {
-    /// What can happen next.
+    /// A transition between states.
     type Step: Clone;
 
-    /// Tells states apart.
+    /// Returns a hash that identifies the state.
     fn digest(&self) -> u128;
 
-    /// Returns what may happen in this state.
+    /// Returns the steps that may be taken from this state.
     fn steps(&self) -> Vec<Self::Step>;
 
-    /// Returns the state after a step; nothing where it can't happen after all.
+    /// Returns the state after a step, or `None` if the step is impossible.
     fn take(&self, step: &Self::Step) -> Option<Self>;
 
-    /// Returns what must not be and is.
+    /// Returns the invariant that the state violates, if any.
     fn broken(&self) -> Option<&'static str>;
 }
 
-/// What an exploration found.
+/// The result of an exploration.
 pub(crate) struct Found<S> {
     pub(crate) states: usize,
-    /// The most steps behind which all states were seen.
+    /// The number of steps up to which all states were visited.
     pub(crate) depth: usize,
-    /// Whether there were no more states.
+    /// Whether all reachable states were visited.
     pub(crate) whole: bool,
     pub(crate) fault: Option<Fault<S>>,
 }
 
-/// A history that breaks what must hold; none is shorter.
+/// A shortest sequence of steps that violates an invariant.
 #[derive(Debug)]
 pub(crate) struct Fault<S> {
     pub(crate) broken: &'static str,
     pub(crate) steps: Vec<S>,
 }
 
-/// Visits the states that can be reached, nearest first, until one is broken or there are `bound`.
+/// Visits the reachable states in breadth-first order, until one violates an invariant or `bound` states are known.
 pub(crate) fn explore<M>(world: M, bound: usize) -> Found<M::Step>
 where
     M: Model,
 {
     let mut known = HashSet::from([world.digest()]);
-    // How each state was reached: its predecessor and the step.
+    // The predecessor of each state, and the step that leads from there.
     let mut trail: Vec<(usize, Option<M::Step>)> = vec![(0, None)];
     let mut queue = VecDeque::from([(0, 0, world)]);
     let mut depth = 0;
--- a/src/field.rs
+++ b/src/field.rs
@@ -1,24 +1,24 @@
-//! What is wrong with a field of a JSON text, told so that a person can mend it.
+//! Errors in the fields of a JSON text, described so that a person can correct them.
 
 use serde::de::DeserializeOwned;
 use serde_json::error::Category;
 use thiserror::Error;
 
-/// What stands before the allowed values in a message of `serde`; messages of this package follow it.
+/// The text before the allowed values in a message of `serde`. Messages of this package have the same form.
 const EXPECTED: &str = ", expected ";
 
-/// Stands for what is allowed where the reader of the value did not say it.
+/// The allowed values, if the deserializer does not name them.
 const LISTED: &str = "a value as the documentation lists it";
 
-/// Tells which field is wrong, what stands there and what is allowed.
+/// A field that is invalid, its value and what is allowed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{path}: found {found}; allowed: {allowed}")]
 pub struct FieldError {
-    /// Where, such as `limits.queue` or `rule/default.team`; `.` is the whole text.
+    /// The path of the field, such as `limits.queue` or `rule/default.team`; `.` is the whole text.
     pub path: String,
-    /// What stands there, without any secret.
+    /// The value that was found, without secrets.
     pub found: String,
-    /// What may stand there.
+    /// The values that are allowed.
     pub allowed: String,
 }
 
@@ -37,11 +37,11 @@
     }
 }
 
-/// Reads a value from a JSON text that holds nothing else.
+/// Deserializes a value from a JSON text that contains nothing else.
 ///
 /// # Errors
 ///
-/// When the text is no JSON or no such value.
+/// When the text is not JSON, or not such a value.
 pub(crate) fn read_json<T>(text: &[u8]) -> Result<T, FieldError>
 where
     T: DeserializeOwned,
@@ -77,8 +77,8 @@
     FieldError::new(path, "nothing", LISTED)
 }
 
-/// A key may stand where something else belongs, and messages end up in logs; so what stands in a key's field is not
-/// repeated.
+/// Returns a value as it may be shown. The value of a key field is omitted, since it may be the key itself, and messages are
+/// logged.
 fn shown(path: &str, found: &str) -> String {
     if path.to_ascii_lowercase().contains("key") && found.starts_with("invalid") {
         return "a value that is not shown".to_owned();
@@ -88,7 +88,7 @@
     found.to_owned()
 }
 
-/// Says for people what `serde` says in the language's types.
+/// Describes the allowed values in plain words where `serde` names a Rust type.
 fn plain(allowed: &str) -> String {
     let max = match allowed {
         "u8" => u64::from(u8::MAX),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,4 +1,4 @@
-//! Identifiers, each a type of its own.
+//! Identifiers, each with its own type.
 
 use std::fmt;
 use std::str::FromStr;
@@ -15,16 +15,16 @@
 /// The longest name that an identifier may have, in bytes.
 pub(crate) const MAX_NAME: usize = 128;
 
-/// Tells why a text is no identifier.
+/// Why a text is not an identifier.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum NameError {
-    /// Nothing was given.
+    /// The text is empty.
     #[error("it is empty")]
     Empty,
-    /// More than 128 bytes were given.
+    /// The text is longer than 128 bytes.
     #[error("it has {0} bytes, and at most {MAX_NAME} are allowed")]
     Long(usize),
-    /// A character stands in it that is not allowed.
+    /// The text contains a character that is not allowed.
     #[error("it has the character {0:?}, and only printable ASCII without spaces is allowed")]
     Character(char),
 }
@@ -45,8 +45,8 @@
     }
 }
 
-/// Reads a name out of the text where it stands: a record of the ledger has up to three of them, and a copy of each in
-/// between would be most of what decoding it costs.
+/// Deserializes a name without an intermediate copy. A ledger record has up to three names, and copies would take most of
+/// the time that decoding it needs.
 struct NameVisitor;
 
 impl Visitor<'_> for NameVisitor {
@@ -128,35 +128,35 @@
 }
 
 name!(
-    /// Names a VM, as the VM list spells it.
+    /// The name of a VM in the VM list.
     VmId
 );
 name!(
-    /// Names a failure domain.
+    /// The name of a failure domain.
     DomainId
 );
 name!(
-    /// Names a client account.
+    /// The name of a client account.
     AccountId
 );
 name!(
-    /// Names a team, which holds a budget.
+    /// The name of a team, which holds a budget.
     TeamId
 );
 name!(
-    /// Names a model.
+    /// The name of a model.
     ModelId
 );
 name!(
-    /// Names a pool: the endpoints that one selector picks.
+    /// The name of a pool: the endpoints that match one selector.
     PoolId
 );
 name!(
-    /// Names a configuration document among those of its kind.
+    /// The name of a configuration document, unique within its kind.
     DocName
 );
 name!(
-    /// Names a top-up; a second one of the same name adds nothing.
+    /// The name of a top-up. A second top-up with the same name has no effect.
     TopUpId
 );
 name!(
@@ -190,11 +190,11 @@
 }
 
 number!(
-    /// One life of a router process: a random number that it drew at its start.
+    /// One life of a router process: a random number chosen at its start.
     Incarnation
 );
 number!(
-    /// A record's place in a stream of the log service.
+    /// The offset of a record in a stream of the log service.
     Offset
 );
 number!(
@@ -202,11 +202,11 @@
     Sequence
 );
 number!(
-    /// A configuration document's version: the offset after the record that made it, or 0 where there is none.
+    /// The version of a configuration document: the offset after the record that created it, or 0 if there is none.
     Version
 );
 number!(
-    /// The version of a configuration that a platform hands over whole; versions only grow.
+    /// The version of a configuration that a platform delivers as a whole. Versions only increase.
     TableVersion
 );
 number!(
@@ -214,20 +214,20 @@
     Fingerprint
 );
 number!(
-    /// Counts a caller's tries of one request from 1; 0 means that the caller did not say.
+    /// The number of a caller's attempt at one request, counted from 1. 0 means that the caller sent none.
     Attempt
 );
 number!(
-    /// Names a request within one router, in its logs.
+    /// The number of a request within one router, used in its logs.
     RequestId
 );
 
-/// Tells one request from all others: the client account and the key that it chose.
+/// Identifies a request: the client account and the key that it chose.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestKey {
-    /// Whose request it is; two accounts may choose the same key.
+    /// The client account. Two accounts may choose the same key.
     pub account: AccountId,
-    /// The key.
+    /// The key, unique within the account.
     pub key: IdempotencyKey,
 }
 
--- a/src/key_hash.rs
+++ b/src/key_hash.rs
@@ -1,4 +1,4 @@
-//! Bearer keys, as they are known.
+//! Hashes of bearer keys.
 
 use std::fmt;
 use std::str::FromStr;
@@ -10,11 +10,11 @@
 
 use crate::field::FieldError;
 
-/// The hex digits of a hash.
+/// The number of hex digits of a hash.
 const DIGITS: usize = 64;
 
-/// The SHA-256 of a bearer key. Configuration and settings hold it in place of the key, so that who reads them cannot
-/// call with it.
+/// The SHA-256 of a bearer key. Configuration and settings contain it instead of the key, so that reading them does not
+/// reveal the key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeyHash([u8; DIGITS / 2]);
 
@@ -35,8 +35,7 @@
         Some(hash)
     }
 
-    /// Reads the hash that a field holds. An operator may have written the key itself there; so the message does not
-    /// repeat it.
+    /// Deserializes a hash. The error does not repeat the value, since an operator may have entered the key itself.
     pub(crate) fn check(path: &str, text: &str) -> Result<Self, FieldError> {
         let found = || format!("a text of {} bytes", text.len());
         let allowed = "the key's SHA-256, 64 hex digits";
--- a/src/labels.rs
+++ b/src/labels.rs
@@ -1,4 +1,4 @@
-//! Labels and the selectors over them.
+//! Labels, and selectors that match them.
 
 use std::fmt;
 
@@ -6,13 +6,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// What is attached to a request, a model or an endpoint: names with values.
+/// The labels of a request, a model or an endpoint: names with values.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Labels(pub IndexMap<String, String>);
 
 impl Labels {
-    /// Returns a label's value.
+    /// Returns the value of a label.
     pub fn get(&self, name: &str) -> Option<&str> {
         self.0.get(name).map(String::as_str)
     }
@@ -33,13 +33,13 @@
     }
 }
 
-/// Picks what carries certain labels; one without terms picks all.
+/// Matches labels. A selector without terms matches everything.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Selector(pub IndexMap<String, Vec<String>>);
 
 impl Selector {
-    /// Returns whether each label that it names has one of the values that it allows.
+    /// Returns whether each label in the selector has one of the allowed values.
     pub fn matches(&self, labels: &Labels) -> bool {
         self.0.iter().all(|(name, allowed)| {
             labels
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs: one line of key=value pairs for each event, on standard error or, without ever waiting for it, standard output.
+//! Logs: one line of key=value pairs for each event, on standard error, or on standard output without blocking.
 
 use std::fmt;
 use std::fmt::Write;
@@ -23,19 +23,19 @@
 
 use crate::settings::LogLevel;
 
-/// How many lines may wait for a reader that is slow. Beyond that, lines are dropped and counted: some seconds' worth of a
-/// busy router.
+/// How many lines may wait for a slow reader, which is some seconds' worth of a busy router. Further lines are dropped and
+/// counted.
 const WAITING: usize = 8192;
 
-/// Counts the lines that were dropped.
+/// The counter of dropped lines.
 static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 
-/// Writes what still waits when it is dropped.
+/// Writes the waiting lines when it is dropped.
 #[must_use = "dropped at once, it takes the logs with it"]
 #[derive(Debug)]
 pub struct LogGuard(#[expect(dead_code, reason = "it is kept for what its drop does")] WorkerGuard);
 
-/// Begins to write logs to standard error; a second call changes nothing.
+/// Starts to write logs to standard error. A second call has no effect.
 pub fn init_logs(level: LogLevel) {
     let _ = tracing_subscriber::fmt()
         .with_env_filter(targets(level))
@@ -44,9 +44,9 @@
         .try_init();
 }
 
-/// Begins to write logs to standard output from a thread of their own; a second call changes nothing.
+/// Starts to write logs to standard output from a separate thread. A second call has no effect.
 ///
-/// A reader that stops reading would else stop the loop, and every stream with it.
+/// Otherwise, a reader that stops reading would block the event loop, and every stream with it.
 pub fn init_output_logs(level: LogLevel) -> LogGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING)
@@ -61,12 +61,12 @@
     LogGuard(guard)
 }
 
-/// Returns how many lines were dropped.
+/// Returns the number of lines that were dropped.
 pub(crate) fn dropped_lines() -> usize {
     DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
 }
 
-/// Lets this package's lines of a level through. Other crates' lines are not ours to vouch for: some print what they send.
+/// Enables this package's events of a level. Other crates are excluded, since some log the data that they send.
 fn targets(level: LogLevel) -> EnvFilter {
     let filter = match level {
         LogLevel::Error => LevelFilter::ERROR,
@@ -104,7 +104,7 @@
     }
 }
 
-/// Gathers fields as ` key=value`; a value with a space or a quote in it is quoted, so that each line stays one line.
+/// Formats fields as ` key=value`. Values that contain a space or a quote are quoted, so that each event stays one line.
 struct Pairs {
     text: String,
 }
--- a/src/moment.rs
+++ b/src/moment.rs
@@ -1,4 +1,4 @@
-//! Moments that mean something beyond one process: what the clocks of its VM read.
+//! Times that are meaningful beyond one process: readings of the clocks of its VM.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -6,41 +6,40 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// How far a VM's time of day may have fallen back between two processes: it is set by seconds at most.
+/// How far a VM's wall clock may have been set back between two processes. It is adjusted by seconds at most.
 const FALLEN_BACK: Duration = Duration::from_secs(3);
 
-/// How far two readings of a fleet's clocks may be apart beyond the time that passed: words between routers take a while, and
-/// clocks differ by some milliseconds though nobody set them.
+/// How far two readings of the fleet's clocks may differ beyond the time that passed: messages between routers take time, and
+/// clocks differ by some milliseconds even if none was adjusted.
 const APART: Duration = Duration::from_millis(100);
 
-/// How far steady clock and time of day may disagree about how long ago a moment is, if both are of the same boot. Where they
-/// disagree by more, the name of the boot says nothing: a VM may show that of the machine below it, which goes on while the
-/// VM loses its power.
+/// How far the monotonic clock and the wall clock may disagree about elapsed time within one boot. If they disagree by more,
+/// the boot id is unreliable: a VM may show that of its host, which keeps running while the VM loses power.
 const DISAGREEMENT: Duration = Duration::from_secs(10);
 
-/// Names a VM by its address: one that takes over another's name has an address of its own.
+/// Identifies a VM by its address. A VM that takes over another's name has a different address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct HostId(pub(crate) u64);
 
-/// Names one boot of a VM. Readings of steady clocks compare only within one.
+/// Identifies one boot of a VM. Readings of monotonic clocks are comparable only within one boot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct BootId(pub(crate) u64);
 
-/// A moment by the clocks of a VM.
+/// A time according to the clocks of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Moment {
     /// The VM.
     pub(crate) host: HostId,
     /// Its boot.
     pub(crate) boot: BootId,
-    /// How long after the boot, the time counted in which the VM was suspended.
+    /// The time since the boot, including suspension.
     pub(crate) uptime: Duration,
-    /// The time of day, since the Unix epoch.
+    /// The wall clock time since the Unix epoch.
     pub(crate) wall: Duration,
 }
 
 impl Moment {
-    /// Returns how long after an earlier moment of the same boot this one is; nothing where that can't be said.
+    /// Returns the time since an earlier moment of the same boot, or `None` if it is unknown.
     fn steady_since(&self, earlier: &Self) -> Option<Duration> {
         if self.boot != earlier.boot {
             return None;
@@ -51,17 +50,17 @@
     }
 }
 
-/// The times of day that most clocks of a fleet lie between at one moment.
+/// The range of wall clock times that most clocks of a fleet show at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Span {
-    /// Few of them show an earlier one.
+    /// Few clocks show an earlier time.
     pub(crate) earliest: Duration,
-    /// Few of them show a later one.
+    /// Few clocks show a later time.
     pub(crate) latest: Duration,
 }
 
 impl Span {
-    /// Returns it as it was a while before.
+    /// Returns the range as it was `passed` ago.
     pub(crate) fn before(self, passed: Duration) -> Self {
         Self {
             earliest: self.earliest.saturating_sub(passed),
@@ -70,23 +69,23 @@
     }
 }
 
-/// What the clocks of a VM read at a moment, and those of its fleet.
+/// A reading of the clocks of a VM and of its fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ClockReading {
-    /// The VM's own.
+    /// The reading of the VM.
     pub(crate) own: Moment,
-    /// The fleet's; nothing where too few of them were known.
+    /// The reading of the fleet, if enough clocks are known.
     pub(crate) fleet: Option<Span>,
-    /// Whether the fleet's may soon be known.
+    /// Whether the reading of the fleet may soon be known.
     pub(crate) awaited: bool,
 }
 
 impl ClockReading {
-    /// Returns how long after an earlier moment on the same VM this one is at most; nothing where that can't be said.
+    /// Returns the longest time that may have passed since an earlier reading on the same VM, or `None` if it is unknown.
     ///
-    /// Within one boot the steady clock tells. A loss of power takes it away and leaves the time of day, which may have been
-    /// set back meanwhile. That of the fleet is set back only if it is at most of its VMs; where it isn't known, the VM's own
-    /// counts, with an allowance.
+    /// Within one boot, the monotonic clock decides. After a loss of power only the wall clock is left, which may have been
+    /// set back in the meantime. The fleet's wall clock is set back only if most of its VMs are; if it is unknown, the VM's
+    /// own counts, with an allowance.
     pub(crate) fn since(&self, earlier: &Self) -> Option<Duration> {
         if self.own.host != earlier.own.host {
             return None;
@@ -111,10 +110,10 @@
     }
 }
 
-/// Tells the moments of a process's own readings of time.
+/// Converts a process's monotonic readings to moments.
 ///
-/// The readings don't count the time in which the VM is suspended, so that a moment told after a suspension is too early.
-/// Whoever thinks that more time has passed than has, thinks that more was spent: that errs on the safe side.
+/// The readings exclude suspension, so a moment after a suspension is too early. A later process then assumes that more time
+/// has passed, and so that more was spent, which is the safe direction.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct BootClock {
     start: Moment,
@@ -122,7 +121,7 @@
 }
 
 impl BootClock {
-    /// Makes one for a process that started at a moment, when its own clock read so.
+    /// Creates the clock of a process that started at `start`, when its monotonic clock showed `read`.
     pub(crate) fn new(start: Moment, read: Instant) -> Self {
         Self { start, read }
     }
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -1,4 +1,4 @@
-//! A prompt as model engines see it: tokens, and the blocks that their prefix caches keep.
+//! Prompts: their tokens, and the blocks in the prefix caches of model engines.
 
 use std::fmt;
 use std::num::ParseIntError;
@@ -10,10 +10,10 @@
 
 use crate::tokens::Tokens;
 
-/// How many tokens a block of a prefix cache holds; engines commonly take 16.
+/// The number of tokens in a block of a prefix cache. 16 is common among engines.
 pub const BLOCK_TOKENS: usize = 16;
 
-/// Names a block by its content and by all that comes before it, so that equal hashes mean equal prefixes.
+/// Identifies a block by its content and everything before it, so that equal hashes mean equal prefixes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct BlockHash(pub u64);
@@ -46,12 +46,12 @@
     }
 }
 
-/// Counts a prompt's tokens: its words, so never more than its bytes.
+/// Counts the tokens of a prompt: its words, and so never more than its bytes.
 pub fn prompt_tokens(prompt: &str) -> Tokens {
     Tokens(prompt.split_whitespace().count() as u64)
 }
 
-/// Returns the hashes of a prompt's whole blocks, each of which covers the blocks before it.
+/// Returns the hashes of the complete blocks of a prompt. Each covers the blocks before it.
 pub fn prompt_blocks(prompt: &str) -> Vec<BlockHash> {
     let words: Vec<&str> = prompt.split_whitespace().collect();
     let mut before = 0;
--- a/src/request_rate.rs
+++ b/src/request_rate.rs
@@ -1,4 +1,4 @@
-//! How many requests a second an endpoint takes.
+//! Request rates.
 
 use std::fmt;
 use std::str::FromStr;
@@ -7,24 +7,24 @@
 use serde::Serialize;
 use thiserror::Error;
 
-/// A rate of requests, in requests a second; finite and not negative.
+/// A rate in requests per second, finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
-/// Tells why a number or a text is no rate of requests.
+/// Why a number or a text is not a request rate.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum RateError {
-    /// It is not a decimal number.
+    /// The text is not a decimal number.
     #[error("it is not a number")]
     Malformed,
-    /// It is negative, infinite or not a number.
+    /// The number is negative, infinite or NaN.
     #[error("it is negative or not finite")]
     Range,
 }
 
 impl RequestRate {
-    /// Returns the requests per second.
+    /// Returns the rate in requests per second.
     pub fn per_second(self) -> f64 {
         self.0
     }
--- a/src/tokens.rs
+++ b/src/tokens.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// An amount of tokens: what budgets, reservations and bills are counted in.
+/// An amount of tokens, the unit of budgets, reservations and bills.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -24,12 +24,12 @@
     /// No tokens.
     pub const ZERO: Self = Self(0);
 
-    /// Returns the difference, or nothing where `other` is larger.
+    /// Returns the difference, or zero if `other` is larger.
     pub fn saturating_sub(self, other: Self) -> Self {
         Self(self.0.saturating_sub(other.0))
     }
 
-    /// Returns the sum, or the largest amount where it does not fit.
+    /// Returns the sum, or the largest amount if it overflows.
     pub fn saturating_add(self, other: Self) -> Self {
         Self(self.0.saturating_add(other.0))
     }
@@ -42,7 +42,7 @@
     ///
     /// # Panics
     ///
-    /// When the sum does not fit: a ledger that wrapped round would give away a budget.
+    /// When the sum overflows. A ledger that wrapped around would give away a budget.
     fn add(self, other: Self) -> Self {
         Self(self.0.checked_add(other.0).expect("a sum of tokens fits"))
     }
@@ -51,11 +51,11 @@
 impl Sub for Tokens {
     type Output = Self;
 
-    /// Takes one amount from another.
+    /// Subtracts one amount from another.
     ///
     /// # Panics
     ///
-    /// When `other` is larger: a ledger that wrapped round would give away a budget.
+    /// When `other` is larger. A ledger that wrapped around would give away a budget.
     fn sub(self, other: Self) -> Self {
         Self(self.0.checked_sub(other.0).expect("an amount is covered"))
     }
@@ -96,7 +96,7 @@
     }
 }
 
-/// How fast tokens are used, in tokens a second.
+/// A rate in tokens per second.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -104,7 +104,7 @@
 pub struct TokenRate(pub u64);
 
 impl TokenRate {
-    /// Returns what is used in a time, rounded up, or the largest amount where it does not fit.
+    /// Returns the amount used in a period, rounded up, or the largest amount if it overflows.
     pub fn over(self, time: Duration) -> Tokens {
         let tokens = (u128::from(self.0) * time.as_nanos()).div_ceil(1_000_000_000);
         Tokens(u64::try_from(tokens).unwrap_or(u64::MAX))
--- a/src/vms.rs
+++ b/src/vms.rs
@@ -1,4 +1,4 @@
-//! The platform's VM list, as it is spelled on the wire.
+//! The platform's VM list in its wire format.
 
 use std::net::SocketAddr;
 
@@ -9,28 +9,28 @@
 use crate::ids::VmId;
 use crate::labels::Labels;
 
-/// Tells whether a VM stays.
+/// Whether a VM stays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum VmState {
-    /// It serves.
+    /// It accepts requests.
     #[default]
     Live,
-    /// It is about to go, and takes no new work.
+    /// It is about to leave, and accepts no new requests.
     Leaving,
 }
 
-/// One VM of the list.
+/// An entry of the VM list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmEntry {
-    /// Its name.
+    /// The name of the VM.
     pub vm: VmId,
-    /// Where it listens.
+    /// The address on which it listens.
     pub address: SocketAddr,
-    /// The failure domain that it stands in.
+    /// The failure domain of the VM.
     pub domain: DomainId,
-    /// What is attached to it.
+    /// The labels of the VM.
     #[serde(default)]
     pub labels: Labels,
     /// Whether it stays.
@@ -38,11 +38,11 @@
     pub state: VmState,
 }
 
-/// The list, as it was at one moment.
+/// The VM list at one moment.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmList {
-    /// The moment, in milliseconds since 1970.
+    /// The time of the list, in milliseconds since the Unix epoch.
     pub as_of: u64,
-    /// The VMs, in the order in which they were first listed.
+    /// The entries, in the order in which they were first listed.
     pub vms: Vec<VmEntry>,
 }
