--- a/src/cli/address.rs
+++ b/src/cli/address.rs
@@ -1,4 +1,4 @@
-//! `address` and `drain`.
+//! The commands `address` and `drain`.
 
 use std::fmt;
 
@@ -11,18 +11,18 @@
 use crate::cli::output::Output;
 use crate::cli::router::Router;
 
-/// The path that advises.
+/// The path of address advice.
 pub(crate) const ADDRESS: &str = "/v1/address";
 
-/// Which router a caller should use.
+/// The routers that a caller should use.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Advice {
-    /// Where, `ip:port`.
+    /// The address to use first, `ip:port`.
     pub(crate) address: String,
-    /// Where else.
+    /// Further addresses.
     #[serde(default)]
     pub(crate) alternates: Vec<String>,
-    /// How long the advice is good, in milliseconds.
+    /// How long the advice is valid, in milliseconds.
     #[serde(default)]
     pub(crate) keep_ms: u64,
 }
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,4 +1,4 @@
-//! What can be written on the command line.
+//! The arguments of the command line.
 
 use std::fmt;
 use std::path::PathBuf;
@@ -20,17 +20,17 @@
 use crate::settings::BaseUrl;
 use crate::tokens::Tokens;
 
-/// The environment variable in place of `--router`.
+/// The environment variable that replaces `--router`.
 pub(crate) const ROUTER: &str = "JASMINERIDGE_ROUTER";
 
-/// The environment variable in place of `--log`.
+/// The environment variable that replaces `--log`.
 pub(crate) const LOG: &str = "JASMINERIDGE_LOG";
 
-/// The environment variable that holds the operators' key. It is no option: what stands on a command line can be read
-/// by all who list the processes.
+/// The environment variable with the operators' key. There is no option for it, because command lines are visible in the
+/// process list.
 pub(crate) const ADMIN_KEY: &str = "JASMINERIDGE_ADMIN_KEY";
 
-/// The environment variable that holds a client account's key.
+/// The environment variable with a client account's key.
 pub(crate) const ACCOUNT_KEY: &str = "JASMINERIDGE_KEY";
 
 const EXIT_CODES: &str = "\
@@ -200,7 +200,7 @@
     pub(crate) direct: bool,
 }
 
-/// Names documents: all of a kind, or one.
+/// Matches documents: all of a kind, or one.
 #[derive(Clone, Debug)]
 pub(crate) struct DocPattern {
     pub(crate) kind: Kind,
@@ -223,7 +223,7 @@
     }
 }
 
-/// A label with its value.
+/// A label and its value.
 #[derive(Clone, Debug)]
 pub(crate) struct LabelArg {
     pub(crate) name: String,
@@ -255,7 +255,7 @@
     ///
     /// # Errors
     ///
-    /// When none is named, or the environment names one that is no URL.
+    /// When no URL is given, or the one in the environment is invalid.
     pub(crate) fn router(&self) -> anyhow::Result<BaseUrl> {
         place(self.router, "--router", ROUTER)
     }
@@ -264,7 +264,7 @@
     ///
     /// # Errors
     ///
-    /// When none is named, or the environment names one that is no URL.
+    /// When no URL is given, or the one in the environment is invalid.
     pub(crate) fn log(&self) -> anyhow::Result<BaseUrl> {
         place(self.log, "--log", LOG)
     }
--- a/src/cli/ask.rs
+++ b/src/cli/ask.rs
@@ -1,4 +1,4 @@
-//! `ask`: one completion, with retries.
+//! The command `ask`: one completion, with retries.
 
 #![expect(
     clippy::disallowed_methods,
@@ -37,17 +37,17 @@
 use crate::http_client::HttpClient;
 use crate::ids::IdempotencyKey;
 
-/// The last event of a whole answer.
+/// The last event of a complete answer.
 const END: &str = "[DONE]";
 
 /// The largest refusal that is read, in bytes.
 const MAX_PROBLEM: usize = 64 << 10;
 
-/// How long to wait before the next try where the router does not say: long enough for a router that died to be
-/// missed, short enough for somebody who waits.
+/// The delay before the next attempt, unless the router names one: long enough for a dead router to be noticed, and short
+/// enough for a person who waits.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// A whole answer.
+/// A complete answer.
 #[derive(Debug, Serialize)]
 struct Whole {
     id: IdempotencyKey,
@@ -57,23 +57,23 @@
 }
 
 impl fmt::Display for Whole {
-    /// Writes the end of the line alone: the text was printed as it came.
+    /// Writes only a line break: the text was printed as it arrived.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f)
     }
 }
 
-/// How one try ended that gave no whole answer.
+/// The end of an attempt without a complete answer.
 #[derive(Debug)]
 struct Ended {
-    /// When the next try may be; never, where another would end alike.
+    /// When the next attempt may start; `None` if it would end in the same way.
     again: Option<Duration>,
-    /// Which router to try then.
+    /// The router for the next attempt.
     instead: Option<String>,
     failure: Failure,
 }
 
-/// One request, as it is sent again and again.
+/// A request that is sent in each attempt.
 #[derive(Debug)]
 struct Question<'a> {
     http: HttpClient,
@@ -130,7 +130,7 @@
         }
     }
 
-    /// Asks which router to use.
+    /// Requests advice on which router to use.
     async fn address(&self, places: &Places) -> Result<String, Failure> {
         if self.args.direct {
             return Ok(places.router()?.to_string());
@@ -179,7 +179,7 @@
         request.body(body).context("the request cannot be written")
     }
 
-    /// Reads the answer to its end marker. One that ends before is not whole, however it ends: its bill is not sure.
+    /// Reads the answer up to its end marker. An answer that ends without it is incomplete, and its bill is uncertain.
     async fn read(&self, answer: Response<Incoming>, attempt: u64) -> Result<Whole, Ended> {
         let mut whole = Whole {
             id: self.id.clone(),
@@ -191,7 +191,7 @@
         match ended {
             Ok(()) => Ok(whole),
             Err(ended) => {
-                // The next try begins a line of its own, so that nobody takes the two for one answer.
+                // The next attempt starts on a new line, so that the two are not taken for one answer.
                 if !self.output.is_json() && !whole.text.is_empty() {
                     output::print("\n").map_err(|e| Ended::last(e.into()))?;
                 }
@@ -265,7 +265,7 @@
     Ended::pause(Failure::Unknown(why.to_owned()))
 }
 
-/// Reads a refusal. The router says with `Retry-After` whether another try is worth while.
+/// Reads a refusal. The router sends `Retry-After` if another attempt may succeed.
 async fn refused(answer: Response<Incoming>, limit: Duration) -> Ended {
     let status = answer.status();
     let after = answer.headers().get(RETRY_AFTER);
--- a/src/cli/audit.rs
+++ b/src/cli/audit.rs
@@ -1,4 +1,4 @@
-//! A second count of the ledger, made from what became of each record and compared with the fold's own sums.
+//! An independent count of the ledger, derived from the verdict on each record and compared with the sums of the fold.
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -15,23 +15,23 @@
 use crate::log_client::LogRecord;
 use crate::tokens::Tokens;
 
-/// A second count of the ledger.
+/// An independent count of the ledger.
 #[derive(Debug, Default)]
 pub(crate) struct Audit {
     pub(crate) ledger: Ledger,
-    /// What must not be, as found.
+    /// The violations that were found.
     pub(crate) violations: Vec<String>,
     topups: IndexSet<(TeamId, TopUpId)>,
     prepaid: IndexMap<TeamId, Tokens>,
     billed: IndexMap<TeamId, Tokens>,
     /// When each request was last billed.
     bills: IndexMap<RequestKey, u64>,
-    /// When each request that may not run twice was claimed.
+    /// When each non-idempotent request was claimed.
     once: IndexMap<RequestKey, u64>,
 }
 
 impl Audit {
-    /// Goes on from a checkpoint, whose sums it has to believe.
+    /// Continues from a checkpoint, whose sums can't be verified.
     pub(crate) fn resume(ledger: Ledger) -> Self {
         let sums = |sum: fn(&TeamState) -> Tokens| {
             let teams = ledger.teams();
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Compares the sums as of the last record.
+    /// Compares the sums after the last record.
     pub(crate) fn check(&mut self) {
         if let Err(team) = self.ledger.check_balances() {
             let next = self.ledger.next();
@@ -84,7 +84,7 @@
         self.violations.append(&mut found);
     }
 
-    /// Returns those of a batch's requests that the ledger had a bill of before.
+    /// Returns the requests of a batch for which the ledger already had a bill.
     fn billed_of(&self, batch: &Batch) -> IndexSet<RequestKey> {
         let keys = batch.records.iter().filter_map(|record| match record {
             Record::Bill { key, .. } => Some(key),
@@ -103,7 +103,7 @@
         *sum = sum.saturating_add(amount);
     }
 
-    /// Counts a request's first bill. What a later run of it used is lost or given back, and is no second bill.
+    /// Counts the first bill of a request. What a later run of it used is lost or returned, and is not billed again.
     fn bill(&mut self, record: &LogRecord, key: &RequestKey, first: bool) {
         let before = self.bills.insert(key.clone(), record.at);
         if !first {
@@ -132,7 +132,7 @@
     }
 }
 
-/// After the ledger may have forgotten a key, it stands for another request.
+/// Returns whether the ledger still remembers a key. A forgotten key belongs to a new request.
 fn is_remembered(before: Option<u64>, now: u64) -> bool {
     before.is_some_and(|before| now <= before + ledger::KEY_RETENTION_MS)
 }
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,4 +1,4 @@
-//! `check`: whether a file is sound.
+//! The command `check`: validates a file.
 
 use std::fmt;
 use std::path::Path;
@@ -12,7 +12,7 @@
 use crate::config::ChangeSet;
 use crate::settings::Settings;
 
-/// What a file holds.
+/// The content of a file.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
 enum Held {
--- a/src/cli/configuration.rs
+++ b/src/cli/configuration.rs
@@ -1,4 +1,4 @@
-//! The configuration, folded from the log, and `config get`.
+//! The configuration, folded from the log, and the command `config get`.
 
 use std::fmt;
 use std::time::Duration;
@@ -26,32 +26,32 @@
 use crate::log_client::LogRecord;
 use crate::log_client::ReadError;
 
-/// The stream that the configuration is published on.
+/// The stream of the configuration.
 pub(crate) const STREAM: &str = "config";
 
-/// How long the log service may take to answer.
+/// The time limit for an answer of the log service.
 pub(crate) const LIMIT: Duration = Duration::from_secs(10);
 
-/// Records in one read.
+/// The number of records in one read.
 pub(crate) const PAGE: usize = 500;
 
-/// The configuration's stream, read as far as it is there.
+/// The configuration's stream, read up to its end.
 #[derive(Debug)]
 pub(crate) struct Stream {
     log: LogClient,
-    /// What the records make.
+    /// The configuration that results from the records.
     pub(crate) config: Config,
 }
 
-/// What became of a record.
+/// A record and its verdict.
 pub(crate) type Folded = (LogRecord, Result<(), Rejected>);
 
 impl Stream {
-    /// Folds the stream from its beginning; where the log has let that go, from a checkpoint or a router's snapshot.
+    /// Folds the stream from its start, or from a checkpoint or a router's snapshot if the log no longer retains the start.
     ///
     /// # Errors
     ///
-    /// When the log does not answer, or has let records go and neither is to be had.
+    /// When the log does not answer, or no longer retains the start and neither is available.
     pub(crate) async fn open(places: &Places) -> Result<Self, Failure> {
         let http = HttpClient::default();
         let mut stream = Self {
@@ -75,7 +75,7 @@
         &self.log
     }
 
-    /// Waits at most `wait` for records, folds one page of them, and returns each with what became of it.
+    /// Waits up to `wait` for records, folds one page of them, and returns each with its verdict.
     ///
     /// # Errors
     ///
@@ -96,7 +96,7 @@
         Ok(())
     }
 
-    /// Looks for a checkpoint among the records that are kept.
+    /// Searches the retained records for a checkpoint.
     async fn resume(&mut self, mut from: Offset) -> anyhow::Result<bool> {
         loop {
             let page = self.log.read(STREAM, from, PAGE, Duration::ZERO, LIMIT);
@@ -169,7 +169,7 @@
     only.is_empty() || only.iter().any(matches)
 }
 
-/// Makes changes that change nothing yet, for an operator to edit.
+/// Creates changes without an effect, for an operator to edit.
 fn changes(documents: Vec<Document>) -> ChangeSet {
     let change = |document: Document| Change {
         kind: document.kind,
--- a/src/cli/diff.rs
+++ b/src/cli/diff.rs
@@ -1,4 +1,4 @@
-//! `config diff`: what changes would change.
+//! The command `config diff`: shows the effect of changes.
 
 use std::fmt;
 use std::path::Path;
@@ -27,7 +27,7 @@
     rejected: Option<String>,
 }
 
-/// How one document would change.
+/// The difference in one document.
 #[derive(Debug, Serialize)]
 struct DocDiff {
     kind: Kind,
@@ -37,7 +37,7 @@
     fields: Vec<FieldDiff>,
 }
 
-/// How one field would change; a field that is not there is `null`.
+/// The difference in one field. A missing field is `null`.
 #[derive(Debug, PartialEq, Eq, Serialize)]
 pub(crate) struct FieldDiff {
     pub(crate) path: String,
@@ -109,7 +109,7 @@
     body.map_or(Value::Null, |body| json!(body))
 }
 
-/// Finds what differs; objects are compared field by field, all else as a whole.
+/// Collects differences. Objects are compared by field, other values as a whole.
 pub(crate) fn differences(path: &str, before: &Value, after: &Value, found: &mut Vec<FieldDiff>) {
     if before == after {
         return;
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -1,23 +1,23 @@
-//! How a command ends.
+//! Failures of commands, and their exit codes.
 
 use thiserror::Error;
 
-/// The exit code of a command line that cannot be read.
+/// The exit code for an invalid command line.
 pub(crate) const USAGE: u8 = 2;
 
-/// Why a command did not do what it was asked to.
+/// Why a command failed.
 #[derive(Debug, Error)]
 pub(crate) enum Failure {
-    /// It failed, and changed nothing.
+    /// It failed without an effect.
     #[error("{0:#}")]
     Failed(#[from] anyhow::Error),
-    /// Another operator's change came first.
+    /// Another operator's change was applied first.
     #[error("{0}")]
     Conflict(String),
-    /// It was understood and refused.
+    /// It was rejected.
     #[error("refused: {0}")]
     Refused(String),
-    /// It may have taken effect, or may yet do so.
+    /// It may have taken effect, or may still do so.
     #[error("outcome unknown: {0}")]
     Unknown(String),
 }
--- a/src/cli/file.rs
+++ b/src/cli/file.rs
@@ -1,4 +1,4 @@
-//! The files that commands read.
+//! Input files of commands.
 
 #![expect(
     clippy::disallowed_methods,
@@ -16,7 +16,7 @@
 ///
 /// # Errors
 ///
-/// When it cannot be read.
+/// When the file cannot be read.
 pub(crate) fn read(path: &Path) -> anyhow::Result<String> {
     std::fs::read_to_string(path).with_context(|| path.display().to_string())
 }
@@ -25,7 +25,7 @@
 ///
 /// # Errors
 ///
-/// When it cannot be read, or holds something else.
+/// When the file cannot be read, or has other content.
 pub(crate) fn read_put(path: &Path) -> Result<ChangeSet, Failure> {
     let text = read(path)?;
     ChangeSet::parse(text.as_bytes())
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -44,7 +44,7 @@
     let cli = match Cli::try_parse_from(args) {
         Ok(cli) => cli,
         Err(error) => {
-            // Nobody is left to tell where standard error is closed.
+            // If standard error is closed, the error cannot be reported.
             let _ = error.print();
             return ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(failure::USAGE));
         }
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -1,4 +1,4 @@
-//! What commands print.
+//! The output of commands.
 
 use std::fmt::Display;
 use std::io::Write;
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use serde::Serialize;
 
-/// Prints for people or for programs.
+/// Prints results as text or as JSON.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Output {
     json: bool,
@@ -21,7 +21,7 @@
         self.json
     }
 
-    /// Prints a value as a line of JSON, or as its text.
+    /// Prints a value as a line of JSON, or as text.
     ///
     /// # Errors
     ///
@@ -44,7 +44,7 @@
     }
 }
 
-/// Prints text at once.
+/// Prints text without buffering.
 ///
 /// # Errors
 ///
--- a/src/cli/problem.rs
+++ b/src/cli/problem.rs
@@ -1,4 +1,4 @@
-//! A refusal, as a router sends it.
+//! Refusals of routers.
 
 use std::fmt;
 
@@ -8,7 +8,7 @@
 use crate::cli::failure::Failure;
 use crate::http_client::Answer;
 
-/// An RFC 9457 problem; what a router leaves out stays empty.
+/// An RFC 9457 problem. Fields that a router omits are empty.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Problem {
     /// The HTTP status.
@@ -17,19 +17,19 @@
     /// The kind, for people.
     #[serde(default)]
     pub(crate) title: String,
-    /// The particulars, for people.
+    /// The details, for people.
     #[serde(default)]
     pub(crate) detail: String,
     /// `no`, `unknown` or `yes`: whether the request was run.
     #[serde(default)]
     pub(crate) ran: Option<String>,
-    /// Which router to go to instead, `ip:port`.
+    /// The router to use instead, `ip:port`.
     #[serde(default)]
     pub(crate) instead: Option<String>,
 }
 
 impl Problem {
-    /// Reads a problem; an answer that holds none gives one with its status alone.
+    /// Parses a problem. An answer without one results in a problem with only the status.
     pub(crate) fn read(answer: &Answer) -> Self {
         let problem: Self = serde_json::from_slice(&answer.body).unwrap_or_default();
         Self {
@@ -38,8 +38,8 @@
         }
     }
 
-    /// Returns how a command ends that got this answer. A server's error that does not say that nothing was run
-    /// leaves it open.
+    /// Returns the failure of a command that received this answer. After a server error, the effect is unknown unless the
+    /// problem states that nothing was run.
     pub(crate) fn failure(&self) -> Failure {
         match self.ran.as_deref() {
             Some("no") => Failure::Refused(self.to_string()),
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -1,4 +1,4 @@
-//! `config put`: publishing changes.
+//! The command `config put`: publishes changes.
 
 #![expect(
     clippy::disallowed_methods,
@@ -26,14 +26,14 @@
 use crate::ids::Version;
 use crate::log_client::AppendError;
 
-/// How long one look for the record may wait for new ones.
-const LOOK: Duration = Duration::from_secs(1);
+/// How long one read waits for new records.
+const READ_WAIT: Duration = Duration::from_secs(1);
 
-/// How often to look for a record whose append was answered by nothing. A slow service may take it late; an operator
-/// does not wait longer.
-const LOOKS: usize = 10;
+/// How many reads look for a record whose append was not answered. A slow service may append it late, but an operator does
+/// not wait longer.
+const MAX_READS: usize = 10;
 
-/// What became of the changes.
+/// The result of publishing changes.
 #[derive(Debug, Serialize)]
 #[serde(tag = "outcome", rename_all = "kebab-case")]
 enum Published {
@@ -77,8 +77,8 @@
     Ok(output.show(&Published::Accepted { version, changes })?)
 }
 
-/// Leaves out what is in force as it is. Published again, it would get a new version, and another operator who changes
-/// it at the same time would be told of a conflict over nothing.
+/// Removes the documents that are in force unchanged. Published again, they would get a new version, and a concurrent
+/// change by another operator would be rejected as a conflict without reason.
 fn leave_out_unchanged(put: &mut ChangeSet, config: &Config) {
     put.changes.retain(|change| {
         let current = config.document(change.kind, &change.name);
@@ -87,25 +87,26 @@
     });
 }
 
-/// Applies the record to a copy, so that what is sure to be refused is not published. Only the log's order decides.
+/// Applies the record to a copy, so that a record that is certain to be rejected is not published. The order in the log
+/// decides in the end.
 fn try_out(stream: &Stream, bytes: &[u8]) -> Result<(), Failure> {
     let mut copy = stream.config.clone();
     let next = copy.next_offset();
     copy.apply(next, bytes).map_err(rejected)
 }
 
-/// Reads on until the record is folded, and returns the version that it made.
+/// Reads until the record is folded, and returns the resulting version.
 ///
-/// The answer to an append may be lost after the record was taken. Without looking for it, the operator would be told
-/// of a failure while the change is in force; so the record is found by its mark.
+/// The answer to an append may be lost although the record was appended. The record is therefore searched by its id;
+/// otherwise a failure would be reported for a change that is in force.
 async fn find(stream: &mut Stream, id: &str, unsure: Option<String>) -> Result<Version, Failure> {
     let mut problem = unsure.unwrap_or_else(|| "the record has not come back yet".to_owned());
-    for _ in 0..LOOKS {
-        let folded = match stream.step(LOOK).await {
+    for _ in 0..MAX_READS {
+        let folded = match stream.step(READ_WAIT).await {
             Ok(folded) => folded,
             Err(e) => {
                 problem = e.to_string();
-                tokio::time::sleep(LOOK).await;
+                tokio::time::sleep(READ_WAIT).await;
                 continue;
             }
         };
@@ -120,7 +121,7 @@
     )))
 }
 
-/// Returns how a command ends whose record is not accepted.
+/// Returns the failure of a command whose record was rejected.
 pub(crate) fn rejected(why: Rejected) -> Failure {
     match why {
         Rejected::Conflict { .. } => Failure::Conflict(format!("conflict: {why}")),
--- a/src/cli/router.rs
+++ b/src/cli/router.rs
@@ -1,4 +1,4 @@
-//! A client of a router's interface for operators.
+//! A client of the operators' interface of a router.
 
 use std::time::Duration;
 
@@ -14,10 +14,10 @@
 use crate::http_client::Answer;
 use crate::http_client::HttpClient;
 
-/// How long a router may take to answer; a top-up waits for the log, whose appends may take seconds.
+/// The time limit for an answer. A top-up waits for the log, whose appends may take seconds.
 const LIMIT: Duration = Duration::from_secs(15);
 
-/// A client of a router's interface for operators.
+/// A client of the operators' interface of a router.
 #[derive(Debug)]
 pub(crate) struct Router {
     http: HttpClient,
@@ -25,11 +25,11 @@
 }
 
 impl Router {
-    /// Makes a client that carries the operators' key of the environment, if there is one.
+    /// Creates a client that sends the operators' key from the environment, if there is one.
     ///
     /// # Errors
     ///
-    /// When no router is named.
+    /// When no router is given.
     pub(crate) fn new(places: &Places) -> anyhow::Result<Self> {
         let key = std::env::var(ADMIN_KEY).ok();
         Ok(Self {
@@ -38,11 +38,11 @@
         })
     }
 
-    /// Reads what a path shows.
+    /// Gets the value at a path.
     ///
     /// # Errors
     ///
-    /// When the router does not answer or refuses; reading changes nothing, so that nothing is unknown.
+    /// When the router does not answer or refuses. A read has no effect that could be unknown.
     pub(crate) async fn get<T>(&self, path: &str) -> Result<T, Failure>
     where
         T: DeserializeOwned,
@@ -57,7 +57,7 @@
         Ok(value.with_context(|| format!("{url} gave what cannot be read"))?)
     }
 
-    /// Sends an order.
+    /// Posts a request.
     ///
     /// # Errors
     ///
--- a/src/cli/sse.rs
+++ b/src/cli/sse.rs
@@ -1,13 +1,13 @@
-//! Server-sent events, as a stream of completions has them.
+//! Server-sent events of a streamed completion.
 
-/// Gathers bytes into the data of events.
+/// Assembles the data of events from pieces of a stream.
 #[derive(Debug, Default)]
 pub(crate) struct Events {
     bytes: Vec<u8>,
 }
 
 impl Events {
-    /// Adds bytes and returns the data of the events that are now whole, each a line of its own.
+    /// Adds bytes, and returns the data of the events that are now complete, one line each.
     pub(crate) fn feed(&mut self, bytes: &[u8]) -> Vec<String> {
         self.bytes.extend_from_slice(bytes);
         let Some(end) = self.bytes.iter().rposition(|&b| b == b'\n') else {
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -1,4 +1,4 @@
-//! `status`: the dump of a process's state.
+//! The command `status`: shows the state dump of a process.
 
 use std::fmt;
 
@@ -12,7 +12,7 @@
 use crate::cli::router::Router;
 use crate::cli::table::Table;
 
-/// A dump, printed as JSON with line breaks.
+/// A state dump, printed as indented JSON.
 #[derive(Debug, Serialize)]
 #[serde(transparent)]
 struct Dump(Value);
@@ -23,7 +23,7 @@
     }
 }
 
-/// A dump, printed as a table for each of its parts.
+/// A state dump, printed as one table for each of its parts.
 #[derive(Debug, Serialize)]
 #[serde(transparent)]
 pub(crate) struct Tables(pub(crate) Value);
@@ -34,7 +34,7 @@
     }
 }
 
-/// Writes a value's table, and after it the tables of what lies deeper.
+/// Writes the table of a value, followed by the tables of nested values.
 fn write_part(f: &mut fmt::Formatter<'_>, path: &str, value: &Value) -> fmt::Result {
     let entries = entries(value);
     let is_list = !entries.is_empty() && entries.iter().all(|(_, v)| v.is_object());
@@ -57,7 +57,7 @@
     Ok(())
 }
 
-/// Writes the tables of what did not fit in an entry's row.
+/// Writes the tables of the values that do not fit into the row of an entry.
 fn write_nested(f: &mut fmt::Formatter<'_>, path: &str, entry: &Value) -> fmt::Result {
     entries(entry)
         .iter()
@@ -72,7 +72,7 @@
     }
 }
 
-/// Returns the entries of a list, by their place, or of an object, by their name.
+/// Returns the entries of a list by position, or of an object by name.
 fn entries(value: &Value) -> Vec<(String, &Value)> {
     match value {
         Value::Array(entries) => {
--- a/src/cli/table.rs
+++ b/src/cli/table.rs
@@ -1,11 +1,11 @@
-//! Tables, for people.
+//! Text tables.
 
 use std::fmt;
 
-/// What stands between columns.
+/// The separator between columns.
 const GAP: &str = "  ";
 
-/// Rows of text under a head, in columns as wide as they need.
+/// Rows of text under a header, in columns of the necessary width.
 #[derive(Clone, Debug)]
 pub(crate) struct Table {
     rows: Vec<Vec<String>>,
--- a/src/cli/team.rs
+++ b/src/cli/team.rs
@@ -1,4 +1,4 @@
-//! `team`: budgets.
+//! The command `team`: shows and tops up budgets.
 
 use std::fmt;
 
@@ -16,7 +16,7 @@
 use crate::ids::TopUpId;
 use crate::tokens::Tokens;
 
-/// How often a top-up is sent whose answer was lost; its name makes it count once.
+/// How many times a top-up is sent if its answer is lost. Its name ensures that it counts once.
 const TRIES: usize = 3;
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -96,7 +96,7 @@
     let mut tries = 1;
     let answer = loop {
         match router.post(&path, &body).await {
-            // An answer that was lost says nothing. The name makes the top-up count once, and so it is sent again.
+            // After a lost answer the outcome is unknown. The name ensures that the top-up counts once, so it is sent again.
             Err(Failure::Unknown(_)) if tries < TRIES => tries += 1,
             outcome => break outcome?,
         }
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -33,7 +33,7 @@
     assert_eq!(diff(Value::Null, after), expected);
 }
 
-/// The network cuts a stream into pieces anywhere, also within a character. The text must come out as it was sent.
+/// Guards against text that is garbled where the network splits the stream within an event or a character.
 #[test]
 fn gathers_events_from_pieces_of_any_size() {
     let stream = "data: {\"a\":\"xin chào\"}\n\n: a comment\n\ndata: [DONE]\r\n\r\n".as_bytes();
--- a/src/cli/verify.rs
+++ b/src/cli/verify.rs
@@ -1,4 +1,4 @@
-//! `ledger verify`: the ledger, folded from the log.
+//! The command `ledger verify`: verifies the ledger from the log.
 
 use std::fmt;
 use std::time::Duration;
@@ -26,18 +26,18 @@
 use crate::settings::BaseUrl;
 use crate::tokens::Tokens;
 
-/// The partition's stream.
+/// The stream of the partition.
 const STREAM: &str = "ledger-0";
 
 /// The stream of the partition's checkpoints.
 const CHECKPOINTS: &str = "checkpoint-0";
 
-/// What was found.
+/// The result of a verification.
 #[derive(Debug, Serialize)]
 struct Report {
-    /// The first record that was verified; what came before is a checkpoint's word.
+    /// The first record that was verified. Earlier ones are covered by a checkpoint only.
     from: Offset,
-    /// The record that comes next.
+    /// The offset of the next record.
     next: Offset,
     skipped: u64,
     teams: Vec<TeamReport>,
@@ -51,11 +51,11 @@
     spent: Tokens,
     lost: Tokens,
     held: Tokens,
-    /// What engines say that they read and generated for it.
+    /// The tokens that engines report to have read and generated for the team.
     used: Option<Tokens>,
 }
 
-/// What an engine says of one run.
+/// The report of an engine on one run.
 #[derive(Debug, Deserialize)]
 struct Run {
     #[serde(default)]
@@ -115,7 +115,7 @@
     }
 }
 
-/// Begins with the first record, or with the newest checkpoint where the log has let that go.
+/// Starts from the first record, or from the newest checkpoint if the log no longer retains the first record.
 async fn begin(log: &LogClient) -> anyhow::Result<Audit> {
     match log.read(STREAM, Offset(0), 1, Duration::ZERO, LIMIT).await {
         Ok(_) => Ok(Audit::default()),
@@ -127,7 +127,7 @@
     }
 }
 
-/// Returns the newest whole checkpoint.
+/// Returns the newest complete checkpoint.
 async fn newest(log: &LogClient) -> anyhow::Result<Option<Ledger>> {
     let mut assembler = Assembler::new();
     let mut newest = None;
