--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -48,7 +48,7 @@
 /// The longest delay before a retry.
 const MAX_DELAY: Duration = Duration::from_secs(2);
 
-/// How many retries one router may send to a pool's endpoints.
+/// A limit on the retries at a pool: that of all routers, or one router's part of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimit {
     /// The retries allowed for each request.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -41,6 +41,7 @@
 mod refuse;
 mod relay;
 mod request;
+mod retries;
 mod run;
 mod table_watch;
 #[cfg(test)]
