Send requests to endpoints that did not crash first

Callers saw (poison test, known red): a request is answered 409 "finished" on its fifth try although no token of it ever reached the caller; its first four tries met only the two engines that were down.

Cause: a crashed endpoint fails within 5 ms and is then idle, so that it has the best score; the pause after a first failure (100 ms) is shorter than the time in which callers come back; ejection takes five failures in a row at one router, one endpoint of five at a time, one in two seconds. Each router finds a crash out by itself, although the ledger's Crash records tell all of them within a commit, and health checks fail.

Ruled out as the cause alone: load of the machine (fails on a quiet one), the retry budget (with retries available fewer runs fail, but the same endpoints are chosen).

Change: the ejector remembers endpoints whose crash this router saw (the connection broke and no new one was to be had) or read in a Crash record. They get a request only if no other endpoint takes it, one at a time, until a request or a check passes, or five seconds after the last sign that they are down. Nothing is ejected and no capacity is taken away, so a false alarm costs little, and a pool that crashed altogether is still tried. A router that catches up with the log does not take old crashes for new ones.

Failed before: no_router_sends_requests_to_crashed_endpoints_while_others_serve (1, 3 and 7 routers) and a_caller_that_tries_one_router_after_another_is_answered (3 routers); both pass now.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -5,6 +5,11 @@
 //! fail: health checks that fail and pass in turn although the endpoints are healthy would remove so much capacity that
 //! the rest is overloaded. Therefore only a part of a pool and of a failure domain may be ejected at once, ejections
 //! are spaced in time, and an endpoint that was ejected before stays out longer.
+//!
+//! An endpoint that crashed fails every request within milliseconds until it has restarted. Each router would find that
+//! out by itself, with several requests, and a caller that goes from router to router meets crashed endpoints at all of
+//! them. Crashes are therefore recorded apart from failures, also those that other routers saw: requests go to other
+//! endpoints first, however many crashed, until a request or a check passes.
 
 use std::hash::BuildHasherDefault;
 use std::time::Duration;
@@ -15,6 +20,7 @@
 use rand::RngExt;
 
 use crate::decide::hasher::FastHasher;
+use crate::decide::quarantine::RESTART_TIME;
 use crate::ids::DomainId;
 use crate::ids::VmId;
 
@@ -140,6 +146,8 @@
 pub struct Ejector {
     limits: EjectionLimits,
     endpoints: IndexMap<VmId, Endpoint, BuildHasherDefault<FastHasher>>,
+    /// The endpoints that crashed and were not seen to serve since, and when each was last known to be down.
+    crashed: IndexMap<VmId, Instant>,
     median: f64,
     median_updated: Option<Instant>,
     last_ejection: Option<Instant>,
@@ -175,12 +183,33 @@
     /// Removes an endpoint.
     pub fn remove(&mut self, vm: &VmId) {
         self.endpoints.swap_remove(vm);
+        self.crashed.swap_remove(vm);
+    }
+
+    /// Records that an endpoint crashed, as seen by this router or reported by another.
+    pub fn record_crash(&mut self, now: Instant, vm: &VmId) {
+        if self.endpoints.contains_key(vm) {
+            self.crashed.insert(vm.clone(), now);
+        }
+    }
+
+    /// Returns the endpoints that crashed and may still be down. Requests should go to others if there are any.
+    pub fn crashed(&self, now: Instant) -> impl Iterator<Item = &VmId> {
+        let crashed = self.crashed.iter();
+        crashed.filter_map(move |(vm, at)| (now < *at + RESTART_TIME).then_some(vm))
+    }
+
+    /// Returns whether an endpoint crashed and may still be down.
+    pub fn has_crashed(&self, now: Instant, vm: &VmId) -> bool {
+        let at = self.crashed.get(vm);
+        at.is_some_and(|at| now < *at + RESTART_TIME)
     }
 
     /// Returns whether an endpoint gets requests.
     pub fn health(&self, now: Instant, vm: &VmId) -> Health {
         match self.endpoints.get(vm) {
             Some(e) if e.paused_until.is_some_and(|until| now < until) => Health::Out,
+            Some(e) if e.health(now) == Health::In && self.has_crashed(now, vm) => Health::Trial,
             Some(e) => e.health(now),
             None => Health::In,
         }
@@ -217,6 +246,7 @@
         R: Rng,
     {
         self.update_median(now);
+        self.update_crashed(now, vm, observation);
         let median = self.median;
         let Some(endpoint) = self.endpoints.get_mut(vm) else {
             return;
@@ -230,6 +260,20 @@
         }
     }
 
+    /// Updates whether an endpoint that crashed is still down.
+    fn update_crashed(&mut self, now: Instant, vm: &VmId, observation: Observation) {
+        match observation {
+            Observation::Answered(_) | Observation::Checked(true) => {
+                self.crashed.swap_remove(vm);
+            }
+            Observation::Failed | Observation::Checked(false) => {
+                if let Some(at) = self.crashed.get_mut(vm) {
+                    *at = now;
+                }
+            }
+        }
+    }
+
     /// Ejects an endpoint if the limits allow it.
     fn eject<R>(&mut self, now: Instant, vm: &VmId, rng: &mut R)
     where
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -61,7 +61,7 @@
 }
 
 /// How long an endpoint may be down after a crash: as long as an engine's process takes to restart.
-const RESTART_TIME: Duration = Duration::from_secs(5);
+pub(super) const RESTART_TIME: Duration = Duration::from_secs(5);
 
 #[derive(Debug)]
 struct Suspect {
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Picks an endpoint that is not forbidden. One that the quarantine or other routers advise against is picked only
-    /// if no other is available.
+    /// Picks an endpoint that is not forbidden. One that the quarantine or other routers advise against is picked only if
+    /// no other is available, and one that crashed only if there is none of these either.
     pub(crate) fn pick<R>(
         &self,
         now: Instant,
@@ -82,17 +82,13 @@
             self.chooser
                 .choose(now, &criteria, &self.index, &self.health, rng)
         };
-        let strict = [
-            request.failed_endpoints.clone(),
-            forbidden.clone(),
-            avoided.clone(),
-        ]
-        .concat();
-        let choice = choose(&strict);
-        if choice.is_some() || avoided.is_empty() {
-            return choice;
-        }
-        choose(&[request.failed_endpoints.clone(), forbidden].concat())
+        forbidden.extend_from_slice(&request.failed_endpoints);
+        let crashed: Vec<_> = self.health.crashed(now).cloned().collect();
+        let alive = [forbidden.clone(), crashed].concat();
+        let strict = [alive.clone(), avoided].concat();
+        let mut exclusions = vec![strict, alive, forbidden];
+        exclusions.dedup();
+        exclusions.iter().find_map(|excluded| choose(excluded))
     }
 
     /// Returns the endpoints that a suspect must not use: those where another suspect runs, and those that belong to
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -1,7 +1,9 @@
-//! Detects requests that crash endpoints, reports them to the fleet, and keeps them from being run again.
+//! Detects requests that crash endpoints, reports them to the fleet, and keeps them from being run again; and keeps other
+//! requests away from the endpoints that crashed.
 
 use std::time::Instant;
 
+use tracing::info;
 use tracing::warn;
 
 use crate::decide::Isolation;
@@ -11,6 +13,7 @@
 use crate::ledger::Record;
 use crate::ledger::Verdict;
 use crate::router::core::Core;
+use crate::router::core::Phase;
 use crate::router::core::Ticket;
 
 impl Core {
@@ -25,6 +28,7 @@
 
     /// Records that an endpoint crashed, and reports the suspected requests to the other routers through the ledger.
     pub(crate) fn record_crash(&mut self, now: Instant, endpoint: &VmId) {
+        self.mark_crashed(now, endpoint);
         for request in self.quarantine.record_crash(now, endpoint) {
             warn!(event = "crash", %endpoint, %request);
             let record = Record::Crash {
@@ -35,6 +39,14 @@
         }
     }
 
+    /// Has requests go to other endpoints than one that crashed.
+    pub(crate) fn mark_crashed(&mut self, now: Instant, endpoint: &VmId) {
+        info!(event = "endpoint-crashed", %endpoint);
+        for pool in self.pools.values_mut() {
+            pool.picker.health.record_crash(now, endpoint);
+        }
+    }
+
     /// Learns of crashes that other routers reported.
     pub(crate) fn learn_crashes(&mut self, now: Instant, batch: &Batch, verdicts: &[Verdict]) {
         if batch.router == self.me {
@@ -43,6 +55,10 @@
         for (record, verdict) in batch.records.iter().zip(verdicts) {
             if let (Record::Crash { request, endpoint }, Verdict::Accepted) = (record, verdict) {
                 self.quarantine.add_suspect(now, *request, endpoint);
+                // While the log is read from its start, crashes may be of any age.
+                if self.phase != Phase::CatchingUp {
+                    self.mark_crashed(now, endpoint);
+                }
             }
         }
     }
--- /dev/null
+++ b/src/router/tests/crashed_endpoints.rs
@@ -0,0 +1,204 @@
+//! Endpoints that crash and drop all requests until they have restarted, and callers that try one router after another.
+
+use std::time::Duration;
+
+use crate::ids::Fingerprint;
+use crate::ids::RequestId;
+use crate::ids::VmId;
+use crate::router::EndpointLoad;
+use crate::router::Event;
+use crate::router::ProblemKind;
+use crate::router::RunEnd;
+use crate::router::tests::cluster::Cluster;
+use crate::router::tests::cluster::tuning;
+
+const ENGINES: usize = 5;
+
+fn engine(number: usize) -> VmId {
+    format!("engine-{number}").parse().expect("a name")
+}
+
+/// Starts routers before five engines.
+fn start_cluster(routers: usize) -> Cluster {
+    let mut cluster = Cluster::with_tuning((0..routers).map(tuning).collect());
+    let mut list = cluster.nodes[0].core.members.vm_index.list().clone();
+    let first = list.vms.iter().find(|entry| entry.vm == engine(0));
+    let first = first.expect("it is listed").clone();
+    for number in 2..ENGINES {
+        let mut entry = first.clone();
+        entry.vm = engine(number);
+        entry.address.set_port(9000 + number as u16);
+        list.vms.push(entry);
+    }
+    list.as_of += 1;
+    for at in 0..routers {
+        cluster.handle(at, Event::VmList(list.clone()));
+    }
+    cluster.advance(100);
+    cluster
+}
+
+/// Has requests of a router crash two of the endpoints, and returns these.
+fn crash_two(cluster: &mut Cluster, router: usize) -> Vec<VmId> {
+    let mut crashed = Vec::new();
+    for number in 0..2 {
+        let mut ask = cluster.chat(&format!("crash-{number}"), 1);
+        ask.fingerprint = Fingerprint(100 + number);
+        let id = cluster.submit_and_dispatch(router, &ask);
+        let engine = cluster.nodes[router].runs(id)[0].endpoint.clone();
+        cluster.handle(router, Event::RunEnded(id, died()));
+        crashed.push(engine);
+        cluster.advance(40);
+        cluster.complete(router, id);
+    }
+    crashed
+}
+
+fn died() -> RunEnd {
+    RunEnd::Failed {
+        usage: None,
+        answer_begun: false,
+        endpoint_died: true,
+    }
+}
+
+/// Reports a load of the engines that did not crash, so that these look worse to all routers.
+fn load_others(cluster: &mut Cluster, crashed: &[VmId]) {
+    for number in 0..ENGINES {
+        let vm = engine(number);
+        let running = if crashed.contains(&vm) { 0 } else { 4 };
+        let load = EndpointLoad {
+            age: Duration::ZERO,
+            running,
+            waiting: 0,
+            kv_used: 0.0,
+            models: vec!["demo".parse().expect("a name")],
+        };
+        for at in 0..cluster.nodes.len() {
+            cluster.handle(at, Event::EndpointLoad(vm.clone(), load.clone()));
+        }
+    }
+}
+
+/// Returns the endpoint of one of a request's runs.
+fn endpoint_of_run(cluster: &Cluster, router: usize, id: RequestId, number: usize) -> Option<VmId> {
+    let runs = cluster.nodes[router].runs(id);
+    runs.get(number).map(|run| run.endpoint.clone())
+}
+
+/// Returns the endpoint to which a request is sent first.
+fn first_endpoint(cluster: &mut Cluster, router: usize, key: &str, attempt: u64) -> Option<VmId> {
+    let mut ask = cluster.chat(key, attempt);
+    ask.fingerprint = Fingerprint(1);
+    let id = cluster.submit(router, &ask);
+    cluster.advance(40);
+    let endpoint = endpoint_of_run(cluster, router, id, 0);
+    cluster.complete(router, id);
+    endpoint
+}
+
+/// Guards against callers that spend all their tries on crashed endpoints, which look idle, while others serve.
+#[test]
+fn no_router_sends_requests_to_crashed_endpoints_while_others_serve() {
+    for routers in [1, 3, 7] {
+        let mut cluster = start_cluster(routers);
+        let crashed = crash_two(&mut cluster, 0);
+        load_others(&mut cluster, &crashed);
+        for attempt in 1..=5 {
+            cluster.advance(120);
+            for router in 0..routers {
+                let key = format!("other-{router}-{attempt}");
+                let endpoint = first_endpoint(&mut cluster, router, &key, attempt);
+                let endpoint = endpoint.expect("it is dispatched");
+                assert!(
+                    !crashed.contains(&endpoint),
+                    "{routers} routers, router {router}: {endpoint}"
+                );
+            }
+        }
+    }
+}
+
+/// Leaves a router without a retry.
+fn spend_retries(cluster: &mut Cluster, router: usize) {
+    let now = cluster.now;
+    let pool = "engines".parse().expect("a name");
+    let budget = cluster.nodes[router].core.retry_budget(now, &pool);
+    while budget.try_retry(now) {}
+}
+
+/// Has a caller try one router after another until its answer is whole; returns the kind of the
+/// last refusal if none is.
+fn ask_patiently(cluster: &mut Cluster, crashed: &[VmId], retries: bool) -> Option<ProblemKind> {
+    let mut refused = None;
+    for attempt in 1..=5 {
+        let router = attempt as usize % cluster.nodes.len();
+        if !retries {
+            spend_retries(cluster, router);
+        }
+        let mut ask = cluster.chat("patient", attempt);
+        ask.fingerprint = Fingerprint(1);
+        let id = cluster.submit(router, &ask);
+        cluster.advance(40);
+        for number in 0.. {
+            let Some(endpoint) = endpoint_of_run(cluster, router, id, number) else {
+                break;
+            };
+            match crashed.contains(&endpoint) {
+                true => cluster.handle(router, Event::RunEnded(id, died())),
+                false => cluster.complete(router, id),
+            }
+        }
+        cluster.advance(120);
+        if cluster.nodes[router].released(id) {
+            return None;
+        }
+        refused = cluster.nodes[router]
+            .refusal(id)
+            .map(|problem| problem.kind);
+    }
+    refused
+}
+
+/// Guards against a caller that is refused as finished although it only met endpoints that were down.
+#[test]
+fn a_caller_that_tries_one_router_after_another_is_answered() {
+    for (routers, retries) in [(1, false), (3, false), (7, false), (3, true)] {
+        let mut cluster = start_cluster(routers);
+        if retries {
+            cluster.advance(10_000);
+        }
+        let crashed = crash_two(&mut cluster, 0);
+        load_others(&mut cluster, &crashed);
+        let refused = ask_patiently(&mut cluster, &crashed, retries);
+        assert_eq!(refused, None, "{routers} routers, retries: {retries}");
+    }
+}
+
+/// Guards against a pool that gets no requests for as long as none of its endpoints is known to serve.
+#[test]
+fn endpoints_that_all_crashed_are_tried_again() {
+    let mut cluster = start_cluster(1);
+    for number in 0..ENGINES {
+        cluster.handle(0, Event::HealthChecked(engine(number), true));
+        cluster.nodes[0]
+            .core
+            .mark_crashed(cluster.now, &engine(number));
+    }
+    let endpoint = first_endpoint(&mut cluster, 0, "first", 1);
+    assert!(endpoint.is_some());
+}
+
+/// Guards against an endpoint that stays idle after it has restarted.
+#[test]
+fn an_endpoint_that_passes_a_check_after_its_crash_gets_requests() {
+    let mut cluster = start_cluster(1);
+    let crashed = crash_two(&mut cluster, 0);
+    load_others(&mut cluster, &crashed);
+    cluster.advance(500);
+    for vm in &crashed {
+        cluster.handle(0, Event::HealthChecked(vm.clone(), true));
+    }
+    let endpoint = first_endpoint(&mut cluster, 0, "after", 1).expect("it is dispatched");
+    assert!(crashed.contains(&endpoint), "{endpoint}");
+}
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -9,6 +9,7 @@
 mod cluster;
 mod commit_timing;
 mod concurrent_attempts;
+mod crashed_endpoints;
 mod drain;
 mod drained_domains;
 mod endpoint_restart;
--- a/tests/decisions/components.rs
+++ b/tests/decisions/components.rs
@@ -184,6 +184,34 @@
     }
 }
 
+/// Guards against a crashed endpoint that gets requests before anything shows that it serves, or none after that.
+#[test]
+fn a_crashed_endpoint_is_on_trial_until_it_serves() {
+    let mut rng = rng();
+    let now = start();
+    for sign in [Observation::Answered(ms(100)), Observation::Checked(true)] {
+        let (_, mut ejector, vms, _) = pool(5);
+        for vm in &vms {
+            ejector.record_crash(now, vm);
+        }
+        assert_eq!(ejector.crashed(now).count(), 5);
+        for second in 1..=10 {
+            let now = now + ms(1000 * second);
+            ejector.record(now, &vms[0], Observation::Checked(false), &mut rng);
+        }
+        // The other four were not heard of since, and take seconds to restart.
+        let now = now + ms(10_000);
+        assert_eq!(ejector.crashed(now).collect::<Vec<_>>(), [&vms[0]]);
+        assert_eq!(ejector.health(now, &vms[1]), Health::In);
+        ejector.record(now, &vms[0], sign, &mut rng);
+        assert_eq!(ejector.crashed(now).count(), 0);
+    }
+    let (_, mut ejector, vms, _) = pool(5);
+    ejector.record_crash(now, &vms[0]);
+    assert_eq!(ejector.health(now, &vms[0]), Health::Trial);
+    assert_eq!(ejector.health(now, &vms[1]), Health::In);
+}
+
 /// Health checks of all endpoints fail at once although they still answer. At most a fifth of the pool is ejected.
 #[test]
 fn ejector_limits_ejected_share() {
