Move claimed requests away from endpoints that crashed meanwhile

A request is assigned to an endpoint before its claim goes to the log, and sent 25 ms or more later. If the endpoint crashed in between, it was sent there all the same: a completion lost a try, and a call that may not be repeated was answered outcome-unknown without need.

It goes to another endpoint now. Nothing was sent yet, so the retry budget is not charged, and the endpoint that was chosen first is freed.

--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -67,10 +67,23 @@
             && self.may_run_unclaimed(now)
         {
             let endpoint = endpoint.clone();
-            self.dispatch(now, id, endpoint);
+            self.dispatch_claimed(now, id, endpoint);
         }
     }
 
+    /// Sends a claimed request to the endpoint that was chosen for it, or to another one if that endpoint crashed while
+    /// the claim was on its way. It was not sent anywhere yet, so this is no retry.
+    fn dispatch_claimed(&mut self, now: Instant, id: RequestId, endpoint: VmId) {
+        let request = &self.requests[&id];
+        let pool = self.pools.get(&request.pool);
+        let crashed = pool.is_some_and(|pool| pool.picker.health.has_crashed(now, &endpoint));
+        let other = crashed.then(|| self.pick_endpoint(now, id)).flatten();
+        if other.is_some() {
+            self.free_endpoint(now, id);
+        }
+        self.dispatch(now, id, other.unwrap_or(endpoint));
+    }
+
     /// Refuses a request whose claim the log does not accept, unless it may run on other routers' copies of the claim.
     pub(crate) fn refuse_unclaimable(&mut self, now: Instant, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
@@ -114,7 +127,7 @@
         match &request.state {
             State::Claiming { endpoint } => {
                 let endpoint = endpoint.clone();
-                self.dispatch(now, id, endpoint);
+                self.dispatch_claimed(now, id, endpoint);
             }
             State::Abandoned => self.release_claim(id),
             // It already runs or is being billed: the claim reached the log late, after an outage.
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -9,6 +9,7 @@
 use crate::router::Event;
 use crate::router::ProblemKind;
 use crate::router::RunEnd;
+use crate::router::request::State;
 use crate::router::tests::cluster::Cluster;
 use crate::router::tests::cluster::tuning;
 
@@ -202,3 +203,29 @@
     let endpoint = first_endpoint(&mut cluster, 0, "after", 1).expect("it is dispatched");
     assert!(crashed.contains(&endpoint), "{endpoint}");
 }
+
+/// Guards against a call that is lost at an endpoint that crashed while its claim was on its way.
+#[test]
+fn a_claimed_request_is_not_sent_to_an_endpoint_that_crashed_meanwhile() {
+    let mut cluster = start_cluster(2);
+    // The router draws budget for its first request before it claims it.
+    first_endpoint(&mut cluster, 0, "before", 1);
+    cluster.advance(100);
+    let ask = cluster.chat("claimed", 1);
+    let id = cluster.submit(0, &ask);
+    let State::Claiming { endpoint } = &cluster.nodes[0].core.requests[&id].state else {
+        panic!("its claim is not on its way");
+    };
+    let endpoint = endpoint.clone();
+    cluster.nodes[0].core.mark_crashed(cluster.now, &endpoint);
+    cluster.advance(100);
+    let run = endpoint_of_run(&cluster, 0, id, 0).expect("it is dispatched");
+    assert_ne!(run, endpoint);
+    cluster.complete(0, id);
+    cluster.advance(100);
+    assert!(cluster.nodes[0].released(id));
+    let pool = &cluster.nodes[0].core.pools.values().next().expect("a pool");
+    for vm in pool.picker.chooser.vms() {
+        assert_eq!(pool.picker.chooser.load(cluster.now, vm), Some(0), "{vm}");
+    }
+}
