Refuse suspects at once where all their endpoints crashed

A request that ran where an endpoint crashed is a suspect: each router runs it only on endpoints of its own, and on one that crashed if there was no other of its own. With five endpoints and three routers two crashes can be all that a router owns; an innocent suspect was then sent to endpoints that were down at each try there, which its key counts as runs.

A suspect no longer goes to an endpoint that crashed. If all that a router may use for it crashed, it is refused at once, before a claim, with another router's address: that router's endpoints may serve. Where other endpoints of the router are only busy it waits for them, as before. That a suspect stays on its router's endpoints is not changed: beside the suspect of another router it could be refused for that one's crash.

a_suspect_whose_endpoints_all_crashed_is_refused_at_once failed before (sent to the crashed engine-0).

--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -66,7 +66,7 @@
         R: Rng,
     {
         let blocks = prompt_blocks(request);
-        let mut forbidden = self.forbidden(request, quarantine, context);
+        let mut forbidden = self.forbidden(now, request, quarantine, context);
         forbidden.extend_from_slice(context.closed);
         let mut avoided = quarantine.avoided_endpoints(request.fingerprint);
         avoided.extend_from_slice(context.avoided);
@@ -91,10 +91,11 @@
         exclusions.iter().find_map(|excluded| choose(excluded))
     }
 
-    /// Returns the endpoints that a suspect must not use: those where another suspect runs, and those that belong to
-    /// other routers for running their suspects.
+    /// Returns the endpoints that a suspect must not use: those where another suspect runs, those that belong to other
+    /// routers for running their suspects, and those that crashed.
     fn forbidden(
         &self,
+        now: Instant,
         request: &Request,
         quarantine: &Quarantine,
         context: &PickContext<'_>,
@@ -102,14 +103,37 @@
         if quarantine.isolation(request.fingerprint) == Isolation::None {
             return Vec::new();
         }
-        let is_own = |vm: &VmId| suspect_router(context.routers, vm) == Some(context.router);
-        let (owned, others): (Vec<_>, Vec<_>) = self.chooser.vms().cloned().partition(is_own);
-        let mut forbidden = quarantine.forbidden_endpoints(request.fingerprint);
-        // With fewer endpoints than routers, some routers own none, and their suspects may use any other endpoint.
-        if !owned.is_empty() {
-            forbidden.extend(others);
+        let suspects_run = quarantine.forbidden_endpoints(request.fingerprint);
+        let allowed = self.suspect_endpoints(context.router, context.routers);
+        let others = self.chooser.vms().filter(|vm| !allowed.contains(vm));
+        let crashed = self.health.crashed(now);
+        let forbidden = others.chain(crashed).cloned();
+        suspects_run.into_iter().chain(forbidden).collect()
+    }
+
+    /// Returns the endpoints on which a router may run suspects.
+    fn suspect_endpoints(&self, router: &VmId, routers: &[VmId]) -> Vec<&VmId> {
+        let vms = self.chooser.vms();
+        let owned: Vec<_> = vms
+            .filter(|vm| suspect_router(routers, vm) == Some(router))
+            .collect();
+        // With fewer endpoints than routers, some routers own none, and their suspects may use any endpoint.
+        match owned.is_empty() {
+            true => self.chooser.vms().collect(),
+            false => owned,
         }
-        forbidden
+    }
+
+    /// Returns whether all endpoints on which a router may run suspects crashed.
+    pub(crate) fn suspect_endpoints_crashed(
+        &self,
+        now: Instant,
+        router: &VmId,
+        routers: &[VmId],
+    ) -> bool {
+        let endpoints = self.suspect_endpoints(router, routers);
+        let crashed = |vm: &&VmId| self.health.has_crashed(now, vm);
+        !endpoints.is_empty() && endpoints.iter().all(crashed)
     }
 }
 
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -15,6 +15,11 @@
 use crate::router::core::Core;
 use crate::router::core::Phase;
 use crate::router::core::Ticket;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::State;
+use crate::router::run::FAILURE_RETRY;
 
 impl Core {
     /// Returns whether a request is known to crash endpoints, to this router or to the fleet.
@@ -47,6 +52,34 @@
         }
     }
 
+    /// Refuses a queued suspect if all endpoints on which this router may run suspects crashed. Those of other routers may
+    /// serve.
+    pub(crate) fn refuse_stranded_suspect(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let suspect = self.quarantine.isolation(request.fingerprint) != Isolation::None;
+        if !suspect || !matches!(request.state, State::Queued) {
+            return;
+        }
+        let routers = self.members.vm_index.serving_vms();
+        let pool = self.pools.get(&request.pool);
+        let me = &self.tuning.vm;
+        let stranded =
+            pool.is_some_and(|pool| pool.picker.suspect_endpoints_crashed(now, me, &routers));
+        if stranded {
+            let detail =
+                "it ran where an endpoint crashed, and all endpoints that may run it here are down";
+            let instead = self.alternate_address();
+            let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+            self.refuse_with(
+                now,
+                id,
+                problem.with_retry(FAILURE_RETRY).with_instead(instead),
+            );
+        }
+    }
+
     /// Learns of crashes that other routers reported.
     pub(crate) fn learn_crashes(&mut self, now: Instant, batch: &Batch, verdicts: &[Verdict]) {
         if batch.router == self.me {
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use crate::decide::suspect_router;
 use crate::ids::Fingerprint;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::EndpointLoad;
 use crate::router::Event;
 use crate::router::ProblemKind;
+use crate::router::Ran;
 use crate::router::RunEnd;
 use crate::router::request::State;
 use crate::router::tests::cluster::Cluster;
@@ -229,3 +231,37 @@
         assert_eq!(pool.picker.chooser.load(cluster.now, vm), Some(0), "{vm}");
     }
 }
+
+/// Guards against requests that ran where an endpoint crashed, and whose further tries all go to crashed endpoints, since
+/// each router runs them only on its own.
+#[test]
+fn a_suspect_whose_endpoints_all_crashed_is_refused_at_once() {
+    let mut cluster = start_cluster(3);
+    let routers = cluster.nodes[0].core.members.vm_index.serving_vms();
+    let owner = |number: &usize| suspect_router(&routers, &engine(*number)).cloned();
+    let first = (0..ENGINES)
+        .find_map(|number| owner(&number))
+        .expect("a router");
+    let mut nodes = cluster.nodes.iter();
+    let at = nodes.position(|node| node.core.tuning.vm == first);
+    let at = at.expect("it is listed");
+    let (own, others): (Vec<_>, Vec<_>) =
+        (0..ENGINES).partition(|n| owner(n).as_ref() == Some(&first));
+    assert!(!others.is_empty());
+    let (now, core) = (cluster.now, &mut cluster.nodes[at].core);
+    core.quarantine
+        .add_suspect(now, Fingerprint(1), &engine(own[0]));
+    own.iter()
+        .for_each(|number| core.mark_crashed(now, &engine(*number)));
+    let mut ask = cluster.chat("suspect", 1);
+    ask.fingerprint = Fingerprint(1);
+    let id = cluster.submit(at, &ask);
+    cluster.advance(100);
+    assert_eq!(endpoint_of_run(&cluster, at, id, 0), None);
+    let refusal = cluster.nodes[at].refusal(id).expect("a refusal");
+    assert_eq!(
+        (refusal.kind, refusal.ran),
+        (ProblemKind::NoEndpoint, Ran::No)
+    );
+    assert!(refusal.instead.is_some() && refusal.retry.is_some());
+}
