Release the claims of reruns that gave no answer and cost nothing

Callers saw: after four tries that met only failing endpoints a request is refused as finished, ran=yes, for good, although no token of an answer reached its caller. Its only way on was a new key.

Cause: each try claims its key; the first that breaks is billed as cut, and each claim behind a bill counts as one of three reruns (MAX_RERUNS), which are there so that a caller can't have any number of answers under one billed key. A run that broke before its first token gave none.

Change, in the router alone: such a rerun, if nothing is charged for it (the house bears broken runs, or the endpoint said that it used nothing), ends with a release of its claim in place of a second bill of zero. The fold has always taken a rerun back for a released claim, and a release of a billed key proves nothing, so no refusal says "not run". Records and fold are unchanged: routers of both versions read the same. Answers that began count as before, whether they broke off or the caller hung up. What bounds such runs is what bounds those of a new key: the quarantine, the account's rate, the retry budget.

Not changed: where the team bears broken runs (bearer: team) and nobody knows what one used, the whole reservation is charged for it, and each such run counts. Leaving it uncharged would let endpoints use more than was prepaid; charging without counting needs a record that old routers can't read. runs_that_the_team_pays_for_count holds what it costs now.

--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -64,8 +64,9 @@
     },
     /// Claims a request for this router, before anything is dispatched.
     Claim(Claim),
-    /// Ends the router's own claim of a request that it never dispatched. It does not prove that the request never ran,
-    /// since an earlier claim of it may have run; see [`KeyState::never_ran`](super::KeyState::never_ran).
+    /// Ends the router's own claim of a request that it never dispatched, or of a billed request whose runs under this
+    /// claim gave no answer and cost nothing. It does not prove that the request never ran, since an earlier claim of it
+    /// may have run; see [`KeyState::never_ran`](super::KeyState::never_ran).
     Release {
         /// The request.
         key: RequestKey,
--- a/src/ledger/request.rs
+++ b/src/ledger/request.rs
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Ends a claim for which nothing was dispatched. If nothing else of the request ran either, this is
-    /// equivalent to a refusal.
+    /// Ends a claim for which nothing was dispatched, or of a billed request whose runs gave no answer. If nothing else
+    /// of the request ran either, this is equivalent to a refusal.
     pub(super) fn release(
         &mut self,
         offset: Offset,
--- a/src/ledger/tests/mod.rs
+++ b/src/ledger/tests/mod.rs
@@ -104,13 +104,16 @@
     check("prompt", &world, &[Rule::SeenOffset]);
 }
 
-/// A router that dispatches before its claim is accepted, or ends a response before its bill is, violates an invariant.
+/// A router that dispatches before its claim is accepted, ends a response before its bill is, or releases the claim of a
+/// run without a bill, violates an invariant.
 #[test]
 fn a_router_that_does_not_wait() {
     let world = World::request(2, true, true).hasty_dispatch();
     assert!(run("hasty dispatch", world, None).fault.is_some());
     let world = World::request(2, false, true).hasty_end();
     assert!(run("hasty end", world, None).fault.is_some());
+    let world = World::request(2, false, true).hasty_release();
+    assert!(run("hasty release", world, None).fault.is_some());
 }
 
 /// Two requests, two routers and one budget that is topped up in between: the budget is never exceeded.
--- a/src/ledger/tests/world.rs
+++ b/src/ledger/tests/world.rs
@@ -110,6 +110,7 @@
     prompt: bool,
     hasty_dispatch: bool,
     hasty_end: bool,
+    hasty_release: bool,
 }
 
 impl World {
@@ -134,6 +135,7 @@
             prompt: false,
             hasty_dispatch: false,
             hasty_end: false,
+            hasty_release: false,
         };
         world.append_as_operator(open(OPERATOR));
         for router in 0..2 {
@@ -205,6 +207,11 @@
         self
     }
 
+    pub(super) fn hasty_release(mut self) -> Self {
+        self.hasty_release = true;
+        self
+    }
+
     pub(super) fn digest(&self) -> u128 {
         xxh3_128(&postcard::to_stdvec(self).expect("it can be encoded"))
     }
@@ -260,7 +267,13 @@
                     steps.push(Step::Release { attempt });
                 }
             }
-            Stage::Running if write => steps.push(Step::Bill { attempt }),
+            Stage::Running if write => {
+                steps.push(Step::Bill { attempt });
+                // A run that gave no answer and costs nothing.
+                if self.hasty_release || self.knows_bill(attempt) {
+                    steps.push(Step::Release { attempt });
+                }
+            }
             Stage::Billing if self.hasty_end => steps.push(Step::End { attempt }),
             Stage::Billed if known => steps.push(Step::End { attempt }),
             Stage::Unrun if known => steps.push(Step::Tell { attempt }),
@@ -268,6 +281,17 @@
         }
     }
 
+    /// Returns whether an attempt's router has applied a bill of its request.
+    fn knows_bill(&self, attempt: usize) -> bool {
+        let this = &self.tries[attempt];
+        let known = self.folded[this.router];
+        let mut billed = self.tries.iter().filter(|other| {
+            let landed = matches!(other.stage, Stage::Billed | Stage::Over);
+            other.key == this.key && landed && other.landed < known
+        });
+        self.is_billed(attempt) && billed.next().is_some()
+    }
+
     /// A caller sends its attempts in order; it may have given up on the previous one.
     fn is_next(&self, attempt: usize) -> bool {
         let unread =
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -193,7 +193,7 @@
             return;
         }
         if self.requests[&id].wasted > Tokens::ZERO {
-            self.fail(id, Tokens::ZERO);
+            self.fail_unanswered(now, id);
             return;
         }
         let detail = "no endpoint took the request";
@@ -261,12 +261,35 @@
             if self.retry_elsewhere(now, id) {
                 return;
             }
-            self.fail(id, Tokens::ZERO);
+            self.fail_unanswered(now, id);
             return;
         }
         self.fail(id, used);
     }
 
+    /// Ends a request of whose answer nothing reached the caller, because its runs failed.
+    fn fail_unanswered(&mut self, now: Instant, id: RequestId) {
+        self.abort_answer(id, "the endpoint failed before the answer was whole");
+        self.settle_unanswered(now, id);
+    }
+
+    /// Settles the claim of a request of whose answer nothing reached the caller.
+    ///
+    /// A request that was billed before may run a few more times, each of which may give its caller another answer. A run
+    /// that gave none and costs the team nothing does not count as one of them: its claim is released. Otherwise a caller
+    /// that meets only failing endpoints would be told that its request is finished.
+    fn settle_unanswered(&mut self, now: Instant, id: RequestId) {
+        let request = &self.requests[&id];
+        let key = self.ledger.key(&request.key);
+        let billed = key.is_some_and(|key| key.bill.is_some());
+        let charged = request.bearer == Bearer::Team && request.wasted > Tokens::ZERO;
+        if billed && !charged {
+            self.abandon(now, id);
+        } else {
+            self.bill(id, Tokens::ZERO, Outcome::Cut, AnswerEnd::None);
+        }
+    }
+
     /// Ends a request whose run failed and is not retried, and bills what it used.
     fn fail(&mut self, id: RequestId, used: Tokens) {
         self.abort_answer(id, "the endpoint failed before the answer was whole");
@@ -291,7 +314,7 @@
         let request = &mut self.requests[&id];
         request.dispatched = request.wasted > Tokens::ZERO;
         match request.dispatched {
-            true => self.bill(id, Tokens::ZERO, Outcome::Cut, AnswerEnd::None),
+            true => self.settle_unanswered(now, id),
             false => self.abandon(now, id),
         }
     }
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::decide::suspect_router;
 use crate::ids::Fingerprint;
+use crate::ids::Offset;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::EndpointLoad;
+use crate::router::Entry;
 use crate::router::Event;
 use crate::router::ProblemKind;
 use crate::router::Ran;
@@ -14,6 +18,7 @@
 use crate::router::request::State;
 use crate::router::tests::cluster::Cluster;
 use crate::router::tests::cluster::tuning;
+use crate::tokens::Tokens;
 
 const ENGINES: usize = 5;
 
@@ -265,3 +270,98 @@
     );
     assert!(refusal.instead.is_some() && refusal.retry.is_some());
 }
+
+/// Has the operator bear the cost of runs without a bill.
+fn bear_by_house(cluster: &mut Cluster) {
+    let change =
+        json!({"kind": "team", "name": "loans", "base": 1, "body": {"team": {"bearer": "house"}}});
+    let changes = json!({"format": 1, "by": "test", "changes": [change]});
+    for at in 0..cluster.nodes.len() {
+        let entry = Entry {
+            offset: Offset(1),
+            at: 2,
+            data: changes.to_string().into_bytes(),
+        };
+        cluster.handle(at, Event::ConfigEntries(vec![entry]));
+    }
+    cluster.advance(100);
+}
+
+/// Sends one attempt, whose runs all fail before the first token, and returns the kind of its refusal.
+fn fail_attempt(cluster: &mut Cluster, attempt: u64) -> ProblemKind {
+    let at = attempt as usize % cluster.nodes.len();
+    spend_retries(cluster, at);
+    let ask = cluster.chat("unlucky", attempt);
+    let id = cluster.submit(at, &ask);
+    cluster.advance(100);
+    if endpoint_of_run(cluster, at, id, 0).is_some() {
+        let failed = RunEnd::Failed {
+            usage: None,
+            answer_begun: false,
+            endpoint_died: false,
+        };
+        cluster.handle(at, Event::RunEnded(id, failed));
+    }
+    // Longer than an endpoint that fails again and again is paused.
+    cluster.advance(3000);
+    cluster.nodes[at].refusal(id).expect("a refusal").kind
+}
+
+/// Guards against a caller that is told that its request is finished although no token of any answer reached it.
+#[test]
+fn runs_that_gave_no_answer_and_cost_nothing_do_not_count_as_answers() {
+    let mut cluster = start_cluster(3);
+    bear_by_house(&mut cluster);
+    for attempt in 1..=8 {
+        let kind = fail_attempt(&mut cluster, attempt);
+        assert_eq!(kind, ProblemKind::EndpointFailed, "attempt {attempt}");
+    }
+    // Answers count as before: three more after the bill.
+    for attempt in 9..=11 {
+        let at = attempt as usize % 3;
+        let ask = cluster.chat("unlucky", attempt);
+        let id = cluster.submit_and_dispatch(at, &ask);
+        cluster.complete(at, id);
+        cluster.advance(200);
+        assert!(cluster.nodes[at].released(id));
+    }
+    assert_eq!(fail_attempt(&mut cluster, 12), ProblemKind::Finished);
+    assert_eq!(cluster.spent(), 0);
+    cluster.ledger().check_balances().expect("they add up");
+}
+
+/// Guards against a caller that takes the beginnings of any number of answers and hangs up.
+#[test]
+fn answers_that_began_count_although_they_broke_off() {
+    let mut cluster = start_cluster(3);
+    bear_by_house(&mut cluster);
+    for attempt in 1..=4 {
+        let at = attempt as usize % 3;
+        let ask = cluster.chat("hasty", attempt);
+        let id = cluster.submit_and_dispatch(at, &ask);
+        cluster.handle(at, Event::AnswerStarted(id));
+        cluster.handle(at, Event::RunEnded(id, RunEnd::CallerGone { usage: None }));
+        cluster.advance(200);
+    }
+    let ask = cluster.chat("hasty", 5);
+    let id = cluster.submit(0, &ask);
+    cluster.advance(200);
+    let refusal = cluster.nodes[0].refusal(id).expect("a refusal");
+    assert_eq!(refusal.kind, ProblemKind::Finished);
+}
+
+/// Guards against a team that pays for less than endpoints may have used: it pays for each run that broke off, so each
+/// counts.
+#[test]
+fn runs_that_the_team_pays_for_count() {
+    let mut cluster = start_cluster(3);
+    for attempt in 1..=4 {
+        let kind = fail_attempt(&mut cluster, attempt);
+        assert_eq!(kind, ProblemKind::EndpointFailed, "attempt {attempt}");
+    }
+    assert_eq!(fail_attempt(&mut cluster, 5), ProblemKind::Finished);
+    let team = "loans".parse().expect("a name");
+    let ledger = cluster.ledger();
+    let team = ledger.team(&team).expect("it is known");
+    assert_eq!((team.spent, team.lost), (Tokens(110), Tokens(330)));
+}
