Send suspects only to endpoints seen to serve since their crash

Change: for as long as an endpoint takes to restart, a suspect goes only to endpoints that this router saw serve (first token, answer or passed check) since the suspect's last crash. Engines are checked each second and others' answers come all the while, so that it waits for a moment in its queue. A request that does crash engines is delayed in the same way; it is still refused at its second engine.

--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -88,6 +88,10 @@
                 info!(event = "first", request = %id, %endpoint, took_ms = (now - *since).as_millis());
             }
             first_token.get_or_insert(now);
+            let endpoint = endpoint.clone();
+            if let Some(pool) = self.pools.get_mut(&request.pool) {
+                pool.picker.health.record_alive(now, &endpoint);
+            }
             self.record_prompt_read(now, id);
         }
     }
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -271,6 +271,34 @@
     assert!(refusal.instead.is_some() && refusal.retry.is_some());
 }
 
+/// Guards against a harmless request that is refused for a day, since it ran where an endpoint crashed and was then sent to
+/// another one that had crashed a moment before, which its router had not read yet.
+#[test]
+fn a_suspect_goes_only_to_endpoints_that_were_seen_to_serve_since_its_crash() {
+    let mut cluster = start_cluster(2);
+    // Until retries are available.
+    cluster.advance(10_000);
+    let mut ask = cluster.chat("harmless", 1);
+    ask.fingerprint = Fingerprint(1);
+    let id = cluster.submit_and_dispatch(1, &ask);
+    let crashed = endpoint_of_run(&cluster, 1, id, 0).expect("it is dispatched");
+    cluster.handle(1, Event::RunEnded(id, died()));
+    assert_eq!(endpoint_of_run(&cluster, 1, id, 1), None);
+    cluster.advance(160);
+    let mut ask = cluster.chat("harmless", 2);
+    ask.fingerprint = Fingerprint(1);
+    let id = cluster.submit(1, &ask);
+    cluster.advance(100);
+    assert_eq!(endpoint_of_run(&cluster, 1, id, 0), None);
+    for vm in (0..ENGINES).map(engine).filter(|vm| *vm != crashed) {
+        cluster.handle(1, Event::HealthChecked(vm, true));
+    }
+    cluster.advance(100);
+    let endpoint = endpoint_of_run(&cluster, 1, id, 0).expect("it is dispatched");
+    assert_ne!(endpoint, crashed);
+    assert!(!cluster.ledger().quarantined(Fingerprint(1)));
+}
+
 /// Has the operator bear the cost of runs without a bill.
 fn bear_by_house(cluster: &mut Cluster) {
     let change =
