Check endpoints before they are sent suspects

Change: a run of a suspect asks its endpoint for its load first, as is done after a broken run. One that takes no connection, or drops it, gets no request (the run ends as not run), so that its crash counts against nobody. What remains is a crash within the moment between check and request.

a_suspect_is_not_held_responsible_for_an_endpoint_that_was_down_before fails with the check left out (quarantined).

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -139,8 +139,6 @@
     ejected_by_checks: bool,
     ejections: u32,
     measured_since: Instant,
-    /// When it was last seen to serve.
-    alive_at: Option<Instant>,
 }
 
 /// Ejects outliers among the endpoints of one pool.
@@ -179,7 +177,6 @@
             ejected_by_checks: false,
             ejections: 0,
             measured_since: now,
-            alive_at: None,
         });
     }
 
@@ -208,20 +205,6 @@
         at.is_some_and(|at| now < *at + RESTART_TIME)
     }
 
-    /// Records that an endpoint was seen to serve.
-    pub fn record_alive(&mut self, now: Instant, vm: &VmId) {
-        if let Some(endpoint) = self.endpoints.get_mut(vm) {
-            endpoint.alive_at = Some(now);
-        }
-    }
-
-    /// Returns the endpoints that were not seen to serve since a time.
-    pub fn unseen_since(&self, since: Instant) -> impl Iterator<Item = &VmId> {
-        let unseen = move |endpoint: &Endpoint| endpoint.alive_at.is_none_or(|at| at <= since);
-        let endpoints = self.endpoints.iter();
-        endpoints.filter_map(move |(vm, endpoint)| unseen(endpoint).then_some(vm))
-    }
-
     /// Returns whether an endpoint gets requests.
     pub fn health(&self, now: Instant, vm: &VmId) -> Health {
         match self.endpoints.get(vm) {
@@ -277,12 +260,11 @@
         }
     }
 
-    /// Updates whether an endpoint that crashed is still down, and when an endpoint was last seen to serve.
+    /// Updates whether an endpoint that crashed is still down.
     fn update_crashed(&mut self, now: Instant, vm: &VmId, observation: Observation) {
         match observation {
             Observation::Answered(_) | Observation::Checked(true) => {
                 self.crashed.swap_remove(vm);
-                self.record_alive(now, vm);
             }
             Observation::Failed | Observation::Checked(false) => {
                 if let Some(at) = self.crashed.get_mut(vm) {
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -101,15 +101,6 @@
         }
     }
 
-    /// Returns when a request last became a suspect, if other endpoints that crashed then may still be down.
-    ///
-    /// A suspect that is sent to an endpoint that crashed shortly before, which this router has not read yet, would be
-    /// refused because of another's crash. It should go only to endpoints that were seen to serve since this time.
-    pub fn suspected_at(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
-        let at = self.suspects.get(&request)?.at;
-        (now < at + RESTART_TIME).then_some(at)
-    }
-
     /// Returns the endpoints that a request should not go to if there are others: for a suspect those where any request
     /// runs, otherwise those where a suspect runs.
     pub fn avoided_endpoints(&self, request: Fingerprint) -> Vec<VmId> {
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -169,6 +169,11 @@
     }
 }
 
+/// Returns whether a run must not be sent, because its endpoint was to be checked first and is down.
+pub(crate) async fn is_unfit(desk: &Desk, run: &Run) -> bool {
+    run.check && is_dead(desk, &run.address).await
+}
+
 /// Returns whether an endpoint is dead: right after a connection to it broke, no other is to be had.
 ///
 /// A run that breaks off says little: its own connection may have been cut. An endpoint that died over the run takes no
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -144,6 +144,7 @@
         claim_wait: Duration::ZERO,
         idempotent: false,
         limited,
+        check: false,
         relay: Some(RelayRun {
             account: None,
             deadline: Instant::now() + Duration::from_secs(5),
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -133,6 +133,9 @@
     pub(crate) idempotent: bool,
     /// Whether the endpoint has announced a limit, which an answer without one may lift.
     pub(crate) limited: bool,
+    /// Whether the endpoint must be seen to be up before the request is sent: a suspect that met one that is down would be
+    /// held responsible for its crash.
+    pub(crate) check: bool,
     /// Further data for a request that is relayed unchanged.
     pub(crate) relay: Option<RelayRun>,
 }
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns the endpoints that a suspect must not use: those where another suspect runs, those that belong to other
-    /// routers for running their suspects, those that crashed, and those that may have crashed when it became a suspect.
+    /// routers for running their suspects, and those that crashed.
     fn forbidden(
         &self,
         now: Instant,
@@ -107,10 +107,7 @@
         let allowed = self.suspect_endpoints(context.router, context.routers);
         let others = self.chooser.vms().filter(|vm| !allowed.contains(vm));
         let crashed = self.health.crashed(now);
-        let since = quarantine.suspected_at(now, request.fingerprint);
-        let unseen = since.map(|since| self.health.unseen_since(since));
-        let forbidden = others.chain(crashed).chain(unseen.into_iter().flatten());
-        let forbidden = forbidden.cloned();
+        let forbidden = others.chain(crashed).cloned();
         suspects_run.into_iter().chain(forbidden).collect()
     }
 
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::decide::Isolation;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
@@ -51,6 +52,7 @@
         };
         let birth = self.endpoint_birth(&endpoint).flatten();
         let request = &mut self.requests[&id];
+        let suspect = self.quarantine.isolation(request.fingerprint) != Isolation::None;
         request.dispatched = true;
         request.state = State::Running {
             endpoint: endpoint.clone(),
@@ -68,6 +70,7 @@
             claim_wait: request.claimed_at.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
             limited: self.announcements.limit(&endpoint).is_some(),
+            check: suspect,
             relay: request.relay_run(),
         };
         info!(event = "dispatch", request = %id, %endpoint);
@@ -88,10 +91,6 @@
                 info!(event = "first", request = %id, %endpoint, took_ms = (now - *since).as_millis());
             }
             first_token.get_or_insert(now);
-            let endpoint = endpoint.clone();
-            if let Some(pool) = self.pools.get_mut(&request.pool) {
-                pool.picker.health.record_alive(now, &endpoint);
-            }
             self.record_prompt_read(now, id);
         }
     }
