Test of suspects at sockets

The edge's part of the check, with processes and a listener that drops every connection: the suspect is not sent there, and its caller is told no-endpoint.

--- a/tests/path/main.rs
+++ b/tests/path/main.rs
@@ -22,6 +22,7 @@
 mod site;
 mod slow;
 mod stopped;
+mod suspects;
 
 use std::time::Duration;
 
