--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -260,7 +260,7 @@
         }
     }
 
-    /// Updates whether an endpoint that crashed is still down.
+    /// Updates whether an endpoint that crashed may still be down.
     fn update_crashed(&mut self, now: Instant, vm: &VmId, observation: Observation) {
         match observation {
             Observation::Answered(_) | Observation::Checked(true) => {
--- a/src/ledger/tests/world.rs
+++ b/src/ledger/tests/world.rs
@@ -281,7 +281,7 @@
         }
     }
 
-    /// Returns whether an attempt's router has applied a bill of its request.
+    /// Returns whether an attempt's router may have applied a bill of its request.
     fn knows_bill(&self, attempt: usize) -> bool {
         let this = &self.tries[attempt];
         let known = self.folded[this.router];
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -86,6 +86,7 @@
         let crashed: Vec<_> = self.health.crashed(now).cloned().collect();
         let alive = [forbidden.clone(), crashed].concat();
         let strict = [alive.clone(), avoided].concat();
+        // Most requests have nothing to avoid, so that these are equal.
         let mut exclusions = vec![strict, alive, forbidden];
         exclusions.dedup();
         exclusions.iter().find_map(|excluded| choose(excluded))
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -135,8 +135,7 @@
     while budget.try_retry(now) {}
 }
 
-/// Has a caller try one router after another until its answer is whole; returns the kind of the
-/// last refusal if none is.
+/// Has a caller try one router after another until its answer is whole; returns the kind of the last refusal if none is.
 fn ask_patiently(cluster: &mut Cluster, crashed: &[VmId], retries: bool) -> Option<ProblemKind> {
     let mut refused = None;
     for attempt in 1..=5 {
