--- a/src/ledger/tests/mod.rs
+++ b/src/ledger/tests/mod.rs
@@ -3,6 +3,7 @@
 mod records;
 mod world;
 
+use world::Haste;
 use world::Step;
 use world::World;
 
@@ -108,11 +109,11 @@
 /// run without a bill, violates an invariant.
 #[test]
 fn a_router_that_does_not_wait() {
-    let world = World::request(2, true, true).hasty_dispatch();
+    let world = World::request(2, true, true).hasty(Haste::Dispatch);
     assert!(run("hasty dispatch", world, None).fault.is_some());
-    let world = World::request(2, false, true).hasty_end();
+    let world = World::request(2, false, true).hasty(Haste::End);
     assert!(run("hasty end", world, None).fault.is_some());
-    let world = World::request(2, false, true).hasty_release();
+    let world = World::request(2, false, true).hasty(Haste::Release);
     assert!(run("hasty release", world, None).fault.is_some());
 }
 
--- a/src/ledger/tests/world.rs
+++ b/src/ledger/tests/world.rs
@@ -7,6 +7,8 @@
 //! network or in its router's socket until the router reads it. Each attempt may charge another team or none, since a
 //! selector may have changed in between.
 
+mod invariants;
+
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -50,6 +52,17 @@
     Close { router: usize },
 }
 
+/// What a router that does not wait does too early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub(super) enum Haste {
+    /// It dispatches before its claim is accepted.
+    Dispatch,
+    /// It ends an answer before its bill is accepted.
+    End,
+    /// It releases the claim of a run before it knows of a bill.
+    Release,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 enum Stage {
     New,
@@ -108,9 +121,7 @@
     once: bool,
     routers: usize,
     prompt: bool,
-    hasty_dispatch: bool,
-    hasty_end: bool,
-    hasty_release: bool,
+    haste: Option<Haste>,
 }
 
 impl World {
@@ -133,9 +144,7 @@
             once,
             routers: 2,
             prompt: false,
-            hasty_dispatch: false,
-            hasty_end: false,
-            hasty_release: false,
+            haste: None,
         };
         world.append_as_operator(open(OPERATOR));
         for router in 0..2 {
@@ -184,11 +193,6 @@
         world
     }
 
-    pub(super) fn hasty_dispatch(mut self) -> Self {
-        self.hasty_dispatch = true;
-        self
-    }
-
     /// Leaves one router, which is never closed.
     pub(super) fn single_router(mut self) -> Self {
         self.routers = 1;
@@ -202,13 +206,9 @@
         self
     }
 
-    pub(super) fn hasty_end(mut self) -> Self {
-        self.hasty_end = true;
-        self
-    }
-
-    pub(super) fn hasty_release(mut self) -> Self {
-        self.hasty_release = true;
+    /// Has the routers take one step before they may.
+    pub(super) fn hasty(mut self, haste: Haste) -> Self {
+        self.haste = Some(haste);
         self
     }
 
@@ -260,7 +260,9 @@
                 steps.push(Step::Claim { attempt });
                 steps.push(Step::Refuse { attempt });
             }
-            Stage::Claiming if self.hasty_dispatch => steps.push(Step::Dispatch { attempt }),
+            Stage::Claiming if self.is_hasty(Haste::Dispatch) => {
+                steps.push(Step::Dispatch { attempt })
+            }
             Stage::Claimed if known => {
                 steps.push(Step::Dispatch { attempt });
                 if write {
@@ -270,26 +272,30 @@
             Stage::Running if write => {
                 steps.push(Step::Bill { attempt });
                 // A run that gave no answer and costs nothing.
-                if self.hasty_release || self.knows_bill(attempt) {
+                if self.is_hasty(Haste::Release) || self.knows_bill(attempt) {
                     steps.push(Step::Release { attempt });
                 }
             }
-            Stage::Billing if self.hasty_end => steps.push(Step::End { attempt }),
+            Stage::Billing if self.is_hasty(Haste::End) => steps.push(Step::End { attempt }),
             Stage::Billed if known => steps.push(Step::End { attempt }),
             Stage::Unrun if known => steps.push(Step::Tell { attempt }),
             _ => {}
         }
     }
 
+    fn is_hasty(&self, haste: Haste) -> bool {
+        self.haste == Some(haste)
+    }
+
     /// Returns whether an attempt's router may have applied a bill of its request.
     fn knows_bill(&self, attempt: usize) -> bool {
         let this = &self.tries[attempt];
         let known = self.folded[this.router];
-        let mut billed = self.tries.iter().filter(|other| {
+        let may_have_billed = |other: &AttemptState| {
             let landed = matches!(other.stage, Stage::Billed | Stage::Over);
             other.key == this.key && landed && other.landed < known
-        });
-        self.is_billed(attempt) && billed.next().is_some()
+        };
+        self.is_billed(attempt) && self.tries.iter().any(may_have_billed)
     }
 
     /// A caller sends its attempts in order; it may have given up on the previous one.
@@ -454,42 +460,6 @@
         let batch = batch(OPERATOR, self.operator, record);
         self.ledger.apply(self.ledger.next(), 0, &batch);
     }
-
-    pub(super) fn broken(&self) -> Option<&'static str> {
-        let teams = || self.ledger.teams().map(|(_, team)| team);
-        let (spent, over) = (
-            teams().map(|t| t.spent.0).sum::<u64>(),
-            teams().any(|t| t.prepaid.0 > self.prepaid),
-        );
-        let bills = self.ledger.keys().filter(|(_, k)| k.bill.is_some()).count() as u64;
-        let closed = self.ledger.routers().filter(|(_, r)| r.closed);
-        let rerun = |at: &usize| self.ran.iter().any(|ran| self.is_covered(*at, *ran));
-        if self.ledger.check_balances().is_err() || over {
-            Some("a team was allotted more than it prepaid")
-        } else if closed.into_iter().any(|(_, r)| !r.holdings.is_empty()) {
-            Some("a closed router holds tokens")
-        } else if self.once && self.ran.len() > 1 {
-            Some("a non-idempotent request ran more than once")
-        } else if self.told.iter().any(rerun) {
-            Some("a request that was reported as not run has run")
-        } else if spent > bills {
-            Some("a request was billed twice")
-        } else if self.ended.iter().any(|at| !self.is_billed(*at)) {
-            Some("an answer ended without its bill")
-        } else {
-            None
-        }
-    }
-
-    /// Whether the answer "not run" to attempt `told` covers attempt `ran`: it covers itself and all earlier ones.
-    fn is_covered(&self, told: usize, ran: usize) -> bool {
-        self.tries[told].key == self.tries[ran].key && ran <= told
-    }
-
-    fn is_billed(&self, attempt: usize) -> bool {
-        let state = self.ledger.key(&key(self.tries[attempt].key));
-        state.is_some_and(|state| state.bill.is_some())
-    }
 }
 
 fn new_attempt(key: u64, number: u64, team: u64) -> AttemptState {
