Say once what a suspect is, what waste is charged, and which endpoints are excluded

Read again, no behaviour changes:

- Quarantine::is_suspect stands for six ways of asking the same (three of them new with the crashed endpoints).
- Request::charged_waste is the rule for who pays for broken runs; a bill and the release of a rerun each had it.
- The endpoints that a choice excludes are one list, of which it takes ever shorter beginnings, in place of three lists with copies of each other.
- Endpoints are split once into those on which a router runs suspects and the others, as before the change; the others were looked up one by one.
- Ejector::crashed and has_crashed share their rule; the map of crashed endpoints hashes like its twin, since each candidate is looked up in it.
- The edge's check of an endpoint ends the run itself; completions and calls repeated how.
- One text for an endpoint that failed (run.rs twice, relay.rs).
- refuse_unservable_suspect, beside refuse_unservable.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -147,7 +147,7 @@
     limits: EjectionLimits,
     endpoints: IndexMap<VmId, Endpoint, BuildHasherDefault<FastHasher>>,
     /// The endpoints that crashed and were not seen to serve since, and when each was last known to be down.
-    crashed: IndexMap<VmId, Instant>,
+    crashed: IndexMap<VmId, Instant, BuildHasherDefault<FastHasher>>,
     median: f64,
     median_updated: Option<Instant>,
     last_ejection: Option<Instant>,
@@ -195,8 +195,8 @@
 
     /// Returns the endpoints that crashed and may still be down. Requests should go to others if there are any.
     pub fn crashed(&self, now: Instant) -> impl Iterator<Item = &VmId> {
-        let crashed = self.crashed.iter();
-        crashed.filter_map(move |(vm, at)| (now < *at + RESTART_TIME).then_some(vm))
+        let crashed = self.crashed.keys();
+        crashed.filter(move |vm| self.has_crashed(now, vm))
     }
 
     /// Returns whether an endpoint crashed and may still be down.
@@ -209,8 +209,10 @@
     pub fn health(&self, now: Instant, vm: &VmId) -> Health {
         match self.endpoints.get(vm) {
             Some(e) if e.paused_until.is_some_and(|until| now < until) => Health::Out,
-            Some(e) if e.health(now) == Health::In && self.has_crashed(now, vm) => Health::Trial,
-            Some(e) => e.health(now),
+            Some(e) => match e.health(now) {
+                Health::In if self.has_crashed(now, vm) => Health::Trial,
+                health => health,
+            },
             None => Health::In,
         }
     }
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -101,10 +101,15 @@
         }
     }
 
+    /// Returns whether a request ran on an endpoint that crashed, and was not cleared since.
+    pub fn is_suspect(&self, request: Fingerprint) -> bool {
+        self.suspects.contains_key(&request)
+    }
+
     /// Returns the endpoints that a request should not go to if there are others: for a suspect those where any request
     /// runs, otherwise those where a suspect runs.
     pub fn avoided_endpoints(&self, request: Fingerprint) -> Vec<VmId> {
-        let suspect = self.suspects.contains_key(&request);
+        let suspect = self.is_suspect(request);
         self.running
             .iter()
             .filter(|(_, requests)| suspect || self.has_suspect(requests))
@@ -115,7 +120,7 @@
     /// Returns the endpoints that a suspect must not go to even if there are no others: those where another suspect
     /// runs. Two suspects on one endpoint could not be told apart, and an innocent one would be refused.
     pub fn forbidden_endpoints(&self, request: Fingerprint) -> Vec<VmId> {
-        if !self.suspects.contains_key(&request) {
+        if !self.is_suspect(request) {
             return Vec::new();
         }
         self.running
@@ -210,7 +215,7 @@
         let (known, unknown): (Vec<_>, Vec<_>) = requests
             .into_iter()
             .filter(|request| down.is_none_or(|(_, ran)| ran.contains(request)))
-            .partition(|request| self.suspects.contains_key(request));
+            .partition(|request| self.is_suspect(*request));
         if known.is_empty() && down.is_none() {
             unknown
         } else {
@@ -230,7 +235,7 @@
     }
 
     fn has_suspect(&self, requests: &IndexMap<Fingerprint, u32>) -> bool {
-        requests.keys().any(|r| self.suspects.contains_key(r))
+        requests.keys().any(|request| self.is_suspect(*request))
     }
 
     fn expire(&mut self, now: Instant) {
--- a/src/edge/call.rs
+++ b/src/edge/call.rs
@@ -163,9 +163,7 @@
 }
 
 async fn ask(desk: &Desk, id: RequestId, run: &Run, call: Call) -> Result<Answer, RunEnd> {
-    if engine::is_unfit(desk, run).await {
-        return Err(RunEnd::NotRun { retry: None });
-    }
+    engine::check_endpoint(desk, run).await?;
     let mut request = engine::begin(desk, id, run, &call.method, &call.path);
     if let Some(kind) = &call.kind {
         request = request.header(CONTENT_TYPE, kind);
--- a/src/edge/chat.rs
+++ b/src/edge/chat.rs
@@ -123,8 +123,8 @@
 }
 
 async fn ask(desk: &Desk, id: RequestId, run: &Run, body: &ChatBody) -> Begun {
-    if engine::is_unfit(desk, run).await {
-        return Begun::Over(RunEnd::NotRun { retry: None });
+    if let Err(end) = engine::check_endpoint(desk, run).await {
+        return Begun::Over(end);
     }
     let request = engine::completion(desk, id, run, body.for_endpoint(run.limit));
     let answer = match engine::send(&desk.http, request).await {
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -169,9 +169,12 @@
     }
 }
 
-/// Returns whether a run must not be sent, because its endpoint was to be checked first and is down.
-pub(crate) async fn is_unfit(desk: &Desk, run: &Run) -> bool {
-    run.check && is_dead(desk, &run.address).await
+/// Ends a run whose endpoint is to be checked first and is down.
+pub(crate) async fn check_endpoint(desk: &Desk, run: &Run) -> Result<(), RunEnd> {
+    match run.check && is_dead(desk, &run.address).await {
+        true => Err(RunEnd::NotRun { retry: None }),
+        false => Ok(()),
+    }
 }
 
 /// Returns whether an endpoint is dead: right after a connection to it broke, no other is to be had.
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -9,7 +9,6 @@
 use crate::decide::Criteria;
 use crate::decide::EjectionLimits;
 use crate::decide::Ejector;
-use crate::decide::Isolation;
 use crate::decide::PrefixIndex;
 use crate::decide::Quarantine;
 use crate::decide::Usage;
@@ -66,10 +65,6 @@
         R: Rng,
     {
         let blocks = prompt_blocks(request);
-        let mut forbidden = self.forbidden(now, request, quarantine, context);
-        forbidden.extend_from_slice(context.closed);
-        let mut avoided = quarantine.avoided_endpoints(request.fingerprint);
-        avoided.extend_from_slice(context.avoided);
         let mut choose = |excluded: &[VmId]| {
             let criteria = Criteria {
                 model: requested_model(request),
@@ -82,14 +77,18 @@
             self.chooser
                 .choose(now, &criteria, &self.index, &self.health, rng)
         };
-        forbidden.extend_from_slice(&request.failed_endpoints);
-        let crashed: Vec<_> = self.health.crashed(now).cloned().collect();
-        let alive = [forbidden.clone(), crashed].concat();
-        let strict = [alive.clone(), avoided].concat();
+        let mut excluded = self.forbidden(now, request, quarantine, context);
+        excluded.extend_from_slice(context.closed);
+        excluded.extend_from_slice(&request.failed_endpoints);
+        let forbidden = excluded.len();
+        excluded.extend(self.health.crashed(now).cloned());
+        let crashed = excluded.len();
+        excluded.extend(quarantine.avoided_endpoints(request.fingerprint));
+        excluded.extend_from_slice(context.avoided);
         // Most requests have nothing to avoid, so that these are equal.
-        let mut exclusions = vec![strict, alive, forbidden];
-        exclusions.dedup();
-        exclusions.iter().find_map(|excluded| choose(excluded))
+        let mut lengths = vec![excluded.len(), crashed, forbidden];
+        lengths.dedup();
+        lengths.iter().find_map(|len| choose(&excluded[..*len]))
     }
 
     /// Returns the endpoints that a suspect must not use: those where another suspect runs, those that belong to other
@@ -101,28 +100,14 @@
         quarantine: &Quarantine,
         context: &PickContext<'_>,
     ) -> Vec<VmId> {
-        if quarantine.isolation(request.fingerprint) == Isolation::None {
+        if !quarantine.is_suspect(request.fingerprint) {
             return Vec::new();
         }
-        let suspects_run = quarantine.forbidden_endpoints(request.fingerprint);
-        let allowed = self.suspect_endpoints(context.router, context.routers);
-        let others = self.chooser.vms().filter(|vm| !allowed.contains(vm));
+        let (_, others) = self.split_for_suspects(context.router, context.routers);
         let crashed = self.health.crashed(now);
-        let forbidden = others.chain(crashed).cloned();
-        suspects_run.into_iter().chain(forbidden).collect()
-    }
-
-    /// Returns the endpoints on which a router may run suspects.
-    fn suspect_endpoints(&self, router: &VmId, routers: &[VmId]) -> Vec<&VmId> {
-        let vms = self.chooser.vms();
-        let owned: Vec<_> = vms
-            .filter(|vm| suspect_router(routers, vm) == Some(router))
-            .collect();
-        // With fewer endpoints than routers, some routers own none, and their suspects may use any endpoint.
-        match owned.is_empty() {
-            true => self.chooser.vms().collect(),
-            false => owned,
-        }
+        let mut forbidden = quarantine.forbidden_endpoints(request.fingerprint);
+        forbidden.extend(others.into_iter().chain(crashed).cloned());
+        forbidden
     }
 
     /// Returns whether all endpoints on which a router may run suspects crashed.
@@ -132,9 +117,19 @@
         router: &VmId,
         routers: &[VmId],
     ) -> bool {
-        let endpoints = self.suspect_endpoints(router, routers);
-        let crashed = |vm: &&VmId| self.health.has_crashed(now, vm);
-        !endpoints.is_empty() && endpoints.iter().all(crashed)
+        let (allowed, _) = self.split_for_suspects(router, routers);
+        !allowed.is_empty() && allowed.iter().all(|vm| self.health.has_crashed(now, vm))
+    }
+
+    /// Returns the endpoints on which a router may run suspects, and the others.
+    fn split_for_suspects(&self, router: &VmId, routers: &[VmId]) -> (Vec<&VmId>, Vec<&VmId>) {
+        let is_own = |vm: &&VmId| suspect_router(routers, vm) == Some(router);
+        let (own, others): (Vec<_>, Vec<_>) = self.chooser.vms().partition(is_own);
+        // With fewer endpoints than routers, some routers own none, and their suspects may use any endpoint.
+        match own.is_empty() {
+            true => (others, own),
+            false => (own, others),
+        }
     }
 }
 
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -54,30 +54,26 @@
 
     /// Refuses a queued suspect if all endpoints on which this router may run suspects crashed. Those of other routers may
     /// serve.
-    pub(crate) fn refuse_stranded_suspect(&mut self, now: Instant, id: RequestId) {
+    pub(crate) fn refuse_unservable_suspect(&mut self, now: Instant, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let suspect = self.quarantine.isolation(request.fingerprint) != Isolation::None;
+        let suspect = self.quarantine.is_suspect(request.fingerprint);
         if !suspect || !matches!(request.state, State::Queued) {
             return;
         }
         let routers = self.members.vm_index.serving_vms();
         let pool = self.pools.get(&request.pool);
         let me = &self.tuning.vm;
-        let stranded =
-            pool.is_some_and(|pool| pool.picker.suspect_endpoints_crashed(now, me, &routers));
-        if stranded {
-            let detail =
-                "it ran where an endpoint crashed, and all endpoints that may run it here are down";
-            let instead = self.alternate_address();
-            let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
-            self.refuse_with(
-                now,
-                id,
-                problem.with_retry(FAILURE_RETRY).with_instead(instead),
-            );
+        if !pool.is_some_and(|pool| pool.picker.suspect_endpoints_crashed(now, me, &routers)) {
+            return;
         }
+        let detail =
+            "it ran where an endpoint crashed, and all endpoints that may run it here are down";
+        let instead = self.alternate_address();
+        let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+        let problem = problem.with_retry(FAILURE_RETRY).with_instead(instead);
+        self.refuse_with(now, id, problem);
     }
 
     /// Learns of crashes that other routers reported.
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -41,7 +41,7 @@
                 pool.places.insert(id, place);
                 self.serve_queue(now, &name);
                 self.refuse_unservable(now, &name);
-                self.refuse_stranded_suspect(now, id);
+                self.refuse_unservable_suspect(now, id);
             }
             Err(full) => {
                 let detail = full.to_string();
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -30,6 +30,7 @@
 use crate::router::request::Request;
 use crate::router::request::Reservation;
 use crate::router::request::State;
+use crate::router::run::ENDPOINT_FAILED;
 use crate::router::run::FAILURE_RETRY;
 use crate::tokens::Tokens;
 
@@ -185,8 +186,8 @@
                 if retryable && self.retry_relay(now, id) {
                     return;
                 }
-                let detail = "the endpoint failed before the answer was whole";
-                let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, detail);
+                let kind = ProblemKind::EndpointFailed;
+                let problem = Problem::new(kind, Ran::Unknown, ENDPOINT_FAILED);
                 self.effects.push(Effect::Abort(id, Box::new(problem)));
                 self.finish(now, id);
             }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -97,6 +97,15 @@
     pub(crate) fn account(&self) -> &AccountId {
         &self.key.account
     }
+
+    /// Returns the tokens of broken runs that its team pays for: either the team or the operator (`House`) bears these,
+    /// as the deployment specifies.
+    pub(crate) fn charged_waste(&self) -> Tokens {
+        match self.bearer {
+            Bearer::Team => self.wasted,
+            Bearer::House => Tokens::ZERO,
+        }
+    }
 }
 
 /// The state of a request's reservation.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -6,7 +6,6 @@
 use tracing::info;
 use tracing::warn;
 
-use crate::decide::Isolation;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
@@ -33,6 +32,9 @@
 /// When a caller whose endpoint failed may retry: the time it takes to eject a failing endpoint.
 pub(crate) const FAILURE_RETRY: Duration = Duration::from_secs(1);
 
+/// The detail of the problem that ends an answer whose endpoint failed.
+pub(crate) const ENDPOINT_FAILED: &str = "the endpoint failed before the answer was whole";
+
 /// How long a request waits for budget that cannot be drawn in a log outage. Short hiccups of the log are over by then.
 const FUNDING_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -52,7 +54,6 @@
         };
         let birth = self.endpoint_birth(&endpoint).flatten();
         let request = &mut self.requests[&id];
-        let suspect = self.quarantine.isolation(request.fingerprint) != Isolation::None;
         request.dispatched = true;
         request.state = State::Running {
             endpoint: endpoint.clone(),
@@ -70,7 +71,7 @@
             claim_wait: request.claimed_at.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
             limited: self.announcements.limit(&endpoint).is_some(),
-            check: suspect,
+            check: self.quarantine.is_suspect(request.fingerprint),
             relay: request.relay_run(),
         };
         info!(event = "dispatch", request = %id, %endpoint);
@@ -133,13 +134,10 @@
     /// Bills a request. Once the bill is durable, the caller gets what `answer_end` says.
     fn bill(&mut self, id: RequestId, used: Tokens, outcome: Outcome, answer_end: AnswerEnd) {
         let request = &mut self.requests[&id];
-        // Either the team or the operator (`House`) pays for broken runs, as the deployment specifies. A bill never
-        // exceeds the reservation, so the operator bears the remainder.
-        let wasted = match request.bearer {
-            Bearer::Team => request.wasted,
-            Bearer::House => Tokens::ZERO,
-        };
-        let amount = used.saturating_add(wasted).min(request.reserve);
+        // A bill never exceeds the reservation, so the operator bears the remainder.
+        let amount = used
+            .saturating_add(request.charged_waste())
+            .min(request.reserve);
         let credit = request.reserve - amount;
         request.state = State::Billing { answer_end };
         let team = request.team.clone();
@@ -272,7 +270,7 @@
 
     /// Ends a request of whose answer nothing reached the caller, because its runs failed.
     fn fail_unanswered(&mut self, now: Instant, id: RequestId) {
-        self.abort_answer(id, "the endpoint failed before the answer was whole");
+        self.abort_answer(id, ENDPOINT_FAILED);
         self.settle_unanswered(now, id);
     }
 
@@ -285,8 +283,7 @@
         let request = &self.requests[&id];
         let key = self.ledger.key(&request.key);
         let billed = key.is_some_and(|key| key.bill.is_some());
-        let charged = request.bearer == Bearer::Team && request.wasted > Tokens::ZERO;
-        if billed && !charged {
+        if billed && request.charged_waste() == Tokens::ZERO {
             self.abandon(now, id);
         } else {
             self.bill(id, Tokens::ZERO, Outcome::Cut, AnswerEnd::None);
@@ -295,7 +292,7 @@
 
     /// Ends a request whose run failed and is not retried, and bills what it used.
     fn fail(&mut self, id: RequestId, used: Tokens) {
-        self.abort_answer(id, "the endpoint failed before the answer was whole");
+        self.abort_answer(id, ENDPOINT_FAILED);
         self.bill(id, used, Outcome::Cut, AnswerEnd::None);
     }
 
