--- a/src/router/tests/cluster.rs
+++ b/src/router/tests/cluster.rs
@@ -161,12 +161,7 @@
         };
         let list = vm_list(cluster.nodes.len());
         for at in 0..cluster.nodes.len() {
-            let entry = Entry {
-                offset: Offset(0),
-                at: 1,
-                data: config().to_string().into_bytes(),
-            };
-            cluster.handle(at, Event::ConfigEntries(vec![entry]));
+            cluster.configure(at, 0, &config());
             cluster.handle(at, Event::VmList(list.clone()));
             cluster.handle(at, Event::CaughtUp);
         }
@@ -187,6 +182,16 @@
         self.advance(200);
     }
 
+    /// Delivers a record of the configuration's stream to a core.
+    pub(crate) fn configure(&mut self, at: usize, offset: u64, changes: &Value) {
+        let entry = Entry {
+            offset: Offset(offset),
+            at: 1 + offset,
+            data: changes.to_string().into_bytes(),
+        };
+        self.handle(at, Event::ConfigEntries(vec![entry]));
+    }
+
     /// Passes an event to a core and carries out the effects that concern the log and the other core.
     pub(crate) fn handle(&mut self, at: usize, event: Event) {
         let effects = self.nodes[at].core.handle(self.now, event);
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -6,11 +6,10 @@
 
 use crate::decide::suspect_router;
 use crate::ids::Fingerprint;
-use crate::ids::Offset;
 use crate::ids::RequestId;
 use crate::ids::VmId;
+use crate::router::Arrival;
 use crate::router::EndpointLoad;
-use crate::router::Entry;
 use crate::router::Event;
 use crate::router::ProblemKind;
 use crate::router::Ran;
@@ -18,6 +17,7 @@
 use crate::router::request::State;
 use crate::router::tests::cluster::Cluster;
 use crate::router::tests::cluster::tuning;
+use crate::router::tests::site::broken_run;
 use crate::tokens::Tokens;
 
 const ENGINES: usize = 5;
@@ -50,8 +50,12 @@
 fn crash_two(cluster: &mut Cluster, router: usize) -> Vec<VmId> {
     let mut crashed = Vec::new();
     for number in 0..2 {
-        let mut ask = cluster.chat(&format!("crash-{number}"), 1);
-        ask.fingerprint = Fingerprint(100 + number);
+        let ask = chat_with(
+            cluster,
+            Fingerprint(100 + number),
+            &format!("crash-{number}"),
+            1,
+        );
         let id = cluster.submit_and_dispatch(router, &ask);
         let engine = cluster.nodes[router].runs(id)[0].endpoint.clone();
         cluster.handle(router, Event::RunEnded(id, died()));
@@ -62,6 +66,14 @@
     crashed
 }
 
+/// Returns a request for a completion with the given fingerprint.
+fn chat_with(cluster: &mut Cluster, request: Fingerprint, key: &str, attempt: u64) -> Arrival {
+    Arrival {
+        fingerprint: request,
+        ..cluster.chat(key, attempt)
+    }
+}
+
 fn died() -> RunEnd {
     RunEnd::Failed {
         usage: None,
@@ -96,8 +108,7 @@
 
 /// Returns the endpoint to which a request is sent first.
 fn first_endpoint(cluster: &mut Cluster, router: usize, key: &str, attempt: u64) -> Option<VmId> {
-    let mut ask = cluster.chat(key, attempt);
-    ask.fingerprint = Fingerprint(1);
+    let ask = chat_with(cluster, Fingerprint(1), key, attempt);
     let id = cluster.submit(router, &ask);
     cluster.advance(40);
     let endpoint = endpoint_of_run(cluster, router, id, 0);
@@ -143,8 +154,7 @@
         if !retries {
             spend_retries(cluster, router);
         }
-        let mut ask = cluster.chat("patient", attempt);
-        ask.fingerprint = Fingerprint(1);
+        let ask = chat_with(cluster, Fingerprint(1), "patient", attempt);
         let id = cluster.submit(router, &ask);
         cluster.advance(40);
         for number in 0.. {
@@ -255,10 +265,10 @@
     let (now, core) = (cluster.now, &mut cluster.nodes[at].core);
     core.quarantine
         .add_suspect(now, Fingerprint(1), &engine(own[0]));
-    own.iter()
-        .for_each(|number| core.mark_crashed(now, &engine(*number)));
-    let mut ask = cluster.chat("suspect", 1);
-    ask.fingerprint = Fingerprint(1);
+    for number in own {
+        core.mark_crashed(now, &engine(number));
+    }
+    let ask = chat_with(&mut cluster, Fingerprint(1), "suspect", 1);
     let id = cluster.submit(at, &ask);
     cluster.advance(100);
     assert_eq!(endpoint_of_run(&cluster, at, id, 0), None);
@@ -277,8 +287,7 @@
     let mut cluster = start_cluster(2);
     // Until retries are available.
     cluster.advance(10_000);
-    let mut ask = cluster.chat("harmless", 1);
-    ask.fingerprint = Fingerprint(1);
+    let ask = chat_with(&mut cluster, Fingerprint(1), "harmless", 1);
     let id = cluster.submit_and_dispatch(1, &ask);
     assert!(!cluster.nodes[1].runs(id)[0].check);
     cluster.handle(1, Event::RunEnded(id, died()));
@@ -299,12 +308,7 @@
         json!({"kind": "team", "name": "loans", "base": 1, "body": {"team": {"bearer": "house"}}});
     let changes = json!({"format": 1, "by": "test", "changes": [change]});
     for at in 0..cluster.nodes.len() {
-        let entry = Entry {
-            offset: Offset(1),
-            at: 2,
-            data: changes.to_string().into_bytes(),
-        };
-        cluster.handle(at, Event::ConfigEntries(vec![entry]));
+        cluster.configure(at, 1, &changes);
     }
     cluster.advance(100);
 }
@@ -317,12 +321,7 @@
     let id = cluster.submit(at, &ask);
     cluster.advance(100);
     if endpoint_of_run(cluster, at, id, 0).is_some() {
-        let failed = RunEnd::Failed {
-            usage: None,
-            answer_begun: false,
-            endpoint_died: false,
-        };
-        cluster.handle(at, Event::RunEnded(id, failed));
+        cluster.handle(at, Event::RunEnded(id, broken_run(false)));
     }
     // Longer than an endpoint that fails again and again is paused.
     cluster.advance(3000);
