Failing test for repeats: routers that pause and links that hold back bytes, counted as an observer counts

Requests wait in a paused router's sockets and are counted late; retries sent into a link that holds bytes back for up to a quarter of the window arrive together.

--- a/tests/decisions/retry_limits.rs
+++ b/tests/decisions/retry_limits.rs
@@ -22,6 +22,11 @@
 /// The share of the spare retries that is divided among the routers of one VM list; there may be two lists at a time.
 const SPARE_SHARE: f64 = 0.5;
 
+/// How long links hold back bytes at most, as a share of the window.
+const HELD_SHARE: f64 = 0.25;
+/// How long a router's process is paused at most.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
 /// What callers and endpoints see of one pool.
 #[derive(Default)]
 struct Seen {
@@ -35,6 +40,10 @@
     /// How many routers its VM list has.
     listed: usize,
     cut: bool,
+    /// Until when its process is paused.
+    paused_until: Instant,
+    /// The pools of the requests that wait in its sockets meanwhile.
+    waiting: Vec<usize>,
 }
 
 struct Play {
@@ -51,6 +60,8 @@
     /// The routers that receive requests, and the share of them that is for the first pool.
     receivers: std::ops::Range<usize>,
     first_share: f64,
+    /// Until when the links to the endpoints hold back what is sent over them.
+    held_until: Instant,
 }
 
 fn pool(number: usize) -> PoolId {
@@ -78,6 +89,7 @@
             rate: 200.0,
             receivers: 0..size,
             first_share: 0.5,
+            held_until: now,
         };
         play.routers = (0..size).map(|n| play.start_router(n)).collect();
         play
@@ -95,6 +107,8 @@
             budgets,
             listed,
             cut: false,
+            paused_until: self.now,
+            waiting: Vec::new(),
         }
     }
 
@@ -173,8 +187,37 @@
         }
     }
 
+    /// Pauses some routers, or has the links hold back what is sent to endpoints.
+    fn stall(&mut self) {
+        if self.rng.random_bool(0.5) {
+            let longest = self.limit.window.mul_f64(HELD_SHARE);
+            self.held_until = self.now + longest.mul_f64(self.rng.random_range(0.5..1.0));
+            return;
+        }
+        let share = [0.2, 0.6, 1.0][self.rng.random_range(0..3)];
+        let until = self.now + LONGEST_PAUSE.mul_f64(self.rng.random_range(0.0..1.0));
+        for router in &mut self.routers {
+            if self.rng.random_bool(share) {
+                router.paused_until = until;
+            }
+        }
+    }
+
+    /// Has the routers whose pause is over read what waits in their sockets.
+    fn resume(&mut self) {
+        for router in &mut self.routers {
+            if router.paused_until > self.now {
+                continue;
+            }
+            for number in router.waiting.drain(..) {
+                router.budgets[number].record_request(self.now);
+            }
+        }
+    }
+
     fn step(&mut self) {
         self.now += STEP;
+        self.resume();
         let due = self.rate * STEP.as_secs_f64();
         let due = due as usize + usize::from(self.rng.random_bool(due.fract()));
         for _ in 0..due {
@@ -191,16 +234,25 @@
         let router = self.rng.random_range(self.receivers.clone());
         let earlier = self.limit.delay.mul_f64(self.rng.random_range(0.0..1.0));
         self.seen[number].requests.push(self.now - earlier);
-        self.routers[router].budgets[number].record_request(self.now);
+        let router = &mut self.routers[router];
+        if router.paused_until > self.now {
+            router.waiting.push(number);
+            return;
+        }
+        router.budgets[number].record_request(self.now);
     }
 
     /// Has a router send all the retries that it may; each arrives up to the delay later.
     fn retry(&mut self) {
         let router = self.rng.random_range(0..self.routers.len());
         let number = self.rng.random_range(0..POOLS);
+        if self.routers[router].paused_until > self.now {
+            return;
+        }
         while self.routers[router].budgets[number].try_retry(self.now) {
             let later = self.limit.delay.mul_f64(self.rng.random_range(0.0..1.0));
-            self.seen[number].retries.push(self.now + later);
+            let arrival = (self.now + later).max(self.held_until);
+            self.seen[number].retries.push(arrival);
         }
     }
 
@@ -228,6 +280,25 @@
     }
 }
 
+/// Has routers pause and links hold back bytes, again and again, beside the other changes.
+fn play_with_stalls(size: usize, seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        println!("size={size} seed={seed}");
+        let mut play = Play::new(seed, size);
+        play.rate = 600.0;
+        for step in 0..STEPS {
+            if step % (12 * CHANGE) == 11 * CHANGE {
+                play.change();
+            }
+            if step % (4 * CHANGE) == 0 {
+                play.stall();
+            }
+            play.step();
+        }
+        play.check();
+    }
+}
+
 /// Counts the times from one on, for the length of a window.
 fn count(times: &[Instant], from: Instant, window: Duration) -> usize {
     let end = from + window;
@@ -257,6 +328,24 @@
     }
 }
 
+/// Guards against retries that arrive in another window than they were sent in, and against requests that pay for
+/// retries in another window than they were sent in, because routers are paused or links hold back bytes.
+#[test]
+fn retries_keep_to_the_limit_when_routers_pause_and_links_stall() {
+    for (size, seeds) in [(1, 20), (7, 20), (76, 6), (195, 3), (985, 1)] {
+        play_with_stalls(size, 0..seeds);
+    }
+}
+
+/// The same with more seeds, to be run by hand.
+#[test]
+#[ignore = "takes minutes"]
+fn retries_keep_to_the_limit_when_routers_and_links_stall_with_many_seeds() {
+    for (size, seeds) in [(1, 400), (7, 400), (76, 120), (195, 80), (985, 30)] {
+        play_with_stalls(size, 1000..1000 + seeds);
+    }
+}
+
 /// The same with more seeds, to be run by hand.
 #[test]
 #[ignore = "takes minutes"]
