Reset connections to endpoints when they are closed, so that a request that was given up never arrives

A router that gave up a silent endpoint closed its connection in order, and the system still sent what had been written: a link that stalled delivered it when it healed, long after the retry's budget was free again. Evidence: a_request_that_is_given_up_over_a_stalled_link_never_arrives fails without the change (1 request received, 0 expected). Cause: an orderly close sends what was written before it. With a reset the sender's system discards it. The proxy stand-in delivered what was held back also after its sender's reset, which no network can: the sender has nothing to send again. It drops that now; its own test covers both (connection kept: arrives; reset: lost). Not covered: bytes that a middle box has acknowledged and holds.

--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -15,11 +16,21 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::edge::relay::events::EventSplitter;
 use crate::edge::relay::upstream::Target;
 use crate::edge::relay::upstream::Upstream;
 use crate::edge::relay::upstream::UpstreamError;
+use crate::http_client::HttpClient;
+use crate::standin::proxy::Proxy;
+use crate::standin::proxy::start_proxy;
+
+/// How long a call may take that is expected to be answered.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// How long a link stalls before and after a request is given up.
+const STALL: Duration = Duration::from_millis(300);
 
 /// An endpoint dies in the middle of an event. The caller has none of that half, and the number from which another endpoint
 /// goes on is that of the last whole one.
@@ -91,3 +102,47 @@
         assert_eq!(requests.load(Ordering::Relaxed), 2 * round);
     }
 }
+
+/// Guards against a request that arrives long after the router gave it up, when a stalled link delivers what it held back.
+#[tokio::test]
+async fn a_request_that_is_given_up_over_a_stalled_link_never_arrives() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let proxy = Proxy::new();
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    let address = proxy
+        .link_default(any_port, listener.local_addr().expect("an address"))
+        .expect("a link");
+    let control = start_proxy(any_port, proxy).expect("a port");
+    let http = HttpClient::default();
+    let faults = format!("http://{}/v1/faults", control.address);
+    let set = async |faults_set: &'static str| {
+        let body = Bytes::from_static(faults_set.as_bytes());
+        let answer = http.post(&faults, body, PATIENCE).await;
+        assert!(answer.expect("an answer").status.is_success());
+    };
+    let received = Arc::new(AtomicUsize::new(0));
+    let count = received.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                let mut bytes = [0; 1024];
+                while let Ok(1..) = stream.read(&mut bytes).await {
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    let upstream = Upstream::default();
+    let target = Target {
+        address,
+        endpoint: "engine-0".to_owned(),
+    };
+    set(r#"{"drop_to": true}"#).await;
+    let sent = upstream.send(target, Request::default());
+    assert!(timeout(STALL, sent).await.is_err(), "it has no answer");
+    sleep(STALL).await;
+    set("{}").await;
+    sleep(STALL).await;
+    assert_eq!(received.load(Ordering::Relaxed), 0);
+}
--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -172,8 +172,11 @@
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
         .with_retries(KEEPALIVES);
-    let set = socket
-        .set_tcp_nodelay(true)
+    // A request that is given up must not arrive later, when a link that held it back delivers it. An orderly close still
+    // sends what was written before it; a reset discards it.
+    let set = stream
+        .set_zero_linger()
+        .and_then(|()| socket.set_tcp_nodelay(true))
         .and_then(|()| socket.set_tcp_keepalive(&keepalive))
         .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
     if let Err(error) = set {
--- a/src/standin/proxy/faults.rs
+++ b/src/standin/proxy/faults.rs
@@ -6,7 +6,7 @@
 /// What is out of order on a link; a new set replaces the old one, so that `{}` mends all.
 ///
 /// What is held back is not lost: it goes on once the fault is mended, as TCP would send it again. Losing bytes of a
-/// connection that lives on would be a fault that TCP never has.
+/// connection that lives on would be a fault that TCP never has. A sender that resets its connection sends nothing again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub(crate) struct Faults {
--- a/src/standin/proxy/pump.rs
+++ b/src/standin/proxy/pump.rs
@@ -1,6 +1,8 @@
 //! One direction of a connection through a link.
 
 use std::io;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -39,22 +41,30 @@
     faults: watch::Receiver<Faults>,
 ) -> io::Result<()> {
     let (sender, receiver) = mpsc::channel(QUEUE);
-    let fill = fill(from, sender, faults.clone());
-    let drain = drain(to, receiver, direction, faults);
+    let lost = AtomicBool::new(false);
+    let fill = fill(from, sender, direction, faults.clone(), &lost);
+    let drain = drain(to, receiver, direction, faults, &lost);
     try_join!(fill, drain)?;
     Ok(())
 }
 
 /// Reads into the queue. An error goes by the queue too, so that it is held back like the bytes before it.
+///
+/// A sender that resets its connection sends nothing again, so that bytes that are held back then are `lost`.
 async fn fill(
     mut from: ReadHalf<'_>,
     queue: mpsc::Sender<Parcel>,
+    direction: Direction,
     faults: watch::Receiver<Faults>,
+    lost: &AtomicBool,
 ) -> io::Result<()> {
     loop {
         let mut chunk = BytesMut::with_capacity(CHUNK);
         let read = from.read_buf(&mut chunk).await;
         let more = matches!(read, Ok(bytes) if bytes > 0);
+        if read.is_err() && faults.borrow().holds(direction) {
+            lost.store(true, Ordering::Relaxed);
+        }
         let delay = Duration::from_millis(faults.borrow().delay_ms);
         let parcel = read.map(|_| chunk.freeze());
         let sent = queue.send((Instant::now() + delay, parcel)).await;
@@ -70,6 +80,7 @@
     mut queue: mpsc::Receiver<Parcel>,
     direction: Direction,
     mut faults: watch::Receiver<Faults>,
+    lost: &AtomicBool,
 ) -> io::Result<()> {
     let mut carried = 0;
     while let Some((due, parcel)) = queue.recv().await {
@@ -77,6 +88,9 @@
         // Without the sender the link is gone, and the connection with it.
         let open = faults.wait_for(|faults| !faults.holds(direction)).await;
         let limit = open.map_err(io::Error::other)?.reset_after_bytes;
+        if lost.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let bytes = parcel?;
         if bytes.is_empty() {
             return to.shutdown().await;
--- a/tests/standins/client.rs
+++ b/tests/standins/client.rs
@@ -22,7 +22,7 @@
 
 /// Calls one server; each call has a connection of its own.
 pub(crate) struct Client {
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     pool: Pool<HttpConnector, Full<Bytes>>,
 }
 
--- a/tests/standins/proxy.rs
+++ b/tests/standins/proxy.rs
@@ -108,6 +108,33 @@
     Ok(())
 }
 
+/// Guards against a link that delivers what its sender can't send again, because it reset the connection meanwhile.
+#[tokio::test]
+async fn what_is_held_back_is_lost_if_its_sender_resets() -> Result<()> {
+    for (reset, recorded) in [(false, 1), (true, 0)] {
+        let link = Linked::start()?;
+        link.set(json!({"drop_to": true})).await?;
+        let mut conn = TcpStream::connect(link.linked.address).await?;
+        conn.write_all(b"POST /v1/x HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n")
+            .await?;
+        sleep(STILL).await;
+        let kept = match reset {
+            true => {
+                conn.set_zero_linger()?;
+                drop(conn);
+                None
+            }
+            false => Some(conn),
+        };
+        sleep(STILL).await;
+        link.set(json!({})).await?;
+        sleep(STILL).await;
+        assert_eq!(link.recorded().await?, recorded, "{reset}");
+        drop(kept);
+    }
+    Ok(())
+}
+
 /// Answers are held back by the network. A call takes effect, and its caller never hears of it.
 #[tokio::test]
 async fn an_answer_that_is_held_back_leaves_its_effect() -> Result<()> {
