Count retries until they have arrived, and requests from when they may have been sent

Cause: the limit is for what callers send and endpoints receive in a window, and the router counted when it read and sent, with half a second of allowance. A paused router reads requests late, which then pay for retries in the wrong window; a stalled link delivers retries of several seconds together. Now a retry counts in every window from its sending until its answer begins or its run ends, and a request counts only in windows that hold both the time at which it was read and the earliest at which it may have been sent: the last time but one that the process was idle, by the clock that goes on while a VM is suspended, less a twentieth of the window for the network. Retries that are pending when requests stop are paid for by spare ones; what nothing pays for is logged (retry-uncovered).

--- a/src/bin/jasmineridged.rs
+++ b/src/bin/jasmineridged.rs
@@ -10,11 +10,13 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use anyhow::Context;
 use anyhow::Result;
 use anyhow::bail;
 use clap::Parser;
+use jasmineridge::IdleClock;
 use jasmineridge::Settings;
 use jasmineridge::SettingsError;
 use jasmineridge::SiteSettings;
@@ -66,7 +68,12 @@
 }
 
 fn run(cli: &Cli) -> Result<ExitCode> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let idle = Arc::new(IdleClock::default());
+    let parked = idle.clone();
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .on_thread_park(move || parked.record_idle())
+        .build()?;
     let stopped = match &cli.settings {
         Some(path) if cli.site => {
             let settings = read(path, SiteSettings::parse)?;
@@ -75,7 +82,7 @@
                 return Ok(ExitCode::SUCCESS);
             }
             let _logs = init_output_logs(settings.log_level);
-            runtime.block_on(serve_site(settings, path.clone()))?
+            runtime.block_on(serve_site(settings, path.clone(), idle))?
         }
         Some(path) => {
             let settings = read(path, Settings::parse)?;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -98,6 +98,7 @@
 pub use recent::Usage;
 pub use release_limit::ReleaseLimit;
 pub use release_limit::release_limit;
+pub use retry::PendingRetry;
 pub use retry::RetryBudget;
 pub use retry::RetryLimit;
 pub use retry::RetryUsage;
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -8,6 +8,11 @@
 //! The limit is the pool's, over all routers and in every window. Each router keeps to its part: a share of the requests
 //! that it received itself, and of the retries that are allowed regardless of requests those that [`retry_share`] gives
 //! it. No part is available at a router's start, so that restarts add nothing.
+//!
+//! Requests and retries are counted when the router reads and sends them, but the limit is for what callers send and
+//! endpoints receive. A paused router reads requests long after they were sent, and a link that stalls delivers retries
+//! long after they were sent. Each retry is therefore counted until it is known to have arrived, and each request from
+//! the time on at which it may have been sent.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +22,7 @@
 use serde::Serialize;
 
 use crate::decide::rendezvous::is_selected;
+use crate::decide::retry_window::Charge;
 use crate::decide::retry_window::RetryWindow;
 use crate::ids::PoolId;
 use crate::ids::VmId;
@@ -34,8 +40,8 @@
 /// The share of the spare retries that may be sent at once. A quarter covers a burst of failures, but not an outage.
 const BURST_SHARE: f64 = 0.25;
 
-/// The delay between a router and callers or endpoints that is accounted for, as a share of the window. Connections are
-/// opened within half a second, a twentieth of the usual window.
+/// The delay between callers and a router that is accounted for, as a share of the window. Connections are opened within
+/// half a second, a twentieth of the usual window.
 const DELAY_SHARE: f64 = 0.05;
 
 /// The fewest spare retries of a router that has any, so that it may send one at any time and another one in each window.
@@ -57,8 +63,8 @@
     pub spare: f64,
     /// The length of the windows in each of which the limit holds.
     pub window: Duration,
-    /// How long a request may be on its way to the router, and a retry on its way to its endpoint. The limit holds for
-    /// what callers send and endpoints receive; zero if it is only to hold for what the router receives and sends.
+    /// How long a request may be on its way to the router's VM. The limit holds for what callers send and endpoints
+    /// receive; zero if it is only to hold for what reaches the router's VM.
     pub delay: Duration,
 }
 
@@ -94,10 +100,23 @@
     pub retries: f64,
     /// Spare retries that may be sent now.
     pub spare: f64,
+    /// Retries that may still arrive at their endpoints.
+    pub pending: u32,
     /// Whether a retry is available.
     pub available: bool,
 }
 
+/// A retry that was taken from a budget and may still arrive at its endpoint.
+///
+/// It counts in every window until it is returned by [`RetryBudget::settle`].
+#[derive(Debug)]
+#[must_use = "it counts until it is settled"]
+pub struct PendingRetry {
+    charge: Charge,
+    /// Whether nothing paid for it any more when that was last checked.
+    uncovered: bool,
+}
+
 /// Returns a router's part of the retries that all routers may send to a pool regardless of requests.
 ///
 /// The parts of the listed routers add up to `spare`. A router that is not listed has none.
@@ -134,37 +153,67 @@
         }
     }
 
-    /// Changes the limit. Requests and retries of another window's length are forgotten.
+    /// Changes the limit. Requests and arrived retries of another window's length are forgotten.
     pub fn set_limit(&mut self, now: Instant, limit: RetryLimit) {
         self.advance(now);
         if (limit.window, limit.delay) != (self.limit.window, self.limit.delay) {
-            *self = Self::new(now, limit);
+            self.window.restart(now, limit.window, limit.delay);
+            self.spare = 0.0;
         }
         self.limit = limit;
         self.spare = self.spare.min(self.burst());
     }
 
-    /// Counts a first attempt.
-    pub fn record_request(&mut self, now: Instant) {
-        self.window.record_request(now);
+    /// Counts a first attempt that reached this router's sockets at `earliest` or later.
+    pub fn record_request(&mut self, now: Instant, earliest: Instant) {
+        self.window.record_request(now, earliest);
     }
 
     /// Returns whether a retry is available, without taking it.
     pub fn has_retry(&mut self, now: Instant) -> bool {
-        self.advance(now);
-        self.window.available(now, self.limit.ratio) + self.spare >= 1.0
+        self.charge(now).is_some()
     }
 
-    /// Takes one retry from the budget, or returns false if none is available. Requests pay for as much of it as they
+    /// Takes one retry from the budget, or returns nothing if none is available. Requests pay for as much of it as they
     /// can, and spare retries for the rest.
-    pub fn try_retry(&mut self, now: Instant) -> bool {
-        self.advance(now);
-        let paid = self.window.available(now, self.limit.ratio).min(1.0);
-        if paid + self.spare < 1.0 {
-            return false;
+    pub fn try_retry(&mut self, now: Instant) -> Option<PendingRetry> {
+        let charge = self.charge(now)?;
+        self.spare -= charge.spare;
+        self.window.record_retry(charge);
+        Some(PendingRetry {
+            charge,
+            uncovered: false,
+        })
+    }
+
+    /// Records that a retry has arrived, or that it can't arrive any more.
+    pub fn settle(&mut self, now: Instant, retry: PendingRetry) {
+        self.window.record_arrival(now, retry.charge);
+    }
+
+    /// Returns how much of the retries that have not arrived the latest requests do not pay for.
+    ///
+    /// While requests go on, they pay for retries that are long on their way. Once they stop, spare retries have to.
+    pub fn uncovered(&mut self, now: Instant) -> f64 {
+        self.window.unpaid(now, self.limit.ratio)
+    }
+
+    /// Has spare retries pay for a retry that requests do not pay for any more.
+    ///
+    /// Returns false, once for each retry, if there are not enough of them. The limit holds nevertheless unless the
+    /// retry arrives beside as many others as are allowed.
+    pub fn cover(&mut self, now: Instant, retry: &mut PendingRetry) -> bool {
+        let amount = retry.charge.paid;
+        if amount > self.spare_left(now) {
+            return std::mem::replace(&mut retry.uncovered, true);
         }
-        self.window.record_retries(now, paid);
-        self.spare -= 1.0 - paid;
+        let charge = Charge {
+            paid: 0.0,
+            spare: retry.charge.spare + amount,
+        };
+        self.window.change_charge(retry.charge, charge);
+        self.spare -= amount;
+        retry.charge = charge;
         true
     }
 
@@ -175,13 +224,14 @@
             requests: self.window.requests(now),
             retries: self.window.retries(now),
             spare: self.spare,
+            pending: self.window.pending(),
             available,
         }
     }
 
-    /// Returns whether no requests are counted any more, so that a new budget would be as good.
+    /// Returns whether nothing is counted any more, so that a new budget would be as good.
     pub fn is_idle(&mut self, now: Instant) -> bool {
-        self.window.requests(now) == 0
+        self.window.requests(now) == 0 && self.window.pending() == 0
     }
 
     /// Returns the delay before a retry, counted from 1: random, up to a bound that doubles with each retry. The jitter
@@ -197,6 +247,21 @@
         bound.mul_f64(rng.random_range(0.0..1.0))
     }
 
+    /// Returns what would pay for a retry now, if one is available.
+    fn charge(&mut self, now: Instant) -> Option<Charge> {
+        let paid = self.window.available(now, self.limit.ratio).min(1.0);
+        let spare = 1.0 - paid;
+        (spare <= self.spare_left(now)).then_some(Charge { paid, spare })
+    }
+
+    /// Returns the spare retries that may be sent now. Those that are long on their way count in each window until they
+    /// arrive.
+    fn spare_left(&mut self, now: Instant) -> f64 {
+        self.advance(now);
+        let used = self.window.spare_retries(now);
+        self.spare.min(self.limit.spare - used).max(0.0)
+    }
+
     /// Returns the most spare retries that may be sent at once.
     fn burst(&self) -> f64 {
         let burst = (self.limit.spare * BURST_SHARE).max(1.0);
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -18,6 +18,7 @@
 use tracing::warn;
 
 use crate::clock::Clock;
+use crate::edge::IdleClock;
 use crate::edge::checkpoint;
 use crate::edge::clock::SystemClock;
 use crate::edge::clock::boot_clock;
@@ -108,6 +109,7 @@
         prober: Prober::new(desk.clone()),
         teller: None,
         desk,
+        idle: None,
     };
     driver.run(events).await
 }
@@ -198,6 +200,8 @@
     /// Tells other routers of long prompts, where that is of use.
     pub(crate) teller: Option<Teller>,
     pub(crate) desk: Arc<Desk>,
+    /// Where it is known, since when requests may have been waiting in the sockets.
+    pub(crate) idle: Option<Arc<IdleClock>>,
 }
 
 impl Driver {
@@ -226,6 +230,10 @@
             };
             let now = self.clock.now();
             last = self.note_pause(now, last);
+            let wait = self.idle.as_ref().map(|idle| idle.longest_wait());
+            if let Some(idle_at) = wait.and_then(|wait| now.checked_sub(wait)) {
+                self.core.record_idle(idle_at);
+            }
             let ticked = matches!(event, Event::Tick);
             let mut effects = self.core.handle(now, event);
             if now >= last + TICK {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod engine;
 mod fetch;
 pub(crate) mod http;
+mod idle;
 mod log;
 pub(crate) mod metrics;
 pub(crate) mod peers;
@@ -33,3 +34,4 @@
 
 pub use driver::Stopped;
 pub use driver::serve;
+pub use idle::IdleClock;
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::decide::RetryLimit;
+use crate::edge::IdleClock;
 use crate::edge::Stopped;
 use crate::edge::clock::SystemClock;
 use crate::edge::clock::boot_clock;
@@ -98,12 +99,17 @@
 
 /// Runs a router on the platform until it is stopped.
 ///
-/// The settings were read from `path`, and are read there again at SIGHUP.
+/// The settings were read from `path`, and are read there again at SIGHUP. `idle` has to be told whenever the process
+/// has nothing to do.
 ///
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn serve_site(settings: SiteSettings, path: PathBuf) -> io::Result<Stopped> {
+pub async fn serve_site(
+    settings: SiteSettings,
+    path: PathBuf,
+    idle: Arc<IdleClock>,
+) -> io::Result<Stopped> {
     let clock = SystemClock;
     let boot = boot_clock(&clock, settings.front);
     let front = bind(settings.front)?;
@@ -154,6 +160,7 @@
         prober: Prober::new(desk.clone()),
         teller: Some(teller),
         desk,
+        idle: Some(idle),
     };
     driver.run(events).await
 }
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -48,7 +48,9 @@
         let id = arrival.id;
         match self.admit(now, &arrival) {
             Ok(request) => {
-                self.retry_budget(now, &request.pool).record_request(now);
+                let earliest = self.idle_at.unwrap_or(now);
+                self.retry_budget(now, &request.pool)
+                    .record_request(now, earliest);
                 info!(
                     event = "request", request = %id, key = %request.key, attempt = %request.attempt,
                     team = %request.team, pool = %request.pool, reserve = %request.reserve,
@@ -208,6 +210,8 @@
             state: State::Contended,
             failed_endpoints: Vec::new(),
             wasted: Tokens::ZERO,
+            retry: None,
+            reserved_retry: None,
             dispatched: false,
             reservation: Reservation::None,
             entered: false,
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -176,6 +176,8 @@
     pub(crate) effects: Vec<Effect>,
     pub(crate) outage: Outage,
     pub(crate) refuse_limiter: RefuseLimiter,
+    /// A request that arrives now was not waiting in the sockets at this time, if it is known.
+    pub(crate) idle_at: Option<Instant>,
     /// Requests that arrive before this time may have been in a socket buffer while the process was suspended.
     pub(crate) stale_until: Option<Instant>,
     pub(crate) started_at: Instant,
@@ -261,6 +263,7 @@
             account_limits: IndexMap::new(),
             pools: IndexMap::new(),
             retry_budgets: IndexMap::new(),
+            idle_at: None,
             members: Members::new(now, tuning.vm.clone()),
             effects: Vec::new(),
             outage: Outage::default(),
@@ -365,6 +368,11 @@
         self.phase == Phase::Serving
     }
 
+    /// Records a time at which no request was waiting in the sockets.
+    pub(crate) fn record_idle(&mut self, at: Instant) {
+        self.idle_at = Some(at);
+    }
+
     /// Returns when the core must be called next if no event arrives before.
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         self.appender.next_poll()
@@ -433,6 +441,7 @@
     fn tick_grants(&mut self, now: Instant, tuning: GrantTuning) {
         self.expire_requests(now);
         self.leave_silent_endpoints(now);
+        self.cover_pending_retries(now);
         self.send_heartbeat(now);
         self.fetch_table(now);
         self.tick_pools(now);
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -100,6 +100,8 @@
             state: State::Funding { short_since: None },
             failed_endpoints: Vec::new(),
             wasted: Tokens::ZERO,
+            retry: None,
+            reserved_retry: None,
             dispatched: false,
             reservation: Reservation::None,
             entered: false,
@@ -117,7 +119,6 @@
                 expected_prefill: None,
                 stopped: false,
                 timed_out: false,
-                retry_reserved: false,
                 retry_refused: false,
             }),
         })
@@ -212,12 +213,14 @@
         let silent: Vec<_> = silent.map(|(id, _)| *id).collect();
         for id in silent {
             let pool = self.requests[&id].pool.clone();
-            let available = self.retry_budget(now, &pool).try_retry(now);
-            let Some(terms) = self.requests[&id].relay.as_mut() else {
+            let retry = self.retry_budget(now, &pool).try_retry(now);
+            let available = retry.is_some();
+            let request = &mut self.requests[&id];
+            request.reserved_retry = retry;
+            let Some(terms) = request.relay.as_mut() else {
                 continue;
             };
             terms.timed_out |= available;
-            terms.retry_reserved |= available;
             let refused_before = std::mem::replace(&mut terms.retry_refused, !available);
             if !available {
                 if !refused_before {
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::config::RepeatPolicy;
+use crate::decide::PendingRetry;
 use crate::decide::Prompt;
 use crate::ids::AccountId;
 use crate::ids::Attempt;
@@ -45,6 +46,10 @@
     pub(crate) failed_endpoints: Vec<VmId>,
     /// Tokens used by runs that broke off.
     pub(crate) wasted: Tokens,
+    /// The retry by which its present run was sent, until that is known to have arrived.
+    pub(crate) retry: Option<PendingRetry>,
+    /// The retry taken from its pool's budget for the run that follows an abandoned one.
+    pub(crate) reserved_retry: Option<PendingRetry>,
     /// Whether it was sent to an endpoint at all.
     pub(crate) dispatched: bool,
     /// The state of its reservation in the ledger budget and the ledger.
@@ -85,8 +90,6 @@
     pub(crate) expected_prefill: Option<(u64, Instant)>,
     /// Whether a run was already abandoned because its endpoint sent nothing in time.
     pub(crate) timed_out: bool,
-    /// Whether a retry was already taken from its pool's budget.
-    pub(crate) retry_reserved: bool,
     /// Whether its endpoint was silent while no retry was left.
     pub(crate) retry_refused: bool,
     /// Whether it was told to stop, so that only its usage is still to be reported.
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -3,11 +3,13 @@
 use std::time::Instant;
 
 use indexmap::IndexSet;
+use tracing::warn;
 
 use crate::decide::RetryBudget;
 use crate::decide::RetryLimit;
 use crate::decide::retry_share;
 use crate::ids::PoolId;
+use crate::ids::RequestId;
 use crate::router::core::Accounting;
 use crate::router::core::Core;
 use crate::router::core::Phase;
@@ -30,6 +32,45 @@
         &mut self.retry_budgets[pool]
     }
 
+    /// Records that the retry by which a request's present run was sent has arrived, or can't arrive any more.
+    pub(crate) fn settle_retry(&mut self, now: Instant, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && let Some(retry) = request.retry.take()
+        {
+            let pool = request.pool.clone();
+            self.retry_budget(now, &pool).settle(now, retry);
+        }
+    }
+
+    /// Records that the retry that was reserved for a request is not sent.
+    pub(crate) fn settle_reserved(&mut self, now: Instant, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && let Some(retry) = request.reserved_retry.take()
+        {
+            let pool = request.pool.clone();
+            self.retry_budget(now, &pool).settle(now, retry);
+        }
+    }
+
+    /// Has spare retries pay for those that have not arrived and that requests do not pay for any more.
+    pub(crate) fn cover_pending_retries(&mut self, now: Instant) {
+        for (pool, budget) in &mut self.retry_budgets {
+            let mut uncovered = budget.uncovered(now);
+            for (id, request) in &mut self.requests {
+                if uncovered <= 0.0 {
+                    break;
+                }
+                let Some(retry) = request.retry.as_mut().filter(|_| request.pool == *pool) else {
+                    continue;
+                };
+                if !budget.cover(now, retry) {
+                    warn!(event = "retry-uncovered", request = %id, %pool);
+                }
+                uncovered = budget.uncovered(now);
+            }
+        }
+    }
+
     /// Sets this router's part of the retries at each pool, and drops the budgets of pools that are gone.
     pub(crate) fn update_retry_limits(&mut self, now: Instant) {
         let pools = &self.pools;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -94,6 +94,7 @@
             first_token.get_or_insert(now);
             self.record_prompt_read(now, id);
         }
+        self.settle_retry(now, id);
     }
 
     /// Handles the end of a run.
@@ -108,6 +109,7 @@
         let relay = request.relay.is_some();
         info!(event = "run-ended", request = %id, end = end.name());
         self.record_run_result(now, id, &end);
+        self.settle_retry(now, id);
         if relay {
             self.handle_relay_end(now, id, end);
             return;
@@ -213,8 +215,7 @@
             return false;
         }
         let pool = self.requests[&id].pool.clone();
-        let terms = self.requests[&id].relay.as_mut();
-        let reserved = terms.is_some_and(|terms| std::mem::take(&mut terms.retry_reserved));
+        let reserved = self.requests[&id].reserved_retry.is_some();
         if !reserved && !self.retry_budget(now, &pool).has_retry(now) {
             self.log_refused_retry(id, pool);
             return false;
@@ -222,9 +223,9 @@
         let Some(endpoint) = self.pick_endpoint(now, id) else {
             return false;
         };
-        if !reserved {
-            self.retry_budget(now, &pool).try_retry(now);
-        }
+        let reserved = self.requests[&id].reserved_retry.take();
+        let retry = reserved.or_else(|| self.retry_budget(now, &pool).try_retry(now));
+        self.requests[&id].retry = retry;
         info!(event = "retry", request = %id, %endpoint, %pool);
         self.effects.push(Effect::CountRetry { pool, sent: true });
         self.dispatch(now, id, endpoint);
@@ -403,6 +404,8 @@
 
     /// Removes a request and releases what is held for it.
     pub(crate) fn finish(&mut self, now: Instant, id: RequestId) {
+        self.settle_retry(now, id);
+        self.settle_reserved(now, id);
         let Some(request) = self.requests.swap_remove(&id) else {
             return;
         };
--- a/src/router/tests/crashed_endpoints.rs
+++ b/src/router/tests/crashed_endpoints.rs
@@ -143,7 +143,7 @@
     let now = cluster.now;
     let pool = "engines".parse().expect("a name");
     let budget = cluster.nodes[router].core.retry_budget(now, &pool);
-    while budget.try_retry(now) {}
+    while budget.try_retry(now).is_some() {}
 }
 
 /// Has a caller try one router after another until its answer is whole; returns the kind of the last refusal if none is.
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -1,5 +1,7 @@
 //! Retries of a fleet of routers, counted for each pool and window over all of them.
 
+use std::time::Duration;
+
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::RunEnd;
@@ -119,3 +121,46 @@
     assert!(retries > 100, "{retries} retries");
     assert!(refusing * 10 < retries, "{refusing} of {retries}");
 }
+
+fn pending(site: &Site) -> u32 {
+    let mut budget = site.core.retry_budgets[&pool_name("pool")].clone();
+    budget.usage(site.now).pending
+}
+
+/// Guards against retries that are forgotten, or counted for ever, while it is unknown whether they arrived.
+#[test]
+fn a_retry_is_pending_until_its_answer_begins_or_its_run_ends() {
+    let mut site = Site::start_with_vms(1000, vms(2, 12));
+    site.wait_for_retries();
+    let refused = || RunEnd::NotRun { retry: None };
+    for number in 0..3 {
+        site.advance(3000);
+        let id = site.send("again", 0, 0);
+        assert_eq!(pending(&site), 0);
+        site.handle(Event::RunEnded(id, refused()));
+        assert_eq!(pending(&site), 1);
+        site.handle(match number {
+            0 => Event::AnswerStarted(id),
+            1 => Event::RunEnded(id, refused()),
+            _ => Event::RunEnded(id, RunEnd::CallerGone { usage: None }),
+        });
+        if site.runs(id).len() == 3 {
+            site.handle(Event::RunEnded(id, refused()));
+        }
+        assert_eq!(pending(&site), 0);
+    }
+}
+
+/// Guards against requests that pay for retries although they were sent long before, and waited in the sockets of a
+/// router that was paused.
+#[test]
+fn requests_that_waited_for_long_pay_for_no_retries() {
+    for (waited, expected) in [(0, 1), (20, 0)] {
+        let mut site = Site::start_with_vms(1000, vms(2, 12));
+        let waited = Duration::from_secs(waited);
+        site.core.record_idle(site.now - waited);
+        site.send("again", 0, 0);
+        let mut budget = site.core.retry_budgets[&pool_name("pool")].clone();
+        assert_eq!(budget.usage(site.now).requests, expected);
+    }
+}
--- a/tests/decisions/components.rs
+++ b/tests/decisions/components.rs
@@ -236,8 +236,9 @@
     let mut retries = 0;
     for _ in 0..10_000 {
         now += ms(10);
-        budget.record_request(now);
-        while budget.try_retry(now) {
+        budget.record_request(now, now);
+        while let Some(retry) = budget.try_retry(now) {
+            budget.settle(now, retry);
             retries += 1;
         }
     }
@@ -255,8 +256,11 @@
     let mut retries = 0;
     for at in 0..4000 {
         now += ms(10);
-        budget.record_request(now);
-        while at >= 3000 && budget.try_retry(now) {
+        budget.record_request(now, now);
+        while at >= 3000
+            && let Some(retry) = budget.try_retry(now)
+        {
+            budget.settle(now, retry);
             retries += 1;
         }
     }
--- a/tests/decisions/retry_limits.rs
+++ b/tests/decisions/retry_limits.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jasmineridge::PendingRetry;
 use jasmineridge::PoolId;
 use jasmineridge::RetryBudget;
 use jasmineridge::RetryLimit;
@@ -44,6 +45,10 @@
     paused_until: Instant,
     /// The pools of the requests that wait in its sockets meanwhile.
     waiting: Vec<usize>,
+    /// When its sockets were last found empty.
+    idle_at: Instant,
+    /// The retries that it sent: when they arrive, and at which pool.
+    sent: Vec<(Instant, usize, PendingRetry)>,
 }
 
 struct Play {
@@ -109,6 +114,8 @@
             cut: false,
             paused_until: self.now,
             waiting: Vec::new(),
+            idle_at: self.now,
+            sent: Vec::new(),
         }
     }
 
@@ -203,21 +210,32 @@
         }
     }
 
-    /// Has the routers whose pause is over read what waits in their sockets.
-    fn resume(&mut self) {
+    /// Has the routers that are not paused read what waits in their sockets: requests, and answers to retries.
+    fn read_sockets(&mut self) {
+        let now = self.now;
         for router in &mut self.routers {
-            if router.paused_until > self.now {
+            if router.paused_until > now {
                 continue;
             }
             for number in router.waiting.drain(..) {
-                router.budgets[number].record_request(self.now);
+                router.budgets[number].record_request(now, router.idle_at);
+            }
+            for (_, number, retry) in router.sent.extract_if(.., |(arrival, ..)| *arrival <= now) {
+                router.budgets[number].settle(now, retry);
+            }
+            router.idle_at = now;
+            for (_, number, retry) in &mut router.sent {
+                let budget = &mut router.budgets[*number];
+                if budget.uncovered(now) > 0.0 {
+                    budget.cover(now, retry);
+                }
             }
         }
     }
 
     fn step(&mut self) {
         self.now += STEP;
-        self.resume();
+        self.read_sockets();
         let due = self.rate * STEP.as_secs_f64();
         let due = due as usize + usize::from(self.rng.random_bool(due.fract()));
         for _ in 0..due {
@@ -239,7 +257,7 @@
             router.waiting.push(number);
             return;
         }
-        router.budgets[number].record_request(self.now);
+        router.budgets[number].record_request(self.now, self.now);
     }
 
     /// Has a router send all the retries that it may; each arrives up to the delay later.
@@ -249,10 +267,11 @@
         if self.routers[router].paused_until > self.now {
             return;
         }
-        while self.routers[router].budgets[number].try_retry(self.now) {
+        while let Some(retry) = self.routers[router].budgets[number].try_retry(self.now) {
             let later = self.limit.delay.mul_f64(self.rng.random_range(0.0..1.0));
             let arrival = (self.now + later).max(self.held_until);
             self.seen[number].retries.push(arrival);
+            self.routers[router].sent.push((arrival, number, retry));
         }
     }
 
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -244,7 +244,7 @@
         let limit = &mut self.limits[&job.account];
         if job.excluded.is_empty() {
             limit.try_acquire(now).map_err(|r| r.retry_after())?;
-            self.retry_budget.record_request(now);
+            self.retry_budget.record_request(now, now);
         }
         let ticket = QueueTicket {
             team: job.team.clone(),
@@ -308,7 +308,7 @@
         self.chooser.end(now, &vm, sample);
         // Retrying a request that did not run adds no work, and the ejection of the endpoint limits how often that
         // happens, so such a retry is not charged to the budget.
-        let retry = end == End::Refused || end == End::Failed && self.retry_budget.try_retry(now);
+        let retry = end == End::Refused || end == End::Failed && self.take_retry(now);
         retry.then(|| {
             self.retry_budget
                 .backoff(job.excluded.len() as u32, &mut self.rng)
@@ -316,6 +316,18 @@
     }
 }
 
+impl LibraryRouter {
+    /// Takes a retry, which arrives at once.
+    fn take_retry(&mut self, now: Instant) -> bool {
+        let retry = self.retry_budget.try_retry(now);
+        let taken = retry.is_some();
+        if let Some(retry) = retry {
+            self.retry_budget.settle(now, retry);
+        }
+        taken
+    }
+}
+
 impl BaselineRouter {
     fn next_dispatch(&mut self, jobs: &[Job]) -> Option<Dispatch> {
         let abandoned = |(id, tries): &(usize, u32)| jobs[*id].is_stale(*tries);
