Play real processes whose routers pause and whose links stall, and count retries as the rule does

Four routers of the platform's manner, a stand-in of its store, 24 endpoints behind links of the proxy stand-in that turn half of what arrives away; windows of 2 s, 200 requests a second; all routers stopped by SIGSTOP for 3 and 1 s, all links held for 1.5 and 0.8 s.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -19,7 +19,9 @@
 mod parted;
 mod poison;
 mod process;
+mod repeats;
 mod stopped;
+mod store;
 mod twice;
 mod verify;
 
--- /dev/null
+++ b/tests/faults/repeats.rs
@@ -0,0 +1,316 @@
+//! Routers of a platform with a metadata store, whose endpoints turn most requests away. Requests are counted where callers
+//! send them, and retries where endpoints receive them, while routers are paused and links stall.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use anyhow::Result;
+use bytes::Bytes;
+use indexmap::IndexSet;
+use jasmineridge::HttpClient;
+use jasmineridge::Proxy;
+use jasmineridge::start_proxy;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::interval;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::process::Process;
+use crate::store::Store;
+use crate::wait_for;
+
+const ROUTERS: usize = 4;
+const ENDPOINTS: usize = 24;
+/// How long anything may take that is expected to come, on a busy machine.
+const LIMIT: Duration = Duration::from_secs(30);
+/// The interval of the requests.
+const INTERVAL: Duration = Duration::from_millis(5);
+/// Of so many requests, endpoints serve one.
+const TURNED_AWAY: usize = 2;
+/// How long a caller waits for an answer, in milliseconds.
+const DEADLINE_MS: u64 = 4000;
+
+const RATIO: f64 = 0.2;
+const SPARE: f64 = 10.0;
+const WINDOW: Duration = Duration::from_secs(2);
+/// How far apart faults begin.
+const FAULT_INTERVAL: Duration = Duration::from_secs(6);
+
+/// When requests were sent, and when endpoints received those that they had received before.
+#[derive(Default)]
+struct Seen {
+    requests: Vec<Instant>,
+    arrived: IndexSet<String>,
+    retries: Vec<Instant>,
+}
+
+type Shared = Arc<Mutex<Seen>>;
+
+fn lock(seen: &Shared) -> MutexGuard<'_, Seen> {
+    seen.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Seen {
+    /// Returns the window with the most retries beyond those that are allowed: the retries, and how many are allowed.
+    ///
+    /// The requests are counted in the window, in the one before and in the one half a window before, whichever has most.
+    fn worst(&mut self) -> (usize, f64) {
+        self.retries.sort_unstable();
+        let count = |times: &[Instant], from: Instant| {
+            times.partition_point(|at| *at < from + WINDOW) - times.partition_point(|at| *at < from)
+        };
+        let windows = self.retries.iter().map(|from| {
+            let before = [Duration::ZERO, WINDOW / 2, WINDOW];
+            let requests = before.map(|earlier| count(&self.requests, *from - earlier));
+            let most = requests.into_iter().max().unwrap_or(0);
+            (count(&self.retries, *from), RATIO * most as f64 + SPARE)
+        });
+        let excess = |(retries, allowed): &(usize, f64)| *retries as f64 - allowed;
+        windows
+            .max_by(|a, b| excess(a).total_cmp(&excess(b)))
+            .unwrap_or_default()
+    }
+}
+
+/// Starts an endpoint that turns most requests away.
+async fn start_endpoint(seen: Shared) -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, seen.clone()));
+        }
+    });
+    Ok(address)
+}
+
+/// Answers the requests on a connection, none of which has a body.
+async fn serve(mut stream: TcpStream, seen: Shared) -> Result<()> {
+    let mut head = Vec::new();
+    loop {
+        head.push(stream.read_u8().await?);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let text = String::from_utf8_lossy(&head).into_owned();
+        head.clear();
+        let name = "request-id: ";
+        let id = text.lines().find_map(|line| line.strip_prefix(name));
+        // A check of whether the endpoint is healthy has no name.
+        let answer = match id {
+            None => "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            Some(id) => {
+                let mut seen = lock(&seen);
+                if !seen.arrived.insert(id.to_owned()) {
+                    seen.retries.push(Instant::now());
+                }
+                let served = (seen.arrived.len() + seen.retries.len()).is_multiple_of(TURNED_AWAY);
+                let head = match served {
+                    true => "200 OK\r\nresponse-seal: 1",
+                    false => "503 Service Unavailable\r\nnot-executed: 1",
+                };
+                format!("HTTP/1.1 {head}\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n")
+            }
+        };
+        stream.write_all(answer.as_bytes()).await?;
+    }
+}
+
+struct Router {
+    process: Process,
+    front: SocketAddr,
+}
+
+/// The addresses of a VM; each one has an IP address of its own, as no other test or run of this one has.
+fn address(vm: usize, port: u16) -> SocketAddr {
+    let run = std::process::id();
+    let [high, low] = [run / 200 % 200 + 20, run % 200 + 20].map(|part| part as u8);
+    SocketAddr::from(([127, high, low, vm as u8 + 1], port))
+}
+
+fn start_router(number: usize, store: SocketAddr) -> Result<Router> {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let settings = json!({
+        "vm": format!("router-{number}"),
+        "domain": "domain-0",
+        "front": address(number, 20_001),
+        "ready": address(number, 20_002),
+        "directory": address(number, 20_003),
+        "peer_listen": address(number, 20_004),
+        "admin": address(number, 20_005),
+        "store": store,
+        "grace_ms": 8000,
+        "keep_ms": 1000,
+        "config_ms": 2000,
+        "retry_ratio": RATIO,
+        "retry_spare": SPARE,
+        "retry_window_ms": WINDOW.as_millis() as u64,
+    });
+    let path = dir.join(format!("repeats-{number}.json"));
+    std::fs::write(&path, settings.to_string())?;
+    let log = File::create(dir.join(format!("repeats-{number}.log")))?;
+    let child = Command::new(env!("CARGO_BIN_EXE_jasmineridged"))
+        .args(["--site", "--settings"])
+        .arg(&path)
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    Ok(Router {
+        process: Process::of(child),
+        front: address(number, 20_001),
+    })
+}
+
+struct Site {
+    routers: Vec<Router>,
+    seen: Shared,
+    http: HttpClient,
+    /// The control address of the proxy that has all links to endpoints.
+    links: SocketAddr,
+}
+
+impl Site {
+    async fn start() -> Result<Self> {
+        let seen = Shared::default();
+        let (store, at) = Store::start().await?;
+        let proxy = Proxy::new();
+        for number in 0..ENDPOINTS {
+            let endpoint = start_endpoint(seen.clone()).await?;
+            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+            let link = proxy.link(&format!("endpoint-{number}"), any_port, endpoint)?;
+            let entry = json!({
+                "service": "records", "address": link, "zone": "domain-0", "version": "v1", "slots": 1000,
+                "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+            });
+            store.put("keyed.servers", &format!("i-{number}"), &entry);
+        }
+        let route = json!({
+            "name": "r", "host": "records.example", "pathPrefix": "/records/", "kind": "idempotent",
+            "timeoutMs": DEADLINE_MS, "targetLatencyMs": 300, "priority": 1, "service": "records",
+            "maxAttempts": 3, "public": true,
+        });
+        let limits = json!({
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
+        });
+        let service = json!({"name": "records", "healthPath": "/health", "maxConnections": 1000});
+        let config =
+            json!({"version": 1, "routes": [route], "services": [service], "limits": limits});
+        store.put("keyed.op", "config", &config);
+        let routers = (0..ROUTERS).map(|number| start_router(number, at));
+        let site = Self {
+            routers: routers.collect::<Result<_>>()?,
+            seen,
+            http: HttpClient::default(),
+            links: start_proxy(SocketAddr::from(([127, 0, 0, 1], 0)), proxy)?.address,
+        };
+        wait_for("all routers are listed", LIMIT, async || {
+            Ok(store.count("keyed.routers") == ROUTERS)
+        })
+        .await?;
+        for router in &site.routers {
+            wait_for("the router serves", LIMIT, async || {
+                Ok(ask(router.front, "ready").await?.contains(" 200 "))
+            })
+            .await?;
+        }
+        lock(&site.seen).requests.clear();
+        Ok(site)
+    }
+
+    /// Sends requests to the routers in turn, without waiting for answers.
+    async fn send_requests(&self, length: Duration) {
+        let mut ticks = interval(INTERVAL);
+        let begin = Instant::now();
+        let mut number = 0;
+        while begin.elapsed() < length {
+            ticks.tick().await;
+            let front = self.routers[number % ROUTERS].front;
+            let name = format!("r{number}");
+            lock(&self.seen).requests.push(Instant::now());
+            tokio::spawn(async move { ask(front, &name).await });
+            number += 1;
+        }
+    }
+
+    async fn pause_routers(&self, length: Duration) -> Result<()> {
+        for router in &self.routers {
+            router.process.signal("STOP")?;
+        }
+        sleep(length).await;
+        for router in &self.routers {
+            router.process.signal("CONT")?;
+        }
+        Ok(())
+    }
+
+    async fn stall_links(&self, length: Duration) -> Result<()> {
+        for (faults, then) in [(r#"{"drop_to": true}"#, length), ("{}", Duration::ZERO)] {
+            for number in 0..ENDPOINTS {
+                let url = format!("http://{}/v1/links/endpoint-{number}/faults", self.links);
+                self.http
+                    .post(&url, Bytes::from_static(faults.as_bytes()), LIMIT)
+                    .await?;
+            }
+            sleep(then).await;
+        }
+        Ok(())
+    }
+}
+
+/// Sends a request over a connection of its own, and returns the head of its answer.
+async fn ask(front: SocketAddr, name: &str) -> Result<String> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(front).await?;
+        let head = format!(
+            "GET /records/{name} HTTP/1.1\r\nhost: records.example\r\nrequest-id: {name}\r\ndeadline-ms: {DEADLINE_MS}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        let mut answer = vec![0; 1024];
+        let read = stream.read(&mut answer).await?;
+        Ok(String::from_utf8_lossy(&answer[..read]).into_owned())
+    };
+    timeout(Duration::from_millis(DEADLINE_MS), exchange).await?
+}
+
+/// Guards against retries beyond the limit of a service that come about only between real processes: requests that wait
+/// in the sockets of paused routers, and retries that links hold back.
+#[tokio::test]
+async fn retries_keep_to_the_limit_when_processes_pause_and_links_stall() -> Result<()> {
+    let site = Site::start().await?;
+    let pauses = [3000, 1000].map(Duration::from_millis);
+    let stalls = [1500, 800].map(Duration::from_millis);
+    let faults = async {
+        for (pause, stall) in pauses.into_iter().zip(stalls) {
+            sleep(FAULT_INTERVAL - pause).await;
+            site.pause_routers(pause).await?;
+            sleep(FAULT_INTERVAL - stall).await;
+            site.stall_links(stall).await?;
+        }
+        anyhow::Ok(())
+    };
+    let length = 4 * FAULT_INTERVAL + WINDOW;
+    let ((), done) = tokio::join!(site.send_requests(length), faults);
+    done?;
+    let mut seen = lock(&site.seen);
+    let (retries, allowed) = seen.worst();
+    println!(
+        "{} requests, {} retries, at most {retries} in a window, of {allowed} allowed",
+        seen.requests.len(),
+        seen.retries.len()
+    );
+    assert!(!seen.retries.is_empty(), "the endpoints are in trouble");
+    assert!(retries as f64 <= allowed, "{retries} of {allowed}");
+    Ok(())
+}
