Count the time for which a VM is suspended in the windows of retries

The process's clock stands still while its VM is suspended, so that requests of before paid for retries of seconds later than the rule allows. The clock of the VM's boot goes on: the difference moves what was counted into the past, and is logged (suspended).

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -169,6 +169,11 @@
         self.window.record_request(now, earliest);
     }
 
+    /// Moves all that was counted into the past, by a time that the clock did not count.
+    pub fn skip(&mut self, time: Duration) {
+        self.window.skip(time);
+    }
+
     /// Returns whether a retry is available, without taking it.
     pub fn has_retry(&mut self, now: Instant) -> bool {
         self.charge(now).is_some()
--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -119,6 +119,11 @@
         };
     }
 
+    /// Moves what was counted into the past.
+    pub(super) fn skip(&mut self, time: Duration) {
+        self.start = self.start.checked_sub(time).unwrap_or(self.start);
+    }
+
     /// Counts a request that reached this router's sockets at `earliest` or later.
     pub(super) fn record_request(&mut self, now: Instant, earliest: Instant) {
         self.advance(now);
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -230,10 +230,7 @@
             };
             let now = self.clock.now();
             last = self.note_pause(now, last);
-            let wait = self.idle.as_ref().map(|idle| idle.longest_wait());
-            if let Some(idle_at) = wait.and_then(|wait| now.checked_sub(wait)) {
-                self.core.record_idle(idle_at);
-            }
+            self.check_idle(now);
             let ticked = matches!(event, Event::Tick);
             let mut effects = self.core.handle(now, event);
             if now >= last + TICK {
@@ -280,6 +277,20 @@
         last
     }
 
+    /// Tells the core since when requests may have been waiting, and of a suspension of the VM.
+    fn check_idle(&mut self, now: Instant) {
+        let Some(idle) = &self.idle else {
+            return;
+        };
+        if let Some(time) = idle.suspension() {
+            warn!(event = "suspended", for_ms = time.as_millis());
+            self.core.skip_retry_windows(time);
+        }
+        if let Some(idle_at) = now.checked_sub(idle.longest_wait()) {
+            self.core.record_idle(idle_at);
+        }
+    }
+
     fn show_ledger(&self) {
         self.desk.set_ledger_next(self.core.ledger_next());
         for sender in self.desk.take_snapshots() {
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -1,5 +1,6 @@
 //! This router's part of the retries that all routers may send to each pool.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexSet;
@@ -71,6 +72,13 @@
         }
     }
 
+    /// Moves what was counted into the past, by a time that the clock did not count.
+    pub(crate) fn skip_retry_windows(&mut self, time: Duration) {
+        self.retry_budgets
+            .values_mut()
+            .for_each(|budget| budget.skip(time));
+    }
+
     /// Sets this router's part of the retries at each pool, and drops the budgets of pools that are gone.
     pub(crate) fn update_retry_limits(&mut self, now: Instant) {
         let pools = &self.pools;
--- a/tests/decisions/retry_limits.rs
+++ b/tests/decisions/retry_limits.rs
@@ -43,6 +43,10 @@
     cut: bool,
     /// Until when its process is paused.
     paused_until: Instant,
+    /// Since when its VM is suspended, which stops its clock.
+    suspended: Option<Instant>,
+    /// By how much its clock is late.
+    late: Duration,
     /// The pools of the requests that wait in its sockets meanwhile.
     waiting: Vec<usize>,
     /// When its sockets were last found empty.
@@ -51,6 +55,13 @@
     sent: Vec<(Instant, usize, PendingRetry)>,
 }
 
+impl Router {
+    /// Returns what its own clock shows.
+    fn clock(&self, now: Instant) -> Instant {
+        now - self.late
+    }
+}
+
 struct Play {
     rng: ChaCha8Rng,
     now: Instant,
@@ -113,6 +124,8 @@
             listed,
             cut: false,
             paused_until: self.now,
+            suspended: None,
+            late: Duration::ZERO,
             waiting: Vec::new(),
             idle_at: self.now,
             sent: Vec::new(),
@@ -188,13 +201,14 @@
             let vm = router.vm.clone();
             for pool in 0..POOLS {
                 let part = self.part(&vm, self.running, pool);
-                self.routers[number].budgets[pool].set_limit(self.now, part);
+                let now = self.routers[number].clock(self.now);
+                self.routers[number].budgets[pool].set_limit(now, part);
             }
             self.routers[number].listed = self.running;
         }
     }
 
-    /// Pauses some routers, or has the links hold back what is sent to endpoints.
+    /// Pauses some routers or suspends their VMs, or has the links hold back what is sent to endpoints.
     fn stall(&mut self) {
         if self.rng.random_bool(0.5) {
             let longest = self.limit.window.mul_f64(HELD_SHARE);
@@ -202,10 +216,12 @@
             return;
         }
         let share = [0.2, 0.6, 1.0][self.rng.random_range(0..3)];
+        let suspended = self.rng.random_bool(0.5).then_some(self.now);
         let until = self.now + LONGEST_PAUSE.mul_f64(self.rng.random_range(0.0..1.0));
         for router in &mut self.routers {
             if self.rng.random_bool(share) {
                 router.paused_until = until;
+                router.suspended = router.suspended.or(suspended);
             }
         }
     }
@@ -217,17 +233,25 @@
             if router.paused_until > now {
                 continue;
             }
+            if let Some(since) = router.suspended.take() {
+                router.late += now - since;
+                for budget in &mut router.budgets {
+                    budget.skip(now - since);
+                }
+            }
+            let clock = router.clock(now);
+            let earliest = router.clock(router.idle_at);
             for number in router.waiting.drain(..) {
-                router.budgets[number].record_request(now, router.idle_at);
+                router.budgets[number].record_request(clock, earliest);
             }
             for (_, number, retry) in router.sent.extract_if(.., |(arrival, ..)| *arrival <= now) {
-                router.budgets[number].settle(now, retry);
+                router.budgets[number].settle(clock, retry);
             }
             router.idle_at = now;
             for (_, number, retry) in &mut router.sent {
                 let budget = &mut router.budgets[*number];
-                if budget.uncovered(now) > 0.0 {
-                    budget.cover(now, retry);
+                if budget.uncovered(clock) > 0.0 {
+                    budget.cover(clock, retry);
                 }
             }
         }
@@ -257,7 +281,8 @@
             router.waiting.push(number);
             return;
         }
-        router.budgets[number].record_request(self.now, self.now);
+        let clock = router.clock(self.now);
+        router.budgets[number].record_request(clock, clock);
     }
 
     /// Has a router send all the retries that it may; each arrives up to the delay later.
@@ -267,7 +292,8 @@
         if self.routers[router].paused_until > self.now {
             return;
         }
-        while let Some(retry) = self.routers[router].budgets[number].try_retry(self.now) {
+        let clock = self.routers[router].clock(self.now);
+        while let Some(retry) = self.routers[router].budgets[number].try_retry(clock) {
             let later = self.limit.delay.mul_f64(self.rng.random_range(0.0..1.0));
             let arrival = (self.now + later).max(self.held_until);
             self.seen[number].retries.push(arrival);
@@ -348,7 +374,7 @@
 }
 
 /// Guards against retries that arrive in another window than they were sent in, and against requests that pay for
-/// retries in another window than they were sent in, because routers are paused or links hold back bytes.
+/// retries in another window than they were sent in, because routers are paused, VMs are suspended or links hold back bytes.
 #[test]
 fn retries_keep_to_the_limit_when_routers_pause_and_links_stall() {
     for (size, seeds) in [(1, 20), (7, 20), (76, 6), (195, 3), (985, 1)] {
