--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -118,7 +118,7 @@
     let routers = bind(settings.peer_listen)?;
     let admin = bind(settings.admin)?;
     let teller = Teller::bind(settings.peer_listen).await?;
-    info!(event = "listening", vm = %settings.vm, front = %settings.front);
+    log_start(&settings);
     let (sender, events) = mpsc::unbounded_channel();
     let mut seeds = rand::rng();
     let origin = format!("{}-{:08x}", settings.vm, seeds.next_u32());
@@ -165,6 +165,14 @@
     driver.run(events).await
 }
 
+/// Logs what runs: the program's commit and the settings in force.
+fn log_start(settings: &SiteSettings) {
+    let commit = env!("JASMINERIDGE_COMMIT");
+    let in_force = serde_json::to_string(settings).unwrap_or_default();
+    info!(event = "started", commit, settings = in_force);
+    info!(event = "listening", vm = %settings.vm, front = %settings.front);
+}
+
 fn serve_front(listener: tokio::net::TcpListener, desk: &Arc<Desk>) {
     let relays = Arc::new(Relays {
         desk: desk.clone(),
