--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -62,7 +62,7 @@
     pub(crate) endpoint: String,
 }
 
-/// One connection. Dropped, it is closed at once, which makes an endpoint stop what it runs for it.
+/// One connection. Dropped, it is reset at once, which makes an endpoint stop what it runs for it.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -37,8 +37,8 @@
 const LIMIT: Duration = Duration::from_secs(30);
 /// The interval of the requests.
 const INTERVAL: Duration = Duration::from_millis(5);
-/// Of so many requests, endpoints serve one.
-const TURNED_AWAY: usize = 2;
+/// Endpoints serve one of so many requests, and turn the others away.
+const SERVED_EVERY: usize = 2;
 /// How long a caller waits for an answer, in milliseconds.
 const DEADLINE_MS: u64 = 4000;
 
@@ -116,7 +116,7 @@
                 if !seen.arrived.insert(id.to_owned()) {
                     seen.retries.push(Instant::now());
                 }
-                let served = (seen.arrived.len() + seen.retries.len()).is_multiple_of(TURNED_AWAY);
+                let served = (seen.arrived.len() + seen.retries.len()).is_multiple_of(SERVED_EVERY);
                 let head = match served {
                     true => "200 OK\r\nresponse-seal: 1",
                     false => "503 Service Unavailable\r\nnot-executed: 1",
