--- a/src/edge/clock.rs
+++ b/src/edge/clock.rs
@@ -40,11 +40,11 @@
     C: Clock,
 {
     // The process's own clock is read last: its moments are then too early rather than too late.
-    let uptime = clock_gettime(ClockId::Boottime);
+    let uptime = uptime();
     let start = Moment {
         host: HostId(xxh3_64(address.ip().to_string().as_bytes())),
         boot: boot_id(),
-        uptime: Duration::try_from(uptime).unwrap_or_default(),
+        uptime,
         wall: clock
             .wall()
             .duration_since(SystemTime::UNIX_EPOCH)
@@ -53,6 +53,11 @@
     BootClock::new(start, clock.now())
 }
 
+/// Returns the time since the VM's boot, with the time for which it was suspended.
+pub(crate) fn uptime() -> Duration {
+    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
+}
+
 /// Returns the boot's name; one that no other process has, where it can't be read.
 fn boot_id() -> BootId {
     match fs::read(BOOT_ID) {
--- a/src/edge/idle.rs
+++ b/src/edge/idle.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rustix::time::ClockId;
-use rustix::time::clock_gettime;
-
+use crate::edge::clock::uptime;
 use crate::edge::desk::lock;
 
 /// The shortest suspension that is noticed. The two clocks are not read at the same moment.
@@ -69,7 +67,3 @@
         uptime().saturating_sub(lock(&self.times)[0])
     }
 }
-
-fn uptime() -> Duration {
-    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
-}
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -43,16 +43,6 @@
         }
     }
 
-    /// Records that the retry that was reserved for a request is not sent.
-    pub(crate) fn settle_reserved(&mut self, now: Instant, id: RequestId) {
-        if let Some(request) = self.requests.get_mut(&id)
-            && let Some(retry) = request.reserved_retry.take()
-        {
-            let pool = request.pool.clone();
-            self.retry_budget(now, &pool).settle(now, retry);
-        }
-    }
-
     /// Has spare retries pay for those that have not arrived and that requests do not pay for any more.
     pub(crate) fn cover_pending_retries(&mut self, now: Instant) {
         for (pool, budget) in &mut self.retry_budgets {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -404,11 +404,13 @@
 
     /// Removes a request and releases what is held for it.
     pub(crate) fn finish(&mut self, now: Instant, id: RequestId) {
-        self.settle_retry(now, id);
-        self.settle_reserved(now, id);
-        let Some(request) = self.requests.swap_remove(&id) else {
+        let Some(mut request) = self.requests.swap_remove(&id) else {
             return;
         };
+        let retries = [request.retry.take(), request.reserved_retry.take()];
+        for retry in retries.into_iter().flatten() {
+            self.retry_budget(now, &request.pool).settle(now, retry);
+        }
         let took = now.saturating_duration_since(request.arrived_at);
         info!(event = "finished", request = %id, took_ms = took.as_millis());
         if let Some(terms) = &request.relay {
--- a/tests/decisions/router.rs
+++ b/tests/decisions/router.rs
@@ -314,9 +314,7 @@
                 .backoff(job.excluded.len() as u32, &mut self.rng)
         })
     }
-}
 
-impl LibraryRouter {
     /// Takes a retry, which arrives at once.
     fn take_retry(&mut self, now: Instant) -> bool {
         let retry = self.retry_budget.try_retry(now);
