Log how an endpoint's stream ended and why an answer broke off

A stream that is not framed, ends inside an event or breaks off is now logged with its framing, its events, the bytes after the last one and the error; a plain answer that breaks off with its framing and error. A failed endpoint's body that broke off was dropped without a word. No logic changed.

--- a/src/edge/relay/events.rs
+++ b/src/edge/relay/events.rs
@@ -52,6 +52,11 @@
         self.rest.split().freeze()
     }
 
+    /// Returns how many bytes came after the last whole event.
+    pub(crate) fn partial(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Forgets half of an event, since another endpoint goes on from the last whole one.
     pub(crate) fn resume(&mut self) {
         self.rest.clear();
--- a/src/edge/relay/mod.rs
+++ b/src/edge/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that are passed on as they came: the connections of callers and of endpoints, and what goes between them.
 
 mod events;
+mod framing;
 mod front;
 mod request;
 mod serve;
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -1,5 +1,6 @@
 //! One request, from its head to its answer.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +28,7 @@
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
 use crate::edge::desk::Line;
+use crate::edge::relay::framing::Framing;
 use crate::edge::relay::front;
 use crate::edge::relay::front::Reply;
 use crate::edge::relay::request::Ask;
@@ -96,6 +98,8 @@
 pub(crate) struct Kept {
     connection: Connection,
     idle: Option<Option<Duration>>,
+    /// What ends the answer.
+    pub(crate) framing: Framing,
 }
 
 /// What came of sending a request to an endpoint.
@@ -145,6 +149,7 @@
         };
         let kept = Kept {
             idle: relays.dialect.keep_alive(answer.headers()),
+            framing: Framing::of(&answer),
             connection,
         };
         let verdict = relays.dialect.verdict(&self.ask, &answer);
@@ -159,7 +164,11 @@
         match verdict {
             Verdict::Answer => Sent::Answer(Box::new(kept), Box::new(answer)),
             Verdict::Failed if run.idempotent && last.is_none() => {
-                self.failure = gather(relays, kept, answer).await;
+                let framing = kept.framing;
+                let failure = gather(relays, kept, answer).await;
+                self.failure = failure
+                    .inspect_err(|error| self.log_broken(framing, error))
+                    .ok();
                 Sent::Over(broken(None, false))
             }
             Verdict::Failed => Sent::Answer(Box::new(kept), Box::new(answer)),
@@ -196,12 +205,22 @@
         desk.tell(Event::RunEnded(self.line.id, end));
     }
 
+    /// Returns the endpoint of the run in progress.
+    pub(crate) fn endpoint(&self) -> Option<&str> {
+        self.run.as_ref().map(|run| run.endpoint.as_str())
+    }
+
     /// Returns the most tokens that one event holds.
     pub(crate) fn stride(&self) -> u64 {
         let relay = self.run.as_ref().and_then(|run| run.relay.as_ref());
         relay.map_or(1, |relay| relay.stride)
     }
 
+    /// Logs why an answer that is no stream is not whole.
+    fn log_broken(&self, framing: Framing, error: &BodyError) {
+        info!(event = "answer-broken", request = %self.line.id, endpoint = self.endpoint(), %framing, %error);
+    }
+
     fn request(
         &self,
         relays: &Relays,
@@ -229,14 +248,21 @@
     }
 }
 
-/// Reads an answer that is no stream whole; nothing where it breaks off.
-async fn gather(relays: &Relays, kept: Kept, answer: Response<Incoming>) -> Option<Reply> {
+/// Why the body of an answer could not be read.
+type BodyError = Box<dyn Error + Send + Sync>;
+
+/// Reads an answer that is no stream whole.
+async fn gather(
+    relays: &Relays,
+    kept: Kept,
+    answer: Response<Incoming>,
+) -> Result<Reply, BodyError> {
     let (mut parts, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER).collect().await.ok()?;
+    let body = Limited::new(body, MAX_ANSWER).collect().await?.to_bytes();
     relays.keep(kept);
     relays.dialect.strip(&mut parts.headers);
-    let body = Full::new(body.to_bytes()).map_err(|never| match never {});
-    Some(Response::from_parts(parts, body.boxed()))
+    let body = Full::new(body).map_err(|never| match never {});
+    Ok(Response::from_parts(parts, body.boxed()))
 }
 
 /// Returns the end of a run that broke off, of which so much went to the caller.
@@ -371,6 +397,7 @@
     kept: Kept,
     answer: Response<Incoming>,
 ) -> Option<Reply> {
+    let framing = kept.framing;
     let gathered = tokio::select! {
         gathered = gather(relays, kept, answer) => gathered,
         command = runner.line.next() => {
@@ -382,10 +409,13 @@
             return Some(refuse(runner, command));
         }
     };
-    let Some(reply) = gathered else {
-        info!(event = "answer-broken", request = %runner.line.id);
-        runner.end(broken(None, false));
-        return None;
+    let reply = match gathered {
+        Ok(reply) => reply,
+        Err(error) => {
+            runner.log_broken(framing, &error);
+            runner.end(broken(None, false));
+            return None;
+        }
     };
     runner.end(RunEnd::Answered {
         status: reply.status().as_u16(),
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -10,9 +10,11 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tracing::info;
 
 use crate::edge::desk::Command;
 use crate::edge::relay::events::EventSplitter;
+use crate::edge::relay::framing::Framing;
 use crate::edge::relay::serve::Kept;
 use crate::edge::relay::serve::Relays;
 use crate::edge::relay::serve::Runner;
@@ -105,7 +107,10 @@
             };
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(_)) => return End::Broken,
+                Some(Err(error)) => {
+                    self.log_end(connection.framing, &error.to_string());
+                    return End::Broken;
+                }
                 None => break,
             };
             let events = self.splitter.push(&bytes);
@@ -117,6 +122,9 @@
                 return End::CallerGone;
             }
         }
+        if connection.framing == Framing::Connection || self.splitter.partial() > 0 {
+            self.log_end(connection.framing, "none");
+        }
         let rest = self.splitter.rest();
         if !rest.is_empty() && !self.give(rest).await {
             return End::CallerGone;
@@ -124,6 +132,13 @@
         End::Whole(connection)
     }
 
+    /// Logs how an endpoint's stream ended, unless it is framed and ended after an event.
+    fn log_end(&self, framing: Framing, error: &str) {
+        let partial = self.splitter.partial();
+        info!(event = "stream-ended", request = %self.runner.line.id, endpoint = self.runner.endpoint(), %framing,
+            events = self.events, partial, error);
+    }
+
     async fn give(&self, bytes: Bytes) -> bool {
         self.out.send(Ok(Frame::data(bytes))).await.is_ok()
     }
