--- /dev/null
+++ b/tests/faults/broken_answers.rs
@@ -0,0 +1,352 @@
+//! Endpoints that answer in full or break off, in each way in which an answer may be framed and a connection may end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use indexmap::IndexMap;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::platform::Router;
+use crate::platform::ask;
+use crate::platform::put_config;
+use crate::platform::put_endpoint;
+use crate::platform::route;
+use crate::store::Store;
+
+/// A service whose streams may not be resumed, one whose streams may, and one without streams.
+const ONCE: &str = "once";
+const RESUMABLE: &str = "resumable";
+const RECORDS: &str = "records";
+
+const ENDPOINTS: usize = 3;
+
+/// How long an endpoint waits before it resets a connection, so that what it sent has been read.
+const SETTLE: Duration = Duration::from_millis(100);
+
+/// How an endpoint frames an answer.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+    Connection,
+}
+
+/// How an endpoint ends the connection after an answer.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// An endpoint's answer to one run.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    framing: Framing,
+    body: &'static str,
+    end: End,
+}
+
+impl Answer {
+    fn unframed(body: &'static str) -> Self {
+        Self {
+            framing: Framing::Connection,
+            body,
+            end: End::Close,
+        }
+    }
+
+    async fn send(self, stream: &mut TcpStream, name: &str, kind: &str) -> Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\nrequest-id: {name}\r\ncontent-type: {kind}\r\n"
+        );
+        let body = self.body;
+        let length = body.len();
+        let rest = match self.framing {
+            Framing::Length => {
+                format!("connection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+            }
+            Framing::Chunks => {
+                let chunk = match length {
+                    0 => String::new(),
+                    _ => format!("{length:x}\r\n{body}\r\n"),
+                };
+                format!("connection: close\r\ntransfer-encoding: chunked\r\n\r\n{chunk}0\r\n\r\n")
+            }
+            Framing::Connection => format!("\r\n{body}"),
+        };
+        stream.write_all((head + &rest).as_bytes()).await?;
+        match self.end {
+            End::Close => stream.shutdown().await?,
+            End::Reset => {
+                sleep(SETTLE).await;
+                stream.set_zero_linger()?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The answers to the runs of each request, and the event after which each run was to go on.
+#[derive(Default)]
+struct Script {
+    answers: IndexMap<String, Vec<Answer>>,
+    resumed: IndexMap<String, Vec<Option<String>>>,
+}
+
+type Shared = Arc<Mutex<Script>>;
+
+struct Site {
+    router: Router,
+    script: Shared,
+    _store: Store,
+}
+
+impl Site {
+    async fn start(vm: usize) -> Result<Self> {
+        let script = Shared::default();
+        let (store, at) = Store::start().await?;
+        let mut resumable = route(RESUMABLE, "streaming");
+        resumable["resumable"] = json!(true);
+        let routes = [
+            route(ONCE, "streaming"),
+            resumable,
+            route(RECORDS, "idempotent"),
+        ];
+        put_config(&store, &routes);
+        for service in [ONCE, RESUMABLE, RECORDS] {
+            for number in 0..ENDPOINTS {
+                let endpoint = start_endpoint(script.clone()).await?;
+                put_endpoint(&store, &format!("{service}-{number}"), service, endpoint);
+            }
+        }
+        let settings = json!({"retry_ratio": 0.2, "retry_spare": 100.0, "retry_window_ms": 2000});
+        let site = Self {
+            router: Router::start(vm, at, &settings)?,
+            script,
+            _store: store,
+        };
+        site.router.wait_serving(RECORDS).await?;
+        Ok(site)
+    }
+
+    /// Sends a request whose runs get the given answers, and returns what the caller gets.
+    async fn ask(&self, service: &str, name: &str, answers: &[Answer]) -> Result<Received> {
+        self.lock()
+            .answers
+            .insert(name.to_owned(), answers.to_vec());
+        let answer = ask(self.router.front, &format!("{service}/{name}"), name).await?;
+        Received::read(&answer).with_context(|| format!("{name}: {answer:?}"))
+    }
+
+    /// Returns the events after which the runs of a request were to go on.
+    fn resumed(&self, name: &str) -> Vec<Option<String>> {
+        self.lock().resumed[name].clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Script> {
+        self.script.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn start_endpoint(script: Shared) -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, script.clone()));
+        }
+    });
+    Ok(address)
+}
+
+/// Answers one request, which has no body.
+async fn serve(mut stream: TcpStream, script: Shared) -> Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    let head = String::from_utf8(head)?;
+    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+    let Some(name) = field("request-id: ") else {
+        let healthy = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+        return Ok(stream.write_all(healthy).await?);
+    };
+    let kind = match head.contains("/records/") {
+        true => "text/plain",
+        false => "text/event-stream",
+    };
+    let last = field("last-event-id: ").map(str::to_owned);
+    let answer = {
+        let mut script = script.lock().unwrap_or_else(PoisonError::into_inner);
+        let runs = script.resumed.entry(name.to_owned()).or_default();
+        runs.push(last);
+        let run = runs.len() - 1;
+        let answers = script.answers.get(name);
+        answers.and_then(|answers| answers.get(run).copied())
+    };
+    let answer = answer.unwrap_or(Answer::unframed(""));
+    answer.send(&mut stream, name, kind).await
+}
+
+/// What a caller got.
+#[derive(Debug)]
+struct Received {
+    status: u16,
+    body: String,
+    /// Whether it is framed as complete.
+    complete: bool,
+}
+
+impl Received {
+    fn read(answer: &str) -> Result<Self> {
+        let (head, rest) = answer.split_once("\r\n\r\n").context("no head")?;
+        let status = head.split(' ').nth(1).context("no status")?.parse()?;
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        if let Some(length) = length {
+            return Ok(Self {
+                status,
+                body: rest.to_owned(),
+                complete: rest.len() == length.parse::<usize>()?,
+            });
+        }
+        let mut body = String::new();
+        let mut chunks = rest;
+        while let Some((size, after)) = chunks.split_once("\r\n") {
+            let size = usize::from_str_radix(size, 16)?;
+            if size == 0 {
+                return Ok(Self {
+                    status,
+                    body,
+                    complete: after == "\r\n",
+                });
+            }
+            let (chunk, after) = after.split_at_checked(size).context("half a chunk")?;
+            body.push_str(chunk);
+            chunks = after.strip_prefix("\r\n").context("no end of a chunk")?;
+        }
+        Ok(Self {
+            status,
+            body,
+            complete: false,
+        })
+    }
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
+const ENDS: [End; 2] = [End::Close, End::Reset];
+
+const FIRST: &str = "id: 1\ndata: a\n\n";
+
+/// Guards against streams that broke off, before their first event or inside one, and are passed on as complete.
+#[tokio::test]
+async fn a_stream_that_breaks_off_is_not_complete() -> Result<()> {
+    let site = Site::start(100).await?;
+    let mut wrong = Vec::new();
+    for framing in FRAMINGS {
+        for end in ENDS {
+            for (body, whole) in [
+                ("id: 1\ndata: a\n\nid: 2\nda", FIRST),
+                ("id: 1\ndata: a\n\nid: 2\ndata: b\n", FIRST),
+                ("id: 1\nda", ""),
+                ("", ""),
+            ] {
+                let name = format!("{framing:?}-{end:?}-{}", body.len());
+                let answer = Answer { framing, body, end };
+                let received = site.ask(ONCE, &name, &[answer]).await?;
+                if received.complete || received.body != whole {
+                    wrong.push(format!("{name}: {received:?}"));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    let log = site.router.logged()?;
+    let runs = log.lines().filter(|line| line.contains("event=run-ended"));
+    assert!(
+        !runs.clone().any(|line| line.contains("end=whole")),
+        "no run is whole"
+    );
+    Ok(())
+}
+
+/// Guards against parts of events in a resumed stream, and against events that are missing or come twice where runs meet.
+#[tokio::test]
+async fn a_resumed_stream_goes_on_after_the_last_whole_event() -> Result<()> {
+    let site = Site::start(101).await?;
+    let second = Answer::unframed("id: 2\ndata: b\n\nid: 3\ndata");
+    let third = Answer::unframed("id: 3\ndata: c\n\n");
+    let whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    for framing in FRAMINGS {
+        let first = Answer {
+            framing,
+            ..Answer::unframed("id: 1\ndata: a\n\nid: 2\nda")
+        };
+        let name = format!("{framing:?}");
+        let received = site.ask(RESUMABLE, &name, &[first, second, third]).await?;
+        assert!(received.complete, "{name}: {received:?}");
+        assert_eq!(received.body, whole, "{name}");
+        let after = [None, Some("1".to_owned()), Some("2".to_owned())];
+        assert_eq!(site.resumed(&name), after, "{name}");
+    }
+    let received = site
+        .ask(RESUMABLE, "never", &[second, second, second])
+        .await?;
+    assert!(!received.complete, "{received:?}");
+    Ok(())
+}
+
+/// Guards against complete streams that are taken for broken ones because of their line ends, comments or framing.
+#[tokio::test]
+async fn a_complete_stream_is_passed_on_as_it_came() -> Result<()> {
+    let site = Site::start(102).await?;
+    for framing in FRAMINGS {
+        let bodies = [
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+            "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+            "id: 1\r\ndata: a\n\r\nid: 2\rdata: b\r\n\n",
+            ": hello\n\nid: 1\ndata: a\n\n: bye\n",
+            "id: 1\ndata: a\n\n\n",
+        ];
+        for (number, body) in bodies.into_iter().enumerate() {
+            let name = format!("{framing:?}-{number}");
+            let answer = Answer {
+                framing,
+                ..Answer::unframed(body)
+            };
+            let received = site.ask(ONCE, &name, &[answer]).await?;
+            assert!(received.complete, "{name}: {received:?}");
+            assert_eq!(received.body, body, "{name}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards against an answer without a length that is passed on although its connection was reset.
+#[tokio::test]
+async fn a_plain_answer_without_length_is_complete_unless_its_connection_is_reset() -> Result<()> {
+    let site = Site::start(103).await?;
+    let whole = Answer::unframed("some text");
+    let received = site.ask(RECORDS, "closed", &[whole]).await?;
+    assert_eq!((received.status, &*received.body), (200, "some text"));
+    assert!(received.complete, "{received:?}");
+    let reset = Answer {
+        end: End::Reset,
+        ..whole
+    };
+    let received = site.ask(RECORDS, "reset", &[reset; ENDPOINTS]).await?;
+    assert_eq!(received.status, 502, "{received:?}");
+    Ok(())
+}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -5,6 +5,7 @@
     clippy::disallowed_methods,
     reason = "a test has sockets, timers, tasks and processes of its own"
 )]
+mod broken_answers;
 mod caller;
 #[path = "../standins/client.rs"]
 mod client;
@@ -17,6 +18,7 @@
 mod operators;
 mod outage;
 mod parted;
+mod platform;
 mod poison;
 mod process;
 mod repeats;
--- /dev/null
+++ b/tests/faults/platform.rs
@@ -0,0 +1,140 @@
+//! Routers of a platform with a metadata store, each a process, and what the store says of their endpoints.
+
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+use anyhow::Result;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::process::Process;
+use crate::store::Store;
+use crate::wait_for;
+
+/// How long anything may take that is expected to come, on a busy machine.
+pub(crate) const LIMIT: Duration = Duration::from_secs(30);
+
+/// How long a caller waits for an answer, in milliseconds.
+pub(crate) const DEADLINE_MS: u64 = 4000;
+
+/// The host of all routes.
+const HOST: &str = "records.example";
+
+/// A router's process.
+pub(crate) struct Router {
+    pub(crate) process: Process,
+    pub(crate) front: SocketAddr,
+    log: PathBuf,
+}
+
+impl Router {
+    /// Starts a router on a VM of its own, with settings beside the usual ones.
+    pub(crate) fn start(vm: usize, store: SocketAddr, more: &Value) -> Result<Self> {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let mut settings = json!({
+            "vm": format!("router-{vm}"),
+            "domain": "domain-0",
+            "front": address(vm, 20_001),
+            "ready": address(vm, 20_002),
+            "directory": address(vm, 20_003),
+            "peer_listen": address(vm, 20_004),
+            "admin": address(vm, 20_005),
+            "store": store,
+            "grace_ms": 8000,
+            "keep_ms": 1000,
+            "config_ms": 2000,
+        });
+        for (name, value) in more.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
+        }
+        let path = dir.join(format!("platform-{vm}.json"));
+        fs::write(&path, settings.to_string())?;
+        let log = dir.join(format!("platform-{vm}.log"));
+        let out = File::create(&log)?;
+        let child = Command::new(env!("CARGO_BIN_EXE_jasmineridged"))
+            .args(["--site", "--settings"])
+            .arg(&path)
+            .stdout(out.try_clone()?)
+            .stderr(out)
+            .spawn()?;
+        Ok(Self {
+            process: Process::of(child),
+            front: address(vm, 20_001),
+            log,
+        })
+    }
+
+    /// Waits until it serves.
+    pub(crate) async fn wait_serving(&self, service: &str) -> Result<()> {
+        let ready = format!("{service}/ready");
+        wait_for("the router serves", LIMIT, async || {
+            Ok(ask(self.front, &ready, "ready").await?.contains(" 200 "))
+        })
+        .await?;
+        Ok(())
+    }
+
+    /// Returns all that it logged.
+    pub(crate) fn logged(&self) -> Result<String> {
+        Ok(fs::read_to_string(&self.log)?)
+    }
+}
+
+/// The addresses of a VM; each one has an IP address of its own, as no other test or run of this one has.
+fn address(vm: usize, port: u16) -> SocketAddr {
+    let run = std::process::id();
+    let [high, low] = [run / 200 % 200 + 20, run % 200 + 20].map(|part| part as u8);
+    SocketAddr::from(([127, high, low, vm as u8 + 1], port))
+}
+
+/// Returns a route that anybody may use, of a service of the same name, with the path `/NAME/`.
+pub(crate) fn route(name: &str, kind: &str) -> Value {
+    json!({
+        "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
+        "timeoutMs": DEADLINE_MS, "targetLatencyMs": 300, "priority": 1, "service": name,
+        "maxAttempts": 3, "public": true,
+    })
+}
+
+/// Writes a configuration with a service for each route.
+pub(crate) fn put_config(store: &Store, routes: &[Value]) {
+    let limits = json!({
+        "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
+    });
+    let service = |route: &Value| json!({"name": route["service"], "healthPath": "/health", "maxConnections": 1000});
+    let services: Vec<_> = routes.iter().map(service).collect();
+    let config = json!({"version": 1, "routes": routes, "services": services, "limits": limits});
+    store.put("keyed.op", "config", &config);
+}
+
+/// Lists an endpoint of a service.
+pub(crate) fn put_endpoint(store: &Store, name: &str, service: &str, address: SocketAddr) {
+    let entry = json!({
+        "service": service, "address": address, "zone": "domain-0", "version": "v1", "slots": 1000,
+        "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+    });
+    store.put("keyed.servers", name, &entry);
+}
+
+/// Sends a request over a connection of its own, and returns what comes until it is closed or the time is over.
+pub(crate) async fn ask(front: SocketAddr, path: &str, name: &str) -> Result<String> {
+    let mut answer = Vec::new();
+    let exchange = async {
+        let mut stream = TcpStream::connect(front).await?;
+        let head = format!(
+            "GET /{path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {name}\r\nconnection: close\r\ndeadline-ms: {DEADLINE_MS}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        stream.read_to_end(&mut answer).await
+    };
+    timeout(Duration::from_millis(DEADLINE_MS), exchange).await??;
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -1,10 +1,7 @@
 //! Routers of a platform with a metadata store, whose endpoints turn most requests away. Requests are counted where callers
 //! send them, and retries where endpoints receive them, while routers are paused and links stall.
 
-use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Command;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -25,22 +22,23 @@
 use tokio::time::Instant;
 use tokio::time::interval;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
-use crate::process::Process;
+use crate::platform::LIMIT;
+use crate::platform::Router;
+use crate::platform::ask;
+use crate::platform::put_config;
+use crate::platform::put_endpoint;
+use crate::platform::route;
 use crate::store::Store;
 use crate::wait_for;
 
+const SERVICE: &str = "records";
 const ROUTERS: usize = 4;
 const ENDPOINTS: usize = 24;
-/// How long anything may take that is expected to come, on a busy machine.
-const LIMIT: Duration = Duration::from_secs(30);
 /// The interval of the requests.
 const INTERVAL: Duration = Duration::from_millis(5);
 /// Endpoints serve one of so many requests, and turn the others away.
 const SERVED_EVERY: usize = 2;
-/// How long a caller waits for an answer, in milliseconds.
-const DEADLINE_MS: u64 = 4000;
 
 const RATIO: f64 = 0.2;
 const SPARE: f64 = 10.0;
@@ -128,51 +126,6 @@
     }
 }
 
-struct Router {
-    process: Process,
-    front: SocketAddr,
-}
-
-/// The addresses of a VM; each one has an IP address of its own, as no other test or run of this one has.
-fn address(vm: usize, port: u16) -> SocketAddr {
-    let run = std::process::id();
-    let [high, low] = [run / 200 % 200 + 20, run % 200 + 20].map(|part| part as u8);
-    SocketAddr::from(([127, high, low, vm as u8 + 1], port))
-}
-
-fn start_router(number: usize, store: SocketAddr) -> Result<Router> {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let settings = json!({
-        "vm": format!("router-{number}"),
-        "domain": "domain-0",
-        "front": address(number, 20_001),
-        "ready": address(number, 20_002),
-        "directory": address(number, 20_003),
-        "peer_listen": address(number, 20_004),
-        "admin": address(number, 20_005),
-        "store": store,
-        "grace_ms": 8000,
-        "keep_ms": 1000,
-        "config_ms": 2000,
-        "retry_ratio": RATIO,
-        "retry_spare": SPARE,
-        "retry_window_ms": WINDOW.as_millis() as u64,
-    });
-    let path = dir.join(format!("repeats-{number}.json"));
-    std::fs::write(&path, settings.to_string())?;
-    let log = File::create(dir.join(format!("repeats-{number}.log")))?;
-    let child = Command::new(env!("CARGO_BIN_EXE_jasmineridged"))
-        .args(["--site", "--settings"])
-        .arg(&path)
-        .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()?;
-    Ok(Router {
-        process: Process::of(child),
-        front: address(number, 20_001),
-    })
-}
-
 struct Site {
     routers: Vec<Router>,
     seen: Shared,
@@ -190,25 +143,15 @@
             let endpoint = start_endpoint(seen.clone()).await?;
             let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
             let link = proxy.link(&format!("endpoint-{number}"), any_port, endpoint)?;
-            let entry = json!({
-                "service": "records", "address": link, "zone": "domain-0", "version": "v1", "slots": 1000,
-                "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-            });
-            store.put("keyed.servers", &format!("i-{number}"), &entry);
+            put_endpoint(&store, &format!("i-{number}"), SERVICE, link);
         }
-        let route = json!({
-            "name": "r", "host": "records.example", "pathPrefix": "/records/", "kind": "idempotent",
-            "timeoutMs": DEADLINE_MS, "targetLatencyMs": 300, "priority": 1, "service": "records",
-            "maxAttempts": 3, "public": true,
-        });
-        let limits = json!({
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
+        put_config(&store, &[route(SERVICE, "idempotent")]);
+        let settings = json!({
+            "retry_ratio": RATIO,
+            "retry_spare": SPARE,
+            "retry_window_ms": WINDOW.as_millis() as u64,
         });
-        let service = json!({"name": "records", "healthPath": "/health", "maxConnections": 1000});
-        let config =
-            json!({"version": 1, "routes": [route], "services": [service], "limits": limits});
-        store.put("keyed.op", "config", &config);
-        let routers = (0..ROUTERS).map(|number| start_router(number, at));
+        let routers = (0..ROUTERS).map(|vm| Router::start(vm, at, &settings));
         let site = Self {
             routers: routers.collect::<Result<_>>()?,
             seen,
@@ -220,10 +163,7 @@
         })
         .await?;
         for router in &site.routers {
-            wait_for("the router serves", LIMIT, async || {
-                Ok(ask(router.front, "ready").await?.contains(" 200 "))
-            })
-            .await?;
+            router.wait_serving(SERVICE).await?;
         }
         lock(&site.seen).requests.clear();
         Ok(site)
@@ -239,7 +179,8 @@
             let front = self.routers[number % ROUTERS].front;
             let name = format!("r{number}");
             lock(&self.seen).requests.push(Instant::now());
-            tokio::spawn(async move { ask(front, &name).await });
+            let path = format!("{SERVICE}/{name}");
+            tokio::spawn(async move { ask(front, &path, &name).await });
             number += 1;
         }
     }
@@ -269,21 +210,6 @@
     }
 }
 
-/// Sends a request over a connection of its own, and returns the head of its answer.
-async fn ask(front: SocketAddr, name: &str) -> Result<String> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(front).await?;
-        let head = format!(
-            "GET /records/{name} HTTP/1.1\r\nhost: records.example\r\nrequest-id: {name}\r\ndeadline-ms: {DEADLINE_MS}\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).await?;
-        let mut answer = vec![0; 1024];
-        let read = stream.read(&mut answer).await?;
-        Ok(String::from_utf8_lossy(&answer[..read]).into_owned())
-    };
-    timeout(Duration::from_millis(DEADLINE_MS), exchange).await?
-}
-
 /// Guards against retries beyond the limit of a service that come about only between real processes: requests that wait
 /// in the sockets of paused routers, and retries that links hold back.
 #[tokio::test]
