Load tool: count a stream that ends inside an event as broken, also after its end marker

Read through for it and sound: completions of the ledger mode (they need a finish reason and an end marker), the answers of peers, of the log and of the store (JSON, or records whose lengths have to fit), the command-line tool (needs the end marker). Test: a_stream_that_goes_on_after_its_end_marker_is_not_whole fails before (the marker alone counted).

--- a/src/standin/load/ask.rs
+++ b/src/standin/load/ask.rs
@@ -154,7 +154,7 @@
         self.first = self.first.or(events.first);
         self.gaps.append(&mut events.gaps);
         let expected = self.job.expected();
-        if !events.whole || !ended {
+        if !events.is_whole() || !ended {
             return Reply::Broken {
                 wrong: !good || !expected.starts_with(&events.text),
             };
--- a/src/standin/load/events.rs
+++ b/src/standin/load/events.rs
@@ -41,7 +41,7 @@
     /// The usage, once it came.
     pub(crate) usage: Option<Usage>,
     /// Whether the end marker came.
-    pub(crate) whole: bool,
+    marked: bool,
     /// When the first token came.
     pub(crate) first: Option<Instant>,
     /// The times between tokens, in microseconds.
@@ -62,12 +62,17 @@
         true
     }
 
+    /// Returns whether the end marker came, and nothing after it.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.marked && self.rest.is_empty()
+    }
+
     fn take(&mut self, now: Instant, event: &[u8]) -> bool {
         let Some(data) = event.strip_prefix(DATA) else {
             return false;
         };
         if data == DONE {
-            self.whole = true;
+            self.marked = true;
             return true;
         }
         let Ok(chunk) = serde_json::from_slice::<Chunk>(data) else {
--- a/src/standin/load/tests.rs
+++ b/src/standin/load/tests.rs
@@ -261,7 +261,15 @@
     let mut events = Events::default();
     assert!(events.push(Instant::now(), &text[..9]));
     assert!(events.push(Instant::now(), &text[9..]));
-    assert_eq!((events.text.as_str(), events.whole), ("ab", false));
+    assert_eq!((events.text.as_str(), events.is_whole()), ("ab", false));
     assert!(events.push(Instant::now(), b"NE]\n\n"));
-    assert!(events.whole);
+    assert!(events.is_whole());
+}
+
+/// Guards against a stream that counts as whole although it ended inside an event after its end marker.
+#[test]
+fn a_stream_that_goes_on_after_its_end_marker_is_not_whole() {
+    let mut events = Events::default();
+    assert!(events.push(Instant::now(), b"data: [DONE]\n\ndata: {"));
+    assert!(!events.is_whole());
 }
