Track for each pool whether its endpoints are reached, and log when none is

A connection that could not be opened is now an end of its own (no-connection, was not-run); pool-cut, pool-reached and the state dump's cut_ms and contact_ms say what a router knows. Nothing is decided by it yet.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -140,7 +140,7 @@
             Ok(sent) => sent,
             Err(UpstreamError::Unsent) => {
                 debug!(event = "unsent", request = %self.line.id, endpoint = %run.endpoint);
-                return Sent::Over(RunEnd::NotRun { retry: None });
+                return Sent::Over(RunEnd::NoConnection);
             }
             Err(UpstreamError::Broken) => {
                 info!(event = "no-answer", request = %self.line.id, endpoint = %run.endpoint);
@@ -157,6 +157,10 @@
             connection,
         };
         let verdict = relays.dialect.verdict(&self.ask, &answer);
+        // The end of such a run looks as if the endpoint had not answered.
+        if matches!(verdict, Verdict::Failed | Verdict::Foreign) {
+            self.line.desk.tell(Event::EndpointAnswered(self.line.id));
+        }
         // Neither another endpoint that has taken over the address nor a late answer to an earlier request tells how this
         // endpoint is now.
         if !matches!(verdict, Verdict::Moved | Verdict::Foreign) {
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -141,6 +141,8 @@
                 json!({
                     "pool": name,
                     "waiting": pool.queue.len(),
+                    "cut_ms": pool.reachability.cut_for(now).map(|time| time.as_millis() as u64),
+                    "contact_ms": pool.reachability.contact_age(now).map(|age| age.as_millis() as u64),
                     "retries": self.retry_budgets.get(name).map(|budget| budget.clone().usage(now)),
                     "endpoints": endpoints,
                 })
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -299,6 +299,7 @@
             Event::RequestArrived(arrival) => self.handle_arrival(now, *arrival),
             Event::CallerGone(id) => self.handle_disconnect(now, id),
             Event::AnswerStarted(id) => self.record_first_token(now, id),
+            Event::EndpointAnswered(id) => self.record_answer_head(now, id),
             Event::EndpointAnnounced(id, announcement) => {
                 self.handle_announcement(now, id, announcement)
             }
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -43,6 +43,8 @@
     AnswerStarted(RequestId),
     /// The head of an answer announced something about the endpoint, or no longer does.
     EndpointAnnounced(RequestId, Announcement),
+    /// The endpoint that a request runs at answered, with a failure or with the answer to another request.
+    EndpointAnswered(RequestId),
     /// A run ended; all of the answer except its end marker was sent to the caller.
     RunEnded(RequestId, RunEnd),
     /// An append to the ledger was answered by the log service, or failed.
@@ -301,6 +303,8 @@
         /// How long the endpoint asks not to be used, if it does.
         retry: Option<Duration>,
     },
+    /// The request did not run: no connection to the endpoint could be opened, and nothing was sent.
+    NoConnection,
     /// The request was not sent, because its caller had disconnected before it was dispatched.
     Unsent,
     /// The endpoint failed after it had received the request.
@@ -326,6 +330,7 @@
             Self::Completed { .. } => "whole",
             Self::Answered { .. } => "answered",
             Self::NotRun { .. } => "not-run",
+            Self::NoConnection => "no-connection",
             Self::Failed { .. } => "broken",
             Self::CallerGone { .. } => "caller-gone",
             Self::Unsent => "unsent",
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -38,6 +38,7 @@
 mod prefill;
 mod problem;
 mod queue;
+mod reach;
 mod refuse;
 mod relay;
 mod request;
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -18,6 +18,7 @@
 use crate::decide::FairQueue;
 use crate::decide::Load;
 use crate::decide::Observation;
+use crate::decide::Reachability;
 use crate::decide::Sample;
 use crate::decide::Usage;
 use crate::decide::WaitingId;
@@ -62,6 +63,7 @@
     domains: IndexMap<VmId, DomainId>,
     /// Whether all endpoints are in drained failure domains.
     all_drained: bool,
+    pub(crate) reachability: Reachability,
     is_engine: bool,
     last_probe: Option<Instant>,
 }
@@ -77,6 +79,7 @@
             loaded_models: IndexMap::new(),
             domains: IndexMap::new(),
             all_drained: false,
+            reachability: Reachability::default(),
             is_engine: false,
             last_probe: None,
         }
@@ -310,14 +313,17 @@
                 Some(Observation::Answered(latency)),
             ),
             RunEnd::NotRun { retry: Some(_) } => (Sample::Refused, None),
-            RunEnd::NotRun { .. } | RunEnd::Failed { .. } => {
+            RunEnd::NotRun { .. } | RunEnd::NoConnection | RunEnd::Failed { .. } => {
                 (Sample::Other, Some(Observation::Failed))
             }
             // A caller that gave up on a silent endpoint counts against the endpoint; one that left early does not.
             RunEnd::CallerGone { .. } if silent => (Sample::Other, Some(Observation::Failed)),
             RunEnd::CallerGone { .. } | RunEnd::Unsent => (Sample::Other, None),
         };
-        if matches!(end, RunEnd::NotRun { .. } | RunEnd::Failed { .. }) {
+        if matches!(
+            end,
+            RunEnd::NotRun { .. } | RunEnd::NoConnection | RunEnd::Failed { .. }
+        ) {
             request.failed_endpoints.push(endpoint.clone());
         }
         let fingerprint = request.fingerprint;
@@ -341,6 +347,7 @@
             }
         }
         let pool = request.pool.clone();
+        self.record_reach(now, &pool, &endpoint, end, silent);
         self.serve_queue(now, &pool);
     }
 
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -170,7 +170,11 @@
             }
             RunEnd::Unsent => self.finish(now, id),
             _ if stopped => self.finish(now, id),
-            RunEnd::NotRun { retry } => {
+            RunEnd::NotRun { .. } | RunEnd::NoConnection => {
+                let retry = match end {
+                    RunEnd::NotRun { retry } => retry,
+                    _ => None,
+                };
                 if self.retry_relay(now, id) {
                     return;
                 }
@@ -299,7 +303,7 @@
     /// failing endpoints and callers that disconnect early, such prompts made up a thirtieth of all tokens counted.
     fn record_run(&mut self, end: &RunEnd, limit: Tokens) {
         let delivered = match end {
-            RunEnd::NotRun { .. } | RunEnd::Unsent => return,
+            RunEnd::NotRun { .. } | RunEnd::NoConnection | RunEnd::Unsent => return,
             RunEnd::Completed { usage } => Some(usage.answer),
             RunEnd::Failed {
                 usage,
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -94,6 +94,7 @@
             first_token.get_or_insert(now);
             self.record_prompt_read(now, id);
         }
+        self.record_answer_head(now, id);
         self.settle_retry(now, id);
     }
 
@@ -123,6 +124,7 @@
                 self.bill(id, price, outcome, AnswerEnd::Withheld);
             }
             RunEnd::NotRun { retry } => self.retry_or_refuse(now, id, retry),
+            RunEnd::NoConnection => self.retry_or_refuse(now, id, None),
             RunEnd::Failed {
                 usage,
                 answer_begun,
