Failing tests of a router that loses its links to all endpoints, and nothing else

Real processes: three routers with views of the store of their own, so that each has links of its own to the same endpoints of three services; the links of one refuse or hang for some seconds, and heal. On this code none of its 120 requests is served from the third second on, all of the others'; the directories go on naming it.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -26,6 +26,7 @@
 mod store;
 mod twice;
 mod verify;
+mod without_endpoints;
 
 use std::time::Duration;
 
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -34,6 +34,7 @@
     pub(crate) process: Process,
     pub(crate) front: SocketAddr,
     admin: SocketAddr,
+    directory: SocketAddr,
     log: PathBuf,
 }
 
@@ -49,6 +50,7 @@
             "directory": address(vm, 20_003),
             "peer_listen": address(vm, 20_004),
             "admin": address(vm, 20_005),
+
             "store": store,
             "grace_ms": 8000,
             "keep_ms": 1000,
@@ -71,6 +73,7 @@
             process: Process::of(child),
             front: address(vm, 20_001),
             admin: address(vm, 20_005),
+            directory: address(vm, 20_003),
             log,
         })
     }
@@ -85,6 +88,17 @@
         Ok(())
     }
 
+    /// Returns the addresses that it tells callers to use.
+    pub(crate) async fn directory(&self) -> Result<Vec<SocketAddr>> {
+        let url = format!(
+            "http://{}/api/resolve?name=any&zone=domain-0",
+            self.directory
+        );
+        let answer = HttpClient::default().get(&url, LIMIT).await?;
+        let answer: Value = serde_json::from_slice(&answer.body)?;
+        Ok(serde_json::from_value(answer["addresses"].clone())?)
+    }
+
     /// Returns its state dump.
     pub(crate) async fn status(&self) -> Result<Value> {
         let url = format!("http://{}/v1/status", self.admin);
--- a/tests/faults/store.rs
+++ b/tests/faults/store.rs
@@ -35,10 +35,15 @@
 /// Records of a key and a value, without their lengths in front.
 type Topics = IndexMap<String, Vec<Vec<u8>>>;
 
+/// The topic of endpoints.
+const ENDPOINTS: &str = "keyed.servers";
+
 /// The store. Clones share its topics.
 #[derive(Clone)]
 pub(crate) struct Store {
     topics: Arc<Mutex<Topics>>,
+    /// Whose topic of endpoints this is, if each router has one of its own.
+    view: Option<String>,
     changes: watch::Sender<()>,
 }
 
@@ -47,11 +52,35 @@
     pub(crate) async fn start() -> Result<(Self, SocketAddr)> {
         let store = Self {
             topics: Arc::default(),
+            view: None,
             changes: watch::Sender::new(()),
         };
+        let address = store.listen().await?;
+        Ok((store, address))
+    }
+
+    /// Starts another view of the store, with endpoints of its own, and returns it with its address.
+    pub(crate) async fn start_view(&self, name: &str) -> Result<(Self, SocketAddr)> {
+        let view = Self {
+            view: Some(name.to_owned()),
+            ..self.clone()
+        };
+        let address = view.listen().await?;
+        Ok((view, address))
+    }
+
+    /// Returns the name under which a topic is kept.
+    fn kept_name(&self, topic: &str) -> String {
+        match &self.view {
+            Some(view) if topic == ENDPOINTS => format!("{topic}@{view}"),
+            _ => topic.to_owned(),
+        }
+    }
+
+    async fn listen(&self) -> Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let accepting = store.clone();
+        let accepting = self.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let store = accepting.clone();
@@ -63,7 +92,7 @@
                 tokio::spawn(served);
             }
         });
-        Ok((store, address))
+        Ok(address)
     }
 
     /// Writes the newest record of a key.
@@ -72,7 +101,7 @@
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value.to_string().as_bytes());
         self.topics()
-            .entry(topic.to_owned())
+            .entry(self.kept_name(topic))
             .or_default()
             .push(record);
         self.changes.send_replace(());
@@ -94,7 +123,7 @@
             let mut pairs = pairs.filter(|(field, _)| *field == name);
             pairs.next().map(|(_, value)| value.to_owned())
         };
-        let topic = field("topic").context("a topic")?;
+        let topic = self.kept_name(&field("topic").context("a topic")?);
         match request.uri().path() {
             "/api/log-newest" => Ok(self.newest_page(&topic)),
             "/api/log-read" => {
