Forward requests to routers that reach the endpoints while this one does not

What callers saw: at VMs that had lost their links to all endpoints nothing was served for as long as that lasted, while the others served as before; and callers stayed there.

Cause: a router took the loss of its path for the failure of single endpoints. Each request waited for a connection, was retried at endpoints that were as far away and was refused; the failures were known to the router that had them, and told to nobody, so that it went on being advised.

A path to a pool now counts as lost if three endpoints fail in a row and none answers meanwhile, or if most accept no connection (src/decide/reachability.rs). It is told to the peers by heartbeats. Meanwhile - requests that reached no endpoint are handed to a router that reaches the pool and has no older configuration, which treats them as a caller's own: its budget pays, its limits count, its own callers go first. They are handed over once; a request that may have left is not sent again, and its caller is told so. The caller's leaving, a broken stream and back-pressure cross the hop. - directories leave such VMs out, as long as the others have a third of the capacity. - connections to endpoints are checked, and single requests that may be repeated try the path once checks pass; a VM without callers counts its path as found by the checks alone, for longer each time that proves wrong. Failures of the time are forgotten then. If no router reaches the pool, each goes on as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -96,6 +96,8 @@
 pub use rate_share::rate_share;
 pub use ration::PriorityDemand;
 pub use ration::Remainder;
+pub(crate) use reachability::Loss;
+pub(crate) use reachability::PathChange;
 pub(crate) use reachability::Reachability;
 pub use recent::Usage;
 pub use release_limit::ReleaseLimit;
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -27,6 +27,7 @@
 use crate::router::AdminRequest;
 use crate::router::BudgetTransfer;
 use crate::router::Event;
+use crate::router::Forwarding;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
 use crate::router::LoanRequest;
@@ -50,6 +51,8 @@
     Replay(Replay),
     /// To send it to an endpoint.
     Run(Box<Run>),
+    /// To have another router carry it out.
+    Forward(Box<Forwarding>),
     /// To let the end of the answer go out.
     Release,
     /// To leave the endpoint, which says nothing, if its answer has not begun.
@@ -155,6 +158,7 @@
             Command::Run(run) => self.metrics.claim_wait(run.claim_wait),
             Command::Release => self.metrics.whole(),
             Command::Cut(_) => self.metrics.cut(),
+            Command::Forward(_) => self.metrics.forwarded(),
             Command::Replay(_) | Command::Leave => {}
         }
     }
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -303,6 +303,10 @@
             Effect::Refuse(id, problem) => self.desk.command(id, Command::Refuse(problem)),
             Effect::Replay(id, replay) => self.desk.command(id, Command::Replay(replay)),
             Effect::Run(id, run) => self.desk.command(id, Command::Run(run)),
+            Effect::Forward(id, forwarding) => self.desk.command(id, Command::Forward(forwarding)),
+            Effect::CheckConnection(vm, address) => {
+                tokio::spawn(self.prober.clone().connect(vm, address));
+            }
             Effect::CountRetry { pool, sent } => self.desk.metrics.retry(&pool, sent),
             Effect::FinishAnswer(id) => self.desk.command(id, Command::Release),
             Effect::Abandon(id) => self.desk.command(id, Command::Leave),
--- a/src/edge/metrics.rs
+++ b/src/edge/metrics.rs
@@ -120,6 +120,11 @@
         self.count("requests", 1);
     }
 
+    /// Counts a request that is forwarded to another router.
+    pub(crate) fn forwarded(&self) {
+        self.count("forwarded", 1);
+    }
+
     /// Counts a refusal.
     pub(crate) fn refused(&self, kind: ProblemKind) {
         self.count(&format!("refused.{kind}"), 1);
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -1,5 +1,6 @@
 //! What endpoints say of themselves.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -9,6 +10,9 @@
 
 use indexmap::IndexMap;
 use serde::Deserialize;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::clock::Clock;
 use crate::decide::CacheEvent;
@@ -23,6 +27,12 @@
 /// How long an endpoint may take to answer: as long as until the next probe.
 const PROBE: Duration = Duration::from_millis(1000);
 
+/// How long a checked connection may take to open, and to be ended by the other side.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// How long a checked connection must last: a path that is reset is so within a round trip.
+const SETTLE: Duration = Duration::from_millis(50);
+
 #[derive(Deserialize)]
 struct Load {
     as_of: u64,
@@ -73,6 +83,21 @@
         self.read_events(vm, &address).await;
     }
 
+    /// Checks whether a connection to an endpoint can be opened, and lasts for a moment.
+    pub(crate) async fn connect(self, vm: VmId, address: String) {
+        let lasts = async {
+            let mut stream = TcpStream::connect(address).await?;
+            let mut byte = [0];
+            match timeout(SETTLE, stream.read(&mut byte)).await {
+                Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => read.map(drop),
+                Err(_) => Ok(()),
+            }
+        };
+        let passed = matches!(timeout(CONNECT, lasts).await, Ok(Ok(())));
+        self.desk.tell(Event::ConnectionChecked(vm, passed));
+    }
+
     async fn read_events(&self, vm: VmId, address: &str) {
         let from = self.next().get(&vm).copied().unwrap_or(0);
         let url = format!("http://{address}/v1/cache/events?from={from}");
--- a/src/edge/relay/mod.rs
+++ b/src/edge/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that are passed on as they came: the connections of callers and of endpoints, and what goes between them.
 
 mod events;
+mod forward;
 mod framing;
 mod front;
 mod request;
@@ -10,6 +11,7 @@
 mod tests;
 mod upstream;
 
+pub(crate) use forward::serve_forwarded;
 pub(crate) use front::Reply;
 pub(crate) use front::accept;
 pub(crate) use front::plain;
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -28,6 +28,7 @@
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
 use crate::edge::desk::Line;
+use crate::edge::relay::forward;
 use crate::edge::relay::framing::Framing;
 use crate::edge::relay::front;
 use crate::edge::relay::front::Reply;
@@ -40,6 +41,7 @@
 use crate::edge::relay::upstream::UpstreamError;
 use crate::ids::Attempt;
 use crate::ids::Fingerprint;
+use crate::ids::TableVersion;
 use crate::labels::Labels;
 use crate::router::Arrival;
 use crate::router::Event;
@@ -65,6 +67,9 @@
     /// Returns the head for a run; `last` is the event that a resumed stream goes on after.
     fn head(&self, ask: &Ask, run: &Run, left: Duration, last: Option<&str>) -> HeaderMap;
 
+    /// Returns the head of a request that another router carries out: the caller's, but for the time that is left.
+    fn forward_head(&self, ask: &Ask, left: Duration) -> HeaderMap;
+
     /// Reads the head of an endpoint's answer.
     fn verdict(&self, ask: &Ask, answer: &Response<Incoming>) -> Verdict;
 
@@ -102,6 +107,25 @@
     pub(crate) framing: Framing,
 }
 
+impl Kept {
+    /// Wraps the connection that an answer with this head came over.
+    pub(crate) fn new(
+        relays: &Relays,
+        connection: Connection,
+        answer: &Response<Incoming>,
+    ) -> Self {
+        let framing = Framing::of(answer);
+        Self {
+            connection,
+            idle: match framing {
+                Framing::Connection => None,
+                _ => relays.dialect.keep_alive(answer.headers()),
+            },
+            framing,
+        }
+    }
+}
+
 /// What came of sending a request to an endpoint.
 pub(crate) enum Sent {
     /// The head of its answer.
@@ -115,8 +139,8 @@
 /// A request on its way to endpoints.
 pub(crate) struct Runner {
     pub(crate) line: Line,
-    ask: Ask,
-    body: Bytes,
+    pub(crate) ask: Ask,
+    pub(crate) body: Bytes,
     run: Option<Run>,
     /// An endpoint's own failure, which the caller gets where no other endpoint does better.
     failure: Option<Reply>,
@@ -147,15 +171,7 @@
                 return Sent::Over(broken(None, false));
             }
         };
-        let framing = Framing::of(&answer);
-        let kept = Kept {
-            idle: match framing {
-                Framing::Connection => None,
-                _ => relays.dialect.keep_alive(answer.headers()),
-            },
-            framing,
-            connection,
-        };
+        let kept = Kept::new(relays, connection, &answer);
         let verdict = relays.dialect.verdict(&self.ask, &answer);
         // The end of such a run looks as if the endpoint had not answered.
         if matches!(verdict, Verdict::Failed | Verdict::Foreign) {
@@ -225,7 +241,7 @@
     }
 
     /// Logs why an answer that is no stream is not whole.
-    fn log_broken(&self, framing: Framing, error: &BodyError) {
+    pub(crate) fn log_broken(&self, framing: Framing, error: &BodyError) {
         info!(event = "answer-broken", request = %self.line.id, endpoint = self.endpoint(), %framing, %error);
     }
 
@@ -257,10 +273,10 @@
 }
 
 /// Why the body of an answer could not be read.
-type BodyError = Box<dyn Error + Send + Sync>;
+pub(crate) type BodyError = Box<dyn Error + Send + Sync>;
 
 /// Reads an answer that is no stream whole.
-async fn gather(
+pub(crate) async fn gather(
     relays: &Relays,
     kept: Kept,
     answer: Response<Incoming>,
@@ -284,8 +300,17 @@
 
 /// Serves one request.
 pub(crate) async fn serve(relays: Arc<Relays>, request: Request<Incoming>) -> Reply {
+    serve_from(relays, request, None).await
+}
+
+/// Serves one request that a router with this version of the route table forwarded, if one did.
+pub(crate) async fn serve_from(
+    relays: Arc<Relays>,
+    request: Request<Incoming>,
+    forwarded: Option<TableVersion>,
+) -> Reply {
     let leaving = relays.desk.clone();
-    let mut reply = match read(&relays, request).await {
+    let mut reply = match read(&relays, request, forwarded).await {
         Ok(runner) => carry_out(relays, runner).await,
         Err(problem) => front::problem(&problem),
     };
@@ -298,9 +323,14 @@
 }
 
 /// Reads a request whole and tells the core of it.
-async fn read(relays: &Relays, request: Request<Incoming>) -> Result<Runner, Problem> {
+async fn read(
+    relays: &Relays,
+    request: Request<Incoming>,
+    forwarded: Option<TableVersion>,
+) -> Result<Runner, Problem> {
     let (parts, body) = request.into_parts();
-    let ask = relays.dialect.read(&parts)?;
+    let mut ask = relays.dialect.read(&parts)?;
+    ask.relay.forwarded = forwarded;
     let body = read_body(&relays.desk, body).await?;
     let line = relays.desk.open();
     info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path());
@@ -358,6 +388,9 @@
     loop {
         let run = match runner.line.next().await {
             Some(Command::Run(run)) => *run,
+            Some(Command::Forward(forwarding)) => {
+                return forward::forward(relays, runner, *forwarding).await;
+            }
             command => return refuse(&mut runner, command),
         };
         match runner.send(&relays, run, None).await {
@@ -378,7 +411,7 @@
     }
 }
 
-fn is_stream(answer: &Response<Incoming>) -> bool {
+pub(crate) fn is_stream(answer: &Response<Incoming>) -> bool {
     let kind = answer.headers().get(CONTENT_TYPE);
     let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENTS));
     events && answer.status().is_success()
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -127,6 +127,7 @@
                 input,
                 output,
                 prompt: prompt(headers, input.0),
+                forwarded: None,
             },
             bearer: Secret(bearer.to_owned()),
             patience: patience.map(Duration::from_millis),
@@ -147,12 +148,18 @@
             (ACCOUNT, account),
             (LAST_EVENT, last.map(str::to_owned)),
         ];
-        for (name, value) in set {
-            // Names are printable, so each of them is a valid header value.
-            if let Some(value) = value.and_then(|value| HeaderValue::from_str(&value).ok()) {
-                headers.insert(HeaderName::from_static(name), value);
-            }
-        }
+        insert(&mut headers, set);
+        headers
+    }
+
+    fn forward_head(&self, ask: &Ask, left: Duration) -> HeaderMap {
+        let mut headers = ask.headers.clone();
+        let bearer = (!ask.bearer.0.is_empty()).then(|| format!("Bearer {}", ask.bearer.0));
+        let set = [
+            (DEADLINE, Some(left.as_millis().to_string())),
+            (AUTHORIZATION.as_str(), bearer),
+        ];
+        insert(&mut headers, set);
         headers
     }
 
@@ -213,6 +220,15 @@
     }
 }
 
+/// Sets headers. Names are printable, so each of them is a valid header value, as is what came in a header.
+fn insert<const N: usize>(headers: &mut HeaderMap, set: [(&'static str, Option<String>); N]) {
+    for (name, value) in set {
+        if let Some(value) = value.and_then(|value| HeaderValue::from_str(&value).ok()) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -53,6 +54,7 @@
 use crate::router::CPU_LABEL;
 use crate::router::Core;
 use crate::router::Event;
+use crate::router::FORWARD_LABEL;
 use crate::router::GrantTuning;
 use crate::router::LINK_LABEL;
 use crate::router::Tuning;
@@ -116,6 +118,7 @@
     let ready = bind(settings.ready)?;
     let directory = bind(settings.directory)?;
     let routers = bind(settings.peer_listen)?;
+    let forwarded = bind(settings.forward_address())?;
     let admin = bind(settings.admin)?;
     let teller = Teller::bind(settings.peer_listen).await?;
     log_start(&settings);
@@ -146,7 +149,7 @@
     tokio::spawn(relay::accept(directory, move |request| {
         entry::resolve(asked.clone(), keep, request)
     }));
-    serve_front(front, &desk);
+    serve_callers(front, forwarded, &desk);
     let core = Core::new(clock.now(), tuning(&settings, boot), seeds.next_u64());
     let driver = Driver {
         clock,
@@ -173,7 +176,8 @@
     info!(event = "listening", vm = %settings.vm, front = %settings.front);
 }
 
-fn serve_front(listener: tokio::net::TcpListener, desk: &Arc<Desk>) {
+/// Serves callers, and what other routers forward of theirs.
+fn serve_callers(front: TcpListener, forwarded: TcpListener, desk: &Arc<Desk>) {
     let relays = Arc::new(Relays {
         desk: desk.clone(),
         upstream: Upstream::default(),
@@ -188,7 +192,11 @@
             dropped = report_dropped(&sweeping.desk, dropped);
         }
     });
-    tokio::spawn(relay::accept(listener, move |request| {
+    let hop = relays.clone();
+    tokio::spawn(relay::accept(forwarded, move |request| {
+        relay::serve_forwarded(hop.clone(), request)
+    }));
+    tokio::spawn(relay::accept(front, move |request| {
         relay::serve(relays.clone(), request)
     }));
 }
@@ -295,6 +303,7 @@
         let mut labels = Labels::default();
         labels.set("role", "router");
         labels.set("peer", &settings.peer_listen.to_string());
+        labels.set(FORWARD_LABEL, &settings.forward_address().to_string());
         labels.set(
             CPU_LABEL,
             &(settings.cpu_share * 1000.0).round().to_string(),
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -142,7 +142,7 @@
                     "pool": name,
                     "waiting": pool.queue.len(),
                     "cut_ms": pool.reachability.cut_for(now).map(|time| time.as_millis() as u64),
-                    "contact_ms": pool.reachability.contact_age(now).map(|age| age.as_millis() as u64),
+                    "answer_ms": pool.reachability.answer_age(now).map(|age| age.as_millis() as u64),
                     "retries": self.retry_budgets.get(name).map(|budget| budget.clone().usage(now)),
                     "endpoints": endpoints,
                 })
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -48,9 +48,17 @@
         let id = arrival.id;
         match self.admit(now, &arrival) {
             Ok(request) => {
-                let earliest = self.idle_at.unwrap_or(now);
-                self.retry_budget(now, &request.pool)
-                    .record_request(now, earliest);
+                let request = match self.forward_arrival(now, id, request) {
+                    Ok(Some(request)) => request,
+                    Ok(None) => return,
+                    Err(problem) => return self.refuse_arrival(now, &arrival, *problem),
+                };
+                // When its caller sent a forwarded request is not known, so it pays for no retries.
+                if !request.is_forwarded() {
+                    let earliest = self.idle_at.unwrap_or(now);
+                    self.retry_budget(now, &request.pool)
+                        .record_request(now, earliest);
+                }
                 info!(
                     event = "request", request = %id, key = %request.key, attempt = %request.attempt,
                     team = %request.team, pool = %request.pool, reserve = %request.reserve,
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -299,6 +299,7 @@
             Event::RequestArrived(arrival) => self.handle_arrival(now, *arrival),
             Event::CallerGone(id) => self.handle_disconnect(now, id),
             Event::AnswerStarted(id) => self.record_first_token(now, id),
+            Event::ConnectionChecked(vm, passed) => self.handle_connection_check(now, &vm, passed),
             Event::EndpointAnswered(id) => self.record_answer_head(now, id),
             Event::EndpointAnnounced(id, announcement) => {
                 self.handle_announcement(now, id, announcement)
@@ -445,6 +446,8 @@
         self.cover_pending_retries(now);
         self.send_heartbeat(now);
         self.fetch_table(now);
+        self.check_connections(now);
+        self.forward_queued(now);
         self.tick_pools(now);
         self.continue_drain(now, tuning.min_drain);
     }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -17,6 +17,7 @@
 use crate::ids::RequestId;
 use crate::ids::RequestKey;
 use crate::ids::Sequence;
+use crate::ids::TableVersion;
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::router::event::BudgetTransfer;
@@ -40,6 +41,10 @@
         pool: PoolId,
         sent: bool,
     },
+    /// Has another router carry out a request that was sent to no endpoint.
+    Forward(RequestId, Box<Forwarding>),
+    /// Checks whether a connection to an endpoint can be opened.
+    CheckConnection(VmId, String),
     /// Sends the end of an answer.
     FinishAnswer(RequestId),
     /// Drops the connection to the endpoint that runs a request, without an answer to the caller.
@@ -113,6 +118,18 @@
     pub(crate) models: Vec<ModelId>,
 }
 
+/// Where a request is forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Forwarding {
+    /// Addresses at which other routers take forwarded requests, `ip:port`. The next one is used if no connection to
+    /// one can be opened.
+    pub(crate) hops: Vec<String>,
+    /// When the answer must be complete.
+    pub(crate) deadline: Instant,
+    /// Version of this router's route table.
+    pub(crate) table: TableVersion,
+}
+
 /// A request as it is dispatched to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Run {
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -20,6 +20,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ModelId;
 use crate::ids::Offset;
+use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::Sequence;
 use crate::ids::TableVersion;
@@ -45,6 +46,8 @@
     EndpointAnnounced(RequestId, Announcement),
     /// The endpoint that a request runs at answered, with a failure or with the answer to another request.
     EndpointAnswered(RequestId),
+    /// Whether a connection to an endpoint could be opened.
+    ConnectionChecked(VmId, bool),
     /// A run ended; all of the answer except its end marker was sent to the caller.
     RunEnded(RequestId, RunEnd),
     /// An append to the ledger was answered by the log service, or failed.
@@ -246,6 +249,8 @@
     pub(crate) output: Tokens,
     /// The prompt, if there is one.
     pub(crate) prompt: Option<Prompt>,
+    /// Version of the route table of the router that forwarded the request, if one did.
+    pub(crate) forwarded: Option<TableVersion>,
 }
 
 /// Results from the log that stores grants.
@@ -370,6 +375,8 @@
     pub(crate) purses: Vec<TeamBudget>,
     /// What endpoints announced about themselves, some of it if it is much.
     pub(crate) announced: Vec<AnnouncementRow>,
+    /// The pools of which it reaches no endpoint.
+    pub(crate) cut: Vec<PoolId>,
 }
 
 /// One team's budget at a router.
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -209,6 +209,7 @@
     pub(crate) fn directory(&mut self, now: Instant, domain: &DomainId) -> Vec<String> {
         let mut peers = self.members.advisable_peers(now);
         peers.retain(|peer| !peer.leaving && self.members.peer_failure(now, &peer.vm).is_none());
+        let lists_own = self.retain_connected(now, &mut peers);
         let members = &self.members;
         let mut addresses: Vec<_> = peers
             .into_iter()
@@ -219,7 +220,7 @@
                 )
             })
             .collect();
-        if self.is_serving() {
+        if self.is_serving() && lists_own {
             let own = (self.tuning.domain.clone(), self.tuning.address.clone());
             addresses.push((members.vm_index.capacity(&self.tuning.vm), own));
         }
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -236,17 +236,24 @@
             .collect()
     }
 
+    /// Returns the last heartbeat of a peer, if it is fresh.
+    pub(crate) fn fresh_heartbeat(&self, now: Instant, vm: &VmId) -> Option<&Heartbeat> {
+        let (at, beat) = self.heartbeats.get(vm)?;
+        (now < *at + self.fresh_period).then_some(beat)
+    }
+
+    /// Has the next heartbeat sent at once, and to all peers.
+    pub(crate) fn request_heartbeat(&mut self) {
+        self.heartbeat_sent = None;
+    }
+
     /// Returns the budget reports in the fresh heartbeats of peers.
     pub(crate) fn budget_reports(&self, now: Instant) -> Vec<BudgetReport> {
-        let fresh = |vm: &VmId| {
-            let (at, beat) = self.heartbeats.get(vm)?;
-            (now < *at + self.fresh_period).then_some(beat)
-        };
         let peers = self.vm_index.peers();
         let reports = peers.iter().filter_map(|peer| {
             Some(BudgetReport {
                 peer: peer.clone(),
-                budgets: fresh(&peer.vm)?.purses.clone(),
+                budgets: self.fresh_heartbeat(now, &peer.vm)?.purses.clone(),
             })
         });
         reports.collect()
@@ -332,6 +339,7 @@
                 Accounting::Ledger => Vec::new(),
             },
             announced: self.announcements.rows(now),
+            cut: self.cut_pools(),
         }
     }
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -58,6 +58,7 @@
 pub(crate) use appender::AppendTiming;
 pub(crate) use drained::DrainedDomains;
 pub(crate) use effect::Effect;
+pub(crate) use effect::Forwarding;
 pub(crate) use effect::Order;
 pub(crate) use effect::Peer;
 #[cfg(test)]
@@ -87,4 +88,5 @@
 pub use problem::ProblemKind;
 pub use problem::Ran;
 pub(crate) use vm_index::CPU_LABEL;
+pub(crate) use vm_index::FORWARD_LABEL;
 pub(crate) use vm_index::LINK_LABEL;
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -145,6 +145,20 @@
             !self.domains.is_empty() && domains.all(|domain| drained.domains.contains(domain));
     }
 
+    /// Makes all endpoints count as healthy again.
+    pub(crate) fn forget_failures(&mut self, now: Instant) {
+        for (vm, domain) in &self.domains {
+            self.picker.health.remove(vm);
+            self.picker.health.put(now, vm, domain);
+        }
+    }
+
+    /// Returns the endpoints that are avoided while the path to most of them is lost.
+    fn unconnected(&self) -> impl Iterator<Item = &VmId> {
+        let unconnected = self.reachability.unconnected();
+        unconnected.filter(|_| self.reachability.is_cut())
+    }
+
     /// Returns whether all endpoints are in drained failure domains.
     pub(crate) fn is_drained(&self) -> bool {
         self.all_drained
@@ -166,6 +180,7 @@
         self.loaded_models.shift_remove(vm);
         self.picker.chooser.remove(vm);
         self.picker.health.remove(vm);
+        self.reachability.remove(vm);
     }
 }
 
@@ -220,7 +235,8 @@
         }
         let routers = self.members.vm_index.serving_vms();
         let closed = self.announcements.closed(now);
-        let avoided = self.announcements.avoided(now);
+        let mut avoided = self.announcements.avoided(now);
+        avoided.extend(self.pools.get(name)?.unconnected().cloned());
         let Self {
             pools,
             requests,
@@ -257,6 +273,7 @@
         let pool = self.pools.get(&request.pool)?;
         let mut avoided = self.announcements.avoided(now);
         avoided.extend(pool.picker.health.unreliable().cloned());
+        avoided.extend(pool.unconnected().cloned());
         let context = PickContext {
             router: &self.tuning.vm,
             domain: &self.tuning.domain,
@@ -347,7 +364,9 @@
             }
         }
         let pool = request.pool.clone();
-        self.record_reach(now, &pool, &endpoint, end, silent);
+        if request.relay.is_some() {
+            self.record_reach(now, &pool, &endpoint, end, silent);
+        }
         self.serve_queue(now, &pool);
     }
 
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -1,6 +1,7 @@
 //! Relayed requests, which are forwarded unchanged. Without a key from the caller, each is a single attempt and ends
 //! with its connection.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use rand::RngExt;
@@ -38,6 +39,9 @@
 /// than twice the objective, and even three times leaves time to try another endpoint before the caller gives up.
 const SILENCE_FACTOR: f64 = 2.5;
 
+/// The retry delay for a caller whose forwarded request met a router with an older configuration.
+const CONFIG_RETRY: Duration = Duration::from_millis(200);
+
 /// Account and team name of requests that need no bearer key. No budget is kept for it.
 const PUBLIC_NAME: &str = "public";
 
@@ -56,6 +60,11 @@
         else {
             return Err(self.not_serving());
         };
+        if relay.forwarded.is_some_and(|theirs| theirs > table.version) {
+            let detail = "the router that forwarded the request has a newer configuration";
+            let problem = Problem::new(ProblemKind::ConfigBehind, Ran::No, detail);
+            return Err(Box::new(problem.with_retry(CONFIG_RETRY)));
+        }
         let Some(route) = table.route(&relay.host, &relay.path) else {
             let detail = format!("no route for {}{}", relay.host, relay.path);
             return Err(self.deny(now, ProblemKind::NoRoute, &detail));
@@ -92,7 +101,10 @@
             idempotent: route.repeat != RepeatPolicy::Never,
             reserve: relay.input.saturating_add(relay.output),
             limit: relay.output,
-            priority: payer.map_or(route.priority, |payer| payer.priority.max(route.priority)),
+            // A router's own callers go before those of others.
+            priority: payer
+                .map_or(route.priority, |payer| payer.priority.max(route.priority))
+                .saturating_add(u8::from(relay.forwarded.is_some())),
             work: arrival.work.clone(),
             arrived_at: now,
             claimed_at: None,
@@ -120,6 +132,9 @@
                 stopped: false,
                 timed_out: false,
                 retry_refused: false,
+                forwarded: relay.forwarded.is_some(),
+                arrived: false,
+                silent_at: None,
             }),
         })
     }
@@ -175,7 +190,11 @@
                     RunEnd::NotRun { retry } => retry,
                     _ => None,
                 };
-                if self.retry_relay(now, id) {
+                let pool = self.requests[&id].pool.clone();
+                if self.is_cut(&pool) && self.forward_unsent(now, id) {
+                    return;
+                }
+                if self.retry_relay(now, id) || self.forward_unsent(now, id) {
                     return;
                 }
                 let detail = "no endpoint took the request";
@@ -210,6 +229,7 @@
 
     /// Gives up on endpoints that stay silent about requests that another endpoint may run, as far as retries are left.
     pub(crate) fn leave_silent_endpoints(&mut self, now: Instant) {
+        self.record_silence(now);
         let silent = self
             .requests
             .iter()
@@ -302,6 +322,7 @@
     /// charged for the prompts of failed runs, they would be refused although they never used their budget: with
     /// failing endpoints and callers that disconnect early, such prompts made up a thirtieth of all tokens counted.
     fn record_run(&mut self, end: &RunEnd, limit: Tokens) {
+        self.arrived |= !matches!(end, RunEnd::NoConnection | RunEnd::Unsent);
         let delivered = match end {
             RunEnd::NotRun { .. } | RunEnd::NoConnection | RunEnd::Unsent => return,
             RunEnd::Completed { usage } => Some(usage.answer),
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -92,6 +92,12 @@
     pub(crate) timed_out: bool,
     /// Whether its endpoint was silent while no retry was left.
     pub(crate) retry_refused: bool,
+    /// Whether another router forwarded it.
+    pub(crate) forwarded: bool,
+    /// Whether it may have reached an endpoint.
+    pub(crate) arrived: bool,
+    /// The endpoint whose silence was last counted.
+    pub(crate) silent_at: Option<VmId>,
     /// Whether it was told to stop, so that only its usage is still to be reported.
     pub(crate) stopped: bool,
 }
@@ -101,6 +107,17 @@
         &self.key.account
     }
 
+    /// Returns whether another router forwarded it.
+    pub(crate) fn is_forwarded(&self) -> bool {
+        self.relay.as_ref().is_some_and(|terms| terms.forwarded)
+    }
+
+    /// Returns whether another router may carry it out: it reached no endpoint, and has not been forwarded before.
+    pub(crate) fn may_be_forwarded(&self) -> bool {
+        let terms = self.relay.as_ref();
+        terms.is_some_and(|terms| !terms.forwarded && !terms.arrived)
+    }
+
     /// Returns the tokens of broken runs that its team pays for: either the team or the operator (`House`) bears these,
     /// as the deployment specifies.
     pub(crate) fn charged_waste(&self) -> Tokens {
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -365,6 +365,7 @@
                 input: Tokens(input),
                 output: Tokens(output),
                 prompt: None,
+                forwarded: None,
             }),
             fingerprint: Fingerprint(id.0),
             timeout: None,
@@ -387,6 +388,7 @@
                 clock: self.wall_clock(),
                 purses: Vec::new(),
                 announced: Vec::new(),
+                cut: Vec::new(),
             }));
         }
     }
@@ -427,6 +429,7 @@
                 demand: 0,
             }],
             announced: Vec::new(),
+            cut: Vec::new(),
         }
     }
 
--- a/src/router/vm_index.rs
+++ b/src/router/vm_index.rs
@@ -29,6 +29,9 @@
 /// Label with the bandwidth of its network link, in Mbit/s.
 pub(crate) const LINK_LABEL: &str = "link";
 
+/// Label with the address at which a router takes requests that other routers forward.
+pub(crate) const FORWARD_LABEL: &str = "forward";
+
 /// Capacity assumed for a VM that reports none.
 const DEFAULT_CAPACITY: Capacity = Capacity {
     cpu_millicores: 1,
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -34,6 +34,8 @@
     pub directory: SocketAddr,
     /// The address on which it listens for other routers.
     pub peer_listen: SocketAddr,
+    /// The address on which it takes requests that other routers forward; by default the port after `peer_listen`.
+    pub forward_listen: Option<SocketAddr>,
     /// The address at which it serves operators and metrics.
     pub admin: SocketAddr,
     /// The address of the metadata store.
@@ -76,6 +78,13 @@
         Ok(settings)
     }
 
+    /// Returns the address on which the router takes requests that other routers forward.
+    pub(crate) fn forward_address(&self) -> SocketAddr {
+        let mut next = self.peer_listen;
+        next.set_port(next.port().wrapping_add(1));
+        self.forward_listen.unwrap_or(next)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         check_time("grace_ms", self.grace_ms, MIN_TIME)?;
         check_time("keep_ms", self.keep_ms, MIN_TIME)?;
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -49,6 +49,7 @@
             "ready": address(vm, 20_002),
             "directory": address(vm, 20_003),
             "peer_listen": address(vm, 20_004),
+            "forward_listen": address(vm, 20_006),
             "admin": address(vm, 20_005),
 
             "store": store,
