Tests of lost paths and of forwarded requests; heartbeats that tell of a change are sent early, to no more peers than others

With real processes: a caller that leaves a forwarded stream stops its run at the endpoint, at most once for what may not be repeated. While a path is not lost, two connections are checked at once, however large the pool.

--- a/src/decide/reachability.rs
+++ b/src/decide/reachability.rs
@@ -178,7 +178,10 @@
         }
         self.checked_at = Some(now);
         let mut endpoints: Vec<_> = endpoints.collect();
-        let count = endpoints.len().div_ceil(MAX_CHECKS).max(MIN_CHECKED);
+        let count = match self.is_cut() {
+            true => endpoints.len().div_ceil(MAX_CHECKS).max(MIN_CHECKED),
+            false => MIN_CHECKED,
+        };
         // During a cut those that may be reached again, else those of which nothing is known.
         let is_cut = self.is_cut();
         endpoints.sort_by_key(|vm| {
@@ -243,3 +246,6 @@
 fn doubled(time: Duration, times: u32) -> Duration {
     time * 2u32.pow(times.min(MAX_DOUBLINGS))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -37,6 +37,9 @@
 /// tenth of a core each, heartbeats to all peers were 250 calls a second at every VM.
 const HEARTBEAT_FANOUT: usize = 12;
 
+/// Divisor of the interval between two heartbeats if the second one tells of a change.
+const EARLY_DIVISOR: u32 = 4;
+
 /// Number of rounds for which a heartbeat counts as fresh: one call may be lost, and answers to our own heartbeats
 /// carry the peer's as well.
 const FRESH_ROUNDS: u32 = 2;
@@ -66,6 +69,7 @@
     config_sent: IndexMap<VmId, Instant>,
     pub(crate) log_answered_at: Instant,
     heartbeat_sent: Option<Instant>,
+    heartbeat_requested: bool,
     /// Position in the peer list at which the next round of heartbeats starts.
     next_peer: usize,
     /// Age up to which a heartbeat or a failure of a peer counts.
@@ -85,6 +89,7 @@
             config_sent: IndexMap::new(),
             log_answered_at: now,
             heartbeat_sent: None,
+            heartbeat_requested: false,
             next_peer: 0,
             fresh_period: FRESH_PERIOD,
             keep_alive_sent: now,
@@ -242,9 +247,18 @@
         (now < *at + self.fresh_period).then_some(beat)
     }
 
-    /// Has the next heartbeat sent at once, and to all peers.
+    /// Has the next heartbeat sent early.
     pub(crate) fn request_heartbeat(&mut self) {
-        self.heartbeat_sent = None;
+        self.heartbeat_requested = true;
+    }
+
+    /// Returns whether a heartbeat is due. An early one is not sent at once, since what it tells may change back.
+    fn is_heartbeat_due(&self, now: Instant, interval: Duration) -> bool {
+        let interval = match self.heartbeat_requested {
+            true => interval / EARLY_DIVISOR,
+            false => interval,
+        };
+        self.heartbeat_sent.is_none_or(|at| now >= at + interval)
     }
 
     /// Returns the budget reports in the fresh heartbeats of peers.
@@ -352,13 +366,11 @@
 
     /// Sends heartbeats to peers, and appends an empty batch to the log if some peer cannot be reached.
     pub(crate) fn send_heartbeat(&mut self, now: Instant) {
-        let due = self
-            .members
-            .heartbeat_sent
-            .is_none_or(|at| now >= at + self.tuning.heartbeat_interval);
-        if !due {
+        let interval = self.tuning.heartbeat_interval;
+        if !self.members.is_heartbeat_due(now, interval) {
             return;
         }
+        self.members.heartbeat_requested = false;
         let peers = match self.tuning.accounting {
             Accounting::Grants(_) => self.members.next_recipients(self.tuning.heartbeat_interval),
             // With a ledger, a router may be closed by a peer after seconds without a heartbeat, so no peer is left
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -34,3 +34,4 @@
 mod site;
 mod stale_config;
 mod starved;
+mod without_endpoints;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -351,6 +351,18 @@
 
     /// Sends a request as the payer that owns `key`.
     pub(crate) fn send_as(&mut self, key: &str, route: &str, input: u64, output: u64) -> RequestId {
+        self.send_from(None, key, route, input, output)
+    }
+
+    /// Sends a request that a router with this version of the table forwarded, if one did.
+    pub(crate) fn send_from(
+        &mut self,
+        forwarded: Option<TableVersion>,
+        key: &str,
+        route: &str,
+        input: u64,
+        output: u64,
+    ) -> RequestId {
         let id = RequestId(self.next_id);
         self.next_id += 1;
         self.handle(Event::RequestArrived(Box::new(Arrival {
@@ -365,7 +377,7 @@
                 input: Tokens(input),
                 output: Tokens(output),
                 prompt: None,
-                forwarded: None,
+                forwarded,
             }),
             fingerprint: Fingerprint(id.0),
             timeout: None,
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -149,15 +149,19 @@
     store.put("keyed.servers", name, &entry);
 }
 
+/// Returns the bytes of a request, after whose answer the connection is closed.
+pub(crate) fn request(path: &str, name: &str) -> String {
+    format!(
+        "GET /{path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {name}\r\nconnection: close\r\ndeadline-ms: {DEADLINE_MS}\r\n\r\n"
+    )
+}
+
 /// Sends a request over a connection of its own, and returns what comes until it is closed or the time is over.
 pub(crate) async fn ask(front: SocketAddr, path: &str, name: &str) -> Result<String> {
     let mut answer = Vec::new();
     let exchange = async {
         let mut stream = TcpStream::connect(front).await?;
-        let head = format!(
-            "GET /{path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {name}\r\nconnection: close\r\ndeadline-ms: {DEADLINE_MS}\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(request(path, name).as_bytes()).await?;
         stream.read_to_end(&mut answer).await
     };
     timeout(Duration::from_millis(DEADLINE_MS), exchange).await??;
--- a/tests/faults/without_endpoints.rs
+++ b/tests/faults/without_endpoints.rs
@@ -28,6 +28,7 @@
 use crate::platform::ask;
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
+use crate::platform::request;
 use crate::platform::route;
 use crate::store::Store;
 use crate::wait_for;
@@ -52,6 +53,13 @@
 const SETTLE: Duration = Duration::from_secs(3);
 const LENGTH: Duration = Duration::from_secs(3);
 
+/// How long it may take on a busy machine until an endpoint knows that a caller left, which is less than the request's time.
+const LEAVE: Duration = Duration::from_secs(2);
+
+/// A request whose answer does not end, and what is counted once its endpoint sees its connection end.
+const ENDLESS: &str = "stream-endless";
+const LEFT: &str = "stream-left";
+
 /// How often each request reached an endpoint.
 type Runs = Arc<Mutex<IndexMap<String, usize>>>;
 
@@ -196,6 +204,24 @@
         Ok(counts)
     }
 
+    /// Has a caller of the router that lost its links leave in the middle of a stream, and waits until its endpoint knows.
+    async fn leave_stream(&self) -> Result<()> {
+        let mut caller = TcpStream::connect(self.routers[CUT].front).await?;
+        caller
+            .write_all(request(&format!("stream/{ENDLESS}"), ENDLESS).as_bytes())
+            .await?;
+        let mut answer = Vec::new();
+        while !String::from_utf8_lossy(&answer).contains("data: ") {
+            answer.push(caller.read_u8().await?);
+        }
+        drop(caller);
+        wait_for("the endpoint's run is stopped", LEAVE, async || {
+            Ok(lock(&self.runs).contains_key(LEFT))
+        })
+        .await?;
+        Ok(())
+    }
+
     /// Waits until the directories of all routers name the router that lost its links, or none does.
     async fn wait_listed(&self, listed: bool) -> Result<()> {
         let front = self.routers[CUT].front;
@@ -241,6 +267,16 @@
             false => "text/plain",
         };
         let body = format!("id: 1\ndata: {name}\n\n");
+        if name == ENDLESS {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\nrequest-id: {name}\r\ncontent-type: {kind}\r\n\r\n{body}"
+            );
+            stream.write_all(head.as_bytes()).await?;
+            // It ends with the connection, in either way.
+            let _ = stream.read_u8().await;
+            *lock(&runs).entry(LEFT.to_owned()).or_default() += 1;
+            return Ok(());
+        }
         let answer = format!(
             "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\nrequest-id: {name}\r\ncontent-type: {kind}\r\n\
              content-length: {}\r\n\r\n{body}",
@@ -276,6 +312,7 @@
     let requests: usize = counts.iter().map(|count| count.0).sum();
     let failed = counts[CUT].0 - counts[CUT].1;
     assert!(failed <= 10 + requests / 50, "{failed} of {requests}");
+    site.leave_stream().await?;
     site.wait_listed(false).await?;
     site.heal(fault).await?;
     site.wait_listed(true).await?;
