--- a/src/decide/reachability.rs
+++ b/src/decide/reachability.rs
@@ -19,8 +19,8 @@
 /// How long the loss of an endpoint counts. Losses that are further apart have causes of their own.
 const LOSS_LIFETIME: Duration = Duration::from_secs(5);
 
-/// How long no endpoint must have answered before a loss is looked into: several times the interval of answers in a pool
-/// that is in use.
+/// How long no endpoint must have answered before losses count as more than failures of their own: several times the
+/// interval of answers in a pool that is in use.
 const QUIET_PERIOD: Duration = Duration::from_millis(300);
 
 /// The shortest time between two checks of connections.
@@ -117,7 +117,9 @@
             self.check_failed = true;
             self.unconnected.insert(vm.clone(), now);
         }
-        let is_lost = self.lost.len() >= MIN_LOST.min(count) || self.has_lost_most(count);
+        // Requests at endpoints that crash together end together.
+        let in_a_row = self.lost.len() >= MIN_LOST.min(count) && self.is_quiet(now);
+        let is_lost = in_a_row || self.has_lost_most(count);
         if !is_lost || self.is_cut() {
             return None;
         }
@@ -170,9 +172,8 @@
         I: Iterator<Item = &'a VmId>,
     {
         self.expire(now);
-        let is_quiet = self.last_answer.is_none_or(|at| now >= at + QUIET_PERIOD);
         let is_due = self.checked_at.is_none_or(|at| now >= at + CHECK_INTERVAL);
-        let is_suspect = !self.lost.is_empty() && is_quiet;
+        let is_suspect = !self.lost.is_empty() && self.is_quiet(now);
         if !is_due || !(is_suspect || self.is_cut()) {
             return Vec::new();
         }
@@ -230,6 +231,10 @@
         self.unconnected.keys()
     }
 
+    fn is_quiet(&self, now: Instant) -> bool {
+        self.last_answer.is_none_or(|at| now >= at + QUIET_PERIOD)
+    }
+
     fn has_lost_most(&self, count: usize) -> bool {
         let lost = self.unconnected.len();
         lost >= MIN_LOST.min(count) && lost * 2 > count
--- a/src/decide/reachability/tests.rs
+++ b/src/decide/reachability/tests.rs
@@ -66,6 +66,21 @@
     assert!(!path.is_cut());
 }
 
+/// Guards against endpoints that crash together, so that all of their requests fail at once, being taken for a cut.
+#[test]
+fn losses_just_after_an_answer_are_no_cut() {
+    let vms = endpoints(12);
+    let now = Instant::now();
+    let mut path = Reachability::default();
+    path.record_answer(now, &vms[0], 12);
+    for vm in &vms[1..5] {
+        let change = path.record_loss(now + ms(5), vm, Loss::Answer, 12);
+        assert_eq!(change, None);
+    }
+    let change = path.record_loss(now + ms(400), &vms[5], Loss::Answer, 12);
+    assert_eq!(change, Some(PathChange::Lost));
+}
+
 /// Guards against requests that go on failing at most endpoints because a few still answer.
 #[test]
 fn a_path_is_lost_if_most_endpoints_accept_no_connection() {
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -98,6 +98,7 @@
             ("front", self.front),
             ("directory", self.directory),
             ("peer_listen", self.peer_listen),
+            ("forward_listen", self.forward_address()),
         ];
         for (path, address) in fields {
             if address.ip().is_unspecified() {
