Endpoints of tests: start them and read heads in one place; a queued request that is gone is passed over

The three tests with endpoints of the platform's manner share what starts one and reads a head. No index into the requests that could stop the process in forward_queued; a constant's name.

--- a/src/decide/reachability.rs
+++ b/src/decide/reachability.rs
@@ -40,7 +40,7 @@
 const BASE_HOLD: Duration = Duration::from_secs(1);
 
 /// How often that time is doubled if no check failed during the cut, so that passed ones say little.
-const UNTOLD_DOUBLINGS: u32 = 3;
+const UNSURE_DOUBLINGS: u32 = 3;
 
 /// How often a time is doubled at the most.
 const MAX_DOUBLINGS: u32 = 5;
@@ -145,12 +145,12 @@
         }
         self.passed += 1;
         self.unconnected.swap_remove(vm);
-        let untold = if self.check_failed {
+        let unsure = if self.check_failed {
             0
         } else {
-            UNTOLD_DOUBLINGS
+            UNSURE_DOUBLINGS
         };
-        let hold = doubled(BASE_HOLD, self.unproved + untold);
+        let hold = doubled(BASE_HOLD, self.unproved + unsure);
         let is_held = self.last_loss.is_some_and(|at| now < at + hold);
         let is_found = self.passed >= MIN_LOST.min(count) && !self.has_lost_most(count);
         if !self.is_cut() || is_held || !is_found {
--- a/src/router/reach.rs
+++ b/src/router/reach.rs
@@ -219,7 +219,8 @@
         for name in self.cut_pools() {
             let queued: Vec<_> = self.pools[&name].places.keys().copied().collect();
             for id in queued {
-                if self.requests[&id].may_be_forwarded() && !self.forward_unsent(now, id) {
+                let request = self.requests.get(&id);
+                if request.is_some_and(Request::may_be_forwarded) && !self.forward_unsent(now, id) {
                     break;
                 }
             }
--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -1,6 +1,5 @@
 //! Endpoints that answer in full or break off, in each way in which an answer may be framed and a connection may end.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -10,18 +9,19 @@
 use anyhow::Result;
 use indexmap::IndexMap;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::platform::LIMIT;
 use crate::platform::Router;
 use crate::platform::ask;
+use crate::platform::header;
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
+use crate::platform::read_head;
 use crate::platform::route;
+use crate::platform::start_endpoint;
 use crate::store::Store;
 use crate::wait_for;
 
@@ -131,7 +131,8 @@
         put_config(&store, &routes);
         for service in [ONCE, RESUMABLE, RECORDS] {
             for number in 0..ENDPOINTS {
-                let endpoint = start_endpoint(script.clone()).await?;
+                let shared = script.clone();
+                let endpoint = start_endpoint(move |stream| serve(stream, shared.clone())).await?;
                 put_endpoint(&store, &format!("{service}-{number}"), service, endpoint);
             }
         }
@@ -164,26 +165,10 @@
     }
 }
 
-async fn start_endpoint(script: Shared) -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, script.clone()));
-        }
-    });
-    Ok(address)
-}
-
 /// Answers one request, which has no body.
 async fn serve(mut stream: TcpStream, script: Shared) -> Result<()> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await?);
-    }
-    let head = String::from_utf8(head)?;
-    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-    let Some(name) = field("request-id: ") else {
+    let head = read_head(&mut stream).await?;
+    let Some(name) = header(&head, "request-id") else {
         let healthy = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
         return Ok(stream.write_all(healthy).await?);
     };
@@ -191,7 +176,7 @@
         true => "text/plain",
         false => "text/event-stream",
     };
-    let last = field("last-event-id: ").map(str::to_owned);
+    let last = header(&head, "last-event-id").map(str::to_owned);
     let answer = {
         let mut script = script.lock().unwrap_or_else(PoisonError::into_inner);
         let runs = script.resumed.entry(name.to_owned()).or_default();
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -149,6 +150,37 @@
     store.put("keyed.servers", name, &entry);
 }
 
+/// Starts an endpoint, each connection of which is served in a task of its own.
+pub(crate) async fn start_endpoint<S, F>(serve: S) -> Result<SocketAddr>
+where
+    S: Fn(TcpStream) -> F + Send + 'static,
+    F: Future<Output = Result<()>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream));
+        }
+    });
+    Ok(address)
+}
+
+/// Reads the head of a request without a body.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> Result<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    Ok(String::from_utf8(head)?)
+}
+
+/// Returns the value of a header.
+pub(crate) fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut headers = head.lines().filter_map(|line| line.split_once(": "));
+    headers.find_map(|(key, value)| (key == name).then_some(value))
+}
+
 /// Returns the bytes of a request, after whose answer the connection is closed.
 pub(crate) fn request(path: &str, name: &str) -> String {
     format!(
--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -15,9 +15,7 @@
 use jasmineridge::Proxy;
 use jasmineridge::start_proxy;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio::time::interval;
@@ -26,9 +24,12 @@
 use crate::platform::LIMIT;
 use crate::platform::Router;
 use crate::platform::ask;
+use crate::platform::header;
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
+use crate::platform::read_head;
 use crate::platform::route;
+use crate::platform::start_endpoint;
 use crate::store::Store;
 use crate::wait_for;
 
@@ -82,30 +83,11 @@
     }
 }
 
-/// Starts an endpoint that turns most requests away.
-async fn start_endpoint(seen: Shared) -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, seen.clone()));
-        }
-    });
-    Ok(address)
-}
-
 /// Answers the requests on a connection, none of which has a body.
 async fn serve(mut stream: TcpStream, seen: Shared) -> Result<()> {
-    let mut head = Vec::new();
     loop {
-        head.push(stream.read_u8().await?);
-        if !head.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let text = String::from_utf8_lossy(&head).into_owned();
-        head.clear();
-        let name = "request-id: ";
-        let id = text.lines().find_map(|line| line.strip_prefix(name));
+        let head = read_head(&mut stream).await?;
+        let id = header(&head, "request-id");
         // A check of whether the endpoint is healthy has no name.
         let answer = match id {
             None => "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned(),
@@ -140,7 +122,8 @@
         let (store, at) = Store::start().await?;
         let proxy = Proxy::new();
         for number in 0..ENDPOINTS {
-            let endpoint = start_endpoint(seen.clone()).await?;
+            let shared = seen.clone();
+            let endpoint = start_endpoint(move |stream| serve(stream, shared.clone())).await?;
             let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
             let link = proxy.link(&format!("endpoint-{number}"), any_port, endpoint)?;
             put_endpoint(&store, &format!("i-{number}"), SERVICE, link);
--- a/tests/faults/without_endpoints.rs
+++ b/tests/faults/without_endpoints.rs
@@ -18,7 +18,6 @@
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -26,10 +25,13 @@
 use crate::platform::LIMIT;
 use crate::platform::Router;
 use crate::platform::ask;
+use crate::platform::header;
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
+use crate::platform::read_head;
 use crate::platform::request;
 use crate::platform::route;
+use crate::platform::start_endpoint;
 use crate::store::Store;
 use crate::wait_for;
 
@@ -97,7 +99,9 @@
         for (service, _) in SERVICES {
             for number in 0..ENDPOINTS {
                 let name = format!("{service}-{number}");
-                endpoints.push((name, service, start_endpoint(runs.clone()).await?));
+                let shared = runs.clone();
+                let endpoint = start_endpoint(move |stream| serve(stream, shared.clone())).await?;
+                endpoints.push((name, service, endpoint));
             }
         }
         let settings = json!({"retry_ratio": 0.2, "retry_spare": 50.0, "retry_window_ms": 10_000});
@@ -236,33 +240,13 @@
     }
 }
 
-async fn start_endpoint(runs: Runs) -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, runs.clone()));
-        }
-    });
-    Ok(address)
-}
-
 /// Answers the requests on a connection, none of which has a body.
 async fn serve(mut stream: TcpStream, runs: Runs) -> Result<()> {
-    let mut head = Vec::new();
     loop {
-        head.push(stream.read_u8().await?);
-        if !head.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let text = String::from_utf8_lossy(&head).into_owned();
-        head.clear();
-        let name = text
-            .lines()
-            .find_map(|line| line.strip_prefix("request-id: "))
-            .unwrap_or_default();
+        let head = read_head(&mut stream).await?;
+        let name = header(&head, "request-id").unwrap_or_default();
         *lock(&runs).entry(name.to_owned()).or_default() += 1;
-        let kind = match text.contains("/stream/") {
+        let kind = match head.contains("/stream/") {
             true => "text/event-stream",
             false => "text/plain",
         };
