Wait for the answer to a forwarded request no longer than for any other

What callers would have seen: a router that froze after the first event of a stream that it carried out for another one held its caller for as long as it was frozen, since only the head of the answer had a time limit.

--- a/src/edge/relay/forward.rs
+++ b/src/edge/relay/forward.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use futures::stream::unfold;
@@ -15,7 +14,8 @@
 
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use tokio::time::timeout;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 use tracing::info;
 
 use crate::edge::relay::front;
@@ -53,17 +53,16 @@
 ) -> Reply {
     // The core has handed the request over and is told nothing more of it.
     runner.line.over = true;
-    let left = |now: Instant| forwarding.deadline.saturating_duration_since(now);
+    let end = (forwarding.deadline + MARGIN).into();
     for hop in &forwarding.hops {
         let Some((target, request)) = prepare(&relays, &runner, hop, &forwarding) else {
             continue;
         };
         let sent = relays.upstream.send(target, request);
-        let sent = timeout(left(Instant::now()) + MARGIN, sent).await;
-        match sent {
+        match timeout_at(end, sent).await {
             Ok(Ok((connection, answer))) => {
                 let kept = Kept::new(&relays, connection, &answer);
-                return pass_on(relays, runner, kept, answer).await;
+                return pass_on(relays, runner, kept, answer, end).await;
             }
             Ok(Err(UpstreamError::Unsent)) => {
                 info!(event = "forward-unsent", request = %runner.line.id, to = hop);
@@ -106,7 +105,7 @@
     let address = hop.parse().ok()?;
     let left = forwarding
         .deadline
-        .saturating_duration_since(Instant::now());
+        .saturating_duration_since(Instant::now().into_std());
     let mut request = Request::new(Full::new(runner.body.clone()));
     *request.method_mut() = runner.ask.method.clone();
     *request.uri_mut() = runner.ask.uri.clone();
@@ -117,37 +116,39 @@
     Some((Target { address, endpoint }, request))
 }
 
-/// Passes on the answer of another router: a stream as it comes, any other answer once it is whole.
+/// Passes on the answer of another router: a stream as it comes, any other answer once it is whole. Neither is waited for
+/// longer than until `end`, though the other router may be frozen.
 async fn pass_on(
     relays: Arc<Relays>,
     runner: Runner,
     kept: Kept,
     answer: Response<Incoming>,
+    end: Instant,
 ) -> Reply {
     info!(event = "forward-answered", request = %runner.line.id, status = answer.status().as_u16());
     if !is_stream(&answer) {
         let framing = kept.framing;
-        return match gather(&relays, kept, answer).await {
-            Ok(reply) => reply,
-            Err(error) => {
-                runner.log_broken(framing, &error);
-                unknown("the answer of the router that carried out the request broke off")
-            }
-        };
+        let gathered = timeout_at(end, gather(&relays, kept, answer)).await;
+        let gathered = gathered.unwrap_or_else(|late| Err(late.into()));
+        return gathered.unwrap_or_else(|error| {
+            runner.log_broken(framing, &error);
+            unknown("the answer of the router that carried out the request broke off")
+        });
     }
     let (mut parts, body) = answer.into_parts();
     relays.dialect.strip(&mut parts.headers);
     // The connection goes with the body: if the caller leaves, it is reset, and the other router stops the run.
     let state = Some((relays, kept, body));
-    let frames = unfold(state, async |state| {
+    let frames = unfold(state, move |state| async move {
         let (relays, kept, mut body) = state?;
-        match body.frame().await {
-            Some(Ok(frame)) => Some((Ok(frame), Some((relays, kept, body)))),
-            Some(Err(error)) => Some((Err(io::Error::other(error)), None)),
-            None => {
+        match timeout_at(end, body.frame()).await {
+            Ok(Some(Ok(frame))) => Some((Ok(frame), Some((relays, kept, body)))),
+            Ok(Some(Err(error))) => Some((Err(io::Error::other(error)), None)),
+            Ok(None) => {
                 relays.keep(kept);
                 None
             }
+            Err(late) => Some((Err(late.into()), None)),
         }
     });
     let body: StreamBody<_> = StreamBody::new(frames);
--- a/tests/faults/without_endpoints.rs
+++ b/tests/faults/without_endpoints.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use anyhow::Context;
 use anyhow::Result;
 use anyhow::ensure;
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::interval;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::platform::LIMIT;
 use crate::platform::Router;
@@ -58,9 +60,10 @@
 /// How long it may take on a busy machine until an endpoint knows that a caller left, which is less than the request's time.
 const LEAVE: Duration = Duration::from_secs(2);
 
-/// A request whose answer does not end, and what is counted once its endpoint sees its connection end.
+/// What the names of requests begin with whose answers do not end, and what is counted when an endpoint sees the connection
+/// of one end.
 const ENDLESS: &str = "stream-endless";
-const LEFT: &str = "stream-left";
+const LEFT: &str = "left";
 
 /// How often each request reached an endpoint.
 type Runs = Arc<Mutex<IndexMap<String, usize>>>;
@@ -208,17 +211,22 @@
         Ok(counts)
     }
 
-    /// Has a caller of the router that lost its links leave in the middle of a stream, and waits until its endpoint knows.
-    async fn leave_stream(&self) -> Result<()> {
+    /// Begins a stream that does not end at the router that lost its links, and returns its caller.
+    async fn begin_endless(&self, why: &str) -> Result<TcpStream> {
         let mut caller = TcpStream::connect(self.routers[CUT].front).await?;
-        caller
-            .write_all(request(&format!("stream/{ENDLESS}"), ENDLESS).as_bytes())
-            .await?;
+        let name = format!("{ENDLESS}-{why}");
+        let path = format!("stream/{name}");
+        caller.write_all(request(&path, &name).as_bytes()).await?;
         let mut answer = Vec::new();
         while !String::from_utf8_lossy(&answer).contains("data: ") {
             answer.push(caller.read_u8().await?);
         }
-        drop(caller);
+        Ok(caller)
+    }
+
+    /// Has a caller of the router that lost its links leave in the middle of a stream, and waits until its endpoint knows.
+    async fn leave_stream(&self) -> Result<()> {
+        drop(self.begin_endless("left").await?);
         wait_for("the endpoint's run is stopped", LEAVE, async || {
             Ok(lock(&self.runs).contains_key(LEFT))
         })
@@ -226,6 +234,23 @@
         Ok(())
     }
 
+    /// Has the routers that carry out a stream freeze in its middle, and waits until its caller knows that it is broken off.
+    async fn freeze_others(&self) -> Result<()> {
+        let mut caller = self.begin_endless("frozen").await?;
+        let others = self.routers.iter().skip(CUT + 1);
+        for router in others.clone() {
+            router.process.signal("STOP")?;
+        }
+        let mut rest = Vec::new();
+        let ended = timeout(LIMIT, caller.read_to_end(&mut rest)).await;
+        for router in others {
+            router.process.signal("CONT")?;
+        }
+        ended.context("it never ends")??;
+        ensure!(!String::from_utf8_lossy(&rest).ends_with("0\r\n\r\n"));
+        Ok(())
+    }
+
     /// Waits until the directories of all routers name the router that lost its links, or none does.
     async fn wait_listed(&self, listed: bool) -> Result<()> {
         let front = self.routers[CUT].front;
@@ -251,7 +276,7 @@
             false => "text/plain",
         };
         let body = format!("id: 1\ndata: {name}\n\n");
-        if name == ENDLESS {
+        if name.starts_with(ENDLESS) {
             let head = format!(
                 "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\nrequest-id: {name}\r\ncontent-type: {kind}\r\n\r\n{body}"
             );
@@ -297,6 +322,7 @@
     let failed = counts[CUT].0 - counts[CUT].1;
     assert!(failed <= 10 + requests / 50, "{failed} of {requests}");
     site.leave_stream().await?;
+    site.freeze_others().await?;
     site.wait_listed(false).await?;
     site.heal(fault).await?;
     site.wait_listed(true).await?;
