--- a/src/edge/relay/forward.rs
+++ b/src/edge/relay/forward.rs
@@ -106,14 +106,10 @@
     let left = forwarding
         .deadline
         .saturating_duration_since(Instant::now().into_std());
-    let mut request = Request::new(Full::new(runner.body.clone()));
-    *request.method_mut() = runner.ask.method.clone();
-    *request.uri_mut() = runner.ask.uri.clone();
-    *request.headers_mut() = relays.dialect.forward_head(&runner.ask, left);
-    let table = HeaderValue::from(forwarding.table.0);
-    request.headers_mut().insert(TABLE, table);
+    let mut headers = relays.dialect.forward_head(&runner.ask, left);
+    headers.insert(TABLE, HeaderValue::from(forwarding.table.0));
     let endpoint = hop.to_owned();
-    Some((Target { address, endpoint }, request))
+    Some((Target { address, endpoint }, runner.with_headers(headers)))
 }
 
 /// Passes on the answer of another router: a stream as it comes, any other answer once it is whole. Neither is waited for
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -140,7 +140,7 @@
 pub(crate) struct Runner {
     pub(crate) line: Line,
     pub(crate) ask: Ask,
-    pub(crate) body: Bytes,
+    body: Bytes,
     run: Option<Run>,
     /// An endpoint's own failure, which the caller gets where no other endpoint does better.
     failure: Option<Reply>,
@@ -254,12 +254,18 @@
         let address: SocketAddr = run.address.parse().ok()?;
         let deadline = run.relay.as_ref()?.deadline;
         let left = deadline.saturating_duration_since(Instant::now());
+        let request = self.with_headers(relays.dialect.head(&self.ask, run, left, last));
+        let endpoint = run.endpoint.to_string();
+        Some((Target { address, endpoint }, request))
+    }
+
+    /// Returns the caller's request with other headers.
+    pub(crate) fn with_headers(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.ask.method.clone();
         *request.uri_mut() = self.ask.uri.clone();
-        *request.headers_mut() = relays.dialect.head(&self.ask, run, left, last);
-        let endpoint = run.endpoint.to_string();
-        Some((Target { address, endpoint }, request))
+        *request.headers_mut() = headers;
+        request
     }
 }
 
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -144,18 +144,13 @@
 
     /// Returns whether a fresh heartbeat of a peer is known.
     pub(crate) fn has_fresh_heartbeat(&self, now: Instant, vm: &VmId) -> bool {
-        self.heartbeats
-            .get(vm)
-            .is_some_and(|(at, _)| now < *at + self.fresh_period)
+        self.fresh_heartbeat(now, vm).is_some()
     }
 
     /// Returns whether a fresh heartbeat shows another incarnation on a router's VM, which means that this one is dead.
     pub(crate) fn is_replaced(&self, now: Instant, router: Incarnation, vm: &VmId) -> bool {
-        let heartbeat = self
-            .heartbeats
-            .get(vm)
-            .filter(|(at, _)| now < *at + self.fresh_period);
-        heartbeat.is_some_and(|(_, beat)| beat.router != router)
+        self.fresh_heartbeat(now, vm)
+            .is_some_and(|beat| beat.router != router)
     }
 
     /// Stores a peer's batches after those that it left here before; returns whether that was possible.
