--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Returns the limit.
+    pub fn limit(&self) -> RetryLimit {
+        self.limit
+    }
+
     /// Changes the limit. Requests and arrived retries of another window's length are forgotten.
     pub fn set_limit(&mut self, now: Instant, limit: RetryLimit) {
         self.advance(now);
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -252,7 +252,9 @@
                 }
                 continue;
             }
-            info!(event = "silent", request = %id);
+            if let State::Running { endpoint, .. } = &request.state {
+                info!(event = "silent", request = %id, %endpoint);
+            }
             self.effects.push(Effect::Abandon(id));
         }
     }
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use indexmap::IndexSet;
+use tracing::info;
 use tracing::warn;
 
 use crate::decide::RetryBudget;
@@ -27,7 +28,9 @@
     /// Returns a pool's retry budget.
     pub(crate) fn retry_budget(&mut self, now: Instant, pool: &PoolId) -> &mut RetryBudget {
         if !self.retry_budgets.contains_key(pool) {
-            let budget = RetryBudget::new(now, self.retry_limit(pool));
+            let limit = self.retry_limit(pool);
+            self.log_retry_limit(pool, limit);
+            let budget = RetryBudget::new(now, limit);
             self.retry_budgets.insert(pool.clone(), budget);
         }
         &mut self.retry_budgets[pool]
@@ -78,10 +81,22 @@
         let pools: IndexSet<_> = budgets.chain(self.pools.keys()).cloned().collect();
         for pool in pools {
             let limit = self.retry_limit(&pool);
-            self.retry_budget(now, &pool).set_limit(now, limit);
+            let budget = self.retry_budget(now, &pool);
+            if budget.limit() != limit {
+                budget.set_limit(now, limit);
+                self.log_retry_limit(&pool, limit);
+            }
         }
     }
 
+    /// Logs this router's part of the retries at a pool, by which the parts of all routers can be added up.
+    fn log_retry_limit(&self, pool: &PoolId, limit: RetryLimit) {
+        let RetryLimit { ratio, spare, .. } = limit;
+        let window_ms = limit.window.as_millis();
+        let routers = self.members.vm_index.serving_vms().len();
+        info!(event = "retry-limit", %pool, ratio, spare, window_ms, routers);
+    }
+
     /// Returns this router's part of the retries at a pool. One that is not listed yet, or that leaves, has no part of
     /// those that are allowed regardless of requests, since other routers may not count it.
     fn retry_limit(&self, pool: &PoolId) -> RetryLimit {
