Failing test: endpoints that are paused read later what routers gave up

What callers and endpoints see: endpoints are paused for 1.5 to 4 s, others are not. Their requests are given up after 2.5 times the objective and sent to others, which answer.

--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -1,5 +1,5 @@
 //! Routers of a platform with a metadata store, whose endpoints turn most requests away. Requests are counted where callers
-//! send them, and retries where endpoints receive them, while routers are paused and links stall.
+//! send them, and retries where endpoints read them, while routers and endpoints are paused and links stall.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -47,7 +48,15 @@
 /// How far apart faults begin.
 const FAULT_INTERVAL: Duration = Duration::from_secs(6);
 
-/// When requests were sent, and when endpoints received those that they had received before.
+/// How many endpoints are paused, and for how long.
+const PAUSES: [(usize, Duration); 4] = [
+    (ENDPOINTS / 2, Duration::from_millis(1500)),
+    (ENDPOINTS, Duration::from_secs(3)),
+    (ENDPOINTS / 2, Duration::from_secs(3)),
+    (ENDPOINTS / 3, Duration::from_secs(4)),
+];
+
+/// When requests were sent, and when endpoints read those that they had read before.
 #[derive(Default)]
 struct Seen {
     requests: Vec<Instant>,
@@ -83,9 +92,16 @@
     }
 }
 
-/// Answers the requests on a connection, none of which has a body.
-async fn serve(mut stream: TcpStream, seen: Shared) -> Result<()> {
+/// Answers the requests on a connection, none of which has a body. Nothing is read while the endpoint is paused.
+async fn serve(
+    mut stream: TcpStream,
+    seen: Shared,
+    number: usize,
+    mut paused: watch::Receiver<usize>,
+) -> Result<()> {
     loop {
+        stream.peek(&mut [0]).await?;
+        paused.wait_for(|paused| number >= *paused).await?;
         let head = read_head(&mut stream).await?;
         let id = header(&head, "request-id");
         // A check of whether the endpoint is healthy has no name.
@@ -112,6 +128,8 @@
     routers: Vec<Router>,
     seen: Shared,
     http: HttpClient,
+    /// How many endpoints are paused.
+    paused: watch::Sender<usize>,
     /// The control address of the proxy that has all links to endpoints.
     links: SocketAddr,
 }
@@ -121,9 +139,11 @@
         let seen = Shared::default();
         let (store, at) = Store::start().await?;
         let proxy = Proxy::new();
+        let paused = watch::Sender::new(0);
         for number in 0..ENDPOINTS {
-            let shared = seen.clone();
-            let endpoint = start_endpoint(move |stream| serve(stream, shared.clone())).await?;
+            let (shared, paused) = (seen.clone(), paused.subscribe());
+            let serve = move |stream| serve(stream, shared.clone(), number, paused.clone());
+            let endpoint = start_endpoint(serve).await?;
             let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
             let link = proxy.link(&format!("endpoint-{number}"), any_port, endpoint)?;
             put_endpoint(&store, &format!("i-{number}"), SERVICE, link);
@@ -139,6 +159,7 @@
             routers: routers.collect::<Result<_>>()?,
             seen,
             http: HttpClient::default(),
+            paused,
             links: start_proxy(SocketAddr::from(([127, 0, 0, 1], 0)), proxy)?.address,
         };
         wait_for("all routers are listed", LIMIT, async || {
@@ -179,6 +200,12 @@
         Ok(())
     }
 
+    async fn pause_endpoints(&self, count: usize, length: Duration) {
+        self.paused.send_replace(count);
+        sleep(length).await;
+        self.paused.send_replace(0);
+    }
+
     async fn stall_links(&self, length: Duration) -> Result<()> {
         for (faults, then) in [(r#"{"drop_to": true}"#, length), ("{}", Duration::ZERO)] {
             for number in 0..ENDPOINTS {
@@ -212,6 +239,29 @@
     let length = 4 * FAULT_INTERVAL + WINDOW;
     let ((), done) = tokio::join!(site.send_requests(length), faults);
     done?;
+    check_retries(&site);
+    Ok(())
+}
+
+/// Guards against retries beyond the limit of a service whose endpoints are paused, and read afterwards what routers gave
+/// up meanwhile.
+#[tokio::test]
+async fn retries_keep_to_the_limit_when_endpoints_pause() -> Result<()> {
+    let site = Site::start().await?;
+    let faults = async {
+        for (count, length) in PAUSES {
+            sleep(FAULT_INTERVAL - length).await;
+            site.pause_endpoints(count, length).await;
+        }
+    };
+    let length = PAUSES.len() as u32 * FAULT_INTERVAL + WINDOW;
+    tokio::join!(site.send_requests(length), faults);
+    check_retries(&site);
+    Ok(())
+}
+
+/// Checks that endpoints read no more retries in any window than are allowed.
+fn check_retries(site: &Site) {
     let mut seen = lock(&site.seen);
     let (retries, allowed) = seen.worst();
     println!(
@@ -221,5 +271,4 @@
     );
     assert!(!seen.retries.is_empty(), "the endpoints are in trouble");
     assert!(retries as f64 <= allowed, "{retries} of {allowed}");
-    Ok(())
 }
