Fleets of cores with paused endpoints: a test of the limit with windows of 10 s, and pauses in random fleets

The fixture ends a run that is given up as one whose endpoint may still read it, and ends the runs of requests whose deadline passed, as the edge does.

--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -17,12 +17,14 @@
 use crate::router::Event;
 use crate::router::Run;
 use crate::router::RunEnd;
+use crate::router::request::State;
 use crate::router::tests::site::RETRY_RATIO;
 use crate::router::tests::site::RETRY_SPARE;
 use crate::router::tests::site::RETRY_WINDOW;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::broken_run;
 use crate::router::tests::site::entry;
+use crate::router::tests::site::given_up_run;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 
@@ -103,6 +105,15 @@
     run: Box<Run>,
 }
 
+/// A request in the sockets of a paused endpoint.
+struct Unread {
+    site: usize,
+    life: usize,
+    id: RequestId,
+    pool: Option<PoolId>,
+    run: Box<Run>,
+}
+
 /// A fleet of routers that exchange heartbeats, and endpoints that announce limits.
 pub(crate) struct Fleet {
     pub(crate) sites: Vec<Site>,
@@ -113,6 +124,7 @@
     /// Endpoints that turn all requests away, and the rest that they ask for.
     pub(crate) rests: IndexMap<VmId, Duration>,
     answers: Vec<Answer>,
+    unread: Vec<Unread>,
     endpoints: usize,
     /// The version of the last VM list.
     lists: u64,
@@ -143,6 +155,8 @@
     pub(crate) breaking: IndexSet<VmId>,
     /// Endpoints that never answer.
     pub(crate) silent: IndexSet<VmId>,
+    /// Endpoints that read nothing, but all that was sent to them once they go on.
+    pub(crate) paused: IndexSet<VmId>,
     /// Requests and arrivals at each pool.
     pub(crate) retry_counts: IndexMap<PoolId, RetryCount>,
     /// The endpoints at which retries arrived.
@@ -186,6 +200,7 @@
             leaving: IndexSet::new(),
             rests: IndexMap::new(),
             answers: Vec::new(),
+            unread: Vec::new(),
             endpoints,
             lists: 3,
             loss: 0.0,
@@ -202,6 +217,7 @@
             refusing: IndexSet::new(),
             breaking: IndexSet::new(),
             silent: IndexSet::new(),
+            paused: IndexSet::new(),
             retry_counts: IndexMap::new(),
             retried_at: Vec::new(),
         }
@@ -301,10 +317,24 @@
         for site in &mut self.sites {
             site.advance(STEP.as_millis() as u64);
         }
+        self.read_sockets();
         self.deliver_answers();
         self.carry_out();
     }
 
+    /// Has the endpoints that are not paused any more read what they were sent meanwhile.
+    fn read_sockets(&mut self) {
+        let paused = &self.paused;
+        let read = |unread: &mut Unread| !paused.contains(&unread.run.endpoint);
+        let read: Vec<_> = self.unread.extract_if(.., read).collect();
+        for unread in read {
+            self.count_arrival(&unread);
+            if self.is_running(&unread) {
+                self.answer(unread);
+            }
+        }
+    }
+
     fn deliver_answers(&mut self) {
         let now = self.elapsed;
         let (due, later) = self.answers.drain(..).partition(|answer| answer.due <= now);
@@ -367,8 +397,9 @@
                 match effect {
                     Effect::Run(id, run) => self.receive(site, id, run),
                     Effect::SendHeartbeat(beat, peers) => beats.push((beat, peers)),
-                    Effect::Abandon(id) => {
-                        self.sites[site].handle(Event::RunEnded(id, broken_run(false)))
+                    Effect::Abandon(id) => self.end_run(site, id, given_up_run()),
+                    Effect::Abort(id, _) => {
+                        self.end_run(site, id, RunEnd::CallerGone { usage: None });
                     }
                     _ => {}
                 }
@@ -386,6 +417,13 @@
         }
     }
 
+    /// Ends a run before its endpoint answered.
+    fn end_run(&mut self, site: usize, id: RequestId, end: RunEnd) {
+        let over = |answer: &Answer| answer.site == site && answer.id == id;
+        self.answers.retain(|answer| !over(answer));
+        self.sites[site].handle(Event::RunEnded(id, end));
+    }
+
     fn receive(&mut self, site: usize, id: RequestId, run: Box<Run>) {
         let vm = run.endpoint.clone();
         let told = self.told.get(&(site, vm.clone()));
@@ -400,12 +438,46 @@
         let now = self.elapsed;
         self.disturbed += usize::from(asked.any(|(from, until)| (*from..*until).contains(&now)));
         let core = &self.sites[site].core;
-        if let Some(request) = core.requests.get(&id) {
-            let count = self.retry_counts.entry(request.pool.clone()).or_default();
-            if count.record_arrival(self.elapsed, (site, self.lives[site], id)) {
-                self.retried_at.push(vm.clone());
-            }
+        let unread = Unread {
+            site,
+            life: self.lives[site],
+            id,
+            pool: core.requests.get(&id).map(|request| request.pool.clone()),
+            run,
+        };
+        if self.paused.contains(&vm) {
+            self.unread.push(unread);
+            return;
         }
+        self.count_arrival(&unread);
+        self.answer(unread);
+    }
+
+    fn count_arrival(&mut self, unread: &Unread) {
+        let Some(pool) = &unread.pool else {
+            return;
+        };
+        let count = self.retry_counts.entry(pool.clone()).or_default();
+        if count.record_arrival(self.elapsed, (unread.site, unread.life, unread.id)) {
+            self.retried_at.push(unread.run.endpoint.clone());
+        }
+    }
+
+    /// Returns whether the router still waits for the endpoint's answer.
+    fn is_running(&self, unread: &Unread) -> bool {
+        if unread.life != self.lives[unread.site] {
+            return false;
+        }
+        let request = self.sites[unread.site].core.requests.get(&unread.id);
+        match request.map(|request| &request.state) {
+            Some(State::Running { endpoint, .. }) => *endpoint == unread.run.endpoint,
+            _ => false,
+        }
+    }
+
+    fn answer(&mut self, unread: Unread) {
+        let Unread { site, id, run, .. } = unread;
+        let vm = run.endpoint.clone();
         if self.silent.contains(&vm) {
             return;
         }
--- a/src/router/tests/random_retries.rs
+++ b/src/router/tests/random_retries.rs
@@ -1,5 +1,5 @@
-//! Random fleets whose endpoints turn requests away, break off or fall silent, while routers restart or know an old VM
-//! list, and requests stop or move between pools. The retries of each pool are counted as an observer sees them.
+//! Random fleets whose endpoints turn requests away, break off, fall silent or are paused, while routers restart or know
+//! an old VM list, and requests stop or move between pools. The retries of each pool are counted as an observer sees them.
 
 use indexmap::IndexSet;
 use rand::RngExt;
@@ -14,12 +14,16 @@
 const ENDPOINTS: usize = 12;
 /// How many spans of a second each fleet is run for.
 const SPANS: u64 = 30;
+/// How many spans endpoints are paused at most.
+const LONGEST_PAUSE: u64 = 9;
 
 struct Play {
     fleet: Fleet,
     rng: ChaCha8Rng,
     /// Requests a second.
     rate: f64,
+    /// For how many more spans some endpoints are paused.
+    paused: u64,
 }
 
 impl Play {
@@ -30,20 +34,26 @@
             fleet: Fleet::start(routers, ENDPOINTS),
             rng,
             rate: 300.0,
+            paused: 0,
         }
     }
 
     /// Changes something at random, runs for a second, and checks what must hold.
     fn step(&mut self) {
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..10) {
             0..=1 => self.change_refusing(),
             2 => self.change_failing(),
             3 => self.change_routes(),
             4 => self.rate = [0.0, 20.0, 100.0, 400.0][self.rng.random_range(0..4)],
             5 => self.restart_some(),
             6 => self.fleet.change_list(&mut self.rng),
+            7..=8 if self.paused == 0 => self.pause_some(),
             _ => {}
         }
+        self.paused = self.paused.saturating_sub(1);
+        if self.paused == 0 {
+            self.fleet.paused.clear();
+        }
         self.fleet.run(1.0, self.rate);
         assert_eq!(self.fleet.excess_retries(), None);
     }
@@ -68,6 +78,13 @@
         self.fleet.breaking = (silent..silent + breaking).map(endpoint).collect();
     }
 
+    /// Pauses some endpoints for seconds.
+    fn pause_some(&mut self) {
+        let count = [1, 4, ENDPOINTS][self.rng.random_range(0..3)];
+        self.fleet.paused = (0..count).map(endpoint).collect();
+        self.paused = self.rng.random_range(2..LONGEST_PAUSE);
+    }
+
     /// Moves requests between the pools.
     fn change_routes(&mut self) {
         let routes = [
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -64,6 +64,28 @@
     }
 }
 
+/// Guards against requests that endpoints read after a pause, long after they were given up and retried elsewhere, beside as
+/// many retries as are allowed.
+#[test]
+fn retries_stay_within_the_limit_when_paused_endpoints_go_on() {
+    for (endpoints, paused) in [(24, 12), (40, 10)] {
+        for seconds in [2.0, 4.0] {
+            let mut fleet = Fleet::start(7, endpoints);
+            fleet.run(12.0, 400.0);
+            fleet.refusing = (0..endpoints).map(endpoint).collect();
+            fleet.run(10.0, 400.0);
+            for _ in 0..3 {
+                fleet.paused = (0..paused).map(endpoint).collect();
+                fleet.run(seconds, 400.0);
+                fleet.paused.clear();
+                fleet.run(2.0, 400.0);
+            }
+            let excess = fleet.excess_retries();
+            assert_eq!(excess, None, "{paused} endpoints for {seconds} s");
+        }
+    }
+}
+
 /// Guards against requests that are taken from silent endpoints although no retry is left for them.
 #[test]
 fn no_more_silent_endpoints_are_abandoned_than_retries_are_available() {
