Test on real processes that forwarded requests and cut links keep to the limit of retries

Each router has links of its own now, so that some lose theirs while others carry out what these forward.

--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -2,6 +2,7 @@
 //! send them, and retries where endpoints read them, while routers and endpoints are paused and links stall.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -56,6 +57,18 @@
     (ENDPOINTS / 3, Duration::from_secs(4)),
 ];
 
+/// Holds back what is sent to endpoints.
+const STALL: &str = r#"{"drop_to": true}"#;
+
+/// The routers that lose their links, and how.
+const CUTS: [(Range<usize>, &str); 4] = [
+    (0..2, r#"{"half_open": true}"#),
+    (1..3, r#"{"drop_from": true}"#),
+    (2..4, r#"{"cut": true}"#),
+    (0..2, STALL),
+];
+const CUT: Duration = Duration::from_secs(3);
+
 /// When requests were sent, and when endpoints read those that they had read before.
 #[derive(Default)]
 struct Seen {
@@ -124,6 +137,11 @@
     }
 }
 
+/// Returns the name of a router's link to an endpoint.
+fn link_name(router: usize, endpoint: usize) -> String {
+    format!("{router}-{endpoint}")
+}
+
 struct Site {
     routers: Vec<Router>,
     seen: Shared,
@@ -138,16 +156,15 @@
     /// Starts the routers on VMs from a number on, which no other test uses.
     async fn start(first_vm: usize) -> Result<Self> {
         let seen = Shared::default();
-        let (store, at) = Store::start().await?;
+        let (store, _) = Store::start().await?;
         let proxy = Proxy::new();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let paused = watch::Sender::new(0);
+        let mut endpoints = Vec::new();
         for number in 0..ENDPOINTS {
             let (shared, paused) = (seen.clone(), paused.subscribe());
             let serve = move |stream| serve(stream, shared.clone(), number, paused.clone());
-            let endpoint = start_endpoint(serve).await?;
-            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-            let link = proxy.link(&format!("endpoint-{number}"), any_port, endpoint)?;
-            put_endpoint(&store, &format!("i-{number}"), SERVICE, link);
+            endpoints.push(start_endpoint(serve).await?);
         }
         put_config(&store, &[route(SERVICE, "idempotent")]);
         let settings = json!({
@@ -155,13 +172,21 @@
             "retry_spare": SPARE,
             "retry_window_ms": WINDOW.as_millis() as u64,
         });
-        let routers = (0..ROUTERS).map(|n| Router::start(first_vm + n, at, &settings));
+        let mut routers = Vec::new();
+        for router in 0..ROUTERS {
+            let (view, at) = store.start_view(&router.to_string()).await?;
+            for (number, endpoint) in endpoints.iter().enumerate() {
+                let link = proxy.link(&link_name(router, number), any_port, *endpoint)?;
+                put_endpoint(&view, &format!("i-{number}"), SERVICE, link);
+            }
+            routers.push(Router::start(first_vm + router, at, &settings)?);
+        }
         let site = Self {
-            routers: routers.collect::<Result<_>>()?,
+            routers,
             seen,
             http: HttpClient::default(),
             paused,
-            links: start_proxy(SocketAddr::from(([127, 0, 0, 1], 0)), proxy)?.address,
+            links: start_proxy(any_port, proxy)?.address,
         };
         wait_for("all routers are listed", LIMIT, async || {
             Ok(store.count("keyed.routers") == ROUTERS)
@@ -207,10 +232,19 @@
         self.paused.send_replace(0);
     }
 
-    async fn stall_links(&self, length: Duration) -> Result<()> {
-        for (faults, then) in [(r#"{"drop_to": true}"#, length), ("{}", Duration::ZERO)] {
-            for number in 0..ENDPOINTS {
-                let url = format!("http://{}/v1/links/endpoint-{number}/faults", self.links);
+    /// Disturbs all links of some routers to endpoints.
+    async fn disturb_links(
+        &self,
+        routers: Range<usize>,
+        faults: &'static str,
+        length: Duration,
+    ) -> Result<()> {
+        for (faults, then) in [(faults, length), ("{}", Duration::ZERO)] {
+            let links = routers
+                .clone()
+                .flat_map(|router| (0..ENDPOINTS).map(move |endpoint| link_name(router, endpoint)));
+            for link in links {
+                let url = format!("http://{}/v1/links/{link}/faults", self.links);
                 self.http
                     .post(&url, Bytes::from_static(faults.as_bytes()), LIMIT)
                     .await?;
@@ -233,7 +267,7 @@
             sleep(FAULT_INTERVAL - pause).await;
             site.pause_routers(pause).await?;
             sleep(FAULT_INTERVAL - stall).await;
-            site.stall_links(stall).await?;
+            site.disturb_links(0..ROUTERS, STALL, stall).await?;
         }
         anyhow::Ok(())
     };
@@ -261,6 +295,28 @@
     Ok(())
 }
 
+/// Guards against retries that nobody counts because some routers lose their links to the endpoints, and others carry out
+/// the requests that these forward.
+#[tokio::test]
+async fn retries_keep_to_the_limit_when_requests_are_forwarded() -> Result<()> {
+    let site = Site::start(40).await?;
+    let faults = async {
+        for (routers, faults) in CUTS {
+            sleep(FAULT_INTERVAL - CUT).await;
+            site.disturb_links(routers, faults, CUT).await?;
+        }
+        anyhow::Ok(())
+    };
+    let length = CUTS.len() as u32 * FAULT_INTERVAL + WINDOW;
+    let ((), done) = tokio::join!(site.send_requests(length), faults);
+    done?;
+    let mut logs = site.routers.iter().map(Router::logged);
+    let forwarded = logs.any(|log| log.is_ok_and(|log| log.contains("event=forwarded")));
+    assert!(forwarded, "routers forward requests");
+    check_retries(&site);
+    Ok(())
+}
+
 /// Checks that endpoints read no more retries in any window than are allowed.
 fn check_retries(site: &Site) {
     let mut seen = lock(&site.seen);
