Hold no more retries of a request than it has unread runs

A request that is unread at one endpoint can arrive once more, however often it was retried. Two retries were held for it where one is enough; the test failed before (2 in place of 1). Fewer retries are kept from others; the limit is the same.

--- a/src/decide/unread.rs
+++ b/src/decide/unread.rs
@@ -34,7 +34,7 @@
 struct Unread {
     pool: PoolId,
     runs: Vec<UnreadRun>,
-    /// Retries by which the request may still arrive once more.
+    /// Retries by which the request may still arrive, at most one for each unread run.
     retries: Vec<PendingRetry>,
 }
 
@@ -75,15 +75,15 @@
         });
     }
 
-    /// Holds a retry whose run is over. Returns it if no run of its request is unread.
+    /// Holds a retry whose run is over. Returns it if as many are held as runs of its request are unread.
     #[must_use]
     pub(crate) fn hold(&mut self, request: RequestId, retry: PendingRetry) -> Option<PendingRetry> {
         match self.requests.get_mut(&request) {
-            Some(unread) => {
+            Some(unread) if unread.retries.len() < unread.runs.len() => {
                 unread.retries.push(retry);
                 None
             }
-            None => Some(retry),
+            _ => Some(retry),
         }
     }
 
@@ -134,18 +134,18 @@
         expired
     }
 
-    /// Returns the retries of requests none of whose runs is unread any more, with their pools, and forgets these
-    /// requests.
+    /// Returns the retries that are more than there are unread runs of their requests, with their pools, and forgets
+    /// requests without unread runs.
     #[must_use]
     pub(crate) fn release(&mut self) -> Vec<(PoolId, PendingRetry)> {
-        let read = |_: &RequestId, unread: &mut Unread| unread.runs.is_empty();
-        let released = self.requests.extract_if(.., read);
-        let retries = released.flat_map(|(_, unread)| {
-            let pool = unread.pool;
-            let retries = unread.retries.into_iter();
-            retries.map(move |retry| (pool.clone(), retry))
+        let mut released = Vec::new();
+        self.requests.retain(|_, unread| {
+            let held = unread.runs.len().min(unread.retries.len());
+            let surplus = unread.retries.drain(held..);
+            released.extend(surplus.map(|retry| (unread.pool.clone(), retry)));
+            !unread.runs.is_empty()
         });
-        retries.collect()
+        released
     }
 
     /// Returns the retries that are held for requests to a pool.
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -243,6 +243,20 @@
     assert_eq!(pending(&site), 1);
 }
 
+/// Guards against retries that are held though their request can't arrive so many times any more.
+#[test]
+fn no_more_retries_are_held_than_runs_are_unread() {
+    let mut site = Site::start_with_vms(1000, vms(2, 12));
+    site.wait_for_retries();
+    site.advance(6000);
+    let id = site.send("again", 0, 0);
+    site.handle(Event::RunEnded(id, RunEnd::NotRun { retry: None }));
+    site.handle(Event::RunEnded(id, given_up_run()));
+    assert_eq!((site.runs(id).len(), pending(&site)), (3, 2));
+    site.handle(Event::AnswerStarted(id));
+    assert_eq!(pending(&site), 1);
+}
+
 /// Guards against late answers to other requests that are taken as a sign that an endpoint has read on.
 #[test]
 fn the_late_answer_to_another_request_does_not_show_that_an_endpoint_has_read_on() {
