--- a/src/router/tests/random_retries.rs
+++ b/src/router/tests/random_retries.rs
@@ -14,7 +14,7 @@
 const ENDPOINTS: usize = 12;
 /// How many spans of a second each fleet is run for.
 const SPANS: u64 = 30;
-/// How many spans endpoints are paused at most.
+/// Endpoints are paused for fewer spans than this.
 const LONGEST_PAUSE: u64 = 9;
 
 struct Play {
