Match the end of a run once for each question, and release held retries only when a run expired

An error was matched twice with a wildcard, and the two questions of record_run_read (was it read, may it still be) were one match with empty arms. Each tick looked through all unread requests for retries to release although only an answer or an expired run frees any. Behaviour as before.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -161,17 +161,7 @@
         };
         let (connection, answer) = match sent {
             Ok(sent) => sent,
-            Err(UpstreamError::Unsent) => {
-                debug!(event = "unsent", request = %self.line.id, endpoint = %run.endpoint);
-                return Sent::Over(RunEnd::NoConnection);
-            }
-            Err(error @ (UpstreamError::Closed | UpstreamError::TimedOut)) => {
-                info!(event = "no-answer", request = %self.line.id, endpoint = %run.endpoint, %error);
-                return Sent::Over(match error {
-                    UpstreamError::TimedOut => RunEnd::given_up(),
-                    _ => RunEnd::broken(),
-                });
-            }
+            Err(error) => return Sent::Over(self.unanswered(&run, error)),
         };
         let kept = Kept::new(relays, connection, &answer);
         let verdict = relays.dialect.verdict(&self.ask, &answer);
@@ -207,6 +197,21 @@
         }
     }
 
+    /// Logs why a run got no head of an answer, and returns its end.
+    fn unanswered(&self, run: &Run, error: UpstreamError) -> RunEnd {
+        let (request, endpoint) = (self.line.id, &run.endpoint);
+        if error == UpstreamError::Unsent {
+            debug!(event = "unsent", %request, %endpoint);
+        } else {
+            info!(event = "no-answer", %request, %endpoint, %error);
+        }
+        match error {
+            UpstreamError::Unsent => RunEnd::NoConnection,
+            UpstreamError::Closed => RunEnd::broken(),
+            UpstreamError::TimedOut => RunEnd::given_up(),
+        }
+    }
+
     /// Tells the core what the endpoint announced, unless there is nothing that could change.
     fn announced(&self, limited: bool, announcement: Announcement) {
         if limited || announcement != Announcement::default() {
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -64,21 +64,23 @@
         else {
             return;
         };
-        let is_relay = request.relay.is_some();
-        match end {
-            RunEnd::Failed { unread: true, .. } => {}
-            RunEnd::CallerGone { .. } if first_token.is_none() => {}
-            RunEnd::Completed { .. } | RunEnd::Answered { .. } => return self.record_read(now, id),
+        let answered = match end {
+            RunEnd::Completed { .. } | RunEnd::Answered { .. } => true,
             // Where the ledger accounts for budgets, it may mean that there was no connection.
-            RunEnd::NotRun { .. } if is_relay => return self.record_read(now, id),
-            RunEnd::NotRun { .. }
-            | RunEnd::NoConnection
-            | RunEnd::Failed { .. }
-            | RunEnd::CallerGone { .. }
-            | RunEnd::Unsent => return,
+            RunEnd::NotRun { .. } => request.relay.is_some(),
+            _ => false,
+        };
+        let unread = match end {
+            RunEnd::Failed { unread, .. } => *unread,
+            RunEnd::CallerGone { .. } => first_token.is_none(),
+            _ => false,
+        };
+        if answered {
+            self.record_read(now, id);
+        } else if unread {
+            let endpoint = endpoint.clone();
+            self.unread.record_run(now, id, &request.pool, endpoint);
         }
-        let endpoint = endpoint.clone();
-        self.unread.record_run(now, id, &request.pool, endpoint);
     }
 
     /// Records that the endpoint that a request runs at answered it, and so has read what was given up there before.
@@ -100,6 +102,9 @@
         let current = !self.may_be_behind(now);
         let is_listed = |vm: &VmId| current && index.entry(vm).is_some();
         let expired = self.unread.expire(now, is_listed);
+        if expired.is_empty() {
+            return;
+        }
         for run in expired {
             let ExpiredRun {
                 request,
