--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -101,15 +101,21 @@
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
-/// Guards against a request that is sent again, without the core's decision, when the kept connection it was sent on
-/// breaks.
-#[tokio::test]
-async fn a_request_on_a_kept_connection_that_breaks_is_sent_once() {
+/// Returns the socket of an endpoint, and where it is.
+async fn listen() -> (TcpListener, Target) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let target = Target {
         address: listener.local_addr().expect("an address"),
         endpoint: "engine-0".to_owned(),
     };
+    (listener, target)
+}
+
+/// Guards against a request that is sent again, without the core's decision, when the kept connection it was sent on
+/// breaks.
+#[tokio::test]
+async fn a_request_on_a_kept_connection_that_breaks_is_sent_once() {
+    let (listener, target) = listen().await;
     let requests = Arc::new(AtomicUsize::new(0));
     let count = requests.clone();
     tokio::spawn(async move {
@@ -138,11 +144,7 @@
 /// Guards against a request that counts as read because its connection broke, though only its sender gave it up.
 #[tokio::test]
 async fn a_connection_that_times_out_is_told_from_one_that_the_endpoint_closed() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let target = Target {
-        address: listener.local_addr().expect("an address"),
-        endpoint: "engine-0".to_owned(),
-    };
+    let (listener, target) = listen().await;
     // More than the sockets hold, so that a part stays without acknowledgement while nobody reads.
     let body = Full::new(Bytes::from(vec![0; 64 << 20]));
     let upstream = Upstream::default();
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -30,6 +30,7 @@
 mod random_retries;
 mod refused;
 mod reincarnated;
+mod retry_count;
 mod retry_limits;
 mod site;
 mod stale_config;
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -23,6 +23,13 @@
     fleet
 }
 
+/// Starts a router with twelve endpoints that may retry a request.
+fn start_site() -> Site {
+    let mut site = Site::start_with_vms(1000, vms(2, 12));
+    site.wait_for_retries();
+    site
+}
+
 fn refuse_all(fleet: &mut Fleet) {
     fleet.refusing = (0..5).map(endpoint).chain((0..3).map(app)).collect();
 }
@@ -89,8 +96,7 @@
 /// Guards against requests that are taken from silent endpoints although no retry is left for them.
 #[test]
 fn no_more_silent_endpoints_are_abandoned_than_retries_are_available() {
-    let mut site = Site::start_with_vms(1000, vms(2, 12));
-    site.wait_for_retries();
+    let mut site = start_site();
     let ids: Vec<_> = (0..10).map(|_| site.send("again", 0, 0)).collect();
     site.advance(600);
     let abandoned = site.effects.iter().filter_map(|effect| match effect {
@@ -154,8 +160,7 @@
 /// Guards against retries that are forgotten, or counted for ever, while it is unknown whether they arrived.
 #[test]
 fn a_retry_is_pending_until_its_run_is_known_to_have_been_read() {
-    let mut site = Site::start_with_vms(1000, vms(2, 12));
-    site.wait_for_retries();
+    let mut site = start_site();
     let refused = || RunEnd::NotRun { retry: None };
     for number in 0..3 {
         site.advance(3000);
@@ -174,12 +179,12 @@
         // Its endpoint may read on, though its caller has gone.
         assert_eq!(pending(&site), u32::from(number == 2));
     }
-    answer_later_request(&mut site, |_| true);
+    end_later_requests(&mut site, |_| true);
     assert_eq!(pending(&site), 0);
 }
 
-/// Sends requests, and has those answered that reach certain endpoints.
-fn answer_later_request<F>(site: &mut Site, answers: F)
+/// Sends requests, has those answered that reach certain endpoints, and has the callers of the others leave.
+fn end_later_requests<F>(site: &mut Site, answers: F)
 where
     F: Fn(&VmId) -> bool,
 {
@@ -216,23 +221,21 @@
 /// request that they replaced much later.
 #[test]
 fn a_retry_is_pending_until_the_endpoint_that_was_given_up_answers_again() {
-    let mut site = Site::start_with_vms(1000, vms(2, 12));
-    site.wait_for_retries();
+    let mut site = start_site();
     let silent = give_up_one(&mut site);
     site.advance(1000);
-    answer_later_request(&mut site, |endpoint| *endpoint != silent);
+    end_later_requests(&mut site, |endpoint| *endpoint != silent);
     assert_eq!(pending(&site), 1);
     // It is tried again after a pause.
     site.advance(4000);
-    answer_later_request(&mut site, |endpoint| *endpoint == silent);
+    end_later_requests(&mut site, |endpoint| *endpoint == silent);
     assert_eq!(pending(&site), 0);
 }
 
 /// Guards against answers that are taken as a sign that an endpoint read what it was sent after them.
 #[test]
 fn the_answer_to_an_earlier_request_does_not_show_that_a_later_one_was_read() {
-    let mut site = Site::start_with_vms(1000, vms(2, 12));
-    site.wait_for_retries();
+    let mut site = start_site();
     let earlier: Vec<_> = (0..24).map(|_| site.send("again", 0, 0)).collect();
     site.advance(100);
     give_up_one(&mut site);
@@ -245,8 +248,7 @@
 /// Guards against retries that are held though their request can't arrive so many times any more.
 #[test]
 fn no_more_retries_are_held_than_runs_are_unread() {
-    let mut site = Site::start_with_vms(1000, vms(2, 12));
-    site.wait_for_retries();
+    let mut site = start_site();
     site.advance(6000);
     let id = site.send("again", 0, 0);
     site.handle(Event::RunEnded(id, RunEnd::NotRun { retry: None }));
@@ -259,8 +261,7 @@
 /// Guards against late answers to other requests that are taken as a sign that an endpoint has read on.
 #[test]
 fn the_late_answer_to_another_request_does_not_show_that_an_endpoint_has_read_on() {
-    let mut site = Site::start_with_vms(1000, vms(2, 12));
-    site.wait_for_retries();
+    let mut site = start_site();
     let silent = give_up_one(&mut site);
     site.advance(4000);
     for _ in 0..24 {
@@ -282,8 +283,7 @@
         (false, Log::Up, 30),
         (true, Log::Down, 30),
     ] {
-        let mut site = Site::start_with_vms(1000, vms(2, 12));
-        site.wait_for_retries();
+        let mut site = start_site();
         let silent = give_up_one(&mut site);
         if !listed {
             let mut list = site.core.members.vm_index.list().clone();
--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -215,6 +215,31 @@
         }
     }
 
+    /// Sends requests while so many faults begin one after another, and checks the retries of the whole time.
+    async fn play<F>(&self, faults: usize, disturb: F) -> Result<()>
+    where
+        F: Future<Output = Result<()>>,
+    {
+        let length = faults as u32 * FAULT_INTERVAL + WINDOW;
+        let ((), done) = tokio::join!(self.send_requests(length), disturb);
+        done?;
+        self.check_retries();
+        Ok(())
+    }
+
+    /// Checks that endpoints read no more retries in any window than are allowed.
+    fn check_retries(&self) {
+        let mut seen = lock(&self.seen);
+        let (retries, allowed) = seen.worst();
+        println!(
+            "{} requests, {} retries, at most {retries} in a window, of {allowed} allowed",
+            seen.requests.len(),
+            seen.retries.len()
+        );
+        assert!(!seen.retries.is_empty(), "the endpoints are in trouble");
+        assert!(retries as f64 <= allowed, "{retries} of {allowed}");
+    }
+
     async fn pause_routers(&self, length: Duration) -> Result<()> {
         for router in &self.routers {
             router.process.signal("STOP")?;
@@ -269,13 +294,9 @@
             sleep(FAULT_INTERVAL - stall).await;
             site.disturb_links(0..ROUTERS, STALL, stall).await?;
         }
-        anyhow::Ok(())
+        Ok(())
     };
-    let length = 4 * FAULT_INTERVAL + WINDOW;
-    let ((), done) = tokio::join!(site.send_requests(length), faults);
-    done?;
-    check_retries(&site);
-    Ok(())
+    site.play(4, faults).await
 }
 
 /// Guards against retries beyond the limit of a service whose endpoints are paused, and read afterwards what routers gave
@@ -288,11 +309,9 @@
             sleep(FAULT_INTERVAL - length).await;
             site.pause_endpoints(count, length).await;
         }
+        Ok(())
     };
-    let length = PAUSES.len() as u32 * FAULT_INTERVAL + WINDOW;
-    tokio::join!(site.send_requests(length), faults);
-    check_retries(&site);
-    Ok(())
+    site.play(PAUSES.len(), faults).await
 }
 
 /// Guards against retries that nobody counts because some routers lose their links to the endpoints, and others carry out
@@ -305,27 +324,11 @@
             sleep(FAULT_INTERVAL - CUT).await;
             site.disturb_links(routers, faults, CUT).await?;
         }
-        anyhow::Ok(())
+        Ok(())
     };
-    let length = CUTS.len() as u32 * FAULT_INTERVAL + WINDOW;
-    let ((), done) = tokio::join!(site.send_requests(length), faults);
-    done?;
+    site.play(CUTS.len(), faults).await?;
     let mut logs = site.routers.iter().map(Router::logged);
     let forwarded = logs.any(|log| log.is_ok_and(|log| log.contains("event=forwarded")));
     assert!(forwarded, "routers forward requests");
-    check_retries(&site);
     Ok(())
 }
-
-/// Checks that endpoints read no more retries in any window than are allowed.
-fn check_retries(site: &Site) {
-    let mut seen = lock(&site.seen);
-    let (retries, allowed) = seen.worst();
-    println!(
-        "{} requests, {} retries, at most {retries} in a window, of {allowed} allowed",
-        seen.requests.len(),
-        seen.retries.len()
-    );
-    assert!(!seen.retries.is_empty(), "the endpoints are in trouble");
-    assert!(retries as f64 <= allowed, "{retries} of {allowed}");
-}
