Sight: read and log that endpoints are brittle, and log each rejection

Now endpoint-brittle is logged where a router hears of it first, from the endpoint or a peer, and endpoint-rejected with this router's requests there. The announcement is told in heartbeats like the others, by life; the state dump shows it. No decision depends on it yet.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -20,6 +20,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::heard::Heard;
+use crate::decide::heard::Said;
 use crate::decide::rate_share::ShareBucket;
 use crate::decide::rate_share::rate_share;
 use crate::ids::VmId;
@@ -48,11 +50,45 @@
     Rate(RequestRate),
 }
 
+impl From<AnnouncedLimit> for Said<RequestRate> {
+    fn from(limit: AnnouncedLimit) -> Self {
+        match limit {
+            AnnouncedLimit::None => Self::Nothing,
+            AnnouncedLimit::Unreadable => Self::Unreadable,
+            AnnouncedLimit::Rate(rate) => Self::Value(rate),
+        }
+    }
+}
+
+/// What the head of a brittle endpoint's answer says about the requests that it can reject.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnnouncedTolerance {
+    /// Nothing: the endpoint is not brittle.
+    #[default]
+    None,
+    /// Something that cannot be read; an earlier number stays, and the lowest is assumed without one.
+    Unreadable,
+    /// How many requests it can reject in any second without failing.
+    Rejections(u32),
+}
+
+impl From<AnnouncedTolerance> for Said<u32> {
+    fn from(tolerance: AnnouncedTolerance) -> Self {
+        match tolerance {
+            AnnouncedTolerance::None => Self::Nothing,
+            AnnouncedTolerance::Unreadable => Self::Unreadable,
+            AnnouncedTolerance::Rejections(count) => Self::Value(count),
+        }
+    }
+}
+
 /// What an endpoint announces about itself in the head of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Announcement {
     /// The rate of requests that it takes.
     pub limit: AnnouncedLimit,
+    /// How many requests it can reject, if it is brittle.
+    pub tolerance: AnnouncedTolerance,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// For how long it wants nothing more from this router.
@@ -64,6 +100,8 @@
 pub struct Changes {
     /// Whether its limit is new, changed or lifted.
     pub limit: bool,
+    /// Whether it turned brittle or sound, or tolerates another number of rejections.
+    pub tolerance: bool,
     /// Whether it turned out to be leaving.
     pub leaving: bool,
     /// Whether it wants a rest, or a longer one.
@@ -73,7 +111,7 @@
 impl Changes {
     /// Returns whether there is any.
     pub fn any(self) -> bool {
-        self.limit || self.leaving || self.rest
+        self.limit || self.tolerance || self.leaving || self.rest
     }
 }
 
@@ -95,6 +133,8 @@
     pub age: Duration,
     /// Its limit, if any router has heard of one.
     pub limit: Option<LimitRow>,
+    /// Whether it is brittle, if any router has heard of that.
+    pub tolerance: Option<ToleranceRow>,
     /// Whether the endpoint is leaving.
     pub leaving: bool,
     /// How much longer the endpoint wants nothing from the router that tells this.
@@ -109,6 +149,9 @@
         if let Some(limit) = &mut self.limit {
             limit.age = limit.age.saturating_add(passed);
         }
+        if let Some(tolerance) = &mut self.tolerance {
+            tolerance.age = tolerance.age.saturating_add(passed);
+        }
     }
 }
 
@@ -121,6 +164,15 @@
     pub rate: Option<RequestRate>,
 }
 
+/// What a router knows of the rejections that an endpoint tolerates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToleranceRow {
+    /// How long ago any router last heard it.
+    pub age: Duration,
+    /// How many requests it can reject in any second; `None` if it is sound.
+    pub rejections: Option<u32>,
+}
+
 /// How many requests a router may send to some endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Allowance {
@@ -154,22 +206,15 @@
     }
 }
 
-/// A limit of an endpoint.
-#[derive(Clone, Copy, Debug)]
-struct HeardLimit {
-    /// The rate; `None` if the limit was lifted.
-    rate: Option<RequestRate>,
-    /// When any router last heard it from the endpoint itself.
-    at: Instant,
-}
-
 /// What one life of an endpoint has announced.
 #[derive(Clone, Debug)]
 struct Announced {
     birth: Option<String>,
     /// When any router last heard something from the endpoint itself.
     heard: Instant,
-    limit: Option<HeardLimit>,
+    limit: Option<Heard<RequestRate>>,
+    /// How many rejections it tolerates, if it is brittle.
+    tolerance: Option<Heard<u32>>,
     leaving: bool,
     /// Until when it wants nothing from this router.
     rest_until: Option<Instant>,
@@ -222,20 +267,26 @@
         sent: Instant,
         announcement: Announcement,
     ) -> Changes {
-        let known = self.known(life).and_then(|known| known.limit);
-        let limited = known.is_some_and(|known| known.rate.is_some());
-        let overtaken = known.is_some_and(|known| sent < known.at);
-        let rate = match announcement.limit {
-            AnnouncedLimit::Rate(rate) => Some(Some(rate)),
-            AnnouncedLimit::None if limited && !overtaken => Some(None),
-            AnnouncedLimit::None | AnnouncedLimit::Unreadable => None,
+        let known = self.known(life);
+        let limit = known.and_then(|known| known.limit);
+        let limit = Said::from(announcement.limit).heard(limit, now, sent);
+        let tolerance = known.and_then(|known| known.tolerance);
+        let said = match Said::from(announcement.tolerance) {
+            Said::Unreadable if tolerance.is_none() => Said::Value(0),
+            said => said,
         };
+        let tolerance = said.heard(tolerance, now, sent);
         let rest = announcement.rest.and_then(|rest| now.checked_add(rest));
-        if rate.is_none() && !announcement.leaving && rest.is_none() {
+        let news = News {
+            heard: now,
+            limit,
+            tolerance,
+            leaving: announcement.leaving,
+        };
+        if !news.any() && rest.is_none() {
             return Changes::default();
         }
-        let limit = rate.map(|rate| HeardLimit { rate, at: now });
-        let mut changes = self.put(now, life, now, limit, announcement.leaving);
+        let mut changes = self.put(now, life, &news);
         if let Some(announced) = self.endpoints.get_mut(&life.vm) {
             changes.rest = rest > announced.rest_until;
             announced.rest_until = announced.rest_until.max(rest);
@@ -248,17 +299,26 @@
         let Some(heard) = now.checked_sub(row.age) else {
             return Changes::default();
         };
-        let known = self.known(&row.life).and_then(|known| known.limit);
+        let known = self.known(&row.life);
         let limit = row.limit.and_then(|limit| {
-            let (at, rate) = (now.checked_sub(limit.age)?, limit.rate);
-            let newer = known.map_or(rate.is_some(), |known| at > known.at);
-            newer.then_some(HeardLimit { rate, at })
+            let known = known.and_then(|known| known.limit);
+            Heard::from_peer(known, now, limit.age, limit.rate)
+        });
+        let tolerance = row.tolerance.and_then(|tolerance| {
+            let known = known.and_then(|known| known.tolerance);
+            Heard::from_peer(known, now, tolerance.age, tolerance.rejections)
         });
         let rest = now.checked_add(row.rest).filter(|until| *until > now);
-        if limit.is_none() && !row.leaving && rest.is_none() {
+        let news = News {
+            heard,
+            limit,
+            tolerance,
+            leaving: row.leaving,
+        };
+        if !news.any() && rest.is_none() {
             return Changes::default();
         }
-        let changes = self.put(now, &row.life, heard, limit, row.leaving);
+        let changes = self.put(now, &row.life, &news);
         if let Some(announced) = self.endpoints.get_mut(&row.life.vm) {
             announced.others_until = announced.others_until.max(rest);
         }
@@ -277,7 +337,11 @@
             age: now.saturating_duration_since(announced.heard),
             limit: announced.limit.map(|limit| LimitRow {
                 age: now.saturating_duration_since(limit.at),
-                rate: limit.rate,
+                rate: limit.value,
+            }),
+            tolerance: announced.tolerance.map(|tolerance| ToleranceRow {
+                age: now.saturating_duration_since(tolerance.at),
+                rejections: tolerance.value,
             }),
             leaving: announced.leaving,
             rest: announced.rest_left(now),
@@ -314,6 +378,12 @@
         self.endpoints.get(vm)?.rate()
     }
 
+    /// Returns how many requests an endpoint can reject in any second, if it announced that it is brittle and has not
+    /// lifted that since.
+    pub fn tolerance(&self, vm: &VmId) -> Option<u32> {
+        self.endpoints.get(vm)?.tolerance?.value
+    }
+
     /// Returns whether an endpoint announced that it leaves.
     pub fn is_leaving(&self, vm: &VmId) -> bool {
         self.endpoints.get(vm).is_some_and(|a| a.leaving)
@@ -398,33 +468,29 @@
         known.filter(|known| known.birth == life.birth)
     }
 
-    /// Stores a newer limit, and whether the endpoint is leaving, as heard from the endpoint at `heard`.
-    fn put(
-        &mut self,
-        now: Instant,
-        life: &EndpointLife,
-        heard: Instant,
-        limit: Option<HeardLimit>,
-        leaving: bool,
-    ) -> Changes {
+    /// Stores what is new of an endpoint.
+    fn put(&mut self, now: Instant, life: &EndpointLife, news: &News) -> Changes {
         let fleet = Fleet {
             router: &self.router,
             routers: &self.routers,
         };
         let announced = self.endpoints.entry(life.vm.clone());
-        let announced = announced.or_insert_with(|| Announced::new(now, life, heard));
+        let announced = announced.or_insert_with(|| Announced::new(now, life, news.heard));
         if announced.birth != life.birth {
-            *announced = Announced::new(now, life, heard);
+            *announced = Announced::new(now, life, news.heard);
         }
-        announced.heard = announced.heard.max(heard);
+        announced.heard = announced.heard.max(news.heard);
         let before = announced.rate();
+        let tolerated = announced.tolerance.and_then(|known| known.value);
         let changes = Changes {
-            limit: limit.is_some_and(|limit| limit.rate != before),
-            leaving: leaving && !announced.leaving,
+            limit: news.limit.is_some_and(|limit| limit.value != before),
+            tolerance: news.tolerance.is_some_and(|new| new.value != tolerated),
+            leaving: news.leaving && !announced.leaving,
             rest: false,
         };
-        announced.leaving |= leaving;
-        announced.limit = limit.or(announced.limit);
+        announced.leaving |= news.leaving;
+        announced.tolerance = news.tolerance.or(announced.tolerance);
+        announced.limit = news.limit.or(announced.limit);
         if changes.limit {
             if before.is_none() {
                 announced.bucket = ShareBucket::new(now);
@@ -435,6 +501,21 @@
     }
 }
 
+/// What is new of an endpoint.
+struct News {
+    /// When any router heard it from the endpoint itself.
+    heard: Instant,
+    limit: Option<Heard<RequestRate>>,
+    tolerance: Option<Heard<u32>>,
+    leaving: bool,
+}
+
+impl News {
+    fn any(&self) -> bool {
+        self.limit.is_some() || self.tolerance.is_some() || self.leaving
+    }
+}
+
 /// The routers among which rates are divided, and this one of them.
 struct Fleet<'a> {
     router: &'a VmId,
@@ -447,6 +528,7 @@
             birth: life.birth.clone(),
             heard,
             limit: None,
+            tolerance: None,
             leaving: false,
             rest_until: None,
             others_until: None,
@@ -456,13 +538,17 @@
     }
 
     fn rate(&self) -> Option<RequestRate> {
-        self.limit?.rate
+        self.limit?.value
     }
 
     /// Returns whether nothing of it is in force.
     fn is_over(&self, now: Instant) -> bool {
         let resting = self.rest_until.max(self.others_until);
-        self.rate().is_none() && !self.leaving && resting.is_none_or(|until| until <= now)
+        let brittle = self.tolerance.is_some_and(|known| known.value.is_some());
+        self.rate().is_none()
+            && !brittle
+            && !self.leaving
+            && resting.is_none_or(|until| until <= now)
     }
 
     /// Returns whether this router may send it a request now.
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -234,6 +234,11 @@
         self.endpoints.get(vm).map(|e| e.load(now) as u32)
     }
 
+    /// Returns the number of this router's requests at an endpoint.
+    pub fn active(&self, vm: &VmId) -> Option<u32> {
+        self.endpoints.get(vm).map(|e| e.own_limit.active())
+    }
+
     /// Chooses an endpoint; `None` if all suitable ones are full, leaving, ejected or excluded.
     pub fn choose<R>(
         &self,
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::decide::AnnouncedLimit;
+use crate::decide::AnnouncedTolerance;
 use crate::decide::Announcement;
 use crate::decide::Prompt;
 use crate::edge::relay::Ask;
@@ -71,6 +72,9 @@
 /// The requests per second that an endpoint accepts from all routers together.
 const LIMIT: &str = "server-limit";
 
+/// The requests that a brittle endpoint can reject in a second.
+const BRITTLE: &str = "server-brittle";
+
 /// Present in the answers of an endpoint that is about to stop.
 const LEAVING: &str = "server-leaving";
 
@@ -186,6 +190,7 @@
     fn announcement(&self, status: StatusCode, headers: &HeaderMap) -> Announcement {
         Announcement {
             limit: limit(headers),
+            tolerance: tolerance(headers),
             leaving: leaving(headers),
             rest: rest(status, headers),
         }
@@ -252,6 +257,28 @@
     }
 }
 
+/// Reads how many requests a brittle endpoint can reject in a second; the lowest number if there are several.
+fn tolerance(headers: &HeaderMap) -> AnnouncedTolerance {
+    let mut tolerance = AnnouncedTolerance::None;
+    for value in headers.get_all(BRITTLE) {
+        for part in value.to_str().unwrap_or_default().split(',') {
+            let count = part.trim().parse().ok().filter(|count: &f64| *count >= 0.0);
+            let Some(count) = count.filter(|count| count.is_finite()) else {
+                warn!(event = "header-unreadable", header = BRITTLE, ?value);
+                return AnnouncedTolerance::Unreadable;
+            };
+            let count = count as u32;
+            tolerance = match tolerance {
+                AnnouncedTolerance::Rejections(lowest) => {
+                    AnnouncedTolerance::Rejections(lowest.min(count))
+                }
+                _ => AnnouncedTolerance::Rejections(count),
+            };
+        }
+    }
+    tolerance
+}
+
 /// Returns whether an endpoint announces that it leaves.
 fn leaving(headers: &HeaderMap) -> bool {
     match headers.get(LEAVING).map(HeaderValue::as_bytes) {
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 
 use crate::decide::AnnouncedLimit;
+use crate::decide::AnnouncedTolerance;
 use crate::decide::Announcement;
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
@@ -75,6 +76,42 @@
     assert_eq!(silent.limit, AnnouncedLimit::None);
 }
 
+fn tolerance(values: &[&'static [u8]]) -> AnnouncedTolerance {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        let value = HeaderValue::from_bytes(value).expect("bytes of a header");
+        headers.append("server-brittle", value);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Heads.announcement(status, &headers).tolerance
+}
+
+/// Guards against a brittle endpoint whose number of rejections is taken for a higher one, or for none.
+#[test]
+fn the_lowest_readable_tolerance_counts() {
+    let cases: [(&[&[u8]], u32); 6] = [
+        (&[b"4"], 4),
+        (&[b" 0 "], 0),
+        (&[b"2.9"], 2),
+        (&[b"4", b"3"], 3),
+        (&[b"3, 5"], 3),
+        (&[b"99999999999999999999"], u32::MAX),
+    ];
+    for (values, count) in cases {
+        let announced = tolerance(values);
+        assert_eq!(
+            announced,
+            AnnouncedTolerance::Rejections(count),
+            "{values:?}"
+        );
+    }
+    for garbage in [&b""[..], b"-1", b"nan", b"inf", b"many", b"4;", b"\xff"] {
+        assert_eq!(tolerance(&[garbage]), AnnouncedTolerance::Unreadable);
+        assert_eq!(tolerance(&[b"4", garbage]), AnnouncedTolerance::Unreadable);
+    }
+    assert_eq!(tolerance(&[]), AnnouncedTolerance::None);
+}
+
 /// Guards against an idle time so long that adding it to the clock stops the task of a request.
 #[test]
 fn a_very_long_idle_time_is_cut_short() {
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -133,6 +133,7 @@
                             "load": pool.picker.chooser.load(now, vm),
                             "health": format!("{:?}", pool.picker.health.health(now, vm)).to_lowercase(),
                             "limit": self.announcements.limit(vm),
+                            "tolerance": self.announcements.tolerance(vm),
                             "leaving": self.announcements.is_leaving(vm),
                             "rest_ms": self.announcements.rest_left(now, vm).as_millis(),
                         })
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -76,6 +76,7 @@
             let changes = self.announcements.merge(now, row);
             self.log_changes(now, &row.life.vm, from, changes);
             all.limit |= changes.limit;
+            all.tolerance |= changes.tolerance;
             all.leaving |= changes.leaving;
             all.rest |= changes.rest;
         }
@@ -155,6 +156,10 @@
             let limit = limit.map(tracing::field::display);
             info!(event = "endpoint-limit", %endpoint, limit, %from);
         }
+        if changes.tolerance {
+            let rejections = self.announcements.tolerance(endpoint);
+            info!(event = "endpoint-brittle", %endpoint, rejections, %from);
+        }
         if changes.leaving {
             info!(event = "endpoint-leaving", %endpoint, %from);
         }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -148,7 +148,7 @@
     pub(crate) claim_wait: Duration,
     /// Whether a run whose answer breaks off may be repeated.
     pub(crate) idempotent: bool,
-    /// Whether the endpoint has announced a limit, which an answer without one may lift.
+    /// Whether the endpoint has announced a limit or that it is brittle, which an answer without that may lift.
     pub(crate) limited: bool,
     /// Whether the endpoint must be seen to be up before the request is sent: a suspect that met one that is down would be
     /// held responsible for its crash.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -343,6 +343,11 @@
         ) {
             request.failed_endpoints.push(endpoint.clone());
         }
+        if let RunEnd::NotRun { .. } = end {
+            let pool = self.pools.get(&request.pool);
+            let active = pool.and_then(|pool| pool.picker.chooser.active(&endpoint));
+            info!(event = "endpoint-rejected", request = %id, %endpoint, active);
+        }
         let fingerprint = request.fingerprint;
         match end {
             RunEnd::Completed { .. } | RunEnd::Answered { .. } => {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -70,7 +70,8 @@
             priority: request.priority,
             claim_wait: request.claimed_at.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
-            limited: self.announcements.limit(&endpoint).is_some(),
+            limited: self.announcements.limit(&endpoint).is_some()
+                || self.announcements.tolerance(&endpoint).is_some(),
             check: self.quarantine.is_suspect(request.fingerprint),
             relay: request.relay_run(),
         };
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -48,6 +48,7 @@
         },
         age: Duration::ZERO,
         limit: None,
+        tolerance: None,
         leaving: false,
         rest,
     }
@@ -181,6 +182,7 @@
         limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
         leaving: true,
         rest: Some(Duration::from_secs(5)),
+        ..Announcement::default()
     };
     site.handle(Event::EndpointAnnounced(id, limited));
     assert!(limit(&site, 0).is_some());
@@ -200,6 +202,7 @@
             age: Duration::ZERO,
             rate: Some(0.5.try_into().expect("a rate")),
         }),
+        tolerance: None,
         leaving: true,
         rest: Duration::from_secs(5),
     };
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -312,6 +312,7 @@
             }),
             leaving: self.leaving.contains(vm),
             rest: self.rests.get(vm).copied(),
+            ..Announcement::default()
         };
         let site = &mut self.sites[answer.site];
         if answer.run.limited || announcement != Announcement::default() {
