--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -5,6 +5,7 @@
     clippy::disallowed_methods,
     reason = "a test has sockets, timers, tasks and processes of its own"
 )]
+mod brittle;
 mod broken_answers;
 mod caller;
 #[path = "../standins/client.rs"]
