Divide the slots of brittle endpoints among the routers

Callers saw nearly all requests to a service fail: endpoints that announce that they fail if they have to reject more than N requests in a second were filled by each router without regard to the others, rejected, fell over, and their load felled the next ones.

Cause: no decision read the announcement, and none could have kept it alone: what is limited is the sum over all routers, of which each knows its own requests. Ruled out: that one router's own requests are enough to tell the room (endpoint-rejected is logged at one to three requests of the router, the room is six).

Change: requests to a brittle endpoint need one of its slots. One router, found by rendezvous hashing, owns them, gives out no more than the endpoint holds, and divides them evenly under overload; a slot counts until its router gives it back.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -271,11 +271,15 @@
         let limit = known.and_then(|known| known.limit);
         let limit = Said::from(announcement.limit).heard(limit, now, sent);
         let tolerance = known.and_then(|known| known.tolerance);
-        let said = match Said::from(announcement.tolerance) {
-            Said::Unreadable if tolerance.is_none() => Said::Value(0),
-            said => said,
+        let tolerance = match Said::from(announcement.tolerance) {
+            Said::Unreadable if tolerance.is_none() => Said::Value(0).heard(None, now, sent),
+            // One of which nothing was known counts as brittle while others are.
+            Said::Nothing if tolerance.is_none() && self.has_brittle() => Some(Heard {
+                value: None,
+                at: now,
+            }),
+            said => said.heard(tolerance, now, sent),
         };
-        let tolerance = said.heard(tolerance, now, sent);
         let rest = announcement.rest.and_then(|rest| now.checked_add(rest));
         let news = News {
             heard: now,
@@ -384,6 +388,17 @@
         self.endpoints.get(vm)?.tolerance?.value
     }
 
+    /// Returns whether an endpoint answered without announcing that it is brittle, after it had done so or others had.
+    pub fn is_sound(&self, vm: &VmId) -> bool {
+        let announced = self.endpoints.get(vm);
+        let tolerance = announced.and_then(|announced| announced.tolerance);
+        tolerance.is_some_and(|tolerance| tolerance.value.is_none())
+    }
+
+    fn has_brittle(&self) -> bool {
+        self.endpoints.values().any(Announced::is_brittle)
+    }
+
     /// Returns whether an endpoint announced that it leaves.
     pub fn is_leaving(&self, vm: &VmId) -> bool {
         self.endpoints.get(vm).is_some_and(|a| a.leaving)
@@ -541,12 +556,15 @@
         self.limit?.value
     }
 
+    fn is_brittle(&self) -> bool {
+        self.tolerance.is_some_and(|known| known.value.is_some())
+    }
+
     /// Returns whether nothing of it is in force.
     fn is_over(&self, now: Instant) -> bool {
         let resting = self.rest_until.max(self.others_until);
-        let brittle = self.tolerance.is_some_and(|known| known.value.is_some());
         self.rate().is_none()
-            && !brittle
+            && !self.is_brittle()
             && !self.leaving
             && resting.is_none_or(|until| until <= now)
     }
--- a/src/decide/rendezvous.rs
+++ b/src/decide/rendezvous.rs
@@ -21,6 +21,16 @@
     before.count() < count
 }
 
+/// Returns the first router that is eligible, in the order in which routers are selected for a key.
+pub(crate) fn first_selected<'a, F>(routers: &'a [VmId], key: &str, eligible: F) -> Option<&'a VmId>
+where
+    F: Fn(&VmId) -> bool,
+{
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let eligible = routers.iter().filter(|vm| eligible(vm));
+    eligible.min_by_key(|vm| rank(seed, vm))
+}
+
 /// Returns a router's rank for a key, lowest first.
 fn rank(seed: u64, vm: &VmId) -> (Reverse<u64>, &VmId) {
     (Reverse(xxh3_64_with_seed(vm.as_str().as_bytes(), seed)), vm)
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -340,6 +340,9 @@
             Effect::RequestLoan(ask, peer) => {
                 tokio::spawn(self.peers.clone().borrow(ask, peer));
             }
+            Effect::SendSlots(messages, peer) => {
+                tokio::spawn(self.peers.clone().tell_slots(messages, peer));
+            }
             Effect::SendOrder(order) => {
                 tokio::spawn(engine::order(self.desk.clone(), order));
             }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -27,6 +27,7 @@
 use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::decide::RoundTrips;
+use crate::decide::SlotMessage;
 use crate::edge::clock::SystemClock;
 use crate::edge::codec::Postcard;
 use crate::edge::desk::Desk;
@@ -41,7 +42,7 @@
 use crate::tokens::Tokens;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
-const VERSION: u32 = 8;
+const VERSION: u32 = 9;
 
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
@@ -91,6 +92,9 @@
     /// Takes what a router that stops hands over.
     async fn give(version: u32, gift: BudgetTransfer) -> Result<(), Refused>;
 
+    /// Takes demands for slots of brittle endpoints, and grants.
+    async fn slots(version: u32, messages: Vec<SlotMessage>) -> Result<(), Refused>;
+
     /// Returns the ledger's state.
     async fn ledger(version: u32) -> Result<Vec<u8>, Refused>;
 }
@@ -147,6 +151,17 @@
         }
     }
 
+    async fn slots(
+        self,
+        _: Context,
+        version: u32,
+        messages: Vec<SlotMessage>,
+    ) -> Result<(), Refused> {
+        check(version)?;
+        self.0.tell(Event::Slots(messages));
+        Ok(())
+    }
+
     async fn ledger(self, _: Context, version: u32) -> Result<Vec<u8>, Refused> {
         check(version)?;
         self.0.snapshot().await.ok_or(Refused::NotReady)
@@ -290,6 +305,19 @@
         self.desk.tell(Event::LoanAnswered(ask, amount));
     }
 
+    /// Tells a peer of slots. What is lost is told again with the next demand.
+    pub(crate) async fn tell_slots(self, messages: Vec<SlotMessage>, peer: Peer) {
+        let limit = lock(&self.trips).timeout(LOAN);
+        let call = |client: PeeringClient| async move {
+            client.slots(deadline(limit), VERSION, messages).await
+        };
+        match self.call(&peer.address, limit, call).await {
+            Ok(Ok(())) => {}
+            Ok(Err(refused)) => info!(event = "slots-refused", vm = %peer.vm, ?refused),
+            Err(silence) => info!(event = "slots-unheard", vm = %peer.vm, ?silence),
+        }
+    }
+
     /// Returns whether all that this router does is late, so that it had better do without what is not needed.
     pub(crate) fn is_late(&self) -> bool {
         lock(&self.trips).is_late()
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -286,6 +286,7 @@
                 settings.retry_spare,
                 settings.retry_window_ms.duration(),
             ),
+            brittle_grace: settings.brittle_grace_ms.duration(),
         }),
         clock,
     }
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -134,6 +134,7 @@
                             "health": format!("{:?}", pool.picker.health.health(now, vm)).to_lowercase(),
                             "limit": self.announcements.limit(vm),
                             "tolerance": self.announcements.tolerance(vm),
+                            "room": self.slots.room(vm),
                             "leaving": self.announcements.is_leaving(vm),
                             "rest_ms": self.announcements.rest_left(now, vm).as_millis(),
                         })
--- a/src/router/announced.rs
+++ b/src/router/announced.rs
@@ -88,6 +88,10 @@
         if changes.leaving {
             self.rebuild_pools(now);
         }
+        if changes.tolerance {
+            self.members.request_heartbeat();
+            self.update_brittle_pools(now);
+        }
         if !changes.any() {
             return;
         }
@@ -145,7 +149,7 @@
     }
 
     /// Returns whether the VM list has no other life of an endpoint. One that is not listed may be listed again.
-    fn is_current(&self, life: &EndpointLife) -> bool {
+    pub(crate) fn is_current(&self, life: &EndpointLife) -> bool {
         self.endpoint_birth(&life.vm)
             .is_none_or(|birth| birth == life.birth)
     }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -48,6 +48,7 @@
 use crate::router::outage::Outage;
 use crate::router::pool::Pool;
 use crate::router::request::Request;
+use crate::router::slots::Slots;
 use crate::router::table_watch::TableWatch;
 use crate::settings::EndMarker;
 use crate::tokens::Tokens;
@@ -110,6 +111,8 @@
     pub(crate) min_drain: Duration,
     /// The retries at each pool that all routers together may make.
     pub(crate) retries: RetryLimit,
+    /// How long after their first announcement brittle endpoints may hold fewer requests than before.
+    pub(crate) brittle_grace: Duration,
 }
 
 /// Stage of a router's life, which decides whether it accepts new requests.
@@ -205,6 +208,8 @@
     pub(crate) cold_endpoints: ColdEndpoints,
     /// What endpoints announced about themselves.
     pub(crate) announcements: Announcements,
+    /// Slots of brittle endpoints.
+    pub(crate) slots: Slots,
     /// Budgets granted to this router, unless the ledger accounts for them.
     pub(crate) grant_budgets: GrantBudgets,
 }
@@ -291,6 +296,7 @@
             drained_domains: DrainedDomains::default(),
             cold_endpoints: ColdEndpoints::default(),
             announcements: Announcements::new(tuning.vm.clone()),
+            slots: Slots::default(),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -344,6 +350,7 @@
             Event::TableFetchFailed(vm) => self.handle_table_unsent(now, &vm),
             Event::TableConfirmed(at) => self.confirm_table(now, at),
             Event::Grants(event) => self.handle_grant_event(now, event),
+            Event::Slots(messages) => self.handle_slot_messages(now, &messages),
             Event::PromptNotice(notice) => self.record_peer_prompt(now, &notice),
             Event::TransferReceived(id, transfer) => self.accept_transfer(id, &transfer),
             Event::TransferAnswered(transfer, taken) => {
@@ -359,6 +366,7 @@
             Event::Tick => self.tick(now),
         }
         self.flush(now);
+        self.send_slot_messages(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -452,6 +460,7 @@
         self.fetch_table(now);
         self.check_connections(now);
         self.forward_queued(now);
+        self.review_slots(now);
         self.tick_pools(now);
         self.continue_drain(now, tuning.min_drain);
     }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -8,6 +8,7 @@
 
 use crate::config::RouteTable;
 use crate::config::Snapshot;
+use crate::decide::SlotMessage;
 use crate::escrow::Proposal;
 use crate::ids::AccountId;
 use crate::ids::Incarnation;
@@ -83,6 +84,8 @@
     /// Notifies the other routers of a long prompt. Delivery is not guaranteed; a router that misses it only chooses
     /// endpoints less well.
     SendPromptNotice(PromptNotice, Arc<[Peer]>),
+    /// Tells another router the demand for slots of brittle endpoints, or grants it slots.
+    SendSlots(Vec<SlotMessage>, Peer),
     /// Transfers budget to another router.
     TransferBudget(BudgetTransfer, Peer),
     /// Requests a loan from another router.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -11,6 +11,7 @@
 use crate::decide::AnnouncementRow;
 use crate::decide::CacheEvent;
 use crate::decide::Prompt;
+use crate::decide::SlotMessage;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
 use crate::ids::Attempt;
@@ -121,6 +122,8 @@
     Grants(GrantEvent),
     /// Another router requests a loan.
     LoanRequested(ReplyId, LoanRequest),
+    /// Another router tells its demand for slots of brittle endpoints, or grants slots.
+    Slots(Vec<SlotMessage>),
     /// Another router sent a long prompt to an endpoint.
     PromptNotice(PromptNotice),
     /// Another router transfers its unused budget to this one.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -32,6 +32,9 @@
 /// Age up to which an answer of the log or a heartbeat counts as fresh.
 pub(crate) const FRESH_PERIOD: Duration = Duration::from_secs(3);
 
+/// How long after its last heartbeat a router may still be alive beyond a partition.
+const ABSENCE: Duration = Duration::from_secs(20);
+
 /// Number of peers that get each heartbeat. In a fleet of up to thirteen routers all peers get every one; in a larger
 /// fleet they take turns, so that the cost of heartbeats at each VM does not grow with the fleet. With 64 VMs of a
 /// tenth of a core each, heartbeats to all peers were 250 calls a second at every VM.
@@ -142,6 +145,20 @@
         }
     }
 
+    /// Returns how many of the routers that were alive lately this one reaches, and how many there are; it counts itself.
+    pub(crate) fn reached_routers(&self, now: Instant) -> (usize, usize) {
+        let peers = self.vm_index.peers();
+        let alive = peers.iter().filter_map(|peer| {
+            let (at, _) = self.heartbeats.get(&peer.vm)?;
+            let failure = self.peer_failure(now, &peer.vm);
+            let lately = now < *at + ABSENCE && failure != Some(PeerFailure::Refused);
+            lately.then_some(failure.is_none())
+        });
+        alive.fold((1, 1), |(reached, all), is_reached| {
+            (reached + usize::from(is_reached), all + 1)
+        })
+    }
+
     /// Returns whether a fresh heartbeat of a peer is known.
     pub(crate) fn has_fresh_heartbeat(&self, now: Instant, vm: &VmId) -> bool {
         self.fresh_heartbeat(now, vm).is_some()
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -44,6 +44,7 @@
 mod request;
 mod retries;
 mod run;
+mod slots;
 mod table_watch;
 #[cfg(test)]
 mod tests;
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -44,7 +44,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The label for the number of requests that an endpoint runs at once.
-const SLOTS_LABEL: &str = "slots";
+pub(crate) const SLOTS_LABEL: &str = "slots";
 
 /// The label that changes when an endpoint restarts under the same name.
 pub(crate) const BORN_LABEL: &str = "born";
@@ -214,6 +214,7 @@
         }
         self.update_retry_limits(now);
         self.update_cold_shares(now);
+        self.update_brittle_pools(now);
         self.refuse_drained_pools(now);
         self.serve_all_queues(now);
     }
@@ -234,7 +235,14 @@
             return None;
         }
         let routers = self.members.vm_index.serving_vms();
-        let closed = self.announcements.closed(now);
+        let announced = self.announcements.closed(now);
+        let closed = [announced.clone(), self.without_slot(now, name)].concat();
+        let unaskable = [announced, self.asked_endpoints()].concat();
+        let asks = self.asks_for_slots(name);
+        let sound = match asks {
+            true => self.sound_endpoints(name),
+            false => Vec::new(),
+        };
         let mut avoided = self.announcements.avoided(now);
         avoided.extend(self.pools.get(name)?.unconnected().cloned());
         let Self {
@@ -248,6 +256,7 @@
         let pool = pools.get_mut(name)?;
         let Pool { queue, picker, .. } = pool;
         let mut chosen = None;
+        let mut missing = None;
         let id = queue.pop_where(now, |id, usage| {
             let Some(request) = requests.get(id) else {
                 return false;
@@ -260,9 +269,23 @@
                 avoided: &avoided,
             };
             chosen = picker.pick(now, request, usage, quarantine, &context, rng);
+            let needs_none = chosen.as_ref().is_some_and(|c| sound.contains(&c.endpoint));
+            if asks && missing.is_none() && (chosen.is_none() || needs_none) {
+                let context = PickContext {
+                    closed: &unaskable,
+                    ..context
+                };
+                missing = picker.pick(now, request, usage, quarantine, &context, rng);
+            }
             chosen.is_some()
-        })?;
-        pool.places.swap_remove(&id);
+        });
+        match missing {
+            Some(choice) if id.is_some() => self.ask_for_spare_slot(now, name, &choice.endpoint),
+            Some(choice) => self.ask_for_slot(now, name, &choice.endpoint),
+            None => {}
+        }
+        let id = id?;
+        self.pools.get_mut(name)?.places.swap_remove(&id);
         Some((id, chosen?))
     }
 
@@ -274,11 +297,12 @@
         let mut avoided = self.announcements.avoided(now);
         avoided.extend(pool.picker.health.unreliable().cloned());
         avoided.extend(pool.unconnected().cloned());
+        let announced = self.announcements.closed(now);
         let context = PickContext {
             router: &self.tuning.vm,
             domain: &self.tuning.domain,
             routers: &routers,
-            closed: &self.announcements.closed(now),
+            closed: &[announced, self.without_slot(now, &request.pool)].concat(),
             avoided: &avoided,
         };
         let choice = pool.picker.pick(
@@ -347,6 +371,7 @@
             let pool = self.pools.get(&request.pool);
             let active = pool.and_then(|pool| pool.picker.chooser.active(&endpoint));
             info!(event = "endpoint-rejected", request = %id, %endpoint, active);
+            self.slots.record_rejection(&endpoint);
         }
         let fingerprint = request.fingerprint;
         match end {
--- a/src/router/queue.rs
+++ b/src/router/queue.rs
@@ -70,6 +70,7 @@
             self.assign_endpoint(now, id, &choice);
             self.claim(now, id, choice.endpoint);
         }
+        self.update_slot_demands(now, name);
     }
 
     pub(crate) fn serve_all_queues(&mut self, now: Instant) {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -53,6 +53,8 @@
             return;
         };
         let birth = self.endpoint_birth(&endpoint).flatten();
+        let limited = self.announcements.limit(&endpoint).is_some()
+            || self.is_slot_limited(&self.requests[&id].pool, &endpoint);
         let request = &mut self.requests[&id];
         request.dispatched = true;
         request.state = State::Running {
@@ -70,8 +72,7 @@
             priority: request.priority,
             claim_wait: request.claimed_at.map_or(Duration::ZERO, |at| now - at),
             idempotent: request.idempotent,
-            limited: self.announcements.limit(&endpoint).is_some()
-                || self.announcements.tolerance(&endpoint).is_some(),
+            limited,
             check: self.quarantine.is_suspect(request.fingerprint),
             relay: request.relay_run(),
         };
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -9,12 +9,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::decide::AnnouncedLimit;
+use crate::decide::AnnouncedTolerance;
 use crate::decide::Announcement;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::Effect;
 use crate::router::Event;
+use crate::router::Peer;
+use crate::router::PeerFailure;
 use crate::router::Run;
 use crate::router::RunEnd;
 use crate::router::request::State;
@@ -61,6 +64,8 @@
     site: usize,
     id: RequestId,
     run: Box<Run>,
+    /// Whether the endpoint had no room for it.
+    rejected: bool,
 }
 
 /// A request in the sockets of a paused endpoint.
@@ -119,6 +124,17 @@
     pub(crate) retry_counts: IndexMap<PoolId, RetryCount>,
     /// The endpoints at which retries arrived.
     pub(crate) retried_at: Vec<VmId>,
+    /// How many requests an endpoint holds, if that is limited.
+    pub(crate) room: Option<usize>,
+    /// How many rejections brittle endpoints tolerate in a second.
+    pub(crate) tolerances: IndexMap<VmId, u32>,
+    /// When endpoints rejected requests for want of room.
+    pub(crate) rejections: Vec<(VmId, Duration)>,
+    pub(crate) served: usize,
+    /// Routers that are killed.
+    pub(crate) dead: IndexSet<usize>,
+    /// Whether heartbeats are answered with the receiver's own.
+    pub(crate) answers_beats: bool,
 }
 
 pub(crate) fn endpoint(n: usize) -> VmId {
@@ -145,6 +161,11 @@
     engines.chain(apps).chain(routers).collect()
 }
 
+fn router_number(peer: &Peer) -> usize {
+    let number = peer.vm.as_str().strip_prefix("router-");
+    number.and_then(|n| n.parse().ok()).expect("a router")
+}
+
 impl Fleet {
     pub(crate) fn start(routers: usize, endpoints: usize) -> Self {
         let vms = vms(routers, endpoints);
@@ -178,6 +199,12 @@
             paused: IndexSet::new(),
             retry_counts: IndexMap::new(),
             retried_at: Vec::new(),
+            room: None,
+            tolerances: IndexMap::new(),
+            rejections: Vec::new(),
+            served: 0,
+            dead: IndexSet::new(),
+            answers_beats: false,
         }
     }
 
@@ -191,7 +218,9 @@
             while due >= 1.0 {
                 due -= 1.0;
                 let site = next % self.sites.len();
-                self.send(site, self.routes[next % self.routes.len()]);
+                if !self.dead.contains(&site) {
+                    self.send(site, self.routes[next % self.routes.len()]);
+                }
                 next += 1;
             }
             self.step();
@@ -272,8 +301,10 @@
 
     pub(crate) fn step(&mut self) {
         self.elapsed += STEP;
-        for site in &mut self.sites {
-            site.advance(STEP.as_millis() as u64);
+        for (number, site) in self.sites.iter_mut().enumerate() {
+            if !self.dead.contains(&number) {
+                site.advance(STEP.as_millis() as u64);
+            }
         }
         self.read_sockets();
         self.deliver_answers();
@@ -312,7 +343,12 @@
             }),
             leaving: self.leaving.contains(vm),
             rest: self.rests.get(vm).copied(),
-            ..Announcement::default()
+            tolerance: self
+                .tolerances
+                .get(vm)
+                .map_or_else(AnnouncedTolerance::default, |count| {
+                    AnnouncedTolerance::Rejections(*count)
+                }),
         };
         let site = &mut self.sites[answer.site];
         if answer.run.limited || announcement != Announcement::default() {
@@ -331,7 +367,9 @@
             let told = self.told.entry((answer.site, vm.clone()));
             told.or_insert(self.elapsed);
         }
+        self.served += usize::from(!answer.rejected);
         let end = match self.manner {
+            _ if answer.rejected => RunEnd::NotRun { retry: None },
             _ if announcement.rest.is_some() => RunEnd::NotRun {
                 retry: announcement.rest,
             },
@@ -348,30 +386,53 @@
         site.handle(Event::RunEnded(answer.id, end));
     }
 
-    /// Passes heartbeats on, and requests to endpoints.
+    /// Passes heartbeats and messages about slots on, and requests to endpoints.
     fn carry_out(&mut self) {
         let mut beats = Vec::new();
-        for site in 0..self.sites.len() {
-            for effect in std::mem::take(&mut self.sites[site].effects) {
-                match effect {
-                    Effect::Run(id, run) => self.receive(site, id, run),
-                    Effect::SendHeartbeat(beat, peers) => beats.push((beat, peers)),
-                    Effect::Abandon(id) => self.end_run(site, id, RunEnd::given_up()),
-                    Effect::Abort(id, _) => {
-                        self.end_run(site, id, RunEnd::CallerGone { usage: None });
+        // Messages about slots, and what follows from them, take less than a step.
+        loop {
+            let mut slots = Vec::new();
+            for site in 0..self.sites.len() {
+                for effect in std::mem::take(&mut self.sites[site].effects) {
+                    match effect {
+                        Effect::Run(id, run) => self.receive(site, id, run),
+                        Effect::SendHeartbeat(beat, peers) => beats.push((site, beat, peers)),
+                        Effect::SendSlots(messages, peer) => slots.push((peer, messages)),
+                        Effect::Abandon(id) => self.end_run(site, id, RunEnd::given_up()),
+                        Effect::Abort(id, _) => {
+                            self.end_run(site, id, RunEnd::CallerGone { usage: None });
+                        }
+                        _ => {}
                     }
-                    _ => {}
+                }
+            }
+            if slots.is_empty() {
+                break;
+            }
+            for (peer, messages) in slots {
+                let number = router_number(&peer);
+                if !self.dead.contains(&number) && !self.rng.random_bool(self.loss) {
+                    self.sites[number].handle(Event::Slots(messages));
                 }
             }
         }
-        for (beat, peers) in beats {
+        for (from, beat, peers) in beats {
             for peer in peers {
                 if self.rng.random_bool(self.loss) {
                     continue;
                 }
-                let number = peer.vm.as_str().strip_prefix("router-");
-                let number: usize = number.and_then(|n| n.parse().ok()).expect("a router");
+                let number = router_number(&peer);
+                if self.dead.contains(&number) {
+                    let failure = Event::HeartbeatFailed(peer.vm, PeerFailure::Refused);
+                    self.sites[from].handle(failure);
+                    continue;
+                }
                 self.sites[number].handle(Event::HeartbeatReceived(beat.clone()));
+                if self.answers_beats {
+                    let site = &self.sites[number];
+                    let answer = site.core.heartbeat(site.now);
+                    self.sites[from].handle(Event::HeartbeatReceived(answer));
+                }
             }
         }
     }
@@ -440,9 +501,33 @@
         if self.silent.contains(&vm) {
             return;
         }
+        let running = self.answers.iter();
+        let running = running.filter(|answer| !answer.rejected && answer.run.endpoint == vm);
+        let rejected = self.room.is_some_and(|room| running.count() >= room);
+        let mut due = self.elapsed + SERVICE_TIME;
+        if rejected {
+            due = self.elapsed;
+            self.rejections.push((vm.clone(), self.elapsed));
+        }
         self.received.entry(vm).or_default().push(self.elapsed);
-        let due = self.elapsed + SERVICE_TIME;
-        self.answers.push(Answer { due, site, id, run });
+        self.answers.push(Answer {
+            due,
+            site,
+            id,
+            run,
+            rejected,
+        });
+    }
+
+    /// Returns the most requests that an endpoint has rejected in any second since a time.
+    pub(crate) fn most_rejections(&self, since: Duration) -> usize {
+        let second = Duration::from_secs(1);
+        let counts = self.rejections.iter().map(|(vm, from)| {
+            let same = self.rejections.iter().filter(|(of, _)| of == vm);
+            let within = same.filter(|(_, at)| *at >= *from && *at < *from + second);
+            within.filter(|(_, at)| *at >= since).count()
+        });
+        counts.max().unwrap_or(0)
     }
 
     /// Returns the most requests that an endpoint got in any window from routers that knew its limit.
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -6,6 +6,7 @@
 )]
 
 mod announced;
+mod brittle;
 mod cluster;
 mod commit_timing;
 mod concurrent_attempts;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -68,6 +68,9 @@
 pub(crate) const RETRY_SPARE: f64 = 50.0;
 pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
+/// How long after their first announcement brittle endpoints hold fewer requests.
+pub(crate) const BRITTLE_GRACE: Duration = Duration::from_secs(3);
+
 /// Whether the log is reachable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Log {
@@ -204,6 +207,7 @@
                 RETRY_SPARE,
                 RETRY_WINDOW,
             ),
+            brittle_grace: BRITTLE_GRACE,
         }),
         clock,
         ..tuning(0)
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -64,6 +64,9 @@
     pub retry_spare: f64,
     /// The length of the windows in each of which the limit holds.
     pub retry_window_ms: Millis,
+    /// How long after their first announcement brittle endpoints may hold fewer requests than before.
+    #[serde(default = "brittle_grace")]
+    pub brittle_grace_ms: Millis,
 }
 
 impl SiteSettings {
@@ -115,6 +118,10 @@
     1.0
 }
 
+fn brittle_grace() -> Millis {
+    Millis(3000)
+}
+
 fn check_part(path: &str, value: f64, most: f64) -> Result<(), SettingsError> {
     if (0.0..=most).contains(&value) {
         return Ok(());
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -21,6 +21,7 @@
 mod router;
 mod shared_prefixes;
 mod sim;
+mod slots;
 
 use std::time::Duration;
 use std::time::Instant;
