Sight: the software version at each dispatch, and the attempt that a request takes up

The version in an endpoint's entry is now a label of the VM list, dispatch logs it, and arrived logs the attempt that the caller names in Resumes. No decision depends on either yet.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -337,7 +337,10 @@
     ask.relay.forwarded = forwarded;
     let body = read_body(&relays.desk, body).await?;
     let line = relays.desk.open();
-    info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path());
+    let origin = ask.relay.resumption.as_ref();
+    let resumes = origin.and_then(|taken_up| taken_up.origin.as_ref());
+    let resumes = resumes.map(tracing::field::display);
+    info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path(), resumes);
     let arrival = Arrival {
         id: line.id,
         bearer: ask.bearer.clone(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -159,6 +159,14 @@
     /// The name of a top-up. A second top-up with the same name has no effect.
     TopUpId
 );
+name!(
+    /// The version of the software that an endpoint runs. Versions have no order.
+    SoftwareVersion
+);
+name!(
+    /// The caller's name for one attempt at a request.
+    AttemptId
+);
 name!(
     /// The caller's `Idempotency-Key`.
     IdempotencyKey
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -33,6 +33,7 @@
 use crate::router::ProblemKind;
 use crate::router::Ran;
 use crate::router::Relay;
+use crate::router::Resumption;
 use crate::router::Run;
 use crate::router::Secret;
 use crate::tokens::Tokens;
@@ -64,6 +65,9 @@
 /// The event after which a stream is resumed.
 const LAST_EVENT: &str = "last-event-id";
 
+/// The attempt that brought the first event of a stream that is resumed.
+const RESUMES: &str = "resumes";
+
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// The longest time for which an idle connection is kept open.
@@ -132,6 +136,8 @@
                 output,
                 prompt: prompt(headers, input.0),
                 forwarded: None,
+                attempt: name.parse().ok(),
+                resumption: resumption(headers),
             },
             bearer: Secret(bearer.to_owned()),
             patience: patience.map(Duration::from_millis),
@@ -304,6 +310,13 @@
     read.ok_or_else(|| malformed("the counts of tokens can't be read"))
 }
 
+/// Reads whether a request goes on with a stream, and with which.
+fn resumption(headers: &HeaderMap) -> Option<Resumption> {
+    headers.get(LAST_EVENT)?;
+    let origin = text(headers, RESUMES).and_then(|name| name.parse().ok());
+    Some(Resumption { origin })
+}
+
 /// Reads the parts of a prompt. All but the last are shared with other requests.
 fn prompt(headers: &HeaderMap, input: u64) -> Option<Prompt> {
     let parts: Vec<_> = text(headers, PARTS)?.split(',').collect();
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -16,6 +16,7 @@
 use crate::platform::follow::Update;
 use crate::router::BORN_LABEL;
 use crate::router::Event;
+use crate::router::VERSION_LABEL;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 use crate::vms::VmState;
@@ -25,6 +26,9 @@
 #[serde(rename_all = "camelCase")]
 struct Server {
     service: String,
+    /// The version of its software.
+    #[serde(default)]
+    version: String,
     address: std::net::SocketAddr,
     zone: String,
     slots: u32,
@@ -230,6 +234,9 @@
     let mut labels = Labels::default();
     labels.set("pool", &server.service);
     labels.set("slots", &server.slots.to_string());
+    if !server.version.is_empty() {
+        labels.set(VERSION_LABEL, &server.version);
+    }
     if let Some(born) = server.born {
         labels.set(BORN_LABEL, &born.to_string());
     }
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -15,6 +15,7 @@
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
 use crate::ids::Attempt;
+use crate::ids::AttemptId;
 use crate::ids::DomainId;
 use crate::ids::Fingerprint;
 use crate::ids::IdempotencyKey;
@@ -254,6 +255,17 @@
     pub(crate) prompt: Option<Prompt>,
     /// Version of the route table of the router that forwarded the request, if one did.
     pub(crate) forwarded: Option<TableVersion>,
+    /// The caller's name for the attempt, if it is valid.
+    pub(crate) attempt: Option<AttemptId>,
+    /// How it takes up a stream that broke off, if it does.
+    pub(crate) resumption: Option<Resumption>,
+}
+
+/// A request that goes on with a stream after an event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Resumption {
+    /// The attempt that brought the stream's first event, if the caller names it.
+    pub(crate) origin: Option<AttemptId>,
 }
 
 /// Results from the log that stores grants.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -26,6 +26,7 @@
 use crate::ids::ModelId;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
+use crate::ids::SoftwareVersion;
 use crate::ids::VmId;
 use crate::router::core::Core;
 use crate::router::drained::DrainedDomains;
@@ -46,6 +47,9 @@
 /// The label for the number of requests that an endpoint runs at once.
 pub(crate) const SLOTS_LABEL: &str = "slots";
 
+/// The label for the version of an endpoint's software.
+pub(crate) const VERSION_LABEL: &str = "version";
+
 /// The label that changes when an endpoint restarts under the same name.
 pub(crate) const BORN_LABEL: &str = "born";
 
@@ -219,6 +223,12 @@
         self.serve_all_queues(now);
     }
 
+    /// Returns the version of an endpoint's software, if its entry in the VM list has one.
+    pub(crate) fn endpoint_version(&self, vm: &VmId) -> Option<SoftwareVersion> {
+        let entry = self.members.vm_index.entry(vm)?;
+        entry.labels.get(VERSION_LABEL)?.parse().ok()
+    }
+
     /// Returns the address at which an endpoint listens.
     pub(crate) fn endpoint_address(&self, pool: &PoolId, endpoint: &VmId) -> Option<String> {
         let address = self.pools.get(pool)?.addresses.get(endpoint)?;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -76,7 +76,9 @@
             check: self.quarantine.is_suspect(request.fingerprint),
             relay: request.relay_run(),
         };
-        info!(event = "dispatch", request = %id, %endpoint);
+        let version = self.endpoint_version(&endpoint);
+        let version = version.as_ref().map(tracing::field::display);
+        info!(event = "dispatch", request = %id, %endpoint, version);
         self.effects.push(Effect::Run(id, Box::new(run)));
     }
 
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -381,6 +381,7 @@
                 output: Tokens(output),
                 prompt: None,
                 forwarded,
+                ..Relay::default()
             }),
             fingerprint: Fingerprint(id.0),
             timeout: None,
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -150,8 +150,19 @@
 
 /// Lists an endpoint of a service.
 pub(crate) fn put_endpoint(store: &Store, name: &str, service: &str, address: SocketAddr) {
+    put_endpoint_version(store, name, service, address, "v1");
+}
+
+/// Lists an endpoint of a service that runs a version of its software.
+pub(crate) fn put_endpoint_version(
+    store: &Store,
+    name: &str,
+    service: &str,
+    address: SocketAddr,
+    version: &str,
+) {
     let entry = json!({
-        "service": service, "address": address, "zone": "domain-0", "version": "v1", "slots": 1000,
+        "service": service, "address": address, "zone": "domain-0", "version": version, "slots": 1000,
         "state": "ready", "coldRemainingMs": 0, "sequence": 1,
     });
     store.put("keyed.servers", name, &entry);
@@ -194,7 +205,7 @@
 }
 
 /// Returns the bytes of a request with more headers, each of which ends its line.
-fn request_with(path: &str, name: &str, headers: &str) -> String {
+pub(crate) fn request_with(path: &str, name: &str, headers: &str) -> String {
     format!(
         "GET /{path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {name}\r\nconnection: close\r\ndeadline-ms: {DEADLINE_MS}\r\n{headers}\r\n"
     )
