--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -28,6 +28,7 @@
 mod store;
 mod twice;
 mod verify;
+mod versions;
 mod without_endpoints;
 
 use std::time::Duration;
