Streams go on at the version of the endpoints' software that began them

Callers saw streams with events of two software versions: a run that broke off was repeated at any endpoint, and a caller that took its stream up was sent to any endpoint, at any router.

Cause: the version in an endpoint's entry was read by nobody, nor Resumes in a request; a router that had not served the first attempt could not have known its version. Ruled out: entries read too late (the versions had been listed for long when streams mixed).

--- a/src/decide/rendezvous.rs
+++ b/src/decide/rendezvous.rs
@@ -31,6 +31,18 @@
     eligible.min_by_key(|vm| rank(seed, vm))
 }
 
+/// Returns the routers that are eligible, in the order in which they are selected for a key.
+pub(crate) fn ranked<'a, F>(routers: &'a [VmId], key: &str, eligible: F) -> Vec<&'a VmId>
+where
+    F: Fn(&VmId) -> bool,
+{
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let eligible = routers.iter().filter(|vm| eligible(vm));
+    let mut ranked: Vec<_> = eligible.collect();
+    ranked.sort_by_cached_key(|vm| rank(seed, vm));
+    ranked
+}
+
 /// Returns a router's rank for a key, lowest first.
 fn rank(seed: u64, vm: &VmId) -> (Reverse<u64>, &VmId) {
     (Reverse(xxh3_64_with_seed(vm.as_str().as_bytes(), seed)), vm)
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -18,6 +18,8 @@
 use tokio::time::sleep;
 
 use crate::config::RouteTable;
+use crate::decide::StreamKey;
+use crate::decide::StreamOrigin;
 use crate::edge::engine;
 use crate::edge::metrics::Metrics;
 use crate::http_client::HttpClient;
@@ -195,6 +197,12 @@
         serde_json::from_value(answer).ok()
     }
 
+    /// Asks the core what began a stream.
+    pub(crate) async fn locate_stream(&self, key: StreamKey) -> Option<StreamOrigin> {
+        let answer = self.question(|id| Event::StreamQueried(id, key)).await;
+        serde_json::from_value(answer?.1).ok()?
+    }
+
     async fn question<F>(&self, event: F) -> Option<(u16, Value)>
     where
         F: FnOnce(ReplyId) -> Event,
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -340,6 +340,12 @@
             Effect::RequestLoan(ask, peer) => {
                 tokio::spawn(self.peers.clone().borrow(ask, peer));
             }
+            Effect::KeepStreams(rows, peer) => {
+                tokio::spawn(self.peers.clone().keep_streams(rows, peer));
+            }
+            Effect::LocateStream(id, key, peer) => {
+                tokio::spawn(self.peers.clone().locate_stream(id, key, peer));
+            }
             Effect::SendSlots(messages, peer) => {
                 tokio::spawn(self.peers.clone().tell_slots(messages, peer));
             }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -28,10 +28,13 @@
 use crate::config::Snapshot;
 use crate::decide::RoundTrips;
 use crate::decide::SlotMessage;
+use crate::decide::StreamKey;
+use crate::decide::StreamOrigin;
 use crate::edge::clock::SystemClock;
 use crate::edge::codec::Postcard;
 use crate::edge::desk::Desk;
 use crate::edge::desk::lock;
+use crate::ids::RequestId;
 use crate::router::BudgetTransfer;
 use crate::router::Event;
 use crate::router::Heartbeat;
@@ -39,10 +42,11 @@
 use crate::router::LoanRequest;
 use crate::router::Peer;
 use crate::router::PeerFailure;
+use crate::router::StreamRow;
 use crate::tokens::Tokens;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
-const VERSION: u32 = 9;
+const VERSION: u32 = 10;
 
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
@@ -95,6 +99,12 @@
     /// Takes demands for slots of brittle endpoints, and grants.
     async fn slots(version: u32, messages: Vec<SlotMessage>) -> Result<(), Refused>;
 
+    /// Remembers which versions of their software began streams.
+    async fn keep_streams(version: u32, rows: Vec<StreamRow>) -> Result<(), Refused>;
+
+    /// Returns what began a stream, if it is known.
+    async fn locate_stream(version: u32, key: StreamKey) -> Result<Option<StreamOrigin>, Refused>;
+
     /// Returns the ledger's state.
     async fn ledger(version: u32) -> Result<Vec<u8>, Refused>;
 }
@@ -162,6 +172,27 @@
         Ok(())
     }
 
+    async fn keep_streams(
+        self,
+        _: Context,
+        version: u32,
+        rows: Vec<StreamRow>,
+    ) -> Result<(), Refused> {
+        check(version)?;
+        self.0.tell(Event::StreamsBegun(rows));
+        Ok(())
+    }
+
+    async fn locate_stream(
+        self,
+        _: Context,
+        version: u32,
+        key: StreamKey,
+    ) -> Result<Option<StreamOrigin>, Refused> {
+        check(version)?;
+        Ok(self.0.locate_stream(key).await)
+    }
+
     async fn ledger(self, _: Context, version: u32) -> Result<Vec<u8>, Refused> {
         check(version)?;
         self.0.snapshot().await.ok_or(Refused::NotReady)
@@ -318,6 +349,34 @@
         }
     }
 
+    /// Has a peer remember which versions began streams.
+    pub(crate) async fn keep_streams(self, rows: Vec<StreamRow>, peer: Peer) {
+        let call = |client: PeeringClient| async move {
+            client.keep_streams(deadline(CALL), VERSION, rows).await
+        };
+        match self.call(&peer.address, CALL, call).await {
+            Ok(Ok(())) => {}
+            Ok(Err(refused)) => info!(event = "streams-refused", vm = %peer.vm, ?refused),
+            Err(silence) => info!(event = "streams-unheard", vm = %peer.vm, ?silence),
+        }
+    }
+
+    /// Asks a peer what began a stream, and tells the core.
+    pub(crate) async fn locate_stream(self, id: RequestId, key: StreamKey, peer: Peer) {
+        let limit = lock(&self.trips).timeout(LOAN);
+        let call = |client: PeeringClient| async move {
+            client.locate_stream(deadline(limit), VERSION, key).await
+        };
+        let origin = match self.call(&peer.address, limit, call).await {
+            Ok(answer) => answer.ok().flatten(),
+            Err(silence) => {
+                info!(event = "stream-unlocated", request = %id, vm = %peer.vm, ?silence);
+                None
+            }
+        };
+        self.desk.tell(Event::StreamLocated(id, origin));
+    }
+
     /// Returns whether all that this router does is late, so that it had better do without what is not needed.
     pub(crate) fn is_late(&self) -> bool {
         lock(&self.trips).is_late()
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -64,7 +64,9 @@
                     team = %request.team, pool = %request.pool, reserve = %request.reserve,
                 );
                 self.requests.insert(id, request);
-                self.check_limits(now, id);
+                if self.bind_resumed_stream(now, id) {
+                    self.check_limits(now, id);
+                }
             }
             Err(problem) => self.refuse_arrival(now, &arrival, *problem),
         }
@@ -91,7 +93,7 @@
     }
 
     /// Checks an admitted request against quarantine and its account's limit.
-    fn check_limits(&mut self, now: Instant, id: RequestId) {
+    pub(crate) fn check_limits(&mut self, now: Instant, id: RequestId) {
         let request = &self.requests[&id];
         if self.is_poison(id) {
             let detail = "endpoints failed over this request again and again";
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -49,6 +49,7 @@
 use crate::router::pool::Pool;
 use crate::router::request::Request;
 use crate::router::slots::Slots;
+use crate::router::streams::Streams;
 use crate::router::table_watch::TableWatch;
 use crate::settings::EndMarker;
 use crate::tokens::Tokens;
@@ -210,6 +211,8 @@
     pub(crate) announcements: Announcements,
     /// Slots of brittle endpoints.
     pub(crate) slots: Slots,
+    /// Which versions of the endpoints' software began streams.
+    pub(crate) streams: Streams,
     /// Budgets granted to this router, unless the ledger accounts for them.
     pub(crate) grant_budgets: GrantBudgets,
 }
@@ -297,6 +300,7 @@
             cold_endpoints: ColdEndpoints::default(),
             announcements: Announcements::new(tuning.vm.clone()),
             slots: Slots::default(),
+            streams: Streams::new(now),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -350,6 +354,9 @@
             Event::TableFetchFailed(vm) => self.handle_table_unsent(now, &vm),
             Event::TableConfirmed(at) => self.confirm_table(now, at),
             Event::Grants(event) => self.handle_grant_event(now, event),
+            Event::StreamsBegun(rows) => self.keep_streams(now, rows),
+            Event::StreamQueried(id, key) => self.answer_stream_query(id, &key),
+            Event::StreamLocated(id, origin) => self.handle_stream_answer(now, id, origin.as_ref()),
             Event::Slots(messages) => self.handle_slot_messages(now, &messages),
             Event::PromptNotice(notice) => self.record_peer_prompt(now, &notice),
             Event::TransferReceived(id, transfer) => self.accept_transfer(id, &transfer),
@@ -367,6 +374,7 @@
         }
         self.flush(now);
         self.send_slot_messages(now);
+        self.send_streams();
         std::mem::take(&mut self.effects)
     }
 
@@ -461,6 +469,7 @@
         self.check_connections(now);
         self.forward_queued(now);
         self.review_slots(now);
+        self.review_versions(now);
         self.tick_pools(now);
         self.continue_drain(now, tuning.min_drain);
     }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -9,6 +9,7 @@
 use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::decide::SlotMessage;
+use crate::decide::StreamKey;
 use crate::escrow::Proposal;
 use crate::ids::AccountId;
 use crate::ids::Incarnation;
@@ -28,6 +29,7 @@
 use crate::router::event::PromptNotice;
 use crate::router::event::ReplyId;
 use crate::router::problem::Problem;
+use crate::router::streams::StreamRow;
 
 /// What the edge is to do.
 #[derive(Clone, Debug)]
@@ -84,6 +86,10 @@
     /// Notifies the other routers of a long prompt. Delivery is not guaranteed; a router that misses it only chooses
     /// endpoints less well.
     SendPromptNotice(PromptNotice, Arc<[Peer]>),
+    /// Has another router remember which versions began streams.
+    KeepStreams(Vec<StreamRow>, Peer),
+    /// Asks another router what began the stream that a request takes up.
+    LocateStream(RequestId, StreamKey, Peer),
     /// Tells another router the demand for slots of brittle endpoints, or grants it slots.
     SendSlots(Vec<SlotMessage>, Peer),
     /// Transfers budget to another router.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -12,6 +12,8 @@
 use crate::decide::CacheEvent;
 use crate::decide::Prompt;
 use crate::decide::SlotMessage;
+use crate::decide::StreamKey;
+use crate::decide::StreamOrigin;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
 use crate::ids::Attempt;
@@ -33,6 +35,8 @@
 use crate::ledger::Ledger;
 use crate::router::core::Tuning;
 use crate::router::drained::DrainedDomains;
+use crate::router::streams::StreamRow;
+use crate::router::streams::VersionRow;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
 
@@ -123,6 +127,12 @@
     Grants(GrantEvent),
     /// Another router requests a loan.
     LoanRequested(ReplyId, LoanRequest),
+    /// Another router tells which versions began streams.
+    StreamsBegun(Vec<StreamRow>),
+    /// Another router asks what began a stream.
+    StreamQueried(ReplyId, StreamKey),
+    /// A router that was asked what began the stream that a request takes up answered, if it knows, or did not.
+    StreamLocated(RequestId, Option<StreamOrigin>),
     /// Another router tells its demand for slots of brittle endpoints, or grants slots.
     Slots(Vec<SlotMessage>),
     /// Another router sent a long prompt to an endpoint.
@@ -418,6 +428,8 @@
     pub(crate) announced: Vec<AnnouncementRow>,
     /// The pools of which it reaches no endpoint.
     pub(crate) cut: Vec<PoolId>,
+    /// The versions of pools whose endpoints have run several lately.
+    pub(crate) versions: Vec<VersionRow>,
 }
 
 /// One team's budget at a router.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -325,6 +325,7 @@
         self.note_peer_table(now, &beat);
         self.update_drained(now, &beat.drained);
         self.merge_announcements(now, &beat.vm, &beat.announced);
+        self.merge_versions(now, &beat.versions);
         let before = self.members.heartbeats.insert(beat.vm.clone(), (now, beat));
         if before.is_none() {
             self.grant_budgets.request_refresh();
@@ -366,6 +367,7 @@
             },
             announced: self.announcements.rows(now),
             cut: self.cut_pools(),
+            versions: self.streams.rows(now),
         }
     }
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -45,6 +45,7 @@
 mod retries;
 mod run;
 mod slots;
+mod streams;
 mod table_watch;
 #[cfg(test)]
 mod tests;
@@ -90,6 +91,7 @@
 pub use problem::Problem;
 pub use problem::ProblemKind;
 pub use problem::Ran;
+pub(crate) use streams::StreamRow;
 pub(crate) use vm_index::CPU_LABEL;
 pub(crate) use vm_index::FORWARD_LABEL;
 pub(crate) use vm_index::LINK_LABEL;
--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use indexmap::IndexMap;
 use rand::Rng;
 
 use crate::decide::Choice;
@@ -15,16 +16,20 @@
 use crate::decide::suspect_router;
 use crate::ids::DomainId;
 use crate::ids::ModelId;
+use crate::ids::SoftwareVersion;
 use crate::ids::VmId;
 use crate::prompt::BlockHash;
 use crate::router::event::Work;
 use crate::router::request::Request;
+use crate::router::streams::StreamVersion;
 
 /// The state by which one of a pool's endpoints is chosen.
 pub(crate) struct Picker {
     pub(crate) chooser: Chooser,
     pub(crate) index: PrefixIndex,
     pub(crate) health: Ejector,
+    /// The version of each endpoint's software, if its entry in the VM list says so.
+    pub(crate) versions: IndexMap<VmId, Option<SoftwareVersion>>,
 }
 
 /// The router for which an endpoint is picked.
@@ -47,6 +52,7 @@
             chooser: Chooser::new(router),
             index: PrefixIndex::new(),
             health: Ejector::new(EjectionLimits::default()),
+            versions: IndexMap::new(),
         }
     }
 
@@ -78,6 +84,7 @@
                 .choose(now, &criteria, &self.index, &self.health, rng)
         };
         let mut excluded = self.forbidden(now, request, quarantine, context);
+        excluded.extend(self.other_versions(request));
         excluded.extend_from_slice(context.closed);
         excluded.extend_from_slice(&request.failed_endpoints);
         let forbidden = excluded.len();
@@ -91,6 +98,20 @@
         lengths.iter().find_map(|len| choose(&excluded[..*len]))
     }
 
+    /// Returns the endpoints that don't run the version that a request is bound to.
+    pub(crate) fn other_versions(&self, request: &Request) -> Vec<VmId> {
+        let Some(terms) = &request.relay else {
+            return Vec::new();
+        };
+        let differs = |version: &Option<SoftwareVersion>| match &terms.stream {
+            StreamVersion::Any => false,
+            StreamVersion::Known(bound) => version != bound,
+            StreamVersion::Unknown => true,
+        };
+        let others = self.versions.iter().filter(|(_, version)| differs(version));
+        others.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Returns the endpoints that a suspect must not use: those where another suspect runs, those that belong to other
     /// routers for running their suspects, and those that crashed.
     fn forbidden(
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -134,6 +134,7 @@
                 .and_then(|slots| slots.parse().ok());
             let limit = slots.unwrap_or(spec.concurrency);
             self.picker.chooser.put(vm, &entry.domain, models, limit);
+            self.picker.versions.insert(vm.clone(), version(entry));
             if fixed {
                 self.picker.chooser.fix_limit(vm);
             }
@@ -184,10 +185,15 @@
         self.loaded_models.shift_remove(vm);
         self.picker.chooser.remove(vm);
         self.picker.health.remove(vm);
+        self.picker.versions.swap_remove(vm);
         self.reachability.remove(vm);
     }
 }
 
+fn version(entry: &VmEntry) -> Option<SoftwareVersion> {
+    entry.labels.get(VERSION_LABEL)?.parse().ok()
+}
+
 impl Core {
     /// Updates all pools to match the configuration and the VM list.
     pub(crate) fn rebuild_pools(&mut self, now: Instant) {
@@ -219,14 +225,15 @@
         self.update_retry_limits(now);
         self.update_cold_shares(now);
         self.update_brittle_pools(now);
+        self.record_versions(now);
         self.refuse_drained_pools(now);
+        self.refuse_unresumable(now);
         self.serve_all_queues(now);
     }
 
-    /// Returns the version of an endpoint's software, if its entry in the VM list has one.
-    pub(crate) fn endpoint_version(&self, vm: &VmId) -> Option<SoftwareVersion> {
-        let entry = self.members.vm_index.entry(vm)?;
-        entry.labels.get(VERSION_LABEL)?.parse().ok()
+    /// Returns the version of a listed endpoint's software, if its entry says so.
+    pub(crate) fn listed_version(&self, vm: &VmId) -> Option<Option<SoftwareVersion>> {
+        self.members.vm_index.entry(vm).map(version)
     }
 
     /// Returns the address at which an endpoint listens.
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -33,6 +33,7 @@
 use crate::router::request::State;
 use crate::router::run::ENDPOINT_FAILED;
 use crate::router::run::FAILURE_RETRY;
+use crate::router::streams::StreamVersion;
 use crate::tokens::Tokens;
 
 /// How many times a request's latency objective its endpoint may stay silent. Few answers that come at all take longer
@@ -132,6 +133,9 @@
                 stopped: false,
                 timed_out: false,
                 retry_refused: false,
+                attempt: relay.attempt.clone(),
+                resumption: relay.resumption.clone(),
+                stream: StreamVersion::Any,
                 forwarded: relay.forwarded.is_some(),
                 arrived: false,
                 silent_at: None,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -8,15 +8,19 @@
 use crate::decide::Prompt;
 use crate::ids::AccountId;
 use crate::ids::Attempt;
+use crate::ids::AttemptId;
 use crate::ids::Fingerprint;
 use crate::ids::Offset;
 use crate::ids::PoolId;
 use crate::ids::RequestKey;
+use crate::ids::SoftwareVersion;
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::ledger::Bearer;
+use crate::router::event::Resumption;
 use crate::router::event::Work;
 use crate::router::problem::Problem;
+use crate::router::streams::StreamVersion;
 use crate::tokens::Tokens;
 
 /// A request in progress at this router.
@@ -92,6 +96,12 @@
     pub(crate) timed_out: bool,
     /// Whether its endpoint was silent while no retry was left.
     pub(crate) retry_refused: bool,
+    /// The caller's name for the attempt.
+    pub(crate) attempt: Option<AttemptId>,
+    /// How it takes up a stream, if it does.
+    pub(crate) resumption: Option<Resumption>,
+    /// The version of the endpoints' software that it is bound to.
+    pub(crate) stream: StreamVersion,
     /// Whether another router forwarded it.
     pub(crate) forwarded: bool,
     /// Whether it may have reached an endpoint.
@@ -146,6 +156,11 @@
 pub(crate) enum State {
     /// Another attempt with its key is in progress, at this router or another one.
     Contended,
+    /// Other routers are asked what began the stream that it takes up.
+    Locating {
+        /// How many of them have not answered.
+        waiting: usize,
+    },
     /// It waits for budget.
     Funding {
         /// Since when its team's budget has had too little left to draw.
@@ -164,6 +179,8 @@
         endpoint: VmId,
         /// When that endpoint's life began, if its entry in the VM list says so.
         birth: Option<String>,
+        /// The version of its software, if its entry says so.
+        version: Option<SoftwareVersion>,
         /// When it was dispatched.
         since: Instant,
         /// When its first token, or the head of its answer, arrived.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -55,11 +55,15 @@
         let birth = self.endpoint_birth(&endpoint).flatten();
         let limited = self.announcements.limit(&endpoint).is_some()
             || self.is_slot_limited(&self.requests[&id].pool, &endpoint);
+        let version = self.listed_version(&endpoint).flatten();
+        let shown = version.as_ref().map(tracing::field::display);
+        info!(event = "dispatch", request = %id, %endpoint, version = shown);
         let request = &mut self.requests[&id];
         request.dispatched = true;
         request.state = State::Running {
             endpoint: endpoint.clone(),
             birth,
+            version,
             since: now,
             first_token: None,
         };
@@ -76,9 +80,6 @@
             check: self.quarantine.is_suspect(request.fingerprint),
             relay: request.relay_run(),
         };
-        let version = self.endpoint_version(&endpoint);
-        let version = version.as_ref().map(tracing::field::display);
-        info!(event = "dispatch", request = %id, %endpoint, version);
         self.effects.push(Effect::Run(id, Box::new(run)));
     }
 
@@ -98,6 +99,7 @@
             first_token.get_or_insert(now);
             self.record_prompt_read(now, id);
         }
+        self.record_stream_begin(now, id);
         self.record_answer_head(now, id);
         self.record_read(now, id);
         self.settle_retry(now, id);
@@ -469,6 +471,10 @@
                 let detail = "the wait for the team's budget outlasted the deadline";
                 self.refuse(now, id, ProblemKind::BudgetSpent, detail);
             }
+            State::Locating { .. } if overdue => {
+                let detail = "the routers that were asked about the stream did not answer in time";
+                self.refuse(now, id, ProblemKind::NoEndpoint, detail);
+            }
             State::Queued if overdue => {
                 let detail = "the wait for an endpoint outlasted the deadline";
                 self.refuse(now, id, ProblemKind::Overloaded, detail);
--- /dev/null
+++ b/src/router/streams.rs
@@ -0,0 +1,435 @@
+//! Streams that go on at the version of the endpoints' software that began them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tracing::info;
+
+use crate::decide::PoolVersions;
+use crate::decide::StreamKey;
+use crate::decide::StreamOrigin;
+use crate::decide::StreamOrigins;
+use crate::decide::ranked;
+use crate::ids::PoolId;
+use crate::ids::RequestId;
+use crate::ids::SoftwareVersion;
+use crate::ids::VmId;
+use crate::router::core::Core;
+use crate::router::effect::Effect;
+use crate::router::effect::Peer;
+use crate::router::event::PeerFailure;
+use crate::router::event::ReplyId;
+use crate::router::problem::Problem;
+use crate::router::problem::ProblemKind;
+use crate::router::problem::Ran;
+use crate::router::request::State;
+
+/// How many routers remember a stream besides the one where it began.
+const KEEPERS: usize = 2;
+
+/// How many routers are asked about a stream: one more, since a router may have started or died since.
+const ASKED: usize = 3;
+
+/// The age up to which streams are told to others when a second version appears. Older ones are hardly taken up.
+const MAX_TOLD_AGE: Duration = Duration::from_secs(30);
+
+/// How often the versions of the listed endpoints are recorded.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a router has to run to have seen itself which versions streams may have begun at.
+const HISTORY: Duration = Duration::from_secs(60);
+
+/// The retry delay for a caller whose stream can't go on here now.
+const RETRY: Duration = Duration::from_millis(500);
+
+const UNKNOWN_VERSION: &str = "the software version that began the stream is not known";
+const NO_ENDPOINT: &str = "no endpoint runs the software version that began the stream";
+
+/// The version of the endpoints' software that a request is bound to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum StreamVersion {
+    /// None: its caller has no event yet.
+    #[default]
+    Any,
+    /// The version that brought the first event; `None` if its endpoint listed none.
+    Known(Option<SoftwareVersion>),
+    /// Its endpoint changed while it was running the request.
+    Unknown,
+}
+
+/// A stream and what began it, as routers tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamRow {
+    pub(crate) key: StreamKey,
+    pub(crate) origin: StreamOrigin,
+}
+
+/// A version that endpoints of a pool with several versions have run lately.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct VersionRow {
+    pub(crate) pool: PoolId,
+    pub(crate) version: Option<SoftwareVersion>,
+    /// How long ago such an endpoint was last listed.
+    pub(crate) age: Duration,
+}
+
+/// What a router knows of streams and versions.
+#[derive(Debug)]
+pub(crate) struct Streams {
+    origins: StreamOrigins,
+    versions: IndexMap<PoolId, PoolVersions>,
+    /// The pools with several versions.
+    mixed: IndexSet<PoolId>,
+    /// What other routers are to be told.
+    outbox: IndexMap<VmId, Vec<StreamRow>>,
+    recorded_at: Option<Instant>,
+}
+
+impl Streams {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            origins: StreamOrigins::new(now),
+            versions: IndexMap::new(),
+            mixed: IndexSet::new(),
+            outbox: IndexMap::new(),
+            recorded_at: None,
+        }
+    }
+
+    /// Returns the versions of pools that have several.
+    pub(crate) fn rows(&self, now: Instant) -> Vec<VersionRow> {
+        let mixed = self
+            .mixed
+            .iter()
+            .filter_map(|pool| self.versions.get_key_value(pool));
+        let rows = mixed.flat_map(|(pool, versions)| {
+            versions.ages(now).map(|(version, age)| VersionRow {
+                pool: pool.clone(),
+                version: version.clone(),
+                age,
+            })
+        });
+        rows.collect()
+    }
+}
+
+impl Core {
+    /// Records the versions of all endpoints that are listed now.
+    pub(crate) fn record_versions(&mut self, now: Instant) {
+        self.streams.recorded_at = Some(now);
+        let pools = &self.pools;
+        self.streams
+            .versions
+            .retain(|name, _| pools.contains_key(name));
+        for (name, pool) in pools {
+            let versions = self.streams.versions.entry(name.clone()).or_default();
+            for version in pool.picker.versions.values() {
+                versions.record(now, version.clone());
+            }
+        }
+        self.review_mixed_pools(now);
+    }
+
+    /// Records the versions again if that is due.
+    pub(crate) fn review_versions(&mut self, now: Instant) {
+        let recorded = self.streams.recorded_at;
+        if recorded.is_none_or(|at| now >= at + RECORD_INTERVAL) {
+            self.record_versions(now);
+        }
+    }
+
+    /// Takes over what another router knows of versions.
+    pub(crate) fn merge_versions(&mut self, now: Instant, rows: &[VersionRow]) {
+        if rows.is_empty() {
+            return;
+        }
+        for row in rows {
+            let known = self.streams.versions.get_mut(&row.pool);
+            if let Some((versions, at)) = known.zip(now.checked_sub(row.age)) {
+                versions.record(at, row.version.clone());
+            }
+        }
+        self.review_mixed_pools(now);
+    }
+
+    /// Updates which pools have several versions, and tells other routers of streams that began before.
+    fn review_mixed_pools(&mut self, now: Instant) {
+        let mut begun = Vec::new();
+        for (name, versions) in &mut self.streams.versions {
+            versions.expire(now);
+            let changed = match versions.is_mixed() {
+                true => self.streams.mixed.insert(name.clone()),
+                false => self.streams.mixed.swap_remove(name),
+            };
+            if changed {
+                let versions = versions.ages(now).count();
+                info!(event = "pool-versions", pool = %name, versions);
+                begun.push(name.clone());
+            }
+        }
+        for name in begun {
+            if self.streams.mixed.contains(&name) {
+                self.members.request_heartbeat();
+                self.tell_recent_streams(now, &name);
+            }
+        }
+    }
+
+    fn tell_recent_streams(&mut self, now: Instant, pool: &PoolId) {
+        let since = now.checked_sub(MAX_TOLD_AGE);
+        let recent = self.streams.origins.of_pool(pool, since);
+        let rows: Vec<_> = recent
+            .map(|(key, origin)| StreamRow {
+                key: key.clone(),
+                origin: origin.clone(),
+            })
+            .collect();
+        for row in rows {
+            self.tell_keepers(now, &row);
+        }
+    }
+
+    /// Tells a stream to the routers that remember it.
+    fn tell_keepers(&mut self, now: Instant, row: &StreamRow) {
+        for peer in self.keepers(now, &row.key, KEEPERS) {
+            let rows = self.streams.outbox.entry(peer.vm).or_default();
+            rows.push(row.clone());
+        }
+    }
+
+    /// Returns up to so many routers that remember a stream, of those that this one reaches. This one may be among the
+    /// first, and is not returned.
+    fn keepers(&self, now: Instant, key: &StreamKey, count: usize) -> Vec<Peer> {
+        let routers = self.members.vm_index.serving_vms();
+        let reached = |vm: &VmId| self.members.peer_failure(now, vm).is_none();
+        let keepers = ranked(&routers, &key.to_string(), reached);
+        let first = keepers.into_iter().take(count);
+        let peers = first.filter_map(|vm| self.members.vm_index.peer(vm).cloned());
+        peers.collect()
+    }
+
+    /// Records the version that a request is bound to from its first event on.
+    pub(crate) fn record_stream_begin(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let State::Running {
+            endpoint,
+            birth,
+            version,
+            ..
+        } = &request.state
+        else {
+            return;
+        };
+        let current = self
+            .endpoint_birth(endpoint)
+            .is_none_or(|now| now == *birth)
+            && self
+                .listed_version(endpoint)
+                .is_none_or(|now| now == *version);
+        let begun = match current {
+            true => StreamVersion::Known(version.clone()),
+            false => StreamVersion::Unknown,
+        };
+        let Some(terms) = &mut self.requests[&id].relay else {
+            return;
+        };
+        if terms.stream == StreamVersion::Any {
+            terms.stream = begun;
+        }
+        self.remember_stream(now, id);
+    }
+
+    /// Remembers the version of a stream under the names by which its caller may take it up.
+    fn remember_stream(&mut self, now: Instant, id: RequestId) {
+        let request = &self.requests[&id];
+        let Some(terms) = &request.relay else {
+            return;
+        };
+        let StreamVersion::Known(version) = &terms.stream else {
+            return;
+        };
+        let origin = StreamOrigin {
+            pool: request.pool.clone(),
+            version: version.clone(),
+        };
+        let taken_up = terms.resumption.as_ref();
+        let taken_up = taken_up.and_then(|resumption| resumption.origin.clone());
+        let names: Vec<_> = terms.attempt.clone().into_iter().chain(taken_up).collect();
+        let account = request.key.account.clone();
+        for attempt in names {
+            let key = StreamKey {
+                account: account.clone(),
+                attempt,
+            };
+            let row = StreamRow {
+                key,
+                origin: origin.clone(),
+            };
+            if self.streams.mixed.contains(&origin.pool) {
+                self.tell_keepers(now, &row);
+            }
+            self.streams.origins.record(now, row.key, row.origin);
+        }
+    }
+
+    /// Remembers streams that began at other routers.
+    pub(crate) fn keep_streams(&mut self, now: Instant, rows: Vec<StreamRow>) {
+        for row in rows {
+            self.streams.origins.record(now, row.key, row.origin);
+        }
+    }
+
+    /// Answers another router that asks what began a stream.
+    pub(crate) fn answer_stream_query(&mut self, id: ReplyId, key: &StreamKey) {
+        let origin = self.streams.origins.find(key);
+        self.effects.push(Effect::Answer(id, 200, json!(origin)));
+    }
+
+    /// Binds a request that takes up a stream to the version that began it, or begins to ask for that; returns whether it
+    /// may proceed now.
+    pub(crate) fn bind_resumed_stream(&mut self, now: Instant, id: RequestId) -> bool {
+        let request = &self.requests[&id];
+        let resumption = request.relay.as_ref();
+        let Some(resumption) = resumption.and_then(|terms| terms.resumption.clone()) else {
+            return true;
+        };
+        let pool = request.pool.clone();
+        let key = resumption.origin.map(|attempt| StreamKey {
+            account: request.key.account.clone(),
+            attempt,
+        });
+        let known = key.as_ref().and_then(|key| self.streams.origins.find(key));
+        if let Some(origin) = known.cloned() {
+            return self.bind_to_origin(now, id, &origin);
+        }
+        let only = self
+            .streams
+            .versions
+            .get(&pool)
+            .and_then(PoolVersions::only);
+        if let Some(version) = only.filter(|_| self.knows_versions(now)).cloned() {
+            return self.bind_to_origin(now, id, &StreamOrigin { pool, version });
+        }
+        let asked = key.as_ref().map(|key| self.keepers(now, key, ASKED));
+        let asked = asked.unwrap_or_default();
+        if asked.is_empty() {
+            self.refuse_stream(now, id, UNKNOWN_VERSION);
+            return false;
+        }
+        let waiting = asked.len();
+        self.requests[&id].state = State::Locating { waiting };
+        for (peer, key) in asked.into_iter().zip(key.into_iter().cycle()) {
+            self.effects.push(Effect::LocateStream(id, key, peer));
+        }
+        false
+    }
+
+    /// Handles the answer of a router that was asked what began a stream.
+    pub(crate) fn handle_stream_answer(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        origin: Option<&StreamOrigin>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let State::Locating { waiting } = &mut request.state else {
+            return;
+        };
+        *waiting = waiting.saturating_sub(1);
+        let waits = *waiting > 0;
+        match origin {
+            Some(origin) => {
+                if self.bind_to_origin(now, id, origin) {
+                    self.check_limits(now, id);
+                }
+            }
+            None if waits => {}
+            None => self.refuse_stream(now, id, UNKNOWN_VERSION),
+        }
+    }
+
+    /// Binds a request to the version that began its stream, or refuses it; returns whether it may proceed.
+    fn bind_to_origin(&mut self, now: Instant, id: RequestId, origin: &StreamOrigin) -> bool {
+        let request = &mut self.requests[&id];
+        if request.pool != origin.pool {
+            self.refuse_stream(now, id, UNKNOWN_VERSION);
+            return false;
+        }
+        if let Some(terms) = &mut request.relay {
+            terms.stream = StreamVersion::Known(origin.version.clone());
+        }
+        let version = origin.version.as_ref().map(tracing::field::display);
+        info!(event = "stream-bound", request = %id, version);
+        if !self.has_endpoint_for(id) {
+            self.refuse_stream(now, id, NO_ENDPOINT);
+            return false;
+        }
+        true
+    }
+
+    /// Returns whether an endpoint that stays runs the version that a request is bound to.
+    fn has_endpoint_for(&self, id: RequestId) -> bool {
+        let request = &self.requests[&id];
+        let Some(pool) = self.pools.get(&request.pool) else {
+            return false;
+        };
+        let others = pool.picker.other_versions(request);
+        let mut staying = pool.picker.chooser.staying();
+        staying.any(|vm| !others.contains(vm))
+    }
+
+    /// Refuses the queued requests whose streams no listed endpoint can go on with.
+    pub(crate) fn refuse_unresumable(&mut self, now: Instant) {
+        let queued = self.pools.values().flat_map(|pool| pool.places.keys());
+        let bound = queued.copied().filter(|id| {
+            let terms = self
+                .requests
+                .get(id)
+                .and_then(|request| request.relay.as_ref());
+            terms.is_some_and(|terms| terms.stream != StreamVersion::Any)
+        });
+        let bound: Vec<_> = bound.collect();
+        for id in bound {
+            if !self.has_endpoint_for(id) {
+                self.refuse_stream(now, id, NO_ENDPOINT);
+            }
+        }
+    }
+
+    fn refuse_stream(&mut self, now: Instant, id: RequestId, detail: &str) {
+        let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
+        self.refuse_with(now, id, problem.with_retry(RETRY));
+    }
+
+    /// Returns whether no stream can have begun at a version that this router does not know of: the store answers it, and
+    /// it has heard of other routers or has run for long; or it hears all of them.
+    fn knows_versions(&self, now: Instant) -> bool {
+        let peers = self.members.vm_index.peers();
+        let hears = |vm: &VmId| self.members.has_fresh_heartbeat(now, vm);
+        let is_dead = |vm: &VmId| self.members.peer_failure(now, vm) == Some(PeerFailure::Refused);
+        let any = peers.iter().any(|peer| hears(&peer.vm));
+        let all = peers
+            .iter()
+            .all(|peer| hears(&peer.vm) || is_dead(&peer.vm));
+        let seasoned = peers.is_empty() || any || now >= self.started_at + HISTORY;
+        !self.may_be_behind(now) && seasoned || all && !peers.is_empty()
+    }
+
+    /// Sends what other routers are to remember.
+    pub(crate) fn send_streams(&mut self) {
+        for (vm, rows) in std::mem::take(&mut self.streams.outbox) {
+            if let Some(peer) = self.members.vm_index.peer(&vm).cloned() {
+                self.effects.push(Effect::KeepStreams(rows, peer));
+            }
+        }
+    }
+}
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -36,4 +36,5 @@
 mod site;
 mod stale_config;
 mod starved;
+mod versions;
 mod without_endpoints;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -366,6 +366,17 @@
         input: u64,
         output: u64,
     ) -> RequestId {
+        let relay = Relay {
+            input: Tokens(input),
+            output: Tokens(output),
+            forwarded,
+            ..Relay::default()
+        };
+        self.send_relay(key, route, relay)
+    }
+
+    /// Sends a request of which some is given to a route.
+    pub(crate) fn send_relay(&mut self, key: &str, route: &str, relay: Relay) -> RequestId {
         let id = RequestId(self.next_id);
         self.next_id += 1;
         self.handle(Event::RequestArrived(Box::new(Arrival {
@@ -377,11 +388,7 @@
             work: Work::Relay(Relay {
                 host: "maps.example".to_owned(),
                 path: format!("/{route}/1"),
-                input: Tokens(input),
-                output: Tokens(output),
-                prompt: None,
-                forwarded,
-                ..Relay::default()
+                ..relay
             }),
             fingerprint: Fingerprint(id.0),
             timeout: None,
@@ -405,6 +412,7 @@
                 purses: Vec::new(),
                 announced: Vec::new(),
                 cut: Vec::new(),
+                versions: Vec::new(),
             }));
         }
     }
@@ -446,6 +454,7 @@
             }],
             announced: Vec::new(),
             cut: Vec::new(),
+            versions: Vec::new(),
         }
     }
 
--- a/tests/faults/versions.rs
+++ b/tests/faults/versions.rs
@@ -82,6 +82,7 @@
 /// What a caller has of a stream.
 #[derive(Default)]
 struct Stream {
+    number: usize,
     events: usize,
     versions: IndexSet<String>,
     /// The statuses of its answers.
@@ -113,16 +114,16 @@
         let answer = String::from_utf8_lossy(&answer);
         let status = answer.split(' ').nth(1).unwrap_or("none");
         self.statuses.push(status.to_owned());
-        let versions = answer
-            .lines()
-            .filter_map(|line| line.strip_prefix("data: "));
+        // What follows the last whole event does not count.
+        let whole = answer.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+        let versions = whole.lines().filter_map(|line| line.strip_prefix("data: "));
         self.versions.extend(versions.map(str::to_owned));
-        self.events += answer.matches("\ndata: ").count();
+        self.events += answer.matches("\n\n").count();
         Ok(())
     }
 
     fn has_read(&self, answer: &str, most: usize) -> bool {
-        self.events + answer.matches("\ndata: ").count() >= most
+        self.events + answer.matches("\n\n").count() >= most
     }
 
     fn is_whole(&self) -> bool {
@@ -186,8 +187,11 @@
 
     /// Has a stream begin, be interrupted and go on.
     async fn run_stream(fronts: Vec<SocketAddr>, n: usize, how: Interruption) -> Result<Stream> {
-        let mut stream = Stream::default();
-        let first = format!("first-{n}");
+        let mut stream = Stream {
+            number: n,
+            ..Stream::default()
+        };
+        let first = format!("{how:?}-{n}").replace(' ', "");
         let front = |steps: usize| fronts[(n + steps) % fronts.len()];
         if how == Interruption::Endpoint {
             let path = format!("{SERVICE}/breaks-{n}");
@@ -200,7 +204,7 @@
             Interruption::Endpoint | Interruption::Router => {}
             Interruption::Caller { steps, pause } => {
                 sleep(pause).await;
-                let second = format!("second-{n}");
+                let second = format!("{first}-second");
                 let origin = Some(first.as_str());
                 stream
                     .read(front(steps), &path, &second, origin, EVENTS)
@@ -208,7 +212,7 @@
             }
             Interruption::CallerTwice => {
                 for (steps, most) in [(1, 2 * BREAK), (2, EVENTS)] {
-                    let next = format!("try-{steps}-{n}");
+                    let next = format!("{first}-{steps}");
                     let origin = Some(first.as_str());
                     stream
                         .read(front(steps), &path, &next, origin, most)
@@ -282,9 +286,10 @@
     let mut streams = site.run_streams(Interruption::Router).await?;
     let killed = site.routers.remove(0);
     killed.process.signal("KILL")?;
-    for (n, stream) in streams.iter_mut().enumerate() {
+    for stream in &mut streams {
+        let n = stream.number;
         let front = site.routers[n % 2].front;
-        let (path, first) = (format!("{SERVICE}/{n}"), format!("first-{n}"));
+        let (path, first) = (format!("{SERVICE}/{n}"), format!("Router-{n}"));
         let next = format!("next-{n}");
         stream
             .read(front, &path, &next, Some(&first), EVENTS)
@@ -300,9 +305,10 @@
     let site = Site::start(180).await?;
     let mut streams = site.run_streams(Interruption::Router).await?;
     site.start_second_version().await?;
-    for (n, stream) in streams.iter_mut().enumerate() {
+    for stream in &mut streams {
+        let n = stream.number;
         let front = site.routers[(n + 1) % ROUTERS].front;
-        let (path, first) = (format!("{SERVICE}/{n}"), format!("first-{n}"));
+        let (path, first) = (format!("{SERVICE}/{n}"), format!("Router-{n}"));
         let next = format!("next-{n}");
         stream
             .read(front, &path, &next, Some(&first), EVENTS)
