Failing test: refused callers hold all descriptors by idle connections

A router with 200 descriptors, and callers that leave their connections open after a refusal: the 178th is not answered.

--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -27,6 +27,9 @@
 /// How long a caller waits for an answer, in milliseconds.
 pub(crate) const DEADLINE_MS: u64 = 4000;
 
+/// The router's program.
+const ROUTER: &str = env!("CARGO_BIN_EXE_jasmineridged");
+
 /// The host of all routes.
 const HOST: &str = "records.example";
 
@@ -42,6 +45,19 @@
 impl Router {
     /// Starts a router on a VM of its own, with settings beside the usual ones.
     pub(crate) fn start(vm: usize, store: SocketAddr, more: &Value) -> Result<Self> {
+        Self::run(vm, store, more, Command::new(ROUTER))
+    }
+
+    /// Starts a router that may open so many descriptors.
+    pub(crate) fn start_limited(vm: usize, store: SocketAddr, descriptors: u32) -> Result<Self> {
+        let script = format!("ulimit -n {descriptors}; exec {ROUTER} \"$@\"");
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &script, "sh"]);
+        let retries = json!({"retry_ratio": 0.2, "retry_spare": 10.0, "retry_window_ms": 2000});
+        Self::run(vm, store, &retries, shell)
+    }
+
+    fn run(vm: usize, store: SocketAddr, more: &Value, mut program: Command) -> Result<Self> {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let mut settings = json!({
             "vm": format!("router-{vm}"),
@@ -65,7 +81,7 @@
         fs::write(&path, settings.to_string())?;
         let log = dir.join(format!("platform-{vm}.log"));
         let out = File::create(&log)?;
-        let child = Command::new(env!("CARGO_BIN_EXE_jasmineridged"))
+        let child = program
             .args(["--site", "--settings"])
             .arg(&path)
             .stdout(out.try_clone()?)
