Close refused callers' connections while many are open

Callers saw requests that were not read for two seconds and held past their route's time limit: callers that are refused come back over new connections and leave the old ones idle for 16 s, until no descriptor is left and new connections wait in the backlog.

Change: from half of the descriptors on a refusal closes its connection, from three quarters on every answer does. The limit is the system's, or the platform's if that is lower (max_descriptors).

--- a/src/edge/relay/front.rs
+++ b/src/edge/relay/front.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
@@ -24,6 +26,7 @@
 use tokio::time::sleep;
 use tracing::warn;
 
+use crate::edge::relay::connections::Connections;
 use crate::router::Problem;
 
 /// What goes back to a caller.
@@ -33,11 +36,14 @@
 /// fifths of the 15 s that configurations allow; a router that closed sooner would cut requests that cross its close.
 const IDLE: Duration = Duration::from_secs(16);
 
+/// The type of the body of a refusal.
+const PROBLEM: &str = "application/problem+json";
+
 /// How long to rest when no connection can be accepted, as when all descriptors are in use.
 const REST: Duration = Duration::from_millis(20);
 
 /// Accepts connections for ever and answers each of their requests.
-pub(crate) async fn accept<S, F>(listener: TcpListener, answer: S)
+pub(crate) async fn accept<S, F>(listener: TcpListener, connections: Arc<Connections>, answer: S)
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Reply> + Send + 'static,
@@ -52,9 +58,19 @@
             }
         };
         let answer = answer.clone();
+        let opened = connections.open();
+        let connections = connections.clone();
         let service = service_fn(move |request| {
             let reply = answer(request);
-            async move { Ok::<_, Infallible>(reply.await) }
+            let connections = connections.clone();
+            async move {
+                let mut reply = reply.await;
+                if connections.must_close(is_refusal(&reply)) {
+                    let close = HeaderValue::from_static("close");
+                    reply.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(reply)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -63,6 +79,7 @@
         // A connection's end is its caller's affair; each request's own line says how the request went.
         tokio::spawn(async move {
             let _ = connection.await;
+            drop(opened);
         });
     }
 }
@@ -77,12 +94,18 @@
     reply
 }
 
+/// Returns whether a reply is a refusal of this router.
+fn is_refusal(reply: &Reply) -> bool {
+    let kind = reply.headers().get(CONTENT_TYPE);
+    kind.is_some_and(|kind| kind == PROBLEM)
+}
+
 /// Makes a reply of a refusal.
 pub(crate) fn problem(problem: &Problem) -> Reply {
     let status = StatusCode::from_u16(problem.kind.status());
     let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let body = Bytes::from(problem.to_json().to_string());
-    let mut reply = plain(status, "application/problem+json", body);
+    let mut reply = plain(status, PROBLEM, body);
     if let Some(retry) = problem.retry
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry.as_secs_f64()))
     {
--- a/src/edge/relay/mod.rs
+++ b/src/edge/relay/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that are passed on as they came: the connections of callers and of endpoints, and what goes between them.
 
+mod connections;
 mod events;
 mod forward;
 mod framing;
@@ -11,6 +12,7 @@
 mod tests;
 mod upstream;
 
+pub(crate) use connections::Connections;
 pub(crate) use forward::serve_forwarded;
 pub(crate) use front::Reply;
 pub(crate) use front::accept;
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -22,6 +22,7 @@
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
 use crate::edge::metrics::Metrics;
+use crate::edge::relay::Connections;
 use crate::edge::relay::Dialect;
 use crate::edge::relay::Relays;
 use crate::edge::relay::Upstream;
@@ -208,7 +209,10 @@
     });
     let front = TcpListener::bind("127.0.0.1:0").await?;
     let mut caller = TcpStream::connect(front.local_addr()?).await?;
-    tokio::spawn(accept(front, move |request| serve(relays.clone(), request)));
+    let connections = Arc::new(Connections::new(None));
+    tokio::spawn(accept(front, connections, move |request| {
+        serve(relays.clone(), request)
+    }));
     let request = "GET /x HTTP/1.1\r\nhost: maps.example\r\nrequest-id: r1\r\n\r\n";
     caller.write_all(request.as_bytes()).await?;
     let mut announced = None;
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -32,6 +32,7 @@
 use crate::edge::peers::Caller;
 use crate::edge::probe::Prober;
 use crate::edge::relay;
+use crate::edge::relay::Connections;
 use crate::edge::relay::Relays;
 use crate::edge::relay::Upstream;
 use crate::edge::tell::Teller;
@@ -141,15 +142,18 @@
     tokio::spawn(peers::serve(routers, desk.clone()));
     tokio::spawn(teller.clone().listen(desk.clone()));
     let asked = desk.clone();
-    tokio::spawn(relay::accept(ready, move |request| {
+    let connections = Arc::new(Connections::new(settings.max_descriptors));
+    let counted = connections.clone();
+    tokio::spawn(relay::accept(ready, counted, move |request| {
         entry::ready(asked.clone(), request)
     }));
     let asked = desk.clone();
     let keep = settings.keep_ms.duration();
-    tokio::spawn(relay::accept(directory, move |request| {
+    let counted = connections.clone();
+    tokio::spawn(relay::accept(directory, counted, move |request| {
         entry::resolve(asked.clone(), keep, request)
     }));
-    serve_callers(front, forwarded, &desk);
+    serve_callers(front, forwarded, &desk, &connections);
     let core = Core::new(clock.now(), tuning(&settings, boot), seeds.next_u64());
     let driver = Driver {
         clock,
@@ -177,7 +181,12 @@
 }
 
 /// Serves callers, and what other routers forward of theirs.
-fn serve_callers(front: TcpListener, forwarded: TcpListener, desk: &Arc<Desk>) {
+fn serve_callers(
+    front: TcpListener,
+    forwarded: TcpListener,
+    desk: &Arc<Desk>,
+    connections: &Arc<Connections>,
+) {
     let relays = Arc::new(Relays {
         desk: desk.clone(),
         upstream: Upstream::default(),
@@ -193,10 +202,11 @@
         }
     });
     let hop = relays.clone();
-    tokio::spawn(relay::accept(forwarded, move |request| {
+    let counted = connections.clone();
+    tokio::spawn(relay::accept(forwarded, counted, move |request| {
         relay::serve_forwarded(hop.clone(), request)
     }));
-    tokio::spawn(relay::accept(front, move |request| {
+    tokio::spawn(relay::accept(front, connections.clone(), move |request| {
         relay::serve(relays.clone(), request)
     }));
 }
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -46,6 +46,8 @@
     /// The bandwidth of the VM's network link, in Mbit/s.
     #[serde(default = "whole")]
     pub link_mbps: f64,
+    /// How many descriptors the process may have; by default as many as the system allows.
+    pub max_descriptors: Option<usize>,
     /// The lowest severity that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
