A stream of a route to several pools goes on at the pool where it began

A request that takes up a stream was assigned to one of its route's pools at random, and refused if that was another one than the stream's. Now it goes to the pool where the stream began, as long as its route leads there. Streams of routes that can't be resumed are not remembered.

--- a/src/router/picker.rs
+++ b/src/router/picker.rs
@@ -100,14 +100,13 @@
 
     /// Returns the endpoints that don't run the version that a request is bound to.
     pub(crate) fn other_versions(&self, request: &Request) -> Vec<VmId> {
-        let Some(terms) = &request.relay else {
-            return Vec::new();
-        };
-        let differs = |version: &Option<SoftwareVersion>| match &terms.stream {
-            StreamVersion::Any => false,
-            StreamVersion::Known(bound) => version != bound,
-            StreamVersion::Unknown => true,
+        let stream = request.relay.as_ref().map(|terms| &terms.stream);
+        let bound = match stream {
+            None | Some(StreamVersion::Any) => return Vec::new(),
+            Some(StreamVersion::Known(bound)) => Some(bound),
+            Some(StreamVersion::Unknown) => None,
         };
+        let differs = |version: &Option<SoftwareVersion>| bound != Some(version);
         let others = self.versions.iter().filter(|(_, version)| differs(version));
         others.map(|(vm, _)| vm.clone()).collect()
     }
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use tracing::info;
 
+use crate::config::RepeatPolicy;
 use crate::decide::PoolVersions;
 use crate::decide::StreamKey;
 use crate::decide::StreamOrigin;
@@ -24,6 +25,7 @@
 use crate::router::effect::Peer;
 use crate::router::event::PeerFailure;
 use crate::router::event::ReplyId;
+use crate::router::event::Work;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
@@ -237,7 +239,8 @@
             true => StreamVersion::Known(version.clone()),
             false => StreamVersion::Unknown,
         };
-        let Some(terms) = &mut self.requests[&id].relay else {
+        let terms = self.requests[&id].relay.as_mut();
+        let Some(terms) = terms.filter(|terms| terms.repeat == RepeatPolicy::Resume) else {
             return;
         };
         if terms.stream == StreamVersion::Any {
@@ -359,11 +362,12 @@
 
     /// Binds a request to the version that began its stream, or refuses it; returns whether it may proceed.
     fn bind_to_origin(&mut self, now: Instant, id: RequestId, origin: &StreamOrigin) -> bool {
-        let request = &mut self.requests[&id];
-        if request.pool != origin.pool {
+        if !self.is_routed_to(id, &origin.pool) {
             self.refuse_stream(now, id, UNKNOWN_VERSION);
             return false;
         }
+        let request = &mut self.requests[&id];
+        request.pool = origin.pool.clone();
         if let Some(terms) = &mut request.relay {
             terms.stream = StreamVersion::Known(origin.version.clone());
         }
@@ -376,6 +380,16 @@
         true
     }
 
+    /// Returns whether a request's route leads to a pool, if only for a part of its requests.
+    fn is_routed_to(&self, id: RequestId, pool: &PoolId) -> bool {
+        let request = &self.requests[&id];
+        let (Some(table), Work::Relay(relay)) = (&self.route_table, &request.work) else {
+            return request.pool == *pool;
+        };
+        let route = table.route(&relay.host, &relay.path);
+        route.is_some_and(|route| route.split.iter().any(|(of, _)| of == pool))
+    }
+
     /// Returns whether an endpoint that stays runs the version that a request is bound to.
     fn has_endpoint_for(&self, id: RequestId) -> bool {
         let request = &self.requests[&id];
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -200,6 +200,39 @@
     }
 }
 
+/// Guards against a stream that goes on at another pool of its route than the one where it began.
+#[test]
+fn a_stream_of_a_split_route_goes_on_at_its_pool() {
+    let mut both = vms(&["v1"]);
+    both.push(entry("app-0", 9200, &[("pool", "app"), ("version", "v1")]));
+    for pool in ["pool", "app"] {
+        for _ in 0..10 {
+            let mut site = start(&["v1"]);
+            list(&mut site, both.clone());
+            let row = StreamRow {
+                key: StreamKey {
+                    account: "loans".parse().expect("a name"),
+                    attempt: "a".parse().expect("a name"),
+                },
+                origin: StreamOrigin {
+                    pool: pool.parse().expect("a name"),
+                    ..origin("v1")
+                },
+            };
+            site.handle(Event::StreamsBegun(vec![row]));
+            let relay = Relay {
+                resumption: Some(Resumption {
+                    origin: "a".parse().ok(),
+                }),
+                ..Relay::default()
+            };
+            let id = site.send_relay("key", "split", relay);
+            let endpoint = endpoints(&site, id)[0].clone();
+            assert_eq!(endpoint.as_str().starts_with("app"), pool == "app");
+        }
+    }
+}
+
 /// Guards against a router that guesses the version of a stream that began at another one.
 #[test]
 fn a_router_asks_others_what_began_a_stream() {
