--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 //! a request ended.
 
 mod advice;
+mod announcement;
 mod announcements;
 mod borrowers;
 mod call_times;
@@ -53,16 +54,16 @@
 pub use advice::Advice;
 pub use advice::Peer;
 pub use advice::advise;
+pub use announcement::AnnouncedLimit;
+pub use announcement::AnnouncedTolerance;
+pub use announcement::Announcement;
+pub use announcement::AnnouncementRow;
+pub use announcement::Changes;
+pub use announcement::EndpointLife;
+pub use announcement::LimitRow;
+pub use announcement::ToleranceRow;
 pub use announcements::Allowance;
-pub use announcements::AnnouncedLimit;
-pub use announcements::AnnouncedTolerance;
-pub use announcements::Announcement;
-pub use announcements::AnnouncementRow;
 pub use announcements::Announcements;
-pub use announcements::Changes;
-pub use announcements::EndpointLife;
-pub use announcements::LimitRow;
-pub use announcements::ToleranceRow;
 pub use borrowers::BorrowerDemand;
 pub use call_times::CallTimes;
 pub use capacity::Capacity;
--- a/src/decide/slot_divider.rs
+++ b/src/decide/slot_divider.rs
@@ -12,7 +12,7 @@
 
 use indexmap::IndexMap;
 
-use crate::decide::announcements::EndpointLife;
+use crate::decide::announcement::EndpointLife;
 use crate::decide::room::RoomEstimate;
 use crate::decide::slot_message::GrantNumber;
 use crate::decide::slot_message::SlotDemand;
--- a/src/decide/slot_message.rs
+++ b/src/decide/slot_message.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::decide::announcements::EndpointLife;
+use crate::decide::announcement::EndpointLife;
 use crate::ids::Incarnation;
 use crate::ids::VmId;
 
--- a/src/decide/slot_share.rs
+++ b/src/decide/slot_share.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::decide::announcements::EndpointLife;
+use crate::decide::announcement::EndpointLife;
 use crate::decide::slot_message::GrantNumber;
 use crate::decide::slot_message::SlotDemand;
 use crate::decide::slot_message::SlotGrant;
