Read again: one list of closed endpoints, one retention of versions, and no work for slots where nothing is brittle

What routers may not send to was put together in two places, and lists for slots were made for each dispatch though no endpoint was brittle. The check whether an endpoint's life is current, the header that closes a caller's connection, the minute for which versions count and the end of an idle divider each stood twice. Routers that remember a stream are called replicas, since the glossary's keeper is another thing.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -93,6 +93,7 @@
 pub use owners::Owners;
 pub(crate) use owners::TEAM_OWNERS;
 pub use pool_versions::PoolVersions;
+pub(crate) use pool_versions::VERSION_RETENTION;
 pub use prefill::Prefill;
 pub use prefill::Prompt;
 pub use prefix::CacheEvent;
--- a/src/decide/pool_versions.rs
+++ b/src/decide/pool_versions.rs
@@ -12,7 +12,7 @@
 use crate::ids::SoftwareVersion;
 
 /// How long a version counts after its last endpoint is gone: streams that it began may be taken up for as long.
-const RETENTION: Duration = Duration::from_secs(60);
+pub(crate) const VERSION_RETENTION: Duration = Duration::from_secs(60);
 
 /// The versions of one pool; `None` is that of endpoints that list none.
 #[derive(Clone, Debug, Default)]
@@ -30,7 +30,7 @@
 
     /// Drops the versions that no longer count.
     pub fn expire(&mut self, now: Instant) {
-        self.seen.retain(|_, at| now < *at + RETENTION);
+        self.seen.retain(|_, at| now < *at + VERSION_RETENTION);
     }
 
     /// Returns whether there is more than one.
--- a/src/decide/slot_divider.rs
+++ b/src/decide/slot_divider.rs
@@ -144,9 +144,8 @@
     }
 
     /// Returns whether no router wants slots or may be using any.
-    pub fn is_idle(&self, now: Instant) -> bool {
-        let live = |holder: &Holder| now < holder.heard + HOLDER_TIMEOUT;
-        !self.holders.values().any(live)
+    pub fn is_idle(&self) -> bool {
+        self.holders.is_empty()
     }
 
     /// Applies how many slots the endpoint lists, and how many rejections it tolerates in a second.
--- a/src/decide/slot_share.rs
+++ b/src/decide/slot_share.rs
@@ -26,9 +26,9 @@
 /// The shortest interval of demands that give up nothing.
 const INCREASE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// What was last told to the owner.
+/// What the owner was last told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Told {
+struct Report {
     held: u32,
     in_use: u32,
     wanted: u32,
@@ -65,7 +65,7 @@
     asking: bool,
     /// Until when one slot is kept for requests to come.
     spare_until: Instant,
-    told: Option<Told>,
+    reported: Option<Report>,
 }
 
 impl SlotShare {
@@ -80,7 +80,7 @@
             rejections: 0,
             asking: false,
             spare_until: now,
-            told: None,
+            reported: None,
         }
     }
 
@@ -102,7 +102,7 @@
         self.owner = owner;
         self.slots = 0;
         self.seen = GrantNumber::default();
-        self.told = None;
+        self.reported = None;
     }
 
     /// Returns whether one more request may be sent, if the router has `active` ones at the endpoint.
@@ -176,17 +176,17 @@
         // What there is no work for is given back.
         self.slots = self.slots.min(wanted.max(active));
         let held = self.slots.max(active);
-        let told = Told {
+        let reported = Report {
             held,
             in_use: active,
             wanted,
             rejections: self.rejections,
             at: now,
         };
-        if !self.is_due(&told) {
+        if !self.is_due(&reported) {
             return None;
         }
-        self.told = Some(told);
+        self.reported = Some(reported);
         Some(SlotDemand {
             router: context.router.clone(),
             incarnation: context.incarnation,
@@ -202,8 +202,8 @@
         })
     }
 
-    fn is_due(&self, new: &Told) -> bool {
-        let Some(last) = self.told else {
+    fn is_due(&self, new: &Report) -> bool {
+        let Some(last) = self.reported else {
             return new.held > 0 || new.wanted > 0;
         };
         let passed = new.at.saturating_duration_since(last.at);
--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -6,21 +6,18 @@
 //! that any router knows whom to ask, and nobody is told of each stream but these two.
 
 use std::fmt;
-use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::pool_versions::VERSION_RETENTION;
 use crate::ids::AccountId;
 use crate::ids::AttemptId;
 use crate::ids::PoolId;
 use crate::ids::SoftwareVersion;
 
-/// How long a stream is remembered at least.
-const RETENTION: Duration = Duration::from_secs(60);
-
 /// How many streams are remembered at most in each half.
 const MAX_HALF: usize = 32_768;
 
@@ -69,7 +66,7 @@
 
     /// Remembers what began a stream.
     pub fn record(&mut self, now: Instant, key: StreamKey, origin: StreamOrigin) {
-        if now >= self.began + RETENTION || self.current.len() >= MAX_HALF {
+        if now >= self.began + VERSION_RETENTION || self.current.len() >= MAX_HALF {
             self.previous = std::mem::take(&mut self.current);
             self.began = now;
         }
--- a/src/edge/relay/front.rs
+++ b/src/edge/relay/front.rs
@@ -66,8 +66,7 @@
             async move {
                 let mut reply = reply.await;
                 if connections.must_close(is_refusal(&reply)) {
-                    let close = HeaderValue::from_static("close");
-                    reply.headers_mut().insert(CONNECTION, close);
+                    close_after(&mut reply);
                 }
                 Ok::<_, Infallible>(reply)
             }
@@ -94,6 +93,12 @@
     reply
 }
 
+/// Has a caller's connection closed after a reply.
+pub(crate) fn close_after(reply: &mut Reply) {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(CONNECTION, close);
+}
+
 /// Returns whether a reply is a refusal of this router.
 fn is_refusal(reply: &Reply) -> bool {
     let kind = reply.headers().get(CONTENT_TYPE);
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -14,10 +14,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
-use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 use tracing::debug;
@@ -320,8 +318,7 @@
     };
     // A caller that keeps its connection would go on using a router that is about to end.
     if leaving.is_leaving() {
-        let close = HeaderValue::from_static("close");
-        reply.headers_mut().insert(CONNECTION, close);
+        front::close_after(&mut reply);
     }
     reply
 }
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -242,6 +242,13 @@
         Some(address.to_string())
     }
 
+    /// Returns the endpoints of a pool to which this router may not send a request now.
+    fn closed_endpoints(&self, now: Instant, name: &PoolId) -> Vec<VmId> {
+        let mut closed = self.announcements.closed(now);
+        closed.extend(self.without_slot(now, name));
+        closed
+    }
+
     /// Removes from a pool's queue the next request for which an endpoint has capacity.
     pub(crate) fn pop_dispatchable(
         &mut self,
@@ -252,14 +259,8 @@
             return None;
         }
         let routers = self.members.vm_index.serving_vms();
-        let announced = self.announcements.closed(now);
-        let closed = [announced.clone(), self.without_slot(now, name)].concat();
-        let unaskable = [announced, self.asked_endpoints()].concat();
-        let asks = self.asks_for_slots(name);
-        let sound = match asks {
-            true => self.sound_endpoints(name),
-            false => Vec::new(),
-        };
+        let closed = self.closed_endpoints(now, name);
+        let slot_choice = self.slot_choice(now, name);
         let mut avoided = self.announcements.avoided(now);
         avoided.extend(self.pools.get(name)?.unconnected().cloned());
         let Self {
@@ -286,10 +287,12 @@
                 avoided: &avoided,
             };
             chosen = picker.pick(now, request, usage, quarantine, &context, rng);
-            let needs_none = chosen.as_ref().is_some_and(|c| sound.contains(&c.endpoint));
-            if asks && missing.is_none() && (chosen.is_none() || needs_none) {
+            if let Some(slots) = &slot_choice
+                && missing.is_none()
+                && slots.prefers_other(chosen.as_ref())
+            {
                 let context = PickContext {
-                    closed: &unaskable,
+                    closed: &slots.unaskable,
                     ..context
                 };
                 missing = picker.pick(now, request, usage, quarantine, &context, rng);
@@ -314,12 +317,11 @@
         let mut avoided = self.announcements.avoided(now);
         avoided.extend(pool.picker.health.unreliable().cloned());
         avoided.extend(pool.unconnected().cloned());
-        let announced = self.announcements.closed(now);
         let context = PickContext {
             router: &self.tuning.vm,
             domain: &self.tuning.domain,
             routers: &routers,
-            closed: &[announced, self.without_slot(now, &request.pool)].concat(),
+            closed: &self.closed_endpoints(now, &request.pool),
             avoided: &avoided,
         };
         let choice = pool.picker.pick(
--- a/src/router/slots.rs
+++ b/src/router/slots.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use crate::decide::BrittleEndpoint;
+use crate::decide::Choice;
 use crate::decide::DemandContext;
 use crate::decide::EndpointLife;
 use crate::decide::SlotDemand;
@@ -53,6 +54,21 @@
     reviewed_at: Option<Instant>,
 }
 
+/// What decides for which endpoint of a pool with brittle ones a slot is asked.
+pub(crate) struct SlotChoice {
+    /// The endpoints that need no slots.
+    sound: Vec<VmId>,
+    /// The endpoints that are closed, or of which a slot was asked for.
+    pub(crate) unaskable: Vec<VmId>,
+}
+
+impl SlotChoice {
+    /// Returns whether a request may do better at an endpoint that needs a slot than with this choice.
+    pub(crate) fn prefers_other(&self, choice: Option<&Choice>) -> bool {
+        choice.is_none_or(|choice| self.sound.contains(&choice.endpoint))
+    }
+}
+
 impl Slots {
     /// Counts a request that an endpoint rejected.
     pub(crate) fn record_rejection(&mut self, vm: &VmId) {
@@ -142,21 +158,26 @@
         closed.cloned().collect()
     }
 
-    /// Returns the endpoints of a pool that need no slots.
-    pub(crate) fn sound_endpoints(&self, name: &PoolId) -> Vec<VmId> {
-        let pool = self.pools.get(name);
-        let endpoints = pool.into_iter().flat_map(|pool| pool.addresses.keys());
+    /// Returns what decides for which endpoint of a pool a slot is asked, if any may be.
+    pub(crate) fn slot_choice(&self, now: Instant, name: &PoolId) -> Option<SlotChoice> {
+        let pool = self.pools.get(name).filter(|_| self.asks_for_slots(name))?;
+        let endpoints = pool.addresses.keys();
         let sound = endpoints.filter(|vm| !self.is_slot_limited(name, vm));
-        sound.cloned().collect()
+        let mut unaskable = self.announcements.closed(now);
+        unaskable.extend(self.asked_endpoints());
+        Some(SlotChoice {
+            sound: sound.cloned().collect(),
+            unaskable,
+        })
     }
 
     /// Returns whether slots are to be asked for if a request of a pool finds none.
-    pub(crate) fn asks_for_slots(&self, name: &PoolId) -> bool {
+    fn asks_for_slots(&self, name: &PoolId) -> bool {
         self.slots.brittle.contains_key(name) && !self.is_cut(name)
     }
 
     /// Returns the endpoints of which slots were asked for that are not there yet.
-    pub(crate) fn asked_endpoints(&self) -> Vec<VmId> {
+    fn asked_endpoints(&self) -> Vec<VmId> {
         let shares = self.slots.shares.iter();
         let asked = shares.filter(|(_, share)| share.is_asking());
         asked.map(|(vm, _)| vm.clone()).collect()
@@ -350,7 +371,7 @@
             if let Some(brittle) = brittle {
                 divider.update(self.slots_reached(now, vm), brittle.tolerance);
             }
-            owned && !divider.is_idle(now) && self.is_current(divider.endpoint())
+            owned && !divider.is_idle() && self.is_current(divider.endpoint())
         });
         self.slots.dividers = dividers;
     }
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -11,10 +11,12 @@
 use tracing::info;
 
 use crate::config::RepeatPolicy;
+use crate::decide::EndpointLife;
 use crate::decide::PoolVersions;
 use crate::decide::StreamKey;
 use crate::decide::StreamOrigin;
 use crate::decide::StreamOrigins;
+use crate::decide::VERSION_RETENTION;
 use crate::decide::ranked;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
@@ -31,8 +33,8 @@
 use crate::router::problem::Ran;
 use crate::router::request::State;
 
-/// How many routers remember a stream besides the one where it began.
-const KEEPERS: usize = 2;
+/// How many routers keep a replica of a stream besides the one where it began.
+const REPLICAS: usize = 2;
 
 /// How many routers are asked about a stream: one more, since a router may have started or died since.
 const ASKED: usize = 3;
@@ -43,9 +45,6 @@
 /// How often the versions of the listed endpoints are recorded.
 const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a router has to run to have seen itself which versions streams may have begun at.
-const HISTORY: Duration = Duration::from_secs(60);
-
 /// The retry delay for a caller whose stream can't go on here now.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -192,13 +191,13 @@
             })
             .collect();
         for row in rows {
-            self.tell_keepers(now, &row);
+            self.replicate_stream(now, &row);
         }
     }
 
-    /// Tells a stream to the routers that remember it.
-    fn tell_keepers(&mut self, now: Instant, row: &StreamRow) {
-        for peer in self.keepers(now, &row.key, KEEPERS) {
+    /// Tells a stream to the routers that keep a replica of it.
+    fn replicate_stream(&mut self, now: Instant, row: &StreamRow) {
+        for peer in self.replicas(now, &row.key, REPLICAS) {
             let rows = self.streams.outbox.entry(peer.vm).or_default();
             rows.push(row.clone());
         }
@@ -206,11 +205,11 @@
 
     /// Returns up to so many routers that remember a stream, of those that this one reaches. This one may be among the
     /// first, and is not returned.
-    fn keepers(&self, now: Instant, key: &StreamKey, count: usize) -> Vec<Peer> {
+    fn replicas(&self, now: Instant, key: &StreamKey, count: usize) -> Vec<Peer> {
         let routers = self.members.vm_index.serving_vms();
         let reached = |vm: &VmId| self.members.peer_failure(now, vm).is_none();
-        let keepers = ranked(&routers, &key.to_string(), reached);
-        let first = keepers.into_iter().take(count);
+        let replicas = ranked(&routers, &key.to_string(), reached);
+        let first = replicas.into_iter().take(count);
         let peers = first.filter_map(|vm| self.members.vm_index.peer(vm).cloned());
         peers.collect()
     }
@@ -229,13 +228,13 @@
         else {
             return;
         };
-        let current = self
-            .endpoint_birth(endpoint)
-            .is_none_or(|now| now == *birth)
-            && self
-                .listed_version(endpoint)
-                .is_none_or(|now| now == *version);
-        let begun = match current {
+        let life = EndpointLife {
+            vm: endpoint.clone(),
+            birth: birth.clone(),
+        };
+        let listed = self.listed_version(endpoint);
+        let unchanged = listed.is_none_or(|listed| listed == *version);
+        let begun = match self.is_current(&life) && unchanged {
             true => StreamVersion::Known(version.clone()),
             false => StreamVersion::Unknown,
         };
@@ -276,7 +275,7 @@
                 origin: origin.clone(),
             };
             if self.streams.mixed.contains(&origin.pool) {
-                self.tell_keepers(now, &row);
+                self.replicate_stream(now, &row);
             }
             self.streams.origins.record(now, row.key, row.origin);
         }
@@ -320,7 +319,7 @@
         if let Some(version) = only.filter(|_| self.knows_versions(now)).cloned() {
             return self.bind_to_origin(now, id, &StreamOrigin { pool, version });
         }
-        let asked = key.as_ref().map(|key| self.keepers(now, key, ASKED));
+        let asked = key.as_ref().map(|key| self.replicas(now, key, ASKED));
         let asked = asked.unwrap_or_default();
         if asked.is_empty() {
             self.refuse_stream(now, id, UNKNOWN_VERSION);
@@ -434,8 +433,9 @@
         let all = peers
             .iter()
             .all(|peer| hears(&peer.vm) || is_dead(&peer.vm));
-        let seasoned = peers.is_empty() || any || now >= self.started_at + HISTORY;
-        !self.may_be_behind(now) && seasoned || all && !peers.is_empty()
+        let has_history = now >= self.started_at + VERSION_RETENTION;
+        let informed = peers.is_empty() || any || has_history;
+        !self.may_be_behind(now) && informed || all && !peers.is_empty()
     }
 
     /// Sends what other routers are to remember.
--- a/tests/faults/descriptors.rs
+++ b/tests/faults/descriptors.rs
@@ -9,6 +9,7 @@
 
 use crate::platform::Router;
 use crate::platform::ask;
+use crate::platform::header;
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
 use crate::platform::read_head;
@@ -26,7 +27,7 @@
 async fn serve(mut stream: TcpStream) -> Result<()> {
     loop {
         let head = read_head(&mut stream).await?;
-        let id = crate::platform::header(&head, "request-id").unwrap_or("none");
+        let id = header(&head, "request-id").unwrap_or("none");
         let answer = format!(
             "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n"
         );
