--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -23,11 +23,11 @@
 use crate::ids::TeamId;
 use crate::ids::VmId;
 use crate::router::event::BudgetTransfer;
-use crate::router::event::Heartbeat;
 use crate::router::event::KeptBatches;
 use crate::router::event::LoanRequest;
 use crate::router::event::PromptNotice;
 use crate::router::event::ReplyId;
+use crate::router::heartbeat::Heartbeat;
 use crate::router::problem::Problem;
 use crate::router::streams::StreamRow;
 
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -8,7 +8,6 @@
 use crate::config::RouteTable;
 use crate::config::Snapshot;
 use crate::decide::Announcement;
-use crate::decide::AnnouncementRow;
 use crate::decide::CacheEvent;
 use crate::decide::Prompt;
 use crate::decide::SlotMessage;
@@ -24,7 +23,6 @@
 use crate::ids::Incarnation;
 use crate::ids::ModelId;
 use crate::ids::Offset;
-use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::Sequence;
 use crate::ids::TableVersion;
@@ -35,8 +33,8 @@
 use crate::ledger::Ledger;
 use crate::router::core::Tuning;
 use crate::router::drained::DrainedDomains;
+use crate::router::heartbeat::Heartbeat;
 use crate::router::streams::StreamRow;
-use crate::router::streams::VersionRow;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
 
@@ -404,44 +402,6 @@
     pub(crate) data: Vec<u8>,
 }
 
-/// State that routers exchange periodically.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub(crate) struct Heartbeat {
-    /// The sender's VM.
-    pub(crate) vm: VmId,
-    pub(crate) router: Incarnation,
-    /// Whether it accepts new requests.
-    pub(crate) serving: bool,
-    /// Its utilization, in thousandths of the maximum number of requests.
-    pub(crate) load: u32,
-    /// Offset after its configuration; a router with a lower one is sent the newer configuration.
-    pub(crate) config: Offset,
-    /// Version of its route table, on a platform that delivers the configuration as a whole; 0 before the first.
-    pub(crate) table: TableVersion,
-    /// The drained failure domains that it knows of.
-    pub(crate) drained: DrainedDomains,
-    /// Its wall-clock time since the Unix epoch, from a clock that is not adjusted while the process runs.
-    pub(crate) clock: Duration,
-    /// Its budgets, if they are granted.
-    pub(crate) purses: Vec<TeamBudget>,
-    /// What endpoints announced about themselves, some of it if it is much.
-    pub(crate) announced: Vec<AnnouncementRow>,
-    /// The pools of which it reaches no endpoint.
-    pub(crate) cut: Vec<PoolId>,
-    /// The versions of pools whose endpoints have run several lately.
-    pub(crate) versions: Vec<VersionRow>,
-}
-
-/// One team's budget at a router.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub(crate) struct TeamBudget {
-    pub(crate) team: TeamId,
-    /// Unused budget.
-    pub(crate) free: Tokens,
-    /// Demand, in tokens per second.
-    pub(crate) demand: u64,
-}
-
 /// Notice of a long prompt that a router sent to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub(crate) struct PromptNotice {
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -11,9 +11,9 @@
 use crate::router::event::BudgetTransfer;
 use crate::router::event::LoanRequest;
 use crate::router::event::ReplyId;
-use crate::router::event::TeamBudget;
 use crate::router::grant_budgets::GrantBudgets;
 use crate::router::grant_review::StopPhase;
+use crate::router::heartbeat::TeamBudget;
 use crate::router::loans::LoanNeed;
 use crate::tokens::Tokens;
 
--- a/src/router/peer_budgets.rs
+++ b/src/router/peer_budgets.rs
@@ -10,9 +10,9 @@
 use crate::decide::Remainder;
 use crate::ids::TeamId;
 use crate::router::effect::Peer;
-use crate::router::event::TeamBudget;
 use crate::router::grant_budgets::DEMAND_COVER;
 use crate::router::grant_budgets::GrantBudgets;
+use crate::router::heartbeat::TeamBudget;
 use crate::router::loans::PeerBudget;
 use crate::tokens::Tokens;
 
--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -15,7 +15,7 @@
 use crate::router::core::Accounting;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
-use crate::router::event::Heartbeat;
+use crate::router::heartbeat::Heartbeat;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -11,7 +11,7 @@
 use crate::router::ReplyId;
 use crate::router::RunEnd;
 use crate::router::Usage;
-use crate::router::event::TeamBudget;
+use crate::router::heartbeat::TeamBudget;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::entry;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -40,7 +40,7 @@
 use crate::router::Tuning;
 use crate::router::Usage;
 use crate::router::Work;
-use crate::router::event::TeamBudget;
+use crate::router::heartbeat::TeamBudget;
 use crate::router::tests::cluster::boot_clock;
 use crate::router::tests::cluster::tuning;
 use crate::tokens::Tokens;
--- a/src/router/tests/starved.rs
+++ b/src/router/tests/starved.rs
@@ -10,7 +10,7 @@
 use crate::router::Event;
 use crate::router::GrantEvent;
 use crate::router::Heartbeat;
-use crate::router::event::TeamBudget;
+use crate::router::heartbeat::TeamBudget;
 use crate::router::tests::site::START_TIME;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::payer;
