--- a/src/decide/announcement.rs
+++ b/src/decide/announcement.rs
@@ -5,61 +5,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::decide::heard::Said;
+use crate::decide::heard::AnnouncedValue;
+use crate::decide::heard::HeardRow;
 use crate::ids::VmId;
 use crate::request_rate::RequestRate;
 
-/// What the head of an endpoint's answer says about the rate that the endpoint takes.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum AnnouncedLimit {
-    /// Nothing, which lifts an earlier limit.
-    #[default]
-    None,
-    /// Something that cannot be read; an earlier limit stays.
-    Unreadable,
-    /// The requests that it takes from all routers together.
-    Rate(RequestRate),
-}
-
-impl From<AnnouncedLimit> for Said<RequestRate> {
-    fn from(limit: AnnouncedLimit) -> Self {
-        match limit {
-            AnnouncedLimit::None => Self::Nothing,
-            AnnouncedLimit::Unreadable => Self::Unreadable,
-            AnnouncedLimit::Rate(rate) => Self::Value(rate),
-        }
-    }
-}
-
-/// What the head of a brittle endpoint's answer says about the requests that it can reject.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum AnnouncedTolerance {
-    /// Nothing: the endpoint is not brittle.
-    #[default]
-    None,
-    /// Something that cannot be read; an earlier number stays, and the lowest is assumed without one.
-    Unreadable,
-    /// How many requests it can reject in any second without failing.
-    Rejections(u32),
-}
-
-impl From<AnnouncedTolerance> for Said<u32> {
-    fn from(tolerance: AnnouncedTolerance) -> Self {
-        match tolerance {
-            AnnouncedTolerance::None => Self::Nothing,
-            AnnouncedTolerance::Unreadable => Self::Unreadable,
-            AnnouncedTolerance::Rejections(count) => Self::Value(count),
-        }
-    }
-}
-
 /// What an endpoint announces about itself in the head of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Announcement {
-    /// The rate of requests that it takes.
-    pub limit: AnnouncedLimit,
-    /// How many requests it can reject, if it is brittle.
-    pub tolerance: AnnouncedTolerance,
+    /// The requests that it takes from all routers together.
+    pub limit: AnnouncedValue<RequestRate>,
+    /// How many requests it can reject in any second without failing, if it is brittle. The lowest number is assumed of one
+    /// that cannot be read.
+    pub tolerance: AnnouncedValue<u32>,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// For how long it wants nothing more from this router.
@@ -103,9 +61,9 @@
     /// How long ago any router last heard something from the endpoint itself.
     pub age: Duration,
     /// Its limit, if any router has heard of one.
-    pub limit: Option<LimitRow>,
+    pub limit: Option<HeardRow<RequestRate>>,
     /// Whether it is brittle, if any router has heard of that.
-    pub tolerance: Option<ToleranceRow>,
+    pub tolerance: Option<HeardRow<u32>>,
     /// Whether the endpoint is leaving.
     pub leaving: bool,
     /// How much longer the endpoint wants nothing from the router that tells this.
@@ -118,28 +76,10 @@
         self.age = self.age.saturating_add(passed);
         self.rest = self.rest.saturating_sub(passed);
         if let Some(limit) = &mut self.limit {
-            limit.age = limit.age.saturating_add(passed);
+            limit.grow_older(passed);
         }
         if let Some(tolerance) = &mut self.tolerance {
-            tolerance.age = tolerance.age.saturating_add(passed);
+            tolerance.grow_older(passed);
         }
     }
 }
-
-/// What a router knows of an endpoint's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitRow {
-    /// How long ago any router last heard it.
-    pub age: Duration,
-    /// The rate; `None` if the limit was lifted.
-    pub rate: Option<RequestRate>,
-}
-
-/// What a router knows of the rejections that an endpoint tolerates.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToleranceRow {
-    /// How long ago any router last heard it.
-    pub age: Duration,
-    /// How many requests it can reject in any second; `None` if it is sound.
-    pub rejections: Option<u32>,
-}
--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -22,10 +22,8 @@
 use crate::decide::announcement::AnnouncementRow;
 use crate::decide::announcement::Changes;
 use crate::decide::announcement::EndpointLife;
-use crate::decide::announcement::LimitRow;
-use crate::decide::announcement::ToleranceRow;
+use crate::decide::heard::AnnouncedValue;
 use crate::decide::heard::Heard;
-use crate::decide::heard::Said;
 use crate::decide::rate_share::ShareBucket;
 use crate::decide::rate_share::rate_share;
 use crate::ids::VmId;
@@ -138,12 +136,14 @@
     ) -> Changes {
         let known = self.known(life);
         let limit = known.and_then(|known| known.limit);
-        let limit = Said::from(announcement.limit).heard(limit, now, sent);
+        let limit = announcement.limit.heard(limit, now, sent);
         let tolerance = known.and_then(|known| known.tolerance);
-        let tolerance = match Said::from(announcement.tolerance) {
-            Said::Unreadable if tolerance.is_none() => Said::Value(0).heard(None, now, sent),
+        let tolerance = match announcement.tolerance {
+            AnnouncedValue::Unreadable if tolerance.is_none() => {
+                AnnouncedValue::Value(0).heard(None, now, sent)
+            }
             // One of which nothing was known counts as brittle while others are.
-            Said::Nothing if tolerance.is_none() && self.has_brittle() => Some(Heard {
+            AnnouncedValue::None if tolerance.is_none() && self.has_brittle() => Some(Heard {
                 value: None,
                 at: now,
             }),
@@ -175,11 +175,11 @@
         let known = self.known(&row.life);
         let limit = row.limit.and_then(|limit| {
             let known = known.and_then(|known| known.limit);
-            Heard::from_peer(known, now, limit.age, limit.rate)
+            Heard::from_peer(known, now, limit)
         });
         let tolerance = row.tolerance.and_then(|tolerance| {
             let known = known.and_then(|known| known.tolerance);
-            Heard::from_peer(known, now, tolerance.age, tolerance.rejections)
+            Heard::from_peer(known, now, tolerance)
         });
         let rest = now.checked_add(row.rest).filter(|until| *until > now);
         let news = News {
@@ -208,14 +208,8 @@
                 birth: announced.birth.clone(),
             },
             age: now.saturating_duration_since(announced.heard),
-            limit: announced.limit.map(|limit| LimitRow {
-                age: now.saturating_duration_since(limit.at),
-                rate: limit.value,
-            }),
-            tolerance: announced.tolerance.map(|tolerance| ToleranceRow {
-                age: now.saturating_duration_since(tolerance.at),
-                rejections: tolerance.value,
-            }),
+            limit: announced.limit.map(|limit| limit.row(now)),
+            tolerance: announced.tolerance.map(|tolerance| tolerance.row(now)),
             leaving: announced.leaving,
             rest: announced.rest_left(now),
         });
--- a/src/decide/heard.rs
+++ b/src/decide/heard.rs
@@ -3,17 +3,37 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// What the head of an answer says about a value.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Said<T> {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnnouncedValue<T> {
     /// Nothing, which lifts an earlier value.
-    Nothing,
+    #[default]
+    None,
     /// Something that cannot be read; an earlier value stays.
     Unreadable,
     /// The value.
     Value(T),
 }
 
+/// A value that a router has heard of, as it tells the other routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardRow<T> {
+    /// How long ago any router last heard it from the endpoint itself.
+    pub age: Duration,
+    /// The value; `None` if it was lifted.
+    pub value: Option<T>,
+}
+
+impl<T> HeardRow<T> {
+    /// Adjusts a row that is told some time after it was made.
+    pub(super) fn grow_older(&mut self, passed: Duration) {
+        self.age = self.age.saturating_add(passed);
+    }
+}
+
 /// A value that was heard.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Heard<T> {
@@ -23,7 +43,7 @@
     pub(super) at: Instant,
 }
 
-impl<T> Said<T>
+impl<T> AnnouncedValue<T>
 where
     T: Copy,
 {
@@ -40,8 +60,8 @@
         let lifts = known.is_some_and(|known| known.value.is_some() && sent >= known.at);
         let value = match self {
             Self::Value(value) => Some(value),
-            Self::Nothing if lifts => None,
-            Self::Nothing | Self::Unreadable => return None,
+            Self::None if lifts => None,
+            Self::None | Self::Unreadable => return None,
         };
         Some(Heard { value, at: now })
     }
@@ -51,15 +71,19 @@
 where
     T: Copy,
 {
-    /// Returns what is new in the word of another router that heard a value some time ago.
-    pub(super) fn from_peer(
-        known: Option<Self>,
-        now: Instant,
-        age: Duration,
-        value: Option<T>,
-    ) -> Option<Self> {
+    /// Returns what is new in the word of another router.
+    pub(super) fn from_peer(known: Option<Self>, now: Instant, row: HeardRow<T>) -> Option<Self> {
+        let HeardRow { age, value } = row;
         let at = now.checked_sub(age)?;
         let newer = known.map_or(value.is_some(), |known| at > known.at);
         newer.then_some(Self { value, at })
     }
+
+    /// Returns what other routers are told.
+    pub(super) fn row(self, now: Instant) -> HeardRow<T> {
+        HeardRow {
+            age: now.saturating_duration_since(self.at),
+            value: self.value,
+        }
+    }
 }
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -20,8 +20,7 @@
 use tracing::warn;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::decide::AnnouncedLimit;
-use crate::decide::AnnouncedTolerance;
+use crate::decide::AnnouncedValue;
 use crate::decide::Announcement;
 use crate::decide::Prompt;
 use crate::edge::relay::Ask;
@@ -29,6 +28,7 @@
 use crate::edge::relay::Verdict;
 use crate::edge::retry_after::rest;
 use crate::edge::retry_after::retry_after;
+use crate::request_rate::RequestRate;
 use crate::router::Problem;
 use crate::router::ProblemKind;
 use crate::router::Ran;
@@ -249,36 +249,34 @@
 }
 
 /// Reads the limit that an endpoint announces.
-fn limit(headers: &HeaderMap) -> AnnouncedLimit {
+fn limit(headers: &HeaderMap) -> AnnouncedValue<RequestRate> {
     let Some(value) = headers.get(LIMIT) else {
-        return AnnouncedLimit::None;
+        return AnnouncedValue::None;
     };
     let rate = value.to_str().unwrap_or_default().trim().parse();
     match rate {
-        Ok(rate) => AnnouncedLimit::Rate(rate),
+        Ok(rate) => AnnouncedValue::Value(rate),
         Err(error) => {
             warn!(event = "header-unreadable", header = LIMIT, ?value, %error);
-            AnnouncedLimit::Unreadable
+            AnnouncedValue::Unreadable
         }
     }
 }
 
 /// Reads how many requests a brittle endpoint can reject in a second; the lowest number if there are several.
-fn tolerance(headers: &HeaderMap) -> AnnouncedTolerance {
-    let mut tolerance = AnnouncedTolerance::None;
+fn tolerance(headers: &HeaderMap) -> AnnouncedValue<u32> {
+    let mut tolerance: AnnouncedValue<u32> = AnnouncedValue::None;
     for value in headers.get_all(BRITTLE) {
         for part in value.to_str().unwrap_or_default().split(',') {
             let count = part.trim().parse().ok().filter(|count: &f64| *count >= 0.0);
             let Some(count) = count.filter(|count| count.is_finite()) else {
                 warn!(event = "header-unreadable", header = BRITTLE, ?value);
-                return AnnouncedTolerance::Unreadable;
+                return AnnouncedValue::Unreadable;
             };
             let count = count as u32;
             tolerance = match tolerance {
-                AnnouncedTolerance::Rejections(lowest) => {
-                    AnnouncedTolerance::Rejections(lowest.min(count))
-                }
-                _ => AnnouncedTolerance::Rejections(count),
+                AnnouncedValue::Value(lowest) => AnnouncedValue::Value(lowest.min(count)),
+                _ => AnnouncedValue::Value(count),
             };
         }
     }
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -16,8 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::decide::AnnouncedLimit;
-use crate::decide::AnnouncedTolerance;
+use crate::decide::AnnouncedValue;
 use crate::decide::Announcement;
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
@@ -31,12 +30,13 @@
 use crate::ids::RequestKey;
 use crate::platform::heads::Heads;
 use crate::platform::heads::prompt;
+use crate::request_rate::RequestRate;
 use crate::router::Event;
 use crate::router::RelayRun;
 use crate::router::Run;
 use crate::settings::RequestLimits;
 
-fn limit(status: u16, value: &[u8]) -> AnnouncedLimit {
+fn limit(status: u16, value: &[u8]) -> AnnouncedValue<RequestRate> {
     let mut headers = HeaderMap::new();
     let value = HeaderValue::from_bytes(value).expect("bytes of a header");
     headers.insert("server-limit", value);
@@ -48,7 +48,7 @@
 #[test]
 fn a_limit_is_read_in_answers_of_every_status() {
     for status in [200, 404, 409, 421, 429, 500, 503] {
-        let AnnouncedLimit::Rate(rate) = limit(status, b" 3.1 ") else {
+        let AnnouncedValue::Value(rate) = limit(status, b" 3.1 ") else {
             panic!("no limit with status {status}");
         };
         assert_eq!(rate.to_string(), "3.1");
@@ -71,13 +71,13 @@
         b"\xff\xfe",
     ];
     for value in garbage {
-        assert_eq!(limit(200, value), AnnouncedLimit::Unreadable, "{value:?}");
+        assert_eq!(limit(200, value), AnnouncedValue::Unreadable, "{value:?}");
     }
     let silent = Heads.announcement(StatusCode::OK, &HeaderMap::new());
-    assert_eq!(silent.limit, AnnouncedLimit::None);
+    assert_eq!(silent.limit, AnnouncedValue::None);
 }
 
-fn tolerance(values: &[&'static [u8]]) -> AnnouncedTolerance {
+fn tolerance(values: &[&'static [u8]]) -> AnnouncedValue<u32> {
     let mut headers = HeaderMap::new();
     for value in values {
         let value = HeaderValue::from_bytes(value).expect("bytes of a header");
@@ -100,17 +100,13 @@
     ];
     for (values, count) in cases {
         let announced = tolerance(values);
-        assert_eq!(
-            announced,
-            AnnouncedTolerance::Rejections(count),
-            "{values:?}"
-        );
+        assert_eq!(announced, AnnouncedValue::Value(count), "{values:?}");
     }
     for garbage in [&b""[..], b"-1", b"nan", b"inf", b"many", b"4;", b"\xff"] {
-        assert_eq!(tolerance(&[garbage]), AnnouncedTolerance::Unreadable);
-        assert_eq!(tolerance(&[b"4", garbage]), AnnouncedTolerance::Unreadable);
+        assert_eq!(tolerance(&[garbage]), AnnouncedValue::Unreadable);
+        assert_eq!(tolerance(&[b"4", garbage]), AnnouncedValue::Unreadable);
     }
-    assert_eq!(tolerance(&[]), AnnouncedTolerance::None);
+    assert_eq!(tolerance(&[]), AnnouncedValue::None);
 }
 
 /// Guards against an idle time so long that adding it to the clock stops the task of a request.
@@ -236,7 +232,7 @@
         for ran in ["", "not-executed: 1\r\n"] {
             let head = format!("{status}\r\n{names}{ran}");
             let heard = announced(&head, false).await?.context("it is heard")?;
-            assert_eq!(heard.limit, AnnouncedLimit::Rate("3.1".parse()?), "{head}");
+            assert_eq!(heard.limit, AnnouncedValue::Value("3.1".parse()?), "{head}");
             assert!(heard.leaving, "{head}");
             let rest = status.starts_with("503").then_some(Duration::from_secs(2));
             assert_eq!(heard.rest, rest, "{head}");
--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use crate::decide::AnnouncedLimit;
+use crate::decide::AnnouncedValue;
 use crate::decide::Announcement;
 use crate::decide::AnnouncementRow;
 use crate::decide::EndpointLife;
-use crate::decide::LimitRow;
+use crate::decide::HeardRow;
 use crate::ids::RequestId;
 use crate::request_rate::RequestRate;
 use crate::router::Event;
@@ -125,7 +125,7 @@
     });
     let rate = 2.0.try_into().expect("a rate");
     let limit_named = Announcement {
-        limit: AnnouncedLimit::Rate(rate),
+        limit: AnnouncedValue::Value(rate),
         ..Announcement::default()
     };
     let id = run.expect("one goes to the endpoint");
@@ -179,7 +179,7 @@
     let late = site.send("again", 0, 0);
     let id = site.send("again", 0, 0);
     let limited = Announcement {
-        limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+        limit: AnnouncedValue::Value(0.5.try_into().expect("a rate")),
         leaving: true,
         rest: Some(Duration::from_secs(5)),
         ..Announcement::default()
@@ -198,9 +198,9 @@
             birth: Some("1".to_owned()),
         },
         age: Duration::ZERO,
-        limit: Some(LimitRow {
+        limit: Some(HeardRow {
             age: Duration::ZERO,
-            rate: Some(0.5.try_into().expect("a rate")),
+            value: Some(0.5.try_into().expect("a rate")),
         }),
         tolerance: None,
         leaving: true,
@@ -217,7 +217,7 @@
     let mut site = Site::start(1_000_000);
     let ids = send_to_first(&mut site);
     let limited = Announcement {
-        limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+        limit: AnnouncedValue::Value(0.5.try_into().expect("a rate")),
         ..Announcement::default()
     };
     site.advance(100);
@@ -352,7 +352,7 @@
     let mut site = Site::start(1_000_000);
     let id = send_to_first(&mut site)[0];
     let limited = Announcement {
-        limit: AnnouncedLimit::Rate(0.5.try_into().expect("a rate")),
+        limit: AnnouncedValue::Value(0.5.try_into().expect("a rate")),
         ..Announcement::default()
     };
     site.handle(Event::EndpointAnnounced(id, limited));
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -8,8 +8,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::decide::AnnouncedLimit;
-use crate::decide::AnnouncedTolerance;
+use crate::decide::AnnouncedValue;
 use crate::decide::Announcement;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
@@ -309,16 +308,16 @@
         let vm = &answer.run.endpoint;
         let limit = self.limits.get(vm).copied();
         let announcement = Announcement {
-            limit: limit.map_or(AnnouncedLimit::None, |rate| {
-                AnnouncedLimit::Rate(rate.try_into().expect("a rate"))
+            limit: limit.map_or(AnnouncedValue::None, |rate| {
+                AnnouncedValue::Value(rate.try_into().expect("a rate"))
             }),
             leaving: self.leaving.contains(vm),
             rest: self.rests.get(vm).copied(),
             tolerance: self
                 .tolerances
                 .get(vm)
-                .map_or_else(AnnouncedTolerance::default, |count| {
-                    AnnouncedTolerance::Rejections(*count)
+                .map_or_else(AnnouncedValue::default, |count| {
+                    AnnouncedValue::Value(*count)
                 }),
         };
         let site = &mut self.sites[answer.site];
