--- a/src/decide/room.rs
+++ b/src/decide/room.rs
@@ -11,10 +11,10 @@
 /// How long an increase is in use before the next one, while nothing was rejected: longer than a rejection takes.
 const GROWTH_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The interval of increases after a rejection.
+/// The interval of increases beyond the ceiling.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// What part of itself the estimate grows by after a rejection.
+/// What part of itself the estimate grows by beyond the ceiling.
 const PROBE_DIVISOR: u32 = 8;
 
 /// The period that the rejections which an endpoint tolerates refer to.
@@ -49,7 +49,7 @@
     limit: u32,
     /// The most requests that the endpoint may have had after its last rejection.
     ceiling: Option<u32>,
-    /// When it rejected how many requests in the last second.
+    /// The rejections of the last second, as their time and number.
     rejections: Vec<(Instant, u32)>,
     grown_at: Instant,
 }
