--- a/src/router/claim.rs
+++ b/src/router/claim.rs
@@ -21,7 +21,7 @@
 use crate::router::request::State;
 
 /// Retry delay for callers of a router that is cut off from the log.
-pub(crate) const OUTAGE_RETRY: Duration = Duration::from_secs(2);
+const OUTAGE_RETRY: Duration = Duration::from_secs(2);
 
 impl Core {
     /// Claims a request that has its budget and its endpoint.
@@ -91,16 +91,21 @@
         };
         if !(request.idempotent && self.may_run_unclaimed(now)) {
             let detail = "the log service can't be reached from here";
-            let instead = self.alternate_address();
-            let problem = Problem::new(ProblemKind::LogOutage, Ran::Unknown, detail);
-            self.refuse_with(
-                now,
-                id,
-                problem.with_retry(OUTAGE_RETRY).with_instead(instead),
-            );
+            self.refuse_in_outage(now, id, detail);
         }
     }
 
+    /// Refuses a request that can't proceed in a log outage, and names another router.
+    pub(crate) fn refuse_in_outage(&mut self, now: Instant, id: RequestId, detail: &str) {
+        let instead = self.alternate_address();
+        let problem = Problem::new(ProblemKind::LogOutage, Ran::Unknown, detail);
+        self.refuse_with(
+            now,
+            id,
+            problem.with_retry(OUTAGE_RETRY).with_instead(instead),
+        );
+    }
+
     /// Applies the ledger's verdict on a claim.
     pub(crate) fn apply_claim_verdict(&mut self, now: Instant, id: RequestId, verdict: Verdict) {
         let Some(request) = self.requests.get_mut(&id) else {
--- a/src/router/expire.rs
+++ b/src/router/expire.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use crate::ids::RequestId;
-use crate::router::claim::OUTAGE_RETRY;
 use crate::router::core::Core;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
@@ -53,13 +52,7 @@
             }
             State::Funding { .. } if outage && now >= request.arrived_at + FUNDING_TIMEOUT => {
                 let detail = "the log service can't be reached, and this router holds too little of the budget";
-                let instead = self.alternate_address();
-                let problem = Problem::new(ProblemKind::LogOutage, Ran::Unknown, detail);
-                self.refuse_with(
-                    now,
-                    id,
-                    problem.with_retry(OUTAGE_RETRY).with_instead(instead),
-                );
+                self.refuse_in_outage(now, id, detail);
             }
             State::Claiming { .. } if overdue => {
                 let detail = "the log service did not take the claim in time";
