--- a/src/decide/rendezvous.rs
+++ b/src/decide/rendezvous.rs
@@ -26,21 +26,31 @@
 where
     F: Fn(&VmId) -> bool,
 {
-    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    let eligible = routers.iter().filter(|vm| eligible(vm));
-    eligible.min_by_key(|vm| rank(seed, vm))
+    ranks(routers, key, eligible).min().map(|(_, vm)| vm)
 }
 
 /// Returns the routers that are eligible, in the order in which they are selected for a key.
 pub(crate) fn ranked<'a, F>(routers: &'a [VmId], key: &str, eligible: F) -> Vec<&'a VmId>
+where
+    F: Fn(&VmId) -> bool,
+{
+    let mut ranks: Vec<_> = ranks(routers, key, eligible).collect();
+    ranks.sort_unstable();
+    ranks.into_iter().map(|(_, vm)| vm).collect()
+}
+
+/// Returns the ranks for a key of the routers that are eligible.
+fn ranks<'a, F>(
+    routers: &'a [VmId],
+    key: &str,
+    eligible: F,
+) -> impl Iterator<Item = (Reverse<u64>, &'a VmId)>
 where
     F: Fn(&VmId) -> bool,
 {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    let eligible = routers.iter().filter(|vm| eligible(vm));
-    let mut ranked: Vec<_> = eligible.collect();
-    ranked.sort_by_cached_key(|vm| rank(seed, vm));
-    ranked
+    let eligible = routers.iter().filter(move |vm| eligible(vm));
+    eligible.map(move |vm| rank(seed, vm))
 }
 
 /// Returns a router's rank for a key, lowest first.
