--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -150,16 +150,16 @@
             said => said.heard(tolerance, now, sent),
         };
         let rest = announcement.rest.and_then(|rest| now.checked_add(rest));
-        let news = News {
+        let update = Update {
             heard: now,
             limit,
             tolerance,
             leaving: announcement.leaving,
         };
-        if !news.any() && rest.is_none() {
+        if !update.any() && rest.is_none() {
             return Changes::default();
         }
-        let mut changes = self.put(now, life, &news);
+        let mut changes = self.put(now, life, &update);
         if let Some(announced) = self.endpoints.get_mut(&life.vm) {
             changes.rest = rest > announced.rest_until;
             announced.rest_until = announced.rest_until.max(rest);
@@ -182,16 +182,16 @@
             Heard::from_peer(known, now, tolerance)
         });
         let rest = now.checked_add(row.rest).filter(|until| *until > now);
-        let news = News {
+        let update = Update {
             heard,
             limit,
             tolerance,
             leaving: row.leaving,
         };
-        if !news.any() && rest.is_none() {
+        if !update.any() && rest.is_none() {
             return Changes::default();
         }
-        let changes = self.put(now, &row.life, &news);
+        let changes = self.put(now, &row.life, &update);
         if let Some(announced) = self.endpoints.get_mut(&row.life.vm) {
             announced.others_until = announced.others_until.max(rest);
         }
@@ -347,28 +347,28 @@
     }
 
     /// Stores what is new of an endpoint.
-    fn put(&mut self, now: Instant, life: &EndpointLife, news: &News) -> Changes {
+    fn put(&mut self, now: Instant, life: &EndpointLife, update: &Update) -> Changes {
         let fleet = Fleet {
             router: &self.router,
             routers: &self.routers,
         };
         let announced = self.endpoints.entry(life.vm.clone());
-        let announced = announced.or_insert_with(|| Announced::new(now, life, news.heard));
+        let announced = announced.or_insert_with(|| Announced::new(now, life, update.heard));
         if announced.birth != life.birth {
-            *announced = Announced::new(now, life, news.heard);
+            *announced = Announced::new(now, life, update.heard);
         }
-        announced.heard = announced.heard.max(news.heard);
+        announced.heard = announced.heard.max(update.heard);
         let before = announced.rate();
         let tolerated = announced.tolerance.and_then(|known| known.value);
         let changes = Changes {
-            limit: news.limit.is_some_and(|limit| limit.value != before),
-            tolerance: news.tolerance.is_some_and(|new| new.value != tolerated),
-            leaving: news.leaving && !announced.leaving,
+            limit: update.limit.is_some_and(|limit| limit.value != before),
+            tolerance: update.tolerance.is_some_and(|new| new.value != tolerated),
+            leaving: update.leaving && !announced.leaving,
             rest: false,
         };
-        announced.leaving |= news.leaving;
-        announced.tolerance = news.tolerance.or(announced.tolerance);
-        announced.limit = news.limit.or(announced.limit);
+        announced.leaving |= update.leaving;
+        announced.tolerance = update.tolerance.or(announced.tolerance);
+        announced.limit = update.limit.or(announced.limit);
         if changes.limit {
             if before.is_none() {
                 announced.bucket = ShareBucket::new(now);
@@ -380,7 +380,7 @@
 }
 
 /// What is new of an endpoint.
-struct News {
+struct Update {
     /// When any router heard it from the endpoint itself.
     heard: Instant,
     limit: Option<Heard<RequestRate>>,
@@ -388,7 +388,7 @@
     leaving: bool,
 }
 
-impl News {
+impl Update {
     fn any(&self) -> bool {
         self.limit.is_some() || self.tolerance.is_some() || self.leaving
     }
--- a/src/decide/heard.rs
+++ b/src/decide/heard.rs
@@ -71,7 +71,7 @@
 where
     T: Copy,
 {
-    /// Returns what is new in the word of another router.
+    /// Returns what is new in what another router tells.
     pub(super) fn from_peer(known: Option<Self>, now: Instant, row: HeardRow<T>) -> Option<Self> {
         let HeardRow { age, value } = row;
         let at = now.checked_sub(age)?;
--- a/src/decide/room.rs
+++ b/src/decide/room.rs
@@ -112,7 +112,7 @@
     /// Raises the estimate if it is used up and the last increase caused no rejection.
     pub(super) fn grow(&mut self, now: Instant, in_use: u32) {
         self.forget_rejections(now);
-        let max_step = self.max_step();
+        let max_step = max_step(self.tolerance);
         let (interval, step) = match self.ceiling {
             Some(ceiling) if self.limit < ceiling => {
                 if self.recent_rejections() > self.max_rejections() {
@@ -156,13 +156,9 @@
     fn max_rejections(&self) -> u32 {
         self.tolerance / REJECTIONS_DIVISOR
     }
-
-    /// Returns by how many requests the estimate may grow at once.
-    fn max_step(&self) -> u32 {
-        max_step(self.tolerance)
-    }
 }
 
+/// Returns by how many requests an estimate may grow at once.
 fn max_step(tolerance: u32) -> u32 {
     (tolerance / STEP_DIVISOR).max(1)
 }
--- a/src/decide/slot_divider.rs
+++ b/src/decide/slot_divider.rs
@@ -154,7 +154,7 @@
         self.room.update(slots, tolerance);
     }
 
-    /// Records a router's demand, and returns whether it is news.
+    /// Records a router's demand, and returns whether it is newer than all before.
     pub fn record(&mut self, now: Instant, demand: &SlotDemand) -> bool {
         let known = self.holders.get(&demand.router);
         let known = known.filter(|known| known.incarnation == demand.incarnation);
