Test, failing: requests that crash endpoints reach them again and again

Real processes in the platform's manner: endpoints crash under one path, refuse connections for 1.3 s and are back under the same name.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -11,6 +11,7 @@
 #[path = "../standins/client.rs"]
 mod client;
 mod cluster;
+mod crashing_requests;
 mod descriptors;
 mod fresh;
 mod frozen;
