Send a retry over a new connection after one that an endpoint closed

When several endpoints crash together, a request whose endpoint closed the connection was retried over a kept connection to another one that was gone as well. The run counted as one that the endpoint may have begun, although nothing listened there: it used up an attempt, and would hold the request responsible for a crash. A new connection is refused, which proves that the request did not run there.

Test: a_request_that_is_sent_anew_uses_no_kept_connection.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -139,6 +139,9 @@
     pub(crate) ask: Ask,
     body: Bytes,
     run: Option<Run>,
+    /// Whether an endpoint closed its connection. Endpoints may crash together, so that kept connections to others lead
+    /// nowhere; a new one that is refused proves that the request did not run there.
+    closed: bool,
     /// An endpoint's own failure, which the caller gets where no other endpoint does better.
     failure: Option<Reply>,
 }
@@ -150,8 +153,15 @@
         let Some((target, request)) = self.request(relays, &run, last) else {
             return Sent::Over(RunEnd::NotRun { retry: None });
         };
+        let closed = self.closed;
+        let sending = async {
+            match closed {
+                true => Upstream::send_anew(target, request).await,
+                false => relays.upstream.send(target, request).await,
+            }
+        };
         let sent = tokio::select! {
-            sent = relays.upstream.send(target, request) => sent,
+            sent = sending => sent,
             command = self.line.next() => return match command {
                 Some(Command::Leave) => Sent::Over(RunEnd::given_up()),
                 command => Sent::Stopped(command),
@@ -228,6 +238,7 @@
     /// Tells the core how the run ended.
     pub(crate) fn end(&mut self, end: RunEnd) {
         self.run = None;
+        self.closed |= end.is_closed();
         let desk = &self.line.desk;
         desk.metrics.ended(end.name());
         desk.metrics.took(self.line.opened.elapsed());
@@ -356,6 +367,7 @@
         ask,
         body,
         run: None,
+        closed: false,
         failure: None,
     })
 }
--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -141,6 +141,36 @@
     }
 }
 
+/// Guards against a retry that counts as a run because it was sent on a kept connection to an endpoint that had crashed, too.
+#[tokio::test]
+async fn a_request_that_is_sent_anew_uses_no_kept_connection() {
+    let (listener, target) = listen().await;
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut head = [0; 1024];
+                while let Ok(1..) = stream.read(&mut head).await {
+                    let _ = stream.write_all(ANSWER).await;
+                }
+            });
+        }
+    });
+    let upstream = Upstream::default();
+    let sent = upstream.send(target.clone(), Request::default()).await;
+    let (connection, answer) = sent.expect("it is answered");
+    answer.into_body().collect().await.expect("it is whole");
+    upstream.keep(connection, None);
+    let sent = Upstream::send_anew(target.clone(), Request::default()).await;
+    assert!(sent.is_ok());
+    assert_eq!(accepted.load(Ordering::Relaxed), 2);
+    let sent = upstream.send(target, Request::default()).await;
+    assert!(sent.is_ok());
+    assert_eq!(accepted.load(Ordering::Relaxed), 2);
+}
+
 /// Guards against a request that counts as read because its connection broke, though only its sender gave it up.
 #[tokio::test]
 async fn a_connection_that_times_out_is_told_from_one_that_the_endpoint_closed() {
--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -101,16 +101,23 @@
         target: Target,
         request: Request<Full<Bytes>>,
     ) -> Result<(Connection, Response<Incoming>), UpstreamError> {
-        let mut connection = match self.take(&target) {
+        let connection = match self.take(&target) {
             Some(connection) => connection,
             None => connect(target).await?,
         };
-        match connection.sender.try_send_request(request).await {
-            Ok(answer) => Ok((connection, answer)),
-            // Given back with the error is only a request of which nothing was written.
-            Err(error) if error.message().is_some() => Err(UpstreamError::Unsent),
-            Err(error) => Err(broken(error.error())),
-        }
+        exchange(connection, request).await
+    }
+
+    /// Sends a request over a new connection, as [`Upstream::send`] does over a kept one if there is any.
+    ///
+    /// # Errors
+    ///
+    /// When no head came.
+    pub(crate) async fn send_anew(
+        target: Target,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Connection, Response<Incoming>), UpstreamError> {
+        exchange(connect(target).await?, request).await
     }
 
     /// Keeps a connection whose answer was read whole for the next request.
@@ -147,6 +154,18 @@
     }
 }
 
+async fn exchange(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<(Connection, Response<Incoming>), UpstreamError> {
+    match connection.sender.try_send_request(request).await {
+        Ok(answer) => Ok((connection, answer)),
+        // Given back with the error is only a request of which nothing was written.
+        Err(error) if error.message().is_some() => Err(UpstreamError::Unsent),
+        Err(error) => Err(broken(error.error())),
+    }
+}
+
 /// Returns how a connection broke on which a request was sent.
 fn broken(error: &hyper::Error) -> UpstreamError {
     let cause = error.source().and_then(|cause| cause.downcast_ref());
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -422,6 +422,17 @@
         }
     }
 
+    /// Returns whether the endpoint closed the connection.
+    pub(crate) fn is_closed(&self) -> bool {
+        matches!(
+            self,
+            Self::Failed {
+                failure: Failure::Closed,
+                ..
+            }
+        )
+    }
+
     /// Returns the name used in logs and metrics.
     pub(crate) fn name(&self) -> &'static str {
         match self {
