Quarantine requests that crash endpoints, by the crashes that all routers notice

Callers of a service with few endpoints saw nearly all their requests fail for as long as one request came that crashes endpoints: each attempt took down one, or several where it was retried, with all else that ran there. Cause: on a platform without a ledger no run's end says that its endpoint died, so the quarantine never had a suspect; and what it reports goes to a ledger that is not there. The class: a safeguard that was built into one of two ways of running and is missing in the other, without a test that runs there.

Now an endpoint that closes a connection during a run is examined, and a refused connection is a crash. Heartbeats carry crashes with what ran there, sound runs and quarantines. All routers count the same crashes; a request at three of them is refused with 503 and when to come back.

--- /dev/null
+++ b/src/decide/crash_history.rs
@@ -0,0 +1,531 @@
+//! Finds what crashes endpoints, from the crashes that all routers notice.
+//!
+//! Handles a request that crashes each endpoint that begins to run it, and that comes again under another name and at
+//! another router each time. Without this every attempt takes down an endpoint, or several where it is retried, together
+//! with everything else that runs there, and a service with few endpoints is down for as long as the request comes.
+//!
+//! All that ran at an endpoint when it crashed is suspected. A run that ends well clears what ran, as of the time at
+//! which it began, as does an answer that goes on for a while. Suspects that were at enough crashes are quarantined, the one with the most first: crashes that it
+//! explains no longer count against what ran beside it. Routers tell each other of crashes and sound runs, so that all
+//! decide by the same facts, and no router need have seen more than one crash.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::decide::announcement::EndpointLife;
+use crate::decide::crash_report::CrashReport;
+use crate::decide::crash_report::CrashRow;
+use crate::decide::crash_report::QuarantineRow;
+use crate::decide::crash_report::SoundRow;
+use crate::decide::crash_report::Suspect;
+use crate::decide::sound_runs::SoundRuns;
+use crate::ids::VmId;
+
+/// How long a run whose connection was closed waits for the examination of its endpoint.
+const EXAMINATION_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long an answer goes on without a crash until what it was about counts as sound. What crashes endpoints does so when
+/// they begin to run it.
+const SURVIVAL: Duration = Duration::from_secs(1);
+
+/// How far apart routers may notice one crash. An endpoint that is back under its name takes longer to crash again.
+const SAME_CRASH: Duration = Duration::from_secs(1);
+
+/// How long a crash is remembered, and how long the first quarantine lasts.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// How many crashes are remembered.
+const MAX_CRASHES: usize = 128;
+
+/// How many suspects of one crash are remembered, and how many suspects are in quarantine.
+const MAX_SUSPECTS: usize = 64;
+
+/// How long suspects that were at the same crashes wait for sound runs that tell them apart, before all of them are
+/// quarantined.
+const TIE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The factor on the duration of each further quarantine of a suspect.
+const GROWTH: u32 = 4;
+
+/// The most quarantines that make the next one longer.
+const MAX_GROWTHS: u32 = 4;
+
+/// How long after its quarantine a suspect is quarantined again by a single crash.
+const PROBATION: Duration = Duration::from_secs(3600);
+
+/// How long routers tell each other that a suspect turned out to be sound.
+const SOUND_TOLD: Duration = Duration::from_secs(10);
+
+/// By how much a sound run at another router may seem to have begun too late, because the message was on its way.
+const MESSAGE_DELAY: Duration = Duration::from_millis(500);
+
+/// How many rows of each kind a heartbeat has, and how many suspects one of a crash.
+const MAX_ROWS: usize = 8;
+const MAX_ROW_SUSPECTS: usize = 32;
+
+/// A run whose endpoint closed the connection.
+#[derive(Clone, Debug)]
+struct ClosedRun {
+    life: EndpointLife,
+    at: Instant,
+    suspects: Vec<Suspect>,
+}
+
+/// A crash of an endpoint.
+#[derive(Clone, Debug)]
+struct Crash {
+    life: EndpointLife,
+    /// When a router first noticed it.
+    at: Instant,
+    suspects: IndexSet<Suspect>,
+    /// In how many heartbeats it was told.
+    told: u32,
+}
+
+impl Crash {
+    fn is(&self, life: &EndpointLife, at: Instant) -> bool {
+        let apart = self.at.max(at).saturating_duration_since(self.at.min(at));
+        self.life == *life && apart < SAME_CRASH
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Quarantined {
+    /// When the first crash happened that it is held responsible for.
+    first: Instant,
+    /// When the crash happened that had it quarantined.
+    since: Instant,
+    /// How often it was quarantined.
+    count: u32,
+    /// In how many heartbeats it was told.
+    told: u32,
+}
+
+impl Quarantined {
+    fn end(&self) -> Instant {
+        let growths = self.count.saturating_sub(1).min(MAX_GROWTHS);
+        self.since + RETENTION * GROWTH.pow(growths)
+    }
+}
+
+/// What a router knows of crashes, and of what causes them.
+#[derive(Debug, Default)]
+pub struct CrashHistory {
+    closed: Vec<ClosedRun>,
+    crashes: Vec<Crash>,
+    sound: SoundRuns,
+    /// Until when the others are told that these suspects turned out to be sound.
+    sound_told: IndexMap<Suspect, Instant>,
+    quarantined: IndexMap<Suspect, Quarantined>,
+    /// Whether crashes or their suspects changed since the last review.
+    changed: bool,
+    /// When suspects that were at the same crashes are to be reviewed.
+    review_at: Option<Instant>,
+}
+
+impl CrashHistory {
+    /// Creates the state of a router that has noticed no crash.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how much longer a suspect is quarantined, if it is.
+    pub fn quarantine_left(&self, now: Instant, suspect: Suspect) -> Option<Duration> {
+        let quarantined = self.quarantined.get(&suspect)?;
+        let left = quarantined.end().saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Returns the suspects in quarantine.
+    pub fn quarantined(&self, now: Instant) -> impl Iterator<Item = Suspect> {
+        let all = self.quarantined.iter();
+        all.filter_map(move |(suspect, row)| (now < row.end()).then_some(*suspect))
+    }
+
+    /// Returns how many crashes are not explained.
+    pub fn unexplained(&self) -> usize {
+        self.unexplained_crashes().count()
+    }
+
+    /// Records that an endpoint closed the connection of a run that was sent at `sent`, and whose answer began at `begun` if
+    /// it did. Whether the endpoint crashed is to be examined.
+    pub fn record_closed(
+        &mut self,
+        now: Instant,
+        life: &EndpointLife,
+        sent: Instant,
+        begun: Option<Instant>,
+        suspects: &[Suspect],
+    ) {
+        self.expire(now);
+        if let Some(begun) = begun.filter(|begun| now >= *begun + SURVIVAL) {
+            self.record_sound(now, begun, suspects);
+            return;
+        }
+        if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.is(life, now)) {
+            // What was sent after a crash did not cause it.
+            if sent < crash.at {
+                crash.suspects.extend(suspects);
+                crash.told = 0;
+                self.changed = true;
+            }
+            return;
+        }
+        self.closed.push(ClosedRun {
+            life: life.clone(),
+            at: now,
+            suspects: suspects.to_vec(),
+        });
+    }
+
+    /// Records that an endpoint that was examined at `asked` listens, so that the connections it closed before do not mean
+    /// that it crashed.
+    pub fn record_listening(&mut self, vm: &VmId, asked: Instant) {
+        self.closed
+            .retain(|run| run.life.vm != *vm || run.at > asked);
+    }
+
+    /// Records that an endpoint was examined and does not listen. Returns the crash, if it closed connections before.
+    pub fn record_gone(&mut self, now: Instant, vm: &VmId) -> Option<Instant> {
+        let closed = std::mem::take(&mut self.closed);
+        let (gone, others) = closed.into_iter().partition(|run| run.life.vm == *vm);
+        self.closed = others;
+        let gone: Vec<ClosedRun> = gone;
+        let at = gone.iter().map(|run| run.at).min()?;
+        for run in &gone {
+            self.add_crash(&run.life, at, run.suspects.iter().copied());
+        }
+        self.expire(now);
+        Some(at)
+    }
+
+    /// Records a run in progress whose answer began at `begun`. It counts as sound after a while.
+    pub fn record_progress(&mut self, now: Instant, begun: Instant, suspects: &[Suspect]) {
+        if now >= begun + SURVIVAL {
+            self.record_sound(now, begun, suspects);
+        }
+    }
+
+    /// Returns whether it is of use to know which runs go on.
+    pub fn awaits_progress(&self) -> bool {
+        !self.crashes.is_empty() || !self.quarantined.is_empty()
+    }
+
+    /// Records a run that ended well; `begun` is when its answer began.
+    pub fn record_sound(&mut self, now: Instant, begun: Instant, suspects: &[Suspect]) {
+        for suspect in suspects {
+            self.sound.record(now, *suspect, begun);
+            if self.clear(*suspect, begun) {
+                self.sound_told.insert(*suspect, now + SOUND_TOLD);
+            }
+        }
+    }
+
+    /// Takes over what another router tells; returns whether a suspect is quarantined because of that.
+    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
+        for row in &report.sound {
+            let begun = now.checked_sub(row.age.saturating_add(MESSAGE_DELAY));
+            if let Some(begun) = begun {
+                self.record_sound(now, begun, &[row.suspect]);
+            }
+        }
+        for row in &report.crashes {
+            if let Some(at) = now.checked_sub(row.age) {
+                self.merge_crash(now, row, at);
+            }
+        }
+        let mut quarantined = false;
+        for row in &report.quarantined {
+            quarantined |= self.merge_quarantine(now, row);
+        }
+        self.expire(now);
+        quarantined
+    }
+
+    /// Quarantines the suspects that explain enough crashes, and returns them with the number of their crashes.
+    pub fn review(&mut self, now: Instant) -> Vec<(Suspect, usize)> {
+        if !std::mem::take(&mut self.changed) && !self.is_review_due(now) {
+            return Vec::new();
+        }
+        self.review_at = None;
+        let mut found = self.renew(now);
+        loop {
+            let top = self.top_suspects();
+            let reached = top.iter().map(|(_, crashes)| crashes.reached).max();
+            let Some(reached) = reached else {
+                return found;
+            };
+            if top.len() > 1 && now < reached + TIE_PERIOD {
+                self.review_at = Some(reached + TIE_PERIOD);
+                return found;
+            }
+            for (suspect, crashes) in top {
+                self.quarantine(suspect, &crashes);
+                found.push((suspect, crashes.count));
+            }
+        }
+    }
+
+    /// Returns whether a review is due that waited for sound runs.
+    pub fn is_review_due(&self, now: Instant) -> bool {
+        self.review_at.is_some_and(|at| now >= at)
+    }
+
+    /// Returns what the other routers are told now.
+    pub fn report(&self, now: Instant) -> CrashReport {
+        let crashes = self.told_crashes().map(|index| {
+            let crash = &self.crashes[index];
+            CrashRow {
+                life: crash.life.clone(),
+                age: now.saturating_duration_since(crash.at),
+                suspects: self.told_suspects(crash),
+            }
+        });
+        let sound = self.sound_told.keys().rev().filter_map(|suspect| {
+            let begun = self.sound.last(*suspect)?;
+            Some(SoundRow {
+                suspect: *suspect,
+                age: now.saturating_duration_since(begun),
+            })
+        });
+        let quarantined = self.told_quarantines(now).map(|suspect| {
+            let row = &self.quarantined[&suspect];
+            QuarantineRow {
+                suspect,
+                first: now.saturating_duration_since(row.first),
+                age: now.saturating_duration_since(row.since),
+                count: row.count,
+            }
+        });
+        CrashReport {
+            crashes: crashes.collect(),
+            sound: sound.take(MAX_ROWS).collect(),
+            quarantined: quarantined.collect(),
+        }
+    }
+
+    /// Has the next report tell other rows than the one that was made now, if there are too many for one.
+    pub fn advance(&mut self, now: Instant) {
+        self.expire(now);
+        let crashes: Vec<_> = self.told_crashes().collect();
+        for index in crashes {
+            self.crashes[index].told += 1;
+        }
+        let quarantines: Vec<_> = self.told_quarantines(now).collect();
+        for suspect in quarantines {
+            self.quarantined[&suspect].told += 1;
+        }
+        let last = self.sound_told.len().saturating_sub(MAX_ROWS);
+        let told = self.sound_told.split_off(last);
+        let others = std::mem::replace(&mut self.sound_told, told);
+        self.sound_told.extend(others);
+    }
+
+    fn merge_crash(&mut self, now: Instant, row: &CrashRow, at: Instant) {
+        let mut suspects = Vec::new();
+        for suspect in &row.suspects {
+            if self.sound.last(*suspect).is_some_and(|begun| begun >= at) {
+                self.sound_told.insert(*suspect, now + SOUND_TOLD);
+            } else {
+                suspects.push(*suspect);
+            }
+        }
+        if !suspects.is_empty() {
+            self.add_crash(&row.life, at, suspects.into_iter());
+        }
+    }
+
+    fn merge_quarantine(&mut self, now: Instant, row: &QuarantineRow) -> bool {
+        let times = now.checked_sub(row.first).zip(now.checked_sub(row.age));
+        let Some((first, since)) = times else {
+            return false;
+        };
+        if self
+            .sound
+            .last(row.suspect)
+            .is_some_and(|begun| begun >= first)
+        {
+            self.sound_told.insert(row.suspect, now + SOUND_TOLD);
+            return false;
+        }
+        let known = self.quarantined.get(&row.suspect);
+        if known.is_some_and(|known| known.count >= row.count) {
+            return false;
+        }
+        let quarantined = Quarantined {
+            first,
+            since,
+            count: row.count,
+            told: 0,
+        };
+        self.put_quarantined(row.suspect, quarantined);
+        true
+    }
+
+    /// Records suspects of a crash that is new or known.
+    fn add_crash<I>(&mut self, life: &EndpointLife, at: Instant, suspects: I)
+    where
+        I: Iterator<Item = Suspect>,
+    {
+        if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.is(life, at)) {
+            let before = crash.suspects.len();
+            crash.suspects.extend(suspects);
+            crash.suspects.truncate(MAX_SUSPECTS);
+            crash.at = crash.at.min(at);
+            if crash.suspects.len() > before {
+                crash.told = 0;
+                self.changed = true;
+            }
+            return;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.changed = true;
+        self.crashes.push(Crash {
+            life: life.clone(),
+            at,
+            suspects: suspects.take(MAX_SUSPECTS).collect(),
+            told: 0,
+        });
+    }
+
+    /// Clears a suspect of all crashes before a time; returns whether it was held responsible for any.
+    fn clear(&mut self, suspect: Suspect, begun: Instant) -> bool {
+        let mut cleared = false;
+        for crash in self.crashes.iter_mut().filter(|crash| crash.at <= begun) {
+            cleared |= crash.suspects.swap_remove(&suspect);
+        }
+        self.crashes.retain(|crash| !crash.suspects.is_empty());
+        let quarantined = self.quarantined.get(&suspect);
+        if quarantined.is_some_and(|row| row.first <= begun) {
+            self.quarantined.swap_remove(&suspect);
+            cleared = true;
+        }
+        self.changed |= cleared;
+        cleared
+    }
+
+    /// Quarantines again the suspects that crashed an endpoint after their quarantine.
+    fn renew(&mut self, now: Instant) -> Vec<(Suspect, usize)> {
+        let mut renewed = Vec::new();
+        for (suspect, row) in &mut self.quarantined {
+            let end = row.end();
+            let again = self
+                .crashes
+                .iter()
+                .filter(|crash| crash.at >= end && crash.suspects.contains(suspect));
+            if let Some(since) = again.map(|crash| crash.at).min().filter(|_| now >= end) {
+                row.since = since;
+                row.count += 1;
+                row.told = 0;
+                renewed.push((*suspect, 1));
+            }
+        }
+        renewed
+    }
+
+    /// Returns the suspects that are at most unexplained crashes, if these are enough.
+    fn top_suspects(&self) -> Vec<(Suspect, CrashTimes)> {
+        let mut times: IndexMap<Suspect, Vec<Instant>> = IndexMap::new();
+        for crash in self.unexplained_crashes() {
+            for suspect in &crash.suspects {
+                times.entry(*suspect).or_default().push(crash.at);
+            }
+        }
+        times.retain(|suspect, times| times.len() >= suspect.crash_limit());
+        let most = times.values().map(Vec::len).max();
+        times.retain(|_, times| Some(times.len()) == most);
+        let top = times.into_iter();
+        top.map(|(suspect, times)| (suspect, CrashTimes::new(suspect, times)))
+            .collect()
+    }
+
+    fn unexplained_crashes(&self) -> impl Iterator<Item = &Crash> {
+        let is_explained = |crash: &&Crash| {
+            let mut suspects = crash.suspects.iter();
+            suspects.any(|suspect| self.quarantined.contains_key(suspect))
+        };
+        self.crashes
+            .iter()
+            .filter(move |crash| !is_explained(crash))
+    }
+
+    fn quarantine(&mut self, suspect: Suspect, crashes: &CrashTimes) {
+        let quarantined = Quarantined {
+            first: crashes.first,
+            since: crashes.reached,
+            count: 1,
+            told: 0,
+        };
+        self.put_quarantined(suspect, quarantined);
+    }
+
+    fn put_quarantined(&mut self, suspect: Suspect, quarantined: Quarantined) {
+        if self.quarantined.len() >= MAX_SUSPECTS && !self.quarantined.contains_key(&suspect) {
+            self.quarantined.shift_remove_index(0);
+        }
+        self.quarantined.insert(suspect, quarantined);
+    }
+
+    /// Returns the positions of the crashes that are told next: those that were told least.
+    fn told_crashes(&self) -> impl Iterator<Item = usize> {
+        let mut all: Vec<_> = (0..self.crashes.len()).collect();
+        all.sort_by_key(|index| self.crashes[*index].told);
+        all.into_iter().take(MAX_ROWS)
+    }
+
+    /// Returns the suspects of a crash that are told: those of most crashes.
+    fn told_suspects(&self, crash: &Crash) -> Vec<Suspect> {
+        let mut all: Vec<_> = crash.suspects.iter().copied().collect();
+        if all.len() > MAX_ROW_SUSPECTS {
+            let crashes = |suspect: &Suspect| {
+                let of = |crash: &&Crash| crash.suspects.contains(suspect);
+                self.crashes.iter().filter(of).count()
+            };
+            all.sort_by_cached_key(|suspect| std::cmp::Reverse(crashes(suspect)));
+            all.truncate(MAX_ROW_SUSPECTS);
+        }
+        all
+    }
+
+    fn told_quarantines(&self, now: Instant) -> impl Iterator<Item = Suspect> {
+        let mut all: Vec<_> = self.quarantined(now).collect();
+        all.sort_by_key(|suspect| self.quarantined[suspect].told);
+        all.into_iter().take(MAX_ROWS)
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.closed.retain(|run| now < run.at + EXAMINATION_TIMEOUT);
+        self.crashes.retain(|crash| now < crash.at + RETENTION);
+        self.quarantined
+            .retain(|_, row| now < row.end() + PROBATION);
+        self.sound_told.retain(|_, until| now < *until);
+    }
+}
+
+/// When the crashes happened that a suspect is held responsible for.
+#[derive(Clone, Copy, Debug)]
+struct CrashTimes {
+    count: usize,
+    first: Instant,
+    /// When there were enough of them.
+    reached: Instant,
+}
+
+impl CrashTimes {
+    /// # Panics
+    ///
+    /// If there are fewer than the suspect's limit.
+    fn new(suspect: Suspect, mut times: Vec<Instant>) -> Self {
+        times.sort_unstable();
+        Self {
+            count: times.len(),
+            first: times[0],
+            reached: times[suspect.crash_limit() - 1],
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/sound_runs.rs
@@ -0,0 +1,42 @@
+//! Which requests endpoints ran lately without crashing.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::decide::crash_report::Suspect;
+
+/// How long a sound run is remembered at least, if there are not too many: longer than a crash takes to be known.
+const RETENTION: Duration = Duration::from_secs(30);
+
+/// How many sound runs are remembered in each of two periods.
+const MAX_PERIOD: usize = 16_384;
+
+/// When the last sound run of each suspect began.
+#[derive(Debug, Default)]
+pub(super) struct SoundRuns {
+    /// The runs of the current period, and those of the one before, so that old ones are dropped all at once.
+    current: IndexMap<Suspect, Instant>,
+    previous: IndexMap<Suspect, Instant>,
+    began: Option<Instant>,
+}
+
+impl SoundRuns {
+    /// Records a run that began at `begun`.
+    pub(super) fn record(&mut self, now: Instant, suspect: Suspect, begun: Instant) {
+        let began = *self.began.get_or_insert(now);
+        if now >= began + RETENTION || self.current.len() >= MAX_PERIOD {
+            self.previous = std::mem::take(&mut self.current);
+            self.began = Some(now);
+        }
+        let begun = self.last(suspect).map_or(begun, |last| last.max(begun));
+        self.current.insert(suspect, begun);
+    }
+
+    /// Returns when the last sound run of a suspect began, if it is remembered.
+    pub(super) fn last(&self, suspect: Suspect) -> Option<Instant> {
+        let last = self.current.get(&suspect);
+        last.or_else(|| self.previous.get(&suspect)).copied()
+    }
+}
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -245,6 +245,7 @@
         beat.announced
             .iter_mut()
             .for_each(|row| row.grow_older(passed));
+        beat.crashes.grow_older(passed);
         Some(beat)
     }
 
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -307,8 +307,8 @@
             Effect::CheckConnection(vm, address) => {
                 tokio::spawn(self.prober.clone().connect(vm, address));
             }
-            Effect::ExamineEndpoint(vm, address) => {
-                tokio::spawn(self.prober.clone().examine(vm, address));
+            Effect::ExamineEndpoint { vm, address, asked } => {
+                tokio::spawn(self.prober.clone().examine(vm, address, asked));
             }
             Effect::CountRetry { pool, sent } => self.desk.metrics.retry(&pool, sent),
             Effect::FinishAnswer(id) => self.desk.command(id, Command::Release),
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -46,7 +46,7 @@
 use crate::tokens::Tokens;
 
 /// The version of these messages, told in each call. Another one is refused, not guessed at.
-const VERSION: u32 = 10;
+const VERSION: u32 = 11;
 
 /// How long a peer may take to answer a heartbeat.
 const CALL: Duration = Duration::from_millis(1000);
--- a/src/edge/probe.rs
+++ b/src/edge/probe.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -92,13 +93,13 @@
     }
 
     /// Examines whether an endpoint that closed a connection still listens.
-    pub(crate) async fn examine(self, vm: VmId, address: String) {
+    pub(crate) async fn examine(self, vm: VmId, address: String, asked: Instant) {
         let found = match timeout(CONNECT, settle(&address)).await {
             Ok(Ok(())) => Examination::Accepted,
             Ok(Err(error)) if is_refusal(&error) => Examination::Refused,
             Ok(Err(_)) | Err(_) => Examination::Silent,
         };
-        self.desk.tell(Event::EndpointExamined(vm, found));
+        self.desk.tell(Event::EndpointExamined { vm, asked, found });
     }
 
     async fn read_events(&self, vm: VmId, address: &str) {
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -95,7 +95,10 @@
     /// Checks an admitted request against quarantine and its account's limit.
     pub(crate) fn check_limits(&mut self, now: Instant, id: RequestId) {
         let request = &self.requests[&id];
-        if self.is_poison(id) {
+        if let Some(left) = self.quarantine_left(now, request) {
+            return self.refuse_crashing(now, id, left);
+        }
+        if self.is_poison(now, id) {
             let detail = "endpoints failed over this request again and again";
             self.refuse(now, id, ProblemKind::Quarantined, detail);
             return;
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -15,6 +15,7 @@
 use crate::decide::AccountLimit;
 use crate::decide::Announcements;
 use crate::decide::ConsistencyMode;
+use crate::decide::CrashHistory;
 use crate::decide::Demand;
 use crate::decide::HoldingPolicy;
 use crate::decide::Quarantine;
@@ -202,6 +203,8 @@
     pub(crate) config_stream: ConfigStream,
     pub(crate) quarantine: Quarantine,
     pub(crate) examinations: Examinations,
+    /// What is known of crashes of endpoints on a platform without a ledger.
+    pub(crate) crash_history: CrashHistory,
     pub(crate) orders: Orders,
     /// The route table, on a platform that delivers the configuration as a whole.
     pub(crate) route_table: Option<Arc<RouteTable>>,
@@ -296,6 +299,7 @@
             config_stream: ConfigStream::default(),
             quarantine: Quarantine::new(),
             examinations: Examinations::default(),
+            crash_history: CrashHistory::new(),
             orders: Orders::default(),
             route_table: None,
             table_watch: TableWatch::default(),
@@ -317,7 +321,9 @@
             Event::CallerGone(id) => self.handle_disconnect(now, id),
             Event::AnswerStarted(id) => self.record_first_token(now, id),
             Event::ConnectionChecked(vm, passed) => self.handle_connection_check(now, &vm, passed),
-            Event::EndpointExamined(vm, found) => self.handle_examination(now, &vm, found),
+            Event::EndpointExamined { vm, asked, found } => {
+                self.handle_examination(now, &vm, asked, found)
+            }
             Event::EndpointAnswered(id) => self.record_answer_head(now, id),
             Event::EndpointAnnounced(id, announcement) => {
                 self.handle_announcement(now, id, announcement)
@@ -472,6 +478,7 @@
         self.fetch_table(now);
         self.check_connections(now);
         self.examine_endpoints(now);
+        self.tick_crashes(now);
         self.forward_queued(now);
         self.review_slots(now);
         self.review_versions(now);
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -49,7 +49,12 @@
     /// Checks whether a connection to an endpoint can be opened.
     CheckConnection(VmId, String),
     /// Examines whether an endpoint that closed a connection during a run still listens.
-    ExamineEndpoint(VmId, String),
+    ExamineEndpoint {
+        vm: VmId,
+        address: String,
+        /// The current time, to be returned with the result.
+        asked: Instant,
+    },
     /// Sends the end of an answer.
     FinishAnswer(RequestId),
     /// Drops the connection to the endpoint that runs a request, without an answer to the caller.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -53,7 +53,12 @@
     /// Whether a connection to an endpoint could be opened.
     ConnectionChecked(VmId, bool),
     /// An endpoint that closed a connection during a run was examined.
-    EndpointExamined(VmId, Examination),
+    EndpointExamined {
+        vm: VmId,
+        /// When it was asked for a connection.
+        asked: Instant,
+        found: Examination,
+    },
     /// A run ended; all of the answer except its end marker was sent to the caller.
     RunEnded(RequestId, RunEnd),
     /// An append to the ledger was answered by the log service, or failed.
--- a/src/router/examine.rs
+++ b/src/router/examine.rs
@@ -49,27 +49,41 @@
     /// Has an endpoint examined that closed a connection during a run.
     pub(crate) fn request_examination(&mut self, now: Instant, vm: &VmId) {
         if self.examinations.request(now, vm) {
-            self.examine(vm);
+            self.examine(now, vm);
         }
     }
 
     /// Examines the endpoints that closed connections shortly after they had been examined.
     pub(crate) fn examine_endpoints(&mut self, now: Instant) {
         for vm in self.examinations.take_due(now) {
-            self.examine(&vm);
+            self.examine(now, &vm);
         }
     }
 
-    fn examine(&mut self, vm: &VmId) {
+    fn examine(&mut self, now: Instant, vm: &VmId) {
         if let Some(entry) = self.members.vm_index.entry(vm) {
             let address = entry.address.to_string();
-            self.effects
-                .push(Effect::ExamineEndpoint(vm.clone(), address));
+            self.effects.push(Effect::ExamineEndpoint {
+                vm: vm.clone(),
+                address,
+                asked: now,
+            });
         }
     }
 
     /// Handles the result of an examination.
-    pub(crate) fn handle_examination(&mut self, _now: Instant, vm: &VmId, found: Examination) {
+    pub(crate) fn handle_examination(
+        &mut self,
+        now: Instant,
+        vm: &VmId,
+        asked: Instant,
+        found: Examination,
+    ) {
         info!(event = "endpoint-examined", endpoint = %vm, found = found.name());
+        match found {
+            Examination::Accepted => self.crash_history.record_listening(vm, asked),
+            Examination::Refused => self.record_endpoint_gone(now, vm),
+            Examination::Silent => {}
+        }
     }
 }
--- a/src/router/heartbeat.rs
+++ b/src/router/heartbeat.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::decide::AnnouncementRow;
+use crate::decide::CrashReport;
 use crate::ids::Incarnation;
 use crate::ids::Offset;
 use crate::ids::PoolId;
@@ -38,6 +39,8 @@
     pub(crate) purses: Vec<TeamBudget>,
     /// What endpoints announced about themselves, some of it if it is much.
     pub(crate) announced: Vec<AnnouncementRow>,
+    /// Crashes of endpoints, and what causes them.
+    pub(crate) crashes: CrashReport,
     /// The pools of which it reaches no endpoint.
     pub(crate) cut: Vec<PoolId>,
     /// The versions of pools whose endpoints have run several lately.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -325,6 +325,7 @@
         self.note_peer_table(now, &beat);
         self.update_drained(now, &beat.drained);
         self.merge_announcements(now, &beat.vm, &beat.announced);
+        self.merge_crashes(now, &beat.crashes);
         self.merge_versions(now, &beat.versions);
         let before = self.members.heartbeats.insert(beat.vm.clone(), (now, beat));
         if before.is_none() {
@@ -366,6 +367,7 @@
                 Accounting::Ledger => Vec::new(),
             },
             announced: self.announcements.rows(now),
+            crashes: self.crash_history.report(now),
             cut: self.cut_pools(),
             versions: self.streams.rows(now),
         }
@@ -395,6 +397,7 @@
         self.advance_announcements(now);
         self.effects
             .push(Effect::SendHeartbeat(self.heartbeat(now), peers));
+        self.crash_history.advance(now);
         // A router that is partitioned from its peers, but not from the log, would otherwise be closed for its silence.
         if let Accounting::Grants(_) = self.tuning.accounting {
             return;
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod cold;
 mod config_stream;
 mod core;
+mod crashes;
 mod drained;
 mod effect;
 mod event;
--- a/src/router/poison.rs
+++ b/src/router/poison.rs
@@ -23,12 +23,13 @@
 
 impl Core {
     /// Returns whether a request is known to crash endpoints, to this router or to the fleet.
-    pub(crate) fn is_poison(&self, id: RequestId) -> bool {
+    pub(crate) fn is_poison(&self, now: Instant, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
         let here = self.quarantine.isolation(request.fingerprint) == Isolation::Refused;
         here || self.ledger.quarantined(request.fingerprint)
+            || self.quarantine_left(now, request).is_some()
     }
 
     /// Records that an endpoint crashed, and reports the suspected requests to the other routers through the ledger.
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -399,6 +399,7 @@
         match end {
             RunEnd::Completed { .. } | RunEnd::Answered { .. } => {
                 self.quarantine.complete(fingerprint, &endpoint);
+                self.record_sound_run(now, id);
             }
             RunEnd::Failed {
                 failure: Failure::Died,
@@ -409,7 +410,7 @@
                 ..
             } => {
                 self.quarantine.end(fingerprint, &endpoint);
-                self.request_examination(now, &endpoint);
+                self.record_closed_run(now, id);
             }
             _ => self.quarantine.end(fingerprint, &endpoint),
         }
--- a/src/router/problem.rs
+++ b/src/router/problem.rs
@@ -59,6 +59,8 @@
     NoEndpoint,
     /// Endpoints failed repeatedly while running this request.
     Quarantined,
+    /// Endpoints crashed repeatedly over requests like this one.
+    CrashesEndpoints,
     /// This router is shutting down, or still starting.
     NotServing,
     /// The configuration in force here does not allow the request, but a newer one may.
@@ -92,6 +94,11 @@
             Self::BudgetHeld => (503, "budget-held", "The team's budget lies elsewhere"),
             Self::NoEndpoint => (503, "no-endpoint", "No endpoint can take the request"),
             Self::Quarantined => (422, "quarantined", "Endpoints fail over this request"),
+            Self::CrashesEndpoints => (
+                503,
+                "crashes-endpoints",
+                "Endpoints crash over this request",
+            ),
             Self::NotServing => (503, "not-serving", "This router takes no new requests"),
             Self::ConfigBehind => (503, "config-behind", "The configuration may be old"),
             Self::LogOutage => (503, "log-outage", "The log service does not answer"),
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -217,7 +217,7 @@
     /// retries would keep the remaining endpoints overloaded.
     pub(crate) fn retry_elsewhere(&mut self, now: Instant, id: RequestId) -> bool {
         let attempts = self.requests[&id].failed_endpoints.len();
-        if attempts >= MAX_RUNS || self.is_poison(id) {
+        if attempts >= MAX_RUNS || self.is_poison(now, id) {
             return false;
         }
         let pool = self.requests[&id].pool.clone();
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -10,6 +10,7 @@
 use crate::config::RepeatPolicy;
 use crate::config::RouteTable;
 use crate::config::TablePool;
+use crate::decide::CrashReport;
 use crate::decide::RetryLimit;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
@@ -411,6 +412,7 @@
                 clock: self.wall_clock(),
                 purses: Vec::new(),
                 announced: Vec::new(),
+                crashes: CrashReport::default(),
                 cut: Vec::new(),
                 versions: Vec::new(),
             }));
@@ -453,6 +455,7 @@
                 demand: 0,
             }],
             announced: Vec::new(),
+            crashes: CrashReport::default(),
             cut: Vec::new(),
             versions: Vec::new(),
         }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod cold;
 mod components;
+mod crash_history;
 mod engine;
 mod herd;
 mod load;
