--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -20,7 +20,6 @@
 use tokio::time::timeout;
 use tracing::debug;
 use tracing::info;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::decide::Announcement;
 use crate::edge::desk::Command;
@@ -348,15 +347,14 @@
     let origin = ask.relay.resumption.as_ref();
     let resumes = origin.and_then(|taken_up| taken_up.origin.as_ref());
     let resumes = resumes.map(tracing::field::display);
-    let fingerprint = fingerprint(&ask, &body);
-    info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path(), %fingerprint, resumes);
+    info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path(), resumes);
     let arrival = Arrival {
         id: line.id,
         bearer: ask.bearer.clone(),
         key: None,
         attempt: Attempt(1),
         labels: Labels::default(),
-        fingerprint,
+        fingerprint: fingerprint(&ask, &body),
         work: Work::Relay(ask.relay.clone()),
         timeout: ask.patience,
         priority: None,
@@ -394,10 +392,10 @@
     }
 }
 
-/// Tells requests for the same thing by the same caller, which may crash endpoints again and again under new names.
+/// Returns what attempts at the same thing have in common, whatever their names.
 fn fingerprint(ask: &Ask, body: &[u8]) -> Fingerprint {
-    let head = format!("{} {} {}\n", ask.bearer.0, ask.method, ask.uri);
-    Fingerprint(xxh3_64(&[head.as_bytes(), body].concat()))
+    let uri = ask.uri.to_string();
+    Fingerprint::of(&[ask.method.as_str().as_bytes(), uri.as_bytes(), body])
 }
 
 /// Carries out what the core says about a request until there is the head of an answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 #[cfg(test)]
 mod explore;
 mod field;
+mod fingerprint;
 mod http_client;
 mod ids;
 mod key_hash;
--- a/src/router/arrive.rs
+++ b/src/router/arrive.rs
@@ -61,7 +61,7 @@
                 }
                 info!(
                     event = "request", request = %id, key = %request.key, attempt = %request.attempt,
-                    team = %request.team, pool = %request.pool, reserve = %request.reserve,
+                    team = %request.team, pool = %request.pool, reserve = %request.reserve, fingerprint = %request.fingerprint,
                 );
                 self.requests.insert(id, request);
                 if self.bind_resumed_stream(now, id) {
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -88,13 +88,14 @@
             return Err(self.not_serving());
         }
         let owner = account.clone().unwrap_or_else(public_account);
+        let fingerprint = arrival.fingerprint.of_account(&owner);
         Ok(Request {
             key: RequestKey {
                 account: owner,
                 key: unique_key(arrival.id),
             },
             attempt: arrival.attempt,
-            fingerprint: arrival.fingerprint,
+            fingerprint,
             seen: self.last_applied(),
             team,
             pool,
