--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -17,6 +17,7 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 use hyper::http::request::Parts;
+use indexmap::IndexSet;
 use tracing::warn;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -28,6 +29,7 @@
 use crate::edge::relay::Verdict;
 use crate::edge::retry_after::rest;
 use crate::edge::retry_after::retry_after;
+use crate::part_id::PartId;
 use crate::request_rate::RequestRate;
 use crate::router::Problem;
 use crate::router::ProblemKind;
@@ -53,6 +55,9 @@
 /// The parts of the prompt. The last one belongs to the request alone.
 const PARTS: &str = "prompt-prefix";
 
+/// The model that the request is for.
+const MODEL: &str = "model";
+
 /// The endpoint that the request is for. Any other endpoint at the same address does not run it.
 const ENDPOINT: &str = "expect-instance";
 
@@ -70,6 +75,9 @@
 
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// How many parts of a prompt are told apart.
+const MAX_PARTS: usize = 64;
+
 /// The longest time for which an idle connection is kept open.
 const MAX_IDLE: Duration = Duration::from_secs(3600);
 
@@ -135,6 +143,8 @@
                 input,
                 output,
                 prompt: prompt(headers, input.0),
+                parts: shared_parts(headers),
+                model: text(headers, MODEL).and_then(|name| name.parse().ok()),
                 forwarded: None,
                 attempt: name.parse().ok(),
                 resumption: resumption(headers),
@@ -315,7 +325,21 @@
     Some(Resumption { origin })
 }
 
-/// Reads the parts of a prompt. All but the last are shared with other requests.
+/// Reads which parts of a prompt other requests may share: all but the last, as far as they can be read.
+fn shared_parts(headers: &HeaderMap) -> Vec<PartId> {
+    let values = headers.get_all(PARTS).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let mut parts: Vec<_> = texts.flat_map(|text| text.split(',')).collect();
+    parts.pop();
+    let ids = parts.into_iter().filter_map(|part| {
+        let id = part.split(':').next()?;
+        id.trim().parse().ok()
+    });
+    let ids: IndexSet<_> = ids.take(MAX_PARTS).collect();
+    ids.into_iter().collect()
+}
+
+/// Reads the size of a prompt and of what it shares with other requests.
 fn prompt(headers: &HeaderMap, input: u64) -> Option<Prompt> {
     let parts: Vec<_> = text(headers, PARTS)?.split(',').collect();
     let (_own, shared) = parts.split_last()?;
--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -30,6 +30,7 @@
 use crate::ids::RequestKey;
 use crate::platform::heads::Heads;
 use crate::platform::heads::prompt;
+use crate::platform::heads::shared_parts;
 use crate::request_rate::RequestRate;
 use crate::router::Event;
 use crate::router::RelayRun;
@@ -262,3 +263,34 @@
     }
     Ok(())
 }
+
+fn parts(values: &[&'static str]) -> Vec<String> {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append("prompt-prefix", HeaderValue::from_static(value));
+    }
+    let parts = shared_parts(&headers);
+    parts.iter().map(ToString::to_string).collect()
+}
+
+/// Guards against a harmful part that goes unseen because another one can't be read, and against the request's own part
+/// counting as one that others share.
+#[test]
+fn the_shared_parts_of_a_prompt_are_read() {
+    let cases: [(&[&str], &[&str]); 8] = [
+        (
+            &["5c1e07a2:800,91bd3f06:410,e4402b7d:250"],
+            &["5c1e07a2", "91bd3f06"],
+        ),
+        (&["e4402b7d:250"], &[]),
+        (&[""], &[]),
+        (&[], &[]),
+        (&["a:1,,b:x,zz:3, C :4,d:5"], &["a", "b", "c"]),
+        (&["a:1,a:1,b:2,c:3"], &["a", "b"]),
+        (&["a:1,b:2", "c:3,d:4"], &["a", "b", "c"]),
+        (&["fffffffffffffffff:1,b:2,c:3"], &["b"]),
+    ];
+    for (values, expected) in cases {
+        assert_eq!(parts(values), expected, "{values:?}");
+    }
+}
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -31,6 +31,7 @@
 use crate::ids::VmId;
 use crate::labels::Labels;
 use crate::ledger::Ledger;
+use crate::part_id::PartId;
 use crate::router::core::Tuning;
 use crate::router::drained::DrainedDomains;
 use crate::router::heartbeat::Heartbeat;
@@ -268,6 +269,10 @@
     pub(crate) output: Tokens,
     /// The prompt, if there is one.
     pub(crate) prompt: Option<Prompt>,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<PartId>,
+    /// The model that it names.
+    pub(crate) model: Option<ModelId>,
     /// Version of the route table of the router that forwarded the request, if one did.
     pub(crate) forwarded: Option<TableVersion>,
     /// The caller's name for the attempt, if it is valid.
