Test, failing: requests with a part of their prompts that crashes endpoints

Endpoints that crash and their sites are shared with the tests of single requests (crash_site), whose checks and bounds are the same as before; the test of a router that starts later also makes the others' checks now.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -11,6 +11,8 @@
 #[path = "../standins/client.rs"]
 mod client;
 mod cluster;
+mod crash_site;
+mod crashing_parts;
 mod crashing_requests;
 mod descriptors;
 mod fresh;
