Quarantine parts of prompts that crash endpoints

Callers of a route saw their streams break off and their requests refused for want of endpoints, since requests that share one part with each other, but nothing else, crashed one endpoint after the other. Cause: a request is known by the whole of it, and of its prompt only one hash of all shared parts was kept. The class: harm is looked for at the unit that is convenient to count, not at the one that recurs.

The shared parts of a prompt are suspects of a crash now, by themselves and for the request's model, in the same history as requests. Parts are in many requests at a time, so that a failing rack must not have them refused: crashes within half a second count as one unless the part was sent to the later one after the earlier one, a part must have been at a quarter of the unexplained crashes, and what ran well lately is not refused together with the cause. The verdict, a crash and a quarantine have files of their own.

--- a/src/decide/crash_history.rs
+++ b/src/decide/crash_history.rs
@@ -1,26 +1,33 @@
 //! Finds what crashes endpoints, from the crashes that all routers notice.
 //!
 //! Handles a request that crashes each endpoint that begins to run it, and that comes again under another name and at
-//! another router each time. Without this every attempt takes down an endpoint, or several where it is retried, together
-//! with everything else that runs there, and a service with few endpoints is down for as long as the request comes.
+//! another router each time, and a part of prompts that does so in requests no two of which are alike. Without this every
+//! attempt takes down an endpoint, or several where it is retried, together with everything else that runs there, and a
+//! service with few endpoints is down for as long as such requests come.
 //!
-//! All that ran at an endpoint when it crashed is suspected. A run that ends well clears what ran, as of the time at
-//! which it began, as does an answer that goes on for a while. Suspects that were at enough crashes are quarantined, the one with the most first: crashes that it
-//! explains no longer count against what ran beside it. Routers tell each other of crashes and sound runs, so that all
-//! decide by the same facts, and no router need have seen more than one crash.
+//! All that ran at an endpoint when it crashed is suspected. A run that ends well clears what ran, as of the time at which
+//! it began, as does an answer that goes on for a while. Suspects that were at enough crashes are quarantined, the one with
+//! the most first: crashes that it explains no longer count against what ran beside it. Routers tell each other of crashes
+//! and sound runs, so that all decide by the same facts, and no router need have seen more than one crash.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::decide::announcement::EndpointLife;
+use crate::decide::crash::Crash;
 use crate::decide::crash_report::CrashReport;
 use crate::decide::crash_report::CrashRow;
 use crate::decide::crash_report::QuarantineRow;
 use crate::decide::crash_report::SoundRow;
 use crate::decide::crash_report::Suspect;
+use crate::decide::crash_report::SuspectKind;
+use crate::decide::crash_report::SuspectRow;
+use crate::decide::crash_verdict::CrashTimes;
+use crate::decide::crash_verdict::top_suspects;
+use crate::decide::quarantined::Quarantined;
 use crate::decide::sound_runs::SoundRuns;
 use crate::ids::VmId;
 
@@ -29,30 +36,24 @@
 
 /// How long an answer goes on without a crash until what it was about counts as sound. What crashes endpoints does so when
 /// they begin to run it.
-const SURVIVAL: Duration = Duration::from_secs(1);
+const SURVIVAL: Duration = Duration::from_millis(500);
 
-/// How far apart routers may notice one crash. An endpoint that is back under its name takes longer to crash again.
-const SAME_CRASH: Duration = Duration::from_secs(1);
-
-/// How long a crash is remembered, and how long the first quarantine lasts.
+/// How long a crash is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// How many crashes are remembered.
 const MAX_CRASHES: usize = 128;
 
-/// How many suspects of one crash are remembered, and how many suspects are in quarantine.
-const MAX_SUSPECTS: usize = 64;
+/// How many times a review looks for suspects. Each time explains more crashes.
+const MAX_ROUNDS: usize = 16;
+
+/// How many suspects are in quarantine.
+const MAX_QUARANTINED: usize = 256;
 
 /// How long suspects that were at the same crashes wait for sound runs that tell them apart, before all of them are
 /// quarantined.
 const TIE_PERIOD: Duration = Duration::from_secs(1);
 
-/// The factor on the duration of each further quarantine of a suspect.
-const GROWTH: u32 = 4;
-
-/// The most quarantines that make the next one longer.
-const MAX_GROWTHS: u32 = 4;
-
 /// How long after its quarantine a suspect is quarantined again by a single crash.
 const PROBATION: Duration = Duration::from_secs(3600);
 
@@ -71,46 +72,10 @@
 struct ClosedRun {
     life: EndpointLife,
     at: Instant,
+    sent: Instant,
     suspects: Vec<Suspect>,
 }
 
-/// A crash of an endpoint.
-#[derive(Clone, Debug)]
-struct Crash {
-    life: EndpointLife,
-    /// When a router first noticed it.
-    at: Instant,
-    suspects: IndexSet<Suspect>,
-    /// In how many heartbeats it was told.
-    told: u32,
-}
-
-impl Crash {
-    fn is(&self, life: &EndpointLife, at: Instant) -> bool {
-        let apart = self.at.max(at).saturating_duration_since(self.at.min(at));
-        self.life == *life && apart < SAME_CRASH
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Quarantined {
-    /// When the first crash happened that it is held responsible for.
-    first: Instant,
-    /// When the crash happened that had it quarantined.
-    since: Instant,
-    /// How often it was quarantined.
-    count: u32,
-    /// In how many heartbeats it was told.
-    told: u32,
-}
-
-impl Quarantined {
-    fn end(&self) -> Instant {
-        let growths = self.count.saturating_sub(1).min(MAX_GROWTHS);
-        self.since + RETENTION * GROWTH.pow(growths)
-    }
-}
-
 /// What a router knows of crashes, and of what causes them.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
@@ -147,7 +112,9 @@
 
     /// Returns how many crashes are not explained.
     pub fn unexplained(&self) -> usize {
-        self.unexplained_crashes().count()
+        let of_requests =
+            |crash: &&Crash| !crash.is_explained(SuspectKind::Request, &self.quarantined);
+        self.crashes.iter().filter(of_requests).count()
     }
 
     /// Records that an endpoint closed the connection of a run that was sent at `sent`, and whose answer began at `begun` if
@@ -168,15 +135,15 @@
         if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.is(life, now)) {
             // What was sent after a crash did not cause it.
             if sent < crash.at {
-                crash.suspects.extend(suspects);
-                crash.told = 0;
-                self.changed = true;
+                let suspects = suspects.iter().map(|suspect| (*suspect, sent));
+                self.changed |= crash.add(suspects);
             }
             return;
         }
         self.closed.push(ClosedRun {
             life: life.clone(),
             at: now,
+            sent,
             suspects: suspects.to_vec(),
         });
     }
@@ -196,7 +163,8 @@
         let gone: Vec<ClosedRun> = gone;
         let at = gone.iter().map(|run| run.at).min()?;
         for run in &gone {
-            self.add_crash(&run.life, at, run.suspects.iter().copied());
+            let suspects = run.suspects.iter().map(|suspect| (*suspect, run.sent));
+            self.add_crash(&run.life, at, suspects);
         }
         self.expire(now);
         Some(at)
@@ -217,8 +185,7 @@
     /// Records a run that ended well; `begun` is when its answer began.
     pub fn record_sound(&mut self, now: Instant, begun: Instant, suspects: &[Suspect]) {
         for suspect in suspects {
-            self.sound.record(now, *suspect, begun);
-            if self.clear(*suspect, begun) {
+            if self.sound.record(now, *suspect, begun) && self.clear(*suspect, begun) {
                 self.sound_told.insert(*suspect, now + SOUND_TOLD);
             }
         }
@@ -252,15 +219,29 @@
         }
         self.review_at = None;
         let mut found = self.renew(now);
-        loop {
-            let top = self.top_suspects();
-            let reached = top.iter().map(|(_, crashes)| crashes.reached).max();
-            let Some(reached) = reached else {
-                return found;
-            };
-            if top.len() > 1 && now < reached + TIE_PERIOD {
-                self.review_at = Some(reached + TIE_PERIOD);
-                return found;
+        // A part that crashes endpoints explains the crashes of requests, too.
+        for kind in [SuspectKind::Part, SuspectKind::Request] {
+            self.review_kind(now, kind, &mut found);
+        }
+        found
+    }
+
+    fn review_kind(&mut self, now: Instant, kind: SuspectKind, found: &mut Vec<(Suspect, usize)>) {
+        for _ in 0..MAX_ROUNDS {
+            let mut top = top_suspects(kind, &self.crashes, &self.quarantined, &self.sound);
+            if top.len() > 1 {
+                let reached = top.iter().map(|(_, crashes)| crashes.reached).max();
+                let decided = reached.map(|reached| reached + TIE_PERIOD);
+                if let Some(decided) = decided.filter(|at| now < *at) {
+                    let earlier = self.review_at.unwrap_or(decided);
+                    self.review_at = Some(decided.min(earlier));
+                    return;
+                }
+                // What ran well lately is still to be cleared, or shares its requests with the cause.
+                top.retain(|(suspect, crashes)| !self.sound.was_sound(*suspect, crashes.first));
+            }
+            if top.is_empty() {
+                return;
             }
             for (suspect, crashes) in top {
                 self.quarantine(suspect, &crashes);
@@ -281,7 +262,7 @@
             CrashRow {
                 life: crash.life.clone(),
                 age: now.saturating_duration_since(crash.at),
-                suspects: self.told_suspects(crash),
+                suspects: self.told_suspects(now, crash),
             }
         });
         let sound = self.sound_told.keys().rev().filter_map(|suspect| {
@@ -326,11 +307,11 @@
 
     fn merge_crash(&mut self, now: Instant, row: &CrashRow, at: Instant) {
         let mut suspects = Vec::new();
-        for suspect in &row.suspects {
+        for SuspectRow { suspect, sent } in &row.suspects {
             if self.sound.last(*suspect).is_some_and(|begun| begun >= at) {
                 self.sound_told.insert(*suspect, now + SOUND_TOLD);
-            } else {
-                suspects.push(*suspect);
+            } else if let Some(sent) = now.checked_sub(*sent) {
+                suspects.push((*suspect, sent));
             }
         }
         if !suspects.is_empty() {
@@ -368,38 +349,32 @@
     /// Records suspects of a crash that is new or known.
     fn add_crash<I>(&mut self, life: &EndpointLife, at: Instant, suspects: I)
     where
-        I: Iterator<Item = Suspect>,
+        I: Iterator<Item = (Suspect, Instant)>,
     {
         if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.is(life, at)) {
-            let before = crash.suspects.len();
-            crash.suspects.extend(suspects);
-            crash.suspects.truncate(MAX_SUSPECTS);
             crash.at = crash.at.min(at);
-            if crash.suspects.len() > before {
-                crash.told = 0;
-                self.changed = true;
-            }
+            self.changed |= crash.add(suspects);
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
         }
-        self.changed = true;
-        self.crashes.push(Crash {
+        let mut crash = Crash {
             life: life.clone(),
             at,
-            suspects: suspects.take(MAX_SUSPECTS).collect(),
+            suspects: IndexMap::new(),
             told: 0,
-        });
+        };
+        self.changed |= crash.add(suspects);
+        self.crashes.push(crash);
     }
 
     /// Clears a suspect of all crashes before a time; returns whether it was held responsible for any.
     fn clear(&mut self, suspect: Suspect, begun: Instant) -> bool {
         let mut cleared = false;
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= begun) {
-            cleared |= crash.suspects.swap_remove(&suspect);
+            cleared |= crash.suspects.swap_remove(&suspect).is_some();
         }
-        self.crashes.retain(|crash| !crash.suspects.is_empty());
         let quarantined = self.quarantined.get(&suspect);
         if quarantined.is_some_and(|row| row.first <= begun) {
             self.quarantined.swap_remove(&suspect);
@@ -417,7 +392,7 @@
             let again = self
                 .crashes
                 .iter()
-                .filter(|crash| crash.at >= end && crash.suspects.contains(suspect));
+                .filter(|crash| crash.at >= end && crash.suspects.contains_key(suspect));
             if let Some(since) = again.map(|crash| crash.at).min().filter(|_| now >= end) {
                 row.since = since;
                 row.count += 1;
@@ -428,32 +403,6 @@
         renewed
     }
 
-    /// Returns the suspects that are at most unexplained crashes, if these are enough.
-    fn top_suspects(&self) -> Vec<(Suspect, CrashTimes)> {
-        let mut times: IndexMap<Suspect, Vec<Instant>> = IndexMap::new();
-        for crash in self.unexplained_crashes() {
-            for suspect in &crash.suspects {
-                times.entry(*suspect).or_default().push(crash.at);
-            }
-        }
-        times.retain(|suspect, times| times.len() >= suspect.crash_limit());
-        let most = times.values().map(Vec::len).max();
-        times.retain(|_, times| Some(times.len()) == most);
-        let top = times.into_iter();
-        top.map(|(suspect, times)| (suspect, CrashTimes::new(suspect, times)))
-            .collect()
-    }
-
-    fn unexplained_crashes(&self) -> impl Iterator<Item = &Crash> {
-        let is_explained = |crash: &&Crash| {
-            let mut suspects = crash.suspects.iter();
-            suspects.any(|suspect| self.quarantined.contains_key(suspect))
-        };
-        self.crashes
-            .iter()
-            .filter(move |crash| !is_explained(crash))
-    }
-
     fn quarantine(&mut self, suspect: Suspect, crashes: &CrashTimes) {
         let quarantined = Quarantined {
             first: crashes.first,
@@ -465,7 +414,7 @@
     }
 
     fn put_quarantined(&mut self, suspect: Suspect, quarantined: Quarantined) {
-        if self.quarantined.len() >= MAX_SUSPECTS && !self.quarantined.contains_key(&suspect) {
+        if self.quarantined.len() >= MAX_QUARANTINED && !self.quarantined.contains_key(&suspect) {
             self.quarantined.shift_remove_index(0);
         }
         self.quarantined.insert(suspect, quarantined);
@@ -473,23 +422,31 @@
 
     /// Returns the positions of the crashes that are told next: those that were told least.
     fn told_crashes(&self) -> impl Iterator<Item = usize> {
-        let mut all: Vec<_> = (0..self.crashes.len()).collect();
+        let is_suspected = |index: &usize| !self.crashes[*index].suspects.is_empty();
+        let mut all: Vec<_> = (0..self.crashes.len()).filter(is_suspected).collect();
         all.sort_by_key(|index| self.crashes[*index].told);
         all.into_iter().take(MAX_ROWS)
     }
 
     /// Returns the suspects of a crash that are told: those of most crashes.
-    fn told_suspects(&self, crash: &Crash) -> Vec<Suspect> {
-        let mut all: Vec<_> = crash.suspects.iter().copied().collect();
+    fn told_suspects(&self, now: Instant, crash: &Crash) -> Vec<SuspectRow> {
+        let mut all: Vec<_> = crash.suspects.keys().copied().collect();
         if all.len() > MAX_ROW_SUSPECTS {
             let crashes = |suspect: &Suspect| {
-                let of = |crash: &&Crash| crash.suspects.contains(suspect);
+                let of = |crash: &&Crash| crash.suspects.contains_key(suspect);
                 self.crashes.iter().filter(of).count()
             };
-            all.sort_by_cached_key(|suspect| std::cmp::Reverse(crashes(suspect)));
+            all.sort_by_cached_key(|suspect| {
+                let was_sound = self.sound.was_sound(*suspect, crash.at);
+                (Reverse(crashes(suspect)), was_sound)
+            });
             all.truncate(MAX_ROW_SUSPECTS);
         }
-        all
+        let rows = all.into_iter().map(|suspect| SuspectRow {
+            suspect,
+            sent: now.saturating_duration_since(crash.suspects[&suspect]),
+        });
+        rows.collect()
     }
 
     fn told_quarantines(&self, now: Instant) -> impl Iterator<Item = Suspect> {
@@ -506,26 +463,3 @@
         self.sound_told.retain(|_, until| now < *until);
     }
 }
-
-/// When the crashes happened that a suspect is held responsible for.
-#[derive(Clone, Copy, Debug)]
-struct CrashTimes {
-    count: usize,
-    first: Instant,
-    /// When there were enough of them.
-    reached: Instant,
-}
-
-impl CrashTimes {
-    /// # Panics
-    ///
-    /// If there are fewer than the suspect's limit.
-    fn new(suspect: Suspect, mut times: Vec<Instant>) -> Self {
-        times.sort_unstable();
-        Self {
-            count: times.len(),
-            first: times[0],
-            reached: times[suspect.crash_limit() - 1],
-        }
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -166,6 +166,7 @@
 pub use decide::StreamOrigin;
 pub use decide::StreamOrigins;
 pub use decide::Suspect;
+pub use decide::SuspectRow;
 pub use decide::Usage;
 pub use decide::WaitingId;
 pub use decide::advise;
--- a/src/router/crashes.rs
+++ b/src/router/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that crash endpoints, on a platform without a ledger: what runs say of them, what routers tell each other, and
+//! Requests and parts of prompts that crash endpoints, on a platform without a ledger: what runs say of them, what routers tell each other, and
 //! their refusal.
 
 use std::time::Duration;
@@ -9,9 +9,11 @@
 use crate::decide::CrashReport;
 use crate::decide::EndpointLife;
 use crate::decide::Suspect;
+use crate::ids::Fingerprint;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::core::Core;
+use crate::router::event::Work;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
@@ -120,9 +122,9 @@
         left.max()
     }
 
-    /// Refuses a request that is quarantined.
+    /// Refuses a request that is quarantined, or a part of whose prompt is.
     pub(crate) fn refuse_crashing(&mut self, now: Instant, id: RequestId, left: Duration) {
-        let detail = "endpoints crashed over this request again and again";
+        let detail = "endpoints crashed over requests like this one again and again";
         let problem = Problem::new(ProblemKind::CrashesEndpoints, Ran::Unknown, detail);
         self.refuse_with(now, id, problem.with_retry(left));
     }
@@ -147,9 +149,16 @@
 impl Request {
     /// Returns what may crash the endpoint that runs it.
     fn suspects(&self) -> Vec<Suspect> {
-        match &self.relay {
-            Some(_) => vec![Suspect::Request(self.fingerprint)],
-            None => Vec::new(),
+        let Work::Relay(relay) = &self.work else {
+            return Vec::new();
+        };
+        let mut suspects = vec![Suspect::Request(self.fingerprint)];
+        suspects.extend(relay.parts.iter().copied().map(Suspect::Part));
+        if let Some(model) = &relay.model {
+            let model = Fingerprint::of(&[model.as_str().as_bytes()]);
+            let parts = relay.parts.iter();
+            suspects.extend(parts.map(|part| Suspect::PartOfModel(*part, model)));
         }
+        suspects
     }
 }
