Break off streams that go on without ending an event

Cause: the limit of 1 MiB an event is that of the other splitter, for engines in the ledger's mode; the relay's had none.

Not looked at: heads and plain answers without end, which are bounded by 16 MiB and the HTTP library; several such endpoints at a time; the store, peers and health checks.

--- a/src/edge/relay/events.rs
+++ b/src/edge/relay/events.rs
@@ -10,6 +10,9 @@
 /// Begins a line that is a comment, and part of no event.
 const COMMENT: u8 = b':';
 
+/// How many bytes may come without ending an event. An endpoint that sends more goes on without end.
+const MAX_EVENT: usize = 1 << 20;
+
 /// The whole events that came with some bytes.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Events {
@@ -34,6 +37,8 @@
     begun: bool,
     /// Whether the last byte was a carriage return, to which a line feed that comes next belongs.
     after_return: bool,
+    /// How many bytes have come since the last event ended, comments and empty lines among them.
+    since_event: usize,
     last: Option<String>,
 }
 
@@ -44,14 +49,23 @@
         self.rest.extend_from_slice(bytes);
         let mut whole = 0;
         let mut count = 0;
+        let mut event_end = None;
         while let Some(found) = memchr2(b'\r', b'\n', &self.rest[at..]) {
-            count += u64::from(self.end_line(at + found));
+            let ends_event = self.end_line(at + found);
+            count += u64::from(ends_event);
             at += found + 1;
+            if ends_event {
+                event_end = Some(at);
+            }
             self.line = at;
             if !self.begun {
                 whole = at;
             }
         }
+        self.since_event = match event_end {
+            Some(end) => self.rest.len() - end,
+            None => self.since_event.saturating_add(bytes.len()),
+        };
         self.line -= whole;
         let bytes = self.rest.split_to(whole).freeze();
         if let Some(id) = last_id(&bytes) {
@@ -81,6 +95,11 @@
         self.begun || line.is_some_and(|first| *first != COMMENT)
     }
 
+    /// Returns whether so much has come since the last event that no other one is to be expected.
+    pub(crate) fn is_endless(&self) -> bool {
+        self.since_event > MAX_EVENT
+    }
+
     /// Returns how many bytes came after the last whole event.
     pub(crate) fn partial(&self) -> usize {
         self.rest.len()
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -33,6 +33,8 @@
 enum End {
     Whole(Kept),
     Broken,
+    /// It went on without ending an event.
+    Endless,
     CallerGone,
     /// The core broke it off.
     Stopped,
@@ -70,7 +72,7 @@
         loop {
             let end = self.relay(connection, body).await;
             let usage = self.usage();
-            match end {
+            let broken = match end {
                 End::Whole(connection) => {
                     self.runner.end(RunEnd::Completed { usage });
                     self.relays.keep(connection);
@@ -85,10 +87,12 @@
                     self.runner.end(RunEnd::CallerGone { usage });
                     return self.cut().await;
                 }
-                End::Broken => match self.go_on(usage).await {
-                    Some(next) => (connection, body) = next,
-                    None => return self.cut().await,
-                },
+                End::Broken => RunEnd::closed_off(usage),
+                End::Endless => RunEnd::broken_off(Some(usage)),
+            };
+            match self.go_on(broken).await {
+                Some(next) => (connection, body) = next,
+                None => return self.cut().await,
             }
         }
     }
@@ -120,6 +124,10 @@
             if !events.bytes.is_empty() && !self.give(events.bytes).await {
                 return End::CallerGone;
             }
+            if self.splitter.is_endless() {
+                self.log_end(connection.framing, "no event ends");
+                return End::Endless;
+            }
         }
         let is_complete = self.is_complete(connection.framing);
         if connection.framing == Framing::Connection || !is_complete {
@@ -156,9 +164,8 @@
         self.out.send(Ok(Frame::data(bytes))).await.is_ok()
     }
 
-    /// Goes on at another endpoint from the last whole event, if the core finds one.
-    async fn go_on(&mut self, usage: Usage) -> Option<(Kept, Incoming)> {
-        let mut end = RunEnd::closed_off(usage);
+    /// Goes on at another endpoint from the last whole event, if the core finds one; `end` is how the run ended.
+    async fn go_on(&mut self, mut end: RunEnd) -> Option<(Kept, Incoming)> {
         loop {
             self.events = 0;
             self.splitter.resume();
--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -99,6 +99,29 @@
     }
 }
 
+/// Guards against a stream that takes up all memory because its event has no end, and against the end of one that is long.
+#[test]
+fn a_stream_without_events_is_endless() {
+    for piece in ["x", "data: x\n", ": x\n", "\n"] {
+        let mut splitter = EventSplitter::default();
+        let piece = piece.repeat(4096);
+        let mut pushed = 0;
+        while !splitter.is_endless() {
+            splitter.push(piece.as_bytes());
+            pushed += piece.len();
+            assert!(pushed < 2 << 20, "{pushed}");
+        }
+    }
+    let mut splitter = EventSplitter::default();
+    let event = format!(": comment\nid: 1\ndata: {}\n\n", "x".repeat(512 << 10));
+    for _ in 0..16 {
+        for half in event.as_bytes().chunks(event.len() / 2) {
+            splitter.push(half);
+            assert!(!splitter.is_endless());
+        }
+    }
+}
+
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
 /// Returns the socket of an endpoint, and where it is.
