Test quarantines in the core; look at what a request is suspected of once, and show quarantines in the state dump

What may crash an endpoint is computed as a request is admitted, and runs in progress are looked at ten times a second: both were done at each tick, with a hash of the model's name for each part, as long as any crash was remembered. The tests at the core are of refusals by this router's own crashes and by what others tell, of queues, retries, reset connections and the state dump.

--- a/src/decide/crash_history.rs
+++ b/src/decide/crash_history.rs
@@ -38,6 +38,9 @@
 /// they begin to run it.
 const SURVIVAL: Duration = Duration::from_millis(500);
 
+/// How often the runs in progress are looked at.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a crash is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -87,6 +90,8 @@
     quarantined: IndexMap<Suspect, Quarantined>,
     /// Whether crashes or their suspects changed since the last review.
     changed: bool,
+    /// When it is of use again to know which runs go on.
+    progress_at: Option<Instant>,
     /// When suspects that were at the same crashes are to be reviewed.
     review_at: Option<Instant>,
 }
@@ -177,9 +182,14 @@
         }
     }
 
-    /// Returns whether it is of use to know which runs go on.
-    pub fn awaits_progress(&self) -> bool {
-        !self.crashes.is_empty() || !self.quarantined.is_empty()
+    /// Returns whether it is of use to know now which runs go on.
+    pub fn awaits_progress(&mut self, now: Instant) -> bool {
+        let is_due = self.progress_at.is_none_or(|at| now >= at);
+        let is_of_use = !self.crashes.is_empty() || !self.quarantined.is_empty();
+        if is_due && is_of_use {
+            self.progress_at = Some(now + PROGRESS_INTERVAL);
+        }
+        is_due && is_of_use
     }
 
     /// Records a run that ended well; `begun` is when its answer began.
--- a/src/router/admin.rs
+++ b/src/router/admin.rs
@@ -113,6 +113,12 @@
     }
 
     fn status(&self, now: Instant) -> Value {
+        let quarantined = self.crash_history.quarantined(now);
+        let quarantined: Vec<_> = quarantined.map(|suspect| suspect.to_string()).collect();
+        let crashes = json!({
+            "unexplained": self.crash_history.unexplained(),
+            "quarantined": quarantined,
+        });
         let routers: Vec<_> = self
             .ledger
             .routers()
@@ -182,6 +188,7 @@
             "routers": routers,
             "pools": pools,
             "holdings": holdings,
+            "crashes": crashes,
             "grants": self.grant_budgets.dump(now),
             "table_version": self.route_table.as_ref().map(|table| table.version),
             "teams": self.teams()["teams"],
--- a/src/router/crashes.rs
+++ b/src/router/crashes.rs
@@ -13,7 +13,7 @@
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::core::Core;
-use crate::router::event::Work;
+use crate::router::event::Relay;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
@@ -40,7 +40,7 @@
         };
         let suspects = request.suspects();
         self.crash_history
-            .record_closed(now, &life, *since, *first_token, &suspects);
+            .record_closed(now, &life, *since, *first_token, suspects);
         self.request_examination(now, &life.vm);
     }
 
@@ -55,7 +55,7 @@
         };
         let begun = first_token.unwrap_or(*since);
         let suspects = request.suspects();
-        self.crash_history.record_sound(now, begun, &suspects);
+        self.crash_history.record_sound(now, begun, suspects);
     }
 
     /// Records that an endpoint whose connections were closed does not listen any more.
@@ -83,7 +83,7 @@
 
     /// Reviews crashes again if that is due.
     pub(crate) fn tick_crashes(&mut self, now: Instant) {
-        if self.crash_history.awaits_progress() {
+        if self.crash_history.awaits_progress(now) {
             self.record_progress(now);
         }
         if self.crash_history.is_review_due(now) {
@@ -100,7 +100,7 @@
             first_token.map(|begun| (begun, request.suspects()))
         });
         for (begun, suspects) in running {
-            self.crash_history.record_progress(now, begun, &suspects);
+            self.crash_history.record_progress(now, begun, suspects);
         }
     }
 
@@ -117,8 +117,8 @@
 
     /// Returns how much longer a request is not sent to endpoints, if it is quarantined.
     pub(crate) fn quarantine_left(&self, now: Instant, request: &Request) -> Option<Duration> {
-        let suspects = request.suspects().into_iter();
-        let left = suspects.filter_map(|s| self.crash_history.quarantine_left(now, s));
+        let suspects = request.suspects().iter();
+        let left = suspects.filter_map(|s| self.crash_history.quarantine_left(now, *s));
         left.max()
     }
 
@@ -148,17 +148,20 @@
 
 impl Request {
     /// Returns what may crash the endpoint that runs it.
-    fn suspects(&self) -> Vec<Suspect> {
-        let Work::Relay(relay) = &self.work else {
-            return Vec::new();
-        };
-        let mut suspects = vec![Suspect::Request(self.fingerprint)];
-        suspects.extend(relay.parts.iter().copied().map(Suspect::Part));
-        if let Some(model) = &relay.model {
-            let model = Fingerprint::of(&[model.as_str().as_bytes()]);
-            let parts = relay.parts.iter();
-            suspects.extend(parts.map(|part| Suspect::PartOfModel(*part, model)));
-        }
-        suspects
+    fn suspects(&self) -> &[Suspect] {
+        let terms = self.relay.as_ref();
+        terms.map_or(&[], |terms| &terms.suspects)
+    }
+}
+
+/// Returns what may crash the endpoint that runs a request: the request, and the shared parts of its prompt.
+pub(crate) fn suspects(request: Fingerprint, relay: &Relay) -> Vec<Suspect> {
+    let mut suspects = vec![Suspect::Request(request)];
+    suspects.extend(relay.parts.iter().copied().map(Suspect::Part));
+    if let Some(model) = &relay.model {
+        let model = Fingerprint::of(&[model.as_str().as_bytes()]);
+        let parts = relay.parts.iter();
+        suspects.extend(parts.map(|part| Suspect::PartOfModel(*part, model)));
     }
+    suspects
 }
--- a/src/router/heartbeat.rs
+++ b/src/router/heartbeat.rs
@@ -40,7 +40,7 @@
     /// What endpoints announced about themselves, some of it if it is much.
     pub(crate) announced: Vec<AnnouncementRow>,
     /// Crashes of endpoints, and what causes them.
-    pub(crate) crashes: CrashReport,
+    pub(crate) crashes: Box<CrashReport>,
     /// The pools of which it reaches no endpoint.
     pub(crate) cut: Vec<PoolId>,
     /// The versions of pools whose endpoints have run several lately.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -367,7 +367,7 @@
                 Accounting::Ledger => Vec::new(),
             },
             announced: self.announcements.rows(now),
-            crashes: self.crash_history.report(now),
+            crashes: Box::new(self.crash_history.report(now)),
             cut: self.cut_pools(),
             versions: self.streams.rows(now),
         }
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -19,6 +19,7 @@
 use crate::router::core::Accounting;
 use crate::router::core::Core;
 use crate::router::core::Phase;
+use crate::router::crashes::suspects;
 use crate::router::effect::Effect;
 use crate::router::effect::RelayRun;
 use crate::router::event::Arrival;
@@ -137,6 +138,7 @@
                 attempt: relay.attempt.clone(),
                 resumption: relay.resumption.clone(),
                 stream: StreamVersion::Any,
+                suspects: suspects(fingerprint, relay),
                 forwarded: relay.forwarded.is_some(),
                 arrived: false,
                 silent_at: None,
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -6,6 +6,7 @@
 use crate::config::RepeatPolicy;
 use crate::decide::PendingRetry;
 use crate::decide::Prompt;
+use crate::decide::Suspect;
 use crate::ids::AccountId;
 use crate::ids::Attempt;
 use crate::ids::AttemptId;
@@ -102,6 +103,8 @@
     pub(crate) resumption: Option<Resumption>,
     /// The version of the endpoints' software that it is bound to.
     pub(crate) stream: StreamVersion,
+    /// What may crash the endpoint that runs it.
+    pub(crate) suspects: Vec<Suspect>,
     /// Whether another router forwarded it.
     pub(crate) forwarded: bool,
     /// Whether it may have reached an endpoint.
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -11,6 +11,7 @@
 mod commit_timing;
 mod concurrent_attempts;
 mod crashed_endpoints;
+mod crashes;
 mod drain;
 mod drained_domains;
 mod endpoint_restart;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -10,7 +10,6 @@
 use crate::config::RepeatPolicy;
 use crate::config::RouteTable;
 use crate::config::TablePool;
-use crate::decide::CrashReport;
 use crate::decide::RetryLimit;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
@@ -378,6 +377,18 @@
 
     /// Sends a request of which some is given to a route.
     pub(crate) fn send_relay(&mut self, key: &str, route: &str, relay: Relay) -> RequestId {
+        let fingerprint = Fingerprint(self.next_id);
+        self.send_again(key, route, fingerprint, relay)
+    }
+
+    /// Sends a request that may have been sent before.
+    pub(crate) fn send_again(
+        &mut self,
+        key: &str,
+        route: &str,
+        fingerprint: Fingerprint,
+        relay: Relay,
+    ) -> RequestId {
         let id = RequestId(self.next_id);
         self.next_id += 1;
         self.handle(Event::RequestArrived(Box::new(Arrival {
@@ -391,7 +402,7 @@
                 path: format!("/{route}/1"),
                 ..relay
             }),
-            fingerprint: Fingerprint(id.0),
+            fingerprint,
             timeout: None,
             priority: None,
         })));
@@ -412,7 +423,7 @@
                 clock: self.wall_clock(),
                 purses: Vec::new(),
                 announced: Vec::new(),
-                crashes: CrashReport::default(),
+                crashes: Box::default(),
                 cut: Vec::new(),
                 versions: Vec::new(),
             }));
@@ -455,7 +466,7 @@
                 demand: 0,
             }],
             announced: Vec::new(),
-            crashes: CrashReport::default(),
+            crashes: Box::default(),
             cut: Vec::new(),
             versions: Vec::new(),
         }
--- a/tests/decisions/crash_history.rs
+++ b/tests/decisions/crash_history.rs
@@ -368,10 +368,7 @@
     let (mut crashes, mut late) = (0, 0);
     for step in 0..240 {
         let now = start + ms(50 * step);
-        for endpoint in 0..fleet.endpoints {
-            if now < down[endpoint] {
-                continue;
-            }
+        for _ in down.iter().filter(|until| now >= **until) {
             let router = rng.random_range(0..fleet.routers);
             let own = request(rng.random_range(10..40));
             routers[router].record_sound(now, now - ms(20), &[own]);
