--- a/src/edge/relay/request.rs
+++ b/src/edge/relay/request.rs
@@ -6,9 +6,14 @@
 use hyper::Method;
 use hyper::Uri;
 
+use crate::ids::Fingerprint;
+use crate::part_id::PartId;
 use crate::router::Relay;
 use crate::router::Secret;
 
+/// How many parts of a prompt are logged.
+const LOGGED_PARTS: usize = 8;
+
 /// The head of a request that is to be passed on.
 #[derive(Clone, Debug)]
 pub(crate) struct Ask {
@@ -26,6 +31,21 @@
     pub(crate) headers: HeaderMap,
 }
 
+impl Ask {
+    /// Returns the first shared parts of the prompt as they are logged.
+    pub(super) fn part_names(&self) -> Option<String> {
+        let parts = self.relay.parts.iter().take(LOGGED_PARTS);
+        let names: Vec<_> = parts.map(PartId::to_string).collect();
+        (!names.is_empty()).then(|| names.join(","))
+    }
+
+    /// Returns what attempts at the same thing have in common, whatever their names.
+    pub(super) fn fingerprint(&self, body: &[u8]) -> Fingerprint {
+        let uri = self.uri.to_string();
+        Fingerprint::of(&[self.method.as_str().as_bytes(), uri.as_bytes(), body])
+    }
+}
+
 /// What the head of an endpoint's answer says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -37,10 +37,8 @@
 use crate::edge::relay::upstream::Upstream;
 use crate::edge::relay::upstream::UpstreamError;
 use crate::ids::Attempt;
-use crate::ids::Fingerprint;
 use crate::ids::TableVersion;
 use crate::labels::Labels;
-use crate::part_id::PartId;
 use crate::router::Arrival;
 use crate::router::Event;
 use crate::router::Problem;
@@ -53,9 +51,6 @@
 /// The largest answer that is gathered before it goes on: what is no stream is a record or a map tile.
 const MAX_ANSWER: usize = 16 << 20;
 
-/// How many parts of a prompt are logged.
-const LOGGED_PARTS: usize = 8;
-
 /// What answers that are streams have as their type.
 const EVENTS: &[u8] = b"text/event-stream";
 
@@ -351,7 +346,7 @@
     let origin = ask.relay.resumption.as_ref();
     let resumes = origin.and_then(|taken_up| taken_up.origin.as_ref());
     let resumes = resumes.map(tracing::field::display);
-    let parts = part_names(&ask.relay.parts);
+    let parts = ask.part_names();
     info!(event = "arrived", request = %line.id, name = ask.name, path = %ask.uri.path(), parts, resumes);
     let arrival = Arrival {
         id: line.id,
@@ -359,7 +354,7 @@
         key: None,
         attempt: Attempt(1),
         labels: Labels::default(),
-        fingerprint: fingerprint(&ask, &body),
+        fingerprint: ask.fingerprint(&body),
         work: Work::Relay(ask.relay.clone()),
         timeout: ask.patience,
         priority: None,
@@ -397,22 +392,6 @@
     }
 }
 
-/// Returns the first parts of a prompt as they are logged.
-fn part_names(parts: &[PartId]) -> Option<String> {
-    let names: Vec<_> = parts
-        .iter()
-        .take(LOGGED_PARTS)
-        .map(PartId::to_string)
-        .collect();
-    (!names.is_empty()).then(|| names.join(","))
-}
-
-/// Returns what attempts at the same thing have in common, whatever their names.
-fn fingerprint(ask: &Ask, body: &[u8]) -> Fingerprint {
-    let uri = ask.uri.to_string();
-    Fingerprint::of(&[ask.method.as_str().as_bytes(), uri.as_bytes(), body])
-}
-
 /// Carries out what the core says about a request until there is the head of an answer.
 async fn carry_out(relays: Arc<Relays>, mut runner: Runner) -> Reply {
     loop {
--- a/src/router/examine.rs
+++ b/src/router/examine.rs
@@ -10,12 +10,33 @@
 use crate::ids::VmId;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
-use crate::router::event::Examination;
 
 /// The shortest time between two examinations of an endpoint. An endpoint that resets many connections is not sent as
 /// many more, and one that dies is examined long before it is back.
 const INTERVAL: Duration = Duration::from_millis(100);
 
+/// What came of a connection to an endpoint that closed another one during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Examination {
+    /// It was accepted and lasted: the endpoint, or a later life of it, listens.
+    Accepted,
+    /// It was refused, or ended at once: nothing listens, and the VM is there.
+    Refused,
+    /// Nothing came back in time.
+    Silent,
+}
+
+impl Examination {
+    /// Returns the name used in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// Which endpoints are examined, and when.
 #[derive(Debug, Default)]
 pub(crate) struct Examinations {
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -32,13 +32,13 @@
 use crate::router::drained::DrainedDomains;
 use crate::router::effect::Effect;
 use crate::router::event::EndpointLoad;
-use crate::router::event::Failure;
-use crate::router::event::RunEnd;
 use crate::router::picker::PickContext;
 use crate::router::picker::Picker;
 use crate::router::picker::prompt_blocks;
 use crate::router::relay::table_pools;
 use crate::router::request::State;
+use crate::router::run_end::Failure;
+use crate::router::run_end::RunEnd;
 use crate::vms::VmEntry;
 use crate::vms::VmState;
 
@@ -405,10 +405,7 @@
                 failure: Failure::Died,
                 ..
             } => self.record_crash(now, &endpoint),
-            RunEnd::Failed {
-                failure: Failure::Closed,
-                ..
-            } => {
+            _ if end.is_closed() => {
                 self.quarantine.end(fingerprint, &endpoint);
                 self.record_closed_run(now, id);
             }
--- a/src/router/reach.rs
+++ b/src/router/reach.rs
@@ -17,12 +17,12 @@
 use crate::router::core::Core;
 use crate::router::effect::Effect;
 use crate::router::effect::Forwarding;
-use crate::router::event::RunEnd;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
 use crate::router::request::Request;
 use crate::router::request::State;
+use crate::router::run_end::RunEnd;
 use crate::router::vm_index::FORWARD_LABEL;
 
 /// The retry delay for a caller whose request was forwarded to a router that lost its endpoints, too.
--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -24,7 +24,6 @@
 use crate::router::effect::RelayRun;
 use crate::router::event::Arrival;
 use crate::router::event::Relay;
-use crate::router::event::RunEnd;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
@@ -34,6 +33,7 @@
 use crate::router::request::State;
 use crate::router::run::ENDPOINT_FAILED;
 use crate::router::run::FAILURE_RETRY;
+use crate::router::run_end::RunEnd;
 use crate::router::streams::StreamVersion;
 use crate::tokens::Tokens;
 
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -18,9 +18,9 @@
 use crate::router::core::Accounting;
 use crate::router::core::Core;
 use crate::router::core::Phase;
-use crate::router::event::Failure;
-use crate::router::event::RunEnd;
 use crate::router::request::State;
+use crate::router::run_end::Failure;
+use crate::router::run_end::RunEnd;
 
 /// Share of the retries allowed regardless of requests that the routers of one VM list divide among themselves. Routers
 /// that are cut off divide another half by the list that they read last.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -17,7 +17,6 @@
 use crate::router::core::Ticket;
 use crate::router::effect::Effect;
 use crate::router::effect::Run;
-use crate::router::event::RunEnd;
 use crate::router::event::Usage;
 use crate::router::event::Work;
 use crate::router::problem::Problem;
@@ -26,6 +25,7 @@
 use crate::router::request::AnswerEnd;
 use crate::router::request::Reservation;
 use crate::router::request::State;
+use crate::router::run_end::RunEnd;
 use crate::tokens::Tokens;
 
 /// When a caller whose endpoint failed may retry: the time it takes to eject a failing endpoint.
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod components;
 mod crash_history;
+mod crash_parts;
 mod engine;
 mod herd;
 mod load;
