--- a/src/router/crashes.rs
+++ b/src/router/crashes.rs
@@ -1,5 +1,5 @@
-//! Requests and parts of prompts that crash endpoints, on a platform without a ledger: what runs say of them, what routers tell each other, and
-//! their refusal.
+//! Requests and parts of prompts that crash endpoints, on a platform without a ledger: what runs say of them, what routers
+//! tell each other, and their refusal.
 
 use std::time::Duration;
 use std::time::Instant;
