Count retries as unread for as long as requests are given up at their endpoint

Cause: ten seconds after a request was given up at a listed endpoint it counted as read, since a platform removes silent endpoints from its list within seconds. An endpoint may stay listed and yet read nothing.

Now the time runs from the last request that was given up at the endpoint: one that is silent still has not read what lies in its sockets.

The core's test failed before: 0 pending after ten seconds.

--- a/src/decide/unread.rs
+++ b/src/decide/unread.rs
@@ -15,8 +15,9 @@
 use crate::ids::RequestId;
 use crate::ids::VmId;
 
-/// How long a request counts as unread at an endpoint that remains listed. A platform removes endpoints from its list
-/// within seconds of their last sign of life, so one that is still listed then has read its sockets since.
+/// How long a request counts as unread at an endpoint that remains listed, after the last request that was given up there. A
+/// platform removes endpoints from its list within seconds of their last sign of life, so one that is still listed then,
+/// and that no request was given up at, has read its sockets since.
 const LISTED_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How long a request counts as unread at an endpoint that was removed from the list, and that may return and read on.
@@ -53,6 +54,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct UnreadRequests {
     requests: IndexMap<RequestId, Unread>,
+    /// When a request was last given up at each endpoint that has not answered a later one.
+    silent: IndexMap<VmId, Instant>,
 }
 
 impl UnreadRequests {
@@ -64,6 +67,7 @@
         pool: &PoolId,
         endpoint: VmId,
     ) {
+        self.silent.insert(endpoint.clone(), now);
         let unread = self.requests.entry(request).or_insert_with(|| Unread {
             pool: pool.clone(),
             runs: Vec::new(),
@@ -103,6 +107,9 @@
         endpoint: &VmId,
         sent: Instant,
     ) -> Vec<(PoolId, PendingRetry)> {
+        if self.silent.get(endpoint).is_some_and(|at| *at <= sent) {
+            self.silent.swap_remove(endpoint);
+        }
         for unread in self.requests.values_mut() {
             let runs = &mut unread.runs;
             runs.retain(|run| run.endpoint != *endpoint || run.given_up > sent);
@@ -110,6 +117,16 @@
         self.release()
     }
 
+    /// Returns when an endpoint has read what was given up there at a given time, if it answers nothing until then.
+    pub(crate) fn read_by(&self, endpoint: &VmId, given_up: Instant, listed: bool) -> Instant {
+        let silent = self.silent.get(endpoint);
+        let last = silent.map_or(given_up, |at| given_up.max(*at));
+        last + match listed {
+            true => LISTED_TIMEOUT,
+            false => UNLISTED_TIMEOUT,
+        }
+    }
+
     /// Ends the runs that have counted as unread for long enough.
     #[must_use]
     pub(crate) fn expire<F>(&mut self, now: Instant, is_listed: F) -> Vec<ExpiredRun>
@@ -117,13 +134,11 @@
         F: Fn(&VmId) -> bool,
     {
         let mut expired = Vec::new();
-        for (request, unread) in &mut self.requests {
+        let mut requests = std::mem::take(&mut self.requests);
+        for (request, unread) in &mut requests {
             let is_over = |run: &mut UnreadRun| {
-                let timeout = match is_listed(&run.endpoint) {
-                    true => LISTED_TIMEOUT,
-                    false => UNLISTED_TIMEOUT,
-                };
-                now >= run.given_up + timeout
+                let listed = is_listed(&run.endpoint);
+                now >= self.read_by(&run.endpoint, run.given_up, listed)
             };
             expired.extend(unread.runs.extract_if(.., is_over).map(|run| ExpiredRun {
                 request: *request,
@@ -131,6 +146,8 @@
                 endpoint: run.endpoint,
             }));
         }
+        self.requests = requests;
+        self.silent.retain(|_, at| now < *at + UNLISTED_TIMEOUT);
         expired
     }
 
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -274,6 +274,20 @@
     assert_eq!(pending(&site), 1);
 }
 
+/// Guards against retries that are forgotten while their endpoint is paused for longer than a listed one may be silent.
+#[test]
+fn a_retry_is_pending_while_further_requests_are_given_up_at_its_endpoint() {
+    let mut site = start_site();
+    let silent = give_up_one(&mut site);
+    for _ in 0..4 {
+        site.advance(6000);
+        end_later_requests(&mut site, |endpoint| *endpoint != silent);
+        assert!(pending(&site) > 0);
+    }
+    site.advance(10_100);
+    assert_eq!(pending(&site), 0);
+}
+
 /// Guards against retries that count for ever because an endpoint never answers again, and against those that are
 /// forgotten as soon as a paused endpoint is removed from the list, or although the list is not kept up to date.
 #[test]
