Count the retries that a router's former life may have left unread at endpoints

A service got more repeats than are allowed: 93 and 92 of 90 in a window of 2 s, where four routers were killed one after another while half of 24 endpoints read nothing for 3, 3 and 2 s.

Cause: a killed router's retries are counted by nobody. Its next life starts with an empty budget, and other routers are paid for by the requests of its callers, while what it sent lies unread at the endpoints and is read beside all of these.

Now a router whose former life is listed counts, until each endpoint has answered something that was sent since (or as long as unread requests count), as many retries as it could have left itself in the time since: at most those that nearly half a window's requests pay for, which is all that a router may have pending. The other routers count an equal part of theirs for each life that ended, also where none follows. The router lists itself only after it has read the list, so that an entry of its name is of a former life; one that starts for the first time has none.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -7,7 +7,8 @@
 //!
 //! The limit is the pool's, over all routers and in every window. Each router keeps to its part: a share of the requests
 //! that it received itself, and of the retries that are allowed regardless of requests those that [`retry_share`] gives
-//! it. No part is available at a router's start, so that restarts add nothing.
+//! it. No part is available at a router's start, so that restarts add nothing, and what the router's former life may have
+//! left unread at endpoints is counted by its next life (see [`crate::decide::former_lives`]).
 //!
 //! Requests and retries are counted when the router reads and sends them, but the limit is for what callers send and
 //! endpoints receive. A paused router reads requests long after they were sent, and a link that stalls delivers retries
@@ -21,6 +22,7 @@
 use rand::RngExt;
 use serde::Serialize;
 
+use crate::decide::former_lives::LifeNumber;
 use crate::decide::rendezvous::is_selected;
 use crate::decide::retry_window::Charge;
 use crate::decide::retry_window::RetryWindow;
@@ -44,6 +46,10 @@
 /// half a second, a twentieth of the usual window.
 const DELAY_SHARE: f64 = 0.05;
 
+/// The time, as a share of the window, in which a router can have left all of its spare retries unread. Requests pay for
+/// those of nearly half a window.
+const INHERITED_SHARE: f64 = 0.45;
+
 /// The fewest spare retries of a router that has any, so that it may send one at any time and another one in each window.
 const MIN_SPARE: f64 = 2.0;
 
@@ -140,6 +146,21 @@
     /// Spare retries that may be sent now.
     spare: f64,
     updated: Instant,
+    /// What former lives may have left.
+    inherited: Vec<InheritedRetries>,
+}
+
+/// The retries that a former life may have left unread at endpoints. As many are assumed as this router could have left in
+/// the time since, which is at most what a router may have pending.
+#[derive(Clone, Debug)]
+struct InheritedRetries {
+    life: LifeNumber,
+    /// The part of this router's retries.
+    share: f64,
+    since: Instant,
+    /// The requests that had been counted by then.
+    requests: u64,
+    charge: Charge,
 }
 
 impl RetryBudget {
@@ -150,7 +171,49 @@
             window: RetryWindow::new(now, limit.window, limit.delay),
             spare: 0.0,
             updated: now,
+            inherited: Vec::new(),
+        }
+    }
+
+    /// Counts what a former life may have left, which is a part of this router's retries.
+    pub fn inherit(&mut self, now: Instant, life: LifeNumber, share: f64) {
+        self.inherited.push(InheritedRetries {
+            life,
+            share,
+            since: now,
+            requests: self.window.received(),
+            charge: Charge::default(),
+        });
+    }
+
+    /// Records that the endpoints have read what a former life left.
+    pub fn settle_inherited(&mut self, now: Instant, life: LifeNumber) {
+        self.update_inherited(now);
+        for inherited in self.inherited.extract_if(.., |it| it.life == life) {
+            self.window.record_inherited(now, inherited.charge);
+        }
+    }
+
+    /// Adjusts what former lives may have left to the requests and the time since.
+    fn update_inherited(&mut self, now: Instant) {
+        if self.inherited.is_empty() {
+            return;
+        }
+        let paying = self.window.prepaying(now);
+        let received = self.window.received();
+        let mut sum = Charge::default();
+        for inherited in &mut self.inherited {
+            let requests = received.saturating_sub(inherited.requests) as f64;
+            let paid = self.limit.ratio * requests.min(paying);
+            let passed = now.saturating_duration_since(inherited.since);
+            let elapsed = passed.div_duration_f64(self.limit.window.mul_f64(INHERITED_SHARE));
+            let spare = self.limit.spare * elapsed.min(1.0);
+            let charge = &mut inherited.charge;
+            charge.paid = charge.paid.max(inherited.share * paid);
+            charge.spare = charge.spare.max(inherited.share * spare);
+            sum.add(*charge);
         }
+        self.window.set_inherited(sum);
     }
 
     /// Returns the limit.
@@ -259,6 +322,7 @@
 
     /// Returns what would pay for a retry now, if one is available.
     fn charge(&mut self, now: Instant) -> Option<Charge> {
+        self.update_inherited(now);
         let paid = self.window.available(now, self.limit.ratio).min(1.0);
         let spare = 1.0 - paid;
         (spare <= self.spare_left(now)).then_some(Charge { paid, spare })
--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -29,7 +29,7 @@
 }
 
 impl Charge {
-    fn add(&mut self, other: Self) {
+    pub(super) fn add(&mut self, other: Self) {
         self.paid += other.paid;
         self.spare += other.spare;
     }
@@ -93,6 +93,10 @@
     pending: Charge,
     /// The number of these.
     unsettled: u32,
+    /// Retries of former lives that may still arrive.
+    inherited: Charge,
+    /// The requests that were counted in all.
+    received: u64,
 }
 
 impl RetryWindow {
@@ -107,6 +111,8 @@
             earlier: 0,
             pending: Charge::default(),
             unsettled: 0,
+            inherited: Charge::default(),
+            received: 0,
         }
     }
 
@@ -115,6 +121,8 @@
         *self = Self {
             pending: self.pending,
             unsettled: self.unsettled,
+            inherited: self.inherited,
+            received: self.received,
             ..Self::new(now, window, delay)
         };
     }
@@ -134,6 +142,7 @@
             // No window that is still of interest includes the time at which it may have been sent.
             return;
         };
+        self.received += 1;
         self.slots[REACH - 1].read += 1;
         self.slots[sent].sent += 1;
     }
@@ -162,11 +171,34 @@
         self.pending.add(to);
     }
 
+    /// Returns the requests that were counted in all.
+    pub(super) fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// Returns the requests that pay for retries which have not arrived.
+    pub(super) fn prepaying(&mut self, now: Instant) -> f64 {
+        self.advance(now);
+        self.request_sums().paying(PREPAID_WINDOW)
+    }
+
+    /// Changes the retries of former lives that may still arrive.
+    pub(super) fn set_inherited(&mut self, charge: Charge) {
+        self.inherited = charge;
+    }
+
+    /// Counts retries of a former life that have arrived.
+    pub(super) fn record_inherited(&mut self, now: Instant, charge: Charge) {
+        self.advance(now);
+        self.inherited.subtract(charge);
+        self.slots[REACH - 1].arrived.add(charge);
+    }
+
     /// Returns how many more retries are at most `ratio` of the requests in each window in which they may arrive.
     pub(super) fn available(&mut self, now: Instant, ratio: f64) -> f64 {
         self.advance(now);
         let sums = self.request_sums();
-        let mut retries = self.pending.paid;
+        let mut retries = self.pending.paid + self.inherited.paid;
         let mut available = ratio * sums.paying(PREPAID_WINDOW) - retries;
         // A window touches one interval more than it is long.
         for first in (REACH - 1 - SLOTS..REACH).rev() {
@@ -190,7 +222,9 @@
     pub(super) fn spare_retries(&mut self, now: Instant) -> f64 {
         self.advance(now);
         let slots = self.slots.iter().rev().take(SLOTS + 1);
-        self.pending.spare + slots.map(|slot| slot.arrived.spare).sum::<f64>()
+        self.pending.spare
+            + self.inherited.spare
+            + slots.map(|slot| slot.arrived.spare).sum::<f64>()
     }
 
     /// Returns the requests that are counted.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -132,6 +132,7 @@
 pub use decide::HoldingAction;
 pub use decide::HoldingPolicy;
 pub use decide::Isolation;
+pub use decide::LifeNumber;
 pub use decide::Load;
 pub use decide::Match;
 pub use decide::Observation;
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -57,6 +57,18 @@
     Appended(Vec<Keyed>),
 }
 
+impl Update {
+    /// Returns whether it has a value of a key.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        match self {
+            Self::All(rows) => rows.iter().any(|(name, _)| name == key),
+            Self::Appended(records) => records
+                .iter()
+                .any(|record| record.key == key && record.value.is_some()),
+        }
+    }
+}
+
 /// The result of one read.
 #[derive(Debug)]
 pub(crate) struct Batch {
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -132,11 +132,12 @@
     };
     let desk = Arc::new(Desk::new(limits, None, origin, Metrics::exposed()?, sender));
     let store = Store::new(settings.store);
-    let listing = Listing::begin(&settings, store.clone());
+    let (listed, read) = watch::channel(false);
+    let listing = Listing::begin(&settings, store.clone(), read);
     // Without a handler, the signal would terminate the process and cut off its requests.
     let changes = signal(SignalKind::hangup())?;
     tokio::spawn(reload_settings(changes, path, desk.clone(), boot));
-    follow_store(&store, &desk, settings.config_ms.duration());
+    follow_store(&store, &desk, &settings, listed);
     tokio::spawn(http::serve(admin, desk.clone()));
     tokio::spawn(desk.clone().send_metrics());
     tokio::spawn(peers::serve(routers, desk.clone()));
@@ -238,8 +239,14 @@
     now
 }
 
-/// Follows the topics of the store. A change of the configuration may take up to `config`.
-fn follow_store(store: &Store, desk: &Arc<Desk>, config: Duration) {
+/// Follows the topics of the store, and notifies `listed` once the routers have been read.
+fn follow_store(
+    store: &Store,
+    desk: &Arc<Desk>,
+    settings: &SiteSettings,
+    listed: watch::Sender<bool>,
+) {
+    let config = settings.config_ms.duration();
     let mut operator = Operator::new(desk.clone());
     let topic = Topic {
         name: OPERATOR,
@@ -261,7 +268,12 @@
     tokio::spawn(follow(store.clone(), list(SERVERS), move |batch| {
         servers.servers(batch.update);
     }));
+    let (desk, own) = (desk.clone(), settings.vm.to_string());
     tokio::spawn(follow(store.clone(), list(ROUTERS), move |batch| {
+        // This router is listed only after the first read, so that an entry of its name is of a former life.
+        if !listed.send_replace(true) && batch.update.has(&own) {
+            desk.tell(Event::FormerLife);
+        }
         registry.routers(batch.update);
     }));
 }
@@ -308,8 +320,8 @@
 }
 
 impl Listing {
-    /// Lists the router, and retries until the store accepts the entry.
-    fn begin(settings: &SiteSettings, store: Store) -> Self {
+    /// Lists the router once the list has been read, and retries until the store accepts the entry.
+    fn begin(settings: &SiteSettings, store: Store, read: watch::Receiver<bool>) -> Self {
         let (leaving, left) = watch::channel(false);
         let mut labels = Labels::default();
         labels.set("role", "router");
@@ -327,7 +339,7 @@
             labels,
             state: VmState::Live,
         };
-        tokio::spawn(keep_listed(entry, store, left));
+        tokio::spawn(keep_listed(entry, store, read, left));
         Self { leaving }
     }
 
@@ -337,7 +349,15 @@
     }
 }
 
-async fn keep_listed(entry: VmEntry, store: Store, mut left: watch::Receiver<bool>) {
+async fn keep_listed(
+    entry: VmEntry,
+    store: Store,
+    mut read: watch::Receiver<bool>,
+    mut left: watch::Receiver<bool>,
+) {
+    if read.wait_for(|read| *read).await.is_err() {
+        return;
+    }
     let value = serde_json::to_vec(&entry).expect("an entry can be written");
     write(&store, &entry, Some(value), &mut left).await;
     if left.wait_for(|left| *left).await.is_ok() {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -17,6 +17,7 @@
 use crate::decide::ConsistencyMode;
 use crate::decide::CrashHistory;
 use crate::decide::Demand;
+use crate::decide::FormerLives;
 use crate::decide::HoldingPolicy;
 use crate::decide::Quarantine;
 use crate::decide::RetryBudget;
@@ -181,6 +182,8 @@
     pub(crate) retry_budgets: IndexMap<PoolId, RetryBudget>,
     /// Requests that were given up at endpoints which may still read them.
     pub(crate) unread: UnreadRequests,
+    /// Routers' lives that ended, and whose requests endpoints may still read.
+    pub(crate) former_lives: FormerLives,
     pub(crate) members: Members,
     pub(crate) effects: Vec<Effect>,
     pub(crate) outage: Outage,
@@ -280,6 +283,7 @@
             pools: IndexMap::new(),
             retry_budgets: IndexMap::new(),
             unread: UnreadRequests::default(),
+            former_lives: FormerLives::default(),
             idle_at: None,
             members: Members::new(now, tuning.vm.clone()),
             effects: Vec::new(),
@@ -344,6 +348,7 @@
             Event::LedgerSnapshot(ledger) => self.adopt_ledger(now, *ledger),
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
             Event::VmList(list) => self.handle_vm_list(now, list),
+            Event::FormerLife => self.handle_former_life(now),
             Event::HeartbeatReceived(beat) => self.handle_heartbeat(now, beat),
             Event::HeartbeatFailed(vm, failure) => self.members.record_failure(now, vm, failure),
             Event::KeepBatches(id, batches) => self.store_replica(id, batches),
@@ -472,6 +477,7 @@
     /// Runs the periodic tasks of a router whose budgets are granted.
     fn tick_grants(&mut self, now: Instant, tuning: GrantTuning) {
         self.expire_requests(now);
+        self.count_former_lives(now);
         self.leave_silent_endpoints(now);
         self.cover_pending_retries(now);
         self.send_heartbeat(now);
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -94,6 +94,8 @@
     ConfigSnapshot(Box<Snapshot>),
     /// A new VM list from the platform.
     VmList(VmList),
+    /// A former life of this router is listed.
+    FormerLife,
     /// A heartbeat arrived from a peer, as a call or as the answer to one.
     HeartbeatReceived(Heartbeat),
     /// A peer did not answer a heartbeat.
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -65,6 +65,10 @@
     pub(crate) vm_index: VmIndex,
     heartbeats: IndexMap<VmId, (Instant, Heartbeat)>,
     failures: IndexMap<VmId, FailureStreak>,
+    /// The last life of each router that counts as ended.
+    ended: IndexMap<VmId, Incarnation>,
+    /// Routers of which another life was heard since their ends were last taken.
+    replaced: Vec<VmId>,
     /// Time of the last heartbeat or batch of each incarnation.
     pub(crate) last_seen: IndexMap<Incarnation, Instant>,
     pub(crate) kept_batches: IndexMap<Incarnation, KeptBatches>,
@@ -86,6 +90,8 @@
             vm_index: VmIndex::new(me),
             heartbeats: IndexMap::new(),
             failures: IndexMap::new(),
+            ended: IndexMap::new(),
+            replaced: Vec::new(),
             last_seen: IndexMap::new(),
             kept_batches: IndexMap::new(),
             closing: IndexMap::new(),
@@ -145,6 +151,37 @@
         }
     }
 
+    /// Returns the routers whose lives have ended since the last call, as far as this one can tell: another life followed, or
+    /// nothing was heard of them for long although they are listed. Those that stop as planned are not listed any more.
+    pub(crate) fn take_ended(&mut self, now: Instant) -> Vec<VmId> {
+        let mut silent = Vec::new();
+        for (vm, (at, beat)) in &self.heartbeats {
+            let refuses = self.peer_failure(now, vm) == Some(PeerFailure::Refused);
+            let counted = self.ended.get(vm) == Some(&beat.router);
+            let gone = refuses || now >= *at + self.fresh_period;
+            if gone && !counted && self.vm_index.entry(vm).is_some() {
+                silent.push((vm.clone(), beat.router));
+            }
+        }
+        self.ended.extend(silent.iter().cloned());
+        let replaced = std::mem::take(&mut self.replaced);
+        let silent = silent.into_iter().map(|(vm, _)| vm);
+        replaced.into_iter().chain(silent).collect()
+    }
+
+    /// Stores a heartbeat; returns whether it is the first one of its router.
+    fn put_heartbeat(&mut self, now: Instant, beat: Heartbeat) -> bool {
+        let (vm, life) = (beat.vm.clone(), beat.router);
+        let before = self.heartbeats.insert(vm.clone(), (now, beat));
+        let Some((_, before)) = before else {
+            return true;
+        };
+        if before.router != life && self.ended.get(&vm) != Some(&before.router) {
+            self.replaced.push(vm);
+        }
+        false
+    }
+
     /// Returns how many of the routers that were alive lately this one reaches, and how many there are; it counts itself.
     pub(crate) fn reached_routers(&self, now: Instant) -> (usize, usize) {
         let peers = self.vm_index.peers();
@@ -327,8 +364,7 @@
         self.merge_announcements(now, &beat.vm, &beat.announced);
         self.merge_crashes(now, &beat.crashes);
         self.merge_versions(now, &beat.versions);
-        let before = self.members.heartbeats.insert(beat.vm.clone(), (now, beat));
-        if before.is_none() {
+        if self.members.put_heartbeat(now, beat) {
             self.grant_budgets.request_refresh();
         }
     }
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -91,6 +91,7 @@
                 endpoint, since, ..
             } = &request.state
         {
+            self.former_lives.record_answer(endpoint, *since);
             let released = self.unread.record_answer(endpoint, *since);
             self.settle_retries(now, released);
         }
@@ -102,6 +103,10 @@
         // A list that the platform can't change any more says nothing about endpoints.
         let current = !self.may_be_behind(now);
         let is_listed = |vm: &VmId| current && index.entry(vm).is_some();
+        let unread = &self.unread;
+        self.former_lives.expire(now, |endpoint, since| {
+            unread.read_by(endpoint, since, is_listed(endpoint))
+        });
         let expired = self.unread.expire(now, is_listed);
         if expired.is_empty() {
             return;
@@ -118,6 +123,35 @@
         self.settle_retries(now, released);
     }
 
+    /// Records that a former life of this router is listed.
+    pub(crate) fn handle_former_life(&mut self, now: Instant) {
+        info!(event = "former-life", vm = %self.tuning.vm);
+        self.former_lives.record_own(now);
+    }
+
+    /// Counts the retries that former lives may have left unread at endpoints.
+    pub(crate) fn count_former_lives(&mut self, now: Instant) {
+        let routers = self.members.vm_index.serving_vms().len();
+        for vm in self.members.take_ended(now) {
+            info!(event = "former-life", %vm);
+            self.former_lives.record_peer(now, routers);
+        }
+        self.former_lives.advance(now);
+        let mut new = Vec::new();
+        for (name, pool) in &self.pools {
+            let lives = self.former_lives.inherit(name, pool.addresses.keys());
+            new.extend(lives.into_iter().map(|life| (name.clone(), life)));
+        }
+        for (pool, life) in new {
+            self.retry_budget(now, &pool)
+                .inherit(now, life.number, life.share);
+        }
+        for (pool, life) in self.former_lives.take_read(now) {
+            info!(event = "former-life-read", %pool);
+            self.retry_budget(now, &pool).settle_inherited(now, life);
+        }
+    }
+
     fn settle_retries(&mut self, now: Instant, retries: Vec<(PoolId, PendingRetry)>) {
         for (pool, retry) in retries {
             self.retry_budget(now, &pool).settle(now, retry);
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -250,8 +250,16 @@
 
     /// Restarts a router, which excuses what it sends until it is told anew.
     pub(crate) fn restart(&mut self, site: usize) {
+        self.kill(site, true);
+    }
+
+    /// Restarts a router; `former` tells whether its former life is still listed.
+    pub(crate) fn kill(&mut self, site: usize, former: bool) {
         let vms = self.sites[site].core.members.vm_index.list().vms.clone();
         self.sites[site] = Site::start_member(site, 1_000_000, vms);
+        if former {
+            self.sites[site].handle(Event::FormerLife);
+        }
         self.answers.retain(|answer| answer.site != site);
         self.lives[site] += 1;
         self.told.retain(|(of, _), _| *of != site);
--- a/src/router/tests/retry_limits.rs
+++ b/src/router/tests/retry_limits.rs
@@ -93,6 +93,76 @@
     }
 }
 
+/// Guards against retries that nobody counts because the routers that sent them were killed: paused endpoints read them
+/// beside the retries of the next lives.
+#[test]
+fn retries_stay_within_the_limit_when_routers_are_killed_while_endpoints_pause() {
+    for (routers, endpoints, paused) in [(1, 24, 12), (4, 24, 12), (7, 40, 20)] {
+        for lives in [1, 2] {
+            let mut fleet = Fleet::start(routers, endpoints);
+            fleet.run(12.0, 400.0);
+            fleet.refusing = (0..endpoints).map(endpoint).collect();
+            fleet.run(12.0, 400.0);
+            fleet.paused = (0..paused).map(endpoint).collect();
+            fleet.run(3.0, 400.0);
+            for _ in 0..lives {
+                for router in 0..routers {
+                    fleet.restart(router);
+                    fleet.run(8.0 / routers as f64, 400.0);
+                }
+            }
+            fleet.paused.clear();
+            fleet.run(12.0, 400.0);
+            let excess = fleet.excess_retries();
+            assert_eq!(excess, None, "{routers} routers, {lives} lives");
+        }
+    }
+}
+
+/// Guards against retries of routers that are killed and do not return, which nobody counts although their callers' requests
+/// pay for retries of other routers.
+#[test]
+fn retries_stay_within_the_limit_when_killed_routers_leave_retries_to_others() {
+    let mut fleet = Fleet::start(4, 24);
+    fleet.run(12.0, 400.0);
+    fleet.refusing = (0..24).map(endpoint).collect();
+    fleet.run(12.0, 400.0);
+    fleet.paused = (0..12).map(endpoint).collect();
+    fleet.run(3.0, 400.0);
+    for router in 0..2 {
+        fleet.restart(router);
+        fleet.dead.insert(router);
+    }
+    fleet.run(8.0, 800.0);
+    fleet.paused.clear();
+    fleet.run(12.0, 800.0);
+    assert_eq!(fleet.excess_retries(), None);
+}
+
+/// Guards against a fleet that has fewer retries because it starts for the first time, or because routers were killed while
+/// their endpoints answer.
+#[test]
+fn a_former_life_costs_no_retries_while_endpoints_answer() {
+    let retries = |restarts: bool, former: bool| {
+        let mut fleet = Fleet::start(7, 12);
+        fleet.run(12.0, 400.0);
+        fleet.refusing = (0..12).map(endpoint).collect();
+        if restarts {
+            (0..7).for_each(|router| fleet.kill(router, former));
+        }
+        fleet.retried_at.clear();
+        fleet.run(20.0, 400.0);
+        fleet.retried_at.len() as f64
+    };
+    let (calm, bare, killed) = (
+        retries(false, false),
+        retries(true, false),
+        retries(true, true),
+    );
+    println!("{calm} without restarts, {bare} and {killed} after restarts");
+    assert!(killed >= 0.9 * bare, "{killed} of {bare}");
+}
+
 /// Guards against requests that are taken from silent endpoints although no retry is left for them.
 #[test]
 fn no_more_silent_endpoints_are_abandoned_than_retries_are_available() {
