--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod herd;
 mod load;
 mod owners;
+mod paused_endpoints;
 mod poison;
 mod prefill;
 mod priority_demand;
