--- a/tests/faults/repeats.rs
+++ b/tests/faults/repeats.rs
@@ -273,3 +273,30 @@
     let quiet = FAULT_INTERVAL * LONG_PAUSES.len() as u32;
     counted.play_for(quiet + pauses, faults).await
 }
+
+/// Guards against requests that arrive twice, counted by nobody, because a router that carried them out for another one was
+/// killed.
+#[tokio::test]
+async fn retries_keep_to_the_limit_when_routers_that_others_forward_to_are_killed() -> Result<()> {
+    let counted = Counted::start(120).await?;
+    let site = &counted.site;
+    let mut lives = Vec::new();
+    let faults = async {
+        for (routers, faults) in CUTS {
+            sleep(FAULT_INTERVAL - CUT).await;
+            let others = (0..ROUTERS).filter(|router| !routers.contains(router));
+            let others: Vec<_> = others.collect();
+            let kills = async {
+                for router in others {
+                    sleep(CUT / 2 - DOWN).await;
+                    lives.push(site.restart(router).await?);
+                }
+                anyhow::Ok(())
+            };
+            let (cut, killed) = tokio::join!(site.disturb_links(routers, faults, CUT), kills);
+            cut.and(killed)?;
+        }
+        Ok(())
+    };
+    counted.play(CUTS.len(), faults).await
+}
