Notice the end of a life that had been out of reach before; show inherited retries in the state dump

A router that was cut off for some seconds counted as ended, and its real end later was passed over (the_end_of_a_life_is_noticed_once fails without the change).

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -108,6 +108,8 @@
     pub spare: f64,
     /// Retries that may still arrive at their endpoints.
     pub pending: u32,
+    /// Retries that former lives may have left, and that may still arrive.
+    pub inherited: f64,
     /// Whether a retry is available.
     pub available: bool,
 }
@@ -298,6 +300,7 @@
             retries: self.window.retries(now),
             spare: self.spare,
             pending: self.window.pending(),
+            inherited: self.window.inherited(),
             available,
         }
     }
--- a/src/decide/retry_window.rs
+++ b/src/decide/retry_window.rs
@@ -182,6 +182,11 @@
         self.request_sums().paying(PREPAID_WINDOW)
     }
 
+    /// Returns the retries of former lives that may still arrive.
+    pub(super) fn inherited(&self) -> f64 {
+        self.inherited.paid + self.inherited.spare
+    }
+
     /// Changes the retries of former lives that may still arrive.
     pub(super) fn set_inherited(&mut self, charge: Charge) {
         self.inherited = charge;
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -176,7 +176,9 @@
         let Some((_, before)) = before else {
             return true;
         };
-        if before.router != life && self.ended.get(&vm) != Some(&before.router) {
+        // A life that is heard of again had not ended.
+        let ended = self.ended.swap_remove(&vm);
+        if before.router != life && ended != Some(before.router) {
             self.replaced.push(vm);
         }
         false
--- a/src/router/pool.rs
+++ b/src/router/pool.rs
@@ -437,13 +437,11 @@
         {
             pool.picker.chooser.end(now, endpoint, Sample::Other);
             self.quarantine.end(request.fingerprint, endpoint);
-            match request.state {
-                State::Running { .. } => self.announcements.record_given_up(now, endpoint, id),
-                _ => {
-                    self.announcements.record_unsent(now, endpoint, id);
-                    false
-                }
-            };
+            if let State::Running { .. } = request.state {
+                self.announcements.record_given_up(now, endpoint, id);
+            } else {
+                self.announcements.record_unsent(now, endpoint, id);
+            }
         }
     }
 
--- a/src/router/tests/heartbeats.rs
+++ b/src/router/tests/heartbeats.rs
@@ -1,9 +1,15 @@
 //! Which peers a router sends heartbeats to, and how often.
 
+use std::time::Duration;
+
 use indexmap::IndexMap;
 
+use crate::ids::Incarnation;
 use crate::ids::VmId;
 use crate::router::Effect;
+use crate::router::Event;
+use crate::router::Heartbeat;
+use crate::router::tests::fleet::vms;
 use crate::router::tests::site::Site;
 
 /// Returns the number of heartbeats sent to each peer, and the largest number of peers addressed at once.
@@ -47,3 +53,28 @@
     let (counts, most) = heartbeats_sent(&site);
     assert_eq!((counts.len(), most), (6, 6));
 }
+
+/// Guards against lives that are counted as ended more than once, or not at all because their routers had been out of reach
+/// before.
+#[test]
+fn the_end_of_a_life_is_noticed_once() {
+    let mut site = Site::start_with_vms(1000, vms(2, 1));
+    let beat = site.peer_heartbeat(0);
+    let silence = Duration::from_secs(10);
+    for _ in 0..2 {
+        site.handle(Event::HeartbeatReceived(beat.clone()));
+        let members = &mut site.core.members;
+        assert_eq!(members.take_ended(site.now), Vec::<VmId>::new());
+        assert_eq!(members.take_ended(site.now + silence).len(), 1);
+        assert_eq!(members.take_ended(site.now + silence).len(), 0);
+    }
+    // Another life follows one that was noticed before, and one that was not.
+    for (life, ended) in [(100, 0), (101, 1)] {
+        let beat = Heartbeat {
+            router: Incarnation(life),
+            ..beat.clone()
+        };
+        site.handle(Event::HeartbeatReceived(beat));
+        assert_eq!(site.core.members.take_ended(site.now).len(), ended);
+    }
+}
