--- a/src/router/tests/brittle.rs
+++ b/src/router/tests/brittle.rs
@@ -87,6 +87,28 @@
     }
 }
 
+/// Guards against requests that were given up at a paused brittle endpoint, and that it has to reject when it goes on.
+#[test]
+fn paused_brittle_endpoints_are_sent_no_more_than_they_hold_and_tolerate() {
+    let rate = 0.5 * CAPACITY;
+    for routers in [1, 3, 7] {
+        for route in ["again", "once"] {
+            let mut fleet = start_brittle(routers, rate);
+            fleet.routes = vec![route];
+            fleet.run(1.0, rate);
+            fleet.paused = (0..ENDPOINTS).map(endpoint).collect();
+            fleet.run(3.0, rate);
+            let unread = (0..ENDPOINTS).map(|n| fleet.unread_at(&endpoint(n)));
+            let most = unread.max().unwrap_or(0);
+            let allowed = ROOM + TOLERANCE as usize;
+            assert!(
+                most <= allowed,
+                "{routers} routers, {route}: {most} of {allowed}"
+            );
+        }
+    }
+}
+
 /// Guards against routers that start during a brittle period, and know nothing of it.
 #[test]
 fn restarted_routers_keep_within_the_room() {
--- a/src/router/tests/fleet/counts.rs
+++ b/src/router/tests/fleet/counts.rs
@@ -44,6 +44,12 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Returns how many requests lie in the sockets of a paused endpoint.
+    pub(crate) fn unread_at(&self, vm: &VmId) -> usize {
+        let unread = self.unread.iter();
+        unread.filter(|unread| unread.run.endpoint == *vm).count()
+    }
+
     /// Returns the most requests that an endpoint got in any window from routers that knew its limit.
     pub(crate) fn most_informed(&self, vm: &VmId) -> usize {
         let times = self.informed.get(vm).map_or(&[][..], Vec::as_slice);
