--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -18,6 +18,8 @@
 
 use indexmap::IndexMap;
 
+use crate::decide::announced::Announced;
+use crate::decide::announced::Fleet;
 use crate::decide::announcement::Announcement;
 use crate::decide::announcement::AnnouncementRow;
 use crate::decide::announcement::Changes;
@@ -25,9 +27,6 @@
 use crate::decide::heard::AnnouncedValue;
 use crate::decide::heard::Heard;
 use crate::decide::rate_share::ShareBucket;
-use crate::decide::rate_share::ask_interval;
-use crate::decide::rate_share::rate_share;
-use crate::decide::rendezvous::is_selected;
 use crate::decide::unread_sends::UnreadSends;
 use crate::ids::RequestId;
 use crate::ids::VmId;
@@ -36,10 +35,6 @@
 /// How many announcements a heartbeat carries at most. More than that take turns.
 const MAX_ROWS: usize = 8;
 
-/// How long a limit may go unheard before other routers get the parts of it: those that have them may have no requests
-/// for the endpoint, and would never learn that it takes more again.
-const ROUND: Duration = Duration::from_secs(30);
-
 /// How long it is remembered that a limit was lifted, or what an endpoint announced that is no longer listed. Within
 /// this time all other routers have heard of it, and lists that the store could not provide are complete again.
 const MEMORY: Duration = Duration::from_secs(60);
@@ -80,29 +75,6 @@
     }
 }
 
-/// What one life of an endpoint has announced.
-#[derive(Clone, Debug)]
-struct Announced {
-    birth: Option<String>,
-    /// When any router last heard something from the endpoint itself.
-    heard: Instant,
-    limit: Option<Heard<RequestRate>>,
-    /// How many rejections it tolerates, if it is brittle.
-    tolerance: Option<Heard<u32>>,
-    leaving: bool,
-    /// Until when it wants nothing from this router.
-    rest_until: Option<Instant>,
-    /// Until when it wants nothing from some other router.
-    others_until: Option<Instant>,
-    bucket: ShareBucket,
-    /// Requests of this router that it may not have read.
-    unread: UnreadSends,
-    /// Whether this router asks it whether it reads again, once all routers wait for that.
-    asks: bool,
-    /// The round of parts that the bucket belongs to.
-    round: u64,
-}
-
 /// The announcements of all endpoints that are in force.
 #[derive(Debug)]
 pub struct Announcements {
@@ -460,103 +432,3 @@
         self.limit.is_some() || self.tolerance.is_some() || self.leaving
     }
 }
-
-/// The routers among which rates are divided, and this one of them.
-struct Fleet<'a> {
-    router: &'a VmId,
-    routers: &'a [VmId],
-}
-
-impl Announced {
-    fn new(now: Instant, life: &EndpointLife, heard: Instant) -> Self {
-        Self {
-            birth: life.birth.clone(),
-            heard,
-            limit: None,
-            tolerance: None,
-            leaving: false,
-            rest_until: None,
-            others_until: None,
-            bucket: ShareBucket::new(now),
-            unread: UnreadSends::default(),
-            asks: false,
-            round: 0,
-        }
-    }
-
-    fn rate(&self) -> Option<RequestRate> {
-        self.limit?.value
-    }
-
-    fn is_brittle(&self) -> bool {
-        self.tolerance.is_some_and(|known| known.value.is_some())
-    }
-
-    /// Returns whether nothing of it is in force.
-    fn is_over(&self, now: Instant) -> bool {
-        let resting = self.rest_until.max(self.others_until);
-        self.rate().is_none()
-            && !self.is_brittle()
-            && !self.leaving
-            && resting.is_none_or(|until| until <= now)
-    }
-
-    /// Returns whether this router may send it a request now.
-    fn is_open(&self, now: Instant) -> bool {
-        let within = self.rate().is_none() || self.admits(now) || self.is_ask_due(now);
-        within && self.rest_left(now).is_zero()
-    }
-
-    /// Returns whether its limit leaves room for one more request of this router.
-    fn admits(&self, now: Instant) -> bool {
-        self.bucket.admits(now, self.unread.len())
-    }
-
-    /// Returns whether this router may send it nothing more until it reads, and it has not read for long.
-    fn is_stalled(&self, now: Instant) -> bool {
-        self.bucket.is_full(self.unread.len()) && self.unread.is_stalled(now)
-    }
-
-    /// Returns whether this router is to ask it now whether it reads again.
-    fn is_ask_due(&self, now: Instant) -> bool {
-        let Some(rate) = self.rate().filter(|_| self.asks && self.is_stalled(now)) else {
-            return false;
-        };
-        self.unread.is_ask_due(now, ask_interval(rate))
-    }
-
-    /// Applies a change to the unread requests.
-    fn change_unread<F>(&mut self, now: Instant, change: F)
-    where
-        F: FnOnce(&mut UnreadSends),
-    {
-        let before = self.unread.len();
-        change(&mut self.unread);
-        if self.unread.len() < before {
-            self.bucket.record_read(now, before);
-        }
-    }
-
-    /// Returns how much longer it wants nothing from this router.
-    fn rest_left(&self, now: Instant) -> Duration {
-        let until = self.rest_until;
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
-    }
-
-    /// Computes this router's part of the rate.
-    fn share_out(&mut self, now: Instant, vm: &VmId, fleet: &Fleet<'_>) {
-        self.round = self.round_at(now);
-        let Fleet { router, routers } = fleet;
-        let part = |rate| rate_share(rate, routers, router, vm, self.round);
-        let rate = self.rate();
-        self.asks = is_selected(1, routers, router, vm.as_str(), self.round);
-        self.bucket
-            .set_share(now, rate, rate.and_then(part), self.asks);
-    }
-
-    /// Returns the round of parts that the limit is in at a time.
-    fn round_at(&self, now: Instant) -> u64 {
-        let heard = self.limit.map_or(now, |limit| limit.at);
-        now.saturating_duration_since(heard).as_secs() / ROUND.as_secs()
-    }
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 //! a request ended.
 
 mod advice;
+mod announced;
 mod announcement;
 mod announcements;
 mod borrowers;
