--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::decide;
 use crate::ids::DomainId;
@@ -68,7 +69,7 @@
     /// The last life of each router that counts as ended.
     ended: IndexMap<VmId, Incarnation>,
     /// Routers of which another life was heard since their ends were last taken.
-    replaced: Vec<VmId>,
+    replaced: IndexSet<VmId>,
     /// Time of the last heartbeat or batch of each incarnation.
     pub(crate) last_seen: IndexMap<Incarnation, Instant>,
     pub(crate) kept_batches: IndexMap<Incarnation, KeptBatches>,
@@ -91,7 +92,7 @@
             heartbeats: IndexMap::new(),
             failures: IndexMap::new(),
             ended: IndexMap::new(),
-            replaced: Vec::new(),
+            replaced: IndexSet::new(),
             last_seen: IndexMap::new(),
             kept_batches: IndexMap::new(),
             closing: IndexMap::new(),
@@ -179,7 +180,7 @@
         // A life that is heard of again had not ended.
         let ended = self.ended.swap_remove(&vm);
         if before.router != life && ended != Some(before.router) {
-            self.replaced.push(vm);
+            self.replaced.insert(vm);
         }
         false
     }
