Refuse requests beyond every budget before they are counted

Cause: amounts that callers choose were queued for budget and summed up with the sum that panics on overflow, before they were compared with the budget. The routers' last line is "a sum of tokens fits"; the new test panics there in GrantBudget::wanted.

A request that may cost more than its team ever prepaid is now refused at once, before demand, queue, sums and loans; sums of wishes saturate and are never subtracted from.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -69,6 +69,8 @@
     pub(crate) slots: Option<u32>,
     /// Maximum number of tokens in one event of a stream.
     pub(crate) stride: u64,
+    /// How many tokens an endpoint's memory holds, if known: it rejects a request with a longer prompt.
+    pub(crate) memory: Option<u64>,
     /// Warm-up time of an endpoint after its start; zero if it needs none.
     pub(crate) warmup: Duration,
     /// Maximum requests per second to an endpoint during warm-up, from all routers together.
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -58,6 +58,10 @@
 /// The wait that a refusal asks for before the drain rate is known.
 const DEFAULT_RETRY_S: f64 = 2.0;
 
+/// The most that one request counts for. Callers choose what their requests may cost, and the sum over a full queue has
+/// to fit.
+const MAX_COST: Tokens = Tokens(u32::MAX as u64);
+
 /// A waiting request's payer, caller, cost and deadline.
 #[derive(Clone, Debug)]
 pub struct QueueTicket {
@@ -197,8 +201,9 @@
         &mut self,
         now: Instant,
         item: T,
-        ticket: QueueTicket,
+        mut ticket: QueueTicket,
     ) -> Result<WaitingId, PushError> {
+        ticket.cost = ticket.cost.min(MAX_COST);
         let wait = self.estimate_wait(now, &ticket);
         if wait.is_some_and(|wait| now + wait.mul_f64(WAIT_MARGIN) >= ticket.deadline) {
             let retry_after = self.retry_after(now, wait, ticket.cost);
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -199,7 +199,7 @@
         let stride = self.runner.stride();
         Usage {
             prompt: Tokens::ZERO,
-            answer: Tokens(self.events * stride),
+            answer: Tokens(self.events.saturating_mul(stride)),
         }
     }
 }
--- a/src/escrow/grant_state.rs
+++ b/src/escrow/grant_state.rs
@@ -41,10 +41,11 @@
 #[derive(Clone, Debug, Default)]
 struct TeamGrants {
     rows: IndexMap<(VmId, Incarnation), Entry>,
-    /// What all incarnations but this one may spend.
-    granted_to_others: Tokens,
-    /// What those are known to have spent.
-    spent_by_others: Tokens,
+    /// What all incarnations but this one may spend, in tokens. Wide enough for any sum of records, so that each can be
+    /// subtracted again.
+    granted_to_others: u128,
+    /// What those are known to have spent, in tokens.
+    spent_by_others: u128,
 }
 
 impl TeamGrants {
@@ -54,10 +55,10 @@
         let old = self.rows.insert(holder, entry).map(|old| old.row);
         let old = old.unwrap_or_default();
         if !own {
-            self.granted_to_others = self.granted_to_others.saturating_add(new.granted);
-            self.granted_to_others -= old.granted;
-            self.spent_by_others = self.spent_by_others.saturating_add(new.spent);
-            self.spent_by_others -= old.spent;
+            self.granted_to_others += u128::from(new.granted.0);
+            self.granted_to_others -= u128::from(old.granted.0);
+            self.spent_by_others += u128::from(new.spent.0);
+            self.spent_by_others -= u128::from(old.spent.0);
         }
     }
 }
@@ -264,13 +265,13 @@
     /// Returns what all other incarnations may spend of a team's budget.
     pub(crate) fn granted_to_others(&self, team: &TeamId) -> Tokens {
         let grants = self.teams.get(team);
-        grants.map_or(Tokens::ZERO, |grants| grants.granted_to_others)
+        grants.map_or(Tokens::ZERO, |grants| narrow(grants.granted_to_others))
     }
 
     /// Returns what all other incarnations are known to have spent; they may have spent more.
     pub(crate) fn spent_by_others(&self, team: &TeamId) -> Tokens {
         let grants = self.teams.get(team);
-        grants.map_or(Tokens::ZERO, |grants| grants.spent_by_others)
+        grants.map_or(Tokens::ZERO, |grants| narrow(grants.spent_by_others))
     }
 
     /// Returns what is granted to nobody.
@@ -309,3 +310,8 @@
         }
     }
 }
+
+/// Returns a sum of tokens, or the largest amount if it is larger.
+fn narrow(sum: u128) -> Tokens {
+    Tokens(u64::try_from(sum).unwrap_or(u64::MAX))
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -17,6 +17,9 @@
 use crate::key_hash::KeyHash;
 use crate::tokens::Tokens;
 
+/// The longest time that a route or the start of an endpoint takes.
+const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// The key of the newest configuration.
 pub(crate) const KEY: &str = "config";
 
@@ -81,10 +84,13 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct WireEngine {
     slots: u32,
     /// The maximum number of tokens in one event of a stream.
     stride: u64,
+    /// How many tokens fit into its memory.
+    kv_capacity: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -168,8 +174,8 @@
         },
         host: wire.host,
         prefix: wire.path_prefix,
-        timeout: Duration::from_secs_f64(wire.timeout_ms.max(0.0) / 1000.0),
-        objective: Duration::from_secs_f64(wire.target_latency_ms.max(0.0) / 1000.0),
+        timeout: millis(wire.timeout_ms),
+        objective: millis(wire.target_latency_ms),
         priority: wire.priority,
         split,
         attempts: wire.max_attempts.max(1),
@@ -177,6 +183,12 @@
     })
 }
 
+/// Converts a time of the configuration; one that is longer than any request lasts is cut to that.
+fn millis(ms: f64) -> Duration {
+    let max_ms = MAX_TIME.as_secs_f64() * 1000.0;
+    Duration::from_secs_f64(ms.clamp(0.0, max_ms) / 1000.0)
+}
+
 fn pool(wire: WireService) -> Result<TablePool, FieldError> {
     let name = wire.name.parse();
     let warmup = Duration::try_from_secs_f64(wire.cold_start_s);
@@ -191,8 +203,12 @@
         name: name.map_err(|error| invalid_name("services", &wire.name, &error))?,
         connections: wire.max_connections,
         slots: wire.engine.as_ref().map(|engine| engine.slots),
-        stride: wire.engine.map_or(1, |engine| engine.stride.max(1)),
-        warmup,
+        stride: wire
+            .engine
+            .as_ref()
+            .map_or(1, |engine| engine.stride.max(1)),
+        warmup: warmup.min(MAX_TIME),
+        memory: wire.engine.as_ref().and_then(|engine| engine.kv_capacity),
         cold_rate: wire.cold_per_s as u32,
     })
 }
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -351,6 +351,8 @@
         let tokens = tokens.parse().ok()?;
         prompt.shared_tokens = prompt.shared_tokens.saturating_add(tokens);
     }
-    prompt.own_tokens = input.saturating_sub(prompt.shared_tokens);
+    // A part of the prompt can't have more tokens than the whole.
+    prompt.shared_tokens = prompt.shared_tokens.min(input);
+    prompt.own_tokens = input - prompt.shared_tokens;
     Some(prompt)
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,6 +1,7 @@
 //! What comes from the platform, good and bad.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use serde_json::json;
 use tokio::sync::mpsc;
@@ -30,6 +31,25 @@
     }
 }
 
+/// Guards against a time of the configuration that is too long to be counted, and ends the router.
+#[test]
+fn absurd_times_of_a_configuration_are_cut_short() {
+    let mut long = document();
+    for route in 0..2 {
+        for field in ["timeoutMs", "targetLatencyMs"] {
+            long["routes"][route][field] = json!(1e300);
+        }
+    }
+    long["services"][0]["coldStartS"] = json!(1e18);
+    long["tenants"][0]["prepaid"] = json!(1e300);
+    let table = config::decode(long.to_string().as_bytes()).expect("it is good");
+    let route = table.route("maps.example", "/a/b/c").expect("a route");
+    let now = Instant::now();
+    for time in [route.timeout, route.objective.mul_f64(2.5)] {
+        assert!(now.checked_add(time).is_some(), "{time:?}");
+    }
+}
+
 #[test]
 fn records_come_back() {
     let mut bytes = [9_u64.to_be_bytes(), 2_u64.to_be_bytes()].concat();
--- a/src/router/fund.rs
+++ b/src/router/fund.rs
@@ -58,6 +58,13 @@
         }
         let team = request.team.clone();
         let reserve = request.reserve;
+        let unspent = self
+            .ledger
+            .team(&team)
+            .map_or(Tokens::ZERO, |t| t.unspent());
+        if reserve > unspent {
+            return self.refuse_spent(now, id, true);
+        }
         self.record_demand(now, &team, reserve);
         let budget = self.ledger_budgets.entry(team.clone()).or_default();
         budget.waiting.push_back(id);
--- a/src/router/grant_budget.rs
+++ b/src/router/grant_budget.rs
@@ -217,12 +217,21 @@
     /// Returns the most that the waiting requests of callers here may cost together.
     pub(crate) fn own_wanted(&self) -> Tokens {
         let own = |waiting: &&Waiting| matches!(waiting.who, Waiter::Request(_));
-        let own = self.waiting.iter().filter(own);
-        own.map(|waiting| waiting.amount).sum()
+        saturating_sum(self.waiting.iter().filter(own))
     }
 
     /// Returns the most that all waiting entries may cost together.
     pub(crate) fn wanted(&self) -> Tokens {
-        self.waiting.iter().map(|waiting| waiting.amount).sum()
+        saturating_sum(self.waiting.iter())
     }
 }
+
+/// Returns what waiting entries may cost together, or the largest amount if the sum overflows. These amounts are wishes
+/// of callers and of other routers, which nothing was granted for.
+fn saturating_sum<'a, I>(waiting: I) -> Tokens
+where
+    I: Iterator<Item = &'a Waiting>,
+{
+    let amounts = waiting.map(|waiting| waiting.amount);
+    amounts.fold(Tokens::ZERO, Tokens::saturating_add)
+}
--- a/src/router/grant_budgets.rs
+++ b/src/router/grant_budgets.rs
@@ -72,6 +72,8 @@
     Short,
     /// What is left is kept for more urgent requests.
     Kept,
+    /// The request may cost more than the team ever prepaid.
+    Unaffordable,
 }
 
 /// The budgets of all teams as far as this router may spend them.
@@ -193,6 +195,9 @@
         if amount == Tokens::ZERO {
             return ReserveOutcome::Done;
         }
+        if amount > budget.prepaid {
+            return ReserveOutcome::Unaffordable;
+        }
         budget.record_demand(now, priority, amount);
         if !budget.ration.admits(now, &remainder, priority, amount) {
             return ReserveOutcome::Kept;
@@ -415,14 +420,16 @@
         budget.map_or(Tokens::ZERO, |budget| budget.remaining(granted))
     }
 
+    /// Returns all that a team may ever use.
+    pub(super) fn prepaid(&self, team: &TeamId) -> Tokens {
+        let budget = self.budgets.get(team);
+        budget.map_or(Tokens::ZERO, |budget| budget.prepaid)
+    }
+
     /// Returns the most that this router could reserve if it drew everything that is undrawn.
     pub(super) fn max_reservable(&self, team: &TeamId) -> Tokens {
-        let prepaid = self
-            .budgets
-            .get(team)
-            .map_or(Tokens::ZERO, |budget| budget.prepaid);
         self.held(team)
-            .saturating_add(self.grant_state.undrawn(team, prepaid))
+            .saturating_add(self.grant_state.undrawn(team, self.prepaid(team)))
     }
 
     /// Returns the most that can be left of a team's budget, given everything that is known to be used.
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -100,6 +100,7 @@
                 self.grant_budgets.push_waiting(&team, waiting);
             }
             ReserveOutcome::Kept => self.refuse_unfunded(now, id, Unfunded::Kept),
+            ReserveOutcome::Unaffordable => self.refuse_unfunded(now, id, Unfunded::Spent),
         }
     }
 
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use tracing::info;
+use tracing::warn;
 
 use crate::ids::Incarnation;
 use crate::router::effect::Effect;
@@ -103,6 +104,11 @@
     /// Adds what another router transferred.
     pub(crate) fn receive_transfer(&mut self, transfer: &BudgetTransfer) {
         info!(event = "given", from = %transfer.giver, team = %transfer.team, amount = %transfer.amount);
+        let prepaid = self.prepaid(&transfer.team);
+        if transfer.amount > prepaid {
+            warn!(event = "transfer-too-large", from = %transfer.giver, amount = %transfer.amount, %prepaid);
+            return;
+        }
         if let Some(budget) = self.budgets.get_mut(&transfer.team) {
             budget.loans.receive(transfer);
         }
@@ -124,6 +130,11 @@
         id: ReplyId,
         request: &LoanRequest,
     ) -> Option<Tokens> {
+        let prepaid = self.prepaid(&request.team);
+        let request = &LoanRequest {
+            amount: request.amount.min(prepaid),
+            ..request.clone()
+        };
         match self.ownership.owns_for_all(&request.team) {
             true => self.lend_owned(now, id, request),
             false => Some(self.lend_idle(now, request)),
@@ -156,6 +167,14 @@
             event = "borrowed", number = request.number, team = %request.team, asked = %request.amount,
             amount = ?amount.map(|a| a.0)
         );
+        let prepaid = self.prepaid(&request.team);
+        if let Some(lent) = amount.filter(|lent| *lent > prepaid) {
+            warn!(event = "loan-too-large", number = request.number, team = %request.team, %lent, %prepaid);
+        }
+        let amount = amount.map(|lent| match lent > prepaid {
+            true => Tokens::ZERO,
+            false => lent,
+        });
         if let Some(budget) = self.budgets.get_mut(&request.team) {
             let lender = budget.loans.record_answer(now, request, amount);
             if let Some(peer) = lender.filter(|_| amount.is_none()) {
--- a/src/router/loans.rs
+++ b/src/router/loans.rs
@@ -241,7 +241,7 @@
             });
         }
         let amount = amount.unwrap_or(Tokens::ZERO);
-        self.borrowed += amount;
+        self.borrowed = self.borrowed.saturating_add(amount);
         self.backoff_until.retain(|_, until| now < *until);
         if amount.0 < request.amount.0 / MIN_LOAN_DIVISOR {
             self.backoff_until
@@ -258,7 +258,7 @@
         let is_same = |entry: &UnansweredRequest| entry.request.number == request.number;
         if let Some(index) = self.unanswered.iter().position(is_same) {
             self.unanswered.swap_remove(index);
-            self.borrowed += amount;
+            self.borrowed = self.borrowed.saturating_add(amount);
         }
     }
 
@@ -357,7 +357,7 @@
             .insert(key, transfer.amount)
             .is_none()
         {
-            self.borrowed += transfer.amount;
+            self.borrowed = self.borrowed.saturating_add(transfer.amount);
         }
         if self.received_transfers.len() > HISTORY_CAPACITY {
             self.received_transfers.shift_remove_index(0);
--- a/src/router/peer_budgets.rs
+++ b/src/router/peer_budgets.rs
@@ -131,7 +131,7 @@
 
 impl PeerTotals {
     fn add(&mut self, peer: &Peer, budget: &TeamBudget) {
-        self.free += budget.free;
+        self.free = self.free.saturating_add(budget.free);
         self.demand += budget.demand as f64;
         self.budgets.push(PeerBudget {
             peer: peer.clone(),
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -15,6 +15,7 @@
 mod drain;
 mod drained_domains;
 mod endpoint_restart;
+mod extreme_amounts;
 mod fleet;
 mod fleet_clock;
 mod fragmented;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -158,6 +158,7 @@
         connections: 100,
         slots: Some(8),
         stride: 7,
+        memory: Some(1_000_000),
         warmup: WARMUP,
         cold_rate: COLD_RATE,
     };
