Obey the core's orders while an answer's body is awaited

Cause: Runner::send gathered the body of a failure without looking at the core's commands, so that neither the order to leave the endpoint nor the one to end the request was read. Ruled out: a deadline that is missing in the core (its order lies unread in the channel).

The body is now read beside the commands, by the same function as other answers. The same on related paths: a stream without an event obeys the order to leave its endpoint, for which a retry is reserved; a stream whose caller reads nothing ends at its time limit.

Evidence: the four tests of unfinished_answers failed before (two callers without an answer after 4 s at a limit of 2 s, a stream answered 200 without an event, an endpoint held by a caller that reads nothing) and pass now.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -131,6 +131,15 @@
     Stopped(Option<Command>),
 }
 
+/// What came of reading an answer that is no stream.
+enum Gathered {
+    Whole(Reply),
+    /// It broke off.
+    Broken,
+    /// The core had a command before it was whole.
+    Commanded(Option<Command>),
+}
+
 /// A request on its way to endpoints.
 pub(crate) struct Runner {
     pub(crate) line: Line,
@@ -186,12 +195,7 @@
         match verdict {
             Verdict::Answer => Sent::Answer(Box::new(kept), Box::new(answer)),
             Verdict::Failed if run.idempotent && last.is_none() => {
-                let framing = kept.framing;
-                let failure = gather(relays, kept, answer).await;
-                self.failure = failure
-                    .inspect_err(|error| self.log_broken(framing, error))
-                    .ok();
-                Sent::Over(RunEnd::broken())
+                self.gather_failure(relays, kept, answer).await
             }
             Verdict::Failed => Sent::Answer(Box::new(kept), Box::new(answer)),
             Verdict::Foreign => {
@@ -203,6 +207,43 @@
         }
     }
 
+    /// Reads an endpoint's own failure, for a caller whose request no other endpoint does better on.
+    async fn gather_failure(
+        &mut self,
+        relays: &Relays,
+        kept: Kept,
+        answer: Response<Incoming>,
+    ) -> Sent {
+        match self.gather(relays, kept, answer).await {
+            Gathered::Whole(failure) => self.failure = Some(failure),
+            Gathered::Broken => {}
+            Gathered::Commanded(Some(Command::Leave)) => {}
+            Gathered::Commanded(command) => return Sent::Stopped(command),
+        }
+        Sent::Over(RunEnd::broken())
+    }
+
+    /// Reads an answer that is no stream, unless the core has a command before it is whole: its body may never end.
+    async fn gather(
+        &mut self,
+        relays: &Relays,
+        kept: Kept,
+        answer: Response<Incoming>,
+    ) -> Gathered {
+        let framing = kept.framing;
+        let gathered = tokio::select! {
+            gathered = gather(relays, kept, answer) => gathered,
+            command = self.line.next() => return Gathered::Commanded(command),
+        };
+        match gathered {
+            Ok(reply) => Gathered::Whole(reply),
+            Err(error) => {
+                self.log_broken(framing, &error);
+                Gathered::Broken
+            }
+        }
+    }
+
     /// Logs why a run got no head of an answer, and returns its end.
     fn unanswered(&self, run: &Run, error: UpstreamError) -> RunEnd {
         let (request, endpoint) = (self.line.id, &run.endpoint);
@@ -447,25 +488,20 @@
     kept: Kept,
     answer: Response<Incoming>,
 ) -> Option<Reply> {
-    let framing = kept.framing;
-    let gathered = tokio::select! {
-        gathered = gather(relays, kept, answer) => gathered,
-        command = runner.line.next() => {
-            if let Some(Command::Leave) = command {
-                runner.end(RunEnd::broken());
-                return None;
-            }
-            runner.end(RunEnd::CallerGone { usage: None });
-            return Some(refuse(runner, command));
-        }
-    };
-    let reply = match gathered {
-        Ok(reply) => reply,
-        Err(error) => {
-            runner.log_broken(framing, &error);
+    let reply = match runner.gather(relays, kept, answer).await {
+        Gathered::Whole(reply) => reply,
+        Gathered::Broken => {
             runner.end(RunEnd::closed());
             return None;
         }
+        Gathered::Commanded(Some(Command::Leave)) => {
+            runner.end(RunEnd::broken());
+            return None;
+        }
+        Gathered::Commanded(command) => {
+            runner.end(RunEnd::CallerGone { usage: None });
+            return Some(refuse(runner, command));
+        }
     };
     runner.end(RunEnd::Answered {
         status: reply.status().as_u16(),
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -38,6 +38,27 @@
     CallerGone,
     /// The core broke it off.
     Stopped,
+    /// The core gave the endpoint up, which had sent no event yet.
+    Left,
+}
+
+/// What came of passing a piece on to the caller.
+enum Given {
+    Sent,
+    CallerGone,
+    /// The core broke the stream off while the caller read nothing.
+    Stopped,
+}
+
+impl Given {
+    /// Returns how the stream ended, if it did.
+    fn end(self) -> Option<End> {
+        match self {
+            Self::Sent => None,
+            Self::CallerGone => Some(End::CallerGone),
+            Self::Stopped => Some(End::Stopped),
+        }
+    }
 }
 
 /// One stream.
@@ -89,6 +110,7 @@
                 }
                 End::Broken => RunEnd::closed_off(usage),
                 End::Endless => RunEnd::broken_off(Some(usage)),
+                End::Left => RunEnd::broken(),
             };
             match self.go_on(broken).await {
                 Some(next) => (connection, body) = next,
@@ -105,6 +127,7 @@
                 () = self.out.closed() => return End::CallerGone,
                 command = self.runner.line.next() => match command {
                     Some(Command::Cut(_)) | None => return End::Stopped,
+                    Some(Command::Leave) if self.has_no_event() => return End::Left,
                     Some(_) => continue,
                 },
             };
@@ -121,8 +144,8 @@
                 self.runner.started();
             }
             self.events += events.count;
-            if !events.bytes.is_empty() && !self.give(events.bytes).await {
-                return End::CallerGone;
+            if let Some(end) = self.give(events.bytes).await.end() {
+                return end;
             }
             if self.splitter.is_endless() {
                 self.log_end(connection.framing, "no event ends");
@@ -137,10 +160,13 @@
             return End::Broken;
         }
         let rest = self.splitter.rest();
-        if !rest.is_empty() && !self.give(rest).await {
-            return End::CallerGone;
-        }
-        End::Whole(connection)
+        let end = self.give(rest).await.end();
+        end.unwrap_or(End::Whole(connection))
+    }
+
+    /// Returns whether the caller has no event yet, so that another endpoint may begin anew.
+    fn has_no_event(&self) -> bool {
+        self.events == 0 && self.splitter.last().is_none()
     }
 
     /// Returns whether a stream whose body ended without an error is complete.
@@ -160,8 +186,25 @@
             events = self.events, partial, error);
     }
 
-    async fn give(&self, bytes: Bytes) -> bool {
-        self.out.send(Ok(Frame::data(bytes))).await.is_ok()
+    /// Passes a piece on to the caller. A caller that reads nothing holds it back, until the core breaks the stream off.
+    async fn give(&mut self, bytes: Bytes) -> Given {
+        if bytes.is_empty() {
+            return Given::Sent;
+        }
+        let sending = self.out.send(Ok(Frame::data(bytes)));
+        tokio::pin!(sending);
+        loop {
+            tokio::select! {
+                sent = &mut sending => return match sent {
+                    Ok(()) => Given::Sent,
+                    Err(_) => Given::CallerGone,
+                },
+                command = self.runner.line.next() => match command {
+                    Some(Command::Cut(_)) | None => return Given::Stopped,
+                    Some(_) => {}
+                },
+            }
+        }
     }
 
     /// Goes on at another endpoint from the last whole event, if the core finds one; `end` is how the run ended.
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -34,6 +34,7 @@
 mod stopped;
 mod store;
 mod twice;
+mod unfinished_answers;
 mod verify;
 mod versions;
 mod without_endpoints;
