Record in the log which versions began streams

Cause: a pool's versions of the last minute, and what began each stream, were known to routers alone and lost with the last of them. Ruled out: a VM list that is incomplete when a router begins to serve (no stream mixes where both versions are listed).

The log now has the versions of each pool, written when they change, and while a pool has several what began each stream, written in batches under a digest of account and attempt. A router reads the versions when it starts, and searches for a stream that neither it nor its peers know.

--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -45,6 +45,7 @@
 use crate::router::Core;
 use crate::router::Effect;
 use crate::router::Event;
+use crate::router::StreamLogCall;
 use crate::router::Tuning;
 use crate::settings::Settings;
 
@@ -187,6 +188,9 @@
     /// Begins to read grants from an offset on, or the newest of each key.
     fn read(&self, from: Option<Offset>);
 
+    /// Begins a call to the log of streams and versions; what comes of it is told as an event.
+    fn call_streams(&self, call: StreamLogCall);
+
     /// Takes note that a planned stop began.
     fn leave(&self);
 }
@@ -371,6 +375,7 @@
             Storage::Grants(log) => match effect {
                 Effect::ProposeGrants(proposal) => log.propose(proposal),
                 Effect::ReadGrants(from) => log.read(from),
+                Effect::CallStreamLog(call) => log.call_streams(call),
                 effect => warn!(event = "no-ledger", ?effect),
             },
         }
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -102,7 +102,7 @@
                     sleep(topic.interval).await;
                 }
             }
-            Err(ReadError::Gone) => position = Position::Unknown,
+            Err(ReadError::Gone { .. }) => position = Position::Unknown,
             Err(_) => {
                 if topic.mode == ReadMode::Newest {
                     position = Position::Unknown;
--- a/src/platform/grants.rs
+++ b/src/platform/grants.rs
@@ -17,8 +17,10 @@
 use crate::platform::store::Append;
 use crate::platform::store::ReadError;
 use crate::platform::store::Store;
+use crate::platform::streams;
 use crate::router::Event;
 use crate::router::GrantEvent;
+use crate::router::StreamLogCall;
 
 /// The topic of the grants.
 const TOPIC: &str = "keyed.grants";
@@ -50,7 +52,7 @@
                 None => newest(&store).await,
             };
             let event = event.unwrap_or_else(|error| match error {
-                ReadError::Gone => GrantEvent::Gone,
+                ReadError::Gone { .. } => GrantEvent::Gone,
                 error => {
                     warn!(event = "grants-unread", %error);
                     GrantEvent::ReadFailed
@@ -60,6 +62,15 @@
         });
     }
 
+    fn call_streams(&self, call: StreamLogCall) {
+        let store = self.store.clone();
+        let desk = self.desk.clone();
+        tokio::spawn(async move {
+            let event = streams::call(&store, call).await;
+            desk.tell(Event::StreamLog(event));
+        });
+    }
+
     fn leave(&self) {
         self.listing.leave();
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,6 +17,7 @@
 mod registry;
 mod start;
 mod store;
+mod streams;
 #[cfg(test)]
 mod tests;
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -39,7 +39,10 @@
 pub(crate) enum ReadError {
     /// The requested records are deleted.
     #[error("the records are deleted")]
-    Gone,
+    Gone {
+        /// The first offset that is retained, if the store says so.
+        first: Option<u64>,
+    },
     /// The store rejected the read with this status.
     #[error("the store answered {0}")]
     Refused(u16),
@@ -93,6 +96,11 @@
     end: u64,
 }
 
+#[derive(Deserialize)]
+struct GonePage {
+    first: u64,
+}
+
 #[derive(Deserialize)]
 struct NewestItem {
     key: String,
@@ -159,7 +167,9 @@
         let answer = self.call("GET", &path, Bytes::new(), times).await?;
         match answer.status.as_u16() {
             200 => Ok(Page::decode(&answer.body)?),
-            410 => Err(ReadError::Gone),
+            410 => Err(ReadError::Gone {
+                first: first_retained(&answer.body),
+            }),
             status => Err(ReadError::Refused(status)),
         }
     }
@@ -256,6 +266,13 @@
     }
 }
 
+/// Reads the first offset that is retained from an answer.
+fn first_retained(body: &[u8]) -> Option<u64> {
+    let read = serde_json::from_slice::<GonePage>(body);
+    let read = read.inspect_err(|error| warn!(event = "answer-unreadable", %error));
+    read.ok().map(|page| page.first)
+}
+
 /// Percent-encodes a key for a query.
 fn escape(text: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
--- /dev/null
+++ b/src/platform/streams.rs
@@ -0,0 +1,107 @@
+//! Reads and writes in the store what began streams, and the versions of pools.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tracing::warn;
+
+use crate::ids::Offset;
+use crate::platform::record::Keyed;
+use crate::platform::store::Append;
+use crate::platform::store::Newest;
+use crate::platform::store::ReadError;
+use crate::platform::store::Store;
+use crate::router::StreamLogCall;
+use crate::router::StreamLogEvent;
+use crate::router::StreamRecord;
+
+/// The topic of streams, whose old records the store deletes.
+const STREAMS: &str = "streams";
+
+/// The topic of versions, of which the store retains the newest record of each pool.
+const VERSIONS: &str = "keyed.versions";
+
+/// Makes a call, and returns what came of it.
+pub(crate) async fn call(store: &Store, call: StreamLogCall) -> StreamLogEvent {
+    match call {
+        StreamLogCall::Append(records) => {
+            let records: Vec<_> = records.iter().map(|r| keyed("", r)).collect();
+            StreamLogEvent::Appended(append(store, STREAMS, &records).await)
+        }
+        StreamLogCall::WriteVersions(record) => {
+            let written = append(store, VERSIONS, &[keyed(record.pool.as_str(), &record)]).await;
+            StreamLogEvent::VersionsWritten(record, written)
+        }
+        StreamLogCall::Read(from) => {
+            let read = read(store, from.map_or(0, |from| from.0)).await;
+            StreamLogEvent::Read(answered(STREAMS, read))
+        }
+        StreamLogCall::ReadVersions => {
+            let table = store.newest(VERSIONS).await;
+            let table = answered(VERSIONS, table).map(|table| table.rows);
+            let records = |rows: Vec<_>| {
+                let rows = rows.into_iter();
+                rows.filter_map(|row: Newest| decode(VERSIONS, &row.value))
+            };
+            StreamLogEvent::VersionsRead(table.map(|rows| records(rows).collect()))
+        }
+    }
+}
+
+async fn append(store: &Store, topic: &str, records: &[Keyed]) -> bool {
+    let append = store.append(topic, records, None).await;
+    if append != Append::Landed {
+        warn!(event = "streams-unwritten", topic, ?append);
+    }
+    append == Append::Landed
+}
+
+/// Reads all streams from an offset on that are retained.
+async fn read(store: &Store, from: u64) -> Result<(Vec<StreamRecord>, Offset), ReadError> {
+    let mut next = from;
+    let mut records = Vec::new();
+    loop {
+        let page = match store.read(STREAMS, next, Duration::ZERO, None).await {
+            Ok(page) => page,
+            Err(ReadError::Gone { first: Some(first) }) if first > next => {
+                next = first;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        for record in &page.records {
+            let value = Keyed::decode(record)?.value.unwrap_or_default();
+            records.extend(decode(STREAMS, &value));
+            next += 1;
+        }
+        if next >= page.end || page.records.is_empty() {
+            return Ok((records, Offset(next)));
+        }
+    }
+}
+
+fn answered<T>(topic: &str, read: Result<T, ReadError>) -> Option<T> {
+    let read = read.inspect_err(|error| warn!(event = "streams-unread", topic, %error));
+    read.ok()
+}
+
+fn keyed<T>(key: &str, record: &T) -> Keyed
+where
+    T: Serialize,
+{
+    Keyed {
+        key: key.to_owned(),
+        value: Some(postcard::to_stdvec(record).expect("names and numbers can be encoded")),
+    }
+}
+
+/// Decodes a record. One that can't be decoded is of another version of the router.
+fn decode<T>(topic: &str, value: &[u8]) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let read = postcard::from_bytes(value);
+    let read = read.inspect_err(|error| warn!(event = "record-unreadable", topic, %error));
+    read.ok()
+}
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -52,6 +52,7 @@
 use crate::router::pool::Pool;
 use crate::router::request::Request;
 use crate::router::slots::Slots;
+use crate::router::stream_log::StreamLog;
 use crate::router::streams::Streams;
 use crate::router::table_watch::TableWatch;
 use crate::settings::EndMarker;
@@ -221,6 +222,8 @@
     pub(crate) slots: Slots,
     /// Which versions of the endpoints' software began streams.
     pub(crate) streams: Streams,
+    /// What the log remembers of streams and versions.
+    pub(crate) stream_log: StreamLog,
     /// Budgets granted to this router, unless the ledger accounts for them.
     pub(crate) grant_budgets: GrantBudgets,
 }
@@ -312,6 +315,7 @@
             announcements: Announcements::new(tuning.vm.clone()),
             slots: Slots::default(),
             streams: Streams::new(now),
+            stream_log: StreamLog::new(now),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -372,6 +376,7 @@
             Event::StreamsBegun(rows) => self.keep_streams(now, rows),
             Event::StreamQueried(id, key) => self.answer_stream_query(id, &key),
             Event::StreamLocated(id, origin) => self.handle_stream_answer(now, id, origin.as_ref()),
+            Event::StreamLog(event) => self.handle_stream_log(now, event),
             Event::Slots(messages) => self.handle_slot_messages(now, &messages),
             Event::PromptNotice(notice) => self.record_peer_prompt(now, &notice),
             Event::TransferReceived(id, transfer) => self.accept_transfer(id, &transfer),
@@ -390,6 +395,7 @@
         self.flush(now);
         self.send_slot_messages(now);
         self.send_streams();
+        self.step_stream_log(now);
         std::mem::take(&mut self.effects)
     }
 
@@ -488,6 +494,7 @@
         self.forward_queued(now);
         self.review_slots(now);
         self.review_versions(now);
+        self.step_versions(now);
         self.tick_pools(now);
         self.continue_drain(now, tuning.min_drain);
     }
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -29,6 +29,7 @@
 use crate::router::event::ReplyId;
 use crate::router::heartbeat::Heartbeat;
 use crate::router::problem::Problem;
+use crate::router::stream_log::StreamLogCall;
 use crate::router::streams::StreamRow;
 
 /// What the edge is to do.
@@ -97,6 +98,8 @@
     KeepStreams(Vec<StreamRow>, Peer),
     /// Asks another router what began the stream that a request takes up.
     LocateStream(RequestId, StreamKey, Peer),
+    /// To call the log of streams and versions.
+    CallStreamLog(StreamLogCall),
     /// Tells another router the demand for slots of brittle endpoints, or grants it slots.
     SendSlots(Vec<SlotMessage>, Peer),
     /// Transfers budget to another router.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -37,6 +37,7 @@
 use crate::router::examine::Examination;
 use crate::router::heartbeat::Heartbeat;
 use crate::router::run_end::RunEnd;
+use crate::router::stream_log::StreamLogEvent;
 use crate::router::streams::StreamRow;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
@@ -143,6 +144,8 @@
     StreamQueried(ReplyId, StreamKey),
     /// A router that was asked what began the stream that a request takes up answered, if it knows, or did not.
     StreamLocated(RequestId, Option<StreamOrigin>),
+    /// The log of streams and versions answered, or did not.
+    StreamLog(StreamLogEvent),
     /// Another router tells its demand for slots of brittle endpoints, or grants slots.
     Slots(Vec<SlotMessage>),
     /// Another router sent a long prompt to an endpoint.
--- a/src/router/expire.rs
+++ b/src/router/expire.rs
@@ -46,6 +46,10 @@
                 let detail = "the routers that were asked about the stream did not answer in time";
                 self.refuse(now, id, ProblemKind::NoEndpoint, detail);
             }
+            State::Seeking if overdue => {
+                let detail = "the log was not searched for the stream in time";
+                self.refuse(now, id, ProblemKind::NoEndpoint, detail);
+            }
             State::Queued if overdue => {
                 let detail = "the wait for an endpoint outlasted the deadline";
                 self.refuse(now, id, ProblemKind::Overloaded, detail);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -50,6 +50,7 @@
 mod run;
 mod run_end;
 mod slots;
+mod stream_log;
 mod streams;
 mod table_watch;
 #[cfg(test)]
@@ -98,6 +99,11 @@
 pub use problem::Ran;
 pub(crate) use run_end::Failure;
 pub(crate) use run_end::RunEnd;
+pub(crate) use stream_log::StreamLogCall;
+pub(crate) use stream_log::StreamLogEvent;
+pub(crate) use stream_log::StreamRecord;
+#[cfg(test)]
+pub(crate) use stream_log::VersionRecord;
 pub(crate) use streams::StreamRow;
 pub(crate) use vm_index::CPU_LABEL;
 pub(crate) use vm_index::FORWARD_LABEL;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -6,6 +6,7 @@
 use crate::config::RepeatPolicy;
 use crate::decide::PendingRetry;
 use crate::decide::Prompt;
+use crate::decide::StreamKey;
 use crate::decide::Suspect;
 use crate::ids::AccountId;
 use crate::ids::Attempt;
@@ -131,6 +132,15 @@
         terms.is_some_and(|terms| !terms.forwarded && !terms.arrived)
     }
 
+    /// Returns the stream that it takes up, if its caller named it.
+    pub(crate) fn resumed_stream(&self) -> Option<StreamKey> {
+        let attempt = self.relay.as_ref()?.resumption.as_ref()?.origin.clone()?;
+        Some(StreamKey {
+            account: self.key.account.clone(),
+            attempt,
+        })
+    }
+
     /// Returns the tokens of broken runs that its team pays for: either the team or the operator (`House`) bears these,
     /// as the deployment specifies.
     pub(crate) fn charged_waste(&self) -> Tokens {
@@ -164,6 +174,8 @@
         /// How many of them have not answered.
         waiting: usize,
     },
+    /// The log is searched for what began the stream that it takes up.
+    Seeking,
     /// It waits for budget.
     Funding {
         /// Since when its team's budget has had too little left to draw.
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -102,6 +102,18 @@
         }
     }
 
+    /// Returns the versions that each pool had lately.
+    pub(crate) fn versions(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&PoolId, IndexSet<Option<SoftwareVersion>>)> {
+        let pools = self.versions.iter();
+        pools.map(move |(pool, versions)| {
+            let versions = versions.ages(now).map(|(version, _)| version.clone());
+            (pool, versions.collect())
+        })
+    }
+
     /// Returns the versions of pools that have several.
     pub(crate) fn rows(&self, now: Instant) -> Vec<VersionRow> {
         let mixed = self
@@ -132,6 +144,7 @@
             for version in pool.picker.versions.values() {
                 versions.record(now, version.clone());
             }
+            self.stream_log.add_inherited(name, versions);
         }
         self.review_mixed_pools(now);
     }
@@ -192,6 +205,7 @@
             .collect();
         for row in rows {
             self.replicate_stream(now, &row);
+            self.stream_log.push(now, &row.key, &row.origin);
         }
     }
 
@@ -276,6 +290,7 @@
             };
             if self.streams.mixed.contains(&origin.pool) {
                 self.replicate_stream(now, &row);
+                self.stream_log.push(now, &row.key, &row.origin);
             }
             self.streams.origins.record(now, row.key, row.origin);
         }
@@ -298,31 +313,22 @@
     /// may proceed now.
     pub(crate) fn bind_resumed_stream(&mut self, now: Instant, id: RequestId) -> bool {
         let request = &self.requests[&id];
-        let resumption = request.relay.as_ref();
-        let Some(resumption) = resumption.and_then(|terms| terms.resumption.clone()) else {
+        let terms = request.relay.as_ref();
+        if terms.is_none_or(|terms| terms.resumption.is_none()) {
             return true;
-        };
-        let pool = request.pool.clone();
-        let key = resumption.origin.map(|attempt| StreamKey {
-            account: request.key.account.clone(),
-            attempt,
-        });
+        }
+        let key = request.resumed_stream();
         let known = key.as_ref().and_then(|key| self.streams.origins.find(key));
         if let Some(origin) = known.cloned() {
             return self.bind_to_origin(now, id, &origin);
         }
-        let only = self
-            .streams
-            .versions
-            .get(&pool)
-            .and_then(PoolVersions::only);
-        if let Some(version) = only.filter(|_| self.knows_versions(now)).cloned() {
-            return self.bind_to_origin(now, id, &StreamOrigin { pool, version });
+        if let Some(origin) = self.only_origin(now, id) {
+            return self.bind_to_origin(now, id, &origin);
         }
         let asked = key.as_ref().map(|key| self.replicas(now, key, ASKED));
         let asked = asked.unwrap_or_default();
         if asked.is_empty() {
-            self.refuse_stream(now, id, UNKNOWN_VERSION);
+            self.seek_in_log(id);
             return false;
         }
         let waiting = asked.len();
@@ -355,10 +361,42 @@
                 }
             }
             None if waits => {}
+            None => self.seek_in_log(id),
+        }
+    }
+
+    /// Goes on with a request after the log was searched for its stream.
+    pub(crate) fn resume_sought(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        found: Option<&StreamOrigin>,
+    ) {
+        let only = match found {
+            Some(_) => None,
+            None => self.only_origin(now, id),
+        };
+        match found.or(only.as_ref()) {
+            Some(origin) => {
+                if self.bind_to_origin(now, id, origin) {
+                    self.check_limits(now, id);
+                }
+            }
             None => self.refuse_stream(now, id, UNKNOWN_VERSION),
         }
     }
 
+    /// Returns what began the stream that a request takes up if only one version can have begun it.
+    fn only_origin(&self, now: Instant, id: RequestId) -> Option<StreamOrigin> {
+        let pool = self.requests[&id].pool.clone();
+        let versions = self.streams.versions.get(&pool)?;
+        let version = versions
+            .only()
+            .filter(|_| self.knows_versions(now))?
+            .clone();
+        Some(StreamOrigin { pool, version })
+    }
+
     /// Binds a request to the version that began its stream, or refuses it; returns whether it may proceed.
     fn bind_to_origin(&mut self, now: Instant, id: RequestId, origin: &StreamOrigin) -> bool {
         if !self.is_routed_to(id, &origin.pool) {
@@ -423,8 +461,9 @@
         self.refuse_with(now, id, problem.with_retry(RETRY));
     }
 
-    /// Returns whether no stream can have begun at a version that this router does not know of: the store answers it, and
-    /// it has heard of other routers or has run for long; or it hears all of them.
+    /// Returns whether no stream can have begun at a version that this router does not know of: it has read which versions
+    /// were recorded before it started; and the store answers it, and it has heard of other routers or has run for long; or
+    /// it hears all of them.
     fn knows_versions(&self, now: Instant) -> bool {
         let peers = self.members.vm_index.peers();
         let hears = |vm: &VmId| self.members.has_fresh_heartbeat(now, vm);
@@ -435,7 +474,8 @@
             .all(|peer| hears(&peer.vm) || is_dead(&peer.vm));
         let has_history = now >= self.started_at + VERSION_RETENTION;
         let informed = peers.is_empty() || any || has_history;
-        !self.may_be_behind(now) && informed || all && !peers.is_empty()
+        let current = !self.may_be_behind(now) && informed || all && !peers.is_empty();
+        current && self.stream_log.is_loaded()
     }
 
     /// Sends what other routers are to remember.
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexMap;
+
 use crate::config::ConnectionLimits;
 use crate::config::PathRoute;
 use crate::config::Payer;
@@ -18,6 +20,7 @@
 use crate::ids::Fingerprint;
 use crate::ids::Incarnation;
 use crate::ids::Offset;
+use crate::ids::PoolId;
 use crate::ids::RequestId;
 use crate::ids::TableVersion;
 use crate::key_hash::KeyHash;
@@ -37,8 +40,12 @@
 use crate::router::Run;
 use crate::router::RunEnd;
 use crate::router::Secret;
+use crate::router::StreamLogCall;
+use crate::router::StreamLogEvent;
+use crate::router::StreamRecord;
 use crate::router::Tuning;
 use crate::router::Usage;
+use crate::router::VersionRecord;
 use crate::router::Work;
 use crate::router::heartbeat::TeamBudget;
 use crate::router::tests::cluster::boot_clock;
@@ -89,6 +96,9 @@
     pub(crate) log_end: u64,
     /// The grant rows in the log.
     pub(crate) rows: Vec<(Offset, GrantKey, GrantRow)>,
+    /// What the log has of streams and versions.
+    pub(crate) streams: Vec<StreamRecord>,
+    pub(crate) versions: IndexMap<PoolId, VersionRecord>,
     next_id: u64,
 }
 
@@ -259,6 +269,8 @@
             effects: Vec::new(),
             log_end: 0,
             rows: Vec::new(),
+            streams: Vec::new(),
+            versions: IndexMap::new(),
             next_id: 1,
         };
         site.handle(Event::Table(table(1, prepaid)));
@@ -292,6 +304,24 @@
         self.handle(Event::VmList(list));
     }
 
+    /// Kills all routers, and starts this one anew under the same VM with the given VM list, which the others are missing
+    /// from until they have started as well.
+    pub(crate) fn restart_member(&mut self, vms: Vec<VmEntry>) {
+        let table = self.core.route_table.clone().expect("a table");
+        let vm = self.core.tuning.vm.clone();
+        self.now += Duration::from_millis(500);
+        let clock = boot_clock(1, self.wall_clock(), self.now);
+        let tuning = Tuning {
+            vm,
+            heartbeat_interval: Duration::from_millis(500),
+            ..site_tuning(clock)
+        };
+        self.core = Core::new(self.now, tuning, 8);
+        self.handle(Event::Table(table));
+        self.handle(Event::VmList(VmList { as_of: 1, vms }));
+        self.advance(100);
+    }
+
     /// Returns the true wall clock time.
     fn wall_clock(&self) -> Duration {
         START_TIME + (self.now - self.started)
@@ -306,16 +336,45 @@
             assert!(handled <= MAX_EVENTS, "the core calls the log without end");
             for effect in self.core.handle(self.now, event) {
                 let answer = match &effect {
-                    Effect::ProposeGrants(proposal) => Some(self.propose(proposal)),
-                    Effect::ReadGrants(_) => Some(self.read()),
+                    Effect::ProposeGrants(proposal) => Some(Event::Grants(self.propose(proposal))),
+                    Effect::ReadGrants(_) => Some(Event::Grants(self.read())),
+                    Effect::CallStreamLog(call) => Some(Event::StreamLog(self.call_streams(call))),
                     _ => None,
                 };
-                events.extend(answer.map(Event::Grants));
+                events.extend(answer);
                 self.effects.push(effect);
             }
         }
     }
 
+    fn call_streams(&mut self, call: &StreamLogCall) -> StreamLogEvent {
+        let up = self.log == Log::Up;
+        match call {
+            StreamLogCall::Append(records) => {
+                if up {
+                    self.streams.extend(records.iter().cloned());
+                }
+                StreamLogEvent::Appended(up)
+            }
+            StreamLogCall::Read(from) => {
+                let from = from.map_or(0, |from| from.0 as usize);
+                let read = self.streams[from..].to_vec();
+                let end = Offset(self.streams.len() as u64);
+                StreamLogEvent::Read(up.then_some((read, end)))
+            }
+            StreamLogCall::WriteVersions(record) => {
+                if up {
+                    self.versions.insert(record.pool.clone(), record.clone());
+                }
+                StreamLogEvent::VersionsWritten(record.clone(), up)
+            }
+            StreamLogCall::ReadVersions => {
+                let all = self.versions.values().cloned().collect();
+                StreamLogEvent::VersionsRead(up.then_some(all))
+            }
+        }
+    }
+
     fn propose(&mut self, proposal: &Proposal) -> GrantEvent {
         if self.log == Log::Down {
             return GrantEvent::Lost(proposal.at);
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -1,7 +1,12 @@
 //! Streams of a pool whose endpoints run several versions of their software.
 
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::decide::StreamDigest;
 use crate::decide::StreamKey;
 use crate::decide::StreamOrigin;
+use crate::decide::StreamOutbox;
 use crate::ids::RequestId;
 use crate::ids::VmId;
 use crate::router::Effect;
@@ -13,6 +18,7 @@
 use crate::router::ReplyId;
 use crate::router::Resumption;
 use crate::router::RunEnd;
+use crate::router::StreamLogCall;
 use crate::router::StreamRow;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
@@ -20,6 +26,7 @@
 use crate::router::tests::site::entry;
 use crate::router::tests::site::payer;
 use crate::router::tests::site::table_with_payers;
+use crate::router::tests::site::whole;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 use crate::vms::VmState;
@@ -396,3 +403,203 @@
     let id = resume(&mut site, "key", Some("a"));
     assert_eq!(version_of(&endpoints(&site, id)[0]), "v2");
 }
+
+/// Takes up a stream at a router that has lost its memory and whose peers know nothing of it.
+fn resume_unknown(site: &mut Site, attempt: &str) -> RequestId {
+    let id = resume(site, "key", Some(attempt));
+    for _ in 0..asked(site, id) {
+        site.handle(Event::StreamLocated(id, None));
+    }
+    site.advance(500);
+    id
+}
+
+/// Begins streams, and returns for each the attempt and the version that began it.
+fn begin_streams(site: &mut Site, count: usize) -> Vec<(String, String)> {
+    let mut streams = Vec::new();
+    for n in 0..count {
+        let attempt = format!("begun-{n}");
+        let id = begin(site, &attempt);
+        site.handle(Event::AnswerStarted(id));
+        let version = version_of(&endpoints(site, id)[0]).to_owned();
+        site.handle(Event::RunEnded(id, RunEnd::CallerGone { usage: None }));
+        streams.push((attempt, version));
+    }
+    streams
+}
+
+/// Returns how many streams went on, each of which must do so at the version that began it.
+fn take_up(site: &mut Site, streams: &[(String, String)]) -> usize {
+    let mut taken = 0;
+    for (attempt, version) in streams {
+        let id = resume_unknown(site, attempt);
+        match endpoints(site, id).first() {
+            Some(endpoint) => {
+                assert_eq!(version_of(endpoint), version);
+                site.handle(Event::AnswerStarted(id));
+                site.handle(Event::RunEnded(id, whole(7)));
+                taken += 1;
+            }
+            None => {
+                let refusal = site.refusal(id).map(|problem| problem.ran);
+                assert_eq!(refusal, Some(Ran::No), "{attempt} waits");
+            }
+        }
+    }
+    taken
+}
+
+/// Returns the list without other routers, as long as these have not started again.
+fn alone(versions: &[&str]) -> Vec<VmEntry> {
+    let is_other =
+        |entry: &VmEntry| entry.labels.get("role").is_some() && entry.vm.as_str() != "router-0";
+    let mut all = vms(versions);
+    all.retain(|entry| !is_other(entry));
+    all
+}
+
+fn reads(site: &Site) -> usize {
+    let is_read =
+        |effect: &&Effect| matches!(effect, Effect::CallStreamLog(StreamLogCall::Read(_)));
+    site.effects.iter().filter(is_read).count()
+}
+
+/// Guards against streams of two versions that are all refused after a kill of all routers, while both versions serve.
+#[test]
+fn streams_of_two_versions_go_on_after_all_routers_were_killed() {
+    let mut site = start(&["v1", "v2"]);
+    let streams = begin_streams(&mut site, 20);
+    site.advance(500);
+    for kills in 0..2 {
+        site.restart_member(alone(&["v1", "v2"]));
+        let taken = take_up(&mut site, &streams);
+        assert_eq!(taken, streams.len(), "after {kills} more kills");
+    }
+}
+
+/// Guards against a router that takes the only version that is left for the one that began every stream.
+#[test]
+fn streams_of_a_version_that_is_gone_go_on_nowhere_after_all_routers_were_killed() {
+    let mut site = start(&["v1", "v2"]);
+    let streams = begin_streams(&mut site, 20);
+    site.advance(500);
+    list(&mut site, vms(&["v2"]));
+    site.advance(8000);
+    site.restart_member(alone(&["v2"]));
+    let of_second = streams.iter().filter(|(_, version)| version == "v2");
+    let of_second = of_second.count();
+    assert!(of_second > 0 && of_second < streams.len());
+    assert_eq!(take_up(&mut site, &streams), of_second);
+}
+
+/// Guards against a first release while all routers are down, of which none of them saw the version before.
+#[test]
+fn a_version_that_was_replaced_while_all_routers_were_down_is_remembered() {
+    let mut site = start(&["v1"]);
+    let streams = begin_streams(&mut site, 5);
+    site.advance(120_000);
+    site.restart_member(alone(&["v2"]));
+    assert_eq!(take_up(&mut site, &streams), 0);
+    // New streams begin, and are recorded.
+    let streams = begin_streams(&mut site, 5);
+    site.advance(500);
+    site.restart_member(alone(&["v2"]));
+    assert_eq!(take_up(&mut site, &streams), 5);
+}
+
+/// Guards against refusals in a pool of one version after all routers were killed, and against calls to the log for it.
+#[test]
+fn streams_of_a_single_version_go_on_without_the_log_after_all_routers_were_killed() {
+    let mut site = start(&["v1"]);
+    let streams = begin_streams(&mut site, 5);
+    site.advance(500);
+    assert!(site.streams.is_empty());
+    site.restart_member(alone(&["v1"]));
+    assert_eq!(take_up(&mut site, &streams), 5);
+    assert_eq!(reads(&site), 0);
+}
+
+/// Guards against a version that is guessed where all routers were killed before a stream was recorded, or its record is
+/// gone or out of reach.
+#[test]
+fn streams_without_a_record_are_refused_after_all_routers_were_killed() {
+    let mut site = start(&["v1", "v2"]);
+    site.advance(500);
+    site.log = Log::Down;
+    let streams = begin_streams(&mut site, 5);
+    site.log = Log::Up;
+    site.restart_member(alone(&["v1", "v2"]));
+    assert_eq!(take_up(&mut site, &streams), 0);
+    let streams = begin_streams(&mut site, 5);
+    site.advance(500);
+    site.log = Log::Down;
+    site.restart_member(alone(&["v1"]));
+    assert_eq!(take_up(&mut site, &streams), 0);
+    site.log = Log::Up;
+    site.advance(3000);
+    site.streams.clear();
+    assert_eq!(take_up(&mut site, &streams), 0);
+}
+
+/// Guards against a version that counts for ever once it was recorded.
+#[test]
+fn a_version_is_dropped_from_the_log_a_while_after_its_last_endpoint() {
+    let mut site = start(&["v1", "v2"]);
+    site.advance(500);
+    list(&mut site, vms(&["v2"]));
+    site.advance(70_000);
+    let recorded = site.versions.values().next().expect("a record");
+    assert_eq!(recorded.versions, [origin("v2").version]);
+}
+
+/// Guards against client accounts and attempts in records that others can read.
+#[test]
+fn records_of_streams_name_no_account() {
+    let mut site = start(&["v1", "v2"]);
+    begin_streams(&mut site, 1);
+    site.advance(500);
+    let record = postcard::to_stdvec(&site.streams).expect("a record");
+    for name in ["loans", "begun-0"] {
+        let found = record
+            .windows(name.len())
+            .any(|part| part == name.as_bytes());
+        assert!(!found, "{name}");
+    }
+    let stolen = resume(&mut site, "other", Some("begun-0"));
+    assert!(endpoints(&site, stolen).is_empty());
+}
+
+/// Guards against records of streams that use up the rate of calls that the log takes from all routers.
+#[test]
+fn records_of_streams_take_a_small_part_of_the_rate_of_the_log() {
+    let seconds = 10;
+    for (routers, calls_per_s) in [(7, 600), (195, 3200), (985, 4000)] {
+        let mut now = Instant::now();
+        let mut outbox = StreamOutbox::new(now);
+        let (mut writes, mut written) = (0, 0);
+        let ticks = seconds * 100;
+        for tick in 0..ticks {
+            let key = StreamKey {
+                account: "loans".parse().expect("a name"),
+                attempt: tick.to_string().parse().expect("a name"),
+            };
+            outbox.push(now, StreamDigest::of(&key), origin("v1"));
+            let streams = outbox.begin_write(now, routers);
+            writes += usize::from(!streams.is_empty());
+            // Every third write fails, and is made again.
+            let lands = writes % 3 != 0;
+            written += if lands { streams.len() } else { 0 };
+            outbox.end_write(lands);
+            now += Duration::from_millis(10);
+        }
+        let fleet = writes * routers / seconds;
+        println!(
+            "measure=stream-writes routers={routers} per_s={fleet} written={written} of={ticks}"
+        );
+        assert!(
+            fleet * 5 <= calls_per_s,
+            "{fleet} of {calls_per_s} calls a second"
+        );
+        assert!(written * 2 > ticks, "{written} of {ticks} are recorded");
+    }
+}
--- a/tests/faults/store.rs
+++ b/tests/faults/store.rs
@@ -97,9 +97,18 @@
 
     /// Writes the newest record of a key.
     pub(crate) fn put(&self, topic: &str, key: &str, value: &Value) {
+        self.push(topic, key, value.to_string().as_bytes());
+    }
+
+    /// Deletes a key.
+    pub(crate) fn remove(&self, topic: &str, key: &str) {
+        self.push(topic, key, b"");
+    }
+
+    fn push(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![u8::try_from(key.len()).expect("a short key")];
         record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value.to_string().as_bytes());
+        record.extend_from_slice(value);
         self.topics()
             .entry(self.kept_name(topic))
             .or_default()
--- a/tests/faults/versions.rs
+++ b/tests/faults/versions.rs
@@ -35,6 +35,12 @@
 const EVENTS: usize = 6;
 /// After which event streams break off.
 const BREAK: usize = 2;
+/// How long all routers are down, and the pause between the attempts of their callers afterwards.
+const DOWN: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(300);
+const TAKE_UPS: usize = 3;
+/// The time within which a stream that began is recorded.
+const RECORD_TIME: Duration = Duration::from_millis(1000);
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How a stream is interrupted, and taken up again.
@@ -134,6 +140,8 @@
 struct Site {
     routers: Vec<Router>,
     store: Store,
+    at: SocketAddr,
+    first_vm: usize,
 }
 
 impl Site {
@@ -143,11 +151,11 @@
         let mut resumable = route(SERVICE, "streaming");
         resumable["resumable"] = json!(true);
         put_config(&store, &[resumable]);
-        let settings = json!({"retry_ratio": 0.2, "retry_spare": 100.0, "retry_window_ms": 2000});
-        let routers = (0..ROUTERS).map(|n| Router::start(first_vm + n, at, &settings));
         let site = Self {
-            routers: routers.collect::<Result<_>>()?,
+            routers: Self::start_routers(first_vm, at)?,
             store,
+            at,
+            first_vm,
         };
         site.start_version("v1").await?;
         wait_for("all routers are listed", LIMIT, async || {
@@ -160,6 +168,58 @@
         Ok(site)
     }
 
+    fn start_routers(first_vm: usize, at: SocketAddr) -> Result<Vec<Router>> {
+        let settings = json!({"retry_ratio": 0.2, "retry_spare": 100.0, "retry_window_ms": 2000});
+        let routers = (0..ROUTERS).map(|n| Router::start(first_vm + n, at, &settings));
+        routers.collect()
+    }
+
+    /// Kills all routers at once.
+    async fn kill_routers(&mut self) -> Result<()> {
+        for router in &self.routers {
+            router.process.signal("KILL")?;
+        }
+        self.routers.clear();
+        sleep(DOWN).await;
+        Ok(())
+    }
+
+    /// Starts all routers anew under their VMs, and waits until each serves.
+    async fn restart_routers(&mut self) -> Result<()> {
+        self.routers = Self::start_routers(self.first_vm, self.at)?;
+        for router in &self.routers {
+            router.wait_serving(SERVICE).await?;
+        }
+        Ok(())
+    }
+
+    fn stop_version(&self, version: &str) {
+        for number in 0..ENDPOINTS {
+            let name = format!("{version}-{number}");
+            self.store.remove("keyed.servers", &name);
+        }
+    }
+
+    /// Has callers take up their streams, who come back a few times if they are refused.
+    async fn take_up(&self, how: &str, streams: &mut [Stream]) -> Result<()> {
+        for round in 0..TAKE_UPS {
+            for stream in streams.iter_mut().filter(|stream| !stream.is_whole()) {
+                let n = stream.number;
+                let front = self.routers[(n + 1) % ROUTERS].front;
+                let (path, first) = (format!("{SERVICE}/{n}"), format!("Router-{n}"));
+                let next = format!("{how}-{round}-{n}");
+                let origin = Some(first.as_str());
+                stream.read(front, &path, &next, origin, EVENTS).await?;
+            }
+            sleep(PAUSE).await;
+        }
+        let whole = streams.iter().filter(|s| s.is_whole()).count();
+        let mixed = streams.iter().filter(|s| s.versions.len() > 1).count();
+        println!("{how}: {whole} of {STREAMS} went on, {mixed} of two versions");
+        assert_eq!(mixed, 0, "{how}: streams of two versions");
+        Ok(())
+    }
+
     /// Starts endpoints that run a version.
     async fn start_version(&self, version: &'static str) -> Result<()> {
         for number in 0..ENDPOINTS {
@@ -339,3 +399,66 @@
     }
     Ok(())
 }
+
+/// Returns how many streams a version began, and how many of these went on.
+fn begun_by(streams: &[Stream], version: &str) -> (usize, usize) {
+    let begun = streams.iter().filter(|s| s.versions[0] == version);
+    let begun: Vec<_> = begun.collect();
+    let whole = begun.iter().filter(|s| s.is_whole()).count();
+    (begun.len(), whole)
+}
+
+/// Guards against streams that are all refused, or go on at any version, after all routers were killed.
+#[tokio::test]
+async fn streams_go_on_after_all_routers_were_killed() -> Result<()> {
+    let mut site = Site::start(190).await?;
+    site.start_second_version().await?;
+    let mut streams = site.run_streams(Interruption::Router).await?;
+    sleep(RECORD_TIME).await;
+    site.kill_routers().await?;
+    site.restart_routers().await?;
+    site.take_up("both-serve", &mut streams).await?;
+    let versions: IndexSet<_> = streams.iter().flat_map(|s| &s.versions).collect();
+    assert_eq!(versions.len(), 2, "both versions serve");
+    let whole = streams.iter().filter(|s| s.is_whole()).count();
+    assert!(whole * 2 >= STREAMS, "{whole} went on");
+    Ok(())
+}
+
+/// Guards against routers that remember nothing, and take the only version listed for the one that began each stream.
+#[tokio::test]
+async fn streams_of_a_version_that_is_gone_go_on_nowhere_after_all_routers_were_killed()
+-> Result<()> {
+    let mut site = Site::start(193).await?;
+    site.start_second_version().await?;
+    let mut streams = site.run_streams(Interruption::Router).await?;
+    site.stop_version("v1");
+    sleep(RECORD_TIME).await;
+    site.kill_routers().await?;
+    site.restart_routers().await?;
+    site.take_up("old-gone", &mut streams).await?;
+    let (old, old_whole) = begun_by(&streams, "v1");
+    let (new, new_whole) = begun_by(&streams, "v2");
+    assert!(old > 0 && new > 0, "both versions begin streams");
+    assert_eq!(old_whole, 0);
+    assert!(new_whole * 2 >= new, "{new_whole} of {new} went on");
+    Ok(())
+}
+
+/// Guards against a first release while all routers are down, and against refusals where there is none.
+#[tokio::test]
+async fn a_version_that_was_replaced_while_all_routers_were_down_is_remembered() -> Result<()> {
+    let mut site = Site::start(196).await?;
+    let mut streams = site.run_streams(Interruption::Router).await?;
+    let mut later = streams.split_off(STREAMS / 2);
+    site.kill_routers().await?;
+    site.restart_routers().await?;
+    site.take_up("one-version", &mut streams).await?;
+    assert!(streams.iter().all(Stream::is_whole));
+    site.kill_routers().await?;
+    site.stop_version("v1");
+    site.start_version("v2").await?;
+    site.restart_routers().await?;
+    site.take_up("all-replaced", &mut later).await?;
+    Ok(())
+}
