--- a/src/decide/stream_outbox.rs
+++ b/src/decide/stream_outbox.rs
@@ -62,19 +62,21 @@
         }
     }
 
+    /// Returns whether streams are to be written now.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        self.writing == 0 && !self.waiting.is_empty() && now >= self.next_write
+    }
+
     /// Begins a write if one is due, and returns its streams.
     pub(crate) fn begin_write(
         &mut self,
         now: Instant,
         routers: usize,
     ) -> Vec<(StreamDigest, StreamOrigin)> {
-        if self.writing > 0 || now < self.next_write {
+        if !self.is_due(now) {
             return Vec::new();
         }
         self.waiting.retain(|_, (_, began)| now < *began + MAX_AGE);
-        if self.waiting.is_empty() {
-            return Vec::new();
-        }
         self.writing = self.waiting.len().min(MAX_WRITE);
         self.next_write = now + WRITE_INTERVAL * stretch(routers);
         let first = self.waiting.iter().take(self.writing);
--- a/src/router/lending.rs
+++ b/src/router/lending.rs
@@ -168,13 +168,10 @@
             amount = ?amount.map(|a| a.0)
         );
         let prepaid = self.prepaid(&request.team);
-        if let Some(lent) = amount.filter(|lent| *lent > prepaid) {
-            warn!(event = "loan-too-large", number = request.number, team = %request.team, %lent, %prepaid);
+        if amount.is_some_and(|lent| lent > prepaid) {
+            warn!(event = "loan-too-large", number = request.number, team = %request.team, %prepaid);
         }
-        let amount = amount.map(|lent| match lent > prepaid {
-            true => Tokens::ZERO,
-            false => lent,
-        });
+        let amount = amount.map(|lent| if lent > prepaid { Tokens::ZERO } else { lent });
         if let Some(budget) = self.budgets.get_mut(&request.team) {
             let lender = budget.loans.record_answer(now, request, amount);
             if let Some(peer) = lender.filter(|_| amount.is_none()) {
--- a/src/router/stream_log.rs
+++ b/src/router/stream_log.rs
@@ -106,7 +106,8 @@
     next_read: Instant,
     /// The versions of each pool in the log as far as this router knows; `None` before the first read.
     recorded: Option<IndexMap<PoolId, IndexSet<Version>>>,
-    /// When they were read. A version counts for a while from then on: its last endpoint may have been there until now.
+    /// The versions that the log had when this router started, and when they were read. They count for a while from then
+    /// on: their last endpoints may have been there until then.
     inherited_at: Option<Instant>,
     inherited: IndexMap<PoolId, IndexSet<Version>>,
     /// Whether the versions are being read or written, and when they may be again.
@@ -148,11 +149,10 @@
 
     /// Adds the versions that the log had at the start to those that a pool had lately.
     pub(crate) fn add_inherited(&self, pool: &PoolId, versions: &mut PoolVersions) {
-        let inherited = self.inherited.get(pool).zip(self.inherited_at);
-        for (version, at) in inherited
-            .into_iter()
-            .flat_map(|(all, at)| all.iter().map(move |v| (v, at)))
-        {
+        let Some((inherited, at)) = self.inherited.get(pool).zip(self.inherited_at) else {
+            return;
+        };
+        for version in inherited {
             versions.record(at, version.clone());
         }
     }
@@ -190,6 +190,9 @@
     }
 
     fn write_streams(&mut self, now: Instant) {
+        if !self.stream_log.outbox.is_due(now) {
+            return;
+        }
         let routers = self.members.vm_index.serving_vms().len();
         let streams = self.stream_log.outbox.begin_write(now, routers);
         if streams.is_empty() {
@@ -213,11 +216,13 @@
     }
 
     fn read_streams(&mut self, now: Instant) {
-        let routers = self.members.vm_index.serving_vms().len();
         let log = &mut self.stream_log;
-        let due = !log.seekers.is_empty() && log.is_loaded();
+        if log.seekers.is_empty() || log.reading || !log.is_loaded() {
+            return;
+        }
+        let routers = self.members.vm_index.serving_vms().len();
         let interval = READ_INTERVAL * stretch(routers);
-        if log.reading || !due || log.next_read > now + interval * READ_BURST {
+        if log.next_read > now + interval * READ_BURST {
             return;
         }
         log.reading = true;
