Tests: read what callers get in one place; give each test a VM of its own

The answer that a caller got moves to a file of its own, since a second set of tests needs it. Routers of descriptors.rs and of versions.rs both were on VM 190, and could fail each other when they ran at once.

--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -22,6 +22,7 @@
 use crate::platform::read_head;
 use crate::platform::route;
 use crate::platform::start_endpoint;
+use crate::received::Received;
 use crate::store::Store;
 use crate::wait_for;
 
@@ -189,52 +190,6 @@
     answer.send(&mut stream, name, kind).await
 }
 
-/// What a caller got.
-#[derive(Debug)]
-struct Received {
-    status: u16,
-    body: String,
-    /// Whether it is framed as complete.
-    complete: bool,
-}
-
-impl Received {
-    fn read(answer: &str) -> Result<Self> {
-        let (head, rest) = answer.split_once("\r\n\r\n").context("no head")?;
-        let status = head.split(' ').nth(1).context("no status")?.parse()?;
-        let length = head
-            .lines()
-            .find_map(|line| line.strip_prefix("content-length: "));
-        if let Some(length) = length {
-            return Ok(Self {
-                status,
-                body: rest.to_owned(),
-                complete: rest.len() == length.parse::<usize>()?,
-            });
-        }
-        let mut body = String::new();
-        let mut chunks = rest;
-        while let Some((size, after)) = chunks.split_once("\r\n") {
-            let size = usize::from_str_radix(size, 16)?;
-            if size == 0 {
-                return Ok(Self {
-                    status,
-                    body,
-                    complete: after == "\r\n",
-                });
-            }
-            let (chunk, after) = after.split_at_checked(size).context("half a chunk")?;
-            body.push_str(chunk);
-            chunks = after.strip_prefix("\r\n").context("no end of a chunk")?;
-        }
-        Ok(Self {
-            status,
-            body,
-            complete: false,
-        })
-    }
-}
-
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Connection];
 const ENDS: [End; 2] = [End::Close, End::Reset];
 
--- a/tests/faults/descriptors.rs
+++ b/tests/faults/descriptors.rs
@@ -41,7 +41,7 @@
     let (store, at) = Store::start().await?;
     put_config(&store, &[route(SERVICE, "idempotent")]);
     put_endpoint(&store, "i-0", SERVICE, start_endpoint(serve).await?);
-    let router = Router::start_limited(190, at, DESCRIPTORS)?;
+    let router = Router::start_limited(199, at, DESCRIPTORS)?;
     router.wait_serving(SERVICE).await?;
     let mut idle = Vec::new();
     for n in 0..CALLERS {
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -30,6 +30,7 @@
 mod platform;
 mod poison;
 mod process;
+mod received;
 mod repeats;
 mod stopped;
 mod store;
