Pass on no event whose number is not above the last one's

Cause: nobody compared the numbers where two runs meet. The relay named the last event to the next endpoint and trusted it to begin there. The class: what one side asks for, taken for what the other side does.

The splitter now numbers each event as it ends. An event whose number is not above the last one's ends the run: another endpoint goes on, within the attempts and the retry budget, or the answer is cut. The protocol has numbers increase; those that are no numbers are not compared. Ruled out: dropping what comes again, since the rest may be of another text.

--- a/src/edge/relay/events.rs
+++ b/src/edge/relay/events.rs
@@ -5,7 +5,7 @@
 use memchr::memchr2;
 
 /// Begins the line that numbers an event.
-const ID: &str = "id:";
+const ID: &[u8] = b"id:";
 
 /// Begins a line that is a comment, and part of no event.
 const COMMENT: u8 = b':';
@@ -22,7 +22,7 @@
     pub(crate) count: u64,
 }
 
-/// Cuts a stream into whole events.
+/// Cuts a stream into whole events, whose numbers increase.
 ///
 /// An endpoint that dies may leave half of an event. Had the caller that half, the event could not be sent whole by the
 /// endpoint that goes on. A line ends with a line feed, a carriage return or both, and an event with an empty line
@@ -35,14 +35,26 @@
     line: usize,
     /// Whether the rest has a line that belongs to an event.
     begun: bool,
+    /// The number of the event that has begun, as the endpoint spells it.
+    id: Option<String>,
     /// Whether the last byte was a carriage return, to which a line feed that comes next belongs.
     after_return: bool,
     /// How many bytes have come since the last event ended, comments and empty lines among them.
     since_event: usize,
+    /// Whether an event came whose number is not above the last one's. Nothing is cut from then on.
+    disordered: bool,
     last: Option<String>,
 }
 
 impl EventSplitter {
+    /// Creates one for a stream that goes on after an event, if one is given.
+    pub(crate) fn after(last: Option<&str>) -> Self {
+        Self {
+            last: last.map(str::to_owned),
+            ..Self::default()
+        }
+    }
+
     /// Takes bytes in and returns the events that are whole by now, with the comments and empty lines between them.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Events {
         let mut at = self.rest.len();
@@ -52,6 +64,9 @@
         let mut event_end = None;
         while let Some(found) = memchr2(b'\r', b'\n', &self.rest[at..]) {
             let ends_event = self.end_line(at + found);
+            if ends_event && !self.number_event() {
+                break;
+            }
             count += u64::from(ends_event);
             at += found + 1;
             if ends_event {
@@ -68,9 +83,6 @@
         };
         self.line -= whole;
         let bytes = self.rest.split_to(whole).freeze();
-        if let Some(id) = last_id(&bytes) {
-            self.last = Some(id);
-        }
         Events { bytes, count }
     }
 
@@ -78,10 +90,14 @@
     fn end_line(&mut self, end: usize) -> bool {
         let is_feed = self.rest[end] == b'\n';
         let after_return = std::mem::replace(&mut self.after_return, !is_feed);
-        match self.rest[self.line..end].first() {
+        let line = &self.rest[self.line..end];
+        match line.first() {
             Some(&COMMENT) => false,
             Some(_) => {
                 self.begun = true;
+                if let Some(id) = id(line) {
+                    self.id = Some(id);
+                }
                 false
             }
             None if is_feed && after_return => false,
@@ -89,6 +105,24 @@
         }
     }
 
+    /// Takes the number of an event that has ended for the last one's; returns whether it is above the one before.
+    ///
+    /// Numbers are compared as far as they are numbers.
+    fn number_event(&mut self) -> bool {
+        let Some(id) = self.id.take() else {
+            return true;
+        };
+        let number = |id: &str| id.parse::<u64>().ok();
+        let last = self.last.as_deref().and_then(number);
+        self.disordered = last
+            .zip(number(&id))
+            .is_some_and(|(last, number)| number <= last);
+        if !self.disordered {
+            self.last = Some(id);
+        }
+        !self.disordered
+    }
+
     /// Returns whether the stream would break off if it ended now. A comment that has not ended is part of no event.
     pub(crate) fn is_inside_event(&self) -> bool {
         let line = self.rest[self.line..].first();
@@ -100,6 +134,11 @@
         self.since_event > MAX_EVENT
     }
 
+    /// Returns whether the endpoint sent an event again, or one that comes before the last one.
+    pub(crate) fn is_disordered(&self) -> bool {
+        self.disordered
+    }
+
     /// Returns how many bytes came after the last whole event.
     pub(crate) fn partial(&self) -> usize {
         self.rest.len()
@@ -112,10 +151,7 @@
 
     /// Forgets half of an event, since another endpoint goes on from the last whole one.
     pub(crate) fn resume(&mut self) {
-        *self = Self {
-            last: self.last.take(),
-            ..Self::default()
-        };
+        *self = Self::after(self.last.take().as_deref());
     }
 
     /// Returns the number of the last whole event, as the endpoint spells it.
@@ -124,10 +160,8 @@
     }
 }
 
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|byte| matches!(byte, b'\r' | b'\n'));
-    let id = lines
-        .filter_map(|line| std::str::from_utf8(line).ok())
-        .find_map(|line| line.strip_prefix(ID))?;
+/// Returns the number in a line that numbers an event.
+fn id(line: &[u8]) -> Option<String> {
+    let id = std::str::from_utf8(line.strip_prefix(ID)?).ok()?;
     Some(id.trim().to_owned())
 }
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -295,6 +295,13 @@
         relay.map_or(1, |relay| relay.stride)
     }
 
+    /// Returns the event after which the caller has the run in progress go on.
+    pub(crate) fn resumed_after(&self) -> Option<&str> {
+        let relay = self.run.as_ref().and_then(|run| run.relay.as_ref());
+        relay.filter(|relay| relay.resumable)?;
+        self.ask.relay.resumption.as_ref()?.last.as_deref()
+    }
+
     /// Logs why an answer that is no stream is not whole.
     pub(crate) fn log_broken(&self, framing: Framing, error: &BodyError) {
         info!(event = "answer-broken", request = %self.line.id, endpoint = self.endpoint(), %framing, %error);
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -35,6 +35,8 @@
     Broken,
     /// It went on without ending an event.
     Endless,
+    /// It sent an event again, or one that comes before the last one.
+    Disordered,
     CallerGone,
     /// The core broke it off.
     Stopped,
@@ -69,6 +71,8 @@
     splitter: EventSplitter,
     /// Events that went to the caller from the endpoint that answers now.
     events: u64,
+    /// Whether the caller has an event of this answer.
+    begun: bool,
 }
 
 /// Makes the body that a stream goes out by, and what fills it.
@@ -77,12 +81,14 @@
     let pieces = futures::stream::unfold(pieces, async |mut pieces| {
         pieces.recv().await.map(|piece| (piece, pieces))
     });
+    let splitter = EventSplitter::after(runner.resumed_after());
     let pump = Pump {
         relays,
         runner,
         out,
-        splitter: EventSplitter::default(),
+        splitter,
         events: 0,
+        begun: false,
     };
     (pump, BodyExt::boxed(StreamBody::new(pieces)))
 }
@@ -109,7 +115,7 @@
                     return self.cut().await;
                 }
                 End::Broken => RunEnd::closed_off(usage),
-                End::Endless => RunEnd::broken_off(Some(usage)),
+                End::Endless | End::Disordered => RunEnd::broken_off(Some(usage)),
                 End::Left => RunEnd::broken(),
             };
             match self.go_on(broken).await {
@@ -144,9 +150,14 @@
                 self.runner.started();
             }
             self.events += events.count;
+            self.begun |= events.count > 0;
             if let Some(end) = self.give(events.bytes).await.end() {
                 return end;
             }
+            if self.splitter.is_disordered() {
+                self.log_end(connection.framing, "the numbers of events go back");
+                return End::Disordered;
+            }
             if self.splitter.is_endless() {
                 self.log_end(connection.framing, "no event ends");
                 return End::Endless;
@@ -166,7 +177,7 @@
 
     /// Returns whether the caller has no event yet, so that another endpoint may begin anew.
     fn has_no_event(&self) -> bool {
-        self.events == 0 && self.splitter.last().is_none()
+        !self.begun
     }
 
     /// Returns whether a stream whose body ended without an error is complete.
@@ -174,7 +185,7 @@
     /// The body may have ended because its connection did. A run has an event at least, unless it resumed a stream of
     /// which all events had been sent; then its framing has to say that this is the end.
     fn is_complete(&self, framing: Framing) -> bool {
-        let resumed = self.splitter.last().is_some();
+        let resumed = self.begun;
         let has_events = self.events > 0 || (resumed && framing != Framing::Connection);
         has_events && !self.splitter.is_inside_event()
     }
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -321,8 +321,9 @@
 /// Reads whether a request goes on with a stream, and with which.
 fn resumption(headers: &HeaderMap) -> Option<Resumption> {
     headers.get(LAST_EVENT)?;
+    let last = text(headers, LAST_EVENT).map(str::to_owned);
     let origin = text(headers, RESUMES).and_then(|name| name.parse().ok());
-    Some(Resumption { origin })
+    Some(Resumption { last, origin })
 }
 
 /// Reads which parts of a prompt other requests may share: all but the last, as far as they can be read.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -291,6 +291,8 @@
 /// A request that goes on with a stream after an event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Resumption {
+    /// The number of the event, as the caller spells it.
+    pub(crate) last: Option<String>,
     /// The attempt that brought the stream's first event, if the caller names it.
     pub(crate) origin: Option<AttemptId>,
 }
