Take no answer for whole that ended with its endpoint's process

Cause: an answer with neither length nor chunks ends with its connection. The kernel closes the connections of a process that is killed just as the process does after a whole answer, and as endpoints write whole events, the stream ends between two. Before only a part of an event told them apart. The class: the end of a connection taken for the end of what was said.

Evidence: dying_endpoints, real router, endpoints that close the listener and all connections in order, 12 requests each, on the code before: 12 of 12 streams complete after 3 of 6 events, also where they may be resumed; 12 of 12 plain answers short with 200. After: none; the resumable ones go on and have each event once; the plain ones are retried.

The relay now opens a connection to an endpoint that ended an answer in this way. Refused: it died, and the answer is broken. All else (accepted, a time-out, an error of its own) changes nothing, so that calm service is as before, but for a connection for each answer without length or chunks.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -51,6 +51,9 @@
 /// The largest answer that is gathered before it goes on: what is no stream is a record or a map tile.
 const MAX_ANSWER: usize = 16 << 20;
 
+/// Why an answer that ended with its connection is not whole.
+pub(crate) const ENDPOINT_DIED: &str = "the endpoint listens no longer";
+
 /// What answers that are streams have as their type.
 const EVENTS: &[u8] = b"text/event-stream";
 
@@ -119,6 +122,14 @@
             framing,
         }
     }
+
+    /// Returns whether the endpoint died that ended the answer with its connection.
+    ///
+    /// The kernel closes the connections of a process that died as the process itself does after a whole answer, but then
+    /// nothing listens there any more.
+    pub(crate) async fn has_dead_endpoint(&self) -> bool {
+        self.framing == Framing::Connection && self.connection.is_refused().await
+    }
 }
 
 /// What came of sending a request to an endpoint.
@@ -351,6 +362,9 @@
 ) -> Result<Reply, BodyError> {
     let (mut parts, body) = answer.into_parts();
     let body = Limited::new(body, MAX_ANSWER).collect().await?.to_bytes();
+    if kept.has_dead_endpoint().await {
+        return Err(ENDPOINT_DIED.into());
+    }
     relays.keep(kept);
     relays.dialect.strip(&mut parts.headers);
     let body = Full::new(body).map_err(|never| match never {});
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -15,6 +15,7 @@
 use crate::edge::desk::Command;
 use crate::edge::relay::events::EventSplitter;
 use crate::edge::relay::framing::Framing;
+use crate::edge::relay::serve::ENDPOINT_DIED;
 use crate::edge::relay::serve::Kept;
 use crate::edge::relay::serve::Relays;
 use crate::edge::relay::serve::Runner;
@@ -170,6 +171,9 @@
         if !is_complete {
             return End::Broken;
         }
+        if let Some(end) = self.check_endpoint(&connection).await {
+            return end;
+        }
         let rest = self.splitter.rest();
         let end = self.give(rest).await.end();
         end.unwrap_or(End::Whole(connection))
@@ -190,6 +194,27 @@
         has_events && !self.splitter.is_inside_event()
     }
 
+    /// Returns how a stream ended whose endpoint may have died, if it is not complete.
+    async fn check_endpoint(&mut self, connection: &Kept) -> Option<End> {
+        let dead = connection.has_dead_endpoint();
+        tokio::pin!(dead);
+        loop {
+            tokio::select! {
+                dead = &mut dead => {
+                    if dead {
+                        self.log_end(connection.framing, ENDPOINT_DIED);
+                    }
+                    return dead.then_some(End::Broken);
+                }
+                () = self.out.closed() => return Some(End::CallerGone),
+                command = self.runner.line.next() => match command {
+                    Some(Command::Cut(_)) | None => return Some(End::Stopped),
+                    Some(_) => {}
+                },
+            }
+        }
+    }
+
     /// Logs how an endpoint's stream ended, unless it is framed and complete.
     fn log_end(&self, framing: Framing, error: &str) {
         let partial = self.splitter.partial();
--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -78,6 +78,14 @@
     until: Instant,
 }
 
+impl Connection {
+    /// Returns whether nothing listens any more where the connection leads.
+    pub(crate) async fn is_refused(&self) -> bool {
+        let opened = timeout(CONNECT, TcpStream::connect(self.target.address)).await;
+        matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -15,6 +15,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod descriptors;
+mod dying_endpoints;
 mod endless_answers;
 mod fresh;
 mod frozen;
