End an answer with an error unless it was finished

Cause: the body of a stream ended as that of a whole answer whenever what fills it was dropped; each way out had to remember to send an error before. A panic in that task, which the runtime catches, ended the answer as complete.

Now a body is whole only if its sender says so, and ends with an error in all other ways. edge::relay::tests::a_body_that_is_not_finished_ends_with_an_error; on the code before there was no such way to say it, the same channel ended without one. The task of a caller that reads nothing no longer waits to place that error.

--- a/src/edge/relay/mod.rs
+++ b/src/edge/relay/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod framing;
 mod front;
+mod piecewise;
 mod request;
 mod serve;
 mod stream;
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -5,16 +5,15 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::StreamBody;
 use http_body_util::combinators::BoxBody;
-use hyper::body::Frame;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tracing::info;
 
 use crate::edge::desk::Command;
 use crate::edge::relay::events::EventSplitter;
 use crate::edge::relay::framing::Framing;
+use crate::edge::relay::piecewise::PieceSender;
+use crate::edge::relay::piecewise::piecewise_body;
 use crate::edge::relay::serve::ENDPOINT_DIED;
 use crate::edge::relay::serve::Kept;
 use crate::edge::relay::serve::Relays;
@@ -24,12 +23,6 @@
 use crate::router::Usage;
 use crate::tokens::Tokens;
 
-/// How many pieces may wait for a caller that reads slowly, before the endpoint is read no further.
-const AHEAD: usize = 64;
-
-/// What goes to the caller of a stream.
-type Out = mpsc::Sender<Result<Frame<Bytes>, io::Error>>;
-
 /// How a stream went on one endpoint.
 enum End {
     Whole(Kept),
@@ -68,7 +61,7 @@
 pub(crate) struct Pump {
     relays: Arc<Relays>,
     runner: Runner,
-    out: Out,
+    out: PieceSender,
     splitter: EventSplitter,
     /// Events that went to the caller from the endpoint that answers now.
     events: u64,
@@ -78,10 +71,7 @@
 
 /// Makes the body that a stream goes out by, and what fills it.
 pub(crate) fn start(relays: Arc<Relays>, runner: Runner) -> (Pump, BoxBody<Bytes, io::Error>) {
-    let (out, pieces) = mpsc::channel(AHEAD);
-    let pieces = futures::stream::unfold(pieces, async |mut pieces| {
-        pieces.recv().await.map(|piece| (piece, pieces))
-    });
+    let (out, body) = piecewise_body();
     let splitter = EventSplitter::after(runner.resumed_after());
     let pump = Pump {
         relays,
@@ -91,7 +81,7 @@
         events: 0,
         begun: false,
     };
-    (pump, BodyExt::boxed(StreamBody::new(pieces)))
+    (pump, body)
 }
 
 impl Pump {
@@ -102,26 +92,22 @@
             let usage = self.usage();
             let broken = match end {
                 End::Whole(connection) => {
+                    self.out.finish();
                     self.runner.end(RunEnd::Completed { usage });
                     self.relays.keep(connection);
                     return;
                 }
-                End::CallerGone => {
+                End::CallerGone | End::Stopped => {
                     let usage = Some(usage);
                     return self.runner.end(RunEnd::CallerGone { usage });
                 }
-                End::Stopped => {
-                    let usage = Some(usage);
-                    self.runner.end(RunEnd::CallerGone { usage });
-                    return self.cut().await;
-                }
                 End::Broken => RunEnd::closed_off(usage),
                 End::Endless | End::Disordered => RunEnd::broken_off(Some(usage)),
                 End::Left => RunEnd::broken(),
             };
             match self.go_on(broken).await {
                 Some(next) => (connection, body) = next,
-                None => return self.cut().await,
+                None => return,
             }
         }
     }
@@ -227,7 +213,7 @@
         if bytes.is_empty() {
             return Given::Sent;
         }
-        let sending = self.out.send(Ok(Frame::data(bytes)));
+        let sending = self.out.send(bytes);
         tokio::pin!(sending);
         loop {
             tokio::select! {
@@ -267,12 +253,6 @@
         }
     }
 
-    /// Ends the answer so that the caller sees that it is not whole.
-    async fn cut(&self) {
-        let broken = io::Error::other("the answer is not whole");
-        let _ = self.out.send(Err(broken)).await;
-    }
-
     /// Returns the most that went to the caller from the endpoint that answers now.
     fn usage(&self) -> Usage {
         let stride = self.runner.stride();
--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::edge::relay::events::EventSplitter;
+use crate::edge::relay::piecewise::piecewise_body;
 use crate::edge::relay::upstream::Target;
 use crate::edge::relay::upstream::Upstream;
 use crate::edge::relay::upstream::UpstreamError;
@@ -252,3 +253,18 @@
     sleep(STALL).await;
     assert_eq!(received.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against an answer that ends as whole because what passes it on ended in another way.
+#[tokio::test]
+async fn a_body_that_is_not_finished_ends_with_an_error() {
+    for finished in [true, false] {
+        let (sender, body) = piecewise_body();
+        let piece = Bytes::from_static(b"id: 1\n\n");
+        sender.send(piece).await.expect("it is read");
+        match finished {
+            true => sender.finish(),
+            false => drop(sender),
+        }
+        assert_eq!(body.collect().await.is_ok(), finished);
+    }
+}
