Let a stream end that is taken up after its last event

Cause: a run without events counted as whole only if an earlier run of the same answer had brought some; that the caller itself had them was not considered.

Evidence: broken_answers::a_stream_that_is_taken_up_after_its_last_event_ends, real router: with a length and with chunks the answer was cut before, and is whole now. An answer without either stays broken, since nothing tells its end.

--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -175,7 +175,7 @@
     /// The body may have ended because its connection did. A run has an event at least, unless it resumed a stream of
     /// which all events had been sent; then its framing has to say that this is the end.
     fn is_complete(&self, framing: Framing) -> bool {
-        let resumed = self.begun;
+        let resumed = self.splitter.last().is_some();
         let has_events = self.events > 0 || (resumed && framing != Framing::Connection);
         has_events && !self.splitter.is_inside_event()
     }
--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -390,3 +390,22 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
     Ok(())
 }
+
+/// Guards against a stream that never ends for a caller that has all of its events, and takes it up for the end.
+#[tokio::test]
+async fn a_stream_that_is_taken_up_after_its_last_event_ends() -> Result<()> {
+    let site = Site::start(108).await?;
+    for framing in [Framing::Length, Framing::Chunks] {
+        let nothing = Answer {
+            framing,
+            ..Answer::unframed("")
+        };
+        let name = format!("{framing:?}");
+        let received = site
+            .ask_after(RESUMABLE, &name, &[nothing], Some("2"))
+            .await?;
+        assert!(received.complete, "{name}: {received:?}");
+        assert_eq!((received.status, &*received.body), (200, ""), "{name}");
+    }
+    Ok(())
+}
