--- a/src/edge/relay/tests.rs
+++ b/src/edge/relay/tests.rs
@@ -114,8 +114,9 @@
         }
     }
     let mut splitter = EventSplitter::default();
-    let event = format!(": comment\nid: 1\ndata: {}\n\n", "x".repeat(512 << 10));
-    for _ in 0..16 {
+    for id in 1..=16 {
+        let data = "x".repeat(512 << 10);
+        let event = format!(": comment\nid: {id}\ndata: {data}\n\n");
         for half in event.as_bytes().chunks(event.len() / 2) {
             splitter.push(half);
             assert!(!splitter.is_endless());
