Use the connection that shows an endpoint alive for its next request

Cause: a new connection holds a slot for a moment, and a service of three endpoints has eighteen. The check opened one and dropped it, and the next request opened another.

The connection is now kept for the next request, as after an answer that is framed, unless the endpoint closes its connections.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -91,7 +91,9 @@
 impl Relays {
     /// Keeps a connection whose answer was read whole.
     pub(crate) fn keep(&self, kept: Kept) {
-        if let Some(idle) = kept.idle {
+        if let Some(idle) = kept.idle
+            && kept.framing != Framing::Connection
+        {
             self.upstream.keep(kept.connection, idle);
         }
     }
@@ -112,23 +114,21 @@
         connection: Connection,
         answer: &Response<Incoming>,
     ) -> Self {
-        let framing = Framing::of(answer);
         Self {
             connection,
-            idle: match framing {
-                Framing::Connection => None,
-                _ => relays.dialect.keep_alive(answer.headers()),
-            },
-            framing,
+            idle: relays.dialect.keep_alive(answer.headers()),
+            framing: Framing::of(answer),
         }
     }
 
-    /// Returns whether the endpoint died that ended the answer with its connection.
+    /// Returns whether the endpoint died that ended the answer with its connection. If not, the next request has a
+    /// connection in its place.
     ///
     /// The kernel closes the connections of a process that died as the process itself does after a whole answer, but then
     /// nothing listens there any more.
-    pub(crate) async fn has_dead_endpoint(&self) -> bool {
-        self.framing == Framing::Connection && self.connection.is_refused().await
+    pub(crate) async fn has_dead_endpoint(&self, relays: &Relays) -> bool {
+        self.framing == Framing::Connection
+            && relays.upstream.reopen(&self.connection, self.idle).await
     }
 }
 
@@ -362,7 +362,7 @@
 ) -> Result<Reply, BodyError> {
     let (mut parts, body) = answer.into_parts();
     let body = Limited::new(body, MAX_ANSWER).collect().await?.to_bytes();
-    if kept.has_dead_endpoint().await {
+    if kept.has_dead_endpoint(relays).await {
         return Err(ENDPOINT_DIED.into());
     }
     relays.keep(kept);
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -182,7 +182,8 @@
 
     /// Returns how a stream ended whose endpoint may have died, if it is not complete.
     async fn check_endpoint(&mut self, connection: &Kept) -> Option<End> {
-        let dead = connection.has_dead_endpoint();
+        let relays = self.relays.clone();
+        let dead = connection.has_dead_endpoint(&relays);
         tokio::pin!(dead);
         loop {
             tokio::select! {
--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -78,14 +78,6 @@
     until: Instant,
 }
 
-impl Connection {
-    /// Returns whether nothing listens any more where the connection leads.
-    pub(crate) async fn is_refused(&self) -> bool {
-        let opened = timeout(CONNECT, TcpStream::connect(self.target.address)).await;
-        matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-    }
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -139,6 +131,22 @@
         lock(&self.idle).entry(target).or_default().push(connection);
     }
 
+    /// Opens a connection to where another one led, and keeps it for the next request if it may be idle; returns whether it
+    /// was refused, since nothing listens there any more.
+    pub(crate) async fn reopen(&self, ended: &Connection, idle: Option<Option<Duration>>) -> bool {
+        let target = ended.target.clone();
+        let stream = match open(target.address).await {
+            Ok(stream) => stream,
+            Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
+        };
+        if let Some(idle) = idle
+            && let Ok(connection) = handshake(stream, target).await
+        {
+            self.keep(connection, idle);
+        }
+        false
+    }
+
     /// Closes the connections that were not used again in time.
     pub(crate) fn sweep(&self) {
         let now = Instant::now();
@@ -187,11 +195,18 @@
 }
 
 async fn connect(target: Target) -> Result<Connection, UpstreamError> {
-    let stream = timeout(CONNECT, TcpStream::connect(target.address)).await;
-    let Ok(Ok(stream)) = stream else {
-        return Err(UpstreamError::Unsent);
-    };
+    let stream = open(target.address).await;
+    let stream = stream.map_err(|_| UpstreamError::Unsent)?;
+    handshake(stream, target).await
+}
+
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await??;
     watch(&stream);
+    Ok(stream)
+}
+
+async fn handshake(stream: TcpStream, target: Target) -> Result<Connection, UpstreamError> {
     let built = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let Ok((sender, connection)) = built else {
         return Err(UpstreamError::Unsent);
