Pass on no success without the endpoint's seal

Cause: the verdict on a head asked for the first `Request-Id` alone. Now every `Request-Id` has to be the request's, and a success has to have exactly one seal that is not empty. Else the run is broken: another endpoint is tried where the request may be repeated, and the caller gets 502 where it may not. The connection is not used again.

Class: a head taken for whole without what every whole head has.

Ruled out: a head cut anywhere before its empty line; a kept connection; an interim head for the answer's; a trailer that breaks off.

A forwarding router doesn't look at the seal: the router that carries the request out does.

--- a/src/edge/relay/request.rs
+++ b/src/edge/relay/request.rs
@@ -57,6 +57,8 @@
     Moved,
     /// The endpoint's own failure, after it ran the request.
     Failed,
+    /// A success without the endpoint's seal: its head is not whole.
+    Broken,
     /// Its answer.
     Answer,
 }
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -192,7 +192,10 @@
         let kept = Kept::new(relays, connection, &answer);
         let verdict = relays.dialect.verdict(&self.ask, &answer);
         // The end of such a run looks as if the endpoint had not answered.
-        if matches!(verdict, Verdict::Failed | Verdict::Foreign) {
+        if matches!(
+            verdict,
+            Verdict::Failed | Verdict::Broken | Verdict::Foreign
+        ) {
             self.line.desk.tell(Event::EndpointAnswered(self.line.id));
         }
         // Neither another endpoint that has taken over the address nor a late answer to an earlier request tells how this
@@ -209,6 +212,10 @@
                 self.gather_failure(relays, kept, answer).await
             }
             Verdict::Failed => Sent::Answer(Box::new(kept), Box::new(answer)),
+            Verdict::Broken => {
+                info!(event = "head-broken", request = %self.line.id, endpoint = %run.endpoint);
+                Sent::Over(RunEnd::broken())
+            }
             Verdict::Foreign => {
                 info!(event = "foreign-answer", request = %self.line.id, endpoint = %run.endpoint);
                 Sent::Over(RunEnd::given_up())
--- a/src/platform/heads.rs
+++ b/src/platform/heads.rs
@@ -46,6 +46,9 @@
 /// The caller's id of one attempt, which the endpoint echoes.
 const NAME: &str = "request-id";
 
+/// The endpoint's digest of its answer, without which callers take no success.
+const SEAL: &str = "response-seal";
+
 /// How long the sender waits for the answer, in milliseconds.
 const DEADLINE: &str = "deadline-ms";
 
@@ -186,8 +189,8 @@
     fn verdict(&self, ask: &Ask, answer: &Response<Incoming>) -> Verdict {
         let headers = answer.headers();
         let status = answer.status();
-        let named = text(headers, NAME);
-        if named.is_some_and(|name| name != ask.name) {
+        let mut names = headers.get_all(NAME).iter();
+        if names.any(|name| *name != ask.name) {
             return Verdict::Foreign;
         }
         if status.as_u16() == 421 {
@@ -196,10 +199,11 @@
         if headers.contains_key(NOT_RUN) {
             return Verdict::NotRun(retry_after(headers));
         }
-        match named {
-            None => Verdict::Foreign,
-            Some(_) if status.is_server_error() => Verdict::Failed,
-            Some(_) => Verdict::Answer,
+        match headers.contains_key(NAME) {
+            false => Verdict::Foreign,
+            true if status.is_server_error() => Verdict::Failed,
+            true if status.is_success() && !is_sealed(headers) => Verdict::Broken,
+            true => Verdict::Answer,
         }
     }
 
@@ -250,6 +254,13 @@
     }
 }
 
+/// Returns whether an answer has one seal.
+fn is_sealed(headers: &HeaderMap) -> bool {
+    let mut seals = headers.get_all(SEAL).iter();
+    let has_seal = seals.next().is_some_and(|seal| !seal.is_empty());
+    has_seal && seals.next().is_none()
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -7,6 +7,7 @@
 )]
 mod brittle;
 mod broken_answers;
+mod broken_heads;
 mod caller;
 #[path = "../standins/client.rs"]
 mod client;
@@ -29,6 +30,7 @@
 mod paused;
 mod pausing;
 mod platform;
+mod plays;
 mod poison;
 mod process;
 mod received;
