--- a/tests/faults/odd_entries.rs
+++ b/tests/faults/odd_entries.rs
@@ -28,7 +28,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The VMs of the routers, which the tests of this file use one after another.
-static VMS: Mutex<[usize; 2]> = Mutex::const_new([213, 109]);
+static VMS: Mutex<[usize; 2]> = Mutex::const_new([213, 233]);
 
 /// Answers each request with a word.
 async fn serve(mut stream: TcpStream, word: &'static str) -> Result<()> {
