Take no answer whose coding or status is unknown

Cause: where chunks are not the last coding the library reads the body to the end of the connection, and the relay, seeing the header, held it for chunked, so that it didn't even ask whether the endpoint had died. Interim answers are passed over by the library, but for 101.

Now such a head counts as something else than an answer, as a head that can't be parsed does. The same in the client for short calls, which the ledger's manner (a service's body was passed on), the store, peers and the tool use.

Class: the end of a connection taken for the end of what was said.

Right before and after: chunk sizes beyond 64 bits, negative, none, too small; lengths that differ, are too large, negative, signed, empty or no number; HTTP/0.9 and 2.0; and answers to be passed on: bare line feeds, HTTP/1.0, chunks beside a length, a length given twice, more bytes than the length. http_client::tests::an_answer_that_cannot_be_read_is_lost fails with the check taken out, and passes.

--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::edge::desk::lock;
+use crate::http_client::is_readable;
 
 /// How long a connection may take: an endpoint is a few milliseconds away, and a request that could not be sent may go to
 /// another one.
@@ -175,7 +176,8 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Connection, Response<Incoming>), UpstreamError> {
     match connection.sender.try_send_request(request).await {
-        Ok(answer) => Ok((connection, answer)),
+        Ok(answer) if is_readable(&answer) => Ok((connection, answer)),
+        Ok(_) => Err(UpstreamError::Closed),
         // Given back with the error is only a request of which nothing was written.
         Err(error) if error.message().is_some() => Err(UpstreamError::Unsent),
         Err(error) => Err(broken(error.error())),
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -31,6 +31,7 @@
 
 mod call;
 mod error;
+mod head;
 #[cfg(test)]
 mod tests;
 
@@ -38,6 +39,7 @@
 pub use error::HttpError;
 pub use error::Overdue;
 pub use error::Reached;
+pub(crate) use head::is_readable;
 
 /// The time limit for a connection. Between two VMs of one site it takes milliseconds, and a call that could not be sent
 /// may be sent elsewhere.
@@ -201,7 +203,7 @@
         let mut answer = pin!(connections.request(request));
         // An idle connection is available immediately, a new one never is.
         if let Poll::Ready(answer) = futures::poll!(answer.as_mut()) {
-            return Outcome::of(answer.map_err(failure));
+            return Outcome::of(checked(answer));
         }
         let idle = connection.connection_metadata().is_some();
         let started = Instant::now();
@@ -210,7 +212,7 @@
         };
         tokio::select! {
             biased;
-            answer = &mut answer => return Outcome::of(answer.map_err(failure)),
+            answer = &mut answer => return Outcome::of(checked(answer)),
             () = connected => {}
             () = sleep_until(call.deadline(Step::Connect)) => {
                 return Outcome::of(Err(call.timeout_error(Step::Connect, Reached::Nothing)));
@@ -218,7 +220,7 @@
         }
         let connect = (!idle).then(|| started.elapsed());
         let answer = match timeout_at(call.deadline(Step::Head), answer).await {
-            Ok(answer) => answer.map_err(failure),
+            Ok(answer) => checked(answer),
             Err(_) => Err(call.timeout_error(Step::Head, Reached::Connection)),
         };
         Outcome { connect, answer }
@@ -267,6 +269,17 @@
     }
 }
 
+/// Returns the head of an answer if it can be read.
+fn checked(
+    answer: Result<Response<Incoming>, hyper_util::client::legacy::Error>,
+) -> Result<Response<Incoming>, HttpError> {
+    match answer {
+        Ok(answer) if is_readable(&answer) => Ok(answer),
+        Ok(_) => Err(HttpError::Lost("the answer can't be read".to_owned())),
+        Err(error) => Err(failure(error)),
+    }
+}
+
 fn failure(error: hyper_util::client::legacy::Error) -> HttpError {
     match error.is_connect() {
         true => HttpError::Connect(cause(&error)),
--- a/src/http_client/tests.rs
+++ b/src/http_client/tests.rs
@@ -193,3 +193,28 @@
         assert_eq!(requests.load(Ordering::Relaxed), 2 * round);
     }
 }
+
+/// Sends the bytes to each caller, and closes the connection.
+async fn answer_with(listener: TcpListener, bytes: &'static str) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut head = [0; 1024];
+        let _ = stream.read(&mut head).await;
+        let _ = stream.write_all(bytes.as_bytes()).await;
+    }
+}
+
+/// Guards against an answer that is taken for a whole one although its framing is unknown or it is no final one.
+#[tokio::test]
+async fn an_answer_that_cannot_be_read_is_lost() {
+    for bytes in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let url = format!("http://{}/", listener.local_addr().expect("an address"));
+        tokio::spawn(answer_with(listener, bytes));
+        let answer = HttpClient::default().get(&url, LIMIT).await;
+        assert!(matches!(answer, Err(HttpError::Lost(_))), "{answer:?}");
+    }
+}
