Tests: break forwarded answers, the store's and late bytes

Nothing was wrong in these before either; they guard what was only read.

A forwarded answer whose router breaks off at any byte: a plain one is 502, a stream is 502 while its head isn't whole, and has no last chunk after it. Bytes after an endpoint's answer on a kept connection, before the next request and after it: 24 plays on a real router, none reaches a caller.

--- a/src/platform/heads/tests.rs
+++ b/src/platform/heads/tests.rs
@@ -7,6 +7,7 @@
 
 use anyhow::Context;
 use anyhow::Result;
+use anyhow::bail;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -28,11 +29,13 @@
 use crate::edge::relay::accept;
 use crate::edge::relay::serve;
 use crate::ids::RequestKey;
+use crate::ids::TableVersion;
 use crate::platform::heads::Heads;
 use crate::platform::heads::prompt;
 use crate::platform::heads::shared_parts;
 use crate::request_rate::RequestRate;
 use crate::router::Event;
+use crate::router::Forwarding;
 use crate::router::RelayRun;
 use crate::router::Run;
 use crate::settings::RequestLimits;
@@ -189,13 +192,12 @@
     })
 }
 
-/// Sends a request through the relay to an endpoint that answers with the given headers, and returns the announcements that
-/// the core receives.
-async fn announced(head: &str, limited: bool) -> Result<Option<Announcement>> {
-    let endpoint = TcpListener::bind("127.0.0.1:0").await?;
-    let address = endpoint.local_addr()?;
-    tokio::spawn(answer_once(endpoint, head.to_owned()));
-    let (sender, mut events) = mpsc::unbounded_channel();
+/// What came to the core.
+type Events = mpsc::UnboundedReceiver<Event>;
+
+/// Starts a relay, and returns a connection to it, what it tells the core and what takes the core's commands.
+async fn start_relay() -> Result<(TcpStream, Events, Arc<Desk>)> {
+    let (sender, events) = mpsc::unbounded_channel();
     let limits = RequestLimits::default();
     let desk = Desk::new(limits, None, "test".to_owned(), Metrics::new(None)?, sender);
     let desk = Arc::new(desk);
@@ -205,11 +207,21 @@
         dialect: Box::new(Heads),
     });
     let front = TcpListener::bind("127.0.0.1:0").await?;
-    let mut caller = TcpStream::connect(front.local_addr()?).await?;
+    let caller = TcpStream::connect(front.local_addr()?).await?;
     let connections = Arc::new(Connections::new(None));
     tokio::spawn(accept(front, connections, move |request| {
         serve(relays.clone(), request)
     }));
+    Ok((caller, events, desk))
+}
+
+/// Sends a request through the relay to an endpoint that answers with the given headers, and returns the announcements that
+/// the core receives.
+async fn announced(head: &str, limited: bool) -> Result<Option<Announcement>> {
+    let endpoint = TcpListener::bind("127.0.0.1:0").await?;
+    let address = endpoint.local_addr()?;
+    tokio::spawn(answer_once(endpoint, head.to_owned()));
+    let (mut caller, mut events, desk) = start_relay().await?;
     let request = "GET /x HTTP/1.1\r\nhost: maps.example\r\nrequest-id: r1\r\n\r\n";
     caller.write_all(request.as_bytes()).await?;
     let mut announced = None;
@@ -264,6 +276,59 @@
     Ok(())
 }
 
+/// Has a request forwarded to a router that sends these bytes and closes the connection, and returns what the caller gets.
+async fn forwarded(bytes: &str) -> Result<String> {
+    let router = TcpListener::bind("127.0.0.1:0").await?;
+    let hop = router.local_addr()?.to_string();
+    let bytes = bytes.to_owned();
+    tokio::spawn(async move {
+        let (mut connection, _) = router.accept().await?;
+        let mut request = [0; 2048];
+        let _ = connection.read(&mut request).await?;
+        connection.write_all(bytes.as_bytes()).await
+    });
+    let (mut caller, mut events, desk) = start_relay().await?;
+    let request =
+        "GET /x HTTP/1.1\r\nhost: maps.example\r\nrequest-id: r1\r\nconnection: close\r\n\r\n";
+    caller.write_all(request.as_bytes()).await?;
+    let Some(Event::RequestArrived(arrival)) = events.recv().await else {
+        bail!("no request arrived");
+    };
+    let forwarding = Forwarding {
+        hops: vec![hop],
+        deadline: Instant::now() + Duration::from_secs(5),
+        table: TableVersion(1),
+    };
+    desk.command(arrival.id, Command::Forward(Box::new(forwarding)));
+    let mut answer = Vec::new();
+    let _ = caller.read_to_end(&mut answer).await;
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// Guards against a forwarded answer that looks whole though the router that carried out the request broke off.
+#[tokio::test]
+async fn a_forwarded_answer_that_breaks_off_at_any_byte_is_not_whole() -> Result<()> {
+    let head = "HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-seal: 1\r\n";
+    let plain = format!("{head}content-length: 4\r\n\r\ntext");
+    let stream_head =
+        format!("{head}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+    let stream = format!("{stream_head}7\r\nid: 1\n\n\r\n0\r\n\r\n");
+    assert!(forwarded(&plain).await?.ends_with("\r\n\r\ntext"));
+    assert!(forwarded(&stream).await?.ends_with("\r\n0\r\n\r\n"));
+    for length in 0..plain.len() {
+        let answer = forwarded(&plain[..length]).await?;
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{length}: {answer}");
+    }
+    for length in 0..stream.len() {
+        let answer = forwarded(&stream[..length]).await?;
+        let failed = answer.starts_with("HTTP/1.1 502 ");
+        assert_eq!(failed, length < stream_head.len(), "{length}: {answer}");
+        let looks_whole = answer.ends_with("0\r\n\r\n");
+        assert!(!looks_whole, "{length}: {answer}");
+    }
+    Ok(())
+}
+
 fn parts(values: &[&'static str]) -> Vec<String> {
     let mut headers = HeaderMap::new();
     for value in values {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,6 +24,9 @@
 use crate::platform::record::Page;
 use crate::platform::record::Truncated;
 
+#[cfg(test)]
+mod tests;
+
 /// The time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
--- a/tests/faults/broken_heads.rs
+++ b/tests/faults/broken_heads.rs
@@ -23,6 +23,16 @@
     "HTTP/1.1 103 Early Hints\r\nrequest-id: NAME\r\nresponse-seal: 1\r\n\r\n",
 ];
 
+/// Bytes after an answer, which belong to no request.
+const MORE: [&str; 6] = [
+    "garbage\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nrequest-id: other\r\nresponse-seal: 1\r\ncontent-length: 5\r\n\r\nwrong",
+    "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\ncontent-length: 5\r\n\r\nwrong",
+    "HTTP/1.1 200 OK\r\nresponse-seal: 1\r\n",
+    "HTTP/1.1 500 Failed\r\nresponse-seal: 1\r\ncontent-length: 5\r\n\r\nwrong",
+    "HTTP/1.1 408 Late\r\ncontent-length: 5\r\nconnection: close\r\n\r\nwrong",
+];
+
 const SECOND: &str = "id: 2\ndata: b\n\n";
 
 /// How many lengths lie between two at which an endpoint hangs, whose plays last until the deadline.
@@ -66,7 +76,7 @@
     format!("{} bytes, {:?}", cut.bytes.len(), cut.end)
 }
 
-/// Guards against a plain answer that breaks off in its head or framing, over a kept connection, and looks whole.
+/// Guards against a plain answer that breaks off, and bytes before or after one, taken for a whole one on a kept connection.
 #[tokio::test]
 async fn a_plain_answer_that_breaks_off_at_any_byte_is_not_whole() -> Result<()> {
     let mut plays = Vec::new();
@@ -82,6 +92,12 @@
             let answers = vec![Sent::new(&[head, head, &sound], End::Keep)];
             plays.push(whole(head, kind, answers, "some text"));
         }
+        for bytes in MORE {
+            let early = vec![Sent::new(&[&sound, bytes], End::Keep)];
+            plays.push(whole(format!("{bytes}, early"), kind, early, "some text"));
+            let late = vec![Sent::new(&[&sound], End::More(bytes))];
+            plays.push(whole(format!("{bytes}, late"), kind, late, "some text"));
+        }
     }
     let wrong = play_all(109, &plays).await?;
     assert!(wrong.is_empty(), "{}: {wrong:#?}", wrong.len());
--- a/tests/faults/plays.rs
+++ b/tests/faults/plays.rs
@@ -90,6 +90,8 @@
     /// It sends nothing more, and the answer is not whole.
     Hang,
     Keep,
+    /// It sends this in front of the answer to the next request.
+    More(&'static str),
 }
 
 /// An answer of an endpoint.
@@ -164,7 +166,11 @@
             script.kept += usize::from(answer.is_some() && last.is_some());
             answer.unwrap_or(kind.sound().0)
         };
-        let bytes = answer.bytes.replace("NAME", name);
+        let more = match last {
+            Some(End::More(bytes)) => bytes,
+            _ => "",
+        };
+        let bytes = more.to_owned() + &answer.bytes.replace("NAME", name);
         stream.write_all(bytes.as_bytes()).await?;
         match answer.end {
             End::Close => return Ok(stream.shutdown().await?),
@@ -172,7 +178,7 @@
                 sleep(SETTLE).await;
                 return Ok(stream.set_zero_linger()?);
             }
-            End::Hang | End::Keep => last = Some(answer.end),
+            End::Hang | End::Keep | End::More(_) => last = Some(answer.end),
         }
     }
 }
