Keep an endpoint whose newest entry cannot be read

What callers would see: a pool without endpoints, and requests that wait for one, when another writer overwrites the entries of all its endpoints: each was gone until its next heartbeat. A router was gone from the others' lists for good, since it writes its entry once.

An unreadable record does not say that its VM has left. An endpoint now stays in use as its last readable entry has it, for four seconds without a readable one (UnreadableEntries: three heartbeat intervals and a read, which is the silence after which the platform drops an entry). A deleted entry takes its VM away at once, as before. A router stays until its entry is deleted; whether it lives is known from its heartbeats.

Reading all keys with an entry to keep no longer counts as a change of the list either.

an_endpoint_stays_until_its_entries_are_unreadable_for_long, on a real router, failed before (the request after the overwritten entry was not answered in 4 s) and passes now.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -62,6 +62,7 @@
 mod stream_outbox;
 mod unread;
 mod unread_sends;
+mod unreadable_entries;
 
 pub use advice::Advice;
 pub use advice::Peer;
@@ -161,3 +162,4 @@
 pub(crate) use stream_outbox::stretch;
 pub(crate) use unread::ExpiredRun;
 pub(crate) use unread::UnreadRequests;
+pub(crate) use unreadable_entries::UnreadableEntries;
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -12,6 +12,7 @@
 
 use crate::decide::HeartbeatNumber;
 use crate::decide::HeartbeatOrder;
+use crate::decide::UnreadableEntries;
 use crate::edge::desk::Desk;
 use crate::edge::desk::lock;
 use crate::ids::NameError;
@@ -59,6 +60,7 @@
 struct Lists {
     version: u64,
     heartbeats: HeartbeatOrder,
+    unreadable: UnreadableEntries,
     servers: IndexMap<String, VmEntry>,
     routers: IndexMap<String, VmEntry>,
     /// Whether the list of servers has been read.
@@ -84,15 +86,25 @@
         let mut guard = lock(&self.lists);
         let lists = &mut *guard;
         let heartbeats = &mut lists.heartbeats;
+        let unreadable = &mut lists.unreadable;
         let mut cold = Vec::new();
-        let mut read = |key: &str, value: &[u8]| {
-            let (reading, left) = server(now, heartbeats, key, value)?;
-            if let Reading::Entry(entry) = &reading {
-                cold.push((entry.vm.clone(), left));
+        let mut read = |key: &str, value: &[u8]| match server(now, heartbeats, key, value) {
+            Some((reading, left)) => {
+                if let Reading::Entry(entry) = &reading {
+                    cold.push((entry.vm.clone(), left));
+                    unreadable.forget(key);
+                }
+                reading
+            }
+            None => {
+                unreadable.record(now, key);
+                Reading::Unreadable
             }
-            Some(reading)
         };
-        let changed = apply(&mut lists.servers, update, &mut read) || !lists.known;
+        let mut changed = apply(&mut lists.servers, update, &mut read) || !lists.known;
+        for name in unreadable.take_expired(now) {
+            changed |= put(&mut lists.servers, name, None);
+        }
         lists.known = true;
         self.publish(lists, changed);
         if !cold.is_empty() {
@@ -126,12 +138,14 @@
     Entry(VmEntry),
     /// An entry that is older than one already applied.
     Outdated,
+    /// An entry that cannot be decoded, which does not say that its VM is gone.
+    Unreadable,
 }
 
 /// Applies an update to a list, and returns whether the list changed.
 fn apply<F>(list: &mut IndexMap<String, VmEntry>, update: Update, read: &mut F) -> bool
 where
-    F: FnMut(&str, &[u8]) -> Option<Reading>,
+    F: FnMut(&str, &[u8]) -> Reading,
 {
     match update {
         Update::All(rows) => {
@@ -139,9 +153,10 @@
             let mut new = IndexMap::new();
             for (key, value) in rows {
                 match read(&key, &value) {
-                    Some(Reading::Entry(entry)) => drop(new.insert(key, entry)),
-                    Some(Reading::Outdated) => new.extend(list.shift_remove_entry(&key)),
-                    None => {}
+                    Reading::Entry(entry) => drop(new.insert(key, entry)),
+                    Reading::Outdated | Reading::Unreadable => {
+                        new.extend(list.get(&key).cloned().map(|entry| (key, entry)));
+                    }
                 }
             }
             let changed = new != *list;
@@ -152,9 +167,9 @@
             let mut changed = false;
             for record in records {
                 let value = record.value.as_deref();
-                changed |= match value.and_then(|value| read(&record.key, value)) {
+                changed |= match value.map(|value| read(&record.key, value)) {
                     Some(Reading::Entry(entry)) => put(list, record.key, Some(entry)),
-                    Some(Reading::Outdated) => false,
+                    Some(Reading::Outdated | Reading::Unreadable) => false,
                     None => put(list, record.key, None),
                 };
             }
@@ -238,8 +253,8 @@
 }
 
 /// Decodes the entry of a router, which is a VM list entry already.
-fn router(key: &str, value: &[u8]) -> Option<Reading> {
-    read(key, value).map(Reading::Entry)
+fn router(key: &str, value: &[u8]) -> Reading {
+    read(key, value).map_or(Reading::Unreadable, Reading::Entry)
 }
 
 fn read<'a, T>(key: &str, value: &'a [u8]) -> Option<T>
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,6 +1,7 @@
 //! What comes from the platform, good and bad.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::json;
@@ -341,3 +342,44 @@
     }
     assert_eq!(words, [0, 1500, 120_000]);
 }
+
+/// Guards against an endpoint that is gone because one of its entries cannot be read, in a single record or a read of all
+/// keys, and against one that stays for ever although none can.
+#[test]
+fn an_unreadable_entry_takes_no_endpoint_away_at_once() {
+    let (registry, mut events) = registry();
+    let start = Instant::now();
+    let odd = || keyed("i-1", b"{");
+    let all = |value: Vec<u8>| Update::All(vec![("i-1".to_owned(), value)]);
+    registry.servers(start, all(server("ready", 1)));
+    assert_eq!(lists(&mut events).len(), 1);
+    registry.servers(start, Update::Appended(vec![odd()]));
+    registry.servers(start + Duration::from_secs(3), all(b"{".to_vec()));
+    assert!(lists(&mut events).is_empty());
+    // A readable entry begins the time anew.
+    let readable = vec![keyed("i-1", &server("ready", 2)), odd()];
+    registry.servers(start + Duration::from_secs(3), Update::Appended(readable));
+    registry.servers(start + Duration::from_secs(6), all(b"{".to_vec()));
+    assert!(lists(&mut events).is_empty());
+    registry.servers(start + Duration::from_secs(8), Update::Appended(Vec::new()));
+    let newest = lists(&mut events).pop().expect("a list");
+    assert!(newest.vms.is_empty());
+}
+
+/// Guards against a router that the others lose because its entry, which it writes once, is overwritten.
+#[test]
+fn an_unreadable_entry_takes_no_router_away() {
+    let (registry, mut events) = registry();
+    let entry = json!({"vm": "vm-2", "address": "127.0.0.1:1", "domain": "d", "labels": {}, "state": "live"});
+    registry.servers(Instant::now(), Update::All(Vec::new()));
+    registry.routers(Update::All(vec![(
+        "vm-2".to_owned(),
+        entry.to_string().into_bytes(),
+    )]));
+    registry.routers(Update::Appended(vec![keyed("vm-2", b"{")]));
+    let newest = lists(&mut events).pop().expect("a list");
+    assert_eq!(newest.vms.len(), 1);
+    registry.routers(Update::Appended(vec![keyed("vm-2", b"")]));
+    let newest = lists(&mut events).pop().expect("a list");
+    assert!(newest.vms.is_empty());
+}
--- a/tests/faults/odd_entries.rs
+++ b/tests/faults/odd_entries.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::platform::LIMIT;
@@ -30,6 +31,9 @@
 /// The VMs of the routers, which the tests of this file use one after another.
 static VMS: Mutex<[usize; 2]> = Mutex::const_new([213, 233]);
 
+/// How long an unreadable entry must change nothing.
+const KEPT: Duration = Duration::from_millis(1500);
+
 /// Answers each request with a word.
 async fn serve(mut stream: TcpStream, word: &'static str) -> Result<()> {
     loop {
@@ -105,3 +109,29 @@
     }
     Ok(())
 }
+
+/// Guards against a pool without endpoints because their newest entries cannot be read, and against an endpoint that stays
+/// in use although its entries cannot be read for long.
+#[tokio::test]
+async fn an_endpoint_stays_until_its_entries_are_unreadable_for_long() -> Result<()> {
+    let vms = VMS.lock().await;
+    let (store, at) = Store::start().await?;
+    let address = start("answer").await?;
+    put_config(&store, &[route("pool", "idempotent")]);
+    store.put(ENDPOINTS, "pool", &entry("pool", address, 1));
+    let router = start_router(vms[0], at)?;
+    wait_answered(&router, "pool", "answer").await?;
+    store.push(ENDPOINTS, "pool", b"{");
+    let since = Instant::now();
+    while since.elapsed() < KEPT {
+        let answer = ask(router.front, "pool/x", "request").await?;
+        assert!(answer.contains(" 200 "), "{answer}");
+    }
+    wait_for("the endpoint is left", LIMIT, async || {
+        let answer = ask(router.front, "pool/x", "request").await;
+        Ok(!answer.is_ok_and(|answer| answer.contains(" 200 ")))
+    })
+    .await?;
+    store.put(ENDPOINTS, "pool", &entry("pool", address, 2));
+    wait_answered(&router, "pool", "answer").await
+}
