Pass over a record without a key in the logs of streams and grants

What callers would see: streams that are refused after their router was killed, and budgets that other routers no longer get, for as long as the store retains the record.

Cause: a record that does not begin with a key ended the whole read with an error, at each read anew, so that nothing behind it was ever read. The topic of streams takes records of any bytes. The lists of endpoints and routers passed over such records already; all readers of pages now share that way (Page::keyed).

a_record_without_a_key_is_passed_over failed before ("it is read, not Read(None)") and passes now.

--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -10,7 +10,6 @@
 use crate::clock::Clock;
 use crate::edge::clock::SystemClock;
 use crate::platform::record::Keyed;
-use crate::platform::record::Page;
 use crate::platform::store::ReadError;
 use crate::platform::store::Store;
 
@@ -165,8 +164,9 @@
         true => SystemClock.now().min(sent + hold),
         false => sent,
     };
+    let records = page.keyed(topic.name).into_iter();
     deliver(Batch {
-        update: Update::Appended(records(topic.name, &page)),
+        update: Update::Appended(records.map(|(_, record)| record).collect()),
         next,
         current: (!behind).then_some(answered),
     });
@@ -178,17 +178,6 @@
     Ok(Position::At { from: next, hold })
 }
 
-fn records(topic: &str, page: &Page) -> Vec<Keyed> {
-    let mut records = Vec::new();
-    for record in &page.records {
-        match Keyed::decode(record) {
-            Ok(record) => records.push(record),
-            Err(error) => warn!(event = "record-unreadable", topic, %error),
-        }
-    }
-    records
-}
-
 /// Logs when a topic becomes unreachable or reachable.
 struct ReadLog {
     topic: &'static str,
--- a/src/platform/grants.rs
+++ b/src/platform/grants.rs
@@ -94,17 +94,16 @@
     }
 }
 
-async fn read(store: &Store, from: Offset) -> Result<GrantEvent, ReadError> {
+pub(super) async fn read(store: &Store, from: Offset) -> Result<GrantEvent, ReadError> {
     let mut next = from.0;
     let mut rows = Vec::new();
     loop {
         let page = store.read(TOPIC, next, Duration::ZERO, None).await?;
-        for record in &page.records {
-            let record = Keyed::decode(record)?;
+        for (number, record) in page.keyed(TOPIC) {
             let value = record.value.unwrap_or_default();
-            rows.extend(row(next, &record.key, &value));
-            next += 1;
+            rows.extend(row(next + number, &record.key, &value));
         }
+        next += page.records.len() as u64;
         if next >= page.end || page.records.is_empty() {
             let end = Offset(next);
             return Ok(GrantEvent::Read { rows, end });
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -1,6 +1,7 @@
 //! The framing of records on the wire.
 
 use thiserror::Error;
+use tracing::warn;
 
 /// The size in bytes of the length in front of each record.
 const LENGTH: usize = 4;
@@ -43,6 +44,19 @@
         }
         Ok(Self { end, records })
     }
+
+    /// Decodes the records, and returns each with its number within the page. One that cannot be decoded is passed over, since it
+    /// would stop its topic's readers for as long as the store retains it.
+    pub(crate) fn keyed(&self, topic: &str) -> Vec<(u64, Keyed)> {
+        let mut records = Vec::new();
+        for (number, record) in (0..).zip(&self.records) {
+            match Keyed::decode(record) {
+                Ok(record) => records.push((number, record)),
+                Err(error) => warn!(event = "record-unreadable", topic, %error),
+            }
+        }
+        records
+    }
 }
 
 impl Keyed {
--- a/src/platform/streams.rs
+++ b/src/platform/streams.rs
@@ -70,11 +70,11 @@
             }
             Err(error) => return Err(error),
         };
-        for record in &page.records {
-            let value = Keyed::decode(record)?.value.unwrap_or_default();
+        for (_, record) in page.keyed(STREAMS) {
+            let value = record.value.unwrap_or_default();
             records.extend(decode(STREAMS, &value));
-            next += 1;
         }
+        next += page.records.len() as u64;
         if next >= page.end || page.records.is_empty() {
             return Ok((records, Offset(next)));
         }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -5,21 +5,34 @@
 use std::time::Instant;
 
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use crate::config::RepeatPolicy;
+use crate::decide::StreamOrigin;
 use crate::edge::desk::Desk;
 use crate::edge::metrics::Metrics;
+use crate::escrow::GrantRow;
+use crate::ids::Offset;
 use crate::ids::TableVersion;
 use crate::platform::config;
 use crate::platform::follow::Batch;
 use crate::platform::follow::Update;
+use crate::platform::grants;
 use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
 use crate::platform::record::Page;
 use crate::platform::record::Truncated;
 use crate::platform::registry::Registry;
+use crate::platform::store::Store;
+use crate::platform::streams;
 use crate::router::Event;
+use crate::router::GrantEvent;
+use crate::router::StreamLogCall;
+use crate::router::StreamLogEvent;
+use crate::router::StreamRecord;
 use crate::settings::RequestLimits;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
@@ -383,3 +396,71 @@
     let newest = lists(&mut events).pop().expect("a list");
     assert!(newest.vms.is_empty());
 }
+
+/// Starts a store that answers each read with the body for its path.
+async fn store_answering<F>(body: F) -> Store
+where
+    F: Fn(&str) -> Vec<u8> + Copy + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut head = [0; 2048];
+                while let Ok(length @ 1..) = stream.read(&mut head).await {
+                    let body = body(&String::from_utf8_lossy(&head[..length]));
+                    let length = body.len();
+                    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                    let answer = [head.into_bytes(), body].concat();
+                    if stream.write_all(&answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Store::new(address)
+}
+
+/// Returns a page with records that are not keyed, and a last one that is.
+fn odd_page(last: &Keyed) -> Vec<u8> {
+    let mut body = [3_u64, 0].map(u64::to_be_bytes).concat();
+    // One record is empty, the other one shorter than its key is said to be.
+    body.extend_from_slice(&0_u32.to_be_bytes());
+    body.extend_from_slice(&2_u32.to_be_bytes());
+    body.extend_from_slice(&[255, b'a']);
+    last.encode(&mut body);
+    body
+}
+
+/// Guards against one record without a key that stops the readers of streams and of grants for as long as it is retained.
+#[tokio::test]
+async fn a_record_without_a_key_is_passed_over() {
+    let record = || StreamRecord {
+        origin: StreamOrigin {
+            pool: "p".parse().expect("a name"),
+            version: None,
+        },
+        streams: Vec::new(),
+    };
+    let store = store_answering(move |_| {
+        let value = postcard::to_stdvec(&record()).expect("names can be encoded");
+        odd_page(&keyed("", &value))
+    });
+    let read = streams::call(&store.await, StreamLogCall::Read(None)).await;
+    let StreamLogEvent::Read(Some((records, next))) = read else {
+        panic!("it is read, not {read:?}");
+    };
+    assert_eq!((records, next), (vec![record()], Offset(3)));
+    let store =
+        store_answering(|_| odd_page(&keyed("vm-2\t7\tteam", &GrantRow::default().encode())));
+    let read = grants::read(&store.await, Offset(0))
+        .await
+        .expect("it is read");
+    let GrantEvent::Read { rows, end } = read else {
+        panic!("it is read, not {read:?}");
+    };
+    let offsets: Vec<_> = rows.iter().map(|(offset, ..)| *offset).collect();
+    assert_eq!((offsets, end), (vec![Offset(2)], Offset(3)));
+}
