List a router again whose entry was overwritten or deleted

What operators would see: a router that runs, but that no other router and no new caller finds until it is restarted.

Cause: a router wrote its entry in the list of routers once, at its start. If another writer overwrote it, or a removal by its former life was carried out late, nobody wrote it again.

A router now compares its entry with its own one whenever the list brings it, and writes it again, once a second at most.

a_router_lists_itself_again failed before ("the router is listed does not hold after 30s") and passes now: the entry deleted, unreadable in three ways, and with another address; after SIGTERM it is removed.

--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -57,13 +57,17 @@
 }
 
 impl Update {
-    /// Returns whether it has a value of a key.
-    pub(crate) fn has(&self, key: &str) -> bool {
+    /// Returns the newest value of a key, `None` if it is gone; no answer if the update says nothing of the key.
+    pub(crate) fn newest(&self, key: &str) -> Option<Option<&[u8]>> {
         match self {
-            Self::All(rows) => rows.iter().any(|(name, _)| name == key),
-            Self::Appended(records) => records
-                .iter()
-                .any(|record| record.key == key && record.value.is_some()),
+            Self::All(rows) => {
+                let row = rows.iter().find(|(name, _)| name == key);
+                Some(row.map(|(_, value)| value.as_slice()))
+            }
+            Self::Appended(records) => {
+                let record = records.iter().rfind(|record| record.key == key);
+                record.map(|record| record.value.as_deref())
+            }
         }
     }
 }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use tracing::info;
 use tracing::warn;
 
@@ -88,6 +89,9 @@
 /// The pause before an entry that the store did not accept is written again.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The shortest time between two writes of an entry that the store accepted.
+const LISTING_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// The interval at which expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -132,7 +136,7 @@
     };
     let desk = Arc::new(Desk::new(limits, None, origin, Metrics::exposed()?, sender));
     let store = Store::new(settings.store);
-    let (listed, read) = watch::channel(false);
+    let (listed, read) = watch::channel(None);
     let listing = Listing::begin(&settings, store.clone(), read);
     // Without a handler, the signal would terminate the process and cut off its requests.
     let changes = signal(SignalKind::hangup())?;
@@ -239,12 +243,15 @@
     now
 }
 
-/// Follows the topics of the store, and notifies `listed` once the routers have been read.
+/// This router's entry as it was last read: `None` before the first read, and no entry where there is none.
+type FoundEntry = Option<Option<Vec<u8>>>;
+
+/// Follows the topics of the store, and tells `listed` of this router's entry in the list of routers.
 fn follow_store(
     store: &Store,
     desk: &Arc<Desk>,
     settings: &SiteSettings,
-    listed: watch::Sender<bool>,
+    listed: watch::Sender<FoundEntry>,
 ) {
     let config = settings.config_ms.duration();
     let mut operator = Operator::new(desk.clone());
@@ -270,9 +277,13 @@
     }));
     let (desk, own) = (desk.clone(), settings.vm.to_string());
     tokio::spawn(follow(store.clone(), list(ROUTERS), move |batch| {
-        // This router is listed only after the first read, so that an entry of its name is of a former life.
-        if !listed.send_replace(true) && batch.update.has(&own) {
-            desk.tell(Event::FormerLife);
+        if let Some(found) = batch.update.newest(&own) {
+            let found = found.map(<[u8]>::to_vec);
+            let exists = found.is_some();
+            // This router is listed only after the first read, so that an entry of its name is of a former life.
+            if listed.send_replace(Some(found)).is_none() && exists {
+                desk.tell(Event::FormerLife);
+            }
         }
         registry.routers(batch.update);
     }));
@@ -320,8 +331,8 @@
 }
 
 impl Listing {
-    /// Lists the router once the list has been read, and retries until the store accepts the entry.
-    fn begin(settings: &SiteSettings, store: Store, read: watch::Receiver<bool>) -> Self {
+    /// Lists the router once the list has been read, and again whenever its entry is overwritten or deleted.
+    fn begin(settings: &SiteSettings, store: Store, read: watch::Receiver<FoundEntry>) -> Self {
         let (leaving, left) = watch::channel(false);
         let mut labels = Labels::default();
         labels.set("role", "router");
@@ -349,20 +360,33 @@
     }
 }
 
+/// Keeps the router listed until it leaves, and then removes its entry.
+///
+/// Nobody else writes the entry again: if another writer overwrote it, or a former life deleted it late, the other routers
+/// would never find this one.
 async fn keep_listed(
     entry: VmEntry,
     store: Store,
-    mut read: watch::Receiver<bool>,
+    mut read: watch::Receiver<FoundEntry>,
     mut left: watch::Receiver<bool>,
 ) {
-    if read.wait_for(|read| *read).await.is_err() {
-        return;
-    }
     let value = serde_json::to_vec(&entry).expect("an entry can be written");
-    write(&store, &entry, Some(value), &mut left).await;
-    if left.wait_for(|left| *left).await.is_ok() {
-        write(&store, &entry, None, &mut left).await;
+    while !*left.borrow() {
+        let found = read.borrow_and_update().clone();
+        if let Some(found) = found.filter(|found| found.as_ref() != Some(&value)) {
+            info!(event = "listing", vm = %entry.vm, overwritten = found.is_some());
+            write(&store, &entry, Some(value.clone()), &mut left).await;
+            let _ = timeout(LISTING_INTERVAL, left.wait_for(|left| *left)).await;
+        }
+        let goes_on = tokio::select! {
+            left = left.wait_for(|left| *left) => left.is_ok(),
+            changed = read.changed() => changed.is_ok(),
+        };
+        if !goes_on {
+            return;
+        }
     }
+    write(&store, &entry, None, &mut left).await;
 }
 
 /// Writes or deletes an entry, and retries until the store confirms it.
--- a/tests/faults/odd_entries.rs
+++ b/tests/faults/odd_entries.rs
@@ -23,8 +23,9 @@
 use crate::store::Store;
 use crate::wait_for;
 
-/// The topic of endpoints.
+/// The topics of endpoints and of routers.
 const ENDPOINTS: &str = "keyed.servers";
+const ROUTERS: &str = "keyed.routers";
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -135,3 +136,42 @@
     store.put(ENDPOINTS, "pool", &entry("pool", address, 2));
     wait_answered(&router, "pool", "answer").await
 }
+
+/// Guards against a router that the others never find again, because its entry was overwritten or deleted.
+#[tokio::test]
+async fn a_router_lists_itself_again() -> Result<()> {
+    let vms = VMS.lock().await;
+    let (store, at) = Store::start().await?;
+    put_config(&store, &[route("pool", "idempotent")]);
+    store.put(ENDPOINTS, "pool", &entry("pool", start("answer").await?, 1));
+    let router = start_router(vms[0], at)?;
+    wait_answered(&router, "pool", "answer").await?;
+    let name = format!("router-{}", vms[0]);
+    wait_listed(&store, &name, &router).await?;
+    for odd in [&b""[..], b"{", b"\xff", b"null"] {
+        store.push(ROUTERS, &name, odd);
+        wait_listed(&store, &name, &router).await?;
+    }
+    let mut moved: Value =
+        serde_json::from_slice(&store.value(ROUTERS, &name).unwrap_or_default())?;
+    moved["address"] = json!("127.0.0.1:1");
+    store.put(ROUTERS, &name, &moved);
+    wait_listed(&store, &name, &router).await?;
+    router.process.signal("TERM")?;
+    wait_for("the router is listed no more", LIMIT, async || {
+        Ok(store.value(ROUTERS, &name).is_none())
+    })
+    .await?;
+    Ok(())
+}
+
+/// Waits until the list of routers has a router's address.
+async fn wait_listed(store: &Store, name: &str, router: &Router) -> Result<()> {
+    wait_for("the router is listed", LIMIT, async || {
+        let listed = store.value(ROUTERS, name).unwrap_or_default();
+        let listed: Value = serde_json::from_slice(&listed)?;
+        Ok(listed["address"] == json!(router.front))
+    })
+    .await?;
+    Ok(())
+}
--- a/tests/faults/store.rs
+++ b/tests/faults/store.rs
@@ -106,14 +106,21 @@
     }
 
     /// Writes the newest record of a key, of any bytes.
-    pub(crate) fn push(&self, topic: &str, key: &str, value: &[u8]) {
-        let mut record = vec![u8::try_from(key.len()).expect("a short key")];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value);
-        self.topics()
-            .entry(self.kept_name(topic))
-            .or_default()
-            .push(record);
+    pub(crate) fn push<K>(&self, topic: &str, key: K, value: &[u8])
+    where
+        K: AsRef<[u8]>,
+    {
+        let key = key.as_ref();
+        let length = u8::try_from(key.len()).expect("a short key");
+        self.push_record(topic, &[&[length], key, value].concat());
+    }
+
+    /// Writes a record of any bytes.
+    pub(crate) fn push_record(&self, topic: &str, record: &[u8]) {
+        let mut topics = self.topics();
+        let records = topics.entry(self.kept_name(topic)).or_default();
+        records.push(record.to_vec());
+        drop(topics);
         self.changes.send_replace(());
     }
 
@@ -122,6 +129,12 @@
         newest(self.topics().get(topic)).len()
     }
 
+    /// Returns the newest value of a key.
+    pub(crate) fn value(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let mut newest = newest(self.topics().get(topic));
+        newest.swap_remove(key).map(|(_, value)| value)
+    }
+
     fn topics(&self) -> MutexGuard<'_, Topics> {
         self.topics.lock().unwrap_or_else(PoisonError::into_inner)
     }
