Ask whether an endpoint listens once its listener would be closed

Cause: whether a process died is told by its listener, and the kernel closes that after the connections: on the real processes here up to 9 ms later with 200 connections, at once in most cases. A connection that was opened in between was accepted, and the answer counted as whole. The class: a state that is asked for before it can have changed.

Evidence: dying_endpoints, where the listener is closed 5 ms after the connections: 12 of 12 streams complete after 3 of 6 events before, none after.

The relay waits for 20 ms before it asks. The end of an answer without a length or chunks comes as much later; events do not. An endpoint whose processes share a listener, one of which dies, is still not told from a sound one.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -17,6 +17,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tracing::debug;
 use tracing::info;
@@ -51,6 +52,9 @@
 /// The largest answer that is gathered before it goes on: what is no stream is a record or a map tile.
 const MAX_ANSWER: usize = 16 << 20;
 
+/// How much later than its connections the listener of a process that died is closed, at most.
+const LISTENER_LAG: Duration = Duration::from_millis(20);
+
 /// Why an answer that ended with its connection is not whole.
 pub(crate) const ENDPOINT_DIED: &str = "the endpoint listens no longer";
 
@@ -125,10 +129,13 @@
     /// connection in its place.
     ///
     /// The kernel closes the connections of a process that died as the process itself does after a whole answer, but then
-    /// nothing listens there any more.
+    /// nothing listens there any more. It may close the listener after the connections.
     pub(crate) async fn has_dead_endpoint(&self, relays: &Relays) -> bool {
-        self.framing == Framing::Connection
-            && relays.upstream.reopen(&self.connection, self.idle).await
+        if self.framing != Framing::Connection {
+            return false;
+        }
+        sleep(LISTENER_LAG).await;
+        relays.upstream.reopen(&self.connection, self.idle).await
     }
 }
 
--- a/tests/faults/dying_endpoints.rs
+++ b/tests/faults/dying_endpoints.rs
@@ -40,6 +40,8 @@
 const BREAK: usize = 3;
 /// How long the requests of an endpoint have reached it before it dies.
 const SETTLE: Duration = Duration::from_millis(300);
+/// How much later than the connections of a process that dies its listener may be closed.
+const LISTENER_LAG: Duration = Duration::from_millis(5);
 /// The plain answer, and what a dying endpoint has sent of it.
 const RECORD: &str = "a record that is whole";
 const PART: &str = "a record";
@@ -52,7 +54,8 @@
 }
 
 impl Endpoint {
-    async fn start(dies: bool) -> Result<Self> {
+    /// Starts one whose listener is closed so much later than its connections when it dies.
+    async fn start(dies: bool, listener_lag: Duration) -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (alive, mut death) = watch::channel(true);
@@ -67,11 +70,14 @@
                 () = accepting => {}
                 _ = death.wait_for(|alive| !alive) => {}
             }
+            if !listener_lag.is_zero() {
+                sleep(listener_lag).await;
+            }
         });
         Ok(Self { address, alive })
     }
 
-    /// Closes the listener and all connections in order, as the kernel does for a process that was killed.
+    /// Closes all connections and the listener in order, as the kernel does for a process that was killed.
     fn die(&self) {
         self.alive.send_replace(false);
     }
@@ -127,7 +133,12 @@
 
 impl Site {
     /// Starts a router, and endpoints of a service of which only the one that is to die is listed.
-    async fn start(vm: usize, service: &str, resumable: bool) -> Result<Self> {
+    async fn start(
+        vm: usize,
+        service: &str,
+        resumable: bool,
+        listener_lag: Duration,
+    ) -> Result<Self> {
         let (store, at) = Store::start().await?;
         let kind = match service {
             RECORDS => "idempotent",
@@ -136,7 +147,7 @@
         let mut route = route(service, kind);
         route["resumable"] = json!(resumable);
         put_config(&store, &[route]);
-        let dying = Endpoint::start(true).await?;
+        let dying = Endpoint::start(true, listener_lag).await?;
         put_endpoint(&store, "dying", service, dying.address);
         let settings = json!({"retry_ratio": 0.2, "retry_spare": 100.0, "retry_window_ms": 2000});
         let router = Router::start(vm, at, &settings)?;
@@ -170,7 +181,7 @@
         }
         sleep(SETTLE).await;
         for number in 0..ENDPOINTS {
-            let endpoint = Endpoint::start(false).await?;
+            let endpoint = Endpoint::start(false, Duration::ZERO).await?;
             put_endpoint(
                 &self.store,
                 &format!("sound-{number}"),
@@ -197,7 +208,7 @@
 /// Guards against streams that are passed on as complete although their endpoint's process died between two events.
 #[tokio::test]
 async fn a_stream_whose_endpoint_dies_between_two_events_is_not_complete() -> Result<()> {
-    let site = Site::start(104, ONCE, false).await?;
+    let site = Site::start(104, ONCE, false, Duration::ZERO).await?;
     let received = site.die_during(ONCE).await?;
     let complete = received.iter().filter(|answer| answer.complete).count();
     assert_eq!(
@@ -212,10 +223,23 @@
     Ok(())
 }
 
+/// Guards against the same while the process's listener is still open, which the kernel closes after connections.
+#[tokio::test]
+async fn a_stream_whose_endpoint_dies_is_not_complete_though_its_listener_is_open() -> Result<()> {
+    let site = Site::start(221, ONCE, false, LISTENER_LAG).await?;
+    let received = site.die_during(ONCE).await?;
+    let complete = received.iter().filter(|answer| answer.complete).count();
+    assert_eq!(
+        complete, 0,
+        "of {REQUESTS} streams that broke off: {received:#?}"
+    );
+    Ok(())
+}
+
 /// Guards against resumable streams that end early, or have events twice, when their endpoint's process dies.
 #[tokio::test]
 async fn a_resumable_stream_whose_endpoint_dies_between_two_events_goes_on() -> Result<()> {
-    let site = Site::start(105, RESUMABLE, true).await?;
+    let site = Site::start(105, RESUMABLE, true, Duration::ZERO).await?;
     let received = site.die_during(RESUMABLE).await?;
     let whole = events_from(1, EVENTS);
     let wrong: Vec<_> = received
@@ -233,7 +257,7 @@
 /// Guards against parts of plain answers that are passed on as whole when their endpoint's process dies.
 #[tokio::test]
 async fn a_plain_answer_whose_endpoint_dies_is_not_whole() -> Result<()> {
-    let site = Site::start(106, RECORDS, false).await?;
+    let site = Site::start(106, RECORDS, false, Duration::ZERO).await?;
     let received = site.die_during(RECORDS).await?;
     let parts = received.iter().filter(|answer| answer.body == PART).count();
     assert_eq!(
