Leave the endpoint that goes on with a stream when its caller leaves

What endpoints saw: work for a caller that had left, up to the silence after which any endpoint is left (GONE): while a further run of a stream had not answered yet, nobody looked whether its caller was still there.

Evidence: left_streams::a_run_that_goes_on_with_a_stream_ends_when_its_caller_leaves, real router, an objective of 1.5 s: the connection was closed 3.75 s after the caller had left, and is within 0.5 s now.

--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -240,7 +240,14 @@
                 return None;
             };
             let last = self.splitter.last().map(str::to_owned);
-            end = match self.runner.send(&self.relays, *run, last.as_deref()).await {
+            let sent = tokio::select! {
+                sent = self.runner.send(&self.relays, *run, last.as_deref()) => sent,
+                () = self.out.closed() => {
+                    self.runner.end(RunEnd::CallerGone { usage: None });
+                    return None;
+                }
+            };
+            end = match sent {
                 Sent::Answer(connection, answer) if answer.status().is_success() => {
                     return Some((*connection, answer.into_body()));
                 }
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -21,6 +21,7 @@
 mod fresh;
 mod frozen;
 mod killed;
+mod left_streams;
 mod limited;
 mod load;
 mod network;
