Blame no endpoint for an event that a caller named

With Last-Event-Id 0, or none, and an answer without events, a stream was whole that had nothing.

Cause: the number that a caller sends was trusted like the last event of a run. If the first event of an answer does not come after it, the answer is now cut without a retry and without a failure at the endpoint; a caller that was right comes again. An answer without events is whole only for a caller that names an event above 0.

--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -320,11 +320,12 @@
         relay.map_or(1, |relay| relay.stride)
     }
 
-    /// Returns the event after which the caller has the run in progress go on.
+    /// Returns the event after which the caller has the run in progress go on, if it has any.
     pub(crate) fn resumed_after(&self) -> Option<&str> {
         let relay = self.run.as_ref().and_then(|run| run.relay.as_ref());
         relay.filter(|relay| relay.resumable)?;
-        self.ask.relay.resumption.as_ref()?.last.as_deref()
+        let last = self.ask.relay.resumption.as_ref()?.last.as_deref();
+        last.filter(|last| !matches!(*last, "" | "0"))
     }
 
     /// Logs why an answer that is no stream is not whole.
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -31,6 +31,9 @@
     Endless,
     /// It sent an event again, or one that comes before the last one.
     Disordered,
+    /// Its first event does not come after the one that the caller named. The caller may have named one that there never
+    /// was, which says nothing of the endpoint.
+    Misnamed,
     CallerGone,
     /// The core broke it off.
     Stopped,
@@ -97,7 +100,7 @@
                     self.relays.keep(connection);
                     return;
                 }
-                End::CallerGone | End::Stopped => {
+                End::CallerGone | End::Stopped | End::Misnamed => {
                     let usage = Some(usage);
                     return self.runner.end(RunEnd::CallerGone { usage });
                 }
@@ -143,7 +146,10 @@
             }
             if self.splitter.is_disordered() {
                 self.log_end(connection.framing, "the numbers of events go back");
-                return End::Disordered;
+                return match self.begun {
+                    true => End::Disordered,
+                    false => End::Misnamed,
+                };
             }
             if self.splitter.is_endless() {
                 self.log_end(connection.framing, "no event ends");
--- a/tests/faults/left_streams.rs
+++ b/tests/faults/left_streams.rs
@@ -1,4 +1,4 @@
-//! Callers of streams who leave.
+//! Callers of streams who leave, or name events that there never were.
 
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 use crate::platform::LIMIT;
 use crate::platform::Router;
+use crate::platform::ask_with;
 use crate::platform::header;
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
@@ -22,6 +23,7 @@
 use crate::platform::request;
 use crate::platform::route;
 use crate::platform::start_endpoint;
+use crate::received::Received;
 use crate::store::Store;
 use crate::wait_for;
 
@@ -116,3 +118,22 @@
     assert!(took < LEAVE_TIME, "{took:?}");
     Ok(())
 }
+
+/// Guards against callers that name an event that there never was, and have sound endpoints taken for failed by that.
+#[tokio::test]
+async fn a_caller_that_names_a_later_event_does_no_harm_to_endpoints() -> Result<()> {
+    let (sender, _steps) = mpsc::unbounded_channel();
+    let (router, _store) = start(138, sender).await?;
+    let before = pool(&router).await?["retries"].clone();
+    for number in 0..30 {
+        let (path, name) = (format!("{SERVICE}/{number}"), format!("later-{number}"));
+        let headers = "last-event-id: 18446744073709551615\r\nresumes: first\r\n";
+        let answer = ask_with(router.front, &path, &name, headers).await?;
+        let answer = Received::read(&answer)?;
+        assert!(!answer.complete && answer.body.is_empty(), "{answer:?}");
+    }
+    let log = router.logged()?;
+    let later = log.lines().filter(|line| line.contains("event=retry "));
+    assert_eq!(later.count(), 0, "no retry is spent on them: {before}");
+    router.wait_serving(SERVICE).await
+}
