Take no answer without events for a stream that may be resumed

What callers got, on a route whose streams may be resumed: a success that is no stream, as of a head that ends before its type, passed on as whole: empty (`content-length: 0` of the router's own), or with a text for its body; also after `Last-Event-Id` and `Resumes`.

Cause: what isn't of the type of events was held for a plain answer, whatever the route; and a run that goes on was not asked for its type at all, while one without events may end a stream whose caller has all.

Now such a run is broken, and another endpoint is tried. An answer of the right type without events still ends a stream that is taken up.

Class: a head taken for whole without what every whole head has.

Left: streams that may not be resumed. The core doesn't tell their routes from others that run once (`RepeatPolicy::Never`), and tables go from router to router.

--- a/src/edge/relay/request.rs
+++ b/src/edge/relay/request.rs
@@ -57,7 +57,7 @@
     Moved,
     /// The endpoint's own failure, after it ran the request.
     Failed,
-    /// A success without the endpoint's seal: its head is not whole.
+    /// A success whose head lacks what it has to have, and is not whole.
     Broken,
     /// Its answer.
     Answer,
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -197,7 +197,10 @@
             Err(error) => return Sent::Over(self.unanswered(&run, error)),
         };
         let kept = Kept::new(relays, connection, &answer);
-        let verdict = relays.dialect.verdict(&self.ask, &answer);
+        let verdict = match relays.dialect.verdict(&self.ask, &answer) {
+            Verdict::Answer if lacks_events(&run, &answer) => Verdict::Broken,
+            verdict => verdict,
+        };
         // The end of such a run looks as if the endpoint had not answered.
         if matches!(
             verdict,
@@ -503,6 +506,15 @@
     events && answer.status().is_success()
 }
 
+/// Returns whether an answer is a success that is no stream, though the request's route has nothing else.
+///
+/// Only of streams that may be resumed the core says that they are streams.
+fn lacks_events(run: &Run, answer: &Response<Incoming>) -> bool {
+    let relay = run.relay.as_ref();
+    let is_resumable = relay.is_some_and(|relay| relay.resumable);
+    is_resumable && answer.status().is_success() && !is_stream(answer)
+}
+
 fn begin_stream(
     relays: Arc<Relays>,
     mut runner: Runner,
--- a/tests/faults/broken_heads.rs
+++ b/tests/faults/broken_heads.rs
@@ -38,26 +38,6 @@
 /// How many lengths lie between two at which an endpoint hangs, whose plays last until the deadline.
 const HANG_EVERY: usize = 16;
 
-/// Returns a play in which no answer may look whole.
-fn broken(what: impl Into<String>, kind: Kind, answers: Vec<Sent>) -> Play {
-    Play {
-        what: what.into(),
-        kind,
-        last: None,
-        answers,
-        whole: None,
-    }
-}
-
-/// Returns a play whose caller gets a body.
-fn whole(what: impl Into<String>, kind: Kind, answers: Vec<Sent>, body: &str) -> Play {
-    let whole = Some(body.to_owned());
-    Play {
-        whole,
-        ..broken(what, kind, answers)
-    }
-}
-
 /// Returns an answer that breaks off after each of its bytes, in each way.
 fn cuts(answer: &str) -> Vec<Sent> {
     let lengths = 0..answer.len();
@@ -83,20 +63,34 @@
     for (framing, kind) in [(TEXT, Kind::NonIdempotent), (CHUNKS, Kind::Idempotent)] {
         let sound = [PLAIN, framing].concat();
         for cut in cuts(&sound) {
-            plays.push(broken(name(&cut), kind, vec![cut]));
+            plays.push(Play::broken(name(&cut), kind, vec![cut]));
         }
         for head in INTERIM {
             for cut in cuts(&[head, "H"].concat()) {
-                plays.push(broken(format!("{head} {}", name(&cut)), kind, vec![cut]));
+                plays.push(Play::broken(
+                    format!("{head} {}", name(&cut)),
+                    kind,
+                    vec![cut],
+                ));
             }
             let answers = vec![Sent::new(&[head, head, &sound], End::Keep)];
-            plays.push(whole(head, kind, answers, "some text"));
+            plays.push(Play::whole(head, kind, answers, "some text"));
         }
         for bytes in MORE {
             let early = vec![Sent::new(&[&sound, bytes], End::Keep)];
-            plays.push(whole(format!("{bytes}, early"), kind, early, "some text"));
+            plays.push(Play::whole(
+                format!("{bytes}, early"),
+                kind,
+                early,
+                "some text",
+            ));
             let late = vec![Sent::new(&[&sound], End::More(bytes))];
-            plays.push(whole(format!("{bytes}, late"), kind, late, "some text"));
+            plays.push(Play::whole(
+                format!("{bytes}, late"),
+                kind,
+                late,
+                "some text",
+            ));
         }
     }
     let wrong = play_all(109, &plays).await?;
@@ -127,19 +121,25 @@
         let answers = vec![cut.clone(), rest.clone()];
         plays.push(Play {
             last: Some(1),
-            ..whole(format!("taken up, {what}"), kind, answers, SECOND)
+            ..Play::whole(format!("taken up, {what}"), kind, answers, SECOND)
         });
         let answers = vec![begin.clone(), cut, rest.clone()];
-        plays.push(whole(format!("goes on, {what}"), kind, answers, &both));
+        plays.push(Play::whole(
+            format!("goes on, {what}"),
+            kind,
+            answers,
+            &both,
+        ));
     }
     let wrong = play_all(205, &plays).await?;
     assert!(wrong.is_empty(), "{}: {wrong:#?}", wrong.len());
     Ok(())
 }
 
-/// Guards against a success without the endpoint's seal or with the name of another request, as of a head that ended early.
+/// Guards against a success without the endpoint's seal, with the name of another request or without events in a stream's
+/// place, as of a head that ended early.
 #[tokio::test]
-async fn a_success_has_one_seal_and_one_name() -> Result<()> {
+async fn a_success_without_its_seal_name_or_events_is_broken() -> Result<()> {
     let seal = "response-seal: 1\r\n";
     let heads = [
         "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
@@ -164,134 +164,35 @@
     for kind in [Kind::Idempotent, Kind::NonIdempotent, Kind::Resumable] {
         for head in &heads {
             let answers = vec![Sent::new(&[head], End::Close)];
-            plays.push(broken(head, kind, answers));
+            plays.push(Play::broken(head, kind, answers));
         }
     }
-    let events = [EVENTS, ONE_EVENT].concat();
-    let begin = events.replace("content-length: 15", "content-length: 30");
+    let kind = Kind::Resumable;
+    let begin = [EVENTS, ONE_EVENT].concat();
+    let begin = begin.replace("content-length: 15", "content-length: 30");
+    let begin = Sent::new(&[&begin], End::Close);
+    let sealed = "HTTP/1.1 200 OK\r\nrequest-id: NAME\r\nresponse-seal: 1\r\n";
     for head in [
-        events.replace(seal, "").replace(": 1\nda", ": 2\nda"),
         "HTTP/1.1 204 No Content\r\nrequest-id: NAME\r\n\r\n".to_owned(),
+        [EVENTS, ONE_EVENT].concat().replace(seal, ""),
+        [sealed, "\r\n"].concat(),
+        [sealed, "\r\nid: 2\ndata: b\n\n"].concat(),
+        [sealed, "content-length: 0\r\n\r\n"].concat(),
+        [sealed, "\r\n"].concat().replace("200 OK", "204 None"),
+        [PLAIN, TEXT].concat(),
     ] {
-        let begin = Sent::new(&[&begin], End::Close);
-        let answers = vec![begin, Sent::new(&[&head], End::Close)];
-        plays.push(broken(format!("goes on, {head}"), Kind::Resumable, answers));
+        let sent = Sent::new(&[&head], End::Close);
+        let only = Play::broken(format!("first, {head}"), kind, vec![sent.clone()]);
+        plays.push(Play {
+            what: format!("taken up, {head}"),
+            last: Some(1),
+            ..only.clone()
+        });
+        plays.push(only);
+        let answers = vec![begin.clone(), sent];
+        plays.push(Play::broken(format!("goes on, {head}"), kind, answers));
     }
     let wrong = play_all(225, &plays).await?;
     assert!(wrong.is_empty(), "{}: {wrong:#?}", wrong.len());
     Ok(())
 }
-
-/// Guards against a body that is passed on as whole though its head does not say where it ends, or is none of an answer.
-#[tokio::test]
-async fn an_answer_in_no_known_framing_is_none() -> Result<()> {
-    let chunks = "9\r\nsome text\r\n0\r\n\r\n";
-    let mut plays = Vec::new();
-    for kind in [Kind::Idempotent, Kind::NonIdempotent] {
-        for (framing, body) in [
-            ("transfer-encoding: gzip", "some text"),
-            ("transfer-encoding: identity", "some text"),
-            ("transfer-encoding: chunked, gzip", chunks),
-            ("transfer-encoding: gzip, chunked", chunks),
-            (
-                "transfer-encoding: gzip\r\ntransfer-encoding: chunked",
-                chunks,
-            ),
-            ("transfer-encoding: chunked, chunked", chunks),
-            ("transfer-encoding: gzip\r\ncontent-length: 9", "some text"),
-            ("transfer-encoding:", "some text"),
-            (
-                "transfer-encoding: chunked",
-                "10000000000000009\r\nsome text\r\n0\r\n\r\n",
-            ),
-            ("transfer-encoding: chunked", "-9\r\nsome text\r\n0\r\n\r\n"),
-            ("transfer-encoding: chunked", "\r\nsome text\r\n0\r\n\r\n"),
-            ("transfer-encoding: chunked", "8\r\nsome text\r\n0\r\n\r\n"),
-            ("content-length: 4\r\ncontent-length: 9", "some text"),
-            ("content-length: 4, 9", "some text"),
-            ("content-length: 18446744073709551616", "some text"),
-            ("content-length: 18446744073709551615", "some text"),
-            ("content-length: 18446744073709551613", "some text"),
-            ("content-length: -1", "some text"),
-            ("content-length: +9", "some text"),
-            ("content-length: x", "some text"),
-            ("content-length:", "some text"),
-            ("connection: upgrade\r\nupgrade: x", "some text"),
-        ] {
-            let upgrade = framing.contains("upgrade");
-            let head = match upgrade {
-                true => PLAIN.replace("200 OK", "101 Switching Protocols"),
-                false => PLAIN.to_owned(),
-            };
-            let answers = vec![Sent::new(&[&head, framing, "\r\n\r\n", body], End::Close)];
-            plays.push(broken(format!("{framing}, {body}"), kind, answers));
-        }
-        for first in [
-            "HTTP/1.1 101 Switch",
-            "HTTP/1.1 099 X",
-            "HTTP/1.1 600 X",
-            "HTTP/1.1 999 X",
-            "HTTP/2.0 200 OK",
-            "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked",
-        ] {
-            let head = PLAIN.replace("HTTP/1.1 200 OK", first);
-            plays.push(broken(
-                first,
-                kind,
-                vec![Sent::new(&[&head, TEXT], End::Close)],
-            ));
-        }
-        plays.push(broken(
-            "0.9",
-            kind,
-            vec![Sent::new(&["some text"], End::Close)],
-        ));
-        for (what, head, end) in [
-            (
-                "line feeds",
-                [PLAIN, TEXT].concat().replace("\r\n", "\n"),
-                End::Keep,
-            ),
-            (
-                "1.0",
-                [PLAIN, TEXT].concat().replace("1.1", "1.0"),
-                End::Keep,
-            ),
-            (
-                "1.0 without a length",
-                [PLAIN, "\r\nsome text"].concat().replace("1.1", "1.0"),
-                End::Close,
-            ),
-            (
-                "length and chunks",
-                [PLAIN, "content-length: 3\r\n", CHUNKS].concat(),
-                End::Close,
-            ),
-            (
-                "a length twice",
-                [PLAIN, "content-length: 9\r\n", TEXT].concat(),
-                End::Keep,
-            ),
-            (
-                "chunks, spelled otherwise",
-                [PLAIN, CHUNKS].concat().replace("chunked", "Chunked"),
-                End::Keep,
-            ),
-            (
-                "more than the length",
-                [PLAIN, TEXT, " and more"].concat(),
-                End::Keep,
-            ),
-        ] {
-            plays.push(whole(
-                what,
-                kind,
-                vec![Sent::new(&[&head], end)],
-                "some text",
-            ));
-        }
-    }
-    let wrong = play_all(233, &plays).await?;
-    assert!(wrong.is_empty(), "{}: {wrong:#?}", wrong.len());
-    Ok(())
-}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -7,6 +7,7 @@
 )]
 mod brittle;
 mod broken_answers;
+mod broken_framing;
 mod broken_heads;
 mod caller;
 #[path = "../standins/client.rs"]
--- a/tests/faults/plays.rs
+++ b/tests/faults/plays.rs
@@ -25,7 +25,7 @@
 use crate::platform::read_head;
 use crate::platform::route;
 use crate::platform::start_endpoint;
-use crate::received::Received;
+use crate::received::fault;
 use crate::store::Store;
 
 /// How many plays run at once.
@@ -232,6 +232,31 @@
 }
 
 impl Play {
+    /// Returns a play in which no answer may look whole.
+    pub(crate) fn broken(what: impl Into<String>, kind: Kind, answers: Vec<Sent>) -> Self {
+        Self {
+            what: what.into(),
+            kind,
+            last: None,
+            answers,
+            whole: None,
+        }
+    }
+
+    /// Returns a play whose caller gets a body.
+    pub(crate) fn whole(
+        what: impl Into<String>,
+        kind: Kind,
+        answers: Vec<Sent>,
+        body: &str,
+    ) -> Self {
+        let whole = Some(body.to_owned());
+        Self {
+            whole,
+            ..Self::broken(what, kind, answers)
+        }
+    }
+
     /// Sends the request after one that is answered as it should be and before another one, and returns what is wrong.
     async fn run(&self, router: &Router, script: &Shared, number: usize) -> Vec<String> {
         let (_, sound) = self.kind.sound();
@@ -272,32 +297,3 @@
         }
     }
 }
-
-/// Returns what is wrong with an answer that may be whole with this body, or not at all.
-fn fault(answer: &str, name: &str, whole: Option<&str>, must: bool) -> Option<&'static str> {
-    let missing = must.then_some("is not served");
-    let Some((head, _)) = answer.split_once("\r\n\r\n") else {
-        return missing;
-    };
-    let values = |name: &str| {
-        let lines = head.lines().filter_map(|line| line.split_once(": "));
-        let values = lines.filter_map(|(key, value)| (key == name).then_some(value));
-        values.map(str::to_owned).collect::<Vec<_>>()
-    };
-    let seals = values("response-seal");
-    match head
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok())
-    {
-        Some(400u16..=599) if seals.is_empty() => return missing,
-        Some(200..=299) if seals == ["1"] && values("request-id") == [name] => {}
-        _ => return Some("gets the answer of nobody"),
-    }
-    let received = Received::read(answer).ok();
-    match (received.filter(|received| received.complete), whole) {
-        (Some(received), Some(whole)) if received.body == whole => None,
-        (Some(_), _) => Some("looks whole"),
-        (None, _) => missing,
-    }
-}
--- a/tests/faults/received.rs
+++ b/tests/faults/received.rs
@@ -3,6 +3,9 @@
 use anyhow::Context;
 use anyhow::Result;
 
+/// The status of an answer that has no body.
+const NO_CONTENT: u16 = 204;
+
 /// What a caller got.
 #[derive(Debug)]
 pub(crate) struct Received {
@@ -17,6 +20,13 @@
     pub(crate) fn read(answer: &str) -> Result<Self> {
         let (head, rest) = answer.split_once("\r\n\r\n").context("no head")?;
         let status = head.split(' ').nth(1).context("no status")?.parse()?;
+        if status == NO_CONTENT {
+            return Ok(Self {
+                status,
+                body: rest.to_owned(),
+                complete: rest.is_empty(),
+            });
+        }
         let length = head
             .lines()
             .find_map(|line| line.strip_prefix("content-length: "));
@@ -49,3 +59,38 @@
         })
     }
 }
+
+/// Returns what is wrong with the answer to a request that may be whole with this body, or not at all; `must` tells whether it
+/// has to be.
+pub(crate) fn fault(
+    answer: &str,
+    name: &str,
+    whole: Option<&str>,
+    must: bool,
+) -> Option<&'static str> {
+    let missing = must.then_some("is not served");
+    let Some((head, _)) = answer.split_once("\r\n\r\n") else {
+        return missing;
+    };
+    let values = |name: &str| {
+        let lines = head.lines().filter_map(|line| line.split_once(": "));
+        let values = lines.filter_map(|(key, value)| (key == name).then_some(value));
+        values.map(str::to_owned).collect::<Vec<_>>()
+    };
+    let seals = values("response-seal");
+    match head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+    {
+        Some(400u16..=599) if seals.is_empty() => return missing,
+        Some(200..=299) if seals == ["1"] && values("request-id") == [name] => {}
+        _ => return Some("gets the answer of nobody"),
+    }
+    let received = Received::read(answer).ok();
+    match (received.filter(|received| received.complete), whole) {
+        (Some(received), Some(whole)) if received.body == whole => None,
+        (Some(_), _) => Some("looks whole"),
+        (None, _) => missing,
+    }
+}
