Cut long values in the lines of the logs

What operators would see: a router that the platform ends for its memory, beside a slow reader of its logs and odd records in the store.

Cause: an error quotes what could not be read, such as a text in place of an endpoint's state, so that a line was as long as the record: 300,410 bytes in the test. Up to 8,192 lines wait for a slow reader.

A value is now cut at 4,096 bytes, in all lines.

routers_outlive_odd_records plays some hundred odd values in all topics that routers read, before their start and after it, under their own keys, an endpoint's and odd ones, and 10,000 unreadable entries at once; two routers have to run on, to serve and to follow a new endpoint and one that leaves.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -27,6 +27,10 @@
 /// counted.
 const WAITING: usize = 8192;
 
+/// The longest value of a field, in bytes. Errors quote what was read from others, which may be as long as a record of the store,
+/// and each waiting line would hold as much memory.
+const MAX_VALUE: usize = 4096;
+
 /// The counter of dropped lines.
 static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 
@@ -104,13 +108,14 @@
     }
 }
 
-/// Formats fields as ` key=value`. Values that contain a space or a quote are quoted, so that each event stays one line.
+/// Formats fields as ` key=value`, and cuts long values. Values that contain a space or a quote are quoted, so that each event stays one line.
 struct Pairs {
     text: String,
 }
 
 impl Pairs {
     fn push(&mut self, name: &str, value: &str) {
+        let value = &value[..value.floor_char_boundary(MAX_VALUE)];
         let bare = !value.is_empty()
             && value
                 .chars()
--- a/tests/faults/odd_entries.rs
+++ b/tests/faults/odd_entries.rs
@@ -27,6 +27,26 @@
 const ENDPOINTS: &str = "keyed.servers";
 const ROUTERS: &str = "keyed.routers";
 
+/// All topics that routers read.
+const TOPICS: [&str; 6] = [
+    ENDPOINTS,
+    ROUTERS,
+    "keyed.op",
+    "keyed.grants",
+    "keyed.versions",
+    "streams",
+];
+
+/// The levels of a deeply nested value, and the length of a long one.
+const DEPTH: usize = 100_000;
+const LENGTH: usize = 300_000;
+
+/// The longest line of a router's logs, in bytes.
+const MAX_LINE: usize = 16_384;
+
+/// How many entries come at once.
+const MANY: usize = 10_000;
+
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The VMs of the routers, which the tests of this file use one after another.
@@ -175,3 +195,126 @@
     .await?;
     Ok(())
 }
+
+/// Returns values of records that no router would write.
+fn odd_values() -> Vec<Vec<u8>> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let whole = json!({
+        "vm": "other", "address": address, "domain": "domain-0", "state": "live",
+        "labels": {"role": "router", "peer": "127.0.0.1:1", "cpu": "4294967295", "link": "4294967295"},
+    });
+    let mut values = vec![
+        b"{".to_vec(),
+        b"null".to_vec(),
+        b"\0".to_vec(),
+        whole.to_string().into_bytes(),
+    ];
+    for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+        values.push(open.repeat(DEPTH).into_bytes());
+        let nested = format!("{}1{}", open.repeat(DEPTH), close.repeat(DEPTH));
+        values.push(format!("{{\"address\":{nested}}}").into_bytes());
+        values.push(nested.into_bytes());
+    }
+    for number in [
+        "0",
+        "-1",
+        "70000",
+        "1e400",
+        "18446744073709551615",
+        &"9".repeat(LENGTH),
+    ] {
+        for field in [
+            "slots",
+            "sequence",
+            "born",
+            "coldRemainingMs",
+            "address",
+            "version",
+        ] {
+            let entry = entry("other", address, 1).to_string();
+            let (before, after) = entry
+                .split_once(&format!("\"{field}\":"))
+                .unwrap_or((&entry, ""));
+            let rest = after.find([',', '}']).map_or("", |end| &after[end..]);
+            values.push(format!("{before}\"{field}\":{number}{rest}").into_bytes());
+        }
+    }
+    values.push(
+        json!({"state": "x".repeat(LENGTH)})
+            .to_string()
+            .into_bytes(),
+    );
+    // Lengths and numbers of the binary records, which take seven bits of each byte.
+    let most = [[0xff; 9].as_slice(), &[1]].concat();
+    for count in 1..16_u8 {
+        values.push(vec![count; usize::from(count)]);
+        let count = usize::from(count);
+        values.push(most.repeat(count));
+        values.push([most.repeat(count), vec![0]].concat());
+        values.push([most.repeat(2), vec![1], most.repeat(count)].concat());
+    }
+    values
+}
+
+fn push_odd(store: &Store, names: &[&[u8]]) {
+    for topic in TOPICS {
+        for value in odd_values() {
+            for name in names {
+                store.push(topic, name, &value);
+            }
+        }
+    }
+    for record in [&[][..], &[255], &[3, b'a']] {
+        store.push_record("streams", record);
+    }
+}
+
+/// Guards against routers that end, no longer follow the store, or fill their memory with log lines, because of odd records.
+#[tokio::test]
+async fn routers_outlive_odd_records() -> Result<()> {
+    let vms = VMS.lock().await;
+    let (store, at) = Store::start().await?;
+    let names: [&[u8]; 8] = [
+        b"",
+        b"\xff\xfe",
+        &[b'k'; 255],
+        b"router-213",
+        b"router-109",
+        b"router-213\t7\tteam",
+        b"evacuate/",
+        b"first",
+    ];
+    push_odd(&store, &names);
+    put_config(&store, &[route("pool", "idempotent")]);
+    store.put(ENDPOINTS, "first", &entry("pool", start("first").await?, 7));
+    let mut routers = Vec::new();
+    for vm in *vms {
+        routers.push(start_router(vm, at)?);
+    }
+    for router in &routers {
+        wait_answered(router, "pool", "first").await?;
+    }
+    push_odd(&store, &names);
+    for number in 0..MANY {
+        store.push(ENDPOINTS, format!("odd-{number}"), b"{");
+    }
+    store.put(
+        ENDPOINTS,
+        "second",
+        &entry("pool", start("second").await?, 1),
+    );
+    store.remove(ENDPOINTS, "first");
+    for router in &routers {
+        wait_answered(router, "pool", "second").await?;
+    }
+    for (router, vm) in routers.iter_mut().zip(*vms) {
+        wait_listed(&store, &format!("router-{vm}"), router).await?;
+        assert!(router.process.ended()?.is_none(), "it has ended");
+        let longest = router.logged()?.lines().map(str::len).max();
+        assert!(
+            longest.is_some_and(|longest| longest <= MAX_LINE),
+            "{longest:?}"
+        );
+    }
+    Ok(())
+}
