Follow a topic on after odd offsets and pages of the store

What operators would see: a router that runs, but no longer follows a list or the configuration, or that reads the same page without end.

Causes: the offset of the next record was added up without a bound, which ends the reader in a build with overflow checks and makes it read from the wrong offset in one without; at an offset beyond the topic's end nothing ever came; and a page that says that there are more records, without any or with the key after which it was asked, was asked for again for ever.

An end before the offset, and a page that does not go on, are now errors of the read, and after an answer that cannot be read all keys are read anew.

a_topic_is_followed_from_an_offset_beyond_its_end failed before ("attempt to add with overflow", the reader ended), and so did pages_that_do_not_go_on_are_an_error (no end within 5 s). Both pass now. No real store was seen to answer so.

--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -106,8 +106,9 @@
                 }
             }
             Err(ReadError::Gone { .. }) => position = Position::Unknown,
-            Err(_) => {
-                if topic.mode == ReadMode::Newest {
+            Err(error) => {
+                let unreadable = matches!(error, ReadError::Malformed(_));
+                if unreadable || topic.mode == ReadMode::Newest {
                     position = Position::Unknown;
                 }
                 sleep(RETRY_INTERVAL).await;
@@ -157,7 +158,14 @@
     let sent = SystemClock.now();
     let size = newest.then_some(NEWEST_PAGE_KB);
     let page = store.read(topic.name, from, hold, size).await?;
-    let next = from + page.records.len() as u64;
+    // At an offset beyond the end, nothing would ever come.
+    if page.end < from {
+        let end = page.end;
+        return Err(ReadError::Malformed(format!(
+            "it ends at {end}, before {from}"
+        )));
+    }
+    let next = from.saturating_add(page.records.len() as u64);
     let behind = next < page.end;
     if newest && behind {
         return Ok(Position::Unknown);
--- a/src/platform/grants.rs
+++ b/src/platform/grants.rs
@@ -101,9 +101,9 @@
         let page = store.read(TOPIC, next, Duration::ZERO, None).await?;
         for (number, record) in page.keyed(TOPIC) {
             let value = record.value.unwrap_or_default();
-            rows.extend(row(next + number, &record.key, &value));
+            rows.extend(row(next.saturating_add(number), &record.key, &value));
         }
-        next += page.records.len() as u64;
+        next = next.saturating_add(page.records.len() as u64);
         if next >= page.end || page.records.is_empty() {
             let end = Offset(next);
             return Ok(GrantEvent::Read { rows, end });
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -187,6 +187,12 @@
             if after.is_none() {
                 table.end = page.end;
             }
+            // A page that does not go on would be asked for without end.
+            let last = page.items.last().map(|item| &item.key);
+            if page.has_more && (last.is_none() || last == after.as_ref()) {
+                let key = last.cloned().unwrap_or_default();
+                return Err(ReadError::Malformed(format!("no page after {key:?}")));
+            }
             for item in page.items {
                 after = Some(item.key.clone());
                 match BASE64_STANDARD.decode(&item.value) {
--- a/src/platform/streams.rs
+++ b/src/platform/streams.rs
@@ -74,7 +74,7 @@
             let value = record.value.unwrap_or_default();
             records.extend(decode(STREAMS, &value));
         }
-        next += page.records.len() as u64;
+        next = next.saturating_add(page.records.len() as u64);
         if next >= page.end || page.records.is_empty() {
             return Ok((records, Offset(next)));
         }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::config::RepeatPolicy;
 use crate::decide::StreamOrigin;
@@ -19,7 +20,10 @@
 use crate::ids::TableVersion;
 use crate::platform::config;
 use crate::platform::follow::Batch;
+use crate::platform::follow::ReadMode;
+use crate::platform::follow::Topic;
 use crate::platform::follow::Update;
+use crate::platform::follow::follow;
 use crate::platform::grants;
 use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
@@ -464,3 +468,38 @@
     let offsets: Vec<_> = rows.iter().map(|(offset, ..)| *offset).collect();
     assert_eq!((offsets, end), (vec![Offset(2)], Offset(3)));
 }
+
+/// Guards against a read of all keys without end, because the store says that there are more and does not go on.
+#[tokio::test]
+async fn pages_that_do_not_go_on_are_an_error() {
+    for items in [json!([]), json!([{"key": "a", "value": "", "offset": 0}])] {
+        let page = json!({"items": items, "hasMore": true, "end": 1}).to_string();
+        let page: &'static str = page.leak();
+        let store = store_answering(move |_| page.as_bytes().to_vec()).await;
+        let read = timeout(Duration::from_secs(5), store.newest("keyed.op"));
+        assert!(read.await.expect("it ends").is_err(), "{page}");
+    }
+}
+
+/// Guards against a reader that ends, or waits for ever, at an offset that is beyond all records.
+#[tokio::test]
+async fn a_topic_is_followed_from_an_offset_beyond_its_end() {
+    let store = store_answering(|head| match head.contains("log-newest") {
+        true => format!("{{\"items\":[],\"hasMore\":false,\"end\":{}}}", u64::MAX).into_bytes(),
+        false => odd_page(&keyed("a", b"1")),
+    });
+    let topic = Topic {
+        name: "keyed.op",
+        interval: Duration::ZERO,
+        hold: Duration::ZERO,
+        mode: ReadMode::All,
+    };
+    let (sender, mut batches) = mpsc::unbounded_channel();
+    let deliver = move |batch| drop(sender.send(batch));
+    tokio::spawn(follow(store.await, topic, deliver));
+    for _ in 0..3 {
+        let batch = timeout(Duration::from_secs(5), batches.recv());
+        let batch = batch.await.expect("it reads again").expect("it follows");
+        assert!(matches!(batch.update, Update::All(_)), "{batch:?}");
+    }
+}
