Tests: play odd and deeply nested configurations as well

A later configuration comes into force after odd ones, and deeply nested values end no parser: the library gives up at a depth, also in fields that are unknown, known by another type, or read as any value. No fault was seen.

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -503,3 +503,27 @@
         assert!(matches!(batch.update, Update::All(_)), "{batch:?}");
     }
 }
+
+/// Guards against a router that runs out of stack, and ends, at a value that is nested deeply.
+#[test]
+fn values_that_are_nested_deeply_are_refused() {
+    const DEPTH: usize = 200_000;
+    for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+        let nested = format!("{}1{}", open.repeat(DEPTH), close.repeat(DEPTH));
+        assert!(config::decode(nested.as_bytes()).is_err());
+        assert!(config::decode(open.repeat(DEPTH).as_bytes()).is_err());
+        assert!(serde_json::from_str::<serde_json::Value>(&nested).is_err());
+        for field in ["version", "routes", "services", "tenants", "other"] {
+            let document = format!("{{\"{field}\":{nested}}}");
+            assert!(config::decode(document.as_bytes()).is_err(), "{field}");
+        }
+        let (registry, mut events) = registry();
+        let entry = String::from_utf8(server("ready", 1)).expect("it is text");
+        let entry = entry.replacen('{', &format!("{{\"other\":{nested},"), 1);
+        let rows = [("i-1", entry.into_bytes()), ("i-2", server("ready", 1))];
+        let rows = rows.map(|(key, value)| (key.to_owned(), value));
+        registry.servers(Instant::now(), Update::All(rows.to_vec()));
+        let newest = lists(&mut events).pop().expect("a list");
+        assert!(newest.vms.iter().any(|vm| vm.vm.as_str() == "i-2"));
+    }
+}
--- a/tests/faults/odd_entries.rs
+++ b/tests/faults/odd_entries.rs
@@ -23,15 +23,16 @@
 use crate::store::Store;
 use crate::wait_for;
 
-/// The topics of endpoints and of routers.
+/// The topics of endpoints, of routers and of the operator.
 const ENDPOINTS: &str = "keyed.servers";
 const ROUTERS: &str = "keyed.routers";
+const OPERATOR: &str = "keyed.op";
 
 /// All topics that routers read.
 const TOPICS: [&str; 6] = [
     ENDPOINTS,
     ROUTERS,
-    "keyed.op",
+    OPERATOR,
     "keyed.grants",
     "keyed.versions",
     "streams",
@@ -274,8 +275,9 @@
 async fn routers_outlive_odd_records() -> Result<()> {
     let vms = VMS.lock().await;
     let (store, at) = Store::start().await?;
-    let names: [&[u8]; 8] = [
+    let names: [&[u8]; 9] = [
         b"",
+        b"config",
         b"\xff\xfe",
         &[b'k'; 255],
         b"router-213",
@@ -294,7 +296,12 @@
     for router in &routers {
         wait_answered(router, "pool", "first").await?;
     }
+    let mut config: Value =
+        serde_json::from_slice(&store.value(OPERATOR, "config").unwrap_or_default())?;
     push_odd(&store, &names);
+    config["version"] = json!(2);
+    config["routes"][0]["pathPrefix"] = json!("/moved/");
+    store.put(OPERATOR, "config", &config);
     for number in 0..MANY {
         store.push(ENDPOINTS, format!("odd-{number}"), b"{");
     }
@@ -305,7 +312,7 @@
     );
     store.remove(ENDPOINTS, "first");
     for router in &routers {
-        wait_answered(router, "pool", "second").await?;
+        wait_answered(router, "moved", "second").await?;
     }
     for (router, vm) in routers.iter_mut().zip(*vms) {
         wait_listed(&store, &format!("router-{vm}"), router).await?;
