Bound how many unreadable entries of a read are logged

What operators would see: logs without the lines that they need. With 10,000 unreadable entries at once a router logged 11,874 lines, and no more than 8,192 wait for the writer: the others are dropped, of whatever event.

routers_outlive_odd_records failed before (11,874 lines, 1,000 allowed) and passes now (49 at one of the two routers).

--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use serde::Deserialize;
+use thiserror::Error;
 use tracing::info;
 use tracing::warn;
 
@@ -56,6 +57,10 @@
 /// The longest remaining cold time that an entry may report.
 const MAX_COLD: Duration = Duration::from_secs(120);
 
+/// How many unreadable entries of an update are logged each. The others would take the place of other lines that wait to be
+/// written.
+const MAX_LOGGED: usize = 16;
+
 #[derive(Default)]
 struct Lists {
     version: u64,
@@ -88,20 +93,23 @@
         let heartbeats = &mut lists.heartbeats;
         let unreadable = &mut lists.unreadable;
         let mut cold = Vec::new();
+        let mut log = UnreadableLog::default();
         let mut read = |key: &str, value: &[u8]| match server(now, heartbeats, key, value) {
-            Some((reading, left)) => {
+            Ok((reading, left)) => {
                 if let Reading::Entry(entry) = &reading {
                     cold.push((entry.vm.clone(), left));
                     unreadable.forget(key);
                 }
                 reading
             }
-            None => {
+            Err(error) => {
+                log.record(key, &error);
                 unreadable.record(now, key);
                 Reading::Unreadable
             }
         };
         let mut changed = apply(&mut lists.servers, update, &mut read) || !lists.known;
+        log.end();
         for name in unreadable.take_expired(now) {
             changed |= put(&mut lists.servers, name, None);
         }
@@ -115,7 +123,16 @@
     /// Applies an update of the routers.
     pub(crate) fn routers(&self, update: Update) {
         let mut lists = lock(&self.lists);
-        let changed = apply(&mut lists.routers, update, &mut router);
+        let mut log = UnreadableLog::default();
+        let mut read = |key: &str, value: &[u8]| match serde_json::from_slice(value) {
+            Ok(entry) => Reading::Entry(entry),
+            Err(error) => {
+                log.record(key, &error.into());
+                Reading::Unreadable
+            }
+        };
+        let changed = apply(&mut lists.routers, update, &mut read);
+        log.end();
         self.publish(&mut lists, changed);
     }
 
@@ -132,6 +149,37 @@
     }
 }
 
+/// Why an entry cannot be decoded.
+#[derive(Debug, Error)]
+enum EntryError {
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Name(#[from] NameError),
+}
+
+/// Logs the entries of an update that cannot be decoded, up to a number.
+#[derive(Default)]
+struct UnreadableLog {
+    count: usize,
+}
+
+impl UnreadableLog {
+    fn record(&mut self, key: &str, error: &EntryError) {
+        self.count += 1;
+        if self.count <= MAX_LOGGED {
+            warn!(event = "entry-unreadable", name = key, %error);
+        }
+    }
+
+    /// Logs how many there were in total, if not all of them were logged.
+    fn end(self) {
+        if self.count > MAX_LOGGED {
+            warn!(event = "entries-unreadable", count = self.count);
+        }
+    }
+}
+
 /// A record that was decoded.
 enum Reading {
     /// A current entry.
@@ -197,15 +245,9 @@
     heartbeats: &mut HeartbeatOrder,
     key: &str,
     value: &[u8],
-) -> Option<(Reading, Duration)> {
-    let server: Server = read(key, value)?;
-    let entry = match endpoint(key, &server) {
-        Ok(entry) => entry,
-        Err(error) => {
-            warn!(event = "entry-unreadable", name = key, %error);
-            return None;
-        }
-    };
+) -> Result<(Reading, Duration), EntryError> {
+    let server: Server = serde_json::from_slice(value)?;
+    let entry = endpoint(key, &server)?;
     let number = HeartbeatNumber {
         born: server.born,
         sequence: server.sequence,
@@ -213,10 +255,10 @@
     if !heartbeats.advance(now, key, number) {
         let sequence = server.sequence;
         info!(event = "late-heartbeat", name = key, sequence);
-        return Some((Reading::Outdated, Duration::ZERO));
+        return Ok((Reading::Outdated, Duration::ZERO));
     }
     let left = cold_left(key, server.cold_remaining_ms);
-    Some((Reading::Entry(entry), left))
+    Ok((Reading::Entry(entry), left))
 }
 
 /// Returns the remaining time for which a server is cold. An implausible time is logged and clamped; the rest of the entry
@@ -251,21 +293,3 @@
         },
     })
 }
-
-/// Decodes the entry of a router, which is a VM list entry already.
-fn router(key: &str, value: &[u8]) -> Reading {
-    read(key, value).map_or(Reading::Unreadable, Reading::Entry)
-}
-
-fn read<'a, T>(key: &str, value: &'a [u8]) -> Option<T>
-where
-    T: Deserialize<'a>,
-{
-    match serde_json::from_slice(value) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            warn!(event = "entry-unreadable", name = key, %error);
-            None
-        }
-    }
-}
--- a/tests/faults/odd_entries.rs
+++ b/tests/faults/odd_entries.rs
@@ -42,6 +42,9 @@
 const DEPTH: usize = 100_000;
 const LENGTH: usize = 300_000;
 
+/// How many lines of a router's logs may say that an entry is unreadable.
+const MAX_LINES: usize = 1000;
+
 /// The longest line of a router's logs, in bytes.
 const MAX_LINE: usize = 16_384;
 
@@ -317,6 +320,8 @@
     for (router, vm) in routers.iter_mut().zip(*vms) {
         wait_listed(&store, &format!("router-{vm}"), router).await?;
         assert!(router.process.ended()?.is_none(), "it has ended");
+        let unreadable = router.logged()?.matches("=entry-unreadable").count();
+        assert!(unreadable <= MAX_LINES, "{unreadable}");
         let longest = router.logged()?.lines().map(str::len).max();
         assert!(
             longest.is_some_and(|longest| longest <= MAX_LINE),
