Postmortem of odd entries; log only listed endpoints as gone

An unreadable entry under a name that was never listed no longer leaves a line that says it is gone, four seconds later.

--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -111,7 +111,9 @@
         let mut changed = apply(&mut lists.servers, update, &mut read) || !lists.known;
         log.end();
         for name in unreadable.take_expired(now) {
-            changed |= put(&mut lists.servers, name, None);
+            if lists.servers.contains_key(&name) {
+                changed |= put(&mut lists.servers, name, None);
+            }
         }
         lists.known = true;
         self.publish(lists, changed);
