Cut an answer whose next endpoint changed its version

Callers saw a stream that began at one version go on at another: a further run was sent to an endpoint of the stream's version, the endpoint's entry changed to another version, and then its first event came. The answer went on, and the stream was remembered under the first version.

Cause: record_stream_begin found the version unknown, but kept it only for a request that had none yet. For a bound one it was dropped.

Evidence: router::tests::versions:: an_answer_whose_next_endpoint_changed_its_version_is_cut, within one answer and for a stream that is taken up. Before: failed with "the answer is cut" (no command at all; 22 other tests of the module passed). After: 23 of 23 pass, and 7 of 7 of tests/faults/versions.rs.

Ruled out: the choice of the endpoint. It was listed with the right version when the run was sent there.

The version found at the first event is now compared with the one that the request is bound to. On a mismatch the core breaks the answer off by its usual command, as at a deadline, and the stream is not remembered.

--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -50,6 +50,7 @@
 
 const UNKNOWN_VERSION: &str = "the software version that began the stream is not known";
 const NO_ENDPOINT: &str = "no endpoint runs the software version that began the stream";
+const VERSION_CHANGED: &str = "the endpoint's software version changed before its first event";
 
 /// The version of the endpoints' software that a request is bound to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -228,7 +229,8 @@
         peers.collect()
     }
 
-    /// Records the version that a request is bound to from its first event on.
+    /// Records the version that a request is bound to from its first event on. The answer is cut if a further run's endpoint
+    /// has another one by then.
     pub(crate) fn record_stream_begin(&mut self, now: Instant, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
@@ -256,12 +258,30 @@
         let Some(terms) = terms.filter(|terms| terms.repeat == RepeatPolicy::Resume) else {
             return;
         };
-        if terms.stream == StreamVersion::Any {
-            terms.stream = begun;
+        match &terms.stream {
+            StreamVersion::Any => terms.stream = begun,
+            StreamVersion::Known(_) if terms.stream != begun => {
+                self.cut_stream(id);
+                return;
+            }
+            StreamVersion::Known(_) | StreamVersion::Unknown => {}
         }
         self.remember_stream(now, id);
     }
 
+    /// Cuts an answer that goes on at another version. The end of the run still reports what it used.
+    fn cut_stream(&mut self, id: RequestId) {
+        let terms = self.requests[&id].relay.as_mut();
+        let Some(terms) = terms.filter(|terms| !terms.stopped) else {
+            return;
+        };
+        terms.stopped = true;
+        info!(event = "version-changed", request = %id);
+        let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, VERSION_CHANGED);
+        let problem = problem.with_retry(RETRY);
+        self.effects.push(Effect::Abort(id, Box::new(problem)));
+    }
+
     /// Remembers the version of a stream under the names by which its caller may take it up.
     fn remember_stream(&mut self, now: Instant, id: RequestId) {
         let request = &self.requests[&id];
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -192,6 +192,44 @@
     assert!(site.refusal(id).is_some());
 }
 
+/// Guards against a further run whose endpoint changed its version before its first event.
+#[test]
+fn an_answer_whose_next_endpoint_changed_its_version_is_cut() {
+    for taken_up in [false, true] {
+        let mut site = start(&["v1"]);
+        let first = begin(&mut site, "a");
+        site.handle(Event::AnswerStarted(first));
+        let id = match taken_up {
+            false => {
+                site.handle(Event::RunEnded(first, broken_run(true)));
+                first
+            }
+            true => {
+                site.handle(Event::RunEnded(first, RunEnd::CallerGone { usage: None }));
+                resume(&mut site, "key", Some("a"))
+            }
+        };
+        let runs = endpoints(&site, id);
+        let mut changed = vms(&["v1"]);
+        for entry in &mut changed {
+            if Some(&entry.vm) == runs.last() {
+                entry.labels.set("version", "v2");
+            }
+        }
+        list(&mut site, changed);
+        site.handle(Event::AnswerStarted(id));
+        let problem = site.refusal(id).expect("the answer is cut");
+        assert_eq!(problem.kind, ProblemKind::EndpointFailed);
+        site.handle(Event::RunEnded(id, broken_run(true)));
+        assert_eq!(endpoints(&site, id), runs, "no further run");
+        assert!(!site.core.requests.contains_key(&id));
+        if taken_up {
+            let next = resume(&mut site, "key", Some("next"));
+            assert_eq!(asked(&site, next), 2, "it is not remembered");
+        }
+    }
+}
+
 /// Guards against a caller that is sent to another version when it takes up its stream at the same router.
 #[test]
 fn a_caller_that_comes_back_is_sent_to_the_version_that_began_its_stream() {
