Tests: play streams under random trouble, and check every event

Rule ORDER was checked for one fault at a time, and by how many events a caller got. The soak runs router processes, endpoints of several versions in all three framings, and callers that keep connections, leave, read slowly, take up from further back, at two routers at once or beside the first run, while routers and endpoints are killed, frozen, stopped, replaced or reset in an order that a seed chooses. Events name their version, run and the event after which the run was to go on; a stream fails that has an event missing or twice, two versions, two runs that do not meet, or that ends as complete early.

Two plays hold the other side: with no trouble all streams complete, and with one router lost at least half of those taken up go on.

Received can be read from a part of an answer as well; what its strict reading refuses is unchanged. Routers can be started from another build.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -40,6 +40,7 @@
 mod repeats;
 mod stopped;
 mod store;
+mod stream_soak;
 mod twice;
 mod unfinished_answers;
 mod verify;
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::fs::File;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
 use std::time::Duration;
@@ -28,7 +29,7 @@
 pub(crate) const DEADLINE_MS: u64 = 4000;
 
 /// The router's program.
-const ROUTER: &str = env!("CARGO_BIN_EXE_jasmineridged");
+pub(crate) const ROUTER: &str = env!("CARGO_BIN_EXE_jasmineridged");
 
 /// The host of all routes.
 const HOST: &str = "records.example";
@@ -45,7 +46,17 @@
 impl Router {
     /// Starts a router on a VM of its own, with settings beside the usual ones.
     pub(crate) fn start(vm: usize, store: SocketAddr, more: &Value) -> Result<Self> {
-        Self::run(vm, store, more, Command::new(ROUTER))
+        Self::start_program(Path::new(ROUTER), vm, store, more)
+    }
+
+    /// Starts a router of another build, as [`Router::start`] does.
+    pub(crate) fn start_program(
+        program: &Path,
+        vm: usize,
+        store: SocketAddr,
+        more: &Value,
+    ) -> Result<Self> {
+        Self::run(vm, store, more, Command::new(program))
     }
 
     /// Starts a router that may open so many descriptors.
@@ -222,8 +233,13 @@
 
 /// Returns the bytes of a request with more headers, each of which ends its line.
 pub(crate) fn request_with(path: &str, name: &str, headers: &str) -> String {
+    kept_request(path, name, &format!("connection: close\r\n{headers}"))
+}
+
+/// Returns the bytes of a request with more headers, each of which ends its line. Its connection may be used again.
+pub(crate) fn kept_request(path: &str, name: &str, headers: &str) -> String {
     format!(
-        "GET /{path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {name}\r\nconnection: close\r\ndeadline-ms: {DEADLINE_MS}\r\n{headers}\r\n"
+        "GET /{path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {name}\r\ndeadline-ms: {DEADLINE_MS}\r\n{headers}\r\n"
     )
 }
 
--- a/tests/faults/received.rs
+++ b/tests/faults/received.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context;
 use anyhow::Result;
+use anyhow::ensure;
 
 /// The status of an answer that has no body.
 const NO_CONTENT: u16 = 204;
@@ -37,26 +38,73 @@
                 complete: rest.len() == length.parse::<usize>()?,
             });
         }
-        let mut body = String::new();
-        let mut chunks = rest;
-        while let Some((size, after)) = chunks.split_once("\r\n") {
+        let chunks = Chunks::read(rest)?;
+        let half = !chunks.ended && chunks.rest.contains("\r\n");
+        ensure!(!half, "half a chunk");
+        Ok(Self {
+            status,
+            complete: chunks.ended && chunks.rest == "\r\n",
+            body: chunks.body,
+        })
+    }
+
+    /// Reads what has come of it so far, which may end inside a chunk; nothing before its head is whole.
+    pub(crate) fn read_part(answer: &str) -> Result<Option<Self>> {
+        let Some((head, rest)) = answer.split_once("\r\n\r\n") else {
+            return Ok(None);
+        };
+        if head.contains("\r\ncontent-length: ") {
+            return Self::read(answer).map(Some);
+        }
+        let status = head.split(' ').nth(1).context("no status")?.parse()?;
+        let chunks = Chunks::read(rest)?;
+        let part = match chunks.ended {
+            true => None,
+            false => chunks.rest.split_once("\r\n"),
+        };
+        Ok(Some(Self {
+            status,
+            complete: chunks.ended && chunks.rest == "\r\n",
+            body: chunks.body + part.map_or("", |(_, part)| part),
+        }))
+    }
+}
+
+/// The chunks of a body.
+struct Chunks<'a> {
+    /// What the whole ones hold.
+    body: String,
+    /// What comes after them.
+    rest: &'a str,
+    /// Whether the last one was there, which is empty.
+    ended: bool,
+}
+
+impl<'a> Chunks<'a> {
+    fn read(text: &'a str) -> Result<Self> {
+        let mut chunks = Self {
+            body: String::new(),
+            rest: text,
+            ended: false,
+        };
+        while let Some((size, after)) = chunks.rest.split_once("\r\n") {
             let size = usize::from_str_radix(size, 16)?;
             if size == 0 {
-                return Ok(Self {
-                    status,
-                    body,
-                    complete: after == "\r\n",
-                });
+                chunks.rest = after;
+                chunks.ended = true;
+                break;
             }
-            let (chunk, after) = after.split_at_checked(size).context("half a chunk")?;
-            body.push_str(chunk);
-            chunks = after.strip_prefix("\r\n").context("no end of a chunk")?;
+            let Some((chunk, after)) = after.split_at_checked(size) else {
+                break;
+            };
+            let Some(next) = after.strip_prefix("\r\n") else {
+                ensure!("\r\n".starts_with(after), "no end of a chunk");
+                break;
+            };
+            chunks.body.push_str(chunk);
+            chunks.rest = next;
         }
-        Ok(Self {
-            status,
-            body,
-            complete: false,
-        })
+        Ok(chunks)
     }
 }
 
