Take streams of split and moved routes up at the pool that began them

Callers that took up a stream on a route with several pools, or whose pool a configuration had changed, were sent to a pool that never began it. After a move a stream that the router knew was refused, one that it did not know ran at the new pool, at another version.

Cause: only_origin took the pool that the request had drawn, and looked only whether that pool has a single version. Pools of a single version are not replicated, asked about or logged, so that nothing else could tell. A known stream was refused since its pool was not in the route any more.

Evidence: router::tests::split_routes.

Routers keep the tables with other routes of the last minute. The pools that such a route for streams leads or led to count as mixed, so that the usual replicas, questions and records hold its streams, and those of the last 30 s are told when a route is split or moved. only_origin gives nothing if the route leads or led to another pool, and a stream may go on at any pool of these. While each route leads to one pool and none was moved, nothing is sent, asked or recorded more than before.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -191,6 +191,16 @@
         self.pools.values()
     }
 
+    /// Returns all routes.
+    pub(crate) fn routes(&self) -> impl Iterator<Item = &PathRoute> {
+        self.hosts.values().flatten()
+    }
+
+    /// Returns whether another table has the same routes.
+    pub(crate) fn has_routes_of(&self, other: &Self) -> bool {
+        self.hosts == other.hosts
+    }
+
     /// Returns the number of routes.
     pub(crate) fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -57,6 +57,7 @@
         self.table_watch.applied(table.version);
         self.effects.push(Effect::OfferTable(table.clone()));
         self.grant_budgets.update_prepaid(now, &table);
+        self.streams.routes.replace(now, table.clone());
         self.route_table = Some(table);
         self.rebuild_pools(now);
         self.serve_with_grants();
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -47,6 +47,7 @@
 mod relay;
 mod request;
 mod retries;
+mod route_history;
 mod run;
 mod run_end;
 mod slots;
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -32,6 +32,7 @@
 use crate::router::problem::ProblemKind;
 use crate::router::problem::Ran;
 use crate::router::request::State;
+use crate::router::route_history::RouteHistory;
 
 /// How many routers keep a replica of a stream besides the one where it began.
 const REPLICAS: usize = 2;
@@ -85,7 +86,8 @@
 pub(crate) struct Streams {
     origins: StreamOrigins,
     versions: IndexMap<PoolId, PoolVersions>,
-    /// The pools with several versions.
+    pub(crate) routes: RouteHistory,
+    /// The pools with several versions, and those that share a route with another pool.
     mixed: IndexSet<PoolId>,
     /// What other routers are to be told.
     outbox: IndexMap<VmId, Vec<StreamRow>>,
@@ -97,6 +99,7 @@
         Self {
             origins: StreamOrigins::new(now),
             versions: IndexMap::new(),
+            routes: RouteHistory::default(),
             mixed: IndexSet::new(),
             outbox: IndexMap::new(),
             recorded_at: None,
@@ -115,7 +118,7 @@
         })
     }
 
-    /// Returns the versions of pools that have several.
+    /// Returns the versions of the pools of which other routers are told.
     pub(crate) fn rows(&self, now: Instant) -> Vec<VersionRow> {
         let mixed = self
             .mixed
@@ -172,18 +175,20 @@
         self.review_mixed_pools(now);
     }
 
-    /// Updates which pools have several versions, and tells other routers of streams that began before.
+    /// Updates which pools have several versions or share a route, and tells other routers of streams that began before.
     fn review_mixed_pools(&mut self, now: Instant) {
+        self.streams.routes.expire(now);
         let mut begun = Vec::new();
         for (name, versions) in &mut self.streams.versions {
             versions.expire(now);
-            let changed = match versions.is_mixed() {
+            let shared = self.streams.routes.is_shared(name);
+            let changed = match versions.is_mixed() || shared {
                 true => self.streams.mixed.insert(name.clone()),
                 false => self.streams.mixed.swap_remove(name),
             };
             if changed {
                 let versions = versions.ages(now).count();
-                info!(event = "pool-versions", pool = %name, versions);
+                info!(event = "pool-versions", pool = %name, versions, shared);
                 begun.push(name.clone());
             }
         }
@@ -406,9 +411,16 @@
         }
     }
 
-    /// Returns what began the stream that a request takes up if only one version can have begun it.
+    /// Returns what began the stream that a request takes up if only one version of one pool can have begun it.
     fn only_origin(&self, now: Instant, id: RequestId) -> Option<StreamOrigin> {
-        let pool = self.requests[&id].pool.clone();
+        let request = &self.requests[&id];
+        let pool = request.pool.clone();
+        if let Work::Relay(relay) = &request.work {
+            let pools = self.streams.routes.stream_pools(&relay.host, &relay.path);
+            if pools.into_iter().any(|of| *of != pool) {
+                return None;
+            }
+        }
         let versions = self.streams.versions.get(&pool)?;
         let version = versions
             .only()
@@ -437,14 +449,14 @@
         true
     }
 
-    /// Returns whether a request's route leads to a pool, if only for a part of its requests.
+    /// Returns whether a request's route leads to a pool, or led there lately.
     fn is_routed_to(&self, id: RequestId, pool: &PoolId) -> bool {
         let request = &self.requests[&id];
-        let (Some(table), Work::Relay(relay)) = (&self.route_table, &request.work) else {
-            return request.pool == *pool;
-        };
-        let route = table.route(&relay.host, &relay.path);
-        route.is_some_and(|route| route.split.iter().any(|(of, _)| of == pool))
+        let routes = &self.streams.routes;
+        match &request.work {
+            Work::Relay(relay) => routes.leads_to(&relay.host, &relay.path, pool),
+            Work::Completion { .. } | Work::Call { .. } => request.pool == *pool,
+        }
     }
 
     /// Returns whether an endpoint that stays runs the version that a request is bound to.
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -36,6 +36,7 @@
 mod retry_count;
 mod retry_limits;
 mod site;
+mod split_routes;
 mod stale_config;
 mod starved;
 mod versions;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -128,6 +128,15 @@
 
 /// Returns the same table with other payers.
 pub(crate) fn table_with_payers(version: u64, payers: Vec<Payer>) -> Arc<RouteTable> {
+    table_with_split(version, payers, &["pool"])
+}
+
+/// Returns the same table with a route for streams that leads to the given pools.
+pub(crate) fn table_with_split(
+    version: u64,
+    payers: Vec<Payer>,
+    stream: &[&str],
+) -> Arc<RouteTable> {
     let route = |prefix: &str, repeat, attempts| PathRoute {
         name: name(prefix),
         host: "maps.example".to_owned(),
@@ -149,7 +158,10 @@
     let routes = vec![
         route("once", RepeatPolicy::Never, 1),
         route("again", RepeatPolicy::Whole, 2),
-        route("stream", RepeatPolicy::Resume, 2),
+        PathRoute {
+            split: stream.iter().map(|pool| (name(pool), 1)).collect(),
+            ..route("stream", RepeatPolicy::Resume, 2)
+        },
         PathRoute {
             priority: 0,
             ..route("urgent", RepeatPolicy::Never, 1)
