Keep only the tables whose routes for streams differ

Each change of any route kept the table before it for a minute, and had all routes of all kept tables compared, which a series of changes of a large configuration would have made slow. Only routes whose streams may be resumed count now.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -191,14 +191,24 @@
         self.pools.values()
     }
 
-    /// Returns all routes.
-    pub(crate) fn routes(&self) -> impl Iterator<Item = &PathRoute> {
-        self.hosts.values().flatten()
+    /// Returns the routes whose streams may be resumed.
+    pub(crate) fn stream_routes(&self) -> impl Iterator<Item = &PathRoute> {
+        let routes = self.hosts.values().flatten();
+        routes.filter(|route| route.repeat == RepeatPolicy::Resume)
     }
 
-    /// Returns whether another table has the same routes.
-    pub(crate) fn has_routes_of(&self, other: &Self) -> bool {
-        self.hosts == other.hosts
+    /// Returns whether the streams of another table lead to the same pools.
+    pub(crate) fn has_streams_of(&self, other: &Self) -> bool {
+        let key = |route: &PathRoute| {
+            (
+                route.host.clone(),
+                route.prefix.clone(),
+                route.split.clone(),
+            )
+        };
+        self.stream_routes()
+            .map(key)
+            .eq(other.stream_routes().map(key))
     }
 
     /// Returns the number of routes.
--- a/src/router/route_history.rs
+++ b/src/router/route_history.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RouteHistory {
     current: Option<Arc<RouteTable>>,
-    /// Tables with other routes that were in force lately, and when each was replaced.
+    /// Tables with other routes for streams that were in force lately, and when each was replaced.
     former: Vec<(Arc<RouteTable>, Instant)>,
     /// The pools that share a route for streams with another pool.
     shared: IndexSet<PoolId>,
@@ -28,7 +28,7 @@
     /// Takes over a table that is in force from now on.
     pub(crate) fn replace(&mut self, now: Instant, table: Arc<RouteTable>) {
         let old = self.current.replace(table.clone());
-        if old.as_ref().is_some_and(|old| old.has_routes_of(&table)) {
+        if old.as_ref().is_some_and(|old| old.has_streams_of(&table)) {
             return;
         }
         self.former.extend(old.map(|old| (old, now)));
@@ -79,7 +79,7 @@
     /// look up the prefixes.
     fn find_shared(&self) -> IndexSet<PoolId> {
         let mut shared = IndexSet::new();
-        for route in self.tables().flat_map(RouteTable::routes) {
+        for route in self.tables().flat_map(RouteTable::stream_routes) {
             let pools = self.stream_pools(&route.host, &route.prefix);
             if pools.len() > 1 {
                 shared.extend(pools.into_iter().cloned());
