Reset the connection of a caller without chunks whose answer breaks off

Cause: the connection is closed in order after an error of the body, which only the missing last chunk tells from a whole answer.

Evidence: broken_answers::a_caller_without_chunks_sees_that_a_stream_breaks_off, real router: the cut stream ended in order before, and is reset now; the whole one is as before. What the system had not yet sent is lost with the reset.

--- a/src/edge/relay/front.rs
+++ b/src/edge/relay/front.rs
@@ -4,6 +4,8 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +15,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
@@ -60,7 +63,11 @@
         let answer = answer.clone();
         let opened = connections.open();
         let connections = connections.clone();
-        let service = service_fn(move |request| {
+        let unframed = Arc::new(AtomicBool::new(false));
+        let is_unframed = unframed.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let is_old = request.version() < Version::HTTP_11;
+            is_unframed.store(is_old, Ordering::Relaxed);
             let reply = answer(request);
             let connections = connections.clone();
             async move {
@@ -71,13 +78,18 @@
                 Ok::<_, Infallible>(reply)
             }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE)
             .serve_connection(TokioIo::new(stream), service);
         // A connection's end is its caller's affair; each request's own line says how the request went.
         tokio::spawn(async move {
-            let _ = connection.await;
+            let served = (&mut connection).await;
+            if served.is_err() && unframed.load(Ordering::Relaxed) {
+                // An answer that ends with its connection would look whole.
+                let stream = connection.into_parts().io.into_inner();
+                let _ = stream.set_zero_linger();
+            }
             drop(opened);
         });
     }
--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -9,9 +9,11 @@
 use anyhow::Result;
 use indexmap::IndexMap;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::platform::LIMIT;
 use crate::platform::Router;
@@ -20,6 +22,7 @@
 use crate::platform::put_config;
 use crate::platform::put_endpoint;
 use crate::platform::read_head;
+use crate::platform::request;
 use crate::platform::route;
 use crate::platform::start_endpoint;
 use crate::received::Received;
@@ -417,3 +420,25 @@
     }
     Ok(())
 }
+
+/// Guards against a stream that breaks off and looks complete to a caller whose answers end with their connections.
+#[tokio::test]
+async fn a_caller_without_chunks_sees_that_a_stream_breaks_off() -> Result<()> {
+    let site = Site::start(233).await?;
+    for (name, body, complete) in [
+        ("whole", FIRST, true),
+        ("broken", "id: 1\ndata: a\n\nid", false),
+    ] {
+        let answers = vec![Answer::unframed(body)];
+        site.lock().answers.insert(name.to_owned(), answers);
+        let path = format!("{ONCE}/{name}");
+        let request = request(&path, name).replace("HTTP/1.1", "HTTP/1.0");
+        let mut caller = TcpStream::connect(site.router.front).await?;
+        caller.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        let read = timeout(LIMIT, caller.read_to_end(&mut answer)).await?;
+        let answer = String::from_utf8_lossy(&answer);
+        assert_eq!(read.is_ok(), complete, "{name}: {answer:?}");
+    }
+    Ok(())
+}
