--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -424,7 +424,7 @@
 /// Guards against a stream that breaks off and looks complete to a caller whose answers end with their connections.
 #[tokio::test]
 async fn a_caller_without_chunks_sees_that_a_stream_breaks_off() -> Result<()> {
-    let site = Site::start(233).await?;
+    let site = Site::start(139).await?;
     for (name, body, complete) in [
         ("whole", FIRST, true),
         ("broken", "id: 1\ndata: a\n\nid", false),
