Go on with no stream whose last event has no number

Cause: a further run goes on after the last number. Events after that one, or all where none has a number, had gone out, and the next run sent them again.

Now they are cut after the events that went out, so that their callers see it; a stream of which no event went out begins anew as before.

The splitter notes whether the last whole event had a number; an empty one is none.

--- a/src/edge/relay/events.rs
+++ b/src/edge/relay/events.rs
@@ -44,6 +44,8 @@
     /// Whether an event came whose number is not above the last one's. Nothing is cut from then on.
     disordered: bool,
     last: Option<String>,
+    /// Whether the last whole event had no number, so that no run can go on after it.
+    unnumbered: bool,
 }
 
 impl EventSplitter {
@@ -109,7 +111,9 @@
     ///
     /// Numbers are compared as far as they are numbers.
     fn number_event(&mut self) -> bool {
-        let Some(id) = self.id.take() else {
+        let id = self.id.take().filter(|id| !id.is_empty());
+        self.unnumbered = id.is_none();
+        let Some(id) = id else {
             return true;
         };
         let number = |id: &str| id.parse::<u64>().ok();
@@ -139,6 +143,11 @@
         self.disordered
     }
 
+    /// Returns whether another run would send events again, as the last whole one had no number.
+    pub(crate) fn is_unnumbered(&self) -> bool {
+        self.unnumbered
+    }
+
     /// Returns how many bytes came after the last whole event.
     pub(crate) fn partial(&self) -> usize {
         self.rest.len()
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -238,6 +238,7 @@
 
     /// Goes on at another endpoint from the last whole event, if the core finds one; `end` is how the run ended.
     async fn go_on(&mut self, mut end: RunEnd) -> Option<(Kept, Incoming)> {
+        let is_final = self.splitter.is_unnumbered();
         loop {
             self.events = 0;
             self.splitter.resume();
@@ -245,6 +246,10 @@
             let Some(Command::Run(run)) = self.runner.line.next().await else {
                 return None;
             };
+            if is_final {
+                self.runner.end(RunEnd::Unsent);
+                return None;
+            }
             let last = self.splitter.last().map(str::to_owned);
             let sent = tokio::select! {
                 sent = self.runner.send(&self.relays, *run, last.as_deref()) => sent,
--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -240,7 +240,11 @@
                 ("", ""),
             ] {
                 let name = format!("{framing:?}-{end:?}-{}", body.len());
-                let answer = Answer { framing, body, end };
+                let answer = Answer {
+                    framing,
+                    end,
+                    ..Answer::unframed(body)
+                };
                 let received = site.ask(ONCE, &name, &[answer]).await?;
                 if received.complete || received.body != whole {
                     wrong.push(format!("{name}: {received:?}"));
@@ -442,3 +446,38 @@
     }
     Ok(())
 }
+
+/// Guards against events that come twice where a run goes on after events that have no numbers.
+#[tokio::test]
+async fn a_stream_does_not_go_on_after_events_without_numbers() -> Result<()> {
+    let site = Site::start(205).await?;
+    site.wait_for_retries().await?;
+    let chunks = |body| Answer {
+        framing: Framing::Chunks,
+        ..Answer::unframed(body)
+    };
+    let mut wrong = Vec::new();
+    for (number, (events, part, again)) in [
+        ("data: a\n\n", "da", "data: a\n\ndata: b\n\n"),
+        ("id: 1\ndata: a\n\ndata: b\n\n", "da", "data: b\n\n"),
+        ("id:\ndata: a\n\n", "id:", "id:\ndata: a\n\n"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let name = format!("unnumbered-{number}");
+        let broken: &'static str = format!("{events}{part}").leak();
+        let answers = [chunks(broken), chunks(again)];
+        let received = site.ask(RESUMABLE, &name, &answers).await?;
+        if received.complete || received.body != events || site.resumed(&name).len() > 1 {
+            wrong.push(format!("{name}: {received:?}"));
+        }
+    }
+    let answers = [chunks("data: a"), chunks("data: a\n\n")];
+    let received = site.ask(RESUMABLE, "anew", &answers).await?;
+    if !received.complete || received.body != "data: a\n\n" {
+        wrong.push(format!("anew: {received:?}"));
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    Ok(())
+}
