--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -450,7 +450,7 @@
 /// Guards against events that come twice where a run goes on after events that have no numbers.
 #[tokio::test]
 async fn a_stream_does_not_go_on_after_events_without_numbers() -> Result<()> {
-    let site = Site::start(205).await?;
+    let site = Site::start(147).await?;
     site.wait_for_retries().await?;
     let chunks = |body| Answer {
         framing: Framing::Chunks,
