--- a/src/edge/relay/front.rs
+++ b/src/edge/relay/front.rs
@@ -88,7 +88,9 @@
             if served.is_err() && unframed.load(Ordering::Relaxed) {
                 // An answer that ends with its connection would look whole.
                 let stream = connection.into_parts().io.into_inner();
-                let _ = stream.set_zero_linger();
+                if let Err(error) = stream.set_zero_linger() {
+                    warn!(event = "socket-option", %error);
+                }
             }
             drop(opened);
         });
--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
+use tracing::info;
 
 use crate::edge::desk::lock;
 use crate::http_client::is_readable;
@@ -138,7 +139,11 @@
         let target = ended.target.clone();
         let stream = match open(target.address).await {
             Ok(stream) => stream,
-            Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
+            Err(error) => {
+                let endpoint = &target.endpoint;
+                info!(event = "endpoint-unreached", endpoint, %error);
+                return error.kind() == ErrorKind::ConnectionRefused;
+            }
         };
         if let Some(idle) = idle
             && let Ok(connection) = handshake(stream, target).await
