--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -58,6 +58,13 @@
     pub(crate) public: bool,
 }
 
+impl PathRoute {
+    /// Returns which requests it is for, and the pools that it leads them to.
+    fn lead(&self) -> (&str, &str, &[(PoolId, u32)]) {
+        (&self.host, &self.prefix, &self.split)
+    }
+}
+
 /// A pool of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TablePool {
@@ -199,16 +206,8 @@
 
     /// Returns whether the streams of another table lead to the same pools.
     pub(crate) fn has_streams_of(&self, other: &Self) -> bool {
-        let key = |route: &PathRoute| {
-            (
-                route.host.clone(),
-                route.prefix.clone(),
-                route.split.clone(),
-            )
-        };
-        self.stream_routes()
-            .map(key)
-            .eq(other.stream_routes().map(key))
+        let routes = self.stream_routes().map(PathRoute::lead);
+        routes.eq(other.stream_routes().map(PathRoute::lead))
     }
 
     /// Returns the number of routes.
