Wait for the core to break an answer off in one place

Passing a piece on and checking an endpoint each had a loop of their own around the core's commands; Runner::stopped serves both. The splitter takes over the last event's number instead of copying it.

The check of an endpoint is asked first now: of a framed answer it says at once that there is nothing to check, so that such a stream counts as whole, as it did before there was a check, also if its caller leaves in that moment.

--- a/src/edge/relay/events.rs
+++ b/src/edge/relay/events.rs
@@ -50,9 +50,9 @@
 
 impl EventSplitter {
     /// Creates one for a stream that goes on after an event, if one is given.
-    pub(crate) fn after(last: Option<&str>) -> Self {
+    pub(crate) fn after(last: Option<String>) -> Self {
         Self {
-            last: last.map(str::to_owned),
+            last,
             ..Self::default()
         }
     }
@@ -160,7 +160,7 @@
 
     /// Forgets half of an event, since another endpoint goes on from the last whole one.
     pub(crate) fn resume(&mut self) {
-        *self = Self::after(self.last.take().as_deref());
+        *self = Self::after(self.last.take());
     }
 
     /// Returns the number of the last whole event, as the endpoint spells it.
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -331,6 +331,11 @@
         last.filter(|last| !matches!(*last, "" | "0"))
     }
 
+    /// Waits until the core breaks the answer off.
+    pub(crate) async fn stopped(&mut self) {
+        while !matches!(self.line.next().await, Some(Command::Cut(_)) | None) {}
+    }
+
     /// Logs why an answer that is no stream is not whole.
     pub(crate) fn log_broken(&self, framing: Framing, error: &BodyError) {
         info!(event = "answer-broken", request = %self.line.id, endpoint = self.endpoint(), %framing, %error);
--- a/src/edge/relay/stream.rs
+++ b/src/edge/relay/stream.rs
@@ -68,14 +68,15 @@
     splitter: EventSplitter,
     /// Events that went to the caller from the endpoint that answers now.
     events: u64,
-    /// Whether the caller has an event of this answer.
+    /// Whether the caller has an event of this answer. Until then another endpoint may begin anew.
     begun: bool,
 }
 
 /// Makes the body that a stream goes out by, and what fills it.
 pub(crate) fn start(relays: Arc<Relays>, runner: Runner) -> (Pump, BoxBody<Bytes, io::Error>) {
     let (out, body) = piecewise_body();
-    let splitter = EventSplitter::after(runner.resumed_after());
+    let last = runner.resumed_after().map(str::to_owned);
+    let splitter = EventSplitter::after(last);
     let pump = Pump {
         relays,
         runner,
@@ -123,7 +124,7 @@
                 () = self.out.closed() => return End::CallerGone,
                 command = self.runner.line.next() => match command {
                     Some(Command::Cut(_)) | None => return End::Stopped,
-                    Some(Command::Leave) if self.has_no_event() => return End::Left,
+                    Some(Command::Leave) if !self.begun => return End::Left,
                     Some(_) => continue,
                 },
             };
@@ -171,11 +172,6 @@
         end.unwrap_or(End::Whole(connection))
     }
 
-    /// Returns whether the caller has no event yet, so that another endpoint may begin anew.
-    fn has_no_event(&self) -> bool {
-        !self.begun
-    }
-
     /// Returns whether a stream whose body ended without an error is complete.
     ///
     /// The body may have ended because its connection did. A run has an event at least, unless it resumed a stream of
@@ -188,24 +184,16 @@
 
     /// Returns how a stream ended whose endpoint may have died, if it is not complete.
     async fn check_endpoint(&mut self, connection: &Kept) -> Option<End> {
-        let relays = self.relays.clone();
-        let dead = connection.has_dead_endpoint(&relays);
-        tokio::pin!(dead);
-        loop {
-            tokio::select! {
-                dead = &mut dead => {
-                    if dead {
-                        self.log_end(connection.framing, ENDPOINT_DIED);
-                    }
-                    return dead.then_some(End::Broken);
-                }
-                () = self.out.closed() => return Some(End::CallerGone),
-                command = self.runner.line.next() => match command {
-                    Some(Command::Cut(_)) | None => return Some(End::Stopped),
-                    Some(_) => {}
-                },
-            }
+        let dead = tokio::select! {
+            biased;
+            dead = connection.has_dead_endpoint(&self.relays) => dead,
+            () = self.out.closed() => return Some(End::CallerGone),
+            () = self.runner.stopped() => return Some(End::Stopped),
+        };
+        if dead {
+            self.log_end(connection.framing, ENDPOINT_DIED);
         }
+        dead.then_some(End::Broken)
     }
 
     /// Logs how an endpoint's stream ended, unless it is framed and complete.
@@ -220,19 +208,12 @@
         if bytes.is_empty() {
             return Given::Sent;
         }
-        let sending = self.out.send(bytes);
-        tokio::pin!(sending);
-        loop {
-            tokio::select! {
-                sent = &mut sending => return match sent {
-                    Ok(()) => Given::Sent,
-                    Err(_) => Given::CallerGone,
-                },
-                command = self.runner.line.next() => match command {
-                    Some(Command::Cut(_)) | None => return Given::Stopped,
-                    Some(_) => {}
-                },
-            }
+        tokio::select! {
+            sent = self.out.send(bytes) => match sent {
+                Ok(()) => Given::Sent,
+                Err(_) => Given::CallerGone,
+            },
+            () = self.runner.stopped() => Given::Stopped,
         }
     }
 
