--- a/src/router/relay.rs
+++ b/src/router/relay.rs
@@ -266,19 +266,21 @@
         }
     }
 
-    /// Ends a request whose deadline passes while it runs. The end of the run still reports what it used.
+    /// Ends a request whose deadline passes while it runs.
     pub(crate) fn stop_relay(&mut self, id: RequestId) {
-        let Some(terms) = self.requests[&id]
-            .relay
-            .as_mut()
-            .filter(|terms| !terms.stopped)
-        else {
+        let detail = "the request took longer than its route or its caller allows";
+        let problem = Problem::new(ProblemKind::Deadline, Ran::Unknown, detail);
+        self.break_off(id, "deadline", problem);
+    }
+
+    /// Breaks off the answer to a request that runs, once. The end of the run still reports what it used.
+    pub(crate) fn break_off(&mut self, id: RequestId, event: &str, problem: Problem) {
+        let terms = self.requests[&id].relay.as_mut();
+        let Some(terms) = terms.filter(|terms| !terms.stopped) else {
             return;
         };
         terms.stopped = true;
-        info!(event = "deadline", request = %id);
-        let detail = "the request took longer than its route or its caller allows";
-        let problem = Problem::new(ProblemKind::Deadline, Ran::Unknown, detail);
+        info!(event, request = %id);
         self.effects.push(Effect::Abort(id, Box::new(problem)));
     }
 }
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -266,27 +266,15 @@
         match &terms.stream {
             StreamVersion::Any => terms.stream = begun,
             StreamVersion::Known(_) if terms.stream != begun => {
-                self.cut_stream(id);
-                return;
+                let kind = ProblemKind::EndpointFailed;
+                let problem = Problem::new(kind, Ran::Unknown, VERSION_CHANGED);
+                return self.break_off(id, "version-changed", problem.with_retry(RETRY));
             }
             StreamVersion::Known(_) | StreamVersion::Unknown => {}
         }
         self.remember_stream(now, id);
     }
 
-    /// Cuts an answer that goes on at another version. The end of the run still reports what it used.
-    fn cut_stream(&mut self, id: RequestId) {
-        let terms = self.requests[&id].relay.as_mut();
-        let Some(terms) = terms.filter(|terms| !terms.stopped) else {
-            return;
-        };
-        terms.stopped = true;
-        info!(event = "version-changed", request = %id);
-        let problem = Problem::new(ProblemKind::EndpointFailed, Ran::Unknown, VERSION_CHANGED);
-        let problem = problem.with_retry(RETRY);
-        self.effects.push(Effect::Abort(id, Box::new(problem)));
-    }
-
     /// Remembers the version of a stream under the names by which its caller may take it up.
     fn remember_stream(&mut self, now: Instant, id: RequestId) {
         let request = &self.requests[&id];
