Split the file of relayed requests

The vocabulary of callers and endpoints, connections that answers come over, and answers that are gathered have files of their own. Nothing else is changed.

--- a/src/edge/relay/forward.rs
+++ b/src/edge/relay/forward.rs
@@ -20,10 +20,10 @@
 
 use crate::edge::relay::front;
 use crate::edge::relay::front::Reply;
-use crate::edge::relay::serve::Kept;
+use crate::edge::relay::gather::gather;
+use crate::edge::relay::kept::Kept;
 use crate::edge::relay::serve::Relays;
 use crate::edge::relay::serve::Runner;
-use crate::edge::relay::serve::gather;
 use crate::edge::relay::serve::is_stream;
 use crate::edge::relay::serve::serve_from;
 use crate::edge::relay::upstream::Target;
--- a/src/edge/relay/serve.rs
+++ b/src/edge/relay/serve.rs
@@ -1,9 +1,7 @@
 //! One request, from its head to its answer.
 
-use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -12,12 +10,9 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
-use hyper::http::request::Parts;
-use tokio::time::sleep;
 use tokio::time::timeout;
 use tracing::debug;
 use tracing::info;
@@ -26,14 +21,17 @@
 use crate::edge::desk::Command;
 use crate::edge::desk::Desk;
 use crate::edge::desk::Line;
+use crate::edge::relay::dialect::Dialect;
 use crate::edge::relay::forward;
 use crate::edge::relay::framing::Framing;
 use crate::edge::relay::front;
 use crate::edge::relay::front::Reply;
+use crate::edge::relay::gather::BodyError;
+use crate::edge::relay::gather::gather;
+use crate::edge::relay::kept::Kept;
 use crate::edge::relay::request::Ask;
 use crate::edge::relay::request::Verdict;
 use crate::edge::relay::stream;
-use crate::edge::relay::upstream::Connection;
 use crate::edge::relay::upstream::Target;
 use crate::edge::relay::upstream::Upstream;
 use crate::edge::relay::upstream::UpstreamError;
@@ -49,42 +47,9 @@
 use crate::router::RunEnd;
 use crate::router::Work;
 
-/// The largest answer that is gathered before it goes on: what is no stream is a record or a map tile.
-const MAX_ANSWER: usize = 16 << 20;
-
-/// How much later than its connections the listener of a process that died is closed, at most.
-const LISTENER_LAG: Duration = Duration::from_millis(20);
-
-/// Why an answer that ended with its connection is not whole.
-pub(crate) const ENDPOINT_DIED: &str = "the endpoint listens no longer";
-
 /// What answers that are streams have as their type.
 const EVENTS: &[u8] = b"text/event-stream";
 
-/// How callers and endpoints spell what the relay needs to know.
-pub(crate) trait Dialect: Send + Sync {
-    /// Reads the head of a caller's request.
-    fn read(&self, parts: &Parts) -> Result<Ask, Problem>;
-
-    /// Returns the head for a run; `last` is the event that a resumed stream goes on after.
-    fn head(&self, ask: &Ask, run: &Run, left: Duration, last: Option<&str>) -> HeaderMap;
-
-    /// Returns the head of a request that another router carries out: the caller's, but for the time that is left.
-    fn forward_head(&self, ask: &Ask, left: Duration) -> HeaderMap;
-
-    /// Reads the head of an endpoint's answer.
-    fn verdict(&self, ask: &Ask, answer: &Response<Incoming>) -> Verdict;
-
-    /// Reads what an endpoint announces about itself in the head of an answer, whatever the status.
-    fn announcement(&self, status: StatusCode, headers: &HeaderMap) -> Announcement;
-
-    /// Returns how long the endpoint keeps an idle connection open, if it says so; nothing at all where it closes it.
-    fn keep_alive(&self, headers: &HeaderMap) -> Option<Option<Duration>>;
-
-    /// Takes out the headers that concern the endpoint's connection alone.
-    fn strip(&self, headers: &mut HeaderMap);
-}
-
 /// What all relayed requests share.
 pub(crate) struct Relays {
     pub(crate) desk: Arc<Desk>,
@@ -92,53 +57,6 @@
     pub(crate) dialect: Box<dyn Dialect>,
 }
 
-impl Relays {
-    /// Keeps a connection whose answer was read whole.
-    pub(crate) fn keep(&self, kept: Kept) {
-        if let Some(idle) = kept.idle
-            && kept.framing != Framing::Connection
-        {
-            self.upstream.keep(kept.connection, idle);
-        }
-    }
-}
-
-/// A connection that an answer came over, and how long it may be idle; nothing at all where it is to be closed.
-pub(crate) struct Kept {
-    connection: Connection,
-    idle: Option<Option<Duration>>,
-    /// What ends the answer.
-    pub(crate) framing: Framing,
-}
-
-impl Kept {
-    /// Wraps the connection that an answer with this head came over.
-    pub(crate) fn new(
-        relays: &Relays,
-        connection: Connection,
-        answer: &Response<Incoming>,
-    ) -> Self {
-        Self {
-            connection,
-            idle: relays.dialect.keep_alive(answer.headers()),
-            framing: Framing::of(answer),
-        }
-    }
-
-    /// Returns whether the endpoint died that ended the answer with its connection. If not, the next request has a
-    /// connection in its place.
-    ///
-    /// The kernel closes the connections of a process that died as the process itself does after a whole answer, but then
-    /// nothing listens there any more. It may close the listener after the connections.
-    pub(crate) async fn has_dead_endpoint(&self, relays: &Relays) -> bool {
-        if self.framing != Framing::Connection {
-            return false;
-        }
-        sleep(LISTENER_LAG).await;
-        relays.upstream.reopen(&self.connection, self.idle).await
-    }
-}
-
 /// What came of sending a request to an endpoint.
 pub(crate) enum Sent {
     /// The head of its answer.
@@ -374,26 +292,6 @@
     }
 }
 
-/// Why the body of an answer could not be read.
-pub(crate) type BodyError = Box<dyn Error + Send + Sync>;
-
-/// Reads an answer that is no stream whole.
-pub(crate) async fn gather(
-    relays: &Relays,
-    kept: Kept,
-    answer: Response<Incoming>,
-) -> Result<Reply, BodyError> {
-    let (mut parts, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER).collect().await?.to_bytes();
-    if kept.has_dead_endpoint(relays).await {
-        return Err(ENDPOINT_DIED.into());
-    }
-    relays.keep(kept);
-    relays.dialect.strip(&mut parts.headers);
-    let body = Full::new(body).map_err(|never| match never {});
-    Ok(Response::from_parts(parts, body.boxed()))
-}
-
 /// Serves one request.
 pub(crate) async fn serve(relays: Arc<Relays>, request: Request<Incoming>) -> Reply {
     serve_from(relays, request, None).await
