--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -45,8 +45,8 @@
         Ok(Self { end, records })
     }
 
-    /// Decodes the records, and returns each with its number within the page. One that cannot be decoded is passed over, since it
-    /// would stop its topic's readers for as long as the store retains it.
+    /// Decodes the records, and returns each with its number within the page. One that cannot be decoded is passed over,
+    /// since it would stop its topic's readers for as long as the store retains it.
     pub(crate) fn keyed(&self, topic: &str) -> Vec<(u64, Keyed)> {
         let mut records = Vec::new();
         for (number, record) in (0..).zip(&self.records) {
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -26,6 +26,9 @@
 use crate::vms::VmList;
 use crate::vms::VmState;
 
+#[cfg(test)]
+mod tests;
+
 /// The entry of a model server or of a service's server.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
