--- a/src/logs.rs
+++ b/src/logs.rs
@@ -27,8 +27,8 @@
 /// counted.
 const WAITING: usize = 8192;
 
-/// The longest value of a field, in bytes. Errors quote what was read from others, which may be as long as a record of the store,
-/// and each waiting line would hold as much memory.
+/// The longest value of a field, in bytes. Errors quote what was read from others, which may be as long as a record of the
+/// store, and each waiting line would hold as much memory.
 const MAX_VALUE: usize = 4096;
 
 /// The counter of dropped lines.
@@ -108,7 +108,8 @@
     }
 }
 
-/// Formats fields as ` key=value`, and cuts long values. Values that contain a space or a quote are quoted, so that each event stays one line.
+/// Formats fields as ` key=value`, and cuts long values. Values that contain a space or a quote are quoted, so that each
+/// event stays one line.
 struct Pairs {
     text: String,
 }
