Tests: wait for retries in one place; keep endpoints as long as their site

Five tests each read the retries of a pool from the state dump, and one slept for a fixed time instead. Endpoints that are to outlive a call are kept by their site, not leaked. Assertions are as before.

--- a/tests/faults/broken_answers.rs
+++ b/tests/faults/broken_answers.rs
@@ -27,7 +27,6 @@
 use crate::platform::start_endpoint;
 use crate::received::Received;
 use crate::store::Store;
-use crate::wait_for;
 
 /// A service whose streams may not be resumed, one whose streams may, and one without streams.
 const ONCE: &str = "once";
@@ -150,19 +149,6 @@
         Ok(site)
     }
 
-    /// Waits until requests may be retried: a router that has just started has no retries.
-    async fn wait_for_retries(&self) -> Result<()> {
-        wait_for("the router may retry", LIMIT, async || {
-            let status = self.router.status().await?;
-            let mut pools = status["pools"].as_array().context("pools")?.iter();
-            let pool = pools.find(|pool| pool["pool"] == RESUMABLE);
-            let spare = pool.and_then(|pool| pool["retries"]["spare"].as_f64());
-            Ok(spare.is_some_and(|spare| spare >= RETRIES))
-        })
-        .await?;
-        Ok(())
-    }
-
     /// Sends a request whose runs get the given answers, and returns what the caller gets.
     async fn ask(&self, service: &str, name: &str, answers: &[Answer]) -> Result<Received> {
         self.ask_after(service, name, answers, None).await
@@ -269,7 +255,7 @@
     let second = Answer::unframed("id: 2\ndata: b\n\nid: 3\ndata");
     let third = Answer::unframed("id: 3\ndata: c\n\n");
     let whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
-    site.wait_for_retries().await?;
+    site.router.wait_for_retries(RESUMABLE, RETRIES).await?;
     for framing in FRAMINGS {
         let first = Answer {
             framing,
@@ -352,7 +338,7 @@
 #[tokio::test]
 async fn events_whose_numbers_go_back_are_not_passed_on() -> Result<()> {
     let site = Site::start(107).await?;
-    site.wait_for_retries().await?;
+    site.router.wait_for_retries(RESUMABLE, RETRIES).await?;
     let both = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     let chunks = |body| Answer {
         framing: Framing::Chunks,
@@ -386,7 +372,7 @@
             wrong.push(format!("{name}: {received:?}"));
         }
     }
-    site.wait_for_retries().await?;
+    site.router.wait_for_retries(RESUMABLE, RETRIES).await?;
     let answers = [chunks(both), chunks(SECOND)];
     let received = site
         .ask_after(RESUMABLE, "taken-up", &answers, Some("1"))
@@ -451,7 +437,7 @@
 #[tokio::test]
 async fn a_stream_does_not_go_on_after_events_without_numbers() -> Result<()> {
     let site = Site::start(147).await?;
-    site.wait_for_retries().await?;
+    site.router.wait_for_retries(RESUMABLE, RETRIES).await?;
     let chunks = |body| Answer {
         framing: Framing::Chunks,
         ..Answer::unframed(body)
--- a/tests/faults/dying_endpoints.rs
+++ b/tests/faults/dying_endpoints.rs
@@ -1,7 +1,6 @@
 //! Streams of endpoints whose process dies: the kernel closes their connections in order, as after a whole answer.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -126,8 +125,10 @@
 }
 
 struct Site {
-    router: Arc<Router>,
+    router: Router,
     dying: Endpoint,
+    /// Those that are listed when it dies.
+    sound: Vec<Endpoint>,
     store: Store,
 }
 
@@ -156,23 +157,18 @@
             Ok(status.to_string().contains("\"dying\""))
         })
         .await?;
-        wait_for("the router may retry", LIMIT, async || {
-            let status = router.status().await?;
-            let mut pools = status["pools"].as_array().context("pools")?.iter();
-            let pool = pools.find(|pool| pool["pool"] == service);
-            let spare = pool.and_then(|pool| pool["retries"]["spare"].as_f64());
-            Ok(spare.is_some_and(|spare| spare >= REQUESTS as f64))
-        })
-        .await?;
+        let retries = REQUESTS as f64;
+        router.wait_for_retries(service, retries).await?;
         Ok(Self {
-            router: Arc::new(router),
+            router,
             dying,
+            sound: Vec::new(),
             store,
         })
     }
 
     /// Has requests begin at the endpoint that then dies while others are there, and returns what their callers get.
-    async fn die_during(&self, service: &str) -> Result<Vec<Received>> {
+    async fn die_during(&mut self, service: &str) -> Result<Vec<Received>> {
         let mut callers = JoinSet::new();
         for n in 0..REQUESTS {
             let front = self.router.front;
@@ -188,8 +184,7 @@
                 service,
                 endpoint.address,
             );
-            // It lives as long as the test.
-            std::mem::forget(endpoint);
+            self.sound.push(endpoint);
         }
         sleep(SETTLE).await;
         self.dying.die();
@@ -216,7 +211,7 @@
 /// Guards against streams that are passed on as complete although their endpoint's process died between two events.
 #[tokio::test]
 async fn a_stream_whose_endpoint_dies_between_two_events_is_not_complete() -> Result<()> {
-    let site = Site::start(104, ONCE, false, Duration::ZERO).await?;
+    let mut site = Site::start(104, ONCE, false, Duration::ZERO).await?;
     let received = site.die_during(ONCE).await?;
     assert_none_complete(&received);
     assert!(
@@ -227,10 +222,10 @@
     Ok(())
 }
 
-/// Guards against the same while the process's listener is still open, which the kernel closes after connections.
+/// Guards against streams that are passed on as complete because a dead process's listener is closed after its connections.
 #[tokio::test]
 async fn a_stream_whose_endpoint_dies_is_not_complete_though_its_listener_is_open() -> Result<()> {
-    let site = Site::start(221, ONCE, false, LISTENER_LAG).await?;
+    let mut site = Site::start(221, ONCE, false, LISTENER_LAG).await?;
     let received = site.die_during(ONCE).await?;
     assert_none_complete(&received);
     Ok(())
@@ -239,7 +234,7 @@
 /// Guards against resumable streams that end early, or have events twice, when their endpoint's process dies.
 #[tokio::test]
 async fn a_resumable_stream_whose_endpoint_dies_between_two_events_goes_on() -> Result<()> {
-    let site = Site::start(105, RESUMABLE, true, Duration::ZERO).await?;
+    let mut site = Site::start(105, RESUMABLE, true, Duration::ZERO).await?;
     let received = site.die_during(RESUMABLE).await?;
     let whole = events_from(1, EVENTS);
     let wrong: Vec<_> = received
@@ -257,7 +252,7 @@
 /// Guards against parts of plain answers that are passed on as whole when their endpoint's process dies.
 #[tokio::test]
 async fn a_plain_answer_whose_endpoint_dies_is_not_whole() -> Result<()> {
-    let site = Site::start(106, RECORDS, false, Duration::ZERO).await?;
+    let mut site = Site::start(106, RECORDS, false, Duration::ZERO).await?;
     let received = site.die_during(RECORDS).await?;
     let parts = received.iter().filter(|answer| answer.body == PART).count();
     assert_eq!(
--- a/tests/faults/endless_answers.rs
+++ b/tests/faults/endless_answers.rs
@@ -11,7 +11,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::platform::LIMIT;
 use crate::platform::Router;
 use crate::platform::ask;
 use crate::platform::header;
@@ -21,7 +20,6 @@
 use crate::platform::route;
 use crate::platform::start_endpoint;
 use crate::store::Store;
-use crate::wait_for;
 
 const SERVICE: &str = "streams";
 /// The VM of the router, which no other test uses.
@@ -77,13 +75,7 @@
     let settings = json!({"retry_ratio": 0.2, "retry_spare": 50.0, "retry_window_ms": 2000});
     let router = Router::start(vm, at, &settings)?;
     router.wait_serving(SERVICE).await?;
-    wait_for("the router may retry", LIMIT, async || {
-        let status = router.status().await?;
-        let pools = status["pools"].as_array().into_iter().flatten();
-        let spare = pools.filter_map(|pool| pool["retries"]["spare"].as_f64());
-        Ok(spare.sum::<f64>() >= 1.0)
-    })
-    .await?;
+    router.wait_for_retries(SERVICE, 1.0).await?;
     shared.endless.store(true, Ordering::Relaxed);
     let path = format!("{SERVICE}/x");
     let answer = ask(router.front, &path, "endless").await;
--- a/tests/faults/left_streams.rs
+++ b/tests/faults/left_streams.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use anyhow::Context;
 use anyhow::Result;
-use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -25,7 +23,6 @@
 use crate::platform::start_endpoint;
 use crate::received::Received;
 use crate::store::Store;
-use crate::wait_for;
 
 const SERVICE: &str = "streams";
 const ENDPOINTS: usize = 2;
@@ -59,22 +56,10 @@
     let settings = json!({"retry_ratio": 0.2, "retry_spare": 100.0, "retry_window_ms": 2000});
     let router = Router::start(vm, at, &settings)?;
     router.wait_serving(SERVICE).await?;
-    wait_for("the router may retry", LIMIT, async || {
-        let pool = pool(&router).await?;
-        let spare = pool["retries"]["spare"].as_f64();
-        Ok(spare.is_some_and(|spare| spare >= RETRIES))
-    })
-    .await?;
+    router.wait_for_retries(SERVICE, RETRIES).await?;
     Ok((router, store))
 }
 
-async fn pool(router: &Router) -> Result<Value> {
-    let status = router.status().await?;
-    let mut pools = status["pools"].as_array().context("pools")?.iter();
-    let pool = pools.find(|pool| pool["pool"] == SERVICE);
-    pool.cloned().context("the pool")
-}
-
 /// Breaks a stream off after its first event, whatever its caller has; a run that goes on after that one is silent.
 async fn serve(mut stream: TcpStream, steps: mpsc::UnboundedSender<Step>) -> Result<()> {
     let head = read_head(&mut stream).await?;
@@ -124,7 +109,6 @@
 async fn a_caller_that_names_a_later_event_does_no_harm_to_endpoints() -> Result<()> {
     let (sender, _steps) = mpsc::unbounded_channel();
     let (router, _store) = start(138, sender).await?;
-    let before = pool(&router).await?["retries"].clone();
     for number in 0..30 {
         let (path, name) = (format!("{SERVICE}/{number}"), format!("later-{number}"));
         let headers = "last-event-id: 18446744073709551615\r\nresumes: first\r\n";
@@ -134,6 +118,6 @@
     }
     let log = router.logged()?;
     let later = log.lines().filter(|line| line.contains("event=retry "));
-    assert_eq!(later.count(), 0, "no retry is spent on them: {before}");
+    assert_eq!(later.count(), 0, "no retry is spent on them");
     router.wait_serving(SERVICE).await
 }
--- a/tests/faults/platform.rs
+++ b/tests/faults/platform.rs
@@ -128,6 +128,19 @@
         Ok(serde_json::from_value(answer["addresses"].clone())?)
     }
 
+    /// Waits until a pool has so many retries: a router that has just started has none.
+    pub(crate) async fn wait_for_retries(&self, pool: &str, count: f64) -> Result<()> {
+        wait_for("the router may retry", LIMIT, async || {
+            let status = self.status().await?;
+            let mut pools = status["pools"].as_array().into_iter().flatten();
+            let pool = pools.find(|row| row["pool"] == pool);
+            let spare = pool.and_then(|row| row["retries"]["spare"].as_f64());
+            Ok(spare.is_some_and(|spare| spare >= count))
+        })
+        .await?;
+        Ok(())
+    }
+
     /// Returns its state dump.
     pub(crate) async fn status(&self) -> Result<Value> {
         let url = format!("http://{}/v1/status", self.admin);
--- a/tests/faults/plays.rs
+++ b/tests/faults/plays.rs
@@ -34,13 +34,14 @@
 /// How long an endpoint waits before it resets a connection, so that what it sent has been read.
 const SETTLE: Duration = Duration::from_millis(50);
 
-/// How long it takes at most until a router that has just started may retry.
-const RETRIES: Duration = Duration::from_millis(2500);
+/// How many retries a play may need.
+const RETRIES: f64 = 10.0;
 
 /// The heads of answers, but for their framing. An endpoint puts the request's name for `NAME`.
 pub(crate) const PLAIN: &str =
     "HTTP/1.1 200 OK\r\nrequest-id: NAME\r\nresponse-seal: 1\r\ncontent-type: text/plain\r\n";
-pub(crate) const EVENTS: &str = "HTTP/1.1 200 OK\r\nrequest-id: NAME\r\nresponse-seal: 1\r\ncontent-type: text/event-stream\r\n";
+pub(crate) const EVENTS: &str = "HTTP/1.1 200 OK\r\nrequest-id: NAME\r\nresponse-seal: 1\r\n\
+     content-type: text/event-stream\r\n";
 
 /// What follows the head of a plain answer.
 pub(crate) const TEXT: &str = "content-length: 9\r\n\r\nsome text";
@@ -207,7 +208,9 @@
     let settings = json!({"retry_ratio": 0.2, "retry_spare": 10_000.0, "retry_window_ms": 2000});
     let router = Router::start(vm, at, &settings)?;
     router.wait_serving(&service(plays.len() - 1)).await?;
-    sleep(RETRIES).await;
+    // All pools have as many retries as the last one.
+    let last = service(plays.len() - 1);
+    router.wait_for_retries(&last, RETRIES).await?;
     let playing = iter(plays.iter().enumerate()).map(|(number, play)| {
         let (router, script) = (&router, &script);
         async move { play.run(router, script, number).await }
--- a/tests/faults/unfinished_answers.rs
+++ b/tests/faults/unfinished_answers.rs
@@ -16,7 +16,6 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::platform::LIMIT;
 use crate::platform::Router;
 use crate::platform::ask;
 use crate::platform::header;
@@ -143,13 +142,7 @@
         let settings = json!({"retry_ratio": 0.2, "retry_spare": 50.0, "retry_window_ms": 2000});
         let router = Router::start(vm, at, &settings)?;
         router.wait_serving(SERVICE).await?;
-        wait_for("the router may retry", LIMIT, async || {
-            let status = router.status().await?;
-            let pools = status["pools"].as_array().into_iter().flatten();
-            let spare = pools.filter_map(|pool| pool["retries"]["spare"].as_f64());
-            Ok(spare.sum::<f64>() >= 1.0)
-        })
-        .await?;
+        router.wait_for_retries(SERVICE, 1.0).await?;
         Ok(Self {
             router,
             shared,
