Log how a router knows the version that began a stream, and what it has heard when it takes one for the only one

No line told why a version was taken for the only one. stream-bound now names its source (memory, the only version, another router, the log); versions-known tells whether the record was read, how old the last word of the store is, and how many routers were heard.

--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -65,6 +65,19 @@
     Unknown,
 }
 
+/// How a router knows what began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// It began or went on here, or another router told this one.
+    Memory,
+    /// No other version can have begun it.
+    Only,
+    /// Another router answered.
+    Peer,
+    /// The log has it.
+    Log,
+}
+
 /// A stream and what began it, as routers tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StreamRow {
@@ -333,10 +346,10 @@
         let key = request.resumed_stream();
         let known = key.as_ref().and_then(|key| self.streams.origins.find(key));
         if let Some(origin) = known.cloned() {
-            return self.bind_to_origin(now, id, &origin);
+            return self.bind_to_origin(now, id, &origin, Source::Memory);
         }
         if let Some(origin) = self.only_origin(now, id) {
-            return self.bind_to_origin(now, id, &origin);
+            return self.bind_to_origin(now, id, &origin, Source::Only);
         }
         let asked = key.as_ref().map(|key| self.replicas(now, key, ASKED));
         let asked = asked.unwrap_or_default();
@@ -369,7 +382,7 @@
         let waits = *waiting > 0;
         match origin {
             Some(origin) => {
-                if self.bind_to_origin(now, id, origin) {
+                if self.bind_to_origin(now, id, origin, Source::Peer) {
                     self.check_limits(now, id);
                 }
             }
@@ -385,13 +398,14 @@
         id: RequestId,
         found: Option<&StreamOrigin>,
     ) {
-        let only = match found {
-            Some(_) => None,
-            None => self.only_origin(now, id),
+        let recorded = found.cloned().map(|origin| (origin, Source::Log));
+        let only = || {
+            self.only_origin(now, id)
+                .map(|origin| (origin, Source::Only))
         };
-        match found.or(only.as_ref()) {
-            Some(origin) => {
-                if self.bind_to_origin(now, id, origin) {
+        match recorded.or_else(only) {
+            Some((origin, source)) => {
+                if self.bind_to_origin(now, id, &origin, source) {
                     self.check_limits(now, id);
                 }
             }
@@ -418,7 +432,13 @@
     }
 
     /// Binds a request to the version that began its stream, or refuses it; returns whether it may proceed.
-    fn bind_to_origin(&mut self, now: Instant, id: RequestId, origin: &StreamOrigin) -> bool {
+    fn bind_to_origin(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        origin: &StreamOrigin,
+        source: Source,
+    ) -> bool {
         if !self.is_routed_to(id, &origin.pool) {
             self.refuse_stream(now, id, UNKNOWN_VERSION);
             return false;
@@ -429,7 +449,7 @@
             terms.stream = StreamVersion::Known(origin.version.clone());
         }
         let version = origin.version.as_ref().map(tracing::field::display);
-        info!(event = "stream-bound", request = %id, version);
+        info!(event = "stream-bound", request = %id, version, ?source);
         if !self.has_endpoint_for(id) {
             self.refuse_stream(now, id, NO_ENDPOINT);
             return false;
@@ -495,7 +515,18 @@
         let has_history = now >= self.started_at + VERSION_RETENTION;
         let informed = peers.is_empty() || any || has_history;
         let current = !self.may_be_behind(now) && informed || all && !peers.is_empty();
-        current && self.stream_log.is_loaded()
+        let loaded = self.stream_log.is_loaded();
+        let heard = peers.iter().filter(|peer| hears(&peer.vm)).count();
+        let table_age_ms = self.table_age(now).map(|age| age.as_millis());
+        info!(
+            event = "versions-known",
+            current,
+            loaded,
+            table_age_ms,
+            heard,
+            peers = peers.len()
+        );
+        current && loaded
     }
 
     /// Sends what other routers are to remember.
