Ask whether the lists are current before a stream goes on at the only version

Callers saw text of two software versions in one stream: during a release a router that stood still or was cut off for a second or two took up streams that had begun at the new version through other routers, and went on at the old one.

Cause: a conclusion from what was not heard. A router that did not know a stream took the only version of its list for the one that began it if the store had confirmed the configuration within config_ms and one peer had been heard within 3 s. Neither dates the list of endpoints, heartbeats count from when they are read, and any age bound is longer than the tenth of a second after which a caller comes back.

A question that is sent after the stream was taken up closes this. The router reads the store's list and configuration from where it had read them, which is linearizable, and takes over what is new; if the store does not answer, all other routers tell which versions they know. One round serves all streams that wait, as many as there are.

--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -32,6 +32,7 @@
 use crate::router::Forwarding;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
+use crate::router::KnownVersions;
 use crate::router::LoanRequest;
 use crate::router::Problem;
 use crate::router::Replay;
@@ -203,6 +204,12 @@
         serde_json::from_value(answer?.1).ok()?
     }
 
+    /// Asks the core which versions it knows.
+    pub(crate) async fn known_versions(&self) -> Option<KnownVersions> {
+        let (_, answer) = self.question(Event::VersionsQueried).await?;
+        serde_json::from_value(answer).ok()
+    }
+
     async fn question<F>(&self, event: F) -> Option<(u16, Value)>
     where
         F: FnOnce(ReplyId) -> Event,
--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -18,6 +18,7 @@
 use tracing::warn;
 
 use crate::clock::Clock;
+use crate::decide::RoundId;
 use crate::edge::IdleClock;
 use crate::edge::checkpoint;
 use crate::edge::clock::SystemClock;
@@ -191,6 +192,9 @@
     /// Begins a call to the log of streams and versions; what comes of it is told as an event.
     fn call_streams(&self, call: StreamLogCall);
 
+    /// Begins to read all that the log has of lists and configurations; what comes of it is told as an event.
+    fn refresh_lists(&self, round: RoundId);
+
     /// Takes note that a planned stop began.
     fn leave(&self);
 }
@@ -353,6 +357,9 @@
             Effect::LocateStream(id, key, peer) => {
                 tokio::spawn(self.peers.clone().locate_stream(id, key, peer));
             }
+            Effect::AskVersions(round, peer) => {
+                tokio::spawn(self.peers.clone().versions(round, peer));
+            }
             Effect::SendSlots(messages, peer) => {
                 tokio::spawn(self.peers.clone().tell_slots(messages, peer));
             }
@@ -376,6 +383,7 @@
                 Effect::ProposeGrants(proposal) => log.propose(proposal),
                 Effect::ReadGrants(from) => log.read(from),
                 Effect::CallStreamLog(call) => log.call_streams(call),
+                Effect::RefreshLists(round) => log.refresh_lists(round),
                 effect => warn!(event = "no-ledger", ?effect),
             },
         }
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -26,6 +26,7 @@
 use crate::clock::Clock;
 use crate::config::RouteTable;
 use crate::config::Snapshot;
+use crate::decide::RoundId;
 use crate::decide::RoundTrips;
 use crate::decide::SlotMessage;
 use crate::decide::StreamKey;
@@ -39,6 +40,7 @@
 use crate::router::Event;
 use crate::router::Heartbeat;
 use crate::router::KeptBatches;
+use crate::router::KnownVersions;
 use crate::router::LoanRequest;
 use crate::router::Peer;
 use crate::router::PeerFailure;
@@ -107,6 +109,9 @@
 
     /// Returns the ledger's state.
     async fn ledger(version: u32) -> Result<Vec<u8>, Refused>;
+
+    /// Returns the versions of all pools that are known. Calls are numbered in their order here, so that new ones come last.
+    async fn versions(version: u32) -> Result<KnownVersions, Refused>;
 }
 
 /// Serves one peer's calls.
@@ -197,6 +202,11 @@
         check(version)?;
         self.0.snapshot().await.ok_or(Refused::NotReady)
     }
+
+    async fn versions(self, _: Context, version: u32) -> Result<KnownVersions, Refused> {
+        check(version)?;
+        self.0.known_versions().await.ok_or(Refused::NotReady)
+    }
 }
 
 fn codec() -> LengthDelimitedCodec {
@@ -377,6 +387,25 @@
         self.desk.tell(Event::StreamLocated(id, origin));
     }
 
+    /// Asks a peer which versions it knows, and tells the core.
+    pub(crate) async fn versions(self, round: RoundId, peer: Peer) {
+        let limit = lock(&self.trips).timeout(LOAN);
+        let call =
+            |client: PeeringClient| async move { client.versions(deadline(limit), VERSION).await };
+        let known = match self.call(&peer.address, limit, call).await {
+            Ok(Ok(known)) => Some(known),
+            Ok(Err(refused)) => {
+                info!(event = "versions-refused", vm = %peer.vm, ?refused);
+                None
+            }
+            Err(silence) => {
+                info!(event = "versions-unheard", vm = %peer.vm, ?silence);
+                None
+            }
+        };
+        self.desk.tell(Event::VersionsKnown(round, peer.vm, known));
+    }
+
     /// Returns whether all that this router does is late, so that it had better do without what is not needed.
     pub(crate) fn is_late(&self) -> bool {
         lock(&self.trips).is_late()
--- a/src/platform/grants.rs
+++ b/src/platform/grants.rs
@@ -1,10 +1,10 @@
 //! Reads and writes grants in the store.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tracing::warn;
 
+use crate::decide::RoundId;
 use crate::edge::desk::Desk;
 use crate::edge::driver::GrantLog;
 use crate::escrow::GrantKey;
@@ -12,6 +12,7 @@
 use crate::escrow::Proposal;
 use crate::escrow::RecordError;
 use crate::ids::Offset;
+use crate::platform::lists::Lists;
 use crate::platform::record::Keyed;
 use crate::platform::start::Listing;
 use crate::platform::store::Append;
@@ -31,6 +32,7 @@
     pub(crate) desk: Arc<Desk>,
     /// This router's entry, which is removed when the router leaves.
     pub(crate) listing: Listing,
+    pub(crate) lists: Lists,
 }
 
 impl GrantLog for Grants {
@@ -71,6 +73,17 @@
         });
     }
 
+    fn refresh_lists(&self, round: RoundId) {
+        let store = self.store.clone();
+        let desk = self.desk.clone();
+        let lists = self.lists.clone();
+        tokio::spawn(async move {
+            let read = lists.refresh(&store).await;
+            let read = read.inspect_err(|error| warn!(event = "lists-unread", %error));
+            desk.tell(Event::ListsRefreshed(round, read.is_ok()));
+        });
+    }
+
     fn leave(&self) {
         self.listing.leave();
     }
@@ -95,20 +108,15 @@
 }
 
 pub(super) async fn read(store: &Store, from: Offset) -> Result<GrantEvent, ReadError> {
-    let mut next = from.0;
-    let mut rows = Vec::new();
-    loop {
-        let page = store.read(TOPIC, next, Duration::ZERO, None).await?;
-        for (number, record) in page.keyed(TOPIC) {
-            let value = record.value.unwrap_or_default();
-            rows.extend(row(next.saturating_add(number), &record.key, &value));
-        }
-        next = next.saturating_add(page.records.len() as u64);
-        if next >= page.end || page.records.is_empty() {
-            let end = Offset(next);
-            return Ok(GrantEvent::Read { rows, end });
-        }
-    }
+    let (records, next) = store.read_on(TOPIC, from.0).await?;
+    let rows = records.into_iter().filter_map(|(offset, record)| {
+        let value = record.value.unwrap_or_default();
+        row(offset, &record.key, &value)
+    });
+    Ok(GrantEvent::Read {
+        rows: rows.collect(),
+        end: Offset(next),
+    })
 }
 
 async fn newest(store: &Store) -> Result<GrantEvent, ReadError> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod grants;
 mod heads;
+mod lists;
 mod operator;
 mod record;
 mod registry;
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Applies the result of a read.
-    pub(crate) fn apply(&mut self, batch: Batch) {
+    /// Applies the result of a read, and returns whether its configuration could be decoded.
+    pub(crate) fn apply(&mut self, batch: Batch) -> bool {
         let records = match batch.update {
             Update::All(rows) => {
                 self.drained.clear();
@@ -54,10 +54,11 @@
             as_of: batch.next,
             domains: self.drained.clone(),
         }));
-        let readable = self.apply_config(&records);
+        let readable = apply_config(&self.desk, &records);
         if let Some(at) = batch.current.filter(|_| readable) {
             self.desk.tell(Event::TableConfirmed(at));
         }
+        readable
     }
 
     /// Records that a failure domain is drained, or no longer is.
@@ -74,20 +75,20 @@
             None => drop(self.drained.shift_remove(&domain)),
         }
     }
+}
 
-    /// Passes the newest configuration, if there is one, to the core, and returns whether it could be decoded. Otherwise the
-    /// last one stays in force.
-    fn apply_config(&self, records: &[Keyed]) -> bool {
-        let newest = records.iter().rfind(|record| record.key == config::KEY);
-        let newest = newest.and_then(|record| record.value.as_ref());
-        match newest.map(|text| config::decode(text)) {
-            Some(Ok(table)) => self.desk.tell(Event::Table(Arc::new(table))),
-            Some(Err(error)) => {
-                warn!(event = "config-unreadable", %error);
-                return false;
-            }
-            None => {}
+/// Passes the newest configuration, if there is one, to the core, and returns whether it could be decoded. Otherwise the
+/// last one stays in force.
+pub(super) fn apply_config(desk: &Desk, records: &[Keyed]) -> bool {
+    let newest = records.iter().rfind(|record| record.key == config::KEY);
+    let newest = newest.and_then(|record| record.value.as_ref());
+    match newest.map(|text| config::decode(text)) {
+        Some(Ok(table)) => desk.tell(Event::Table(Arc::new(table))),
+        Some(Err(error)) => {
+            warn!(event = "config-unreadable", %error);
+            return false;
         }
-        true
+        None => {}
     }
+    true
 }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -46,6 +46,8 @@
 use crate::platform::follow::follow;
 use crate::platform::grants::Grants;
 use crate::platform::heads::Heads;
+use crate::platform::lists::Cursor;
+use crate::platform::lists::Lists;
 use crate::platform::operator::Operator;
 use crate::platform::record::Keyed;
 use crate::platform::registry::Registry;
@@ -67,8 +69,8 @@
 use crate::vms::VmState;
 
 /// The topics of the operator, of the servers and of the routers.
-const OPERATOR: &str = "keyed.op";
-const SERVERS: &str = "keyed.servers";
+pub(super) const OPERATOR: &str = "keyed.op";
+pub(super) const SERVERS: &str = "keyed.servers";
 const ROUTERS: &str = "keyed.routers";
 
 /// The pause between two reads of the configuration, which has to be in force within a second or two.
@@ -141,7 +143,7 @@
     // Without a handler, the signal would terminate the process and cut off its requests.
     let changes = signal(SignalKind::hangup())?;
     tokio::spawn(reload_settings(changes, path, desk.clone(), boot));
-    follow_store(&store, &desk, &settings, listed);
+    let lists = follow_store(&store, &desk, &settings, listed);
     tokio::spawn(http::serve(admin, desk.clone()));
     tokio::spawn(desk.clone().send_metrics());
     tokio::spawn(peers::serve(routers, desk.clone()));
@@ -167,6 +169,7 @@
             store,
             desk: desk.clone(),
             listing,
+            lists,
         })),
         peers: Caller::new(desk.clone()),
         prober: Prober::new(desk.clone()),
@@ -252,7 +255,14 @@
     desk: &Arc<Desk>,
     settings: &SiteSettings,
     listed: watch::Sender<FoundEntry>,
-) {
+) -> Lists {
+    let registry = Arc::new(Registry::new(desk.clone()));
+    let lists = Lists {
+        desk: desk.clone(),
+        registry: registry.clone(),
+        servers: Cursor::default(),
+        operator: Cursor::default(),
+    };
     let config = settings.config_ms.duration();
     let mut operator = Operator::new(desk.clone());
     let topic = Topic {
@@ -261,11 +271,14 @@
         hold: (config / CONFIG_READS).min(MAX_HOLD),
         mode: ReadMode::Newest,
     };
+    let cursor = lists.operator.clone();
     tokio::spawn(follow(store.clone(), topic, move |batch| {
-        operator.apply(batch);
+        let next = batch.next;
+        if operator.apply(batch) {
+            cursor.advance(next);
+        }
     }));
-    let registry = Arc::new(Registry::new(desk.clone()));
-    let servers = registry.clone();
+    let (servers, cursor) = (registry.clone(), lists.servers.clone());
     let list = |name| Topic {
         name,
         interval: LIST_INTERVAL,
@@ -274,6 +287,7 @@
     };
     tokio::spawn(follow(store.clone(), list(SERVERS), move |batch| {
         servers.servers(SystemClock.now(), batch.update);
+        cursor.advance(batch.next);
     }));
     let (desk, own) = (desk.clone(), settings.vm.to_string());
     tokio::spawn(follow(store.clone(), list(ROUTERS), move |batch| {
@@ -287,6 +301,7 @@
         }
         registry.routers(batch.update);
     }));
+    lists
 }
 
 fn tuning(settings: &SiteSettings, clock: BootClock) -> Tuning {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -177,6 +177,25 @@
         }
     }
 
+    /// Reads all records from an offset on, with their offsets, and returns them with the offset of the next one.
+    pub(crate) async fn read_on(
+        &self,
+        topic: &str,
+        from: u64,
+    ) -> Result<(Vec<(u64, Keyed)>, u64), ReadError> {
+        let mut next = from;
+        let mut records = Vec::new();
+        loop {
+            let page = self.read(topic, next, Duration::ZERO, None).await?;
+            let keyed = page.keyed(topic).into_iter();
+            records.extend(keyed.map(|(number, record)| (next.saturating_add(number), record)));
+            next = next.saturating_add(page.records.len() as u64);
+            if next >= page.end || page.records.is_empty() {
+                return Ok((records, next));
+            }
+        }
+    }
+
     /// Reads the newest record of each key. The pages are not a snapshot: records that are appended in the meantime have
     /// offsets from the first page's end on, where the caller continues to read.
     pub(crate) async fn newest(&self, topic: &str) -> Result<Table, ReadError> {
--- a/src/platform/streams.rs
+++ b/src/platform/streams.rs
@@ -1,7 +1,5 @@
 //! Reads and writes in the store what began streams, and the versions of pools.
 
-use std::time::Duration;
-
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tracing::warn;
@@ -59,26 +57,17 @@
 
 /// Reads all streams from an offset on that are retained.
 async fn read(store: &Store, from: u64) -> Result<(Vec<StreamRecord>, Offset), ReadError> {
-    let mut next = from;
-    let mut records = Vec::new();
-    loop {
-        let page = match store.read(STREAMS, next, Duration::ZERO, None).await {
-            Ok(page) => page,
-            Err(ReadError::Gone { first: Some(first) }) if first > next => {
-                next = first;
-                continue;
-            }
-            Err(error) => return Err(error),
-        };
-        for (_, record) in page.keyed(STREAMS) {
-            let value = record.value.unwrap_or_default();
-            records.extend(decode(STREAMS, &value));
-        }
-        next = next.saturating_add(page.records.len() as u64);
-        if next >= page.end || page.records.is_empty() {
-            return Ok((records, Offset(next)));
+    let mut from = from;
+    let (records, next) = loop {
+        match store.read_on(STREAMS, from).await {
+            Err(ReadError::Gone { first: Some(first) }) if first > from => from = first,
+            read => break read?,
         }
-    }
+    };
+    let values = records.into_iter();
+    let values = values.map(|(_, record)| record.value.unwrap_or_default());
+    let records = values.filter_map(|value| decode(STREAMS, &value));
+    Ok((records.collect(), Offset(next)))
 }
 
 fn answered<T>(topic: &str, read: Result<T, ReadError>) -> Option<T> {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -14,6 +14,7 @@
 use crate::config::RouteTable;
 use crate::decide::AccountLimit;
 use crate::decide::Announcements;
+use crate::decide::Confirmations;
 use crate::decide::ConsistencyMode;
 use crate::decide::CrashHistory;
 use crate::decide::Demand;
@@ -224,6 +225,8 @@
     pub(crate) streams: Streams,
     /// What the log remembers of streams and versions.
     pub(crate) stream_log: StreamLog,
+    /// Requests that wait until the lists are known to be current.
+    pub(crate) confirmations: Confirmations,
     /// Budgets granted to this router, unless the ledger accounts for them.
     pub(crate) grant_budgets: GrantBudgets,
 }
@@ -316,6 +319,7 @@
             slots: Slots::default(),
             streams: Streams::new(now),
             stream_log: StreamLog::new(now),
+            confirmations: Confirmations::new(now),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
             rng,
@@ -376,6 +380,13 @@
             Event::StreamsBegun(rows) => self.keep_streams(now, rows),
             Event::StreamQueried(id, key) => self.answer_stream_query(id, &key),
             Event::StreamLocated(id, origin) => self.handle_stream_answer(now, id, origin.as_ref()),
+            Event::ListsRefreshed(round, current) => {
+                self.confirmations.log_answered(round, current)
+            }
+            Event::VersionsQueried(id) => self.answer_versions_query(now, id),
+            Event::VersionsKnown(round, vm, known) => {
+                self.handle_known_versions(now, round, &vm, known)
+            }
             Event::StreamLog(event) => self.handle_stream_log(now, event),
             Event::Slots(messages) => self.handle_slot_messages(now, &messages),
             Event::PromptNotice(notice) => self.record_peer_prompt(now, &notice),
@@ -392,6 +403,7 @@
             Event::Paused => self.handle_pause(now),
             Event::Tick => self.tick(now),
         }
+        self.step_confirmations(now);
         self.flush(now);
         self.send_slot_messages(now);
         self.send_streams();
--- a/src/router/crashes.rs
+++ b/src/router/crashes.rs
@@ -134,7 +134,11 @@
         let waiting = self.requests.iter().filter_map(|(id, request)| {
             let waits = matches!(
                 request.state,
-                State::Locating { .. } | State::Seeking | State::Funding { .. } | State::Queued
+                State::Confirming
+                    | State::Locating { .. }
+                    | State::Seeking
+                    | State::Funding { .. }
+                    | State::Queued
             );
             let left = self.quarantine_left(now, request).filter(|_| waits)?;
             Some((*id, left))
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -8,6 +8,7 @@
 
 use crate::config::RouteTable;
 use crate::config::Snapshot;
+use crate::decide::RoundId;
 use crate::decide::SlotMessage;
 use crate::decide::StreamKey;
 use crate::escrow::Proposal;
@@ -98,6 +99,10 @@
     KeepStreams(Vec<StreamRow>, Peer),
     /// Asks another router what began the stream that a request takes up.
     LocateStream(RequestId, StreamKey, Peer),
+    /// Reads all that the log has of lists and configurations, for a round of questions.
+    RefreshLists(RoundId),
+    /// Asks another router which versions it knows.
+    AskVersions(RoundId, Peer),
     /// To call the log of streams and versions.
     CallStreamLog(StreamLogCall),
     /// Tells another router the demand for slots of brittle endpoints, or grants it slots.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -10,6 +10,7 @@
 use crate::decide::Announcement;
 use crate::decide::CacheEvent;
 use crate::decide::Prompt;
+use crate::decide::RoundId;
 use crate::decide::SlotMessage;
 use crate::decide::StreamKey;
 use crate::decide::StreamOrigin;
@@ -32,6 +33,7 @@
 use crate::labels::Labels;
 use crate::ledger::Ledger;
 use crate::part_id::PartId;
+use crate::router::confirm::KnownVersions;
 use crate::router::core::Tuning;
 use crate::router::drained::DrainedDomains;
 use crate::router::examine::Examination;
@@ -144,6 +146,12 @@
     StreamQueried(ReplyId, StreamKey),
     /// A router that was asked what began the stream that a request takes up answered, if it knows, or did not.
     StreamLocated(RequestId, Option<StreamOrigin>),
+    /// All that the log had of lists and configurations has been read for a round of questions, or could not be.
+    ListsRefreshed(RoundId, bool),
+    /// Another router asks which versions this one knows.
+    VersionsQueried(ReplyId),
+    /// A router that was asked which versions it knows answered, or did not.
+    VersionsKnown(RoundId, VmId, Option<KnownVersions>),
     /// The log of streams and versions answered, or did not.
     StreamLog(StreamLogEvent),
     /// Another router tells its demand for slots of brittle endpoints, or grants slots.
--- a/src/router/expire.rs
+++ b/src/router/expire.rs
@@ -42,6 +42,10 @@
                 let detail = "the wait for the team's budget outlasted the deadline";
                 self.refuse(now, id, ProblemKind::BudgetSpent, detail);
             }
+            State::Confirming if overdue => {
+                let detail = "the lists were not confirmed to be current in time";
+                self.refuse(now, id, ProblemKind::NoEndpoint, detail);
+            }
             State::Locating { .. } if overdue => {
                 let detail = "the routers that were asked about the stream did not answer in time";
                 self.refuse(now, id, ProblemKind::NoEndpoint, detail);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod closing;
 mod cold;
 mod config_stream;
+mod confirm;
 mod core;
 mod crashes;
 mod drained;
@@ -65,6 +66,7 @@
 pub(crate) use core::Tuning;
 
 pub(crate) use appender::AppendTiming;
+pub(crate) use confirm::KnownVersions;
 pub(crate) use drained::DrainedDomains;
 pub(crate) use effect::Effect;
 pub(crate) use effect::Forwarding;
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -169,10 +169,14 @@
 pub(crate) enum State {
     /// Another attempt with its key is in progress, at this router or another one.
     Contended,
+    /// The log or the other routers are asked whether this router's lists are current.
+    Confirming,
     /// Other routers are asked what began the stream that it takes up.
     Locating {
         /// How many of them have not answered.
         waiting: usize,
+        /// Whether the log is searched if none of them knows.
+        seeks: bool,
     },
     /// The log is searched for what began the stream that it takes up.
     Seeking,
--- a/src/router/stream_log.rs
+++ b/src/router/stream_log.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tracing::info;
 
+use crate::decide::CallPace;
 use crate::decide::PoolVersions;
 use crate::decide::StreamDigest;
 use crate::decide::StreamKey;
@@ -37,9 +38,6 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 const READ_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How many reads may be made in a row before they are that far apart.
-const READ_BURST: u32 = 4;
-
 /// How many streams one record has at most.
 const MAX_RECORD: usize = 512;
 
@@ -103,7 +101,7 @@
     seekers: Vec<RequestId>,
     served: Vec<RequestId>,
     reading: bool,
-    next_read: Instant,
+    read_pace: CallPace,
     /// The versions of each pool in the log as far as this router knows; `None` before the first read.
     recorded: Option<IndexMap<PoolId, IndexSet<Version>>>,
     /// The versions that the log had when this router started, and when they were read. They count for a while from then
@@ -127,7 +125,7 @@
             seekers: Vec::new(),
             served: Vec::new(),
             reading: false,
-            next_read: now,
+            read_pace: CallPace::new(now),
             recorded: None,
             inherited_at: None,
             inherited: IndexMap::new(),
@@ -222,11 +220,10 @@
         }
         let routers = self.members.vm_index.serving_vms().len();
         let interval = READ_INTERVAL * stretch(routers);
-        if log.next_read > now + interval * READ_BURST {
+        if !log.read_pace.try_begin(now, interval) {
             return;
         }
         log.reading = true;
-        log.next_read = log.next_read.max(now) + interval;
         log.served = std::mem::take(&mut log.seekers);
         let call = StreamLogCall::Read(log.next);
         self.effects.push(Effect::CallStreamLog(call));
@@ -305,6 +302,7 @@
         if !log.is_loaded() {
             log.served.append(&mut log.seekers);
             self.end_seeks(now, false);
+            self.end_waiting_confirmations(now);
         }
     }
 
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -16,7 +16,6 @@
 use crate::decide::StreamKey;
 use crate::decide::StreamOrigin;
 use crate::decide::StreamOrigins;
-use crate::decide::VERSION_RETENTION;
 use crate::decide::ranked;
 use crate::ids::PoolId;
 use crate::ids::RequestId;
@@ -25,7 +24,6 @@
 use crate::router::core::Core;
 use crate::router::effect::Effect;
 use crate::router::effect::Peer;
-use crate::router::event::PeerFailure;
 use crate::router::event::ReplyId;
 use crate::router::event::Work;
 use crate::router::problem::Problem;
@@ -67,7 +65,7 @@
 
 /// How a router knows what began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
+pub(crate) enum Source {
     /// It began or went on here, or another router told this one.
     Memory,
     /// No other version can have begun it.
@@ -133,11 +131,14 @@
 
     /// Returns the versions of the pools of which other routers are told.
     pub(crate) fn rows(&self, now: Instant) -> Vec<VersionRow> {
-        let mixed = self
-            .mixed
-            .iter()
-            .filter_map(|pool| self.versions.get_key_value(pool));
-        let rows = mixed.flat_map(|(pool, versions)| {
+        let mut rows = self.all_rows(now);
+        rows.retain(|row| self.mixed.contains(&row.pool));
+        rows
+    }
+
+    /// Returns the versions of all pools.
+    pub(crate) fn all_rows(&self, now: Instant) -> Vec<VersionRow> {
+        let rows = self.versions.iter().flat_map(|(pool, versions)| {
             versions.ages(now).map(|(version, age)| VersionRow {
                 pool: pool.clone(),
                 version: version.clone(),
@@ -344,25 +345,39 @@
             return true;
         }
         let key = request.resumed_stream();
-        let known = key.as_ref().and_then(|key| self.streams.origins.find(key));
+        let known = key.and_then(|key| self.streams.origins.find(&key));
         if let Some(origin) = known.cloned() {
             return self.bind_to_origin(now, id, &origin, Source::Memory);
         }
-        if let Some(origin) = self.only_origin(now, id) {
-            return self.bind_to_origin(now, id, &origin, Source::Only);
+        match self.only_origin(id) {
+            Some(_) => self.confirm_lists(id),
+            None => self.locate_stream(now, id, true),
         }
+        false
+    }
+
+    /// Asks other routers what began the stream that a request takes up. `seeks` tells whether the log is searched if they
+    /// do not know.
+    pub(crate) fn locate_stream(&mut self, now: Instant, id: RequestId, seeks: bool) {
+        let key = self.requests[&id].resumed_stream();
         let asked = key.as_ref().map(|key| self.replicas(now, key, ASKED));
         let asked = asked.unwrap_or_default();
+        let waiting = asked.len();
+        self.requests[&id].state = State::Locating { waiting, seeks };
         if asked.is_empty() {
-            self.seek_in_log(id);
-            return false;
+            return self.end_location(now, id, seeks);
         }
-        let waiting = asked.len();
-        self.requests[&id].state = State::Locating { waiting };
         for (peer, key) in asked.into_iter().zip(key.into_iter().cycle()) {
             self.effects.push(Effect::LocateStream(id, key, peer));
         }
-        false
+    }
+
+    /// Goes on with a request after no other router knew its stream.
+    fn end_location(&mut self, now: Instant, id: RequestId, seeks: bool) {
+        match seeks {
+            true => self.seek_in_log(id),
+            false => self.refuse_stream(now, id, UNKNOWN_VERSION),
+        }
     }
 
     /// Handles the answer of a router that was asked what began a stream.
@@ -375,11 +390,11 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let State::Locating { waiting } = &mut request.state else {
+        let State::Locating { waiting, seeks } = &mut request.state else {
             return;
         };
         *waiting = waiting.saturating_sub(1);
-        let waits = *waiting > 0;
+        let (waits, seeks) = (*waiting > 0, *seeks);
         match origin {
             Some(origin) => {
                 if self.bind_to_origin(now, id, origin, Source::Peer) {
@@ -387,7 +402,7 @@
                 }
             }
             None if waits => {}
-            None => self.seek_in_log(id),
+            None => self.end_location(now, id, seeks),
         }
     }
 
@@ -398,14 +413,9 @@
         id: RequestId,
         found: Option<&StreamOrigin>,
     ) {
-        let recorded = found.cloned().map(|origin| (origin, Source::Log));
-        let only = || {
-            self.only_origin(now, id)
-                .map(|origin| (origin, Source::Only))
-        };
-        match recorded.or_else(only) {
-            Some((origin, source)) => {
-                if self.bind_to_origin(now, id, &origin, source) {
+        match found {
+            Some(origin) => {
+                if self.bind_to_origin(now, id, origin, Source::Log) {
                     self.check_limits(now, id);
                 }
             }
@@ -413,8 +423,8 @@
         }
     }
 
-    /// Returns what began the stream that a request takes up if only one version of one pool can have begun it.
-    fn only_origin(&self, now: Instant, id: RequestId) -> Option<StreamOrigin> {
+    /// Returns what began the stream that a request takes up if this router's lists have only one version of one pool.
+    pub(crate) fn only_origin(&self, id: RequestId) -> Option<StreamOrigin> {
         let request = &self.requests[&id];
         let pool = request.pool.clone();
         if let Work::Relay(relay) = &request.work {
@@ -424,15 +434,12 @@
             }
         }
         let versions = self.streams.versions.get(&pool)?;
-        let version = versions
-            .only()
-            .filter(|_| self.knows_versions(now))?
-            .clone();
+        let version = versions.only()?.clone();
         Some(StreamOrigin { pool, version })
     }
 
     /// Binds a request to the version that began its stream, or refuses it; returns whether it may proceed.
-    fn bind_to_origin(
+    pub(crate) fn bind_to_origin(
         &mut self,
         now: Instant,
         id: RequestId,
@@ -501,34 +508,6 @@
         self.refuse_with(now, id, problem.with_retry(RETRY));
     }
 
-    /// Returns whether no stream can have begun at a version that this router does not know of: it has read which versions
-    /// were recorded before it started; and the store answers it, and it has heard of other routers or has run for long; or
-    /// it hears all of them.
-    fn knows_versions(&self, now: Instant) -> bool {
-        let peers = self.members.vm_index.peers();
-        let hears = |vm: &VmId| self.members.has_fresh_heartbeat(now, vm);
-        let is_dead = |vm: &VmId| self.members.peer_failure(now, vm) == Some(PeerFailure::Refused);
-        let any = peers.iter().any(|peer| hears(&peer.vm));
-        let all = peers
-            .iter()
-            .all(|peer| hears(&peer.vm) || is_dead(&peer.vm));
-        let has_history = now >= self.started_at + VERSION_RETENTION;
-        let informed = peers.is_empty() || any || has_history;
-        let current = !self.may_be_behind(now) && informed || all && !peers.is_empty();
-        let loaded = self.stream_log.is_loaded();
-        let heard = peers.iter().filter(|peer| hears(&peer.vm)).count();
-        let table_age_ms = self.table_age(now).map(|age| age.as_millis());
-        info!(
-            event = "versions-known",
-            current,
-            loaded,
-            table_age_ms,
-            heard,
-            peers = peers.len()
-        );
-        current && loaded
-    }
-
     /// Sends what other routers are to remember.
     pub(crate) fn send_streams(&mut self) {
         for (vm, rows) in std::mem::take(&mut self.streams.outbox) {
--- a/src/router/table_watch.rs
+++ b/src/router/table_watch.rs
@@ -164,18 +164,13 @@
         }
     }
 
-    /// Returns how long ago the store was last known to have no newer configuration.
-    pub(crate) fn table_age(&self, now: Instant) -> Option<Duration> {
-        self.table_watch.age(now)
-    }
-
     /// Returns a refusal by the configuration, or a retryable one if a newer configuration may allow the request.
     pub(crate) fn deny(&mut self, now: Instant, kind: ProblemKind, detail: &str) -> Box<Problem> {
         let behind = self.may_be_behind(now);
         info!(
             event = "not-in-config",
             version = %self.table_version(),
-            age_ms = self.table_age(now).map(|age| age.as_millis()),
+            age_ms = self.table_watch.age(now).map(|age| age.as_millis()),
             behind,
             ?kind,
         );
--- a/src/router/tests/out_of_step.rs
+++ b/src/router/tests/out_of_step.rs
@@ -1,9 +1,76 @@
 //! Streams that are taken up at a router that has not heard of a version yet.
 
+use std::time::Duration;
+
+use crate::decide::RoundId;
+use crate::ids::RequestId;
+use crate::ids::TableVersion;
+use crate::ids::VmId;
+use crate::router::Effect;
+use crate::router::Event;
+use crate::router::KnownVersions;
+use crate::router::streams::VersionRow;
 use crate::router::tests::site::Log;
+use crate::router::tests::site::Site;
+use crate::router::tests::versions::ROUTERS;
+use crate::router::tests::versions::asked;
 use crate::router::tests::versions::endpoints;
+use crate::router::tests::versions::is_refused;
+use crate::router::tests::versions::origin;
 use crate::router::tests::versions::resume;
 use crate::router::tests::versions::start;
+use crate::router::tests::versions::version_of;
+use crate::router::tests::versions::vms;
+use crate::vms::VmList;
+
+const STREAM: Option<&str> = Some("begun-elsewhere");
+
+/// Starts a router that knows of one version, while the log lists another one as well.
+fn start_behind() -> Site {
+    let mut site = start(&["v1"]);
+    let as_of = site.core.members.vm_index.list().as_of + 1;
+    let vms = vms(&["v1", "v2"]);
+    site.unread = Some(VmList { as_of, vms });
+    site
+}
+
+/// Returns the questions for versions that other routers were asked.
+fn questions(site: &Site) -> Vec<(RoundId, VmId)> {
+    let questions = site.effects.iter().filter_map(|effect| match effect {
+        Effect::AskVersions(round, peer) => Some((*round, peer.vm.clone())),
+        _ => None,
+    });
+    questions.collect()
+}
+
+/// Has each router that was asked answer that it knows these versions.
+fn answer(site: &mut Site, versions: &[&str]) {
+    for (round, vm) in questions(site) {
+        let known = known(1, versions);
+        site.handle(Event::VersionsKnown(round, vm, Some(known)));
+    }
+}
+
+fn known(table: u64, versions: &[&str]) -> KnownVersions {
+    let rows = versions.iter().map(|version| VersionRow {
+        pool: "pool".parse().expect("a name"),
+        version: version.parse().ok(),
+        age: Duration::ZERO,
+    });
+    KnownVersions {
+        table: TableVersion(table),
+        rows: rows.collect(),
+    }
+}
+
+/// Takes a stream up while the log does not answer, and returns the request once others were asked.
+fn resume_without_log(site: &mut Site) -> RequestId {
+    site.log = Log::Down;
+    let id = resume(site, "key", STREAM);
+    assert_eq!(questions(site).len(), ROUTERS - 1);
+    assert!(endpoints(site, id).is_empty());
+    id
+}
 
 /// Guards against a stream of a version that joined after a router was cut off from all, while what it heard before still
 /// counts as fresh.
@@ -11,10 +78,104 @@
 fn a_router_that_was_just_cut_off_does_not_take_its_version_for_the_only_one() {
     let mut site = start(&["v1"]);
     site.log = Log::Down;
-    let id = resume(&mut site, "key", Some("begun-elsewhere"));
+    let id = resume(&mut site, "key", STREAM);
     site.advance(500);
     assert!(
         endpoints(&site, id).is_empty(),
         "another version may have begun it"
     );
 }
+
+/// Guards against a stream of a version that is listed, at a router that has not read the list since.
+#[test]
+fn a_stream_of_a_version_that_was_not_read_yet_goes_on_there() {
+    let mut site = start_behind();
+    let id = resume(&mut site, "key", STREAM);
+    assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
+    site.handle(Event::StreamLocated(id, Some(origin("v2"))));
+    assert_eq!(version_of(&endpoints(&site, id)[0]), "v2");
+}
+
+/// Guards against refusals of streams of a single version at routers that the log does not answer.
+#[test]
+fn streams_of_a_single_version_go_on_when_all_other_routers_tell_so() {
+    let mut site = start(&["v1"]);
+    let id = resume_without_log(&mut site);
+    answer(&mut site, &["v1"]);
+    assert_eq!(version_of(&endpoints(&site, id)[0]), "v1");
+}
+
+/// Guards against a version that another router knows, while the log does not answer.
+#[test]
+fn a_version_that_another_router_knows_is_not_passed_over() {
+    let mut site = start(&["v1"]);
+    let id = resume_without_log(&mut site);
+    answer(&mut site, &["v1", "v2"]);
+    assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
+    site.handle(Event::StreamLocated(id, Some(origin("v1"))));
+    assert_eq!(version_of(&endpoints(&site, id)[0]), "v1");
+}
+
+/// Guards against a router that counts without answer, or has a newer configuration by which the stream may have begun.
+#[test]
+fn a_stream_is_refused_if_a_router_can_not_vouch_for_its_version() {
+    for last in [None, Some(known(9, &["v1"]))] {
+        let mut site = start(&["v1"]);
+        let id = resume_without_log(&mut site);
+        let mut questions = questions(&site);
+        let (round, vm) = questions.pop().expect("a question");
+        for (round, vm) in questions {
+            site.handle(Event::VersionsKnown(round, vm, Some(known(1, &["v1"]))));
+        }
+        site.handle(Event::VersionsKnown(round, vm, last));
+        for _ in 0..asked(&site, id) {
+            site.handle(Event::StreamLocated(id, None));
+        }
+        assert!(endpoints(&site, id).is_empty() && is_refused(&site, id));
+    }
+}
+
+/// Guards against an answer to a question that was sent before the stream was taken up.
+#[test]
+fn an_answer_to_an_earlier_question_does_not_count() {
+    let mut site = start(&["v1"]);
+    resume_without_log(&mut site);
+    let early = questions(&site);
+    site.advance(500);
+    site.effects.clear();
+    let id = resume_without_log(&mut site);
+    for (round, vm) in early {
+        site.handle(Event::VersionsKnown(round, vm, Some(known(1, &["v1"]))));
+    }
+    assert!(endpoints(&site, id).is_empty());
+    answer(&mut site, &["v1"]);
+    assert_eq!(endpoints(&site, id).len(), 1);
+}
+
+/// Guards against a caller that is kept waiting until its deadline by routers that do not answer.
+#[test]
+fn a_stream_is_refused_soon_if_nobody_answers() {
+    let mut site = start(&["v1"]);
+    let id = resume_without_log(&mut site);
+    site.advance(500);
+    for _ in 0..asked(&site, id) {
+        site.handle(Event::StreamLocated(id, None));
+    }
+    assert!(is_refused(&site, id));
+}
+
+/// Guards against calls to the log for each of the streams that an endpoint leaves.
+#[test]
+fn many_streams_that_are_taken_up_at_once_share_few_questions() {
+    const STREAMS: usize = 300;
+    let mut site = start(&["v1"]);
+    let ids: Vec<_> = (0..STREAMS)
+        .map(|n| resume(&mut site, "key", Some(&format!("begun-{n}"))))
+        .collect();
+    site.advance(200);
+    let refreshes = |effect: &&Effect| matches!(effect, Effect::RefreshLists(_));
+    let count = site.effects.iter().filter(refreshes).count();
+    assert!(count <= 10, "{count} questions");
+    let waits = |id: &&RequestId| site.is_confirming(**id);
+    assert_eq!(ids.iter().filter(waits).count(), 0);
+}
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -13,6 +13,7 @@
 use crate::config::RouteTable;
 use crate::config::TablePool;
 use crate::decide::RetryLimit;
+use crate::decide::RoundId;
 use crate::escrow::GrantKey;
 use crate::escrow::GrantRow;
 use crate::escrow::Proposal;
@@ -48,6 +49,7 @@
 use crate::router::VersionRecord;
 use crate::router::Work;
 use crate::router::heartbeat::TeamBudget;
+use crate::router::request::State;
 use crate::router::tests::cluster::boot_clock;
 use crate::router::tests::cluster::tuning;
 use crate::tokens::Tokens;
@@ -99,6 +101,8 @@
     /// What the log has of streams and versions.
     pub(crate) streams: Vec<StreamRecord>,
     pub(crate) versions: IndexMap<PoolId, VersionRecord>,
+    /// The VM list in the log, if this router has not read it yet.
+    pub(crate) unread: Option<VmList>,
     next_id: u64,
 }
 
@@ -283,6 +287,7 @@
             rows: Vec::new(),
             streams: Vec::new(),
             versions: IndexMap::new(),
+            unread: None,
             next_id: 1,
         };
         site.handle(Event::Table(table(1, prepaid)));
@@ -351,6 +356,7 @@
                     Effect::ProposeGrants(proposal) => Some(Event::Grants(self.propose(proposal))),
                     Effect::ReadGrants(_) => Some(Event::Grants(self.read())),
                     Effect::CallStreamLog(call) => Some(Event::StreamLog(self.call_streams(call))),
+                    Effect::RefreshLists(round) => Some(self.refresh_lists(&mut events, *round)),
                     _ => None,
                 };
                 events.extend(answer);
@@ -359,6 +365,21 @@
         }
     }
 
+    /// Delivers the list that this router has not read yet, if there is one, before the answer to a refresh.
+    fn refresh_lists(&mut self, events: &mut Vec<Event>, round: RoundId) -> Event {
+        let up = self.log == Log::Up;
+        let list = self.unread.take_if(|_| up);
+        // Events are handled from the end.
+        let answer = Event::ListsRefreshed(round, up);
+        match list {
+            Some(list) => {
+                events.push(answer);
+                Event::VmList(list)
+            }
+            None => answer,
+        }
+    }
+
     fn call_streams(&mut self, call: &StreamLogCall) -> StreamLogEvent {
         let up = self.log == Log::Up;
         match call {
@@ -544,6 +565,12 @@
         }
     }
 
+    /// Returns whether a request waits until the lists are known to be current.
+    pub(crate) fn is_confirming(&self, id: RequestId) -> bool {
+        let request = self.core.requests.get(&id);
+        request.is_some_and(|request| matches!(request.state, State::Confirming))
+    }
+
     /// Returns the runs of a request in order.
     pub(crate) fn runs(&self, id: RequestId) -> Vec<&Run> {
         let runs = self.effects.iter().filter_map(|effect| match effect {
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -32,10 +32,10 @@
 use crate::vms::VmState;
 
 const PREPAID: u64 = 1_000_000;
-const ROUTERS: usize = 3;
+pub(super) const ROUTERS: usize = 3;
 
 /// Returns two endpoints of each version, and the routers.
-fn vms(versions: &[&str]) -> Vec<VmEntry> {
+pub(super) fn vms(versions: &[&str]) -> Vec<VmEntry> {
     let endpoints = versions.iter().flat_map(|version| {
         let endpoint = move |n: u16| {
             let name = format!("{version}-{n}");
@@ -93,7 +93,7 @@
     runs.iter().map(|run| run.endpoint.clone()).collect()
 }
 
-fn version_of(vm: &VmId) -> &str {
+pub(super) fn version_of(vm: &VmId) -> &str {
     vm.as_str().split('-').next().expect("a version")
 }
 
@@ -112,14 +112,14 @@
     rows.sum()
 }
 
-fn origin(version: &str) -> StreamOrigin {
+pub(super) fn origin(version: &str) -> StreamOrigin {
     StreamOrigin {
         pool: "pool".parse().expect("a name"),
         version: version.parse().ok(),
     }
 }
 
-fn is_refused(site: &Site, id: RequestId) -> bool {
+pub(super) fn is_refused(site: &Site, id: RequestId) -> bool {
     let refusal = site.refusal(id).map(|problem| (problem.kind, problem.ran));
     refusal == Some((ProblemKind::NoEndpoint, Ran::No))
 }
