Remember versions that came and went between two reads of the list

The list shows the core only what is there at the end of a read. An endpoint of a new version that joined and was gone while a router stood still, or while the store had dropped the records that the router had not read, left no trace there: its streams went on at the version that stayed.

The registry tells the versions in records that a later one of the same read replaced, and when it had to read the list anew; the versions in the log are then read again, as at a start. Tests of the registry and of the core; those of the core passed no event before, and nothing told of either case.

--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -22,6 +22,7 @@
 use crate::router::BORN_LABEL;
 use crate::router::Event;
 use crate::router::VERSION_LABEL;
+use crate::router::VersionRow;
 use crate::vms::VmEntry;
 use crate::vms::VmList;
 use crate::vms::VmState;
@@ -96,11 +97,16 @@
         let heartbeats = &mut lists.heartbeats;
         let unreadable = &mut lists.unreadable;
         let mut cold = Vec::new();
+        let mut read_entries = Vec::new();
+        if lists.known && matches!(update, Update::All(_)) {
+            self.desk.tell(Event::ListGap);
+        }
         let mut log = UnreadableLog::default();
         let mut read = |key: &str, value: &[u8]| match server(now, heartbeats, key, value) {
             Ok((reading, left)) => {
                 if let Reading::Entry(entry) = &reading {
                     cold.push((entry.vm.clone(), left));
+                    read_entries.push(entry.clone());
                     unreadable.forget(key);
                 }
                 reading
@@ -119,12 +125,35 @@
             }
         }
         lists.known = true;
+        self.tell_replaced(lists, &read_entries);
         self.publish(lists, changed);
         if !cold.is_empty() {
             self.desk.tell(Event::ColdEndpoints(cold));
         }
     }
 
+    /// Tells the core of the versions in entries that a later record of the same update deleted or replaced: endpoints that the
+    /// list never shows to it may have begun streams.
+    fn tell_replaced(&self, lists: &Lists, entries: &[VmEntry]) {
+        let version = |entry: &VmEntry| entry.labels.get(VERSION_LABEL).map(str::to_owned);
+        let is_listed = |entry: &&VmEntry| {
+            let listed = lists.servers.get(entry.vm.as_str());
+            listed.is_some_and(|listed| version(listed) == version(entry))
+        };
+        let replaced = entries.iter().filter(|entry| !is_listed(entry));
+        let rows = replaced.filter_map(|entry| {
+            Some(VersionRow {
+                pool: entry.labels.get("pool")?.parse().ok()?,
+                version: version(entry).and_then(|version| version.parse().ok()),
+                age: Duration::ZERO,
+            })
+        });
+        let rows: Vec<_> = rows.collect();
+        if !rows.is_empty() {
+            self.desk.tell(Event::VersionsListed(rows));
+        }
+    }
+
     /// Applies an update of the routers.
     pub(crate) fn routers(&self, update: Update) {
         let mut lists = lock(&self.lists);
--- a/src/platform/registry/tests.rs
+++ b/src/platform/registry/tests.rs
@@ -77,6 +77,45 @@
     );
 }
 
+/// Returns the entry of an endpoint that runs a version.
+fn server_of(version: &str) -> Vec<u8> {
+    let mut said: serde_json::Value =
+        serde_json::from_slice(&server("ready", 1)).expect("it is JSON");
+    said["version"] = json!(version);
+    said.to_string().into_bytes()
+}
+
+/// Guards against a version that nobody knows of, since its only endpoint came and went between two reads of the list.
+#[test]
+fn a_version_that_came_and_went_between_two_reads_is_told() {
+    let (registry, mut events) = registry();
+    let rows = vec![("i-1".to_owned(), server_of("v1"))];
+    registry.servers(Instant::now(), Update::All(rows));
+    let records = vec![keyed("i-2", &server_of("v2")), keyed("i-2", b"")];
+    registry.servers(Instant::now(), Update::Appended(records));
+    let mut told = Vec::new();
+    while let Ok(event) = events.try_recv() {
+        if let Event::VersionsListed(rows) = event {
+            told.extend(rows.into_iter().map(|row| row.version));
+        }
+    }
+    assert_eq!(told, ["v2".parse().ok()]);
+}
+
+/// Guards against a list that was read anew and counts as one that was followed without a gap.
+#[test]
+fn a_list_that_is_read_anew_has_a_gap() {
+    let (registry, mut events) = registry();
+    let mut gaps = Vec::new();
+    for _ in 0..2 {
+        let rows = vec![("i-1".to_owned(), server_of("v1"))];
+        registry.servers(Instant::now(), Update::All(rows));
+        let told = std::iter::from_fn(|| events.try_recv().ok());
+        gaps.push(told.filter(|event| matches!(event, Event::ListGap)).count());
+    }
+    assert_eq!(gaps, [0, 1]);
+}
+
 /// Guards against one invalid record that hides all other endpoints.
 #[test]
 fn an_unreadable_entry_is_passed_over() {
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -356,6 +356,8 @@
             Event::LedgerSnapshot(ledger) => self.adopt_ledger(now, *ledger),
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
             Event::VmList(list) => self.handle_vm_list(now, list),
+            Event::VersionsListed(rows) => self.merge_versions(now, &rows),
+            Event::ListGap => self.stream_log.reload_versions(now),
             Event::FormerLife => self.handle_former_life(now),
             Event::HeartbeatReceived(beat) => self.handle_heartbeat(now, beat),
             Event::HeartbeatFailed(vm, failure) => self.members.record_failure(now, vm, failure),
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -41,6 +41,7 @@
 use crate::router::run_end::RunEnd;
 use crate::router::stream_log::StreamLogEvent;
 use crate::router::streams::StreamRow;
+use crate::router::streams::VersionRow;
 use crate::tokens::Tokens;
 use crate::vms::VmList;
 
@@ -97,6 +98,10 @@
     ConfigSnapshot(Box<Snapshot>),
     /// A new VM list from the platform.
     VmList(VmList),
+    /// Versions of endpoints that were listed between two reads of the list, and are not any more.
+    VersionsListed(Vec<VersionRow>),
+    /// The list of endpoints was read anew, and what it had in between is not known.
+    ListGap,
     /// A former life of this router is listed.
     FormerLife,
     /// A heartbeat arrived from a peer, as a call or as the answer to one.
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -108,6 +108,7 @@
 #[cfg(test)]
 pub(crate) use stream_log::VersionRecord;
 pub(crate) use streams::StreamRow;
+pub(crate) use streams::VersionRow;
 pub(crate) use vm_index::CPU_LABEL;
 pub(crate) use vm_index::FORWARD_LABEL;
 pub(crate) use vm_index::LINK_LABEL;
--- a/src/router/stream_log.rs
+++ b/src/router/stream_log.rs
@@ -102,10 +102,10 @@
     served: Vec<RequestId>,
     reading: bool,
     read_pace: CallPace,
-    /// The versions of each pool in the log as far as this router knows; `None` before the first read.
+    /// The versions of each pool in the log as far as this router knows; `None` if they are to be read.
     recorded: Option<IndexMap<PoolId, IndexSet<Version>>>,
-    /// The versions that the log had when this router started, and when they were read. They count for a while from then
-    /// on: their last endpoints may have been there until then.
+    /// The versions that the log had when they were last read, and when that was. They count for a while from then on: their
+    /// last endpoints may have been there until then.
     inherited_at: Option<Instant>,
     inherited: IndexMap<PoolId, IndexSet<Version>>,
     /// Whether the versions are being read or written, and when they may be again.
@@ -134,11 +134,17 @@
         }
     }
 
-    /// Returns whether it is known which versions were in use before this router started.
+    /// Returns whether it is known which versions were in use while this router did not follow the list.
     pub(crate) fn is_loaded(&self) -> bool {
         self.recorded.is_some()
     }
 
+    /// Has the versions read again: one may have come and gone without this router's knowing.
+    pub(crate) fn reload_versions(&mut self, now: Instant) {
+        self.recorded = None;
+        self.next_version = now;
+    }
+
     /// Adds a stream to those that are to be recorded.
     pub(crate) fn push(&mut self, now: Instant, key: &StreamKey, origin: &StreamOrigin) {
         let digest = StreamDigest::of(key);
@@ -229,7 +235,7 @@
         self.effects.push(Effect::CallStreamLog(call));
     }
 
-    /// Reads the versions once, and then writes those of a pool that have changed.
+    /// Reads the versions if that is due, and then writes those of a pool that have changed.
     pub(crate) fn step_versions(&mut self, now: Instant) {
         if self.stream_log.busy || now < self.stream_log.next_version {
             return;
--- a/src/router/tests/out_of_step.rs
+++ b/src/router/tests/out_of_step.rs
@@ -179,3 +179,25 @@
     let waits = |id: &&RequestId| site.is_confirming(**id);
     assert_eq!(ids.iter().filter(waits).count(), 0);
 }
+
+/// Guards against a version that came and went while the list could not be followed.
+#[test]
+fn a_version_that_was_missed_is_read_from_the_log() {
+    let mut site = start(&["v1"]);
+    site.advance(500);
+    let record = site.versions.values_mut().next().expect("a record");
+    record.versions.extend(["v2".parse().ok()]);
+    site.handle(Event::ListGap);
+    site.advance(100);
+    let id = resume(&mut site, "key", STREAM);
+    assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
+}
+
+/// Guards against a version whose endpoint came and went between two reads of the list.
+#[test]
+fn a_version_that_was_listed_for_a_moment_counts() {
+    let mut site = start(&["v1"]);
+    site.handle(Event::VersionsListed(known(1, &["v2"]).rows));
+    let id = resume(&mut site, "key", STREAM);
+    assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
+}
