--- a/src/router/tests/out_of_step.rs
+++ b/src/router/tests/out_of_step.rs
@@ -1,7 +1,9 @@
 //! Streams that are taken up at a router that has not heard of a version yet.
 
 use std::time::Duration;
+use std::time::Instant;
 
+use crate::decide::Confirmations;
 use crate::decide::RoundId;
 use crate::ids::RequestId;
 use crate::ids::TableVersion;
@@ -12,6 +14,9 @@
 use crate::router::streams::VersionRow;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
+use crate::router::tests::site::payer;
+use crate::router::tests::site::table_with_split;
+use crate::router::tests::versions::PREPAID;
 use crate::router::tests::versions::ROUTERS;
 use crate::router::tests::versions::asked;
 use crate::router::tests::versions::endpoints;
@@ -30,7 +35,7 @@
     let mut site = start(&["v1"]);
     let as_of = site.core.members.vm_index.list().as_of + 1;
     let vms = vms(&["v1", "v2"]);
-    site.unread = Some(VmList { as_of, vms });
+    site.unread = vec![Event::VmList(VmList { as_of, vms })];
     site
 }
 
@@ -96,6 +101,17 @@
     assert_eq!(version_of(&endpoints(&site, id)[0]), "v2");
 }
 
+/// Guards against a stream that is taken up at the pool that its route led to before this router was out of step.
+#[test]
+fn a_stream_of_a_route_that_leads_to_another_pool_by_now_is_looked_for() {
+    let mut site = start(&["v1"]);
+    let payers = vec![payer("loans", "key", PREPAID)];
+    let table = table_with_split(2, payers, &["pool", "app"]);
+    site.unread = vec![Event::Table(table)];
+    let id = resume(&mut site, "key", STREAM);
+    assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
+}
+
 /// Guards against refusals of streams of a single version at routers that the log does not answer.
 #[test]
 fn streams_of_a_single_version_go_on_when_all_other_routers_tell_so() {
@@ -201,3 +217,27 @@
     let id = resume(&mut site, "key", STREAM);
     assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
 }
+
+/// Guards against questions that use up the rate of calls that the log takes from all routers.
+#[test]
+fn questions_take_a_small_part_of_the_rate_of_the_log() {
+    const SECONDS: u32 = 10;
+    const READS: u32 = 2;
+    for (routers, reads_per_s) in [(7, 2000), (195, 16_000), (985, 16_000)] {
+        let mut now = Instant::now();
+        let mut confirmations = Confirmations::new(now);
+        let mut rounds = 0;
+        for _ in 0..SECONDS * 100 {
+            confirmations.push(RequestId(1));
+            if let Some(round) = confirmations.begin(now, routers) {
+                rounds += 1;
+                confirmations.log_answered(round, true);
+            }
+            now += Duration::from_millis(10);
+            confirmations.take_outcome(now);
+        }
+        let fleet = u32::try_from(routers).expect("a fleet") * rounds * READS / SECONDS;
+        println!("measure=confirming-reads routers={routers} per_s={fleet}");
+        assert!(fleet * 5 <= reads_per_s, "{fleet} of {reads_per_s} reads");
+    }
+}
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -101,8 +101,8 @@
     /// What the log has of streams and versions.
     pub(crate) streams: Vec<StreamRecord>,
     pub(crate) versions: IndexMap<PoolId, VersionRecord>,
-    /// The VM list in the log, if this router has not read it yet.
-    pub(crate) unread: Option<VmList>,
+    /// What the log has and this router has not read yet.
+    pub(crate) unread: Vec<Event>,
     next_id: u64,
 }
 
@@ -287,7 +287,7 @@
             rows: Vec::new(),
             streams: Vec::new(),
             versions: IndexMap::new(),
-            unread: None,
+            unread: Vec::new(),
             next_id: 1,
         };
         site.handle(Event::Table(table(1, prepaid)));
@@ -352,32 +352,27 @@
             handled += 1;
             assert!(handled <= MAX_EVENTS, "the core calls the log without end");
             for effect in self.core.handle(self.now, event) {
-                let answer = match &effect {
-                    Effect::ProposeGrants(proposal) => Some(Event::Grants(self.propose(proposal))),
-                    Effect::ReadGrants(_) => Some(Event::Grants(self.read())),
-                    Effect::CallStreamLog(call) => Some(Event::StreamLog(self.call_streams(call))),
-                    Effect::RefreshLists(round) => Some(self.refresh_lists(&mut events, *round)),
-                    _ => None,
+                let answers = match &effect {
+                    Effect::ProposeGrants(proposal) => vec![Event::Grants(self.propose(proposal))],
+                    Effect::ReadGrants(_) => vec![Event::Grants(self.read())],
+                    Effect::CallStreamLog(call) => vec![Event::StreamLog(self.call_streams(call))],
+                    Effect::RefreshLists(round) => self.refresh_lists(*round),
+                    _ => Vec::new(),
                 };
-                events.extend(answer);
+                events.extend(answers);
                 self.effects.push(effect);
             }
         }
     }
 
-    /// Delivers the list that this router has not read yet, if there is one, before the answer to a refresh.
-    fn refresh_lists(&mut self, events: &mut Vec<Event>, round: RoundId) -> Event {
+    /// Returns the answer to a refresh, and what the log tells before it, last first.
+    fn refresh_lists(&mut self, round: RoundId) -> Vec<Event> {
         let up = self.log == Log::Up;
-        let list = self.unread.take_if(|_| up);
-        // Events are handled from the end.
-        let answer = Event::ListsRefreshed(round, up);
-        match list {
-            Some(list) => {
-                events.push(answer);
-                Event::VmList(list)
-            }
-            None => answer,
+        let mut events = vec![Event::ListsRefreshed(round, up)];
+        if up {
+            events.extend(self.unread.drain(..).rev());
         }
+        events
     }
 
     fn call_streams(&mut self, call: &StreamLogCall) -> StreamLogEvent {
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -31,7 +31,7 @@
 use crate::vms::VmList;
 use crate::vms::VmState;
 
-const PREPAID: u64 = 1_000_000;
+pub(super) const PREPAID: u64 = 1_000_000;
 pub(super) const ROUTERS: usize = 3;
 
 /// Returns two endpoints of each version, and the routers.
