Play streams taken up at routers out of step while a version joins

Callers saw text of two versions in one stream. A router that stood still for 1.7 or 2.5 s has not heard that endpoints of a second version joined; a stream that one of these began at another router is taken up there, is bound to the only version on its list, and goes on at it.

Cause: a router dates its knowledge of versions by when it last heard the store and its peers, not by when the attempt arrived. It shows when the call by which it reads the list is held for longer than its limit of 2.8 s, the pause included; else the answer lies in the socket and is read before the callers' requests.

The store's stand-in has entrances, each of which holds its answers back by itself.

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -28,6 +28,7 @@
 mod network;
 mod odd_entries;
 mod operators;
+mod out_of_step;
 mod outage;
 mod parted;
 mod paused;
--- a/tests/faults/store.rs
+++ b/tests/faults/store.rs
@@ -44,6 +44,8 @@
     topics: Arc<Mutex<Topics>>,
     /// Whose topic of endpoints this is, if each router has one of its own.
     view: Option<String>,
+    /// How long answers are held back.
+    lag: watch::Sender<Duration>,
     changes: watch::Sender<()>,
 }
 
@@ -53,6 +55,7 @@
         let store = Self {
             topics: Arc::default(),
             view: None,
+            lag: watch::Sender::default(),
             changes: watch::Sender::new(()),
         };
         let address = store.listen().await?;
@@ -69,6 +72,21 @@
         Ok((view, address))
     }
 
+    /// Starts another entrance to the same records, whose answers can be held back, and returns it with its address.
+    pub(crate) async fn start_entrance(&self) -> Result<(Self, SocketAddr)> {
+        let entrance = Self {
+            lag: watch::Sender::default(),
+            ..self.clone()
+        };
+        let address = entrance.listen().await?;
+        Ok((entrance, address))
+    }
+
+    /// Holds answers back for so long each, until this is set to zero.
+    pub(crate) fn set_lag(&self, lag: Duration) {
+        self.lag.send_replace(lag);
+    }
+
     /// Returns the name under which a topic is kept.
     fn kept_name(&self, topic: &str) -> String {
         match &self.view {
@@ -140,6 +158,14 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Reply> {
+        let reply = self.find_reply(request).await?;
+        let mut lags = self.lag.subscribe();
+        let lag = *lags.borrow();
+        let _ = timeout(lag, lags.wait_for(Duration::is_zero)).await;
+        Ok(reply)
+    }
+
+    async fn find_reply(&self, request: Request<Incoming>) -> Result<Reply> {
         let query = request.uri().query().unwrap_or_default().to_owned();
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/tests/faults/versions.rs
+++ b/tests/faults/versions.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -26,15 +27,15 @@
 use crate::store::Store;
 use crate::wait_for;
 
-const SERVICE: &str = "streams";
-const ROUTERS: usize = 3;
+pub(crate) const SERVICE: &str = "streams";
+pub(crate) const ROUTERS: usize = 3;
 /// How many endpoints run each version.
 const ENDPOINTS: usize = 3;
 const STREAMS: usize = 40;
 /// How many events a stream has.
-const EVENTS: usize = 6;
+pub(crate) const EVENTS: usize = 6;
 /// After which event streams break off.
-const BREAK: usize = 2;
+pub(crate) const BREAK: usize = 2;
 /// How long all routers are down, and the pause between the attempts of their callers afterwards.
 const DOWN: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(300);
@@ -87,17 +88,19 @@
 
 /// What a caller has of a stream.
 #[derive(Default)]
-struct Stream {
-    number: usize,
-    events: usize,
-    versions: IndexSet<String>,
+pub(crate) struct Stream {
+    pub(crate) number: usize,
+    pub(crate) events: usize,
+    pub(crate) versions: IndexSet<String>,
     /// The statuses of its answers.
-    statuses: Vec<String>,
+    pub(crate) statuses: Vec<String>,
+    /// How long it waited for the first bytes of the last one.
+    pub(crate) waited: Duration,
 }
 
 impl Stream {
     /// Sends an attempt, and reads its answer until it ends or the stream has so many events.
-    async fn read(
+    pub(crate) async fn read(
         &mut self,
         front: SocketAddr,
         path: &str,
@@ -110,8 +113,11 @@
         });
         let mut stream = TcpStream::connect(front).await?;
         let request = request_with(path, attempt, &headers);
+        let start = Instant::now();
         stream.write_all(request.as_bytes()).await?;
         let mut answer = Vec::new();
+        stream.read_buf(&mut answer).await?;
+        self.waited = start.elapsed();
         while !self.has_read(&String::from_utf8_lossy(&answer), most) {
             if stream.read_buf(&mut answer).await? == 0 {
                 break;
@@ -132,29 +138,34 @@
         self.events + answer.matches("\n\n").count() >= most
     }
 
-    fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         self.events == EVENTS
     }
 }
 
-struct Site {
-    routers: Vec<Router>,
+pub(crate) struct Site {
+    pub(crate) routers: Vec<Router>,
     store: Store,
-    at: SocketAddr,
+    /// The entrance of each router to the store.
+    pub(crate) entrances: Vec<(Store, SocketAddr)>,
     first_vm: usize,
 }
 
 impl Site {
     /// Starts routers on VMs from a number on, which no other test uses.
-    async fn start(first_vm: usize) -> Result<Self> {
-        let (store, at) = Store::start().await?;
+    pub(crate) async fn start(first_vm: usize) -> Result<Self> {
+        let (store, _) = Store::start().await?;
+        let mut entrances = Vec::new();
+        for _ in 0..ROUTERS {
+            entrances.push(store.start_entrance().await?);
+        }
         let mut resumable = route(SERVICE, "streaming");
         resumable["resumable"] = json!(true);
         put_config(&store, &[resumable]);
         let site = Self {
-            routers: Self::start_routers(first_vm, at)?,
+            routers: Self::start_routers(first_vm, &entrances)?,
             store,
-            at,
+            entrances,
             first_vm,
         };
         site.start_version("v1").await?;
@@ -168,10 +179,12 @@
         Ok(site)
     }
 
-    fn start_routers(first_vm: usize, at: SocketAddr) -> Result<Vec<Router>> {
+    fn start_routers(first_vm: usize, entrances: &[(Store, SocketAddr)]) -> Result<Vec<Router>> {
         let settings = json!({"retry_ratio": 0.2, "retry_spare": 100.0, "retry_window_ms": 2000});
-        let routers = (0..ROUTERS).map(|n| Router::start(first_vm + n, at, &settings));
-        routers.collect()
+        let routers = entrances.iter().enumerate();
+        routers
+            .map(|(n, (_, at))| Router::start(first_vm + n, *at, &settings))
+            .collect()
     }
 
     /// Kills all routers at once.
@@ -186,7 +199,7 @@
 
     /// Starts all routers anew under their VMs, and waits until each serves.
     async fn restart_routers(&mut self) -> Result<()> {
-        self.routers = Self::start_routers(self.first_vm, self.at)?;
+        self.routers = Self::start_routers(self.first_vm, &self.entrances)?;
         for router in &self.routers {
             router.wait_serving(SERVICE).await?;
         }
@@ -221,7 +234,7 @@
     }
 
     /// Starts endpoints that run a version.
-    async fn start_version(&self, version: &'static str) -> Result<()> {
+    pub(crate) async fn start_version(&self, version: &'static str) -> Result<()> {
         for number in 0..ENDPOINTS {
             let endpoint = start_endpoint(move |stream| serve(stream, version)).await?;
             let name = format!("{version}-{number}");
@@ -231,7 +244,7 @@
     }
 
     /// Starts the second version, and waits until all routers use it.
-    async fn start_second_version(&self) -> Result<()> {
+    pub(crate) async fn start_second_version(&self) -> Result<()> {
         self.start_version("v2").await?;
         for router in &self.routers {
             wait_for("the router uses the second version", LIMIT, async || {
