Keep what was confirmed for a stream while the log is searched for it

A router that had just started confirmed its lists within milliseconds, before it had heard another router, and then refused a stream of the only version, although it had heard the others by the time that the log was searched. What was confirmed stays true for the request, as its stream had begun before; what is heard is looked at again at the end. router::tests::out_of_step::a_router_that_hears_others_while_it_asks_goes_on_with_the_stream guards it.

--- a/src/router/confirm.rs
+++ b/src/router/confirm.rs
@@ -12,6 +12,7 @@
 
 use crate::decide::Confirmation;
 use crate::decide::RoundId;
+use crate::decide::StreamOrigin;
 use crate::decide::VERSION_RETENTION;
 use crate::ids::RequestId;
 use crate::ids::TableVersion;
@@ -128,17 +129,27 @@
         if !request.is_some_and(|request| matches!(request.state, State::Confirming)) {
             return;
         }
-        let origin = self.only_origin(id);
-        match origin.filter(|_| self.knows_versions(now, confirmation)) {
+        match self.confirmed_origin(now, id, confirmation) {
             Some(origin) => {
                 if self.bind_to_origin(now, id, &origin, Source::Only) {
                     self.check_limits(now, id);
                 }
             }
-            None => self.locate_stream(now, id, confirmation != Confirmation::None),
+            None => self.locate_stream(now, id, Some(confirmation)),
         }
     }
 
+    /// Returns what began the stream that a request takes up if nothing else can have begun it.
+    pub(crate) fn confirmed_origin(
+        &self,
+        now: Instant,
+        id: RequestId,
+        confirmation: Confirmation,
+    ) -> Option<StreamOrigin> {
+        let origin = self.only_origin(id)?;
+        self.knows_versions(now, confirmation).then_some(origin)
+    }
+
     /// Returns whether no stream can have begun at a version that this router does not know of: it has read which versions
     /// were recorded before it started; and the log had nothing newer and it has heard another router or has run for long,
     /// or all other routers told what they know.
--- a/src/router/crashes.rs
+++ b/src/router/crashes.rs
@@ -136,7 +136,7 @@
                 request.state,
                 State::Confirming
                     | State::Locating { .. }
-                    | State::Seeking
+                    | State::Seeking { .. }
                     | State::Funding { .. }
                     | State::Queued
             );
--- a/src/router/expire.rs
+++ b/src/router/expire.rs
@@ -50,7 +50,7 @@
                 let detail = "the routers that were asked about the stream did not answer in time";
                 self.refuse(now, id, ProblemKind::NoEndpoint, detail);
             }
-            State::Seeking if overdue => {
+            State::Seeking { .. } if overdue => {
                 let detail = "the log was not searched for the stream in time";
                 self.refuse(now, id, ProblemKind::NoEndpoint, detail);
             }
--- a/src/router/ledger_stream.rs
+++ b/src/router/ledger_stream.rs
@@ -242,7 +242,10 @@
         };
         request.reservation = Reservation::None;
         match request.state {
-            State::Contended | State::Confirming | State::Locating { .. } | State::Seeking => {}
+            State::Contended
+            | State::Confirming
+            | State::Locating { .. }
+            | State::Seeking { .. } => {}
             State::Funding { .. } => self.fund(now, id),
             State::Queued => {
                 self.cancel_queued(now, id);
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::config::RepeatPolicy;
+use crate::decide::Confirmation;
 use crate::decide::PendingRetry;
 use crate::decide::Prompt;
 use crate::decide::StreamKey;
@@ -175,11 +176,14 @@
     Locating {
         /// How many of them have not answered.
         waiting: usize,
-        /// Whether the log is searched if none of them knows.
-        seeks: bool,
+        /// Whether this router's lists were confirmed for it, if that was asked.
+        confirmed: Option<Confirmation>,
     },
     /// The log is searched for what began the stream that it takes up.
-    Seeking,
+    Seeking {
+        /// Whether this router's lists were confirmed for it, if that was asked.
+        confirmed: Option<Confirmation>,
+    },
     /// It waits for budget.
     Funding {
         /// Since when its team's budget has had too little left to draw.
--- a/src/router/stream_log.rs
+++ b/src/router/stream_log.rs
@@ -13,6 +13,7 @@
 use tracing::info;
 
 use crate::decide::CallPace;
+use crate::decide::Confirmation;
 use crate::decide::PoolVersions;
 use crate::decide::StreamDigest;
 use crate::decide::StreamKey;
@@ -28,7 +29,6 @@
 use crate::ids::VmId;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
-use crate::router::request::Request;
 use crate::router::request::State;
 
 /// How many routers write each change of a pool's versions, so that it is recorded if one of them dies.
@@ -182,8 +182,8 @@
 
 impl Core {
     /// Has the log searched for the stream that a request takes up.
-    pub(crate) fn seek_in_log(&mut self, id: RequestId) {
-        self.requests[&id].state = State::Seeking;
+    pub(crate) fn seek_in_log(&mut self, id: RequestId, confirmed: Option<Confirmation>) {
+        self.requests[&id].state = State::Seeking { confirmed };
         self.stream_log.seekers.push(id);
     }
 
@@ -341,13 +341,15 @@
     }
 
     fn end_seek(&mut self, now: Instant, id: RequestId, answered: bool) {
-        let seeks = |request: &&Request| matches!(request.state, State::Seeking);
-        let Some(request) = self.requests.get(&id).filter(seeks) else {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let State::Seeking { confirmed } = request.state else {
             return;
         };
         let key = request.resumed_stream();
         let found = key.and_then(|key| self.stream_log.find(&key)).cloned();
         info!(event = "stream-sought", request = %id, answered, found = found.is_some());
-        self.resume_sought(now, id, found.as_ref());
+        self.resume_sought(now, id, found.as_ref(), confirmed);
     }
 }
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use crate::config::RepeatPolicy;
+use crate::decide::Confirmation;
 use crate::decide::EndpointLife;
 use crate::decide::PoolVersions;
 use crate::decide::StreamKey;
@@ -351,32 +352,37 @@
         }
         match self.only_origin(id) {
             Some(_) => self.confirm_lists(id),
-            None => self.locate_stream(now, id, true),
+            None => self.locate_stream(now, id, None),
         }
         false
     }
 
-    /// Asks other routers what began the stream that a request takes up. `seeks` tells whether the log is searched if they
-    /// do not know.
-    pub(crate) fn locate_stream(&mut self, now: Instant, id: RequestId, seeks: bool) {
+    /// Asks other routers what began the stream that a request takes up. `confirmed` tells whether this router's lists are
+    /// known to be current, if that was asked.
+    pub(crate) fn locate_stream(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        confirmed: Option<Confirmation>,
+    ) {
         let key = self.requests[&id].resumed_stream();
         let asked = key.as_ref().map(|key| self.replicas(now, key, ASKED));
         let asked = asked.unwrap_or_default();
         let waiting = asked.len();
-        self.requests[&id].state = State::Locating { waiting, seeks };
+        self.requests[&id].state = State::Locating { waiting, confirmed };
         if asked.is_empty() {
-            return self.end_location(now, id, seeks);
+            return self.end_location(now, id, confirmed);
         }
         for (peer, key) in asked.into_iter().zip(key.into_iter().cycle()) {
             self.effects.push(Effect::LocateStream(id, key, peer));
         }
     }
 
-    /// Goes on with a request after no other router knew its stream.
-    fn end_location(&mut self, now: Instant, id: RequestId, seeks: bool) {
-        match seeks {
-            true => self.seek_in_log(id),
-            false => self.refuse_stream(now, id, UNKNOWN_VERSION),
+    /// Goes on with a request after no other router knew its stream. A log that did not answer just before is not searched.
+    fn end_location(&mut self, now: Instant, id: RequestId, confirmed: Option<Confirmation>) {
+        match confirmed {
+            Some(Confirmation::None) => self.refuse_stream(now, id, UNKNOWN_VERSION),
+            _ => self.seek_in_log(id, confirmed),
         }
     }
 
@@ -390,11 +396,11 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let State::Locating { waiting, seeks } = &mut request.state else {
+        let State::Locating { waiting, confirmed } = &mut request.state else {
             return;
         };
         *waiting = waiting.saturating_sub(1);
-        let (waits, seeks) = (*waiting > 0, *seeks);
+        let (waits, confirmed) = (*waiting > 0, *confirmed);
         match origin {
             Some(origin) => {
                 if self.bind_to_origin(now, id, origin, Source::Peer) {
@@ -402,7 +408,7 @@
                 }
             }
             None if waits => {}
-            None => self.end_location(now, id, seeks),
+            None => self.end_location(now, id, confirmed),
         }
     }
 
@@ -412,10 +418,13 @@
         now: Instant,
         id: RequestId,
         found: Option<&StreamOrigin>,
+        confirmed: Option<Confirmation>,
     ) {
-        match found {
-            Some(origin) => {
-                if self.bind_to_origin(now, id, origin, Source::Log) {
+        let recorded = found.cloned().map(|origin| (origin, Source::Log));
+        let only = || Some((self.confirmed_origin(now, id, confirmed?)?, Source::Only));
+        match recorded.or_else(only) {
+            Some((origin, source)) => {
+                if self.bind_to_origin(now, id, &origin, source) {
                     self.check_limits(now, id);
                 }
             }
--- a/src/router/tests/out_of_step.rs
+++ b/src/router/tests/out_of_step.rs
@@ -241,3 +241,18 @@
         assert!(fleet * 5 <= reads_per_s, "{fleet} of {reads_per_s} reads");
     }
 }
+
+/// Guards against refusals at a router that has just started, and hears the others only after the stream was taken up.
+#[test]
+fn a_router_that_hears_others_while_it_asks_goes_on_with_the_stream() {
+    let mut site = Site::start_member(0, PREPAID, vms(&["v1"]));
+    site.advance(500);
+    let id = resume(&mut site, "key", STREAM);
+    assert_eq!((endpoints(&site, id).len(), asked(&site, id)), (0, 2));
+    site.receive_heartbeats(ROUTERS - 1);
+    for _ in 1..ROUTERS {
+        site.handle(Event::StreamLocated(id, None));
+    }
+    site.advance(200);
+    assert_eq!(endpoints(&site, id).len(), 1, "{:?}", site.refusal(id));
+}
