Failing tests: late heartbeats return used budget, lift limits at all routers; a version that comes back goes unrecorded

Three beliefs of a router that are dated by when a message was handled, or by nothing: - the fleet's clocks at its start, from heartbeats that lay in its sockets; - what endpoints announced, from heartbeats that lay there; - which versions the log has, from a read at the start.

--- a/src/router/tests/announced.rs
+++ b/src/router/tests/announced.rs
@@ -465,3 +465,52 @@
     assert!(runs.iter().all(|run| run.endpoint != resting), "{runs:?}");
     assert_eq!(runs.len(), 1, "it runs elsewhere");
 }
+
+/// Guards against a limit that is lifted at all routers by one that stood still, and read what it was told before as new.
+#[test]
+fn a_limit_outlives_older_news_that_lay_in_a_socket() {
+    let rate: RequestRate = 3.1.try_into().expect("a rate");
+    let row = |ms, value| AnnouncementRow {
+        age: Duration::from_millis(ms),
+        limit: Some(HeardRow {
+            age: Duration::from_millis(ms),
+            value,
+        }),
+        ..resting_row(Duration::ZERO)
+    };
+    for swapped in [false, true] {
+        let mut site = Site::start(1000);
+        let mut other = Site::start(1000);
+        let hear = |site: &mut Site, vm: &str, row| {
+            let beat = Heartbeat {
+                vm: vm.parse().expect("a name"),
+                announced: vec![row],
+                ..site.peer_heartbeat(0)
+            };
+            site.handle(Event::HeartbeatReceived(beat));
+        };
+        hear(&mut site, "router-1", row(0, Some(rate)));
+        site.advance(100);
+        // One router tells now that the limit is lifted; another one a second and a half later that it has been back for
+        // half a second.
+        let mut told = [
+            ("router-1", row(0, None)),
+            ("router-2", row(500, Some(rate))),
+        ];
+        other.advance(1600);
+        hear(&mut other, "router-2", told[1].1.clone());
+        site.now += Duration::from_secs(4);
+        site.handle(Event::Paused);
+        if swapped {
+            told.reverse();
+        }
+        for (vm, row) in told {
+            hear(&mut site, vm, row);
+        }
+        other.advance(2500);
+        let beat = site.core.heartbeat(site.now);
+        other.handle(Event::HeartbeatReceived(beat));
+        let known = [&site, &other].map(|site| limit(site, 0));
+        assert_eq!(known, [Some(rate); 2], "swapped: {swapped}");
+    }
+}
--- a/src/router/tests/power_loss.rs
+++ b/src/router/tests/power_loss.rs
@@ -21,6 +21,9 @@
 /// How long the VMs are down.
 const DOWNTIME: Duration = Duration::from_millis(1400);
 
+/// How long a process stands still just after its start.
+const STANDSTILL: Duration = Duration::from_millis(4000);
+
 /// How long the new process may take to settle its first estimate.
 const SETTLE_MS: u64 = 2000;
 
@@ -135,3 +138,25 @@
     let most = DEMAND_PER_S * (DOWNTIME.as_millis() as u64 + 1000) / 1000;
     assert!(lost <= most, "{lost} of at most {most} tokens");
 }
+
+/// Guards against used tokens that are given back because the other routers' clocks were read late: the new process stands still
+/// just after its start, and the heartbeats lie in its sockets. It takes its start for earlier than it was by that time.
+#[test]
+fn heartbeats_that_lay_in_the_sockets_return_no_used_tokens() {
+    let mut site = Site::start_with_vms(PREPAID_TOKENS, vms());
+    let mut used = serve(&mut site, 10);
+    site.log = Log::Down;
+    used += serve(&mut site, 4);
+    assert!(used > 13 * DEMAND_PER_S, "{used} tokens");
+    site.power_cycle(DOWNTIME);
+    let beats = site.heartbeats(OTHER_ROUTERS);
+    site.now += STANDSTILL;
+    site.log = Log::Up;
+    site.handle(Event::Paused);
+    for beat in beats {
+        site.handle(Event::HeartbeatReceived(beat));
+    }
+    site.advance(SETTLE_MS);
+    let counted = counted_as_used(&site);
+    assert!(counted >= used, "{counted} of {used} tokens");
+}
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -499,25 +499,31 @@
 
     /// Delivers a heartbeat from each of `count` other routers, whose clocks are correct.
     pub(crate) fn receive_heartbeats(&mut self, count: usize) {
-        for number in 0..count {
-            self.handle(Event::HeartbeatReceived(Heartbeat {
-                vm: name(&format!("router-{}", number + 1)),
-                router: Incarnation(100 + number as u64),
-                serving: true,
-                load: 0,
-                config: Offset(0),
-                table: TableVersion(0),
-                drained: DrainedDomains::default(),
-                clock: self.wall_clock(),
-                purses: Vec::new(),
-                announced: Vec::new(),
-                crashes: Box::default(),
-                cut: Vec::new(),
-                versions: Vec::new(),
-            }));
+        for beat in self.heartbeats(count) {
+            self.handle(Event::HeartbeatReceived(beat));
         }
     }
 
+    /// Returns a heartbeat that each of `count` other routers sends now.
+    pub(crate) fn heartbeats(&self, count: usize) -> Vec<Heartbeat> {
+        let beat = |number: usize| Heartbeat {
+            vm: name(&format!("router-{}", number + 1)),
+            router: Incarnation(100 + number as u64),
+            serving: true,
+            load: 0,
+            config: Offset(0),
+            table: TableVersion(0),
+            drained: DrainedDomains::default(),
+            clock: self.wall_clock(),
+            purses: Vec::new(),
+            announced: Vec::new(),
+            crashes: Box::default(),
+            cut: Vec::new(),
+            versions: Vec::new(),
+        };
+        (0..count).map(beat).collect()
+    }
+
     /// Replaces the VM list with one of `count` other routers.
     pub(crate) fn list_peers(&mut self, count: usize) {
         let routers = (0..count).map(|n| {
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -11,6 +11,7 @@
 use crate::ids::VmId;
 use crate::router::Effect;
 use crate::router::Event;
+use crate::router::Heartbeat;
 use crate::router::PeerFailure;
 use crate::router::ProblemKind;
 use crate::router::Ran;
@@ -20,6 +21,7 @@
 use crate::router::RunEnd;
 use crate::router::StreamLogCall;
 use crate::router::StreamRow;
+use crate::router::VersionRecord;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
 use crate::router::tests::site::broken_run;
@@ -646,3 +648,45 @@
         assert!(written * 2 > ticks, "{written} of {ticks} are recorded");
     }
 }
+
+/// Guards against streams of two versions after a kill of all routers, the last of which had not recorded a version that came
+/// back: it took what it read from the log at its start for what the log has now.
+#[test]
+fn a_version_that_comes_back_is_recorded_by_any_router() {
+    for number in 0..ROUTERS {
+        let mut site = Site::start_member(number, PREPAID, vms(&["v1", "v2"]));
+        record(&mut site, &["v1", "v2"]);
+        site.restart_member(vms(&["v1", "v2"]));
+        list(&mut site, vms(&["v2"]));
+        site.advance(70_000);
+        // By now the first two routers have dropped the version that is gone.
+        record(&mut site, &["v2"]);
+        let others: Vec<VmId> = (0..ROUTERS)
+            .filter(|n| *n != number)
+            .map(|n| format!("router-{n}").parse().expect("a name"))
+            .collect();
+        for vm in &others {
+            let failure = Event::HeartbeatFailed(vm.clone(), PeerFailure::Unreachable);
+            site.handle(failure);
+        }
+        list(&mut site, vms(&["v1", "v2"]));
+        site.advance(1000);
+        let streams = begin_streams(&mut site, 10);
+        site.advance(500);
+        site.restart_member(vms(&["v2"]));
+        for vm in others {
+            let beat = site.peer_heartbeat(0);
+            site.handle(Event::HeartbeatReceived(Heartbeat { vm, ..beat }));
+        }
+        take_up(&mut site, &streams);
+    }
+}
+
+/// Has the log know the versions of the pool, as other routers wrote them.
+fn record(site: &mut Site, versions: &[&str]) {
+    let record = VersionRecord {
+        pool: "pool".parse().expect("a name"),
+        versions: versions.iter().map(|v| origin(v).version).collect(),
+    };
+    site.versions.insert(record.pool.clone(), record);
+}
