Record a version that comes back at whichever router is to write it

After a kill of all routers streams of v1 went on at v2: v1 had come back shortly before, while the two routers that usually record versions were out of reach, and the one that stood in for them took its read at the start for what the log has, although the others had written since.

A router forgets what the log had for a pool whose versions change and are recorded by others, so that it writes them once it is its turn. a_version_that_comes_back_is_recorded_by_any_router failed before (v2 for v1) and passes.

--- a/src/router/stream_log.rs
+++ b/src/router/stream_log.rs
@@ -250,6 +250,24 @@
         }
     }
 
+    /// Forgets what the log had for the pools whose versions changed and are recorded by other routers: it is not known what
+    /// they wrote, should this one have to record them later.
+    pub(crate) fn forget_records_of_others(&mut self, now: Instant) {
+        let Some(recorded) = &self.stream_log.recorded else {
+            return;
+        };
+        let mut pools: Vec<_> = self.streams.versions(now).collect();
+        pools.retain(|(pool, versions)| {
+            let changed = recorded.get(*pool).is_some_and(|known| known != versions);
+            changed && !self.writes_versions(now, pool)
+        });
+        let forgotten: Vec<_> = pools.into_iter().map(|(pool, _)| pool.clone()).collect();
+        for pool in forgotten {
+            let recorded = self.stream_log.recorded.as_mut();
+            recorded.and_then(|recorded| recorded.swap_remove(&pool));
+        }
+    }
+
     /// Returns the versions of a pool that are not recorded yet, if this router is to record them.
     fn changed_versions(&self, now: Instant) -> Option<VersionRecord> {
         let recorded = self.stream_log.recorded.as_ref()?;
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -166,6 +166,7 @@
             self.stream_log.add_inherited(name, versions);
         }
         self.review_mixed_pools(now);
+        self.forget_records_of_others(now);
     }
 
     /// Records the versions again if that is due.
