--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -31,6 +31,7 @@
 mod ledger_stream;
 mod lending;
 mod loans;
+mod locate;
 mod members;
 mod orders;
 mod outage;
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -7,11 +7,9 @@
 use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_json::json;
 use tracing::info;
 
 use crate::config::RepeatPolicy;
-use crate::decide::Confirmation;
 use crate::decide::EndpointLife;
 use crate::decide::PoolVersions;
 use crate::decide::StreamKey;
@@ -25,7 +23,6 @@
 use crate::router::core::Core;
 use crate::router::effect::Effect;
 use crate::router::effect::Peer;
-use crate::router::event::ReplyId;
 use crate::router::event::Work;
 use crate::router::problem::Problem;
 use crate::router::problem::ProblemKind;
@@ -36,9 +33,6 @@
 /// How many routers keep a replica of a stream besides the one where it began.
 const REPLICAS: usize = 2;
 
-/// How many routers are asked about a stream: one more, since a router may have started or died since.
-const ASKED: usize = 3;
-
 /// The age up to which streams are told to others when a second version appears. Older ones are hardly taken up.
 const MAX_TOLD_AGE: Duration = Duration::from_secs(30);
 
@@ -48,7 +42,7 @@
 /// The retry delay for a caller whose stream can't go on here now.
 const RETRY: Duration = Duration::from_millis(500);
 
-const UNKNOWN_VERSION: &str = "the software version that began the stream is not known";
+pub(crate) const UNKNOWN_VERSION: &str = "the software version that began the stream is not known";
 const NO_ENDPOINT: &str = "no endpoint runs the software version that began the stream";
 const VERSION_CHANGED: &str = "the endpoint's software version changed before its first event";
 
@@ -96,7 +90,7 @@
 /// What a router knows of streams and versions.
 #[derive(Debug)]
 pub(crate) struct Streams {
-    origins: StreamOrigins,
+    pub(crate) origins: StreamOrigins,
     versions: IndexMap<PoolId, PoolVersions>,
     pub(crate) routes: RouteHistory,
     /// The pools with several versions, and those that share a route with another pool.
@@ -241,7 +235,7 @@
 
     /// Returns up to so many routers that remember a stream, of those that this one reaches. This one may be among the
     /// first, and is not returned.
-    fn replicas(&self, now: Instant, key: &StreamKey, count: usize) -> Vec<Peer> {
+    pub(crate) fn replicas(&self, now: Instant, key: &StreamKey, count: usize) -> Vec<Peer> {
         let routers = self.members.vm_index.serving_vms();
         let reached = |vm: &VmId| self.members.peer_failure(now, vm).is_none();
         let replicas = ranked(&routers, &key.to_string(), reached);
@@ -332,107 +326,6 @@
         }
     }
 
-    /// Answers another router that asks what began a stream.
-    pub(crate) fn answer_stream_query(&mut self, id: ReplyId, key: &StreamKey) {
-        let origin = self.streams.origins.find(key);
-        self.effects.push(Effect::Answer(id, 200, json!(origin)));
-    }
-
-    /// Binds a request that takes up a stream to the version that began it, or begins to ask for that; returns whether it
-    /// may proceed now.
-    pub(crate) fn bind_resumed_stream(&mut self, now: Instant, id: RequestId) -> bool {
-        let request = &self.requests[&id];
-        let terms = request.relay.as_ref();
-        if terms.is_none_or(|terms| terms.resumption.is_none()) {
-            return true;
-        }
-        let key = request.resumed_stream();
-        let known = key.and_then(|key| self.streams.origins.find(&key));
-        if let Some(origin) = known.cloned() {
-            return self.bind_to_origin(now, id, &origin, Source::Memory);
-        }
-        match self.only_origin(id) {
-            Some(_) => self.confirm_lists(id),
-            None => self.locate_stream(now, id, None),
-        }
-        false
-    }
-
-    /// Asks other routers what began the stream that a request takes up. `confirmed` tells whether this router's lists are
-    /// known to be current, if that was asked.
-    pub(crate) fn locate_stream(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        confirmed: Option<Confirmation>,
-    ) {
-        let key = self.requests[&id].resumed_stream();
-        let asked = key.as_ref().map(|key| self.replicas(now, key, ASKED));
-        let asked = asked.unwrap_or_default();
-        let waiting = asked.len();
-        self.requests[&id].state = State::Locating { waiting, confirmed };
-        if asked.is_empty() {
-            return self.end_location(now, id, confirmed);
-        }
-        for (peer, key) in asked.into_iter().zip(key.into_iter().cycle()) {
-            self.effects.push(Effect::LocateStream(id, key, peer));
-        }
-    }
-
-    /// Goes on with a request after no other router knew its stream. A log that did not answer just before is not searched.
-    fn end_location(&mut self, now: Instant, id: RequestId, confirmed: Option<Confirmation>) {
-        match confirmed {
-            Some(Confirmation::None) => self.refuse_stream(now, id, UNKNOWN_VERSION),
-            _ => self.seek_in_log(id, confirmed),
-        }
-    }
-
-    /// Handles the answer of a router that was asked what began a stream.
-    pub(crate) fn handle_stream_answer(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        origin: Option<&StreamOrigin>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let State::Locating { waiting, confirmed } = &mut request.state else {
-            return;
-        };
-        *waiting = waiting.saturating_sub(1);
-        let (waits, confirmed) = (*waiting > 0, *confirmed);
-        match origin {
-            Some(origin) => {
-                if self.bind_to_origin(now, id, origin, Source::Peer) {
-                    self.check_limits(now, id);
-                }
-            }
-            None if waits => {}
-            None => self.end_location(now, id, confirmed),
-        }
-    }
-
-    /// Goes on with a request after the log was searched for its stream.
-    pub(crate) fn resume_sought(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        found: Option<&StreamOrigin>,
-        confirmed: Option<Confirmation>,
-    ) {
-        let recorded = found.cloned().map(|origin| (origin, Source::Log));
-        let only = || Some((self.confirmed_origin(now, id, confirmed?)?, Source::Only));
-        match recorded.or_else(only) {
-            Some((origin, source)) => {
-                if self.bind_to_origin(now, id, &origin, source) {
-                    self.check_limits(now, id);
-                }
-            }
-            None => self.refuse_stream(now, id, UNKNOWN_VERSION),
-        }
-    }
-
     /// Returns what began the stream that a request takes up if this router's lists have only one version of one pool.
     pub(crate) fn only_origin(&self, id: RequestId) -> Option<StreamOrigin> {
         let request = &self.requests[&id];
@@ -513,7 +406,7 @@
         }
     }
 
-    fn refuse_stream(&mut self, now: Instant, id: RequestId, detail: &str) {
+    pub(crate) fn refuse_stream(&mut self, now: Instant, id: RequestId, detail: &str) {
         let problem = Problem::new(ProblemKind::NoEndpoint, Ran::Unknown, detail);
         self.refuse_with(now, id, problem.with_retry(RETRY));
     }
