Record a version that the usual two routers do not record, and write over none that was missed

Who records was decided by who is reached by other routers, which does not tell who reaches the store. Each other router now reads, 0.25 s and more after a change, in the order of their ranks, whether it was recorded, and records it if not. A router whose write failed reads what others wrote before it writes again.

--- a/src/router/confirm.rs
+++ b/src/router/confirm.rs
@@ -45,7 +45,7 @@
     pub(crate) fn step_confirmations(&mut self, now: Instant) {
         self.end_round(now);
         // A version that left before this router started is known only from the log.
-        if !self.stream_log.is_loaded() {
+        if !self.version_log.is_loaded() {
             return;
         }
         let routers = self.members.vm_index.serving_vms().len();
@@ -165,6 +165,6 @@
             Confirmation::Peers => true,
             Confirmation::None => false,
         };
-        informed && self.stream_log.is_loaded()
+        informed && self.version_log.is_loaded()
     }
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -56,6 +56,7 @@
 use crate::router::stream_log::StreamLog;
 use crate::router::streams::Streams;
 use crate::router::table_watch::TableWatch;
+use crate::router::version_log::VersionLog;
 use crate::settings::EndMarker;
 use crate::tokens::Tokens;
 
@@ -223,8 +224,10 @@
     pub(crate) slots: Slots,
     /// Which versions of the endpoints' software began streams.
     pub(crate) streams: Streams,
-    /// What the log remembers of streams and versions.
+    /// What the log remembers of streams.
     pub(crate) stream_log: StreamLog,
+    /// Which versions the log has of each pool.
+    pub(crate) version_log: VersionLog,
     /// Requests that wait until the lists are known to be current.
     pub(crate) confirmations: Confirmations,
     /// Budgets granted to this router, unless the ledger accounts for them.
@@ -319,6 +322,7 @@
             slots: Slots::default(),
             streams: Streams::new(now),
             stream_log: StreamLog::new(now),
+            version_log: VersionLog::new(now),
             confirmations: Confirmations::new(now),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
@@ -357,7 +361,7 @@
             Event::ConfigSnapshot(snapshot) => self.adopt_config(now, *snapshot),
             Event::VmList(list) => self.handle_vm_list(now, list),
             Event::VersionsListed(rows) => self.merge_versions(now, &rows),
-            Event::ListGap => self.stream_log.reload_versions(now),
+            Event::ListGap => self.version_log.reload(now),
             Event::FormerLife => self.handle_former_life(now),
             Event::HeartbeatReceived(beat) => self.handle_heartbeat(now, beat),
             Event::HeartbeatFailed(vm, failure) => self.members.record_failure(now, vm, failure),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -58,6 +58,7 @@
 mod table_watch;
 #[cfg(test)]
 mod tests;
+mod version_log;
 mod vm_index;
 mod waiting;
 
--- a/src/router/streams.rs
+++ b/src/router/streams.rs
@@ -157,10 +157,10 @@
             for version in pool.picker.versions.values() {
                 versions.record(now, version.clone());
             }
-            self.stream_log.add_inherited(name, versions);
+            self.version_log.add_inherited(name, versions);
         }
         self.review_mixed_pools(now);
-        self.forget_records_of_others(now);
+        self.review_recorded_versions(now);
     }
 
     /// Records the versions again if that is due.
--- a/src/router/tests/versions.rs
+++ b/src/router/tests/versions.rs
@@ -690,3 +690,66 @@
     };
     site.versions.insert(record.pool.clone(), record);
 }
+
+/// Starts one of the routers, with a log in which another one recorded the first version, and lists a second one.
+fn start_before_release(number: usize) -> Site {
+    let mut site = Site::start_member(number, PREPAID, vms(&["v1"]));
+    record(&mut site, &["v1"]);
+    site.receive_heartbeats(ROUTERS - 1);
+    site.advance(1500);
+    list(&mut site, vms(&["v1", "v2"]));
+    site
+}
+
+fn recorded(site: &Site) -> usize {
+    let record = site.versions.values().next().expect("a record");
+    record.versions.len()
+}
+
+/// Guards against a version that is not recorded as long as the two routers that usually do it do not reach the log.
+#[test]
+fn a_version_is_recorded_by_another_router_if_the_usual_ones_do_not() {
+    for number in 0..ROUTERS {
+        let mut site = start_before_release(number);
+        site.advance(1000);
+        assert_eq!(recorded(&site), 2, "router {number}");
+    }
+}
+
+/// Guards against a write by each router for each version.
+#[test]
+fn a_version_that_others_recorded_is_written_by_no_more_than_two_routers() {
+    let writes = |site: &Site| {
+        let writes = |effect: &&Effect| {
+            matches!(
+                effect,
+                Effect::CallStreamLog(StreamLogCall::WriteVersions(_))
+            )
+        };
+        site.effects.iter().filter(writes).count()
+    };
+    let mut writers = 0;
+    for number in 0..ROUTERS {
+        let mut site = start_before_release(number);
+        let before = writes(&site);
+        record(&mut site, &["v1", "v2"]);
+        site.advance(5000);
+        writers += usize::from(writes(&site) > before);
+    }
+    assert!(writers <= 2, "{writers} routers write");
+}
+
+/// Guards against a version in the log that a router writes over, since it did not reach the log while others recorded it.
+#[test]
+fn a_router_that_missed_a_version_does_not_write_over_it() {
+    for number in 0..ROUTERS {
+        let mut site = Site::start_member(number, PREPAID, vms(&["v2"]));
+        site.log = Log::Down;
+        list(&mut site, vms(&["v2", "v3"]));
+        site.advance(1000);
+        record(&mut site, &["v1", "v2", "v3"]);
+        site.log = Log::Up;
+        site.advance(3000);
+        assert_eq!(recorded(&site), 3, "router {number}");
+    }
+}
