Ask routers that seemed dead as well, and count no answer of one that knows too little

All listed routers are asked, one that refuses counts as dead only by that answer, and one at least must tell what it knows; a router answers once it has read the versions and a configuration, and must have the same configuration. Questions wait within the round until they are due. The list's first read has a gap before it, too. Each configuration of a batch is passed on, and an unreadable one stays in mind until a readable one follows.

--- a/src/decide/confirmations.rs
+++ b/src/decide/confirmations.rs
@@ -27,7 +27,7 @@
 const ROUND_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The pause between two rounds in which other routers are asked, for each of them.
-const PEER_INTERVAL: Duration = Duration::from_millis(10);
+const PEER_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Identifies a round, so that an answer to an earlier one does not count.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,6 +44,17 @@
     None,
 }
 
+/// What came of a question to another router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerAnswer {
+    /// It told what it knows.
+    Told,
+    /// Its VM refused the question, since no router runs there.
+    Dead,
+    /// It did not answer, or does not know enough.
+    None,
+}
+
 /// What came of asking the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LogAnswer {
@@ -56,13 +67,23 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum PeerAnswers {
     Unasked,
-    Awaited(IndexSet<VmId>),
+    Awaited {
+        vms: IndexSet<VmId>,
+        /// Whether one told what it knows.
+        told: bool,
+    },
+    Complete,
     Failed,
 }
 
 impl PeerAnswers {
-    fn is_complete(&self) -> bool {
-        matches!(self, Self::Awaited(vms) if vms.is_empty())
+    /// Returns what follows once no further answer is awaited: if all routers are dead, nobody vouches for what they knew.
+    fn settled(self) -> Self {
+        match self {
+            Self::Awaited { vms, told: true } if vms.is_empty() => Self::Complete,
+            Self::Awaited { vms, told: false } if vms.is_empty() => Self::Failed,
+            answers => answers,
+        }
     }
 }
 
@@ -80,7 +101,7 @@
         if self.log == LogAnswer::Current {
             return Some(Confirmation::Log);
         }
-        if self.peers.is_complete() {
+        if self.peers == PeerAnswers::Complete {
             return Some(Confirmation::Peers);
         }
         let failed = self.log == LogAnswer::Failed && self.peers == PeerAnswers::Failed;
@@ -144,23 +165,26 @@
         due.then_some(round.id)
     }
 
-    /// Records that the other routers are asked, or can't be; returns whether to ask them.
+    /// Records that the other routers are asked, or can't be (`None`); returns whether to ask them now.
     pub(crate) fn ask(&mut self, now: Instant, peers: Option<IndexSet<VmId>>) -> bool {
         let Some(round) = &mut self.round else {
             return false;
         };
-        let paced = |peers: &IndexSet<VmId>| {
-            let count = u32::try_from(peers.len()).unwrap_or(u32::MAX);
-            self.peer_pace.try_begin(now, PEER_INTERVAL * count)
+        let Some(vms) = peers else {
+            round.peers = PeerAnswers::Failed;
+            return false;
         };
-        round.peers = peers
-            .filter(paced)
-            .map_or(PeerAnswers::Failed, PeerAnswers::Awaited);
-        round.peers != PeerAnswers::Failed
+        let count = u32::try_from(vms.len()).unwrap_or(u32::MAX);
+        if !self.peer_pace.try_begin(now, PEER_INTERVAL * count) {
+            return false;
+        }
+        round.peers = PeerAnswers::Awaited { vms, told: false };
+        true
     }
 
     /// Records whether all that the log had was read in a round.
     pub(crate) fn log_answered(&mut self, id: RoundId, current: bool) {
+        self.log_failed &= !current;
         let round = self.round.as_mut().filter(|round| round.id == id);
         if let Some(round) = round {
             round.log = match current {
@@ -170,16 +194,20 @@
         }
     }
 
-    /// Records whether a router told what it knows in a round.
-    pub(crate) fn peer_answered(&mut self, id: RoundId, vm: &VmId, current: bool) {
+    /// Records the answer of a router in a round.
+    pub(crate) fn peer_answered(&mut self, id: RoundId, vm: &VmId, answer: PeerAnswer) {
         let round = self.round.as_mut().filter(|round| round.id == id);
         let Some(round) = round else {
             return;
         };
-        match &mut round.peers {
-            PeerAnswers::Awaited(vms) if current => drop(vms.swap_remove(vm)),
-            PeerAnswers::Awaited(_) => round.peers = PeerAnswers::Failed,
-            PeerAnswers::Unasked | PeerAnswers::Failed => {}
+        let PeerAnswers::Awaited { vms, told } = &mut round.peers else {
+            return;
+        };
+        vms.swap_remove(vm);
+        *told |= answer == PeerAnswer::Told;
+        let answers = std::mem::replace(&mut round.peers, PeerAnswers::Failed);
+        if answer != PeerAnswer::None {
+            round.peers = answers.settled();
         }
     }
 
@@ -187,7 +215,10 @@
     pub(crate) fn take_outcome(&mut self, now: Instant) -> Option<(Confirmation, Vec<RequestId>)> {
         let outcome = self.round.as_ref()?.outcome(now)?;
         let round = self.round.take()?;
-        self.log_failed = round.log != LogAnswer::Current;
+        let late = round.log == LogAnswer::Awaited && now >= round.began + LOG_WAIT;
+        if late || round.log == LogAnswer::Failed {
+            self.log_failed = true;
+        }
         Some((outcome, round.requests))
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -89,6 +89,7 @@
 pub use concurrency::Sample;
 pub(crate) use confirmations::Confirmation;
 pub(crate) use confirmations::Confirmations;
+pub(crate) use confirmations::PeerAnswer;
 pub(crate) use confirmations::RoundId;
 pub use crash_history::CrashHistory;
 pub use crash_report::CrashReport;
--- a/src/edge/desk.rs
+++ b/src/edge/desk.rs
@@ -204,10 +204,10 @@
         serde_json::from_value(answer?.1).ok()?
     }
 
-    /// Asks the core which versions it knows.
+    /// Asks the core which versions it knows, if it knows enough.
     pub(crate) async fn known_versions(&self) -> Option<KnownVersions> {
-        let (_, answer) = self.question(Event::VersionsQueried).await?;
-        serde_json::from_value(answer).ok()
+        let answer = self.question(Event::VersionsQueried).await;
+        serde_json::from_value(answer?.1).ok()?
     }
 
     async fn question<F>(&self, event: F) -> Option<(u16, Value)>
--- a/src/edge/peers.rs
+++ b/src/edge/peers.rs
@@ -393,14 +393,14 @@
         let call =
             |client: PeeringClient| async move { client.versions(deadline(limit), VERSION).await };
         let known = match self.call(&peer.address, limit, call).await {
-            Ok(Ok(known)) => Some(known),
+            Ok(Ok(known)) => Ok(known),
             Ok(Err(refused)) => {
                 info!(event = "versions-refused", vm = %peer.vm, ?refused);
-                None
+                Err(PeerFailure::Mute)
             }
             Err(silence) => {
                 info!(event = "versions-unheard", vm = %peer.vm, ?silence);
-                None
+                Err(silence)
             }
         };
         self.desk.tell(Event::VersionsKnown(round, peer.vm, known));
--- a/src/platform/lists.rs
+++ b/src/platform/lists.rs
@@ -10,7 +10,7 @@
 use crate::edge::desk::Desk;
 use crate::edge::desk::lock;
 use crate::platform::follow::Update;
-use crate::platform::operator::apply_config;
+use crate::platform::operator::apply_configs;
 use crate::platform::record::Keyed;
 use crate::platform::registry::Registry;
 use crate::platform::start::OPERATOR;
@@ -58,7 +58,8 @@
 }
 
 impl Lists {
-    /// Passes to the core all that the store has now. Their followers read the same records later, which changes nothing.
+    /// Passes to the core all that the store has now. The followers of the lists read the same records again: until the next
+    /// read, an older record may bring back an endpoint that is gone.
     ///
     /// # Errors
     ///
@@ -68,11 +69,8 @@
         let servers = read(store, SERVERS, &self.servers);
         let operator = read(store, OPERATOR, &self.operator);
         let (servers, operator) = tokio::try_join!(servers, operator)?;
-        // Each configuration counts, since a route may have led elsewhere for a moment.
-        for record in &operator {
-            if !apply_config(&self.desk, std::slice::from_ref(record)) {
-                return Err(RefreshError::Config);
-            }
+        if apply_configs(&self.desk, &operator) == Some(false) {
+            return Err(RefreshError::Config);
         }
         self.desk.tell(Event::TableConfirmed(sent));
         if !servers.is_empty() {
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -21,6 +21,8 @@
 pub(crate) struct Operator {
     desk: Arc<Desk>,
     drained: IndexSet<DomainId>,
+    /// Whether the newest configuration could not be decoded.
+    unreadable: bool,
 }
 
 impl Operator {
@@ -29,10 +31,11 @@
         Self {
             desk,
             drained: IndexSet::new(),
+            unreadable: false,
         }
     }
 
-    /// Applies the result of a read, and returns whether its configuration could be decoded.
+    /// Applies the result of a read, and returns whether the newest configuration could be decoded.
     pub(crate) fn apply(&mut self, batch: Batch) -> bool {
         let records = match batch.update {
             Update::All(rows) => {
@@ -54,7 +57,10 @@
             as_of: batch.next,
             domains: self.drained.clone(),
         }));
-        let readable = apply_config(&self.desk, &records);
+        if let Some(readable) = apply_configs(&self.desk, &records) {
+            self.unreadable = !readable;
+        }
+        let readable = !self.unreadable;
         if let Some(at) = batch.current.filter(|_| readable) {
             self.desk.tell(Event::TableConfirmed(at));
         }
@@ -77,18 +83,18 @@
     }
 }
 
-/// Passes the newest configuration, if there is one, to the core, and returns whether it could be decoded. Otherwise the
-/// last one stays in force.
-pub(super) fn apply_config(desk: &Desk, records: &[Keyed]) -> bool {
-    let newest = records.iter().rfind(|record| record.key == config::KEY);
-    let newest = newest.and_then(|record| record.value.as_ref());
-    match newest.map(|text| config::decode(text)) {
-        Some(Ok(table)) => desk.tell(Event::Table(Arc::new(table))),
-        Some(Err(error)) => {
-            warn!(event = "config-unreadable", %error);
-            return false;
+/// Passes each configuration to the core, and returns whether the last one could be decoded, if there is one. Each counts, since
+/// a route may have led elsewhere for a moment. After one that can't be decoded the one before stays in force.
+pub(super) fn apply_configs(desk: &Desk, records: &[Keyed]) -> Option<bool> {
+    let configs = records.iter().filter(|record| record.key == config::KEY);
+    let mut readable = None;
+    for text in configs.filter_map(|record| record.value.as_ref()) {
+        let table = config::decode(text);
+        readable = Some(table.is_ok());
+        match table {
+            Ok(table) => desk.tell(Event::Table(Arc::new(table))),
+            Err(error) => warn!(event = "config-unreadable", %error),
         }
-        None => {}
     }
-    true
+    readable
 }
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -98,7 +98,7 @@
         let unreadable = &mut lists.unreadable;
         let mut cold = Vec::new();
         let mut read_entries = Vec::new();
-        if lists.known && matches!(update, Update::All(_)) {
+        if matches!(update, Update::All(_)) {
             self.desk.tell(Event::ListGap);
         }
         let mut log = UnreadableLog::default();
--- a/src/platform/registry/tests.rs
+++ b/src/platform/registry/tests.rs
@@ -102,9 +102,9 @@
     assert_eq!(told, ["v2".parse().ok()]);
 }
 
-/// Guards against a list that was read anew and counts as one that was followed without a gap.
+/// Guards against a list that was read as a whole and counts as one that was followed from before.
 #[test]
-fn a_list_that_is_read_anew_has_a_gap() {
+fn a_list_that_is_read_as_a_whole_has_a_gap() {
     let (registry, mut events) = registry();
     let mut gaps = Vec::new();
     for _ in 0..2 {
@@ -113,7 +113,7 @@
         let told = std::iter::from_fn(|| events.try_recv().ok());
         gaps.push(told.filter(|event| matches!(event, Event::ListGap)).count());
     }
-    assert_eq!(gaps, [0, 1]);
+    assert_eq!(gaps, [1, 1]);
 }
 
 /// Guards against one invalid record that hides all other endpoints.
--- a/src/router/confirm.rs
+++ b/src/router/confirm.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use crate::decide::Confirmation;
+use crate::decide::PeerAnswer;
 use crate::decide::RoundId;
 use crate::decide::StreamOrigin;
 use crate::decide::VERSION_RETENTION;
@@ -88,22 +89,25 @@
         }
     }
 
-    /// Returns all other routers but those that are dead; `None` if some may be alive and are not heard, or none is listed.
+    /// Returns all other routers; `None` if one is silent and will hardly answer, or none is listed. One that is taken for
+    /// dead is asked as well, since it may have started again.
     fn answering_peers(&self, now: Instant) -> Option<Vec<Peer>> {
         let peers = self.members.vm_index.peers();
-        let is_dead = |vm: &VmId| self.members.peer_failure(now, vm) == Some(PeerFailure::Refused);
-        let alive: Vec<_> = peers.iter().filter(|peer| !is_dead(&peer.vm)).collect();
-        let heard = |peer: &&Peer| self.members.has_fresh_heartbeat(now, &peer.vm);
-        let all = !peers.is_empty() && alive.iter().all(heard);
-        all.then(|| alive.into_iter().cloned().collect())
+        let answers = |peer: &Peer| {
+            let failure = self.members.peer_failure(now, &peer.vm);
+            failure == Some(PeerFailure::Refused) || self.members.has_fresh_heartbeat(now, &peer.vm)
+        };
+        let all = !peers.is_empty() && peers.iter().all(answers);
+        all.then(|| peers.to_vec())
     }
 
-    /// Answers another router that asks which versions this one knows.
+    /// Answers another router that asks which versions this one knows. One that has just started knows too little.
     pub(crate) fn answer_versions_query(&mut self, now: Instant, id: ReplyId) {
-        let known = KnownVersions {
+        let knows = self.version_log.is_loaded() && self.route_table.is_some();
+        let known = knows.then(|| KnownVersions {
             table: self.table_version(),
             rows: self.streams.all_rows(now),
-        };
+        });
         self.effects.push(Effect::Answer(id, 200, json!(known)));
     }
 
@@ -113,14 +117,20 @@
         now: Instant,
         round: RoundId,
         vm: &VmId,
-        known: Option<KnownVersions>,
+        known: Result<KnownVersions, PeerFailure>,
     ) {
-        let own = self.table_version();
-        let current = known.as_ref().is_some_and(|known| known.table <= own);
-        if let Some(known) = known {
-            self.merge_versions(now, &known.rows);
-        }
-        self.confirmations.peer_answered(round, vm, current);
+        let answer = match known {
+            Ok(known) => {
+                self.merge_versions(now, &known.rows);
+                match known.table == self.table_version() {
+                    true => PeerAnswer::Told,
+                    false => PeerAnswer::None,
+                }
+            }
+            Err(PeerFailure::Refused) => PeerAnswer::Dead,
+            Err(PeerFailure::Mute | PeerFailure::Unreachable) => PeerAnswer::None,
+        };
+        self.confirmations.peer_answered(round, vm, answer);
     }
 
     /// Goes on with a request whose stream this router does not know.
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -100,7 +100,7 @@
     VmList(VmList),
     /// Versions of endpoints that were listed between two reads of the list, and are not any more.
     VersionsListed(Vec<VersionRow>),
-    /// The list of endpoints was read anew, and what it had in between is not known.
+    /// The list of endpoints was read as a whole, and what it had before is not known.
     ListGap,
     /// A former life of this router is listed.
     FormerLife,
@@ -156,7 +156,7 @@
     /// Another router asks which versions this one knows.
     VersionsQueried(ReplyId),
     /// A router that was asked which versions it knows answered, or did not.
-    VersionsKnown(RoundId, VmId, Option<KnownVersions>),
+    VersionsKnown(RoundId, VmId, Result<KnownVersions, PeerFailure>),
     /// The log of streams and versions answered, or did not.
     StreamLog(StreamLogEvent),
     /// Another router tells its demand for slots of brittle endpoints, or grants slots.
--- a/src/router/tests/out_of_step.rs
+++ b/src/router/tests/out_of_step.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use indexmap::IndexSet;
+
+use crate::decide::Confirmation;
 use crate::decide::Confirmations;
+use crate::decide::PeerAnswer;
 use crate::decide::RoundId;
 use crate::ids::RequestId;
 use crate::ids::TableVersion;
@@ -11,6 +15,8 @@
 use crate::router::Effect;
 use crate::router::Event;
 use crate::router::KnownVersions;
+use crate::router::PeerFailure;
+use crate::router::ReplyId;
 use crate::router::streams::VersionRow;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
@@ -52,7 +58,7 @@
 fn answer(site: &mut Site, versions: &[&str]) {
     for (round, vm) in questions(site) {
         let known = known(1, versions);
-        site.handle(Event::VersionsKnown(round, vm, Some(known)));
+        site.handle(Event::VersionsKnown(round, vm, Ok(known)));
     }
 }
 
@@ -135,13 +141,13 @@
 /// Guards against a router that counts without answer, or has a newer configuration by which the stream may have begun.
 #[test]
 fn a_stream_is_refused_if_a_router_can_not_vouch_for_its_version() {
-    for last in [None, Some(known(9, &["v1"]))] {
+    for last in [Err(PeerFailure::Mute), Ok(known(9, &["v1"]))] {
         let mut site = start(&["v1"]);
         let id = resume_without_log(&mut site);
         let mut questions = questions(&site);
         let (round, vm) = questions.pop().expect("a question");
         for (round, vm) in questions {
-            site.handle(Event::VersionsKnown(round, vm, Some(known(1, &["v1"]))));
+            site.handle(Event::VersionsKnown(round, vm, Ok(known(1, &["v1"]))));
         }
         site.handle(Event::VersionsKnown(round, vm, last));
         for _ in 0..asked(&site, id) {
@@ -161,7 +167,7 @@
     site.effects.clear();
     let id = resume_without_log(&mut site);
     for (round, vm) in early {
-        site.handle(Event::VersionsKnown(round, vm, Some(known(1, &["v1"]))));
+        site.handle(Event::VersionsKnown(round, vm, Ok(known(1, &["v1"]))));
     }
     assert!(endpoints(&site, id).is_empty());
     answer(&mut site, &["v1"]);
@@ -256,3 +262,113 @@
     site.advance(200);
     assert_eq!(endpoints(&site, id).len(), 1, "{:?}", site.refusal(id));
 }
+
+/// Guards against routers that are taken for dead by what was heard before, so that nobody is asked.
+#[test]
+fn routers_that_were_dead_are_asked_again_and_do_not_vouch() {
+    let mut site = start(&["v1"]);
+    for number in 1..ROUTERS {
+        for _ in 0..2 {
+            let vm = format!("router-{number}").parse().expect("a name");
+            site.handle(Event::HeartbeatFailed(vm, PeerFailure::Refused));
+        }
+    }
+    let id = resume_without_log(&mut site);
+    for (round, vm) in questions(&site) {
+        let dead = Err(PeerFailure::Refused);
+        site.handle(Event::VersionsKnown(round, vm, dead));
+    }
+    site.advance(500);
+    assert!(endpoints(&site, id).is_empty());
+}
+
+/// Guards against a router that has just started, has read nothing, and tells that it knows of no other version.
+#[test]
+fn a_router_that_has_read_nothing_does_not_vouch() {
+    let mut site = start(&["v1"]);
+    site.log = Log::Down;
+    site.restart_member(vms(&["v1"]));
+    site.handle(Event::VersionsQueried(ReplyId(7)));
+    let Some(Effect::Answer(_, 200, answer)) = site.effects.last() else {
+        panic!("no answer");
+    };
+    assert!(answer.is_null(), "{answer}");
+}
+
+/// Guards against versions that were read before the list had a gap.
+#[test]
+fn versions_that_were_read_before_a_gap_do_not_count() {
+    let mut site = start(&["v1"]);
+    site.advance(500);
+    let read = || Some(Vec::new());
+    site.core.version_log.reload(site.now);
+    // The call that is in progress was made before the gap.
+    site.core.step_versions(site.now);
+    site.core.version_log.reload(site.now);
+    site.core.end_version_read(site.now, read());
+    assert!(!site.core.version_log.is_loaded());
+    site.core.step_versions(site.now);
+    site.core.end_version_read(site.now, read());
+    assert!(site.core.version_log.is_loaded());
+}
+
+fn names(count: usize) -> IndexSet<VmId> {
+    let names = (0..count).map(|n| format!("router-{n}").parse().expect("a name"));
+    names.collect()
+}
+
+/// Guards against an answer to a question that was sent before a request arrived.
+#[test]
+fn a_request_is_served_by_no_round_that_began_before_it() {
+    let now = Instant::now();
+    let mut confirmations = Confirmations::new(now);
+    confirmations.push(RequestId(1));
+    let first = confirmations.begin(now, 3).expect("a round");
+    confirmations.push(RequestId(2));
+    assert_eq!(confirmations.begin(now, 3), None);
+    confirmations.log_answered(first, true);
+    let served = |ids| Some((Confirmation::Log, ids));
+    assert_eq!(confirmations.take_outcome(now), served(vec![RequestId(1)]));
+    let second = confirmations.begin(now, 3).expect("a round");
+    confirmations.log_answered(first, true);
+    assert_eq!(confirmations.take_outcome(now), None);
+    confirmations.log_answered(second, true);
+    assert_eq!(confirmations.take_outcome(now), served(vec![RequestId(2)]));
+}
+
+/// Guards against refusals while the log is silent and all other routers answer, and against routers that are asked in each
+/// round once the log answers again.
+#[test]
+fn requests_go_on_in_fleets_whose_log_is_silent() {
+    for routers in [7, 64] {
+        let mut now = Instant::now();
+        let mut confirmations = Confirmations::new(now);
+        for n in 0..200 {
+            confirmations.push(RequestId(n));
+            for _ in 0..100 {
+                now += Duration::from_millis(1);
+                confirmations.begin(now, routers);
+                if let Some(round) = confirmations.peer_round(now)
+                    && confirmations.ask(now, Some(names(routers - 1)))
+                {
+                    for vm in names(routers - 1) {
+                        confirmations.peer_answered(round, &vm, PeerAnswer::Told);
+                    }
+                }
+                if let Some((outcome, _)) = confirmations.take_outcome(now) {
+                    assert_eq!(outcome, Confirmation::Peers, "{routers} routers");
+                }
+            }
+        }
+        now += Duration::from_secs(1);
+        confirmations.take_outcome(now);
+        confirmations.push(RequestId(0));
+        let round = confirmations.begin(now, routers).expect("a round");
+        confirmations.log_answered(round, true);
+        confirmations.take_outcome(now);
+        now += Duration::from_secs(1);
+        confirmations.push(RequestId(0));
+        confirmations.begin(now, routers).expect("a round");
+        assert_eq!(confirmations.peer_round(now), None);
+    }
+}
--- a/src/router/version_log.rs
+++ b/src/router/version_log.rs
@@ -53,6 +53,8 @@
     outdated: bool,
     /// Whether a call is in progress, and when the next one may be made.
     busy: bool,
+    /// Whether that call was made before the versions were to be read anew.
+    stale: bool,
     next_call: Instant,
 }
 
@@ -67,6 +69,7 @@
             missing: IndexSet::new(),
             outdated: false,
             busy: false,
+            stale: false,
             next_call: now,
         }
     }
@@ -78,6 +81,7 @@
 
     /// Has the versions read again: one may have come and gone without this router's knowing.
     pub(crate) fn reload(&mut self, now: Instant) {
+        self.stale = self.busy;
         self.recorded = None;
         self.known.clear();
         self.next_call = now;
@@ -200,8 +204,9 @@
 
     /// Handles what came of a read of the versions.
     pub(crate) fn end_version_read(&mut self, now: Instant, read: Option<Vec<VersionRecord>>) {
+        let stale = self.version_log.stale;
         self.end_version_call(now, read.is_some());
-        if let Some(records) = read {
+        if let Some(records) = read.filter(|_| !stale) {
             let rows = records.into_iter();
             let rows = rows.map(|record| (record.pool, record.versions.into_iter().collect()));
             self.version_log.inherit(now, rows.collect());
@@ -213,6 +218,7 @@
     fn end_version_call(&mut self, now: Instant, answered: bool) {
         let log = &mut self.version_log;
         log.busy = false;
+        log.stale = false;
         if answered {
             return;
         }
