Soak: have a version join while a router stands still

The soak began with two versions, so no router in it could take the one that it knew for the only one. A further play begins with one version, stops a router for 1.5 to 2.6 s and has endpoints of a second one join. The random order of the other plays is unchanged.

--- a/tests/faults/stream_soak.rs
+++ b/tests/faults/stream_soak.rs
@@ -76,7 +76,7 @@
         }
         let wrong = match trouble {
             Trouble::Nothing => self.complete < self.streams,
-            Trouble::OneRouter => self.went_on * 2 < self.taken_up,
+            Trouble::OneRouter | Trouble::JoinBehind => self.went_on * 2 < self.taken_up,
             Trouble::Anything => self.complete == 0,
         };
         wrong.then_some("streams do not go on")
@@ -88,7 +88,7 @@
     let _alone = PLAYS.lock().await;
     let mut wrong = Vec::new();
     for (seed, trouble) in plays {
-        let play = Play::start(*seed, vms).await?;
+        let play = Play::start(*seed, *trouble, vms).await?;
         let outcome = play.run(*trouble, length).await?;
         if let Some(what) = outcome.wrong(*trouble) {
             wrong.push(format!("seed {seed}, {trouble:?}: {what}: {outcome:?}"));
@@ -125,6 +125,7 @@
         (1, Trouble::Nothing),
         (2, Trouble::OneRouter),
         (3, Trouble::Anything),
+        (4, Trouble::JoinBehind),
     ];
     run_plays(&plays, &VMS, SHORT).await
 }
@@ -142,3 +143,12 @@
 async fn streams_keep_their_order_at_more_routers() -> Result<()> {
     run_plays(&plays_by_hand()?, &MORE_VMS, LONG).await
 }
+
+/// Guards against streams of two versions where routers stand still while a version joins, over many seeds.
+#[tokio::test]
+#[ignore = "runs for ten minutes"]
+async fn streams_keep_their_order_while_versions_join_behind_routers() -> Result<()> {
+    let plays = plays_by_hand()?.into_iter();
+    let plays: Vec<_> = plays.map(|(seed, _)| (seed, Trouble::JoinBehind)).collect();
+    run_plays(&plays, &VMS, SHORT).await
+}
--- a/tests/faults/stream_soak/play.rs
+++ b/tests/faults/stream_soak/play.rs
@@ -84,8 +84,8 @@
 }
 
 impl Play {
-    /// Starts routers on VMs, and endpoints of two versions.
-    pub(super) async fn start(seed: u64, vms: &[usize]) -> Result<Self> {
+    /// Starts routers on VMs, and endpoints of as many versions as there are at first.
+    pub(super) async fn start(seed: u64, trouble: Trouble, vms: &[usize]) -> Result<Self> {
         let (store, at) = Store::start().await?;
         let mut resumable = route(RESUMABLE, "streaming");
         resumable["resumable"] = json!(true);
@@ -109,12 +109,12 @@
             unlisted: Vec::new(),
             runs: Arc::new(runs),
             due: Vec::new(),
-            versions: 2,
+            versions: trouble.versions(),
             names: 0,
             program: program("STREAM_SOAK_PROGRAM"),
         };
-        for version in ["v1", "v2"] {
-            play.add_version(version).await?;
+        for version in 1..=play.versions {
+            play.add_version(&format!("v{version}")).await?;
         }
         for vm in 0..play.vms.len() {
             play.start_router(vm)?;
@@ -271,9 +271,10 @@
             if !disturbed && next <= Instant::now() && next < end {
                 match trouble {
                     Trouble::Nothing | Trouble::OneRouter => self.disturb_router(),
+                    Trouble::JoinBehind => self.join_behind(),
                     Trouble::Anything => self.disturb(),
                 }
-                disturbed = trouble == Trouble::OneRouter;
+                disturbed = trouble != Trouble::Anything;
                 next = self.within(CALM_MS);
             }
             self.act().await?;
--- a/tests/faults/stream_soak/trouble.rs
+++ b/tests/faults/stream_soak/trouble.rs
@@ -19,6 +19,9 @@
 const DOWN_MS: Range<u64> = 200..2500;
 const FREEZE_MS: Range<u64> = 1000..12_000;
 const LEAVE_MS: Range<u64> = 200..1000;
+/// How long a router stands still behind whose back a version joins, and when its endpoints come.
+const BEHIND_MS: Range<u64> = 1500..2600;
+const JOIN_MS: Range<u64> = 50..200;
 /// When each router is killed where all are, and when it starts again.
 const KILLS_MS: Range<u64> = 0..30;
 const ALL_DOWN_MS: Range<u64> = 500..900;
@@ -37,10 +40,22 @@
     Nothing,
     /// One router is killed, stopped or frozen once.
     OneRouter,
+    /// A second version joins while a router stands still.
+    JoinBehind,
     /// Anything, several things at once.
     Anything,
 }
 
+impl Trouble {
+    /// Returns how many versions there are at first.
+    pub(super) fn versions(self) -> usize {
+        match self {
+            Self::JoinBehind => 1,
+            Self::Nothing | Self::OneRouter | Self::Anything => 2,
+        }
+    }
+}
+
 /// A change that is due.
 #[derive(Clone, Debug)]
 pub(super) enum Step {
@@ -90,6 +105,14 @@
         }
     }
 
+    /// Has a version join while a router stands still.
+    pub(super) fn join_behind(&mut self) {
+        let vm = self.rng.random_range(0..self.vms.len());
+        self.plan(AT_ONCE_MS, Step::Freeze(vm));
+        self.plan(BEHIND_MS, Step::Continue(vm));
+        self.join(JOIN_MS);
+    }
+
     /// Has something happen to routers, endpoints or versions.
     pub(super) fn disturb(&mut self) {
         match self.rng.random_range(0..12) {
@@ -116,6 +139,16 @@
         }
     }
 
+    /// Adds a version.
+    fn join(&mut self, range_ms: Range<u64>) {
+        self.versions += 1;
+        let version = format!("v{}", self.versions);
+        for service in [RESUMABLE, ONCE].repeat(ENDPOINTS) {
+            let version = version.clone();
+            self.plan(range_ms.clone(), Step::Add { service, version });
+        }
+    }
+
     /// Adds a version, has the oldest one leave, or both.
     fn release(&mut self, range_ms: Range<u64>) {
         let listed: IndexSet<_> = self.endpoints.iter().map(|e| e.version.clone()).collect();
@@ -126,12 +159,7 @@
             _ => (true, true),
         };
         if adds {
-            self.versions += 1;
-            let version = format!("v{}", self.versions);
-            for service in [RESUMABLE, ONCE].repeat(ENDPOINTS) {
-                let version = version.clone();
-                self.plan(range_ms.clone(), Step::Add { service, version });
-            }
+            self.join(range_ms.clone());
         }
         if leaves {
             let old = self.endpoints.iter().filter(|e| e.version == listed[0]);
