--- a/tests/faults/stream_soak/caller.rs
+++ b/tests/faults/stream_soak/caller.rs
@@ -111,7 +111,9 @@
         let mut stream = Stream::new(format!("{service}/{size}/{}-{number}", self.name));
         let held = self.begin(&mut stream, habit).await?;
         let mut attempt = 1;
-        while !stream.complete && service == RESUMABLE && Instant::now() < self.end + TAIL {
+        // A caller that stayed away comes back at least once.
+        let end = Instant::now().max(self.end) + TAIL;
+        while !stream.complete && service == RESUMABLE && Instant::now() < end {
             if attempt == 1 && habit == Habit::Forgets {
                 let forgotten = self.rng.random_range(1..=MAX_FORGOTTEN);
                 let left = stream.events.len().saturating_sub(forgotten).max(1);
