--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -32,6 +32,7 @@
 mod random;
 mod random_announcements;
 mod random_retries;
+mod recorded_versions;
 mod refused;
 mod reincarnated;
 mod retry_count;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -509,17 +509,8 @@
         let beat = |number: usize| Heartbeat {
             vm: name(&format!("router-{}", number + 1)),
             router: Incarnation(100 + number as u64),
-            serving: true,
-            load: 0,
-            config: Offset(0),
-            table: TableVersion(0),
-            drained: DrainedDomains::default(),
-            clock: self.wall_clock(),
             purses: Vec::new(),
-            announced: Vec::new(),
-            crashes: Box::default(),
-            cut: Vec::new(),
-            versions: Vec::new(),
+            ..self.peer_heartbeat(0)
         };
         (0..count).map(beat).collect()
     }
