--- a/src/decide/confirmations.rs
+++ b/src/decide/confirmations.rs
@@ -77,7 +77,7 @@
 }
 
 impl PeerAnswers {
-    /// Returns what follows once no further answer is awaited: if all routers are dead, nobody vouches for what they knew.
+    /// Returns what follows once no further answer is awaited: if all routers are dead, it is not known what they knew.
     fn settled(self) -> Self {
         match self {
             Self::Awaited { vms, told: true } if vms.is_empty() => Self::Complete,
--- a/src/router/tests/out_of_step.rs
+++ b/src/router/tests/out_of_step.rs
@@ -140,7 +140,7 @@
 
 /// Guards against a router that counts without answer, or has a newer configuration by which the stream may have begun.
 #[test]
-fn a_stream_is_refused_if_a_router_can_not_vouch_for_its_version() {
+fn a_stream_is_refused_if_a_router_can_not_confirm_its_version() {
     for last in [Err(PeerFailure::Mute), Ok(known(9, &["v1"]))] {
         let mut site = start(&["v1"]);
         let id = resume_without_log(&mut site);
@@ -265,7 +265,7 @@
 
 /// Guards against routers that are taken for dead by what was heard before, so that nobody is asked.
 #[test]
-fn routers_that_were_dead_are_asked_again_and_do_not_vouch() {
+fn routers_that_were_dead_are_asked_again_and_confirm_nothing() {
     let mut site = start(&["v1"]);
     for number in 1..ROUTERS {
         for _ in 0..2 {
@@ -284,7 +284,7 @@
 
 /// Guards against a router that has just started, has read nothing, and tells that it knows of no other version.
 #[test]
-fn a_router_that_has_read_nothing_does_not_vouch() {
+fn a_router_that_has_read_nothing_confirms_nothing() {
     let mut site = start(&["v1"]);
     site.log = Log::Down;
     site.restart_member(vms(&["v1"]));
--- a/tests/faults/out_of_step.rs
+++ b/tests/faults/out_of_step.rs
@@ -66,7 +66,7 @@
 }
 
 impl Play {
-    /// Returns the play of a version that joins behind the back of the first router.
+    /// Returns the play of a version that joins while the first router is out of step.
     fn join_behind(fault: Fault, length_ms: u64, take_up_ms: u64) -> Self {
         Self {
             settle_ms: SETTLE_MS,
--- a/tests/faults/stream_soak/trouble.rs
+++ b/tests/faults/stream_soak/trouble.rs
@@ -19,7 +19,7 @@
 const DOWN_MS: Range<u64> = 200..2500;
 const FREEZE_MS: Range<u64> = 1000..12_000;
 const LEAVE_MS: Range<u64> = 200..1000;
-/// How long a router stands still behind whose back a version joins, and when its endpoints come.
+/// How long a router stands still while a version joins, and when the endpoints of that version come.
 const BEHIND_MS: Range<u64> = 1500..2600;
 const JOIN_MS: Range<u64> = 50..200;
 /// When each router is killed where all are, and when it starts again.
