--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,8 +4,10 @@
 mod http;
 mod play;
 mod prepaid;
+mod proxy;
 mod router;
 mod runner;
+mod stop;
 mod store;
 
 use std::env;
@@ -28,6 +30,7 @@
     let played = Play::new(root.into(), record, trouble).and_then(|play| {
         let held = match case.as_str() {
             "prepaid" => prepaid::run(&play),
+            "stop" => stop::run(&play),
             _ => Err(std::io::Error::other("no such case")),
         };
         match &held {
