--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! Plays of the review's cases: routers as processes, and stand-ins for all that surrounds them.
 
 mod client;
+mod harmful;
 mod http;
 mod play;
 mod prepaid;
@@ -31,6 +32,7 @@
         let held = match case.as_str() {
             "prepaid" => prepaid::run(&play),
             "stop" => stop::run(&play),
+            "harmful" => harmful::run(&play),
             _ => Err(std::io::Error::other("no such case")),
         };
         match &held {
--- a/review/standin-2/stop.rs
+++ b/review/standin-2/stop.rs
@@ -1,7 +1,6 @@
 //! A router is told to stop while callers on slow links read answers.
 
 use std::io;
-use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
