--- a/review/standin-2/harmful.rs
+++ b/review/standin-2/harmful.rs
@@ -68,7 +68,11 @@
     let seen = Arc::new(Mutex::new(Vec::new()));
     for number in 0..RUNNERS {
         let plan = Arc::new(|head: &Head| match head.target() {
-            HARMFUL => Work::Crash { down: DOWN },
+            HARMFUL => Work::Crash {
+                events: 0,
+                gap: Duration::ZERO,
+                down: DOWN,
+            },
             _ => Work::Body {
                 bytes: 800,
                 after: SOUND_TIME,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,8 +1,10 @@
 //! Plays of the review's cases: routers as processes, and stand-ins for all that surrounds them.
 
+mod bodies;
 mod client;
 mod harmful;
 mod http;
+mod late_crash;
 mod play;
 mod prepaid;
 mod proxy;
@@ -30,6 +32,8 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = Play::new(root.into(), record, trouble).and_then(|play| {
         let held = match case.as_str() {
+            "bodies" => bodies::run(&play),
+            "late-crash" => late_crash::run(&play),
             "prepaid" => prepaid::run(&play),
             "stop" => stop::run(&play),
             "harmful" => harmful::run(&play),
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -32,8 +32,12 @@
     Body { bytes: usize, after: Duration },
     /// Answers with a stream of so many events, one each `gap`.
     Stream { events: usize, gap: Duration },
-    /// Crashes, and is back after a time.
-    Crash { down: Duration },
+    /// Crashes after so many events of a stream, one each `gap`, and is back after a time.
+    Crash {
+        events: usize,
+        gap: Duration,
+        down: Duration,
+    },
 }
 
 /// One request as a runner saw it.
@@ -169,7 +173,11 @@
             let name = head.get("request-id").unwrap_or_default().to_owned();
             let number = self.begin(&head, &name);
             let end = match (self.plan)(&head) {
-                Work::Crash { down } => {
+                Work::Crash { events, gap, down } => {
+                    if events > 0 {
+                        begin_stream(&mut out, &name)?;
+                        send_events(&mut out, &name, events, gap)?;
+                    }
                     self.end(number, "crashed");
                     let _ = crash.send(down);
                     return Ok(());
@@ -208,18 +216,27 @@
 }
 
 fn stream_events(out: &mut TcpStream, name: &str, events: usize, gap: Duration) -> io::Result<()> {
+    begin_stream(out, name)?;
+    send_events(out, name, events, gap)?;
+    write!(out, "0\r\n\r\n")
+}
+
+fn begin_stream(out: &mut TcpStream, name: &str) -> io::Result<()> {
     let seal = seal(name);
     write!(
         out,
         "HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nResponse-Seal: {seal}\r\nContent-Type: text/event-stream\r\n\
          Transfer-Encoding: chunked\r\n\r\n"
-    )?;
+    )
+}
+
+fn send_events(out: &mut TcpStream, name: &str, events: usize, gap: Duration) -> io::Result<()> {
     for number in 1..=events {
         thread::sleep(gap);
         let event = format!("id: {number}\ndata: tokens of {name}\n\n");
         write!(out, "{:x}\r\n{event}\r\n", event.len())?;
     }
-    write!(out, "0\r\n\r\n")
+    Ok(())
 }
 
 /// Returns the seal of the answer to a request.
