Review case 6: a nameless refusal that comes late has the next request run twice

A known entry, shown as a test: additional bytes of a faulty runner that read as a refusal without a name are taken for the answer to the next request on the channel, which is then run at another runner, too. Nothing is fixed. The case of a stop that cuts answers is dropped, since case 3 shows it; the others are numbered by how grave they are.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,15 +1,14 @@
 //! Plays of the review's cases: routers as processes, and stand-ins for all that surrounds them.
 
 mod client;
+mod extra;
 mod harmful;
 mod http;
 mod late_crash;
 mod play;
 mod prepaid;
-mod proxy;
 mod router;
 mod runner;
-mod stop;
 mod store;
 
 use std::env;
@@ -32,8 +31,8 @@
     let played = Play::new(root.into(), record, trouble).and_then(|play| {
         let held = match case.as_str() {
             "late-crash" => late_crash::run(&play),
+            "extra" => extra::run(&play),
             "prepaid" => prepaid::run(&play),
-            "stop" => stop::run(&play),
             "harmful" => harmful::run(&play),
             _ => Err(std::io::Error::other("no such case")),
         };
--- a/review/standin-2/router.rs
+++ b/review/standin-2/router.rs
@@ -22,7 +22,6 @@
 use crate::http::read_head;
 
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -25,11 +25,17 @@
 /// How often a runner writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
+/// The additional bytes of a faulty runner: a refusal as runners word it, which belongs to no request.
+const EXTRA: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// What a runner does with a request.
 #[derive(Clone)]
 pub enum Work {
     /// Answers with a body of so many bytes after a time.
     Body { bytes: usize, after: Duration },
+    /// Answers as `Body` does. Additional bytes follow late, where the next answer over the channel is expected.
+    BodyAndExtra { bytes: usize, after: Duration },
     /// Answers with a stream of so many events, one each `gap`.
     Stream { events: usize, gap: Duration },
     /// Crashes after so many events of a stream, one each `gap`, and is back after a time.
@@ -44,6 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub at: Instant,
+    pub runner: String,
     pub name: String,
     pub path: String,
     /// How its run ended: `None` while it goes on.
@@ -152,8 +159,12 @@
         stream.set_nodelay(true)?;
         let mut out = stream.try_clone()?;
         let mut from = BufReader::new(stream);
+        let mut owes_extra = false;
         while let Some(head) = read_head(&mut from)? {
             read_body(&mut from, &head)?;
+            if std::mem::take(&mut owes_extra) {
+                out.write_all(EXTRA)?;
+            }
             if head.target() == "/health" {
                 let id = &self.id;
                 write!(
@@ -182,14 +193,10 @@
                     let _ = crash.send(down);
                     return Ok(());
                 }
-                Work::Body { bytes, after } => {
-                    thread::sleep(after);
-                    let seal = seal(&name);
-                    let head = format!(
-                        "HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nResponse-Seal: {seal}\r\nContent-Length: {bytes}\r\n\r\n"
-                    );
-                    out.write_all(head.as_bytes())
-                        .and_then(|()| out.write_all(&vec![b'x'; bytes]))
+                Work::Body { bytes, after } => send_body(&mut out, &name, bytes, after),
+                Work::BodyAndExtra { bytes, after } => {
+                    owes_extra = true;
+                    send_body(&mut out, &name, bytes, after)
                 }
                 Work::Stream { events, gap } => stream_events(&mut out, &name, events, gap),
             };
@@ -203,6 +210,7 @@
         let mut seen = self.seen.lock().unwrap();
         seen.push(Seen {
             at: Instant::now(),
+            runner: self.id.clone(),
             name: name.to_owned(),
             path: head.target().to_owned(),
             end: None,
@@ -215,6 +223,16 @@
     }
 }
 
+fn send_body(out: &mut TcpStream, name: &str, bytes: usize, after: Duration) -> io::Result<()> {
+    thread::sleep(after);
+    let seal = seal(name);
+    write!(
+        out,
+        "HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nResponse-Seal: {seal}\r\nContent-Length: {bytes}\r\n\r\n"
+    )?;
+    out.write_all(&vec![b'x'; bytes])
+}
+
 fn stream_events(out: &mut TcpStream, name: &str, events: usize, gap: Duration) -> io::Result<()> {
     begin_stream(out, name)?;
     send_events(out, name, events, gap)?;
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -31,8 +31,6 @@
 #[derive(Default)]
 struct State {
     topics: HashMap<String, Vec<Vec<u8>>>,
-    /// Whether every call is answered with 503 and has no effect.
-    down: bool,
 }
 
 /// The store. Clones share its records.
@@ -69,12 +67,6 @@
         Ok((store, address))
     }
 
-    /// Sets whether the store is down.
-    pub fn set_down(&self, down: bool) {
-        self.0.0.lock().unwrap().down = down;
-        self.0.1.notify_all();
-    }
-
     /// Writes the newest record of a key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![key.len() as u8];
@@ -115,9 +107,6 @@
             .collect();
         let number = |name: &str| fields.get(name).and_then(|text| text.parse::<usize>().ok());
         let topic = fields.get("topic").copied().unwrap_or_default();
-        if self.0.0.lock().unwrap().down {
-            return Answer::json(503, String::new());
-        }
         match path {
             "/api/log-append" => self.append(topic, number("at"), body),
             "/api/log-newest" => self.newest(topic, fields.get("after").copied()),
@@ -154,7 +143,7 @@
         loop {
             let records = state.topics.get(topic).map_or(&[][..], Vec::as_slice);
             let left = until.saturating_duration_since(Instant::now());
-            if records.len() > from || left.is_zero() || state.down {
+            if records.len() > from || left.is_zero() {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend(0u64.to_be_bytes());
                 for record in records.iter().skip(from) {
@@ -164,8 +153,7 @@
                     body.extend((record.len() as u32).to_be_bytes());
                     body.extend(record);
                 }
-                let status = if state.down { 503 } else { 200 };
-                return Answer { status, body };
+                return Answer { status: 200, body };
             }
             state = self.0.1.wait_timeout(state, left).unwrap().0;
         }
