--- a/review/standin-2/extra.rs
+++ b/review/standin-2/extra.rs
@@ -100,7 +100,7 @@
             callers.push(thread::spawn(move || ask_until(front, &name, until)));
         }
     }
-    let mut outcomes = HashMap::new();
+    let mut outcomes = Vec::new();
     for caller in callers {
         outcomes.extend(caller.join().expect("a caller"));
     }
@@ -108,27 +108,19 @@
     Ok(report(play, &outcomes, &seen.lock().unwrap()))
 }
 
-fn report(play: &Play, outcomes: &HashMap<String, Outcome>, seen: &[Seen]) -> bool {
-    let mut runs: HashMap<&str, Vec<&Seen>> = HashMap::new();
+fn report(play: &Play, outcomes: &[(String, Outcome)], seen: &[Seen]) -> bool {
+    play.note_all(outcomes, seen);
+    let mut runs: HashMap<&str, usize> = HashMap::new();
     for run in seen {
-        runs.entry(&run.name).or_default().push(run);
+        *runs.entry(&run.name).or_default() += 1;
     }
     let mut twice = 0;
     let mut refused = 0;
-    let mut names: Vec<_> = outcomes.keys().collect();
-    names.sort();
-    for name in names {
-        let runs = runs.get(name.as_str()).map_or(&[][..], Vec::as_slice);
-        let outcome = &outcomes[name];
+    for (name, outcome) in outcomes {
+        let runs = runs.get(name.as_str()).copied().unwrap_or(0);
         let was_refused = matches!(outcome, Outcome::Answered(408 | 421 | 429 | 503));
-        twice += usize::from(runs.len() > 1);
-        refused += usize::from(was_refused && !runs.is_empty());
-        if runs.len() > 1 || *outcome != Outcome::Answered(200) {
-            for run in runs {
-                play.note_at(run.at, &format!("runner {} runs {name}", run.runner));
-            }
-            play.note(&format!("the caller of {name} gets {outcome:?}"));
-        }
+        twice += usize::from(runs > 1);
+        refused += usize::from(was_refused && runs > 0);
     }
     let (sent, ran) = (outcomes.len(), seen.len());
     play.note(&format!("{sent} requests were sent, {ran} runs"));
--- a/review/standin-2/harmful.rs
+++ b/review/standin-2/harmful.rs
@@ -122,13 +122,18 @@
             play.note(&format!("{name}, harmful, at {}: {outcome:?}", router.vm));
             thread::sleep(INTERVAL);
         }
-        let mut counts = (0, 0);
+        let mut outcomes = Vec::new();
         for caller in callers {
-            let (all, lost) = caller.join().expect("a caller");
-            counts = (counts.0 + all, counts.1 + lost);
+            outcomes.extend(caller.join().expect("a caller"));
         }
-        let (all, lost) = counts;
-        play.note(&format!("{lost} of {all} sound requests failed meanwhile"));
+        play.note_all(&outcomes, &seen.lock().unwrap());
+        let whole = outcomes
+            .iter()
+            .filter(|(_, outcome)| *outcome == Outcome::Answered(200));
+        let (all, whole) = (outcomes.len(), whole.count());
+        play.note(&format!(
+            "{whole} of {all} sound requests were served meanwhile"
+        ));
         in_touch.push((begun, Instant::now()));
     }
     report(play, &seen.lock().unwrap(), &in_touch)
@@ -176,13 +181,13 @@
     }
 }
 
-/// Asks for sound requests, one after the other; returns how many, and how many of them had no success.
-fn ask_until(front: SocketAddr, name: &str, until: Instant) -> (usize, usize) {
-    let (mut all, mut lost) = (0, 0);
+/// Asks for sound requests, one after the other; returns how each ended.
+fn ask_until(front: SocketAddr, name: &str, until: Instant) -> Vec<(String, Outcome)> {
+    let mut outcomes = Vec::new();
     while Instant::now() < until {
-        let outcome = ask(front, "/tiles/1", &format!("{name}n{all}"));
-        all += 1;
-        lost += usize::from(outcome != Outcome::Answered(200));
+        let name = format!("{name}n{}", outcomes.len());
+        let outcome = ask(front, "/tiles/1", &name);
+        outcomes.push((name, outcome));
     }
-    (all, lost)
+    outcomes
 }
--- a/review/standin-2/late_crash.rs
+++ b/review/standin-2/late_crash.rs
@@ -105,13 +105,18 @@
         play.note(&format!("{name}, harmful, at {}: {outcome:?}", router.vm));
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
-    let (mut all, mut lost) = (0, 0);
+    let mut outcomes = Vec::new();
     for caller in callers {
-        let counts = caller.join().expect("a caller");
-        (all, lost) = (all + counts.0, lost + counts.1);
+        outcomes.extend(caller.join().expect("a caller"));
     }
-    play.note(&format!("{lost} of {all} sound streams were not whole"));
-    report(play, &seen.lock().unwrap())
+    let seen = seen.lock().unwrap();
+    play.note_all(&outcomes, &seen);
+    let whole = outcomes
+        .iter()
+        .filter(|(_, outcome)| *outcome == Outcome::Answered(200));
+    let (all, whole) = (outcomes.len(), whole.count());
+    play.note(&format!("{whole} of {all} sound streams were whole"));
+    report(play, &seen)
 }
 
 fn report(play: &Play, seen: &[Seen]) -> io::Result<bool> {
@@ -160,17 +165,17 @@
     }
 }
 
-/// Asks for sound streams, one after the other; returns how many, and how many of them were not whole.
-fn ask_until(front: SocketAddr, name: &str, until: Instant) -> (usize, usize) {
-    let (mut all, mut lost) = (0, 0);
+/// Asks for sound requests, one after the other; returns how each ended.
+fn ask_until(front: SocketAddr, name: &str, until: Instant) -> Vec<(String, Outcome)> {
+    let mut outcomes = Vec::new();
     while Instant::now() < until {
-        let outcome = ask(front, SOUND, &format!("{name}n{all}"));
-        all += 1;
-        lost += usize::from(outcome != Outcome::Answered(200));
+        let name = format!("{name}n{}", outcomes.len());
+        let outcome = ask(front, SOUND, &name);
         if outcome != Outcome::Answered(200) {
             // Clients that are refused wait before they ask again.
             thread::sleep(Duration::from_millis(200));
         }
+        outcomes.push((name, outcome));
     }
-    (all, lost)
+    outcomes
 }
--- a/review/standin-2/play.rs
+++ b/review/standin-2/play.rs
@@ -1,5 +1,6 @@
 //! What all plays share: the addresses, the record, the configuration.
 
+use std::collections::HashMap;
 use std::fs;
 use std::fs::File;
 use std::io;
@@ -10,6 +11,8 @@
 use std::time::Instant;
 
 use crate::client::HOST;
+use crate::client::Outcome;
+use crate::runner::Seen;
 
 /// A play of a case.
 pub struct Play {
@@ -48,6 +51,23 @@
         let _ = writeln!(self.record.lock().unwrap(), "{seconds:8.3} s  {line}");
     }
 
+    /// Writes a line for each request: how it ended for its caller, and which runners ran it.
+    pub fn note_all(&self, outcomes: &[(String, Outcome)], seen: &[Seen]) {
+        let mut runs: HashMap<&str, Vec<String>> = HashMap::new();
+        for run in seen {
+            let end = run.end.unwrap_or("not over");
+            let text = format!("{} ({end})", run.runner);
+            runs.entry(&run.name).or_default().push(text);
+        }
+        for (name, outcome) in outcomes {
+            let runs = runs.get(name.as_str()).map(|runs| runs.join(", "));
+            let runs = runs.unwrap_or_else(|| "no runner".to_owned());
+            self.note(&format!(
+                "{name} was sent, ran at {runs}, and ended for its caller as {outcome:?}"
+            ));
+        }
+    }
+
     /// Returns the address of a machine of this play.
     pub fn ip(&self, machine: u8) -> String {
         let run = std::process::id();
--- a/review/standin-2/prepaid.rs
+++ b/review/standin-2/prepaid.rs
@@ -147,6 +147,8 @@
     for caller in callers {
         let _ = caller.join();
     }
+    // A process that panics writes where before it ends.
+    thread::sleep(Duration::from_secs(1));
     report(
         play,
         &mut routers,
