End reservations by value, and count use from before a team's first limit

Streams of an account without `prepaid` run at three routers; a version gives it one; all three processes end with code 101 within milliseconds, 7 of 8 streams cut at each.

Cause: what a request reserved was kept as a state of the request and as a sum of the budget, and nothing tied them together. A team without a limit had no budget, `reserve` said done and counted nothing, and the request was marked as funded. When the limit came, `settle` subtracted what was never added.

Ruled out: the version by itself (a limit without requests ends nothing); clamping at zero (tokens of one reservation would be subtracted from another's); the ledger's pair and loans (read: each amount goes with the state or the ticket that ends it).

Change: a reservation is a value that can't be copied and says what was added; each team has a budget, with or without a limit. `prepaid` is the total that a tenant may consume today, so use from before the limit counts: it is recorded as granted at each review, and what is used beyond the record when the limit comes is drawn, or borrowed, first. A limit that is taken away no longer binds. Budget that another router hands over before the limit is known here is kept.

--- a/src/router/budget_status.rs
+++ b/src/router/budget_status.rs
@@ -26,11 +26,11 @@
         };
         let rest = self.remainder(now, team);
         info!(
-            event = "budget", %request, %team, prepaid = %budget.prepaid, granted = %self.grant_state.granted(team),
-            reserved = %budget.reserved, spent = %budget.spent,
+            event = "budget", %request, %team, prepaid = %budget.prepaid(), granted = %self.grant_state.granted(team),
+            reserved = %budget.reserved(), spent = %budget.spent,
             elsewhere = %self.grant_state.granted_to_others(team),
             spent_elsewhere = %self.grant_state.spent_by_others(team),
-            undrawn = %self.grant_state.undrawn(team, budget.prepaid), in_reach = %rest.left,
+            undrawn = %self.grant_state.undrawn(team, budget.prepaid()), in_reach = %rest.left,
             demand = rest.demand as u64, lasts_ms = rest.lasts.as_millis() as u64,
             age_ms = self.log_answer_age(now),
         );
@@ -41,15 +41,15 @@
         let budgets = self.budgets.iter().map(|(team, budget)| {
             json!({
                 "team": team,
-                "prepaid": budget.prepaid,
+                "prepaid": budget.is_limited().then(|| budget.prepaid()),
                 "granted_here": self.grant_state.granted(team),
-                "reserved_here": budget.reserved,
+                "reserved_here": budget.reserved(),
                 "spent_here": budget.spent,
                 "lent": budget.loans.lent(),
                 "borrowed": budget.loans.borrowed(),
                 "granted_elsewhere": self.grant_state.granted_to_others(team),
                 "spent_elsewhere_at_least": self.grant_state.spent_by_others(team),
-                "undrawn": self.grant_state.undrawn(team, budget.prepaid),
+                "undrawn": self.grant_state.undrawn(team, budget.prepaid()),
                 "waiting": budget.waiting.len(),
             })
         });
--- a/src/router/grant_budget.rs
+++ b/src/router/grant_budget.rs
@@ -34,6 +34,32 @@
 /// How many mean requests one large request counts for in these averages, at most.
 const MAX_SIZE_FACTOR: f64 = 4.0;
 
+/// What a request reserved of a budget, as the budget counts it.
+///
+/// A budget may get or lose its limit while the request is in progress. The request gives this back when it ends, so
+/// that exactly what was added is subtracted.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Reserved(Tokens);
+
+impl Reserved {
+    /// The reservation of a request that no budget counts.
+    pub(crate) const NOTHING: Self = Self(Tokens::ZERO);
+
+    /// Returns the amount.
+    pub(crate) fn amount(&self) -> Tokens {
+        self.0
+    }
+}
+
+/// Who was given budget after a wait.
+#[derive(Debug)]
+pub(crate) enum Funded {
+    /// A request at this router.
+    Request(RequestId, Reserved),
+    /// Another router, with all its loan requests under one number.
+    Loan(Vec<ReplyId>, Tokens),
+}
+
 /// Who waits for budget.
 #[derive(Clone, Debug)]
 pub(crate) enum Waiter {
@@ -56,10 +82,13 @@
 /// One team's budget as far as this router spends it.
 #[derive(Debug)]
 pub(crate) struct GrantBudget {
-    /// All that the team may ever use.
-    pub(crate) prepaid: Tokens,
+    /// The most that the team ever prepaid.
+    prepaid: Tokens,
+    /// Whether the team may use no more than it prepaid. What it uses is counted either way: a limit covers what was
+    /// used before it came.
+    limited: bool,
     /// Reserved for requests in progress.
-    pub(crate) reserved: Tokens,
+    reserved: Tokens,
     /// Used by requests that have ended.
     pub(crate) spent: Tokens,
     pub(crate) waiting: VecDeque<Waiting>,
@@ -81,10 +110,11 @@
 }
 
 impl GrantBudget {
-    /// Creates a budget of which nothing is prepaid yet.
+    /// Creates the budget of a team without a limit.
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             prepaid: Tokens::ZERO,
+            limited: false,
             reserved: Tokens::ZERO,
             spent: Tokens::ZERO,
             waiting: VecDeque::new(),
@@ -100,6 +130,82 @@
         }
     }
 
+    /// Returns all that the team may ever use: the largest amount if it has no limit.
+    pub(crate) fn prepaid(&self) -> Tokens {
+        match self.limited {
+            true => self.prepaid,
+            false => Tokens(u64::MAX),
+        }
+    }
+
+    /// Returns whether the team may use no more than it prepaid.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.limited
+    }
+
+    /// Updates what the team prepaid, which never shrinks; `None` lifts its limit. Returns whether anything changed.
+    pub(crate) fn set_prepaid(&mut self, prepaid: Option<Tokens>) -> bool {
+        let old = self.prepaid();
+        self.limited = prepaid.is_some();
+        self.prepaid = self.prepaid.max(prepaid.unwrap_or_default());
+        self.prepaid() != old
+    }
+
+    /// Returns what is reserved for requests in progress.
+    pub(crate) fn reserved(&self) -> Tokens {
+        self.reserved
+    }
+
+    /// Adds a reservation. Reservations of a team without a limit may be of any size; what overflows isn't counted.
+    pub(crate) fn reserve(&mut self, amount: Tokens) -> Reserved {
+        let sum = self.reserved.saturating_add(amount);
+        let added = sum - self.reserved;
+        self.reserved = sum;
+        Reserved(added)
+    }
+
+    /// Ends a reservation, of which `used` was spent.
+    pub(crate) fn settle(&mut self, reserved: Reserved, used: Tokens) {
+        let Reserved(amount) = reserved;
+        let used = used.min(amount);
+        self.reserved -= amount;
+        self.spent = self.spent.saturating_add(used);
+        // Larger reservations were made without a limit, and may be of any size.
+        if amount <= self.prepaid {
+            self.update_averages(amount, used);
+        }
+    }
+
+    /// Gives a waiting entry its budget if `available` covers it, or if it is a request and the team has no limit.
+    pub(crate) fn fund(
+        &mut self,
+        now: Instant,
+        waiting: &Waiting,
+        available: Tokens,
+    ) -> Option<Funded> {
+        let covered = waiting.amount <= available;
+        match &waiting.who {
+            Waiter::Request(id) if covered || !self.limited => {
+                self.record_given(now, waiting.amount);
+                Some(Funded::Request(*id, self.reserve(waiting.amount)))
+            }
+            Waiter::Loan(ids, ask) if covered => {
+                let amount = self.loans.lend(ask, waiting.amount);
+                self.record_given(now, amount);
+                Some(Funded::Loan(ids.clone(), amount))
+            }
+            Waiter::Request(_) | Waiter::Loan(..) => None,
+        }
+    }
+
+    /// Returns how much more than a grant is in use: what was used before the team's limit came.
+    pub(crate) fn overdraft(&self, granted: Tokens) -> Tokens {
+        match self.limited {
+            true => self.in_use().saturating_sub(granted),
+            false => Tokens::ZERO,
+        }
+    }
+
     /// Returns the demand here, of callers and of routers that borrow, in tokens a second.
     pub(crate) fn rate(&self, now: Instant) -> f64 {
         self.scale_to_window(now, self.ration.rate(now))
@@ -166,7 +272,7 @@
     }
 
     /// Updates the averages with what a request used of its reservation.
-    pub(crate) fn update_averages(&mut self, reserved: Tokens, used: Tokens) {
+    fn update_averages(&mut self, reserved: Tokens, used: Tokens) {
         if reserved > Tokens::ZERO {
             let weight =
                 AVERAGE_WEIGHT * (reserved.0 as f64 / self.mean_reservation).min(MAX_SIZE_FACTOR);
--- a/src/router/grant_budgets.rs
+++ b/src/router/grant_budgets.rs
@@ -25,6 +25,7 @@
 use crate::router::event::GrantEvent;
 use crate::router::fleet_clock::FleetClock;
 use crate::router::grant_budget::GrantBudget;
+use crate::router::grant_budget::Reserved;
 use crate::router::grant_review::StopPhase;
 use crate::router::heartbeat::Heartbeat;
 use crate::router::ownership::Ownership;
@@ -64,10 +65,10 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// The outcome of reserving the budget of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub(crate) enum ReserveOutcome {
     /// The budget is reserved, or none is needed.
-    Done,
+    Done(Reserved),
     /// This router holds too little.
     Short,
     /// What is left is kept for more urgent requests.
@@ -155,20 +156,22 @@
         }
     }
 
-    /// Updates what the teams prepaid. A budget never shrinks, and a team that was removed keeps what it used.
+    /// Updates what the teams prepaid. A team that was removed keeps its budget.
     pub(crate) fn update_prepaid(&mut self, now: Instant, table: &RouteTable) {
+        let mut limits = IndexMap::<_, Option<Tokens>>::new();
         for payer in table.payers() {
-            let Some(prepaid) = payer.prepaid else {
-                continue;
-            };
-            if !self.budgets.contains_key(&payer.team) {
-                self.ownership.add_team(&payer.team);
+            let limit = limits.entry(&payer.team).or_default();
+            *limit = payer.prepaid.max(*limit);
+        }
+        for (team, limit) in limits {
+            if !self.budgets.contains_key(team) {
+                self.ownership.add_team(team);
             }
-            let budget = self.budgets.entry(payer.team.clone());
+            let budget = self.budgets.entry(team.clone());
             let budget = budget.or_insert_with(|| GrantBudget::new(now));
-            if prepaid > budget.prepaid {
-                info!(event = "prepaid", team = %payer.team, %prepaid);
-                budget.prepaid = prepaid;
+            if budget.set_prepaid(limit) {
+                let limit = limit.map(|limit| limit.0);
+                info!(event = "prepaid", %team, prepaid = limit, in_use = %budget.in_use());
                 self.reviewed_at = None;
             }
         }
@@ -179,7 +182,7 @@
         self.grant_state.end().is_some()
     }
 
-    /// Reserves what a request may cost; a team without a limit needs no reservation.
+    /// Reserves what a request may cost. A team without a limit reserves whatever it asks for.
     pub(crate) fn reserve(
         &mut self,
         now: Instant,
@@ -190,12 +193,12 @@
         let available = self.available_to(now, team, priority);
         let remainder = self.remainder(now, team);
         let Some(budget) = self.budgets.get_mut(team) else {
-            return ReserveOutcome::Done;
+            return ReserveOutcome::Done(Reserved::NOTHING);
         };
-        if amount == Tokens::ZERO {
-            return ReserveOutcome::Done;
+        if amount == Tokens::ZERO || !budget.is_limited() {
+            return ReserveOutcome::Done(budget.reserve(amount));
         }
-        if amount > budget.prepaid {
+        if amount > budget.prepaid() {
             return ReserveOutcome::Unaffordable;
         }
         budget.record_demand(now, priority, amount);
@@ -205,19 +208,18 @@
         if available < amount {
             return ReserveOutcome::Short;
         }
-        budget.reserved += amount;
+        let reserved = budget.reserve(amount);
         budget.record_given(now, amount);
         self.mark_low(now, team, available - amount);
-        ReserveOutcome::Done
+        ReserveOutcome::Done(reserved)
     }
 
     /// Ends a reservation, of which `used` was spent.
-    pub(crate) fn settle(&mut self, team: &TeamId, reserved: Tokens, used: Tokens) {
-        if let Some(budget) = self.budgets.get_mut(team) {
-            let used = used.min(reserved);
-            budget.reserved -= reserved;
-            budget.spent += used;
-            budget.update_averages(reserved, used);
+    pub(crate) fn settle(&mut self, team: &TeamId, reserved: Reserved, used: Tokens) {
+        if let Some(budget) = self.budgets.get_mut(team)
+            && reserved != Reserved::NOTHING
+        {
+            budget.settle(reserved, used);
         }
     }
 
@@ -319,11 +321,7 @@
         }
         let start = self.clock.start_reading(now);
         let budgets = &self.budgets;
-        let prepaid = |team: &TeamId| {
-            budgets
-                .get(team)
-                .map_or(Tokens::ZERO, |budget| budget.prepaid)
-        };
+        let prepaid = |team: &TeamId| budgets.get(team).map_or(Tokens::ZERO, GrantBudget::prepaid);
         if let Some(proposal) = self.grant_state.propose(changes, &start, prepaid) {
             return Some(Effect::ProposeGrants(proposal));
         }
@@ -354,7 +352,7 @@
         let (used, room, rate) = pace.unwrap_or_default();
         let moved = self.budgets.get(team).map(|budget| {
             let loans = &budget.loans;
-            (budget.reserved, loans.lent(), loans.borrowed())
+            (budget.reserved(), loans.lent(), loans.borrowed())
         });
         let (reserved, lent, borrowed) = moved.unwrap_or_default();
         info!(
@@ -423,7 +421,7 @@
     /// Returns all that a team may ever use.
     pub(super) fn prepaid(&self, team: &TeamId) -> Tokens {
         let budget = self.budgets.get(team);
-        budget.map_or(Tokens::ZERO, |budget| budget.prepaid)
+        budget.map_or(Tokens::ZERO, GrantBudget::prepaid)
     }
 
     /// Returns the most that this router could reserve if it drew everything that is undrawn.
@@ -435,17 +433,17 @@
     /// Returns the most that can be left of a team's budget, given everything that is known to be used.
     pub(super) fn max_left(&self, team: &TeamId) -> Tokens {
         self.budgets.get(team).map_or(Tokens::ZERO, |budget| {
-            let here = budget.spent.saturating_add(budget.reserved);
+            let prepaid = budget.prepaid();
+            let here = budget.spent.saturating_add(budget.reserved());
             let used = here.saturating_add(self.grant_state.spent_by_others(team));
             let in_transit = match self.ownership.is_owned_by_all() {
                 true => Tokens::ZERO,
-                false => Tokens(budget.prepaid.0 / IN_TRANSIT_DIVISOR),
+                false => Tokens(prepaid.0 / IN_TRANSIT_DIVISOR),
             };
-            budget
-                .prepaid
+            prepaid
                 .saturating_sub(used)
                 .saturating_add(in_transit)
-                .min(budget.prepaid)
+                .min(prepaid)
         })
     }
 }
--- a/src/router/grant_review.rs
+++ b/src/router/grant_review.rs
@@ -168,14 +168,23 @@
         if self.is_owned_elsewhere(now, team) {
             return granted - free.min(granted);
         }
+        // What is used without a limit is on record when the limit comes.
+        if !budget.is_limited() {
+            return budget.in_use();
+        }
+        let undrawn = self.grant_state.undrawn(team, budget.prepaid());
+        let overdraft = budget.overdraft(granted).min(undrawn);
+        if overdraft > Tokens::ZERO {
+            return granted + overdraft;
+        }
         if self.stop_phase != StopPhase::Running && budget.waiting.is_empty() {
             let kept = self.kept_on_stop(now, budget);
             return granted - free.saturating_sub(kept).min(granted);
         }
         let share = BudgetView {
             free,
-            claimed: budget.reserved,
-            undrawn: self.grant_state.undrawn(team, budget.prepaid),
+            claimed: budget.reserved(),
+            undrawn,
             routers: self.sharer_count(team),
             demand: budget.rate(now),
             team_demand: budget.rate(now) + self.peer_budgets.demand(team),
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -20,6 +20,7 @@
 use crate::router::event::GrantEvent;
 use crate::router::event::LoanRequest;
 use crate::router::event::ReplyId;
+use crate::router::grant_budget::Funded;
 use crate::router::grant_budget::Waiter;
 use crate::router::grant_budget::Waiting;
 use crate::router::grant_budgets::ReserveOutcome;
@@ -87,8 +88,8 @@
         let amount = request.reserve;
         let priority = request.relay.as_ref().map_or(0, |terms| terms.priority);
         match self.grant_budgets.reserve(now, &team, priority, amount) {
-            ReserveOutcome::Done => {
-                request.reservation = Reservation::Funded;
+            ReserveOutcome::Done(reserved) => {
+                request.reservation = Reservation::Granted(reserved);
                 self.enqueue(now, id);
             }
             ReserveOutcome::Short => {
@@ -108,13 +109,13 @@
     /// Forwards the requests whose budget is reserved now, refuses those that cannot have it, and asks the log and
     /// other routers for more.
     pub(crate) fn step_budgets(&mut self, now: Instant) {
-        for (who, amount) in self.grant_budgets.fund_waiting(now) {
-            match who {
-                Waiter::Request(id) => {
-                    self.requests[&id].reservation = Reservation::Funded;
+        for funded in self.grant_budgets.fund_waiting(now) {
+            match funded {
+                Funded::Request(id, reserved) => {
+                    self.requests[&id].reservation = Reservation::Granted(reserved);
                     self.enqueue(now, id);
                 }
-                Waiter::Loan(ids, _) => self.answer_loans(ids, amount),
+                Funded::Loan(ids, amount) => self.answer_loans(ids, amount),
             }
         }
         for (who, why) in self.grant_budgets.take_unfunded(now) {
--- a/src/router/owner_loans.rs
+++ b/src/router/owner_loans.rs
@@ -78,17 +78,27 @@
         }
     }
 
+    /// Marks a team of whose budget more is in use here than is held, so that its owners are asked for the rest.
+    fn mark_overdrawn(&mut self, team: &TeamId) {
+        let borrows = !self.ownership.owners(team).is_empty();
+        if borrows && self.overdraft(team) > Tokens::ZERO {
+            self.low_teams.insert(team.clone());
+        }
+    }
+
     /// Requests budget from its owners for teams marked as low, before a request has to wait for it.
     pub(super) fn borrow_ahead(&mut self, now: Instant, me: Incarnation) -> Vec<Effect> {
         let mut effects = Vec::new();
         for team in std::mem::take(&mut self.low_teams) {
             let left = self.max_left(&team);
             let remaining = self.available(now, &team);
+            let overdraft = self.overdraft(&team);
             let owners = self.ownership.responsive_owners(now, &team);
             let budget = &mut self.budgets[&team];
             let demand = budget.loan_demand(now);
             let target = demand.saturating_add(demand);
-            let amount = target.saturating_sub(remaining).min(left);
+            let missing = target.saturating_sub(remaining);
+            let amount = missing.saturating_add(overdraft).min(left);
             if amount == Tokens::ZERO || !budget.waiting.is_empty() {
                 continue;
             }
@@ -120,6 +130,7 @@
         let teams: Vec<_> = self.budgets.keys().cloned().collect();
         let mut effects = Vec::new();
         for team in teams {
+            self.mark_overdrawn(&team);
             let budget = &self.budgets[&team];
             let borrowed = budget.loans.borrowed() > budget.loans.lent();
             if !borrowed || !budget.waiting.is_empty() {
--- a/src/router/peer_budgets.rs
+++ b/src/router/peer_budgets.rs
@@ -206,7 +206,7 @@
     ///
     /// A budget that is simply almost spent is not rationed: withholding its last part would serve no request at all.
     fn is_mostly_lost(&self, team: &TeamId, reach: Tokens) -> bool {
-        let prepaid = self.budgets.get(team).map_or(Tokens::ZERO, |a| a.prepaid);
+        let prepaid = self.prepaid(team);
         let lost = self.max_left(team).saturating_sub(reach);
         lost > reach && lost.0 > prepaid.0 / LOSS_DIVISOR
     }
--- a/src/router/request.rs
+++ b/src/router/request.rs
@@ -22,6 +22,7 @@
 use crate::ledger::Bearer;
 use crate::router::event::Resumption;
 use crate::router::event::Work;
+use crate::router::grant_budget::Reserved;
 use crate::router::problem::Problem;
 use crate::router::streams::StreamVersion;
 use crate::tokens::Tokens;
@@ -153,12 +154,14 @@
 }
 
 /// The state of a request's reservation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Reservation {
     /// Nothing is reserved.
     None,
     /// The cost is reserved in this router's ledger budget.
     Funded,
+    /// The cost is reserved in a budget kept by grants.
+    Granted(Reserved),
     /// Its claim is on its way to the log; the ledger budget keeps the reservation until the verdict.
     Pending,
     /// The ledger accepted its claim.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -404,7 +404,9 @@
         };
         request.state = State::Abandoned;
         match request.reservation {
-            Reservation::None | Reservation::Funded => self.finish(now, id),
+            Reservation::None | Reservation::Funded | Reservation::Granted(_) => {
+                self.finish(now, id);
+            }
             Reservation::Pending => {}
             Reservation::Claimed => self.release_claim(id),
         }
@@ -422,16 +424,19 @@
         }
         let took = now.saturating_duration_since(request.arrived_at);
         info!(event = "finished", request = %id, took_ms = took.as_millis());
-        if let Some(terms) = &request.relay {
-            if request.reservation == Reservation::Funded {
-                let (team, reserved) = (&request.team, request.reserve);
-                info!(event = "settled", request = %id, %team, %reserved, used = %terms.used);
-                self.grant_budgets.settle(team, reserved, terms.used);
+        match request.reservation {
+            Reservation::Granted(reserved) => {
+                let team = &request.team;
+                let used = request.relay.map_or(Tokens::ZERO, |terms| terms.used);
+                info!(event = "settled", request = %id, %team, reserved = %reserved.amount(), %used);
+                self.grant_budgets.settle(team, reserved, used);
             }
-        } else if request.reservation == Reservation::Funded
-            && let Some(budget) = self.ledger_budgets.get_mut(&request.team)
-        {
-            budget.end_debit(request.reserve);
+            Reservation::Funded => {
+                if let Some(budget) = self.ledger_budgets.get_mut(&request.team) {
+                    budget.end_debit(request.reserve);
+                }
+            }
+            Reservation::None | Reservation::Pending | Reservation::Claimed => {}
         }
         if self.request_by_key.get(&request.key) == Some(&id) {
             self.request_by_key.swap_remove(&request.key);
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -16,6 +16,7 @@
 mod drained_domains;
 mod endpoint_restart;
 mod extreme_amounts;
+mod first_limit;
 mod fleet;
 mod fleet_clock;
 mod fragmented;
--- a/src/router/tests/owners.rs
+++ b/src/router/tests/owners.rs
@@ -37,7 +37,7 @@
 }
 
 /// Starts a router that is not an owner of the team's budget.
-fn borrower() -> Site {
+pub(crate) fn borrower() -> Site {
     let mut site = Site::start_with_vms(1_000_000, fleet());
     site.effects.clear();
     site
--- a/src/router/waiting.rs
+++ b/src/router/waiting.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::RequestId;
 use crate::ids::TeamId;
-use crate::router::grant_budget::GrantBudget;
+use crate::router::grant_budget::Funded;
 use crate::router::grant_budget::Waiter;
 use crate::router::grant_budget::Waiting;
 use crate::router::grant_budgets::GrantBudgets;
@@ -43,42 +43,24 @@
 
     /// Reserves budget for the waiting requests that can be covered now, and returns them with their amounts. A small
     /// request may overtake a large one: if the budget does not suffice, the large one is refused, not the small one.
-    pub(crate) fn fund_waiting(&mut self, now: Instant) -> Vec<(Waiter, Tokens)> {
+    pub(crate) fn fund_waiting(&mut self, now: Instant) -> Vec<Funded> {
         let mut funded = Vec::new();
+        let away = self.unreachable_since.is_some();
         for team in self.waiting_teams() {
-            let available = self.available(now, &team);
-            let mut taken = Tokens::ZERO;
-            let away = self.unreachable_since.is_some();
-            let mut given = Vec::new();
+            let mut available = self.available(now, &team);
             let budget = &mut self.budgets[&team];
-            let GrantBudget {
-                waiting,
-                ration,
-                loans,
-                reserved,
-                ..
-            } = budget;
-            waiting.retain(|waiting| {
-                let kept = urgent_reserve(away, now, ration, waiting.priority);
-                let needed = taken.saturating_add(waiting.amount).saturating_add(kept);
-                if needed > available {
-                    return true;
+            let mut waiting = std::mem::take(&mut budget.waiting);
+            waiting.retain(|entry| {
+                let kept = urgent_reserve(away, now, &budget.ration, entry.priority);
+                let given = budget.fund(now, entry, available.saturating_sub(kept));
+                if given.is_some() {
+                    available = available.saturating_sub(entry.amount);
                 }
-                taken += waiting.amount;
-                let amount = match &waiting.who {
-                    Waiter::Request(_) => {
-                        *reserved += waiting.amount;
-                        waiting.amount
-                    }
-                    Waiter::Loan(_, ask) => loans.lend(ask, waiting.amount),
-                };
-                given.push(amount);
-                funded.push((waiting.who.clone(), amount));
-                false
+                let keep = given.is_none();
+                funded.extend(given);
+                keep
             });
-            given
-                .into_iter()
-                .for_each(|amount| budget.record_given(now, amount));
+            budget.waiting = waiting;
         }
         funded
     }
@@ -93,7 +75,15 @@
             waiting.map(|waiting| urgent_reserve(away, now, &budget.ration, waiting.priority));
         let kept = kept.max().unwrap_or_default();
         let wanted = budget.own_wanted().saturating_add(kept);
-        wanted.saturating_sub(self.available(now, team))
+        let missing = wanted.saturating_sub(self.available(now, team));
+        missing.saturating_add(self.overdraft(team))
+    }
+
+    /// Returns how much more than this router holds of a team's budget is in use here.
+    pub(super) fn overdraft(&self, team: &TeamId) -> Tokens {
+        let granted = self.grant_state.granted(team);
+        let budget = self.budgets.get(team);
+        budget.map_or(Tokens::ZERO, |budget| budget.overdraft(granted))
     }
 
     /// Removes the waiting requests that can't get their budget, or not in time, and returns them with the reason.
