Remember in the store what crashes endpoints

A request that three endpoints crashed over is refused; after each kill of all routers it crashes three more, 6 retries where 3 may reach endpoints, and the sound requests that run there break off.

Cause: what the fleet learns about requests lived in the memory of its routers and in heartbeats alone.

Ruled out: a fingerprint that depends on the process (it is the same after a restart); an expired history (nothing is known after the start).

Change: one record in the topic keyed.crashes, written on the condition that nothing was written since it was read, by the first of the routers at once, by seven others if a look shows that it lacks something. It is read when a router starts, along with what it waits for anyway; a read that fails refuses nothing and is repeated. Shared with the records of versions: ranking, pace (LogCalls, taken out of version_log.rs), client and encoding; with heartbeats: the report and its merging. A quarantine's count saturates.

--- a/src/decide/announcement.rs
+++ b/src/decide/announcement.rs
@@ -45,7 +45,7 @@
 }
 
 /// One life of an endpoint: endpoints may restart under the same name.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EndpointLife {
     /// The endpoint.
     pub vm: VmId,
--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -13,6 +13,13 @@
 /// How far apart routers may notice one crash. An endpoint that is back under its name takes longer to crash again.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 
+/// By how much the clocks of two VMs may differ: they are adjusted by seconds at most.
+pub(super) const CLOCK_ERROR: Duration = Duration::from_secs(5);
+
+/// How far apart two routers may date one crash of which they learnt from the log: each by its own clock, and with an
+/// allowance for the difference.
+const SAME_RECORDED_CRASH: Duration = Duration::from_secs(11);
+
 /// How many suspects of one crash are remembered.
 const MAX_SUSPECTS: usize = 256;
 
@@ -26,6 +33,8 @@
     pub(super) suspects: IndexMap<Suspect, Instant>,
     /// In how many heartbeats it was told.
     pub(super) told: u32,
+    /// When this router learnt of it from a record in the log, by which it is dated.
+    pub(super) read: Option<Instant>,
 }
 
 impl Crash {
@@ -49,8 +58,22 @@
 
     /// Returns whether it is the crash of an endpoint that a router noticed at a time.
     pub(super) fn is(&self, life: &EndpointLife, at: Instant) -> bool {
+        // What happened since the record was read isn't in it.
+        let period = match self.read {
+            Some(read) if at <= read => SAME_RECORDED_CRASH,
+            _ => SAME_CRASH,
+        };
+        self.is_within(life, at, period)
+    }
+
+    /// Returns whether it is the crash of an endpoint that a record in the log dates at a time.
+    pub(super) fn is_recorded(&self, life: &EndpointLife, at: Instant) -> bool {
+        self.is_within(life, at, SAME_RECORDED_CRASH)
+    }
+
+    fn is_within(&self, life: &EndpointLife, at: Instant, period: Duration) -> bool {
         let apart = self.at.max(at).saturating_duration_since(self.at.min(at));
-        self.life == *life && apart < SAME_CRASH
+        self.life == *life && apart < period
     }
 
     /// Returns whether it counts no longer against suspects of a kind, since one that is quarantined caused it. A request
--- a/src/decide/crash_history.rs
+++ b/src/decide/crash_history.rs
@@ -15,8 +15,10 @@
 use std::time::Instant;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::decide::announcement::EndpointLife;
+use crate::decide::crash::CLOCK_ERROR;
 use crate::decide::crash::Crash;
 use crate::decide::crash_report::CrashReport;
 use crate::decide::crash_report::CrashRow;
@@ -90,6 +92,8 @@
     quarantined: IndexMap<Suspect, Quarantined>,
     /// Whether crashes or their suspects changed since the last review.
     changed: bool,
+    /// The number of changes of what is to be remembered, other than by age.
+    revision: u64,
     /// When it is of use again to know which runs go on.
     progress_at: Option<Instant>,
     /// When suspects that were at the same crashes are to be reviewed.
@@ -122,6 +126,12 @@
         self.crashes.iter().filter(of_requests).count()
     }
 
+    /// Returns a number that changes whenever there is something new to remember, or to forget because it turned out to
+    /// be sound.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Records that an endpoint closed the connection of a run that was sent at `sent`, and whose answer began at `begun` if
     /// it did. Whether the endpoint crashed is to be examined.
     pub fn record_closed(
@@ -141,7 +151,8 @@
             // What was sent after a crash did not cause it.
             if sent < crash.at {
                 let suspects = suspects.iter().map(|suspect| (*suspect, sent));
-                self.changed |= crash.add(suspects);
+                let added = crash.add(suspects);
+                self.record_change(added);
             }
             return;
         }
@@ -222,6 +233,62 @@
         quarantined
     }
 
+    /// Returns all that is to be remembered when no router is left.
+    pub fn record(&self, now: Instant) -> CrashReport {
+        let crashes = self
+            .crashes
+            .iter()
+            .filter(|crash| !crash.suspects.is_empty());
+        CrashReport {
+            crashes: crashes.map(|crash| self.crash_row(now, crash)).collect(),
+            sound: Vec::new(),
+            quarantined: self
+                .quarantined
+                .keys()
+                .map(|suspect| self.quarantine_row(now, *suspect))
+                .collect(),
+        }
+    }
+
+    /// Takes over a record that a router made `passed` ago by the clocks of two VMs, and returns whether it lacks anything
+    /// known here, or has what turned out to be sound.
+    pub fn inherit(&mut self, now: Instant, mut record: CrashReport, passed: Duration) -> bool {
+        // A later time would let a suspect be held responsible again after it was cleared.
+        record.grow_older(passed.saturating_add(CLOCK_ERROR));
+        let recorded = facts(&record);
+        let known = self.crashes.clone();
+        for row in &record.crashes {
+            self.inherit_crash(now, row, &known);
+        }
+        for row in &record.quarantined {
+            self.merge_quarantine(now, row);
+        }
+        self.expire(now);
+        let is_sound = |row: &QuarantineRow| {
+            let begun = self.sound.last(row.suspect);
+            begun.is_some() && !self.quarantined.contains_key(&row.suspect)
+        };
+        let known = self.record(now);
+        let known = facts(&known);
+        !known.is_subset(&recorded) || record.quarantined.iter().any(is_sound)
+    }
+
+    /// Takes over a crash of a record. Those that were known before may be the same, dated by another clock; the others of
+    /// the record are not.
+    fn inherit_crash(&mut self, now: Instant, row: &CrashRow, known: &[Crash]) {
+        let Some(at) = now.checked_sub(row.age) else {
+            return;
+        };
+        let mut known = known.iter();
+        if let Some(same) = known.find(|crash| crash.is_recorded(&row.life, at)) {
+            return self.merge_crash(now, row, same.at);
+        }
+        let suspects = self.unclear_suspects(now, row, at);
+        if !suspects.is_empty() {
+            self.push_crash(&row.life, at, suspects.into_iter(), Some(now));
+        }
+    }
+
     /// Quarantines the suspects that explain enough crashes, and returns them with the number of their crashes.
     pub fn review(&mut self, now: Instant) -> Vec<(Suspect, usize)> {
         if !std::mem::take(&mut self.changed) && !self.is_review_due(now) {
@@ -267,14 +334,8 @@
 
     /// Returns what the other routers are told now.
     pub fn report(&self, now: Instant) -> CrashReport {
-        let crashes = self.told_crashes().map(|index| {
-            let crash = &self.crashes[index];
-            CrashRow {
-                life: crash.life.clone(),
-                age: now.saturating_duration_since(crash.at),
-                suspects: self.told_suspects(now, crash),
-            }
-        });
+        let crashes = self.told_crashes();
+        let crashes = crashes.map(|index| self.crash_row(now, &self.crashes[index]));
         let sound = self.sound_told.keys().rev().filter_map(|suspect| {
             let begun = self.sound.last(*suspect)?;
             Some(SoundRow {
@@ -282,15 +343,8 @@
                 age: now.saturating_duration_since(begun),
             })
         });
-        let quarantined = self.told_quarantines(now).map(|suspect| {
-            let row = &self.quarantined[&suspect];
-            QuarantineRow {
-                suspect,
-                first: now.saturating_duration_since(row.first),
-                age: now.saturating_duration_since(row.since),
-                count: row.count,
-            }
-        });
+        let quarantined = self.told_quarantines(now);
+        let quarantined = quarantined.map(|suspect| self.quarantine_row(now, suspect));
         CrashReport {
             crashes: crashes.collect(),
             sound: sound.take(MAX_ROWS).collect(),
@@ -298,6 +352,24 @@
         }
     }
 
+    fn crash_row(&self, now: Instant, crash: &Crash) -> CrashRow {
+        CrashRow {
+            life: crash.life.clone(),
+            age: now.saturating_duration_since(crash.at),
+            suspects: self.told_suspects(now, crash),
+        }
+    }
+
+    fn quarantine_row(&self, now: Instant, suspect: Suspect) -> QuarantineRow {
+        let row = &self.quarantined[&suspect];
+        QuarantineRow {
+            suspect,
+            first: now.saturating_duration_since(row.first),
+            age: now.saturating_duration_since(row.since),
+            count: row.count,
+        }
+    }
+
     /// Has the next report tell other rows than the one that was made now, if there are too many for one.
     pub fn advance(&mut self, now: Instant) {
         self.expire(now);
@@ -316,6 +388,19 @@
     }
 
     fn merge_crash(&mut self, now: Instant, row: &CrashRow, at: Instant) {
+        let suspects = self.unclear_suspects(now, row, at);
+        if !suspects.is_empty() {
+            self.add_crash(&row.life, at, suspects.into_iter());
+        }
+    }
+
+    /// Returns the suspects of a crash that are not known to be sound. The others are told of those that are.
+    fn unclear_suspects(
+        &mut self,
+        now: Instant,
+        row: &CrashRow,
+        at: Instant,
+    ) -> Vec<(Suspect, Instant)> {
         let mut suspects = Vec::new();
         for SuspectRow { suspect, sent } in &row.suspects {
             if self.sound.last(*suspect).is_some_and(|begun| begun >= at) {
@@ -324,9 +409,7 @@
                 suspects.push((*suspect, sent));
             }
         }
-        if !suspects.is_empty() {
-            self.add_crash(&row.life, at, suspects.into_iter());
-        }
+        suspects
     }
 
     fn merge_quarantine(&mut self, now: Instant, row: &QuarantineRow) -> bool {
@@ -363,9 +446,23 @@
     {
         if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.is(life, at)) {
             crash.at = crash.at.min(at);
-            self.changed |= crash.add(suspects);
+            let added = crash.add(suspects);
+            self.record_change(added);
             return;
         }
+        self.push_crash(life, at, suspects, None);
+    }
+
+    /// Adds a crash of which this router learnt from a record at `read`, if it did.
+    fn push_crash<I>(
+        &mut self,
+        life: &EndpointLife,
+        at: Instant,
+        suspects: I,
+        read: Option<Instant>,
+    ) where
+        I: Iterator<Item = (Suspect, Instant)>,
+    {
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
         }
@@ -374,9 +471,17 @@
             at,
             suspects: IndexMap::new(),
             told: 0,
+            read,
         };
-        self.changed |= crash.add(suspects);
+        let added = crash.add(suspects);
         self.crashes.push(crash);
+        self.record_change(added);
+    }
+
+    /// Records whether crashes, their suspects or quarantines changed.
+    fn record_change(&mut self, changed: bool) {
+        self.changed |= changed;
+        self.revision += u64::from(changed);
     }
 
     /// Clears a suspect of all crashes before a time; returns whether it was held responsible for any.
@@ -390,7 +495,7 @@
             self.quarantined.swap_remove(&suspect);
             cleared = true;
         }
-        self.changed |= cleared;
+        self.record_change(cleared);
         cleared
     }
 
@@ -405,11 +510,12 @@
                 .filter(|crash| crash.at >= end && crash.suspects.contains_key(suspect));
             if let Some(since) = again.map(|crash| crash.at).min().filter(|_| now >= end) {
                 row.since = since;
-                row.count += 1;
+                row.count = row.count.saturating_add(1);
                 row.told = 0;
                 renewed.push((*suspect, 1));
             }
         }
+        self.revision += u64::from(!renewed.is_empty());
         renewed
     }
 
@@ -428,6 +534,7 @@
             self.quarantined.shift_remove_index(0);
         }
         self.quarantined.insert(suspect, quarantined);
+        self.revision += 1;
     }
 
     /// Returns the positions of the crashes that are told next: those that were told least.
@@ -473,3 +580,26 @@
         self.sound_told.retain(|_, until| now < *until);
     }
 }
+
+/// What a report says, apart from when it happened.
+#[derive(Debug, PartialEq, Eq, Hash)]
+enum Fact<'a> {
+    /// A suspect ran at an endpoint that crashed, and the number of earlier crashes of that endpoint with it.
+    Ran(&'a EndpointLife, Suspect, usize),
+    /// A suspect was quarantined so many times.
+    Quarantined(Suspect, u32),
+}
+
+fn facts(report: &CrashReport) -> IndexSet<Fact<'_>> {
+    let mut crashes = IndexMap::new();
+    let runs = report.crashes.iter();
+    let runs = runs.flat_map(|row| row.suspects.iter().map(|of| (&row.life, of.suspect)));
+    let runs = runs.map(|(life, suspect)| {
+        let count = crashes.entry((life, suspect)).or_insert(0);
+        *count += 1;
+        Fact::Ran(life, suspect, *count - 1)
+    });
+    let quarantined = report.quarantined.iter();
+    let quarantined = quarantined.map(|row| Fact::Quarantined(row.suspect, row.count));
+    runs.chain(quarantined).collect()
+}
--- a/src/platform/streams.rs
+++ b/src/platform/streams.rs
@@ -1,4 +1,5 @@
-//! Reads and writes in the store what began streams, and the versions of pools.
+//! Reads and writes in the store what is to outlive a kill of all routers: what began streams, the versions of pools, and
+//! crashes of endpoints.
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,17 +21,35 @@
 /// The topic of versions, of which the store retains the newest record of each pool.
 const VERSIONS: &str = "keyed.versions";
 
+/// The topic of crashes, and the key of its only record.
+const CRASHES: &str = "keyed.crashes";
+const ALL: &str = "all";
+
 /// Makes a call, and returns what came of it.
 pub(crate) async fn call(store: &Store, call: StreamLogCall) -> StreamLogEvent {
     match call {
         StreamLogCall::Append(records) => {
             let records: Vec<_> = records.iter().map(|r| keyed("", r)).collect();
-            StreamLogEvent::Appended(append(store, STREAMS, &records).await)
+            StreamLogEvent::Appended(append(store, STREAMS, &records, None).await)
         }
         StreamLogCall::WriteVersions(record) => {
-            let written = append(store, VERSIONS, &[keyed(record.pool.as_str(), &record)]).await;
+            let records = [keyed(record.pool.as_str(), &record)];
+            let written = append(store, VERSIONS, &records, None).await;
             StreamLogEvent::VersionsWritten(record, written)
         }
+        StreamLogCall::WriteCrashes(record, Offset(end)) => {
+            let written = append(store, CRASHES, &[keyed(ALL, &record)], Some(end)).await;
+            StreamLogEvent::CrashesWritten(written.then(|| Offset(end.saturating_add(1))))
+        }
+        StreamLogCall::ReadCrashes => {
+            let table = store.newest(CRASHES).await;
+            let table = answered(CRASHES, table);
+            StreamLogEvent::CrashesRead(table.map(|table| {
+                let row = table.rows.iter().find(|row| row.key == ALL);
+                let record = row.and_then(|row| decode(CRASHES, &row.value));
+                (record, Offset(table.end))
+            }))
+        }
         StreamLogCall::Read(from) => {
             let read = read(store, from.map_or(0, |from| from.0)).await;
             StreamLogEvent::Read(answered(STREAMS, read))
@@ -47,8 +66,8 @@
     }
 }
 
-async fn append(store: &Store, topic: &str, records: &[Keyed]) -> bool {
-    let append = store.append(topic, records, None).await;
+async fn append(store: &Store, topic: &str, records: &[Keyed], at: Option<u64>) -> bool {
+    let append = store.append(topic, records, at).await;
     if append != Append::Landed {
         warn!(event = "streams-unwritten", topic, ?append);
     }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -40,6 +40,7 @@
 use crate::router::appender::Appender;
 use crate::router::cold::ColdEndpoints;
 use crate::router::config_stream::ConfigStream;
+use crate::router::crash_log::CrashLog;
 use crate::router::drained::DrainedDomains;
 use crate::router::effect::Effect;
 use crate::router::event::Event;
@@ -228,6 +229,8 @@
     pub(crate) stream_log: StreamLog,
     /// Which versions the log has of each pool.
     pub(crate) version_log: VersionLog,
+    /// What the log remembers of crashes of endpoints.
+    pub(crate) crash_log: CrashLog,
     /// Requests that wait until the lists are known to be current.
     pub(crate) confirmations: Confirmations,
     /// Budgets granted to this router, unless the ledger accounts for them.
@@ -323,6 +326,7 @@
             streams: Streams::new(now),
             stream_log: StreamLog::new(now),
             version_log: VersionLog::new(now),
+            crash_log: CrashLog::new(now),
             confirmations: Confirmations::new(now),
             grant_budgets: GrantBudgets::new(now, tuning.vm.clone(), me, tuning.lean, tuning.clock),
             tuning,
@@ -414,6 +418,7 @@
         self.send_slot_messages(now);
         self.send_streams();
         self.step_stream_log(now);
+        self.step_crash_log(now);
         std::mem::take(&mut self.effects)
     }
 
--- a/src/router/crashes.rs
+++ b/src/router/crashes.rs
@@ -104,7 +104,7 @@
         }
     }
 
-    fn review_crashes(&mut self, now: Instant) {
+    pub(crate) fn review_crashes(&mut self, now: Instant) {
         let found = self.crash_history.review(now);
         for (suspect, crashes) in &found {
             warn!(event = "quarantined", %suspect, crashes);
@@ -130,7 +130,7 @@
     }
 
     /// Refuses the waiting requests that are quarantined.
-    fn refuse_quarantined(&mut self, now: Instant) {
+    pub(crate) fn refuse_quarantined(&mut self, now: Instant) {
         let waiting = self.requests.iter().filter_map(|(id, request)| {
             let waits = matches!(
                 request.state,
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -70,10 +70,11 @@
         self.serve_with_grants();
     }
 
-    /// Starts serving once the configuration, the endpoints and the grants are known.
+    /// Starts serving once the configuration, the endpoints and the grants are known, and the log was asked for crashes.
     pub(crate) fn serve_with_grants(&mut self) {
         let ready = self.route_table.is_some()
             && self.grant_budgets.is_loaded()
+            && self.crash_log.was_asked()
             && !self.members.vm_index.list().vms.is_empty();
         if self.phase == Phase::CatchingUp && ready {
             self.phase = Phase::Serving;
--- a/src/router/stream_log.rs
+++ b/src/router/stream_log.rs
@@ -24,6 +24,7 @@
 use crate::ids::RequestId;
 use crate::ids::SoftwareVersion;
 use crate::router::core::Core;
+use crate::router::crash_log::CrashRecord;
 use crate::router::effect::Effect;
 use crate::router::request::State;
 
@@ -64,6 +65,10 @@
     WriteVersions(VersionRecord),
     /// To read the versions of all pools.
     ReadVersions,
+    /// To write the record of crashes, if the log ends at an offset.
+    WriteCrashes(CrashRecord, Offset),
+    /// To read the record of crashes.
+    ReadCrashes,
 }
 
 /// What came of a call to the log.
@@ -77,6 +82,10 @@
     VersionsWritten(VersionRecord, bool),
     /// The versions of all pools; `None` means that the log did not answer.
     VersionsRead(Option<Vec<VersionRecord>>),
+    /// The record of crashes was written, and the log ends here now; or it may not have been.
+    CrashesWritten(Option<Offset>),
+    /// The record of crashes, if there is one, and where the log ends; `None` means that the log did not answer.
+    CrashesRead(Option<(Option<CrashRecord>, Offset)>),
 }
 
 /// What a router knows of the log, and its calls.
@@ -202,6 +211,8 @@
                 self.end_version_write(now, record, written);
             }
             StreamLogEvent::VersionsRead(read) => self.end_version_read(now, read),
+            StreamLogEvent::CrashesWritten(end) => self.end_crash_write(now, end),
+            StreamLogEvent::CrashesRead(read) => self.end_crash_read(now, read),
         }
     }
 
--- a/src/router/tests/crashes.rs
+++ b/src/router/tests/crashes.rs
@@ -19,16 +19,16 @@
 use crate::router::tests::site::whole;
 use crate::vms::VmEntry;
 
-const PREPAID: u64 = 1_000_000;
+pub(crate) const PREPAID: u64 = 1_000_000;
 const ENDPOINTS: u16 = 8;
 
 /// The request that crashes endpoints.
-const HARMFUL: Fingerprint = Fingerprint(77);
+pub(crate) const HARMFUL: Fingerprint = Fingerprint(77);
 
 /// How many endpoints a request may crash.
-const LIMIT: usize = 3;
+pub(crate) const LIMIT: usize = 3;
 
-fn vms() -> Vec<VmEntry> {
+pub(crate) fn vms() -> Vec<VmEntry> {
     let endpoints =
         (0..ENDPOINTS).map(|n| entry(&format!("endpoint-{n}"), 9100 + n, &[("pool", "pool")]));
     let routers = (0..2).map(|n| {
@@ -39,14 +39,14 @@
     endpoints.chain(routers).collect()
 }
 
-fn start() -> Site {
+pub(crate) fn start() -> Site {
     let mut site = Site::start_member(0, PREPAID, vms());
     site.advance(3000);
     site.receive_heartbeats(1);
     site
 }
 
-fn send(site: &mut Site, route: &str) -> RequestId {
+pub(crate) fn send(site: &mut Site, route: &str) -> RequestId {
     site.send_again("key", route, HARMFUL, Relay::default())
 }
 
@@ -57,7 +57,7 @@
 }
 
 /// Has the endpoint that runs a request close the connection, and be examined.
-fn close(site: &mut Site, id: RequestId, found: Examination) {
+pub(crate) fn close(site: &mut Site, id: RequestId, found: Examination) {
     let vm = endpoint(site, id);
     site.advance(20);
     site.handle(Event::RunEnded(id, RunEnd::closed()));
@@ -70,7 +70,7 @@
     site.handle(Event::EndpointExamined { vm, asked, found });
 }
 
-fn refusal(site: &Site, id: RequestId) -> Option<(ProblemKind, Ran)> {
+pub(crate) fn refusal(site: &Site, id: RequestId) -> Option<(ProblemKind, Ran)> {
     site.refusal(id).map(|problem| (problem.kind, problem.ran))
 }
 
--- a/src/router/tests/mod.rs
+++ b/src/router/tests/mod.rs
@@ -33,6 +33,7 @@
 mod random;
 mod random_announcements;
 mod random_retries;
+mod recorded_crashes;
 mod recorded_versions;
 mod refused;
 mod reincarnated;
--- a/src/router/tests/site.rs
+++ b/src/router/tests/site.rs
@@ -48,6 +48,7 @@
 use crate::router::Usage;
 use crate::router::VersionRecord;
 use crate::router::Work;
+use crate::router::crash_log::CrashRecord;
 use crate::router::heartbeat::TeamBudget;
 use crate::router::request::State;
 use crate::router::tests::cluster::boot_clock;
@@ -101,6 +102,11 @@
     /// What the log has of streams and versions.
     pub(crate) streams: Vec<StreamRecord>,
     pub(crate) versions: IndexMap<PoolId, VersionRecord>,
+    /// What the log has of crashes, and how often that was written.
+    pub(crate) crashes: Option<CrashRecord>,
+    pub(crate) crash_writes: u64,
+    /// Whether the log answers calls about crashes.
+    pub(crate) crash_log: Log,
     /// What the log has and this router has not read yet.
     pub(crate) unread: Vec<Event>,
     next_id: u64,
@@ -287,6 +293,9 @@
             rows: Vec::new(),
             streams: Vec::new(),
             versions: IndexMap::new(),
+            crashes: None,
+            crash_writes: 0,
+            crash_log: Log::Up,
             unread: Vec::new(),
             next_id: 1,
         };
@@ -377,6 +386,7 @@
 
     fn call_streams(&mut self, call: &StreamLogCall) -> StreamLogEvent {
         let up = self.log == Log::Up;
+        let crashes_up = up && self.crash_log == Log::Up;
         match call {
             StreamLogCall::Append(records) => {
                 if up {
@@ -396,6 +406,18 @@
                 }
                 StreamLogEvent::VersionsWritten(record.clone(), up)
             }
+            StreamLogCall::WriteCrashes(record, at) => {
+                let written = crashes_up && at.0 == self.crash_writes;
+                if written {
+                    self.crash_writes += 1;
+                    self.crashes = Some(record.clone());
+                }
+                StreamLogEvent::CrashesWritten(written.then_some(Offset(self.crash_writes)))
+            }
+            StreamLogCall::ReadCrashes => {
+                let read = (self.crashes.clone(), Offset(self.crash_writes));
+                StreamLogEvent::CrashesRead(crashes_up.then_some(read))
+            }
             StreamLogCall::ReadVersions => {
                 let all = self.versions.values().cloned().collect();
                 StreamLogEvent::VersionsRead(up.then_some(all))
--- a/src/router/version_log.rs
+++ b/src/router/version_log.rs
@@ -18,6 +18,7 @@
 use crate::ids::VmId;
 use crate::router::core::Core;
 use crate::router::effect::Effect;
+use crate::router::log_calls::LogCalls;
 use crate::router::stream_log::StreamLogCall;
 use crate::router::stream_log::Version;
 use crate::router::stream_log::VersionRecord;
@@ -31,9 +32,6 @@
 /// How many times that delay a router waits at most.
 const MAX_DELAYS: usize = 16;
 
-/// The pause after a call that failed.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-
 /// What a router knows of the versions in the log, and its calls.
 #[derive(Debug)]
 pub(crate) struct VersionLog {
@@ -51,11 +49,9 @@
     missing: IndexSet<PoolId>,
     /// Whether the versions are to be read again before any are written.
     outdated: bool,
-    /// Whether a call is in progress, and when the next one may be made.
-    busy: bool,
-    /// Whether that call was made before the versions were to be read anew.
+    calls: LogCalls,
+    /// Whether the call in progress was made before the versions were to be read anew.
     stale: bool,
-    next_call: Instant,
 }
 
 impl VersionLog {
@@ -68,9 +64,8 @@
             unchecked: IndexMap::new(),
             missing: IndexSet::new(),
             outdated: false,
-            busy: false,
+            calls: LogCalls::new(now),
             stale: false,
-            next_call: now,
         }
     }
 
@@ -81,10 +76,10 @@
 
     /// Has the versions read again: one may have come and gone without this router's knowing.
     pub(crate) fn reload(&mut self, now: Instant) {
-        self.stale = self.busy;
+        self.stale = self.calls.is_busy();
         self.recorded = None;
         self.known.clear();
-        self.next_call = now;
+        self.calls.set_next(now);
     }
 
     /// Adds the versions that the log told to those that a pool had lately.
@@ -113,7 +108,7 @@
 impl Core {
     /// Reads the versions if that is due, or writes those of a pool that have changed.
     pub(crate) fn step_versions(&mut self, now: Instant) {
-        if self.version_log.busy || now < self.version_log.next_call {
+        if !self.version_log.calls.may_begin(now) {
             return;
         }
         let reads = !self.version_log.is_loaded() || self.version_log.outdated;
@@ -122,7 +117,7 @@
             false => self.changed_versions(now).map(StreamLogCall::WriteVersions),
         };
         if let Some(call) = call {
-            self.version_log.busy = true;
+            self.version_log.calls.begin();
             self.effects.push(Effect::CallStreamLog(call));
         }
     }
@@ -130,7 +125,10 @@
     fn is_check_due(&self, now: Instant) -> bool {
         let mut unchecked = self.version_log.unchecked.iter();
         unchecked.any(|(pool, changed)| {
-            let delays = self.writer_rank(now, pool).clamp(WRITERS, MAX_DELAYS) - 1;
+            let delays = self
+                .log_writer_rank(now, pool.as_str())
+                .clamp(WRITERS, MAX_DELAYS)
+                - 1;
             let delays = u32::try_from(delays).unwrap_or(u32::MAX);
             now >= *changed + CHECK_DELAY * delays
         })
@@ -152,14 +150,14 @@
     }
 
     fn is_writer(&self, now: Instant, pool: &PoolId) -> bool {
-        self.writer_rank(now, pool) < WRITERS
+        self.log_writer_rank(now, pool.as_str()) < WRITERS
     }
 
-    /// Returns how many routers are to record the versions of a pool before this one.
-    fn writer_rank(&self, now: Instant, pool: &PoolId) -> usize {
+    /// Returns how many routers are to record something in the log before this one.
+    pub(crate) fn log_writer_rank(&self, now: Instant, subject: &str) -> usize {
         let routers = self.members.vm_index.serving_vms();
         let reached = |vm: &VmId| self.members.peer_failure(now, vm).is_none();
-        let writers = ranked(&routers, pool.as_str(), reached);
+        let writers = ranked(&routers, subject, reached);
         let rank = writers.iter().position(|vm| **vm == self.tuning.vm);
         rank.unwrap_or(0)
     }
@@ -217,13 +215,9 @@
 
     fn end_version_call(&mut self, now: Instant, answered: bool) {
         let log = &mut self.version_log;
-        log.busy = false;
+        log.calls.end(now, answered);
         log.stale = false;
-        if answered {
-            return;
-        }
-        log.next_call = now + RETRY_INTERVAL;
-        if !log.is_loaded() {
+        if !answered && !log.is_loaded() {
             self.end_waiting_seeks(now);
             self.end_waiting_confirmations(now);
         }
