Tests: early answers that are reset, and answers whose status is none

By reading: the HTTP client tells the body's reader of an error of a write as of one of a read, so that the error that the kernel reports once is not lost where the write meets it first.

Not played: answers to forwarded requests, a reset behind a proxy that delays, the end by FIN with a reset after it (an answer without a length that ends so can't be told from a whole one).

--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -18,6 +18,7 @@
 mod crashing_requests;
 mod descriptors;
 mod dying_endpoints;
+mod early_answers;
 mod endless_answers;
 mod fresh;
 mod frozen;
