Give other tasks a turn while a connection is read

Cause: the HTTP library reads within one call until a message is complete or the socket is empty, and the runtime lets a connection go on for 128 reads of up to 408 KB.

--- a/src/edge/relay/front.rs
+++ b/src/edge/relay/front.rs
@@ -30,6 +30,8 @@
 use tracing::warn;
 
 use crate::edge::relay::connections::Connections;
+use crate::paced_stream::MAX_READ;
+use crate::paced_stream::PacedStream;
 use crate::router::Problem;
 
 /// What goes back to a caller.
@@ -81,13 +83,14 @@
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE)
-            .serve_connection(TokioIo::new(stream), service);
+            .max_buf_size(MAX_READ)
+            .serve_connection(TokioIo::new(PacedStream::new(stream)), service);
         // A connection's end is its caller's affair; each request's own line says how the request went.
         tokio::spawn(async move {
             let served = (&mut connection).await;
             if served.is_err() && unframed.load(Ordering::Relaxed) {
                 // An answer that ends with its connection would look whole.
-                let stream = connection.into_parts().io.into_inner();
+                let stream = connection.into_parts().io.into_inner().into_inner();
                 if let Err(error) = stream.set_zero_linger() {
                     warn!(event = "socket-option", %error);
                 }
--- a/src/edge/relay/upstream.rs
+++ b/src/edge/relay/upstream.rs
@@ -27,6 +27,8 @@
 
 use crate::edge::desk::lock;
 use crate::http_client::is_readable;
+use crate::paced_stream::MAX_READ;
+use crate::paced_stream::PacedStream;
 
 /// How long a connection may take: an endpoint is a few milliseconds away, and a request that could not be sent may go to
 /// another one.
@@ -214,7 +216,10 @@
 }
 
 async fn handshake(stream: TcpStream, target: Target) -> Result<Connection, UpstreamError> {
-    let built = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let built = http1::Builder::new()
+        .max_buf_size(MAX_READ)
+        .handshake(TokioIo::new(PacedStream::new(stream)))
+        .await;
     let Ok((sender, connection)) = built else {
         return Err(UpstreamError::Unsent);
     };
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -28,8 +28,11 @@
 
 use crate::http_client::call::Call;
 use crate::http_client::call::Step;
+use crate::http_client::connector::Connector;
+use crate::paced_stream::MAX_READ;
 
 mod call;
+mod connector;
 mod error;
 mod head;
 #[cfg(test)]
@@ -57,7 +60,7 @@
     pub body: Bytes,
 }
 
-type Connections = Client<HttpConnector, Full<Bytes>>;
+type Connections = Client<Connector, Full<Bytes>>;
 
 /// A client that keeps connections open for later calls.
 ///
@@ -290,14 +293,15 @@
 fn connections(idle: usize) -> Connections {
     Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(idle)
+        .http1_max_buf_size(MAX_READ)
         .build(connector())
 }
 
-fn connector() -> HttpConnector {
+fn connector() -> Connector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector
+    Connector::new(connector)
 }
 
 /// Returns the innermost cause; the outer ones add nothing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 mod log_client;
 mod logs;
 mod moment;
+mod paced_stream;
 mod part_id;
 mod platform;
 mod prompt;
