--- a/tests/faults/bytes_without_end.rs
+++ b/tests/faults/bytes_without_end.rs
@@ -108,7 +108,7 @@
 
 /// Returns the most memory that a process has used so far, in megabytes.
 fn peak_memory(router: &Router) -> Result<u64> {
-    let status = fs::read_to_string(format!("/proc/{}/status", router.process.id()))?;
+    let status = fs::read_to_string(format!("/proc/{}/status", router.process.0.id()))?;
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
     let peak = peak.context("no peak")?.trim();
     let kilobytes: u64 = peak.trim_end_matches(" kB").parse()?;
--- a/tests/faults/process.rs
+++ b/tests/faults/process.rs
@@ -19,14 +19,9 @@
 use crate::wait_for;
 
 /// A process that is killed when the test is over, also by a panic.
-pub(crate) struct Process(Child);
+pub(crate) struct Process(pub(crate) Child);
 
 impl Process {
-    /// Returns the number that the system knows it by.
-    pub(crate) fn id(&self) -> u32 {
-        self.0.id()
-    }
-
     /// Starts a stand-in and returns the addresses that it prints.
     pub(crate) fn stand_in(args: &str) -> Result<(Self, Vec<SocketAddr>)> {
         let mut child = Command::new(env!("CARGO_BIN_EXE_jasmineridge-standin"))
