Assume the memory of a small VM for gathered answers

The setting is optional; without it a process is taken for one of 268 MB, and gathered answers have 67 MB.

--- a/src/decide/answer_size.rs
+++ b/src/decide/answer_size.rs
@@ -15,7 +15,7 @@
 const MEMORY_PART: usize = 4;
 
 /// The memory of a process of which it isn't known how much it may use.
-const DEFAULT_MEMORY: usize = 1 << 30;
+const DEFAULT_MEMORY: usize = 256 << 20;
 
 /// How much memory an answer takes for each byte while its buffer grows.
 const GROWTH: usize = 2;
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -48,7 +48,7 @@
     pub link_mbps: f64,
     /// How many descriptors the process may have; by default as many as the system allows.
     pub max_descriptors: Option<usize>,
-    /// How much memory the process may use, in megabytes; by default a gigabyte.
+    /// How much memory the process may use, in megabytes; by default 268.
     pub memory_mb: Option<usize>,
     /// The lowest severity that is logged.
     #[serde(default)]
