Wait for callers' answers in a planned stop

What callers saw: a router ends three seconds after SIGTERM as soon as its core has no request left.

Cause: a relayed request is over for the core when its endpoint's answer has been read, or when it is handed to another router. The connections that it came by were not asked.

Ruled out for the report on late requests (LOST): requests of the router's own that come later than three seconds after the signal are taken only if their time ends before the grace does.

Change: when the core has nothing left, connections are closed in order, idle ones at once, others once their answers are sent; the router ends when those that were there are gone, or at the limit that it had before.

Not run: a forwarded request.

--- a/src/edge/driver.rs
+++ b/src/edge/driver.rs
@@ -35,6 +35,7 @@
 use crate::edge::peers;
 use crate::edge::peers::Caller;
 use crate::edge::probe::Prober;
+use crate::edge::relay::Connections;
 use crate::edge::tell::Teller;
 use crate::edge::vms;
 use crate::escrow::Proposal;
@@ -112,6 +113,7 @@
         teller: None,
         desk,
         idle: None,
+        connections: None,
     };
     driver.run(events).await
 }
@@ -210,6 +212,8 @@
     pub(crate) desk: Arc<Desk>,
     /// Where it is known, since when requests may have been waiting in the sockets.
     pub(crate) idle: Option<Arc<IdleClock>>,
+    /// The connections of callers, where they are closed before the router ends.
+    pub(crate) connections: Option<Arc<Connections>>,
 }
 
 impl Driver {
@@ -239,6 +243,7 @@
             let now = self.clock.now();
             let mut effects = self.note_pause(now, last);
             self.check_idle(now);
+            self.count_connections();
             let ticked = matches!(event, Event::Tick);
             effects.extend(self.core.handle(now, event));
             if now >= last + TICK {
@@ -259,6 +264,13 @@
         }
     }
 
+    /// Tells the core how many connections of callers there are.
+    fn count_connections(&mut self) {
+        if let Some(connections) = &self.connections {
+            self.core.record_connections(connections.unfinished());
+        }
+    }
+
     fn leave(&self) {
         self.desk.leave();
         if let Storage::Grants(log) = &self.storage {
@@ -371,6 +383,10 @@
             }
             Effect::Answer(id, status, body) => self.desk.answer(id, status, body),
             Effect::Exit { .. } => {}
+            Effect::CloseConnections => {
+                let connections = self.connections.iter();
+                connections.for_each(|connections| connections.close());
+            }
             effect => self.store(effect),
         }
     }
--- a/src/edge/relay/connections.rs
+++ b/src/edge/relay/connections.rs
@@ -1,4 +1,4 @@
-//! How many connections callers have open, and which are closed to make room for others.
+//! How many connections callers have open, and which are closed to make room for others or before the router ends.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -6,6 +6,7 @@
 
 use rustix::process::Resource;
 use rustix::process::getrlimit;
+use tokio::sync::watch;
 
 /// The part of the descriptors from which on refused callers lose their connections: they come back over new ones.
 const CROWDED: f64 = 0.5;
@@ -19,11 +20,19 @@
     open: AtomicUsize,
     /// How many descriptors the process may have.
     descriptors: usize,
+    /// How many are open that are closed before the router ends.
+    unfinished: AtomicUsize,
+    /// Whether connections are closed once their answers are sent.
+    closing: watch::Sender<bool>,
 }
 
 /// Counts one connection until it is dropped.
 #[derive(Debug)]
-pub(super) struct Opened(Arc<Connections>);
+pub(super) struct Opened {
+    connections: Arc<Connections>,
+    /// Whether it is closed before the router ends.
+    is_awaited: bool,
+}
 
 impl Connections {
     /// Creates the count of a process that may have so many descriptors, or as many as the system allows if that is less.
@@ -34,13 +43,33 @@
         Self {
             open: AtomicUsize::new(0),
             descriptors: both.min().unwrap_or(usize::MAX),
+            unfinished: AtomicUsize::new(0),
+            closing: watch::Sender::new(false),
         }
     }
 
     /// Counts a connection.
     pub(super) fn open(self: &Arc<Self>) -> Opened {
         self.open.fetch_add(1, Ordering::Relaxed);
-        Opened(self.clone())
+        // Callers that come after that have one answer each.
+        let is_awaited = !*self.closing.borrow();
+        if is_awaited {
+            self.unfinished.fetch_add(1, Ordering::Relaxed);
+        }
+        Opened {
+            connections: self.clone(),
+            is_awaited,
+        }
+    }
+
+    /// Has all connections closed, once the answers are sent that they are for now.
+    pub(crate) fn close(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Returns how many connections were there before they were to be closed, and still are.
+    pub(crate) fn unfinished(&self) -> usize {
+        self.unfinished.load(Ordering::Relaxed)
     }
 
     /// Returns whether a connection is to be closed after an answer, which may be a refusal.
@@ -51,8 +80,25 @@
     }
 }
 
+impl Opened {
+    /// Waits until the connection is to be closed.
+    pub(super) async fn closing(&self) {
+        let mut closing = self.connections.closing.subscribe();
+        if !self.is_awaited || closing.wait_for(|closing| *closing).await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
+
 impl Drop for Opened {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        let Self {
+            connections,
+            is_awaited,
+        } = self;
+        connections.open.fetch_sub(1, Ordering::Relaxed);
+        if *is_awaited {
+            connections.unfinished.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
--- a/src/edge/relay/front.rs
+++ b/src/edge/relay/front.rs
@@ -87,7 +87,13 @@
             .serve_connection(TokioIo::new(PacedStream::new(stream)), service);
         // A connection's end is its caller's affair; each request's own line says how the request went.
         tokio::spawn(async move {
-            let served = (&mut connection).await;
+            let served = tokio::select! {
+                served = &mut connection => served,
+                () = opened.closing() => {
+                    Pin::new(&mut connection).graceful_shutdown();
+                    (&mut connection).await
+                }
+            };
             if served.is_err() && unframed.load(Ordering::Relaxed) {
                 // An answer that ends with its connection would look whole.
                 let stream = connection.into_parts().io.into_inner().into_inner();
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -177,6 +177,7 @@
         teller: Some(teller),
         desk,
         idle: Some(idle),
+        connections: Some(connections),
     };
     driver.run(events).await
 }
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -197,6 +197,8 @@
     /// Requests that arrive before this time may have been in a socket buffer while the process was suspended.
     pub(crate) stale_until: Option<Instant>,
     pub(crate) started_at: Instant,
+    /// How many connections of callers are open that are to be closed before the router ends.
+    pub(crate) connections: usize,
     /// When the log was read up to its end, while the router waits to open.
     pub(crate) caught_up_at: Option<Instant>,
     /// When the ledger's state was last requested.
@@ -305,6 +307,7 @@
                 refilled_at: None,
             },
             stale_until: None,
+            connections: 0,
             checkpoint_not_before: now + CHECKPOINT_DELAY.mul_f64(rng.random_range(1.0..3.0)),
             rebalanced_at: None,
             started_at: now,
@@ -439,6 +442,11 @@
         self.idle_at = Some(at);
     }
 
+    /// Records how many connections of callers are open.
+    pub(crate) fn record_connections(&mut self, count: usize) {
+        self.connections = count;
+    }
+
     /// Returns when the core must be called next if no event arrives before.
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         self.appender.next_poll()
--- a/src/router/effect.rs
+++ b/src/router/effect.rs
@@ -117,6 +117,8 @@
     Probe(VmId, String),
     /// Answers an operator or another router.
     Answer(ReplyId, u16, Value),
+    /// Close the connections of callers once their answers are sent.
+    CloseConnections,
     /// Exits the process.
     Exit {
         /// Whether this cuts off requests in progress, or loses records that are stored nowhere else.
--- a/src/router/grants.rs
+++ b/src/router/grants.rs
@@ -234,7 +234,8 @@
     }
 
     /// Continues a planned stop, in this order: callers no longer keep the address, what no request in progress needs
-    /// has been returned, and no request is in progress any more.
+    /// has been returned, no request is in progress any more, and callers have their answers. An answer that a slow
+    /// caller still reads, or that another router gives, is no request in progress here.
     pub(crate) fn continue_drain(&mut self, now: Instant, linger: Duration) {
         let Phase::Draining { since, closing } = self.phase else {
             return;
@@ -244,6 +245,7 @@
             if cut {
                 warn!(event = "drain-limit", requests = self.requests.len());
             }
+            info!(event = "connections-left", count = self.connections);
             self.effects.push(Effect::Exit { cut });
             return;
         }
@@ -257,7 +259,10 @@
             };
             self.grant_budgets.release_idle();
         } else if self.requests.is_empty() && self.grant_budgets.has_released_all() {
-            self.effects.push(Effect::Exit { cut: false });
+            self.effects.push(match self.connections {
+                0 => Effect::Exit { cut: false },
+                _ => Effect::CloseConnections,
+            });
         }
     }
 }
--- a/src/router/tests/grants.rs
+++ b/src/router/tests/grants.rs
@@ -472,3 +472,31 @@
             .is_some_and(|p| p.kind == ProblemKind::Deadline)
     );
 }
+
+/// Guards against a planned stop that ends while callers still read their answers, and against one that never ends.
+#[test]
+fn a_planned_stop_waits_for_the_answers_of_callers() {
+    for is_slow in [false, true] {
+        let mut site = Site::start(10_000);
+        site.core.record_connections(3);
+        site.handle(Event::Drain);
+        site.advance(LINGER.as_millis() as u64 + 500);
+        let is = |site: &Site, what: fn(&Effect) -> bool| site.effects.iter().any(what);
+        assert!(is(&site, |effect| matches!(
+            effect,
+            Effect::CloseConnections
+        )));
+        assert!(!is(&site, |effect| matches!(effect, Effect::Exit { .. })));
+        match is_slow {
+            true => site.advance(3000),
+            false => {
+                site.core.record_connections(0);
+                site.advance(40);
+            }
+        }
+        assert!(is(&site, |effect| matches!(
+            effect,
+            Effect::Exit { cut: false }
+        )));
+    }
+}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -41,6 +41,7 @@
 mod process;
 mod received;
 mod repeats;
+mod slow_readers;
 mod stopped;
 mod store;
 mod stream_soak;
