Leave the record of crashes to a few routers of a large fleet

A router that is not among the first eight never knew that a change was recorded, and so computed the ranks of all routers for each event from the first crash on (found by reading the change again; no run of a large fleet showed it). It leaves the change to the others now, and one that checks later sleeps until then. most_routers_of_a_large_fleet_leave_the_record_to_others guards the calls; the time was not measured. The buffer of an answer with a length is made once.

--- a/src/edge/relay/gather.rs
+++ b/src/edge/relay/gather.rs
@@ -41,9 +41,9 @@
 async fn read_whole(room: &AnswerRoom, mut body: Incoming) -> Result<Bytes, BodyError> {
     let mut taken = Room::default();
     let length = body.size_hint().exact().unwrap_or(0);
-    room.grow(&mut taken, usize::try_from(length).unwrap_or(usize::MAX))
-        .await?;
-    let mut whole = BytesMut::new();
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
+    room.grow(&mut taken, length).await?;
+    let mut whole = BytesMut::with_capacity(length);
     while let Some(frame) = body.frame().await {
         let bytes = frame?.into_data().unwrap_or_default();
         room.grow(&mut taken, whole.len() + bytes.len()).await?;
--- a/src/router/crash_log.rs
+++ b/src/router/crash_log.rs
@@ -113,9 +113,29 @@
             };
             return Some(StreamLogCall::WriteCrashes(record, end));
         }
-        let delays = u32::try_from(rank).unwrap_or(u32::MAX);
-        let is_due = rank < MAX_WRITERS && now >= changed + CHECK_DELAY * delays;
-        is_due.then_some(StreamLogCall::ReadCrashes)
+        self.next_crash_check(now, changed, rank, revision)
+    }
+
+    /// Returns the read by which a router checks whether a change was recorded, if that is due.
+    fn next_crash_check(
+        &mut self,
+        now: Instant,
+        changed: Instant,
+        rank: usize,
+        revision: u64,
+    ) -> Option<StreamLogCall> {
+        let log = &mut self.crash_log;
+        let Some(delays) = u32::try_from(rank).ok().filter(|_| rank < MAX_WRITERS) else {
+            // Others record it. Ranks are not computed again for each event until then.
+            log.recorded = revision;
+            return None;
+        };
+        let due = changed + CHECK_DELAY * delays;
+        if now < due {
+            log.calls.set_next(due);
+            return None;
+        }
+        Some(StreamLogCall::ReadCrashes)
     }
 
     /// Handles what came of a read: the record of crashes, and where the log ends.
--- a/src/router/tests/recorded_crashes.rs
+++ b/src/router/tests/recorded_crashes.rs
@@ -29,7 +29,9 @@
 use crate::router::tests::crashes::vms;
 use crate::router::tests::site::Log;
 use crate::router::tests::site::Site;
+use crate::router::tests::site::entry;
 use crate::router::tests::site::whole;
+use crate::vms::VmList;
 
 /// How many crashes a part of prompts is found out by.
 const PART_LIMIT: usize = 5;
@@ -319,3 +321,27 @@
     assert_eq!(site.effects.iter().filter(reads).count(), 1);
     assert_eq!(writes(&site), 0);
 }
+
+/// Guards against a router of a large fleet that computes anew for each event who records a crash that others record.
+#[test]
+fn most_routers_of_a_large_fleet_leave_the_record_to_others() {
+    let mut site = start();
+    let role = [("role", "router"), ("peer", "127.0.0.1:8100")];
+    let others = (0..40).map(|n| entry(&format!("router-{n}"), 8001, &role));
+    let vms = vms()
+        .into_iter()
+        .filter(|vm| !vm.vm.as_str().starts_with("router"));
+    let vms = vms.chain(others).collect();
+    site.handle(Event::VmList(VmList { as_of: 2, vms }));
+    assert!(site.core.log_writer_rank(site.now, "crashes") >= 8);
+    site.effects.clear();
+    find_out(&mut site);
+    site.advance(2000);
+    let calls = |effect: &&Effect| {
+        matches!(
+            effect,
+            Effect::CallStreamLog(StreamLogCall::ReadCrashes | StreamLogCall::WriteCrashes(..))
+        )
+    };
+    assert_eq!(site.effects.iter().filter(calls).count(), 0);
+}
