--- a/tests/faults/early_answers.rs
+++ b/tests/faults/early_answers.rs
@@ -51,7 +51,7 @@
     text
 }
 
-/// Returns the part of a name after the given number of dashes.
+/// Returns one of the parts of a name, which underscores separate.
 fn part(name: &str, index: usize) -> &str {
     name.split('_').nth(index).unwrap_or_default()
 }
